--- /dev/null
+++ b/crates/core/src/declare/mod.rs
@@ -0,0 +1,15 @@
+//! Declarations: the objects that operators write, and the fleet that a sound set makes.
+
+pub mod check;
+pub mod fleet;
+pub mod load;
+pub mod object;
+pub mod publish;
+
+pub use self::{
+    check::check,
+    fleet::Fleet,
+    load::{Declared, Fault, ReadError, Source},
+    object::*,
+    publish::{Head, HeadEntry, PublishError, Published},
+};
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,232 @@
+//! Newtypes for names, digests and sequence numbers.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
+
+/// Longest name that an object may have, in bytes.
+pub const MAX_NAME: usize = 63;
+
+/// The reason why a text is not an identifier.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BadId {
+    /// The text that was given.
+    pub text: String,
+    /// What an identifier of this type looks like.
+    pub allowed: &'static str,
+}
+
+impl fmt::Display for BadId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is not {}", self.text, self.allowed)
+    }
+}
+
+impl std::error::Error for BadId {}
+
+macro_rules! name_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = BadId;
+
+            fn from_str(text: &str) -> Result<Self, BadId> {
+                check_name(text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.serialize_str(&self.0)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let text = String::deserialize(deserializer)?;
+                text.parse().map_err(D::Error::custom)
+            }
+        }
+    };
+}
+
+name_id!(
+    /// The name of a VM.
+    VmId
+);
+name_id!(
+    /// The name of an availability zone.
+    ZoneId
+);
+name_id!(
+    /// The name of a region.
+    RegionId
+);
+name_id!(
+    /// The name of an endpoint pool.
+    PoolId
+);
+name_id!(
+    /// The name of a service that callers ask for.
+    ServiceId
+);
+name_id!(
+    /// The name of a model.
+    ModelId
+);
+name_id!(
+    /// The name of one version of a model.
+    VersionId
+);
+name_id!(
+    /// The name of an adapter.
+    AdapterId
+);
+name_id!(
+    /// The name of a client account.
+    ClientId
+);
+name_id!(
+    /// An idempotency key that a caller sends with a call that may not be repeated.
+    OnceKey
+);
+
+/// A BLAKE3 digest.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// Returns the digest of `data`.
+    pub fn of(data: &[u8]) -> Self {
+        Self(*blake3::hash(data).as_bytes())
+    }
+
+    /// Returns the bytes of the digest.
+    pub fn bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+
+    /// Returns a short form for log lines.
+    pub fn short(&self) -> String {
+        self.to_string()[..12].to_owned()
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({self})")
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&blake3::Hash::from_bytes(self.0).to_hex())
+    }
+}
+
+impl FromStr for Digest {
+    type Err = BadId;
+
+    fn from_str(text: &str) -> Result<Self, BadId> {
+        blake3::Hash::from_hex(text)
+            .map(|hash| Self(*hash.as_bytes()))
+            .map_err(|_| BadId { text: text.to_owned(), allowed: "a digest of 64 hex digits" })
+    }
+}
+
+impl Serialize for Digest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            self.0.serialize(serializer)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return <[u8; 32]>::deserialize(deserializer).map(Self);
+        }
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(D::Error::custom)
+    }
+}
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+        )]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the number that follows this one.
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = BadId;
+
+            fn from_str(text: &str) -> Result<Self, BadId> {
+                text.parse()
+                    .map(Self)
+                    .map_err(|_| BadId { text: text.to_owned(), allowed: "a whole number" })
+            }
+        }
+    };
+}
+
+number_id!(
+    /// The generation of a published configuration; it only rises.
+    Generation
+);
+number_id!(
+    /// The start of a process: microseconds of its wall clock at the start.
+    Incarnation
+);
+number_id!(
+    /// A request, unique within the incarnation of its entry process.
+    RequestId
+);
+number_id!(
+    /// The fencing number of an order to an engine.
+    Fence
+);
+
+fn check_name(text: &str) -> Result<(), BadId> {
+    let allowed = "a name of 1 to 63 characters from a-z, 0-9, '-', '_', '.' that starts with a letter or digit";
+    let letter = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit();
+    let sound = !text.is_empty()
+        && text.len() <= MAX_NAME
+        && letter(text.as_bytes()[0])
+        && text.bytes().all(|b| letter(b) || matches!(b, b'-' | b'_' | b'.'));
+    if sound { Ok(()) } else { Err(BadId { text: text.to_owned(), allowed }) }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decision logic of sequoiahold: messages in, outcomes out, no sockets, clocks or threads.
+
+pub mod adopt;
+pub mod chart;
+pub mod declare;
+pub mod gate;
+pub mod ids;
+pub mod peers;
+pub mod proto;
+pub mod refuse;
+pub mod route;
+pub mod time;
+pub mod units;
+pub mod weights;
--- /dev/null
+++ b/crates/core/src/proto.rs
@@ -0,0 +1,132 @@
+//! Typed messages between the system's processes.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    declare::Published,
+    ids::{
+        ClientId, Digest, Generation, Incarnation, OnceKey, RequestId, ServiceId, VersionId, VmId,
+    },
+    refuse::{Failure, Refusal},
+    units::Span,
+};
+
+/// The protocol version that both ends must share.
+pub const PROTOCOL: &[u8] = b"sequoiahold/1";
+/// Largest encoded message, in bytes; a chunk and its header fit.
+pub const MAX_MESSAGE: usize = 5_000_000;
+
+/// What an opened stream asks for.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Call {
+    /// Run a request.
+    Ask(Box<Ask>),
+    /// Tell and learn the present state; also the heartbeat of the connection.
+    Beat(Box<Beat>),
+    /// Send the published set if it is above this generation.
+    Set(Generation),
+    /// Send the chunk with this digest.
+    Chunk(Digest),
+    /// Tell which chunks of this manifest are held.
+    Have(Digest),
+}
+
+/// A request on its way to an endpoint.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Ask {
+    /// The entry that sends the request.
+    pub entry: VmId,
+    /// The incarnation of the entry.
+    pub incarnation: Incarnation,
+    /// The number of the request at the entry.
+    pub id: RequestId,
+    /// The client account.
+    pub client: ClientId,
+    /// The service.
+    pub service: ServiceId,
+    /// The HTTP method of a plain call.
+    pub method: String,
+    /// The path and query of a plain call.
+    pub path: String,
+    /// The idempotency key.
+    pub key: Option<OnceKey>,
+    /// The time left until the deadline.
+    pub left: Span,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The state that a process tells its peers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    /// The sender.
+    pub vm: VmId,
+    /// The incarnation of the sender.
+    pub incarnation: Incarnation,
+    /// The generation in force.
+    pub generation: Generation,
+    /// What an endpoint bears, or `None` from an entry.
+    pub load: Option<Load>,
+}
+
+/// The load that an endpoint reports.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Load {
+    /// The version that the engine holds, or `None` while it holds none.
+    pub version: Option<VersionId>,
+    /// The requests that the endpoint bears now.
+    pub limit: u32,
+    /// The requests that run now.
+    pub running: u32,
+    /// Whether the endpoint takes new work.
+    pub open: bool,
+}
+
+/// An answer on a stream.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Reply {
+    /// The request did not run.
+    Refused(Refusal),
+    /// The request was handed over; its status and content type follow.
+    Started(Started),
+    /// A part of the answer, numbered from 0.
+    Part(u32, Bytes),
+    /// The answer is whole and has this many parts.
+    End(u32),
+    /// The request ended without a whole answer.
+    Failed(Failure),
+    /// The state of the peer.
+    Beat(Box<Beat>),
+    /// The published set, or `None` where the peer has nothing newer.
+    Set(Option<Arc<Published>>),
+    /// The chunk, or `None` where the peer does not hold it.
+    Chunk(Option<Bytes>),
+    /// The bits of the chunks that the peer holds, first chunk lowest.
+    Have(Vec<u8>),
+}
+
+/// The first part of an answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Started {
+    /// The HTTP status.
+    pub status: u16,
+    /// The content type.
+    pub content: String,
+    /// The version of the weights that answer.
+    pub version: Option<VersionId>,
+    /// The incarnation of the endpoint process.
+    pub incarnation: Incarnation,
+}
+
+/// Encodes a message.
+pub fn encode(message: &impl Serialize) -> Vec<u8> {
+    postcard::to_stdvec(message).unwrap_or_default()
+}
+
+/// Decodes a message; the error says what is malformed.
+pub fn decode<'a, T: Deserialize<'a>>(data: &'a [u8]) -> Result<T, postcard::Error> {
+    postcard::from_bytes(data)
+}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,82 @@
+//! Time as a value, and the timer service that parts subscribe to.
+
+use std::{
+    collections::BTreeMap,
+    fmt,
+    ops::{Add, Sub},
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::units::Span;
+
+/// A point in time, in microseconds since the start of the process or of a scenario.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Time(pub u64);
+
+impl Add<Span> for Time {
+    type Output = Self;
+
+    fn add(self, span: Span) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub for Time {
+    type Output = Span;
+
+    fn sub(self, earlier: Self) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl fmt::Display for Time {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", Span(self.0))
+    }
+}
+
+/// A subscription at the timer service.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TimerId(Time, u64);
+
+/// The timer service: keeps subscriptions and hands out the keys that are due.
+#[derive(Debug)]
+pub struct Timers<K> {
+    queue: BTreeMap<TimerId, K>,
+    count: u64,
+}
+
+impl<K> Default for Timers<K> {
+    fn default() -> Self {
+        Self { queue: BTreeMap::new(), count: 0 }
+    }
+}
+
+impl<K> Timers<K> {
+    /// Subscribes `key` to the time `at`.
+    pub fn at(&mut self, at: Time, key: K) -> TimerId {
+        self.count += 1;
+        let id = TimerId(at, self.count);
+        self.queue.insert(id, key);
+        id
+    }
+
+    /// Ends a subscription that is not due yet.
+    pub fn cancel(&mut self, id: TimerId) -> Option<K> {
+        self.queue.remove(&id)
+    }
+
+    /// Returns the earliest time that a subscription waits for.
+    pub fn next(&self) -> Option<Time> {
+        self.queue.keys().next().map(|id| id.0)
+    }
+
+    /// Removes and returns the first subscription that is due at `now`.
+    pub fn pop(&mut self, now: Time) -> Option<K> {
+        let id = *self.queue.keys().next().filter(|id| id.0 <= now)?;
+        self.queue.remove(&id)
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/cli.rs
@@ -0,0 +1,125 @@
+//! The command line.
+
+use std::{ffi::OsString, path::PathBuf, process::ExitCode};
+
+use anyhow::{Context as _, bail};
+use pico_args::Arguments;
+use sequoiahold_core::ids::Generation;
+
+use crate::{command, endpoint, entry, logging, settings};
+
+/// Exit code of a command that found a set unsound or a process unwell.
+pub const EXIT_UNSOUND: u8 = 1;
+/// Exit code of a command that could not do its work.
+pub const EXIT_FAILED: u8 = 2;
+
+const HELP: &str = "\
+Weight distribution and request routing for bursts.
+
+Usage: sequoiahold COMMAND [OPTIONS]
+
+Commands:
+  entry --config FILE       take callers and route to endpoints
+  endpoint --config FILE    stand before one engine or plain service
+  check DIR                 check a set of declarations
+  render DIR --out DIR      turn a sound set into the values to publish
+  status ADDR [--json]      show what a process holds and does
+
+Options:
+  --print-config            with entry and endpoint: print the settings in force and exit
+  -h, --help                show this help, or that of a command
+  -V, --version             show the version
+
+Exit codes: 0 done, 1 the set is unsound or the process unwell, 2 the command could not do its work.
+";
+
+/// Runs the program and returns its exit code.
+pub fn run() -> ExitCode {
+    match dispatch(Arguments::from_env()) {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("sequoiahold: {error:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn dispatch(mut args: Arguments) -> anyhow::Result<u8> {
+    if args.contains(["-V", "--version"]) {
+        println!("sequoiahold {}", env!("CARGO_PKG_VERSION"));
+        return Ok(0);
+    }
+    let command = args.subcommand()?;
+    if command.is_none() || args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(0);
+    }
+    match command.as_deref() {
+        Some("entry") => run_entry(args),
+        Some("endpoint") => run_endpoint(args),
+        Some("check") => {
+            let dir = directory(&mut args)?;
+            finish(args)?;
+            command::check::run(&dir)
+        }
+        Some("render") => {
+            let out: PathBuf = args.value_from_os_str("--out", path)?;
+            let generation: Option<Generation> = args.opt_value_from_str("--generation")?;
+            let dir = directory(&mut args)?;
+            finish(args)?;
+            command::render::run(&dir, &out, generation)
+        }
+        Some("status") => {
+            let json = args.contains("--json");
+            let addr = args.free_from_str().context("status needs the address of a process")?;
+            finish(args)?;
+            command::status::run(addr, json)
+        }
+        Some(other) => bail!("unknown command {other:?}; try --help"),
+        None => unreachable!("handled above"),
+    }
+}
+
+fn run_entry(mut args: Arguments) -> anyhow::Result<u8> {
+    let file: PathBuf = args.value_from_os_str("--config", path)?;
+    let print = args.contains("--print-config");
+    finish(args)?;
+    let settings: settings::Entry = settings::load(&file)?;
+    if print {
+        println!("{}", serde_json::to_string_pretty(&settings)?);
+        return Ok(0);
+    }
+    logging::start(&settings.log)?;
+    actix_rt::System::new().block_on(entry::run(settings))?;
+    Ok(0)
+}
+
+fn run_endpoint(mut args: Arguments) -> anyhow::Result<u8> {
+    let file: PathBuf = args.value_from_os_str("--config", path)?;
+    let print = args.contains("--print-config");
+    finish(args)?;
+    let settings: settings::Endpoint = settings::load(&file)?;
+    if print {
+        println!("{}", serde_json::to_string_pretty(&settings)?);
+        return Ok(0);
+    }
+    logging::start(&settings.log)?;
+    actix_rt::System::new().block_on(endpoint::run(settings))?;
+    Ok(0)
+}
+
+fn directory(args: &mut Arguments) -> anyhow::Result<PathBuf> {
+    args.free_from_os_str(path).context("the command needs the directory of a set")
+}
+
+fn path(text: &std::ffi::OsStr) -> Result<PathBuf, std::convert::Infallible> {
+    Ok(text.into())
+}
+
+fn finish(args: Arguments) -> anyhow::Result<()> {
+    let rest: Vec<OsString> = args.finish();
+    match rest.first() {
+        Some(first) => bail!("unexpected argument {first:?}; try --help"),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/command/check.rs
@@ -0,0 +1,31 @@
+//! `sequoiahold check`: checks a set of declarations as a whole.
+
+use std::path::Path;
+
+use sequoiahold_core::declare::load::read_set;
+
+use super::files;
+use crate::cli::EXIT_UNSOUND;
+
+/// Checks the set in `dir` and prints each fault on standard error.
+pub fn run(dir: &Path) -> anyhow::Result<u8> {
+    let files = files::read(dir)?;
+    match read_set(files.iter().map(|(name, text)| (name.as_str(), text.as_str()))) {
+        Ok((declared, _)) => {
+            println!(
+                "{}: {} objects in {} files, sound",
+                dir.display(),
+                declared.len(),
+                files.len()
+            );
+            Ok(0)
+        }
+        Err(faults) => {
+            for fault in &faults {
+                eprintln!("{fault}");
+            }
+            eprintln!("{}: {} faults", dir.display(), faults.len());
+            Ok(EXIT_UNSOUND)
+        }
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/command/files.rs
@@ -0,0 +1,36 @@
+//! Reading the files of a set of declarations.
+
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+};
+
+use anyhow::Context as _;
+
+/// Reads all `.json` files below a directory, sorted by name.
+pub fn read(dir: &Path) -> anyhow::Result<Vec<(String, String)>> {
+    let mut paths = Vec::new();
+    collect(dir, &mut paths).with_context(|| format!("cannot read {}", dir.display()))?;
+    paths.sort();
+    paths
+        .into_iter()
+        .map(|path| {
+            let text = fs::read_to_string(&path)
+                .with_context(|| format!("cannot read {}", path.display()))?;
+            let name = path.strip_prefix(dir).unwrap_or(&path).display().to_string();
+            Ok((name, text))
+        })
+        .collect()
+}
+
+fn collect(dir: &Path, paths: &mut Vec<PathBuf>) -> io::Result<()> {
+    for entry in fs::read_dir(dir)? {
+        let path = entry?.path();
+        if path.is_dir() {
+            collect(&path, paths)?;
+        } else if path.extension().is_some_and(|extension| extension == "json") {
+            paths.push(path);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/sequoiahold/src/command/mod.rs
@@ -0,0 +1,6 @@
+//! The commands that people use.
+
+pub mod check;
+pub mod files;
+pub mod render;
+pub mod status;
--- /dev/null
+++ b/crates/sequoiahold/src/command/status.rs
@@ -0,0 +1,25 @@
+//! `sequoiahold status`: shows what a process holds and does.
+
+use std::net::SocketAddr;
+
+use anyhow::Context as _;
+
+use crate::status::Status;
+
+/// Prints the status of the process at `addr`.
+pub fn run(addr: SocketAddr, json: bool) -> anyhow::Result<u8> {
+    let status = actix_rt::System::new().block_on(fetch(addr))?;
+    if json {
+        println!("{}", serde_json::to_string(&status)?);
+    } else {
+        print!("{status}");
+    }
+    Ok(0)
+}
+
+async fn fetch(addr: SocketAddr) -> anyhow::Result<Status> {
+    let sent = awc::Client::default().get(format!("http://{addr}/status")).send().await;
+    let mut response = sent.map_err(|e| anyhow::anyhow!("no answer from {addr}: {e}"))?;
+    let body = response.body().await.context("the answer broke off")?;
+    serde_json::from_slice(&body).context("the answer is not a status")
+}
--- /dev/null
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -0,0 +1,73 @@
+//! The endpoint process: the one gate before its engine or plain service.
+
+mod ask;
+mod draw;
+mod engine;
+mod event;
+mod event_loop;
+mod peers;
+mod store;
+
+use std::{rc::Rc, time::Duration};
+
+use actix_rt::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use self::{ask::Asks, engine::Engine, event_loop::EventLoop, peers::PeerService, store::Store};
+pub use self::{engine::EngineState, event::Event};
+use crate::{
+    clock::Clock,
+    net::{Links, Tls, listen},
+    platform::Platform,
+    reader, settings, status,
+};
+
+/// Time that a graceful shutdown may take at the most.
+const DRAIN: Duration = Duration::from_secs(120);
+/// Pause between two looks at the requests in progress during a shutdown.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Time that closed connections have to deliver their last bytes.
+const LAST_BYTES: Duration = Duration::from_secs(2);
+
+/// Runs an endpoint process until it is told to stop and its requests are done.
+pub async fn run(settings: settings::Endpoint) -> anyhow::Result<()> {
+    let tls = Rc::new(Tls::load(&settings.keys)?);
+    let clock = Clock::default();
+    let (events, receiver) = mpsc::unbounded_channel();
+    let (in_force, config) = watch::channel(None);
+    let links = Links::new(tls.clone());
+    let store = Store::default();
+    let engine = Engine::new(&settings.engine);
+    let platform = Platform::new(settings.platform.clone());
+
+    let asks =
+        Asks { events: events.clone(), engine: engine.clone(), incarnation: clock.incarnation() };
+    let peers = PeerService { events: events.clone(), store: store.clone(), asks };
+    let listening = listen(settings.peers, &tls, peers)?;
+    status::serve(settings.admin, events.clone(), Event::Status).await?;
+    reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
+    log::info!("endpoint {} listens on {}", settings.vm, settings.peers);
+
+    let parts = event_loop::Parts { clock, links, store, engine, in_force, events: events.clone() };
+    actix_rt::spawn(EventLoop::new(settings, parts).run(receiver));
+    signal(SignalKind::terminate())?.recv().await;
+    log::info!("told to stop");
+    drain(&events).await;
+    let _ = actix_rt::time::timeout(LAST_BYTES, listening.wait_idle()).await;
+    listening.close(0u32.into(), b"stopped");
+    Ok(())
+}
+
+async fn drain(events: &mpsc::UnboundedSender<Event>) {
+    let done = async {
+        loop {
+            let (reply, running) = oneshot::channel();
+            let _ = events.send(Event::Drain(reply));
+            if running.await.unwrap_or(0) == 0 {
+                return;
+            }
+            actix_rt::time::sleep(DRAIN_LOOK).await;
+        }
+    };
+    let _ = actix_rt::time::timeout(DRAIN, done).await;
+}
--- /dev/null
+++ b/crates/sequoiahold/src/endpoint/peers.rs
@@ -0,0 +1,45 @@
+//! Calls of other processes to an endpoint.
+
+use quinn::{RecvStream, SendStream};
+use sequoiahold_core::proto::{Call, Reply};
+use tokio::sync::{mpsc, oneshot};
+
+use super::{ask::Asks, event::Event, store::Store};
+use crate::net::{serve::Serve, write};
+
+/// Answers the calls of other processes.
+#[derive(Clone)]
+pub struct PeerService {
+    /// The event loop.
+    pub events: mpsc::UnboundedSender<Event>,
+    /// The chunks that are held.
+    pub store: Store,
+    /// Runs requests.
+    pub asks: Asks,
+}
+
+impl Serve for PeerService {
+    async fn serve(&self, call: Call, mut send: SendStream, recv: RecvStream) {
+        let reply = match call {
+            Call::Ask(ask) => return self.asks.run(*ask, send, recv).await,
+            Call::Beat(_) => self.query(Event::Tell).await.map(|beat| Reply::Beat(Box::new(beat))),
+            Call::Set(above) => self.query(|reply| Event::Set(above, reply)).await.map(Reply::Set),
+            Call::Chunk(digest) => Some(Reply::Chunk(self.store.get(&digest))),
+            Call::Have(manifest) => {
+                self.query(|reply| Event::TellHave(manifest, reply)).await.map(Reply::Have)
+            }
+        };
+        if let Some(reply) = reply {
+            let _ = write(&mut send, &reply).await;
+            let _ = send.finish();
+        }
+    }
+}
+
+impl PeerService {
+    async fn query<T>(&self, event: impl FnOnce(oneshot::Sender<T>) -> Event) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.events.send(event(reply));
+        answer.await.ok()
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -0,0 +1,54 @@
+//! The entry process: takes callers and routes their requests to endpoints.
+
+mod body;
+mod event;
+mod event_loop;
+mod peers;
+mod problem;
+mod request;
+mod server;
+
+use std::{rc::Rc, time::Duration};
+
+use actix_rt::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+
+pub use self::event::Event;
+use self::{event_loop::EventLoop, peers::PeerService, server::Server};
+use crate::{
+    clock::Clock,
+    net::{Links, Tls, listen},
+    platform::Platform,
+    reader, settings, status,
+};
+
+/// Time that a graceful shutdown may take at the most.
+const DRAIN: Duration = Duration::from_secs(120);
+
+/// Runs an entry process until it is told to stop and its requests are done.
+pub async fn run(settings: settings::Entry) -> anyhow::Result<()> {
+    let tls = Rc::new(Tls::load(&settings.keys)?);
+    let clock = Clock::default();
+    let (events, receiver) = mpsc::unbounded_channel();
+    let (in_force, config) = watch::channel(None);
+    let links = Links::new(tls.clone());
+    let platform = Platform::new(settings.platform.clone());
+
+    let peers = PeerService { events: events.clone() };
+    let listening = listen(settings.peers, &tls, peers)?;
+    status::serve(settings.admin, events.clone(), Event::Status).await?;
+    reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
+
+    let server = Server::new(&settings, clock, links.clone(), config, events.clone());
+    server.listen(settings.callers).await?;
+    log::info!("entry {} takes callers on {}", settings.vm, settings.callers);
+
+    let event_loop = EventLoop::new(settings, clock, links, in_force, events);
+    actix_rt::spawn(event_loop.run(receiver));
+    signal(SignalKind::terminate())?.recv().await;
+    log::info!("told to stop, {} requests in progress", server.in_progress());
+    server.drain(DRAIN).await;
+    listening.close(0u32.into(), b"stopped");
+    listening.wait_idle().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/sequoiahold/src/entry/peers.rs
@@ -0,0 +1,38 @@
+//! Calls of other processes to an entry.
+
+use quinn::{RecvStream, SendStream};
+use sequoiahold_core::proto::{Call, Reply};
+use tokio::sync::{mpsc, oneshot};
+
+use super::event::Event;
+use crate::net::{serve::Serve, write};
+
+/// Answers the calls of other processes.
+#[derive(Clone, Debug)]
+pub struct PeerService {
+    /// The event loop.
+    pub events: mpsc::UnboundedSender<Event>,
+}
+
+impl Serve for PeerService {
+    async fn serve(&self, call: Call, mut send: SendStream, _: RecvStream) {
+        let reply = match call {
+            Call::Beat(beat) => {
+                let _ = self.events.send(Event::Beat(beat));
+                let (tx, rx) = oneshot::channel();
+                let _ = self.events.send(Event::Tell(tx));
+                rx.await.ok().map(|beat| Reply::Beat(Box::new(beat)))
+            }
+            Call::Set(above) => {
+                let (tx, rx) = oneshot::channel();
+                let _ = self.events.send(Event::Set(above, tx));
+                rx.await.ok().map(Reply::Set)
+            }
+            Call::Ask(_) | Call::Chunk(_) | Call::Have(_) => None,
+        };
+        if let Some(reply) = reply {
+            let _ = write(&mut send, &reply).await;
+            let _ = send.finish();
+        }
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/entry/problem.rs
@@ -0,0 +1,54 @@
+//! Problem details for callers: refusals, failures and unknown outcomes.
+
+use actix_http::{
+    Response, StatusCode,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+};
+use bytes::Bytes;
+use sequoiahold_core::refuse::{Failure, Refusal};
+use serde_json::json;
+
+use super::body::Body;
+
+/// Returns the answer for a request that did not run.
+pub fn refused(refusal: Refusal) -> Response<Body> {
+    let detail = json!({
+        "type": "about:blank",
+        "title": refusal.reason.to_string(),
+        "reason": refusal.reason,
+        "status": refusal.reason.status(),
+        "not_run": true,
+        "retry_after_ms": refusal.retry.map(|span| span.0 / 1_000),
+    });
+    let mut response = problem(refusal.reason.status(), &detail);
+    if let Some(retry) = refusal.retry {
+        let seconds = HeaderValue::from(retry.0.div_ceil(1_000_000));
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
+/// Returns the answer for a request that was handed over and has no whole answer.
+pub fn failed(failure: Failure) -> Response<Body> {
+    let outcome = match failure {
+        Failure::Crashed | Failure::Cancelled => "failed",
+        Failure::Unknown => "unknown",
+    };
+    let detail = json!({
+        "type": "about:blank",
+        "title": "the request was handed over and has no whole answer",
+        "status": 502,
+        "not_run": false,
+        "outcome": outcome,
+    });
+    problem(502, &detail)
+}
+
+fn problem(status: u16, detail: &serde_json::Value) -> Response<Body> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    let body = Bytes::from(detail.to_string());
+    let mut response = Response::with_body(status, Body::Whole(body));
+    let kind = HeaderValue::from_static("application/problem+json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/sequoiahold/src/entry/server.rs
@@ -0,0 +1,183 @@
+//! The HTTP server for callers.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::{ConnectionType, HttpMessage as _, Request, Response, header};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt as _;
+use sequoiahold_core::{
+    adopt::InForce,
+    declare::Fleet,
+    ids::{Digest, OnceKey, ServiceId},
+    refuse::{Reason, Refusal},
+};
+use tokio::sync::{mpsc, watch};
+
+use super::{
+    body::Body,
+    event::Event,
+    problem,
+    request::{Incoming, Requests},
+};
+use crate::{clock::Clock, http, net::Links, settings};
+
+/// Path of the chat completions of model services.
+const CHAT: &str = "/v1/chat/completions";
+/// Prefix of the paths of plain services.
+const SERVICES: &str = "/services/";
+/// Header that carries the idempotency key.
+const KEY: &str = "idempotency-key";
+
+/// Takes callers.
+#[derive(Clone)]
+pub struct Server {
+    config: watch::Receiver<Option<InForce>>,
+    requests: Requests,
+    limit: usize,
+    active: Rc<Cell<usize>>,
+    draining: Rc<Cell<bool>>,
+}
+
+impl Server {
+    /// Returns a server that asks the event loop behind `events`.
+    pub fn new(
+        settings: &settings::Entry,
+        clock: Clock,
+        links: Links,
+        config: watch::Receiver<Option<InForce>>,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> Self {
+        let requests =
+            Requests { vm: settings.vm.clone(), incarnation: clock.incarnation(), links, events };
+        let limit = settings.body.0 as usize;
+        Self { config, requests, limit, active: Rc::default(), draining: Rc::default() }
+    }
+
+    /// Starts to take callers on `addr`.
+    pub async fn listen(&self, addr: SocketAddr) -> anyhow::Result<()> {
+        let server = self.clone();
+        http::serve(addr, move |request| server.clone().handle(request)).await
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.active.get()
+    }
+
+    /// Lets the requests in progress finish, for at most `patience`.
+    pub async fn drain(&self, patience: Duration) {
+        self.draining.set(true);
+        let done = async {
+            while self.active.get() > 0 {
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let _ = actix_rt::time::timeout(patience, done).await;
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    async fn handle(self, request: Request) -> Response<Body> {
+        let guard = Active::new(&self.active);
+        let mut response = match self.incoming(request).await {
+            Ok(incoming) => self.requests.run(incoming, guard).await,
+            Err(refusal) => problem::refused(refusal),
+        };
+        if self.draining.get() {
+            response.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        response
+    }
+
+    async fn incoming(&self, mut request: Request) -> Result<Incoming, Refusal> {
+        let fleet = self.config.borrow().as_ref().map(|now| now.fleet.clone());
+        let retry = sequoiahold_core::units::Span::secs(1);
+        let fleet = fleet.ok_or(Refusal::after(Reason::Unconfigured, retry))?;
+        let client = client(&fleet, &request)?;
+        let body = self.body(&mut request).await?;
+        let (service, path) = target(&request, &body)?;
+        let declared = fleet.services.get(&service).ok_or(Refusal::new(Reason::UnknownService))?;
+        if !client.services.contains(&service) {
+            return Err(Refusal::new(Reason::UnknownService));
+        }
+        Ok(Incoming {
+            client: client.name.clone(),
+            service,
+            method: request.method().to_string(),
+            path,
+            key: key(&request)?,
+            timeout: declared.timeout,
+            body,
+        })
+    }
+
+    async fn body(&self, request: &mut Request) -> Result<Bytes, Refusal> {
+        let mut payload = request.take_payload();
+        let mut body = BytesMut::new();
+        while let Some(part) = payload.next().await {
+            let part = part.map_err(|_| Refusal::new(Reason::BadRequest))?;
+            if body.len() + part.len() > self.limit {
+                return Err(Refusal::new(Reason::BadRequest));
+            }
+            body.extend_from_slice(&part);
+        }
+        Ok(body.freeze())
+    }
+}
+
+/// Counts a request as in progress while it lives.
+#[derive(Debug)]
+pub struct Active(Rc<Cell<usize>>);
+
+impl Active {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+fn client<'a>(
+    fleet: &'a Fleet,
+    request: &Request,
+) -> Result<&'a sequoiahold_core::declare::Client, Refusal> {
+    let key = request
+        .headers()
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .map(|key| Digest::of(key.as_bytes()));
+    key.and_then(|key| fleet.client_by_key(&key)).ok_or(Refusal::new(Reason::BadKey))
+}
+
+fn target(request: &Request, body: &Bytes) -> Result<(ServiceId, String), Refusal> {
+    #[derive(serde::Deserialize)]
+    struct Named {
+        model: ServiceId,
+    }
+    let malformed = Refusal::new(Reason::BadRequest);
+    let uri = request.uri().path_and_query().map_or("/", |path| path.as_str());
+    if request.path() == CHAT {
+        let named: Named = serde_json::from_slice(body).map_err(|_| malformed)?;
+        return Ok((named.model, CHAT.to_owned()));
+    }
+    let rest = uri.strip_prefix(SERVICES).ok_or(Refusal::new(Reason::UnknownService))?;
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let service = rest[..end].parse().map_err(|_| malformed)?;
+    let path = if rest[end..].starts_with('/') {
+        rest[end..].to_owned()
+    } else {
+        format!("/{}", &rest[end..])
+    };
+    Ok((service, path))
+}
+
+fn key(request: &Request) -> Result<Option<OnceKey>, Refusal> {
+    let Some(value) = request.headers().get(KEY) else { return Ok(None) };
+    let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
+    parsed.map(Some).ok_or(Refusal::new(Reason::BadRequest))
+}
--- /dev/null
+++ b/crates/sequoiahold/src/lib.rs
@@ -0,0 +1,14 @@
+//! The processes of sequoiahold: I/O around the decisions of `sequoiahold-core`.
+
+pub mod cli;
+pub mod clock;
+pub mod command;
+pub mod endpoint;
+pub mod entry;
+pub mod http;
+pub mod logging;
+pub mod net;
+pub mod platform;
+pub mod reader;
+pub mod settings;
+pub mod status;
--- /dev/null
+++ b/crates/sequoiahold/src/net/mod.rs
@@ -0,0 +1,13 @@
+//! QUIC connections between the system's processes.
+
+pub mod frame;
+pub mod link;
+pub mod serve;
+pub mod tls;
+
+pub use self::{
+    frame::{read, write},
+    link::{Links, call},
+    serve::listen,
+    tls::Tls,
+};
--- /dev/null
+++ b/crates/sequoiahold/src/net/tls.rs
@@ -0,0 +1,74 @@
+//! Mutual TLS between the system's processes.
+
+use std::{sync::Arc, time::Duration};
+
+use anyhow::Context as _;
+use quinn::{
+    ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt,
+    crypto::rustls::{QuicClientConfig, QuicServerConfig},
+};
+use rustls::{
+    RootCertStore,
+    pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject as _},
+    server::WebPkiClientVerifier,
+};
+use sequoiahold_core::proto::PROTOCOL;
+
+use crate::settings::Keys;
+
+/// Idle time after which QUIC itself gives up a connection.
+const IDLE: Duration = Duration::from_secs(20);
+/// Streams that a peer may have open at the same time.
+const MAX_STREAMS: u32 = 1024;
+
+/// The TLS settings of both directions.
+#[derive(Clone, Debug)]
+pub struct Tls {
+    /// For connections that this process opens.
+    pub client: ClientConfig,
+    /// For connections that this process takes.
+    pub server: ServerConfig,
+}
+
+impl Tls {
+    /// Reads the keys.
+    pub fn load(keys: &Keys) -> anyhow::Result<Self> {
+        let mut roots = RootCertStore::empty();
+        for cert in CertificateDer::pem_file_iter(&keys.ca).context("keys.ca")? {
+            roots.add(cert.context("keys.ca")?)?;
+        }
+        let roots = Arc::new(roots);
+        let chain: Vec<_> = CertificateDer::pem_file_iter(&keys.cert)
+            .and_then(Iterator::collect)
+            .context("keys.cert")?;
+        let key = || PrivateKeyDer::from_pem_file(&keys.key).context("keys.key");
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone()).build()?;
+        let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(chain.clone(), key()?)?;
+        server.alpn_protocols = vec![PROTOCOL.to_vec()];
+
+        let mut client = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])?
+            .with_root_certificates(roots)
+            .with_client_auth_cert(chain, key()?)?;
+        client.alpn_protocols = vec![PROTOCOL.to_vec()];
+
+        let mut server = ServerConfig::with_crypto(Arc::new(QuicServerConfig::try_from(server)?));
+        server.transport_config(transport()?);
+        let mut client = ClientConfig::new(Arc::new(QuicClientConfig::try_from(client)?));
+        client.transport_config(transport()?);
+        Ok(Self { client, server })
+    }
+}
+
+fn transport() -> anyhow::Result<Arc<TransportConfig>> {
+    let mut config = TransportConfig::default();
+    config.max_idle_timeout(Some(IdleTimeout::try_from(IDLE)?));
+    config.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
+    Ok(Arc::new(config))
+}
--- /dev/null
+++ b/crates/sequoiahold/src/settings/endpoint.rs
@@ -0,0 +1,97 @@
+//! Settings of an endpoint process.
+
+use std::net::SocketAddr;
+
+use sequoiahold_core::{
+    ids::{VmId, ZoneId},
+    units::{ByteRate, Bytes, Span},
+};
+use serde::{Deserialize, Serialize};
+
+use super::{Check, Keys, Log, Platform, platform::check_url};
+
+/// Settings of an endpoint process.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Endpoint {
+    /// The name of this VM.
+    pub vm: VmId,
+    /// The availability zone of this VM.
+    pub zone: ZoneId,
+    /// The address for the system's other processes.
+    pub peers: SocketAddr,
+    /// The address for `status`.
+    pub admin: SocketAddr,
+    /// The platform's services.
+    pub platform: Platform,
+    /// The keys between processes.
+    pub keys: Keys,
+    /// Log lines.
+    #[serde(default)]
+    pub log: Log,
+    /// The engine or plain service behind this process.
+    pub engine: Engine,
+    /// How weights are drawn.
+    pub weights: Weights,
+    /// The time between two looks at the engine.
+    #[serde(default = "Endpoint::default_look")]
+    pub look: Span,
+}
+
+/// The engine or plain service behind an endpoint process.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Engine {
+    /// The base address, such as `http://127.0.0.1:8000`.
+    pub url: String,
+    /// Whether the engine refuses orders with an old fencing number.
+    #[serde(default)]
+    pub fences: bool,
+}
+
+/// How weights are drawn.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Weights {
+    /// The base address of the origin.
+    pub origin: String,
+    /// The rate at which this VM draws.
+    pub rate: ByteRate,
+    /// The chunks that are drawn at the same time.
+    #[serde(default = "Weights::default_draws")]
+    pub draws: u32,
+    /// The memory for chunks.
+    #[serde(default = "Weights::default_memory")]
+    pub memory: Bytes,
+}
+
+impl Endpoint {
+    fn default_look() -> Span {
+        Span::millis(200)
+    }
+}
+
+impl Weights {
+    fn default_draws() -> u32 {
+        4
+    }
+
+    fn default_memory() -> Bytes {
+        Bytes(64_000_000_000)
+    }
+}
+
+impl Check for Endpoint {
+    fn check(&self) -> Result<(), (String, String)> {
+        self.platform.check()?;
+        check_url("engine.url", &self.engine.url)?;
+        check_url("weights.origin", &self.weights.origin)?;
+        if self.weights.rate.0 == 0 {
+            return Err(("weights.rate".to_owned(), "must be above 0B/s".to_owned()));
+        }
+        if !(1..=64).contains(&self.weights.draws) {
+            return Err(("weights.draws".to_owned(), "must be between 1 and 64".to_owned()));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/settings/entry.rs
@@ -0,0 +1,63 @@
+//! Settings of an entry process.
+
+use std::net::SocketAddr;
+
+use sequoiahold_core::{
+    ids::{VmId, ZoneId},
+    units::{Bytes, Span},
+};
+use serde::{Deserialize, Serialize};
+
+use super::{Check, Keys, Log, Platform};
+
+/// Settings of an entry process.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    /// The name of this VM.
+    pub vm: VmId,
+    /// The availability zone of this VM.
+    pub zone: ZoneId,
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address for the system's other processes.
+    pub peers: SocketAddr,
+    /// The address for `status`.
+    pub admin: SocketAddr,
+    /// The platform's services.
+    pub platform: Platform,
+    /// The keys between processes.
+    pub keys: Keys,
+    /// Log lines.
+    #[serde(default)]
+    pub log: Log,
+    /// The time between two heartbeats on a connection.
+    #[serde(default = "Entry::default_heartbeat")]
+    pub heartbeat: Span,
+    /// The largest body of a request.
+    #[serde(default = "Entry::default_body")]
+    pub body: Bytes,
+}
+
+impl Entry {
+    fn default_heartbeat() -> Span {
+        Span::millis(500)
+    }
+
+    fn default_body() -> Bytes {
+        Bytes(1_000_000)
+    }
+}
+
+impl Check for Entry {
+    fn check(&self) -> Result<(), (String, String)> {
+        self.platform.check()?;
+        if self.heartbeat < Span::millis(50) || self.heartbeat > Span::secs(5) {
+            return Err(("heartbeat".to_owned(), "must be between 50ms and 5s".to_owned()));
+        }
+        if self.body.0 == 0 || self.body.0 > 4_000_000 {
+            return Err(("body".to_owned(), "must be between 1B and 4MB".to_owned()));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/settings/mod.rs
@@ -0,0 +1,42 @@
+//! Settings of the processes, read from JSON and checked at load.
+
+mod endpoint;
+mod entry;
+mod keys;
+mod log;
+mod platform;
+
+use std::{fs, path::Path};
+
+use anyhow::{Context as _, anyhow};
+use serde::de::DeserializeOwned;
+
+pub use self::{
+    endpoint::{Endpoint, Engine, Weights},
+    entry::Entry,
+    keys::Keys,
+    log::{Format, Log},
+    platform::Platform,
+};
+
+/// Settings that can be checked beyond the types of their values.
+pub trait Check {
+    /// Returns the key and the fault of the first value that is not allowed.
+    fn check(&self) -> Result<(), (String, String)>;
+}
+
+/// Reads settings; errors name the key and what is allowed.
+pub fn load<T: Check + DeserializeOwned>(file: &Path) -> anyhow::Result<T> {
+    let text =
+        fs::read_to_string(file).with_context(|| format!("cannot read {}", file.display()))?;
+    parse(&text).with_context(|| format!("settings in {}", file.display()))
+}
+
+/// Reads settings from text.
+pub fn parse<T: Check + DeserializeOwned>(text: &str) -> anyhow::Result<T> {
+    let mut reader = serde_json::Deserializer::from_str(text);
+    let settings: T = serde_path_to_error::deserialize(&mut reader)
+        .map_err(|e| anyhow!("key {}: {}", e.path(), e.inner()))?;
+    settings.check().map_err(|(key, fault)| anyhow!("key {key}: {fault}"))?;
+    Ok(settings)
+}
--- /dev/null
+++ b/crates/standins/src/cli.rs
@@ -0,0 +1,63 @@
+//! The command line of the tool.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use anyhow::bail;
+use pico_args::Arguments;
+use sequoiahold_core::{ids::VersionId, units::Bytes};
+
+use crate::{content::Content, demo};
+
+const HELP: &str = "\
+Stand-ins, load and experiments for sequoiahold.
+
+Usage: sequoiahold-bench COMMAND [OPTIONS]
+
+Commands:
+  demo [glasmarke|tannverket] [--seed N] [--program FILE] [--examples DIR]
+      run a deployment on loopback; the last line of output is one JSON object
+  manifest VERSION --size SIZE --chunk SIZE
+      print the digest of the manifest of generated weights
+";
+
+/// Runs the tool and returns its exit code.
+pub fn run() -> ExitCode {
+    match dispatch(Arguments::from_env()) {
+        Ok(code) => ExitCode::from(code),
+        Err(error) => {
+            eprintln!("sequoiahold-bench: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn dispatch(mut args: Arguments) -> anyhow::Result<u8> {
+    let command = args.subcommand()?;
+    if command.is_none() || args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(0);
+    }
+    match command.as_deref() {
+        Some("demo") => {
+            let options = demo::Options {
+                seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+                program: args
+                    .opt_value_from_str("--program")?
+                    .unwrap_or_else(|| PathBuf::from("target/release/sequoiahold")),
+                examples: args
+                    .opt_value_from_str("--examples")?
+                    .unwrap_or_else(|| PathBuf::from("examples")),
+                deployment: args.opt_free_from_str()?.unwrap_or_else(|| "glasmarke".to_owned()),
+            };
+            actix_rt::System::new().block_on(demo::run(options))
+        }
+        Some("manifest") => {
+            let size: Bytes = args.value_from_str("--size")?;
+            let chunk: Bytes = args.value_from_str("--chunk")?;
+            let version: VersionId = args.free_from_str()?;
+            println!("{}", Content::of(&version, size, chunk)?.manifest.digest());
+            Ok(0)
+        }
+        other => bail!("unknown command {other:?}; try --help"),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/content.rs
@@ -0,0 +1,76 @@
+//! Generated weights: the same bytes for the same version everywhere.
+
+use std::collections::BTreeMap;
+
+use anyhow::Context as _;
+use bytes::Bytes as Data;
+use sequoiahold_core::{
+    ids::{Digest, VersionId},
+    units::Bytes,
+    weights::Manifest,
+};
+
+/// Chunks in a thousand that a new version changes.
+const CHANGED: u64 = 50;
+
+/// The weights of a version.
+#[derive(Clone, Debug)]
+pub struct Content {
+    /// The manifest.
+    pub manifest: Manifest,
+    /// The chunks by digest.
+    pub chunks: BTreeMap<Digest, Data>,
+}
+
+impl Content {
+    /// Generates the weights of a version named `MODEL-NUMBER`.
+    pub fn of(version: &VersionId, size: Bytes, chunk: Bytes) -> anyhow::Result<Self> {
+        let (model, number) =
+            version.as_str().rsplit_once('-').context("version without number")?;
+        let number: u64 = number.parse().context("version without number")?;
+        let count = size.0.div_ceil(chunk.0);
+        let parts = (0..count).map(|index| {
+            let length = chunk.0.min(size.0 - index * chunk.0);
+            generate(model, last_change(model, number, index), index, length)
+        });
+        let parts: Vec<Data> = parts.collect();
+        let digests: Vec<Digest> = parts.iter().map(|part| Digest::of(part)).collect();
+        let chunks = digests.iter().copied().zip(parts).collect();
+        Ok(Self { manifest: Manifest { chunk, size, chunks: digests }, chunks })
+    }
+}
+
+/// Returns the fingerprint of weights, from the digests of their chunks in order.
+pub fn fingerprint<'a>(digests: impl IntoIterator<Item = &'a Digest>) -> Digest {
+    let mut all = Vec::new();
+    for digest in digests {
+        all.extend_from_slice(digest.bytes());
+    }
+    Digest::of(&all)
+}
+
+/// Returns the token at `index` of the answer that these weights give to a prompt.
+pub fn token(fingerprint: &Digest, prompt: &str, index: u32) -> String {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(fingerprint.bytes());
+    hasher.update(prompt.as_bytes());
+    hasher.update(&index.to_le_bytes());
+    hasher.finalize().to_hex()[..8].to_owned()
+}
+
+fn last_change(model: &str, number: u64, index: u64) -> u64 {
+    let changed = |n: &u64| {
+        let digest = blake3::hash(format!("{model} {n} {index}").as_bytes());
+        u64::from(u16::from_le_bytes([digest.as_bytes()[0], digest.as_bytes()[1]])) % 1_000
+            < CHANGED
+    };
+    (2..=number).rev().find(changed).unwrap_or(1)
+}
+
+fn generate(model: &str, change: u64, index: u64, length: u64) -> Data {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(format!("weights {model} {change} {index}").as_bytes());
+    let mut data = vec![0; length as usize];
+    hasher.finalize_xof().fill(&mut data);
+    Data::from(data)
+}
--- /dev/null
+++ b/crates/standins/src/keys.rs
@@ -0,0 +1,41 @@
+//! Test keys for mutual TLS between processes.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+use anyhow::Context as _;
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+use sequoiahold::settings::Keys;
+
+/// A certificate authority for tests.
+pub struct Authority {
+    dir: PathBuf,
+    issuer: CertifiedIssuer<'static, KeyPair>,
+}
+
+impl Authority {
+    /// Mints an authority that writes keys below `dir`.
+    pub fn mint(dir: &Path) -> anyhow::Result<Self> {
+        let mut params = CertificateParams::new(vec![])?;
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let issuer = CertifiedIssuer::self_signed(params, KeyPair::generate()?)?;
+        fs::write(dir.join("ca.pem"), issuer.pem()).context("ca.pem")?;
+        Ok(Self { dir: dir.to_owned(), issuer })
+    }
+
+    /// Mints the keys of a VM and writes them.
+    pub fn write(&self, vm: &str) -> anyhow::Result<Keys> {
+        let key = KeyPair::generate()?;
+        let cert = CertificateParams::new(vec![vm.to_owned()])?.signed_by(&key, &self.issuer)?;
+        let keys = Keys {
+            ca: self.dir.join("ca.pem"),
+            cert: self.dir.join(format!("{vm}.pem")),
+            key: self.dir.join(format!("{vm}.key")),
+        };
+        fs::write(&keys.cert, cert.pem()).context("certificate")?;
+        fs::write(&keys.key, key.serialize_pem()).context("key")?;
+        Ok(keys)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,13 @@
+//! Stand-ins of the served systems, and the load and experiment tool over them.
+
+pub mod callers;
+pub mod cli;
+pub mod content;
+pub mod demo;
+pub mod engine;
+pub mod keys;
+pub mod origin;
+pub mod plain;
+pub mod platform;
+pub mod processes;
+pub mod reply;
--- /dev/null
+++ b/crates/standins/src/origin.rs
@@ -0,0 +1,77 @@
+//! Stand-in of the origin of weights, behind one link with a rate.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix_http::{Request, Response};
+use bytes::Bytes;
+use sequoiahold::http;
+use sequoiahold_core::{
+    ids::Digest,
+    units::{self, ByteRate},
+};
+
+use crate::{
+    content::Content,
+    reply::{self, Body},
+};
+
+/// What a test sets and reads.
+#[derive(Debug)]
+pub struct State {
+    /// The blobs by digest: chunks and manifests.
+    pub blobs: BTreeMap<Digest, Bytes>,
+    /// The bytes that were given.
+    pub given: u64,
+    free: Instant,
+}
+
+/// A running stand-in.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    /// The state, shared with the server.
+    pub state: Rc<RefCell<State>>,
+    rate: ByteRate,
+}
+
+impl Origin {
+    /// Starts the origin on `addr`.
+    pub async fn start(addr: SocketAddr, rate: ByteRate) -> anyhow::Result<Self> {
+        let state = State { blobs: BTreeMap::new(), given: 0, free: Instant::now() };
+        let origin = Self { state: Rc::new(RefCell::new(state)), rate };
+        let server = origin.clone();
+        http::serve(addr, move |request| server.clone().answer(request)).await?;
+        Ok(origin)
+    }
+
+    /// Adds the weights of a version.
+    pub fn add(&self, content: &Content) {
+        let mut state = self.state.borrow_mut();
+        let chunks = content.chunks.iter().map(|(digest, data)| (*digest, data.clone()));
+        state.blobs.extend(chunks);
+        let manifest = content.manifest.text();
+        state.blobs.insert(Digest::of(&manifest), Bytes::from(manifest));
+    }
+
+    async fn answer(self, request: Request) -> Response<Body> {
+        let digest = request.path().strip_prefix("/v1/blobs/").and_then(|d| d.parse().ok());
+        let blob = digest.and_then(|d: Digest| self.state.borrow().blobs.get(&d).cloned());
+        let Some(blob) = blob else { return reply::status(404) };
+        let sent = self.reserve(blob.len() as u64);
+        actix_rt::time::sleep_until(sent.into()).await;
+        reply::data(blob)
+    }
+
+    fn reserve(&self, size: u64) -> Instant {
+        let mut state = self.state.borrow_mut();
+        let start = state.free.max(Instant::now());
+        state.free = start + Duration::from(self.rate.time_of(units::Bytes(size)));
+        state.given += size;
+        state.free
+    }
+}
--- /dev/null
+++ b/crates/standins/src/processes.rs
@@ -0,0 +1,108 @@
+//! Real processes of the system under test.
+
+use std::{
+    fs::File,
+    path::Path,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use anyhow::Context as _;
+use serde::Serialize;
+
+/// Pause between two looks at a process that is stopping.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A running process; it is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    /// The name of its VM.
+    pub vm: String,
+    child: Child,
+}
+
+/// A signal to a process.
+#[derive(Clone, Copy, Debug)]
+pub enum Signal {
+    /// Ends the process at once.
+    Kill,
+    /// Asks the process to stop gracefully.
+    Terminate,
+    /// Freezes the process.
+    Stop,
+    /// Lets a frozen process go on.
+    Continue,
+}
+
+impl Process {
+    /// Starts `program ROLE --config FILE` with settings and logs below `dir`.
+    pub fn start(
+        program: &Path,
+        role: &str,
+        vm: &str,
+        dir: &Path,
+        settings: &impl Serialize,
+    ) -> anyhow::Result<Self> {
+        let config = dir.join(format!("{vm}.json"));
+        std::fs::write(&config, serde_json::to_vec_pretty(settings)?)?;
+        let log = File::options().create(true).append(true).open(dir.join(format!("{vm}.log")))?;
+        let child = Command::new(program)
+            .arg(role)
+            .arg("--config")
+            .arg(&config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("cannot start {}", program.display()))?;
+        Ok(Self { vm: vm.to_owned(), child })
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let number = match signal {
+            Signal::Kill => libc::SIGKILL,
+            Signal::Terminate => libc::SIGTERM,
+            Signal::Stop => libc::SIGSTOP,
+            Signal::Continue => libc::SIGCONT,
+        };
+        send(self.child.id(), number);
+    }
+
+    /// Returns whether the process has ended.
+    pub fn ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)) | Err(_))
+    }
+
+    /// Waits until the process has ended and returns whether it did within `patience`.
+    pub async fn wait(&mut self, patience: Duration) -> bool {
+        let end = Instant::now() + patience;
+        while Instant::now() < end {
+            if self.ended() {
+                return true;
+            }
+            actix_rt::time::sleep(LOOK).await;
+        }
+        false
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[expect(unsafe_code, reason = "the standard library sends no other signal than SIGKILL")]
+fn send(id: u32, signal: libc::c_int) {
+    // SAFETY: kill takes two integers and touches no memory of this process.
+    unsafe {
+        libc::kill(id as libc::pid_t, signal);
+    }
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Installs what the tests need and the machine lacks, then checks format, lints and tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if ! command -v spin >/dev/null || ! command -v gcc >/dev/null; then
+  apt-get update -qq
+  apt-get install -y -qq spin gcc libc6-dev >/dev/null
+fi
+cargo fmt --all --check
+cargo clippy --workspace --all-targets --locked --quiet -- -D warnings
+cargo build --workspace --locked --quiet
+cargo test --workspace --locked --quiet
