--- a/crates/sequoiahold/src/endpoint/ask.rs
+++ b/crates/sequoiahold/src/endpoint/ask.rs
@@ -80,7 +80,7 @@
                 }
             };
             let reply = match part {
-                Some(Ok(data)) => Reply::Part(count, Bytes::from(data)),
+                Some(Ok(data)) => Reply::Part(count, data),
                 Some(Err(_)) => Reply::Failed(Failure::Unknown),
                 None => Reply::End(count),
             };
--- a/crates/sequoiahold/src/endpoint/draw.rs
+++ b/crates/sequoiahold/src/endpoint/draw.rs
@@ -43,8 +43,8 @@
     pub async fn draw(&self, digest: Digest, place: &Place) -> Option<Bytes> {
         let drawn = async {
             match place {
-                Place::Origin => self.from_origin(digest).await,
-                Place::Peer(vm, addr) => self.from_peer(digest, vm, *addr).await,
+                Place::Origin => self.origin_blob(digest).await,
+                Place::Peer(vm, addr) => self.peer_blob(digest, vm, *addr).await,
             }
         };
         actix_rt::time::timeout(DRAW, drawn).await.ok().flatten()
@@ -74,7 +74,7 @@
         actix_rt::time::timeout(DRAW, asked).await.ok().flatten()
     }
 
-    async fn from_origin(&self, digest: Digest) -> Option<Bytes> {
+    async fn origin_blob(&self, digest: Digest) -> Option<Bytes> {
         let url = format!("{}/v1/blobs/{digest}", self.origin);
         let mut response = self.client.get(url).send().await.ok()?;
         if !response.status().is_success() {
@@ -83,7 +83,7 @@
         response.body().limit(MAX_MESSAGE).await.ok()
     }
 
-    async fn from_peer(&self, digest: Digest, vm: &VmId, addr: SocketAddr) -> Option<Bytes> {
+    async fn peer_blob(&self, digest: Digest, vm: &VmId, addr: SocketAddr) -> Option<Bytes> {
         let connection = self.links.get(vm, addr).await.ok()?;
         match call(&connection, &Call::Chunk(digest)).await {
             Ok(Reply::Chunk(chunk)) => chunk,
--- a/crates/standins/src/demo/deployment.rs
+++ b/crates/standins/src/demo/deployment.rs
@@ -263,8 +263,7 @@
         report.replicas = self.engines.len();
         report.model_bytes = plan.size().0;
         report.cold_overload = self.engines.values().map(|e| e.state.borrow().overloads).sum();
-        report.orders_run_twice =
-            self.plain.borrow().ran.values().filter(|n| **n > 1).count() as u64;
+        report.run_twice = self.plain.borrow().ran.values().filter(|n| **n > 1).count() as u64;
     }
 
     /// Stops all processes gracefully.
--- a/crates/standins/src/demo/mod.rs
+++ b/crates/standins/src/demo/mod.rs
@@ -54,7 +54,7 @@
     let drawn = deployment.origin_bytes();
     let start = Instant::now();
     deployment.publish(|fleet| plan.set_version(fleet, 2))?;
-    report.config_in_force_s = deployment.wait_in_force(READY).await?.as_secs_f64();
+    report.in_force = deployment.wait_in_force(READY).await?.as_secs_f64();
     report.replicas_ready = deployment.wait_ready(&plan.version(2), READY).await?;
     report.ready_s = start.elapsed().as_secs_f64();
     report.origin_bytes = deployment.origin_bytes() - drawn;
@@ -68,14 +68,14 @@
     progress(&format!("{zone} is back"));
     deployment.publish(|fleet| plan.set_out(fleet, &zone, false))?;
     report.phase("zone_back", &load, PHASE).await;
-    report.late_zone_work = deployment.began_in_zone(&zone, out + SETTLE, back);
+    report.late_zone = deployment.began_in_zone(&zone, out + SETTLE, back);
 
     progress("one endpoint leaves");
     let leaving = plan.last_endpoint();
     deployment.list(&leaving, VmState::Leaving);
     let left = Instant::now();
     actix_rt::time::sleep(SETTLE + Duration::from_secs(1)).await;
-    report.late_leaving_work = deployment.began_at(&leaving, left + SETTLE);
+    report.late_leaving = deployment.began_at(&leaving, left + SETTLE);
 
     progress("the load ends, then all processes stop");
     let calls = load.stop().await;
--- a/crates/standins/src/demo/report.rs
+++ b/crates/standins/src/demo/report.rs
@@ -39,16 +39,22 @@
     pub origin_bytes: u64,
     pub requests: usize,
     pub answered: usize,
-    pub refused_not_run: usize,
+    #[serde(rename = "refused_not_run")]
+    pub not_run: usize,
     pub unknown: usize,
     pub wrong: usize,
     pub partial_weights: usize,
     pub cold_overload: u64,
-    pub late_zone_work: u64,
-    pub late_leaving_work: u64,
-    pub orders_run_twice: u64,
-    pub cut_in_shutdown: usize,
-    pub config_in_force_s: f64,
+    #[serde(rename = "late_zone_work")]
+    pub late_zone: u64,
+    #[serde(rename = "late_leaving_work")]
+    pub late_leaving: u64,
+    #[serde(rename = "orders_run_twice")]
+    pub run_twice: u64,
+    #[serde(rename = "cut_in_shutdown")]
+    pub cut: usize,
+    #[serde(rename = "config_in_force_s")]
+    pub in_force: f64,
     pub phases: BTreeMap<String, Phase>,
 }
 
@@ -81,19 +87,19 @@
         let of = |kind: Received| calls.iter().filter(|c| c.received == kind).count();
         self.requests = calls.len();
         self.answered = of(Received::Answered);
-        self.refused_not_run = of(Received::NotRun);
+        self.not_run = of(Received::NotRun);
         self.unknown = of(Received::Unknown);
         self.wrong = of(Received::Wrong);
         self.partial_weights = of(Received::Partial);
-        self.cut_in_shutdown = of(Received::Broken);
+        self.cut = of(Received::Broken);
     }
 
     /// Prints the report as one line of JSON and returns the exit code.
     pub fn print(&self) -> anyhow::Result<u8> {
         println!("{}", serde_json::to_string(self)?);
-        let broken = self.wrong + self.partial_weights + self.cut_in_shutdown;
-        let late = self.late_zone_work + self.late_leaving_work;
-        let sound = broken == 0 && late + self.cold_overload + self.orders_run_twice == 0;
+        let broken = self.wrong + self.partial_weights + self.cut;
+        let late = self.late_zone + self.late_leaving;
+        let sound = broken == 0 && late + self.cold_overload + self.run_twice == 0;
         Ok(u8::from(!sound))
     }
 }
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::File,
-    path::Path,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
 };
@@ -92,6 +92,13 @@
     }
 }
 
+/// Returns the program that was built beside the running tool or test.
+pub fn program() -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    let dirs = own.ancestors().skip(1).map(|dir| dir.join("sequoiahold"));
+    dirs.filter(|path| path.is_file()).next().unwrap_or_else(|| "sequoiahold".into())
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
