--- a/crates/core/src/adopt.rs
+++ b/crates/core/src/adopt.rs
@@ -54,6 +54,12 @@
         self.now.as_ref().map_or(Generation::default(), |now| now.published.head.generation)
     }
 
+    /// Returns the published set in force if it is above a generation.
+    pub fn newer(&self, above: Generation) -> Option<Arc<Published>> {
+        let newer = self.now.as_ref().filter(|_| self.generation() > above);
+        newer.map(|now| now.published.clone())
+    }
+
     /// Returns whether a set with this head would be newer than the one in force.
     pub fn wants(&self, head: &Head) -> bool {
         head.generation > self.generation()
--- a/crates/core/src/chart.rs
+++ b/crates/core/src/chart.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt,
+    sync::Arc,
 };
 
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -32,10 +33,8 @@
 
 /// A table of transitions between states `S` on events `E`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(
-    deny_unknown_fields,
-    bound(deserialize = "S: DeserializeOwned + Ord, E: DeserializeOwned + Ord")
-)]
+#[serde(bound(deserialize = "S: DeserializeOwned + Ord, E: DeserializeOwned + Ord"))]
+#[serde(deny_unknown_fields)]
 pub struct Chart<S: Ord, E: Ord> {
     /// The name of the chart.
     pub name: String,
@@ -89,7 +88,7 @@
 /// A machine that follows a chart.
 #[derive(Clone, Debug)]
 pub struct Machine<S: Ord, E: Ord> {
-    chart: std::sync::Arc<Chart<S, E>>,
+    chart: Arc<Chart<S, E>>,
     state: S,
 }
 
@@ -99,7 +98,7 @@
     E: Copy + fmt::Debug + DeserializeOwned + Ord,
 {
     /// Returns a machine in the initial state of `chart`.
-    pub fn new(chart: std::sync::Arc<Chart<S, E>>) -> Self {
+    pub fn new(chart: Arc<Chart<S, E>>) -> Self {
         Self { state: chart.initial, chart }
     }
 
--- /dev/null
+++ b/crates/core/src/entry/mod.rs
@@ -0,0 +1,293 @@
+//! Decisions of an entry process.
+
+mod request;
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use slotmap::SlotMap;
+
+pub use self::request::{Arrival, RequestEvent, RequestState};
+use self::request::{Request, chart};
+use crate::{
+    adopt::{Adopter, Adoption, InForce},
+    chart::Chart,
+    declare::{Fleet, Published, Role},
+    ids::{Incarnation, RequestId, VmId, ZoneId},
+    member::VmState,
+    proto::Beat,
+    refuse::{Failure, Reason, Refusal},
+    route::Router,
+    time::{Time, Timers},
+    units::Span,
+};
+
+/// Endpoints that a request is offered to before it is refused.
+const MAX_OFFERS: usize = 3;
+/// The time after which a refused caller may come back when no better figure is known.
+const RETRY: Span = Span::secs(1);
+
+slotmap::new_key_type! {
+    /// A request in progress at an entry.
+    pub struct RequestKey;
+}
+
+/// What the process must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a request to an endpoint.
+    Send {
+        /// The request.
+        request: RequestKey,
+        /// Its number on the wire.
+        id: RequestId,
+        /// The endpoint VM.
+        vm: VmId,
+        /// Its address.
+        addr: SocketAddr,
+        /// The time left until the deadline.
+        left: Span,
+    },
+    /// Give the caller its final answer: the request did not run.
+    Refuse(RequestKey, Refusal),
+    /// Give the caller its final answer: the request was handed over and failed.
+    Fail(RequestKey, Failure),
+    /// Exchange a heartbeat with an endpoint.
+    Beat(VmId, SocketAddr),
+    /// Close the connection to a VM; the next one uses a new local port.
+    Close(VmId),
+}
+
+#[derive(Clone, Debug)]
+enum Timer {
+    Beat(VmId),
+}
+
+/// Who an entry is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The VM.
+    pub vm: VmId,
+    /// The availability zone.
+    pub zone: ZoneId,
+    /// The incarnation of the process.
+    pub incarnation: Incarnation,
+    /// The time between two heartbeats on a connection.
+    pub heartbeat: Span,
+}
+
+/// The state and the decisions of an entry process.
+#[derive(Debug)]
+pub struct Entry {
+    own: Identity,
+    adopter: Adopter,
+    router: Router,
+    requests: SlotMap<RequestKey, Request>,
+    chart: Arc<Chart<RequestState, RequestEvent>>,
+    timers: Timers<Timer>,
+    beating: BTreeMap<VmId, Time>,
+    outputs: Vec<Output>,
+    last: RequestId,
+    rng: SmallRng,
+}
+
+impl Entry {
+    /// Returns an entry that knows nothing yet.
+    pub fn new(own: Identity, seed: u64) -> Self {
+        let router = Router::new(own.zone.clone());
+        Self {
+            own,
+            adopter: Adopter::default(),
+            router,
+            requests: SlotMap::with_key(),
+            chart: Arc::new(chart()),
+            timers: Timers::default(),
+            beating: BTreeMap::new(),
+            outputs: vec![],
+            last: RequestId::default(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes a published set if it is newer and sound.
+    pub fn offer(&mut self, now: Time, published: Arc<Published>) -> Adoption {
+        let outcome = self.adopter.offer(published);
+        if matches!(outcome, Adoption::Adopted(_)) {
+            self.start_beats(now);
+        }
+        outcome
+    }
+
+    /// Takes the platform's list of VMs.
+    pub fn list(&mut self, list: &BTreeMap<VmId, VmState>) {
+        for (vm, state) in list {
+            self.router.leaving(vm, *state == VmState::Leaving);
+        }
+    }
+
+    /// Takes the state that a peer told.
+    pub fn heard(&mut self, beat: Beat) {
+        if let Some(load) = beat.load {
+            self.router.report(&beat.vm, load);
+        }
+    }
+
+    /// Takes note that a peer did not answer its heartbeat.
+    pub fn silent(&mut self, vm: &VmId) {
+        self.router.lost(vm);
+        self.outputs.push(Output::Close(vm.clone()));
+    }
+
+    /// Takes a request; its first output follows.
+    pub fn arrive(&mut self, now: Time, arrival: Arrival) -> RequestKey {
+        let request = Request::new(arrival, now, self.chart.clone());
+        let key = self.requests.insert(request);
+        self.send(now, key, Refusal::after(Reason::NoEndpoint, RETRY));
+        key
+    }
+
+    /// Takes note that an endpoint refused a request.
+    pub fn refused(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
+        self.send(now, key, refusal);
+    }
+
+    /// Takes note that the answer to a request has begun.
+    pub fn started(&mut self, key: RequestKey) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.state.apply(RequestEvent::Start);
+        }
+    }
+
+    /// Takes note that a request was handed over and failed.
+    pub fn failed(&mut self, key: RequestKey, failure: Failure) {
+        if self.end(key, RequestEvent::Fail) {
+            self.outputs.push(Output::Fail(key, failure));
+        }
+    }
+
+    /// Takes note that a request has its whole answer.
+    pub fn ended(&mut self, key: RequestKey) {
+        self.end(key, RequestEvent::End);
+    }
+
+    /// Takes note that the caller of a request has gone.
+    pub fn left(&mut self, key: RequestKey) {
+        self.end(key, RequestEvent::Leave);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time) {
+        while let Some(Timer::Beat(vm)) = self.timers.pop(now) {
+            self.send_beat(now, vm);
+        }
+    }
+
+    /// Returns the time of the next tick.
+    pub fn next_time(&self) -> Option<Time> {
+        self.timers.next()
+    }
+
+    /// Returns what the process must do now.
+    pub fn outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Returns the configuration in force.
+    pub fn in_force(&self) -> Option<&InForce> {
+        self.adopter.in_force()
+    }
+
+    /// Returns the published set in force if it is above a generation.
+    pub fn newer(&self, above: crate::ids::Generation) -> Option<Arc<Published>> {
+        self.adopter.newer(above)
+    }
+
+    /// Returns the state that this process tells its peers.
+    pub fn beat(&self) -> Beat {
+        Beat {
+            vm: self.own.vm.clone(),
+            incarnation: self.own.incarnation,
+            generation: self.adopter.generation(),
+            load: None,
+        }
+    }
+
+    /// Returns what is known of the endpoints.
+    pub fn router(&self) -> &Router {
+        &self.router
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn fleet(&self) -> Option<Arc<Fleet>> {
+        self.adopter.in_force().map(|now| now.fleet.clone())
+    }
+
+    /// Offers a request to the next endpoint, or refuses it with the last refusal.
+    fn send(&mut self, now: Time, key: RequestKey, last: Refusal) {
+        let Some(request) = self.requests.get(key) else { return };
+        let first = request.tried.is_empty();
+        if request.tried.len() >= MAX_OFFERS {
+            return self.refuse(key, last);
+        }
+        match self.choose(now, key) {
+            Ok(output) => {
+                if let Some(request) = self.requests.get_mut(key) {
+                    request.state.apply(RequestEvent::Send);
+                }
+                self.outputs.push(output);
+            }
+            Err(refusal) => self.refuse(key, if first { refusal } else { last }),
+        }
+    }
+
+    fn choose(&mut self, now: Time, key: RequestKey) -> Result<Output, Refusal> {
+        let fleet = self.fleet().ok_or(Refusal::after(Reason::Unconfigured, RETRY))?;
+        let request = self.requests.get_mut(key).ok_or(Refusal::new(Reason::Leaving))?;
+        let left = request.left(now).ok_or(Refusal::new(Reason::Deadline))?;
+        let service = &request.arrival.service;
+        let vm = self.router.choose(&fleet, service, &request.tried, &mut self.rng)?;
+        let addr = fleet.vms.get(&vm).map(|vm| vm.addr).ok_or(Refusal::new(Reason::NoEndpoint))?;
+        request.tried.push(vm.clone());
+        self.last = self.last.next();
+        Ok(Output::Send { request: key, id: self.last, vm, addr, left })
+    }
+
+    fn refuse(&mut self, key: RequestKey, refusal: Refusal) {
+        if self.end(key, RequestEvent::Refuse) {
+            self.outputs.push(Output::Refuse(key, refusal));
+        }
+    }
+
+    fn end(&mut self, key: RequestKey, event: RequestEvent) -> bool {
+        let Some(request) = self.requests.get_mut(key) else { return false };
+        let ended = request.state.apply(event);
+        if ended {
+            self.requests.remove(key);
+        }
+        ended
+    }
+
+    fn start_beats(&mut self, now: Time) {
+        let Some(fleet) = self.fleet() else { return };
+        let endpoints = fleet.vms.values().filter(|vm| matches!(vm.role, Role::Endpoint(_)));
+        for vm in endpoints {
+            if self.beating.insert(vm.name.clone(), now).is_none() {
+                self.timers.at(now, Timer::Beat(vm.name.clone()));
+            }
+        }
+    }
+
+    fn send_beat(&mut self, now: Time, vm: VmId) {
+        let Some(addr) = self.fleet().and_then(|fleet| Some(fleet.vms.get(&vm)?.addr)) else {
+            self.beating.remove(&vm);
+            self.router.lost(&vm);
+            return;
+        };
+        self.timers.at(now + self.own.heartbeat, Timer::Beat(vm.clone()));
+        self.outputs.push(Output::Beat(vm, addr));
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/request.rs
@@ -0,0 +1,98 @@
+//! The life of a request at an entry.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    chart::{Chart, Machine},
+    ids::{ClientId, Digest, OnceKey, ServiceId, VmId},
+    time::Time,
+    units::Span,
+};
+
+/// The chart of a request's life.
+const CHART: &str = include_str!("../../charts/request.json");
+
+/// A request as it came from its caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// The client account.
+    pub client: ClientId,
+    /// The service.
+    pub service: ServiceId,
+    /// The idempotency key.
+    pub key: Option<OnceKey>,
+    /// The digest of what is asked, the same for each copy of the request.
+    pub print: Digest,
+    /// The time that the call may take.
+    pub timeout: Span,
+}
+
+/// The state of a request at an entry.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestState {
+    /// It has a whole answer.
+    Answered,
+    /// It has just come.
+    Arrived,
+    /// It was handed over and has no whole answer.
+    Failed,
+    /// Its caller has gone.
+    Left,
+    /// It is offered to an endpoint.
+    Offered,
+    /// It did not run.
+    Refused,
+    /// Its answer has begun.
+    Running,
+}
+
+/// What happens to a request at an entry.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestEvent {
+    /// The whole answer was given.
+    End,
+    /// It failed after the hand-over.
+    Fail,
+    /// The caller went.
+    Leave,
+    /// It was refused.
+    Refuse,
+    /// It is sent to an endpoint.
+    Send,
+    /// Its answer begins.
+    Start,
+}
+
+/// A request in progress.
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub(super) arrival: Arrival,
+    pub(super) tried: Vec<VmId>,
+    pub(super) state: Machine<RequestState, RequestEvent>,
+    deadline: Time,
+}
+
+impl Request {
+    pub(super) fn new(
+        arrival: Arrival,
+        now: Time,
+        chart: Arc<Chart<RequestState, RequestEvent>>,
+    ) -> Self {
+        let deadline = now + arrival.timeout;
+        Self { arrival, tried: vec![], state: Machine::new(chart), deadline }
+    }
+
+    /// Returns the time left until the deadline, `None` where it has passed.
+    pub(super) fn left(&self, now: Time) -> Option<Span> {
+        Some(self.deadline - now).filter(|left| left.0 > 0)
+    }
+}
+
+/// Reads the chart of a request's life.
+pub(super) fn chart() -> Chart<RequestState, RequestEvent> {
+    Chart::parse(CHART).expect("the committed chart is sound")
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,8 +3,11 @@
 pub mod adopt;
 pub mod chart;
 pub mod declare;
+pub mod endpoint;
+pub mod entry;
 pub mod gate;
 pub mod ids;
+pub mod member;
 pub mod peers;
 pub mod proto;
 pub mod refuse;
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -11,9 +11,7 @@
 use crate::units::Span;
 
 /// A point in time, in microseconds since the start of the process or of a scenario.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Time(pub u64);
 
 impl Add<Span> for Time {
@@ -39,7 +37,7 @@
 }
 
 /// A subscription at the timer service.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct TimerId(Time, u64);
 
 /// The timer service: keeps subscriptions and hands out the keys that are due.
--- a/crates/sequoiahold/src/endpoint/ask.rs
+++ b/crates/sequoiahold/src/endpoint/ask.rs
@@ -1,6 +1,5 @@
 //! The life of one request at an endpoint.
 
-use bytes::Bytes;
 use futures_util::StreamExt as _;
 use quinn::{RecvStream, SendStream};
 use sequoiahold_core::{
--- a/crates/sequoiahold/src/endpoint/draw.rs
+++ b/crates/sequoiahold/src/endpoint/draw.rs
@@ -5,6 +5,7 @@
 use awc::Client;
 use bytes::Bytes;
 use sequoiahold_core::{
+    endpoint::Place,
     ids::{Digest, VmId},
     proto::{Call, MAX_MESSAGE, Reply},
     weights::Manifest,
@@ -15,15 +16,6 @@
 /// Time that one draw may take.
 const DRAW: Duration = Duration::from_secs(10);
 
-/// Where a blob is drawn from.
-#[derive(Clone, Debug)]
-pub enum Place {
-    /// The origin.
-    Origin,
-    /// A peer and its address.
-    Peer(VmId, SocketAddr),
-}
-
 /// Draws blobs by digest.
 #[derive(Clone)]
 pub struct Drawer {
--- a/crates/sequoiahold/src/endpoint/engine.rs
+++ b/crates/sequoiahold/src/endpoint/engine.rs
@@ -6,10 +6,11 @@
 use awc::Client;
 use bytes::Bytes;
 use sequoiahold_core::{
+    endpoint::EngineState,
     ids::{Digest, Fence, VersionId},
     weights::Manifest,
 };
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
 use crate::settings;
 
@@ -20,23 +21,6 @@
 /// Largest state that is read, in bytes.
 const MAX_STATE: usize = 100_000;
 
-/// The state that an engine or plain service shows.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct EngineState {
-    /// The start of the engine.
-    pub incarnation: u64,
-    /// The version that the engine holds whole.
-    pub version: Option<VersionId>,
-    /// The digest of the manifest of that version.
-    pub manifest: Option<Digest>,
-    /// The requests that the engine bears now.
-    pub limit: u32,
-    /// The requests that the engine runs now.
-    pub running: u32,
-    /// The highest fencing number that the engine has seen.
-    pub fence: Fence,
-}
-
 #[derive(Debug, Serialize)]
 struct Order<'a> {
     order: &'static str,
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -5,16 +5,17 @@
 use bytes::Bytes;
 use sequoiahold_core::{
     declare::Published,
+    endpoint::EngineState,
     gate::Ticket,
     ids::{Digest, Generation, ServiceId, VersionId, VmId},
+    member::VmState,
     proto::Beat,
     refuse::Refusal,
     weights::Manifest,
 };
 use tokio::sync::oneshot;
 
-use super::engine::EngineState;
-use crate::{platform::VmState, status::Status};
+use crate::status::Status;
 
 /// What the event loop is told or asked.
 #[derive(Debug)]
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -13,8 +13,8 @@
 use actix_rt::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
 
+pub use self::event::Event;
 use self::{ask::Asks, engine::Engine, event_loop::EventLoop, peers::PeerService, store::Store};
-pub use self::{engine::EngineState, event::Event};
 use crate::{
     clock::Clock,
     net::{Links, Tls, listen},
--- a/crates/sequoiahold/src/entry/event.rs
+++ b/crates/sequoiahold/src/entry/event.rs
@@ -4,13 +4,16 @@
 
 use sequoiahold_core::{
     declare::Published,
-    ids::{Generation, RequestId, ServiceId, VmId},
+    entry::{Arrival, RequestKey},
+    ids::{Generation, RequestId, VmId},
+    member::VmState,
     proto::Beat,
-    refuse::Refusal,
+    refuse::{Failure, Refusal},
+    units::Span,
 };
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
-use crate::{platform::VmState, status::Status};
+use crate::status::Status;
 
 /// What the event loop is told or asked.
 #[derive(Debug)]
@@ -23,36 +26,48 @@
     Beat(Box<Beat>),
     /// A peer did not answer its heartbeat.
     Silent(VmId),
-    /// A request needs an endpoint.
-    Choose(Choose),
+    /// A request came; the sender takes the steps of its life.
+    Arrive(Arrival, mpsc::UnboundedSender<Step>),
+    /// An endpoint refused a request.
+    Refused(RequestKey, Refusal),
+    /// The answer to a request has begun.
+    Started(RequestKey),
+    /// A request failed after the hand-over.
+    Failed(RequestKey, Failure),
+    /// A request has its whole answer.
+    Ended(RequestKey),
+    /// The caller of a request has gone.
+    Left(RequestKey),
     /// A peer asks for the published set above a generation.
     Set(Generation, oneshot::Sender<Option<Arc<Published>>>),
     /// A peer asks for this process's state.
     Tell(oneshot::Sender<Beat>),
     /// The status is asked for.
     Status(oneshot::Sender<Status>),
-    /// A counter is raised.
-    Count(&'static str),
 }
 
-/// A request that needs an endpoint.
-#[derive(Debug)]
-pub struct Choose {
-    /// The service.
-    pub service: ServiceId,
-    /// The endpoints that have refused the request.
-    pub tried: Vec<VmId>,
-    /// Takes the choice.
-    pub reply: oneshot::Sender<Result<Chosen, Refusal>>,
+/// The next step of a request.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Send it to an endpoint.
+    Send(Send),
+    /// Tell the caller that it did not run.
+    Refuse(Refusal),
+    /// Tell the caller that it was handed over and failed.
+    Fail(Failure),
 }
 
-/// The endpoint for a request.
+/// Where a request is sent.
 #[derive(Clone, Debug)]
-pub struct Chosen {
+pub struct Send {
+    /// The key of the request.
+    pub request: RequestKey,
+    /// Its number on the wire.
+    pub id: RequestId,
     /// The endpoint VM.
     pub vm: VmId,
     /// Its address.
     pub addr: SocketAddr,
-    /// The number of the request.
-    pub id: RequestId,
+    /// The time left until the deadline.
+    pub left: Span,
 }
--- a/crates/sequoiahold/src/entry/request.rs
+++ b/crates/sequoiahold/src/entry/request.rs
@@ -7,41 +7,34 @@
 use bytes::Bytes;
 use quinn::{RecvStream, SendStream};
 use sequoiahold_core::{
-    ids::{ClientId, Incarnation, OnceKey, ServiceId, VmId},
+    entry::{Arrival, RequestKey},
+    ids::{Incarnation, VmId},
     proto::{Ask, Call, Reply, Started},
     refuse::{Failure, Reason, Refusal},
     units::Span,
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use super::{
     body::{Body, Part},
-    event::{Choose, Chosen, Event},
+    event::{Event, Send, Step},
     problem,
     server::Active,
 };
 use crate::net::{Links, read, write};
 
-/// Endpoints that a request is offered to before it is refused.
-const MAX_OFFERS: usize = 3;
 /// Parts of an answer that wait for a slow caller.
 const PARTS: usize = 32;
 
 /// A request as it came from its caller.
 #[derive(Clone, Debug)]
 pub struct Incoming {
-    /// The client account.
-    pub client: ClientId,
-    /// The service.
-    pub service: ServiceId,
+    /// What the decision needs.
+    pub arrival: Arrival,
     /// The HTTP method.
     pub method: String,
     /// The path and query at the service.
     pub path: String,
-    /// The idempotency key.
-    pub key: Option<OnceKey>,
-    /// The time that the call may take.
-    pub timeout: Span,
     /// The body.
     pub body: Bytes,
 }
@@ -68,50 +61,39 @@
 impl Requests {
     /// Runs one request and returns the answer, whose parts may follow later.
     pub async fn run(&self, incoming: Incoming, guard: Active) -> Response<Body> {
-        let mut tried = Vec::new();
-        let mut last = Refusal::after(Reason::NoEndpoint, Span::secs(1));
-        while tried.len() < MAX_OFFERS {
-            let chosen = match self.choose(&incoming, &tried).await {
-                Ok(chosen) => chosen,
-                Err(refusal) if tried.is_empty() => return self.refused(refusal),
-                Err(_) => return self.refused(last),
+        let (steps, mut life) = mpsc::unbounded_channel();
+        self.tell(Event::Arrive(incoming.arrival.clone(), steps));
+        while let Some(step) = life.recv().await {
+            let send = match step {
+                Step::Send(send) => send,
+                Step::Refuse(refusal) => return problem::refused(refusal),
+                Step::Fail(failure) => return problem::failed(failure),
             };
-            match self.offer(&incoming, &chosen).await {
-                Offer::Started(started, send, recv) => {
-                    return self.answer(started, (send, recv), guard);
-                }
-                Offer::Refused(refusal) => last = refusal,
-                Offer::Failed(failure) => {
-                    self.count("requests.failed");
-                    return problem::failed(failure);
+            let departure = Departure { request: send.request, requests: self, armed: true };
+            let offer = self.offer(&incoming, &send).await;
+            departure.disarm();
+            match offer {
+                Offer::Started(started, writer, reader) => {
+                    self.tell(Event::Started(send.request));
+                    return self.answer(send.request, started, (writer, reader), guard);
                 }
+                Offer::Refused(refusal) => self.tell(Event::Refused(send.request, refusal)),
+                Offer::Failed(failure) => self.tell(Event::Failed(send.request, failure)),
             }
-            tried.push(chosen.vm);
         }
-        self.refused(last)
-    }
-
-    async fn choose(&self, incoming: &Incoming, tried: &[VmId]) -> Result<Chosen, Refusal> {
-        let (reply, choice) = oneshot::channel();
-        let service = incoming.service.clone();
-        let choose = Choose { service, tried: tried.to_vec(), reply };
-        let _ = self.events.send(Event::Choose(choose));
-        choice.await.unwrap_or(Err(Refusal::new(Reason::Leaving)))
+        problem::refused(Refusal::new(Reason::Leaving))
     }
 
-    async fn offer(&self, incoming: &Incoming, chosen: &Chosen) -> Offer {
-        let Ok(connection) = self.links.get(&chosen.vm, chosen.addr).await else {
-            return Offer::Refused(Refusal::after(Reason::NoEndpoint, Span::secs(1)));
-        };
-        let Ok((mut send, mut recv)) = connection.open_bi().await else {
-            return Offer::Refused(Refusal::after(Reason::NoEndpoint, Span::secs(1)));
-        };
-        let ask = Call::Ask(Box::new(self.ask(incoming, chosen)));
+    async fn offer(&self, incoming: &Incoming, to: &Send) -> Offer {
+        let unreachable = Offer::Refused(Refusal::after(Reason::NoEndpoint, Span::secs(1)));
+        let Ok(connection) = self.links.get(&to.vm, to.addr).await else { return unreachable };
+        let Ok((mut send, mut recv)) = connection.open_bi().await else { return unreachable };
+        let ask = Call::Ask(Box::new(self.ask(incoming, to)));
         let exchange = async {
             write(&mut send, &ask).await?;
             read::<Reply>(&mut recv).await
         };
-        match actix_rt::time::timeout(incoming.timeout.into(), exchange).await {
+        match actix_rt::time::timeout(to.left.into(), exchange).await {
             Ok(Ok(Reply::Started(started))) => Offer::Started(started, send, recv),
             Ok(Ok(Reply::Refused(refusal))) => Offer::Refused(refusal),
             Ok(Ok(Reply::Failed(failure))) => Offer::Failed(failure),
@@ -119,23 +101,24 @@
         }
     }
 
-    fn ask(&self, incoming: &Incoming, chosen: &Chosen) -> Ask {
+    fn ask(&self, incoming: &Incoming, to: &Send) -> Ask {
         Ask {
             entry: self.vm.clone(),
             incarnation: self.incarnation,
-            id: chosen.id,
-            client: incoming.client.clone(),
-            service: incoming.service.clone(),
+            id: to.id,
+            client: incoming.arrival.client.clone(),
+            service: incoming.arrival.service.clone(),
             method: incoming.method.clone(),
             path: incoming.path.clone(),
-            key: incoming.key.clone(),
-            left: incoming.timeout,
+            key: incoming.arrival.key.clone(),
+            left: to.left,
             body: incoming.body.clone(),
         }
     }
 
     fn answer(
         &self,
+        key: RequestKey,
         started: Started,
         streams: (SendStream, RecvStream),
         guard: Active,
@@ -148,28 +131,51 @@
         }
         let requests = self.clone();
         actix_rt::spawn(async move {
-            let name = match forward(streams, &parts).await {
-                true => "requests.answered",
-                false => "requests.broken_off",
+            let event = match forward(streams, &parts).await {
+                Forwarded::Whole => Event::Ended(key),
+                Forwarded::Left => Event::Left(key),
+                Forwarded::BrokenOff => Event::Failed(key, Failure::Unknown),
             };
-            requests.count(name);
+            requests.tell(event);
             drop(guard);
         });
         response
     }
 
-    fn refused(&self, refusal: Refusal) -> Response<Body> {
-        self.count("requests.refused");
-        problem::refused(refusal)
+    fn tell(&self, event: Event) {
+        let _ = self.events.send(event);
+    }
+}
+
+/// Tells the event loop that the caller left, where the offer is dropped before it ends.
+struct Departure<'a> {
+    request: RequestKey,
+    requests: &'a Requests,
+    armed: bool,
+}
+
+impl Departure<'_> {
+    fn disarm(mut self) {
+        self.armed = false;
     }
+}
 
-    fn count(&self, name: &'static str) {
-        let _ = self.events.send(Event::Count(name));
+impl Drop for Departure<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            self.requests.tell(Event::Left(self.request));
+        }
     }
 }
 
-/// Forwards the parts of an answer in order and returns whether it was whole.
-async fn forward(streams: (SendStream, RecvStream), parts: &mpsc::Sender<Part>) -> bool {
+enum Forwarded {
+    BrokenOff,
+    Left,
+    Whole,
+}
+
+/// Forwards the parts of an answer in order.
+async fn forward(streams: (SendStream, RecvStream), parts: &mpsc::Sender<Part>) -> Forwarded {
     let (mut send, mut recv) = streams;
     let mut count = 0;
     loop {
@@ -177,7 +183,7 @@
             reply = read::<Reply>(&mut recv) => reply,
             () = parts.closed() => {
                 let _ = send.reset(0u32.into());
-                return false;
+                return Forwarded::Left;
             }
         };
         match reply {
@@ -185,14 +191,14 @@
                 count += 1;
                 if parts.send(Part::Data(data)).await.is_err() {
                     let _ = send.reset(0u32.into());
-                    return false;
+                    return Forwarded::Left;
                 }
             }
             Ok(Reply::End(whole)) if whole == count => {
                 let _ = parts.send(Part::End).await;
-                return true;
+                return Forwarded::Whole;
             }
-            _ => return false,
+            _ => return Forwarded::BrokenOff,
         }
     }
 }
--- a/crates/sequoiahold/src/entry/server.rs
+++ b/crates/sequoiahold/src/entry/server.rs
@@ -8,8 +8,10 @@
 use sequoiahold_core::{
     adopt::InForce,
     declare::Fleet,
+    entry::Arrival,
     ids::{Digest, OnceKey, ServiceId},
     refuse::{Reason, Refusal},
+    units::Span,
 };
 use tokio::sync::{mpsc, watch};
 
@@ -90,8 +92,7 @@
 
     async fn incoming(&self, mut request: Request) -> Result<Incoming, Refusal> {
         let fleet = self.config.borrow().as_ref().map(|now| now.fleet.clone());
-        let retry = sequoiahold_core::units::Span::secs(1);
-        let fleet = fleet.ok_or(Refusal::after(Reason::Unconfigured, retry))?;
+        let fleet = fleet.ok_or(Refusal::after(Reason::Unconfigured, Span::secs(1)))?;
         let client = client(&fleet, &request)?;
         let body = self.body(&mut request).await?;
         let (service, path) = target(&request, &body)?;
@@ -99,15 +100,14 @@
         if !client.services.contains(&service) {
             return Err(Refusal::new(Reason::UnknownService));
         }
-        Ok(Incoming {
+        let arrival = Arrival {
             client: client.name.clone(),
             service,
-            method: request.method().to_string(),
-            path,
             key: key(&request)?,
+            print: Digest::of(&[path.as_bytes(), b"\n", &body].concat()),
             timeout: declared.timeout,
-            body,
-        })
+        };
+        Ok(Incoming { arrival, method: request.method().to_string(), path, body })
     }
 
     async fn body(&self, request: &mut Request) -> Result<Bytes, Refusal> {
--- a/crates/sequoiahold/src/platform.rs
+++ b/crates/sequoiahold/src/platform.rs
@@ -8,8 +8,8 @@
 use sequoiahold_core::{
     declare::{Head, Published},
     ids::{Digest, VmId},
+    member::VmState,
 };
-use serde::{Deserialize, Serialize};
 
 use crate::settings;
 
@@ -20,16 +20,6 @@
 /// Largest value read, in bytes.
 const MAX_VALUE: usize = 1_000_000;
 
-/// The state of a VM in the platform's list.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum VmState {
-    /// The VM is live.
-    Live,
-    /// The VM will be stopped soon.
-    Leaving,
-}
-
 /// Reads the platform's services.
 #[derive(Clone)]
 pub struct Platform {
--- a/crates/sequoiahold/src/reader.rs
+++ b/crates/sequoiahold/src/reader.rs
@@ -2,10 +2,10 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use sequoiahold_core::{adopt::InForce, declare::Published, ids::VmId};
+use sequoiahold_core::{adopt::InForce, declare::Published, ids::VmId, member::VmState};
 use tokio::sync::{mpsc, watch};
 
-use crate::platform::{Platform, VmState};
+use crate::platform::Platform;
 
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(500);
--- a/crates/standins/src/demo/deployment.rs
+++ b/crates/standins/src/demo/deployment.rs
@@ -13,13 +13,13 @@
 use anyhow::{Context as _, bail};
 use sequoiahold::{
     command::files,
-    platform::VmState,
     settings::{self, Log},
     status::Status,
 };
 use sequoiahold_core::{
     declare::{Backend, Declared, Fleet, Object, Published, Role, Vm, load::read_set},
     ids::{Digest, Generation, VersionId, VmId, ZoneId},
+    member::VmState,
     units::{ByteRate, Bytes, Span},
 };
 
--- a/crates/standins/src/demo/mod.rs
+++ b/crates/standins/src/demo/mod.rs
@@ -9,8 +9,7 @@
     time::{Duration, Instant},
 };
 
-use sequoiahold::platform::VmState;
-use sequoiahold_core::ids::VersionId;
+use sequoiahold_core::{ids::VersionId, member::VmState};
 
 pub use self::{
     deployment::{Deployment, Plan},
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -10,8 +10,9 @@
 
 use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode, header};
 use bytes::Bytes;
-use sequoiahold::{endpoint::EngineState, http};
+use sequoiahold::http;
 use sequoiahold_core::{
+    endpoint::EngineState,
     ids::{Digest, Fence, VersionId},
     weights::Manifest,
 };
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -3,7 +3,8 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
 
 use actix_http::{Method, Request, Response};
-use sequoiahold::{endpoint::EngineState, http};
+use sequoiahold::http;
+use sequoiahold_core::endpoint::EngineState;
 use serde_json::json;
 
 use crate::reply::{self, Body};
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -9,10 +9,11 @@
 };
 
 use actix_http::{Request, Response};
-use sequoiahold::{http, platform::VmState};
+use sequoiahold::http;
 use sequoiahold_core::{
     declare::Published,
     ids::{Digest, VmId},
+    member::VmState,
 };
 
 use crate::reply::{self, Body};
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -95,8 +95,8 @@
 /// Returns the program that was built beside the running tool or test.
 pub fn program() -> PathBuf {
     let own = std::env::current_exe().unwrap_or_default();
-    let dirs = own.ancestors().skip(1).map(|dir| dir.join("sequoiahold"));
-    dirs.filter(|path| path.is_file()).next().unwrap_or_else(|| "sequoiahold".into())
+    let mut paths = own.ancestors().skip(1).map(|dir| dir.join("sequoiahold"));
+    paths.find(|path| path.is_file()).unwrap_or_else(|| "sequoiahold".into())
 }
 
 impl Drop for Process {
