--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -13,7 +13,7 @@
     adopt::{Adopter, Adoption, InForce},
     chart::Chart,
     declare::{Fleet, Published, Role},
-    ids::{Incarnation, RequestId, VmId, ZoneId},
+    ids::{Generation, Incarnation, RequestId, ServiceId, VmId, ZoneId},
     member::VmState,
     proto::Beat,
     refuse::{Failure, Reason, Refusal},
@@ -198,7 +198,7 @@
     }
 
     /// Returns the published set in force if it is above a generation.
-    pub fn newer(&self, above: crate::ids::Generation) -> Option<Arc<Published>> {
+    pub fn newer(&self, above: Generation) -> Option<Arc<Published>> {
         self.adopter.newer(above)
     }
 
@@ -212,6 +212,11 @@
         }
     }
 
+    /// Returns the service that a request in progress asks for.
+    pub fn service(&self, key: RequestKey) -> Option<&ServiceId> {
+        self.requests.get(key).map(|request| &request.arrival.service)
+    }
+
     /// Returns what is known of the endpoints.
     pub fn router(&self) -> &Router {
         &self.router
--- /dev/null
+++ b/crates/standins/src/driver/calls.rs
@@ -0,0 +1,36 @@
+//! What callers asked and received.
+
+use sequoiahold_core::{
+    ids::VersionId,
+    refuse::{Failure, Reason},
+    time::Time,
+    units::Span,
+};
+
+/// A call of a caller.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct CallId(pub usize);
+
+/// What a caller received.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Outcome {
+    /// The whole answer, from this version.
+    Answered(Option<VersionId>),
+    /// A refusal that says the call did not run.
+    Refused(Reason, Option<Span>),
+    /// An answer that says the call was handed over and failed.
+    Failed(Failure),
+}
+
+/// A call and what became of it.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// When it was made.
+    pub at: Time,
+    /// When its answer began.
+    pub first: Option<Time>,
+    /// When it ended, and how.
+    pub end: Option<(Time, Outcome)>,
+    /// The times that an engine or service began to run it.
+    pub runs: u32,
+}
--- /dev/null
+++ b/crates/standins/src/driver/deliver.rs
@@ -0,0 +1,185 @@
+//! How driven processes take messages and engines run requests.
+
+use std::sync::Arc;
+
+use sequoiahold_core::{
+    entry::RequestKey,
+    gate::Ticket,
+    ids::{Digest, Fence, VersionId, VmId},
+    refuse::Failure,
+    time::Time,
+    units::Span,
+    weights::{Manifest, TransferOutcome},
+};
+
+use super::{
+    Message, Outcome,
+    message::Ask,
+    world::{Event, World},
+};
+
+/// Time from a request's hand-over to its first token.
+const FIRST: Span = Span::millis(50);
+/// Time from a request's first token to its end.
+const RUN: Span = Span::millis(150);
+
+impl World {
+    pub(super) fn deliver(&mut self, from: &VmId, to: &VmId, message: Message) {
+        match message {
+            Message::Beat(_) => {
+                let answer = self.endpoints.get(to).map(|node| Message::Answer(node.core.beat()));
+                answer.into_iter().for_each(|answer| self.send(to, from, answer));
+            }
+            Message::Answer(beat) => {
+                let now = self.now;
+                if let Some(node) = self.entries.get_mut(to) {
+                    node.heard.insert(from.clone(), now);
+                    node.core.heard(beat);
+                }
+                self.perform(to);
+            }
+            Message::Ask(ask) => self.asked(from, to, ask),
+            Message::Refused(key, refusal) => {
+                let now = self.now;
+                if let Some(node) = self.entries.get_mut(to) {
+                    node.core.refused(now, key, refusal);
+                }
+                self.perform(to);
+            }
+            Message::Started(key) => self.started(to, key),
+            Message::Ended(key, version) => self.ended(to, key, version),
+            Message::Failed(key, failure) => self.failed(to, key, failure),
+            Message::AskHave(manifest) => {
+                let bits = self.have(to, manifest);
+                self.send(to, from, Message::Have(bits));
+            }
+            Message::Have(bits) => self.on_endpoint(to, |core, now| core.have(now, from, &bits)),
+            Message::AskChunk(digest) => {
+                let data = self.endpoints.get(to).and_then(|node| node.held.get(&digest).cloned());
+                self.send(to, from, Message::Chunk(digest, data));
+            }
+            Message::Chunk(digest, data) => self.drawn(to, digest, data),
+        }
+    }
+
+    fn asked(&mut self, from: &VmId, to: &VmId, ask: Ask) {
+        let Ask { call, request, ticket, service, .. } = ask;
+        let Some(node) = self.endpoints.get_mut(to) else { return };
+        if let Err(refusal) = node.core.ask(ticket.clone(), &service) {
+            return self.send(to, from, Message::Refused(request, refusal));
+        }
+        self.calls[call.0].runs += 1;
+        let poison = self.engines[to].poison.contains(&call);
+        let began = self.engines.get_mut(to).is_some_and(|e| e.begin(ticket.clone(), call));
+        if poison && let Some(engine) = self.engines.get_mut(to) {
+            engine.crash();
+        }
+        let incarnation = self.engines[to].incarnation;
+        let vm = to.clone();
+        if !began || poison {
+            return self.push(FIRST, Event::Done { vm, ticket, request, incarnation: 0 });
+        }
+        self.push(FIRST, Event::First { vm, ticket, request, incarnation });
+    }
+
+    pub(super) fn first(&mut self, vm: &VmId, ticket: &Ticket, key: RequestKey, incarnation: u64) {
+        if self.endpoints.contains_key(vm) && self.engines[vm].incarnation == incarnation {
+            self.send(vm, &ticket.0, Message::Started(key));
+        }
+        let (vm, ticket) = (vm.clone(), ticket.clone());
+        self.push(RUN, Event::Done { vm, ticket, request: key, incarnation });
+    }
+
+    pub(super) fn done(&mut self, vm: &VmId, ticket: &Ticket, key: RequestKey, incarnation: u64) {
+        let Some(engine) = self.engines.get_mut(vm) else { return };
+        let whole = engine.incarnation == incarnation;
+        let run = engine.running.remove(ticket).filter(|_| whole);
+        if run.is_some() {
+            engine.finished += 1;
+        }
+        let Some(node) = self.endpoints.get_mut(vm) else { return };
+        node.core.finished(ticket);
+        let message = match run {
+            Some((_, version)) => Message::Ended(key, version),
+            None => Message::Failed(key, Failure::Unknown),
+        };
+        self.send(vm, &ticket.0, message);
+        self.perform(vm);
+    }
+
+    fn started(&mut self, entry: &VmId, key: RequestKey) {
+        let now = self.now;
+        let Some(node) = self.entries.get_mut(entry) else { return };
+        node.core.started(key);
+        if let Some((call, _)) = node.calls.get(&key) {
+            self.calls[call.0].first.get_or_insert(now);
+        }
+    }
+
+    fn ended(&mut self, entry: &VmId, key: RequestKey, version: Option<VersionId>) {
+        let Some(node) = self.entries.get_mut(entry) else { return };
+        node.core.ended(key);
+        if let Some((call, _)) = node.calls.remove(&key) {
+            self.end_call(call, Outcome::Answered(version));
+        }
+        self.perform(entry);
+    }
+
+    pub(super) fn failed(&mut self, entry: &VmId, key: RequestKey, failure: Failure) {
+        if let Some(node) = self.entries.get_mut(entry) {
+            node.core.failed(key, failure);
+        }
+        self.perform(entry);
+    }
+
+    pub(super) fn check_silence(&mut self, entry: &VmId, vm: &VmId, sent: Time) {
+        let Some(node) = self.entries.get_mut(entry) else { return };
+        if node.heard.get(vm).is_none_or(|heard| *heard < sent) {
+            node.core.silent(vm);
+        }
+        self.perform(entry);
+    }
+
+    pub(super) fn drawn(&mut self, vm: &VmId, digest: Digest, data: Option<Vec<u8>>) {
+        let now = self.now;
+        if let Some(node) = self.endpoints.get_mut(vm) {
+            let outcome = node.core.drawn(now, digest, data.as_deref());
+            let kept = matches!(outcome, TransferOutcome::Kept | TransferOutcome::Whole);
+            if let Some(data) = data.filter(|_| kept) {
+                node.held.insert(digest, data);
+            }
+        }
+        self.perform(vm);
+    }
+
+    pub(super) fn load(
+        &mut self,
+        vm: &VmId,
+        epoch: u64,
+        version: &VersionId,
+        manifest: &Arc<Manifest>,
+        fence: Fence,
+    ) {
+        let Some(engine) = self.engines.get_mut(vm) else { return };
+        let taken = fence >= engine.fence;
+        if taken {
+            engine.fence = fence;
+            engine.version = Some((version.clone(), manifest.digest()));
+            engine.finished = 0;
+        }
+        if self.epochs[vm] == epoch {
+            self.on_endpoint(vm, |core, now| core.loaded(now, version, taken));
+        }
+    }
+
+    fn have(&self, vm: &VmId, manifest: Digest) -> Vec<u8> {
+        let Some(node) = self.endpoints.get(vm) else { return vec![] };
+        let Some(manifest) = node.core.known_manifest(manifest) else { return vec![] };
+        let mut bits = vec![0; manifest.chunks.len().div_ceil(8)];
+        let chunks = manifest.chunks.iter().enumerate();
+        for (i, _) in chunks.filter(|(_, digest)| node.held.contains_key(*digest)) {
+            bits[i / 8] |= 1 << (i % 8);
+        }
+        bits
+    }
+}
--- /dev/null
+++ b/crates/standins/src/driver/engine.rs
@@ -0,0 +1,93 @@
+//! A fake engine or plain service in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use sequoiahold_core::{
+    endpoint::EngineState,
+    gate::Ticket,
+    ids::{Digest, Fence, VersionId},
+};
+
+use super::CallId;
+
+/// Requests that an engine must finish before it is warm.
+const WARM: u32 = 4;
+
+/// A fake engine or plain service.
+#[derive(Clone, Debug)]
+pub struct FakeEngine {
+    /// The start of the engine.
+    pub incarnation: u64,
+    /// The version it holds and the digest of its manifest.
+    pub version: Option<(VersionId, Digest)>,
+    /// The requests that run.
+    pub running: BTreeMap<Ticket, (CallId, Option<VersionId>)>,
+    /// The requests that it finished since it turned cold.
+    pub finished: u32,
+    /// Times at which more was given than it bears.
+    pub overloads: u32,
+    /// Crashes of the engine.
+    pub crashes: u32,
+    /// The calls that crash the engine.
+    pub poison: BTreeSet<CallId>,
+    /// The highest fencing number seen.
+    pub fence: Fence,
+    slots: u32,
+    cold: u32,
+}
+
+impl FakeEngine {
+    /// Returns an engine that holds nothing.
+    pub fn new(slots: u32, cold: u32) -> Self {
+        Self {
+            incarnation: 1,
+            version: None,
+            running: BTreeMap::new(),
+            finished: 0,
+            overloads: 0,
+            crashes: 0,
+            poison: BTreeSet::new(),
+            fence: Fence::default(),
+            slots,
+            cold,
+        }
+    }
+
+    /// Returns the requests that it bears now.
+    pub fn bears(&self) -> u32 {
+        self.cold + (self.slots - self.cold) * self.finished.min(WARM) / WARM
+    }
+
+    /// Returns the state that it shows.
+    pub fn state(&self) -> EngineState {
+        EngineState {
+            incarnation: self.incarnation,
+            version: self.version.as_ref().map(|(version, _)| version.clone()),
+            manifest: self.version.as_ref().map(|(_, manifest)| *manifest),
+            limit: self.bears(),
+            running: self.running.len() as u32,
+            fence: self.fence,
+        }
+    }
+
+    /// Begins a request; more than it bears makes it fall over, and returns false.
+    pub fn begin(&mut self, ticket: Ticket, call: CallId) -> bool {
+        if self.running.len() as u32 >= self.bears() {
+            self.overloads += 1;
+            self.crash();
+            return false;
+        }
+        let version = self.version.as_ref().map(|(version, _)| version.clone());
+        self.running.insert(ticket, (call, version));
+        true
+    }
+
+    /// Ends all requests and starts anew, holding nothing.
+    pub fn crash(&mut self) {
+        self.crashes += 1;
+        self.incarnation += 1;
+        self.running.clear();
+        self.version = None;
+        self.finished = 0;
+    }
+}
--- /dev/null
+++ b/crates/standins/src/driver/fleet.rs
@@ -0,0 +1,136 @@
+//! The declared fleet of a driven world.
+
+use sequoiahold_core::{
+    declare::{
+        Backend, Client, Declared, Model, Object, Pool, Role, Service, Source, Version, Vm, Zone,
+    },
+    ids::Digest,
+    units::{ByteRate, Bytes, Share, Span},
+    weights::Manifest,
+};
+
+/// Size of a chunk of the generated weights.
+const CHUNK: Bytes = Bytes(64);
+/// Chunks of a version.
+const CHUNKS: u64 = 4;
+
+/// The size and behaviour of a driven world.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Availability zones, named `z1`, `z2` and so on.
+    pub zones: u8,
+    /// Entry VMs in a zone, named `z1-entry-1` and so on.
+    pub entries: u8,
+    /// Endpoint VMs of the service `llm` in a zone, named `z1-llm-1` and so on.
+    pub endpoints: u8,
+    /// Endpoint VMs of the plain service `orders` in a zone, named `z1-orders-1` and so on.
+    pub plain: u8,
+    /// Requests that a warm engine bears.
+    pub slots: u32,
+    /// Requests that a cold engine bears.
+    pub cold: u32,
+    /// Client accounts, named `c1`, `c2` and so on.
+    pub clients: u8,
+    /// The seed of all random choices.
+    pub seed: u64,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            zones: 2,
+            entries: 1,
+            endpoints: 2,
+            plain: 1,
+            slots: 4,
+            cold: 1,
+            clients: 2,
+            seed: 1,
+        }
+    }
+}
+
+impl Shape {
+    /// Returns the declared objects of the world.
+    pub fn declared(&self) -> Vec<Declared> {
+        let mut objects = vec![
+            service("llm", Backend::Model(name("llm")), true),
+            service("orders", Backend::Plain, false),
+            pool("llm", self.slots, self.cold),
+            pool("orders", 16, 16),
+            Object::Model(Model { name: name("llm"), version: name("llm-1") }),
+            version(1),
+            version(2),
+        ];
+        objects.extend((1..=self.clients).map(client));
+        for zone in 1..=self.zones {
+            objects.push(Object::Zone(Zone {
+                name: name(&format!("z{zone}")),
+                region: name(&format!("r{zone}")),
+                out: false,
+                link: ByteRate(2_500_000),
+            }));
+            objects.extend((1..=self.entries).map(|n| vm(zone, "entry", n, Role::Entry)));
+            let llm = Role::Endpoint(name("llm"));
+            objects.extend((1..=self.endpoints).map(|n| vm(zone, "llm", n, llm.clone())));
+            let orders = Role::Endpoint(name("orders"));
+            objects.extend((1..=self.plain).map(|n| vm(zone, "orders", n, orders.clone())));
+        }
+        let source = |index| Source { file: "world".to_owned(), index };
+        let declared = objects.into_iter().enumerate();
+        declared.map(|(index, object)| Declared { object, source: source(index) }).collect()
+    }
+}
+
+/// Returns the chunks of a version and its manifest.
+pub(super) fn weights(number: u64) -> (Manifest, Vec<Vec<u8>>) {
+    let data: Vec<u8> = (0..CHUNKS * CHUNK.0).map(|i| (i / CHUNK.0 * 16 + number) as u8).collect();
+    let manifest = Manifest::of(&data, CHUNK);
+    (manifest, data.chunks(CHUNK.0 as usize).map(<[u8]>::to_vec).collect())
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a generated name is sound")
+}
+
+fn service(text: &str, backend: Backend, repeatable: bool) -> Object {
+    Object::Service(Service { name: name(text), backend, repeatable, timeout: Span::secs(30) })
+}
+
+fn pool(text: &str, slots: u32, cold: u32) -> Object {
+    let step = Share(500);
+    Object::Pool(Pool { name: name(text), service: name(text), slots, cold, step })
+}
+
+fn version(number: u64) -> Object {
+    let (manifest, _) = weights(number);
+    Object::Version(Version {
+        name: name(&format!("llm-{number}")),
+        model: name("llm"),
+        manifest: manifest.digest(),
+        size: manifest.size,
+    })
+}
+
+fn client(number: u8) -> Object {
+    Object::Client(Client {
+        name: name(&format!("c{number}")),
+        key: Digest::of(&[number]),
+        weight: 1,
+        services: vec![name("llm"), name("orders")],
+    })
+}
+
+fn vm(zone: u8, kind: &str, number: u8, role: Role) -> Object {
+    let host = match kind {
+        "entry" => number,
+        "llm" => 20 + number,
+        _ => 200 + number,
+    };
+    Object::Vm(Vm {
+        name: name(&format!("z{zone}-{kind}-{number}")),
+        zone: name(&format!("z{zone}")),
+        role,
+        addr: ([127, 1, zone, host], 7400).into(),
+    })
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod content;
 pub mod demo;
+pub mod driver;
 pub mod engine;
 pub mod keys;
 pub mod origin;
--- /dev/null
+++ b/crates/standins/tests/scenarios.rs
@@ -0,0 +1,176 @@
+//! Runs the scenarios under `scenarios/` on the decision core in virtual time.
+
+use std::{collections::BTreeMap, error::Error, fmt::Write as _, path::PathBuf, str::FromStr};
+
+use goldenscript::{ArgumentConsumer, Command, Context, Runner};
+use rstest::rstest;
+use sequoiahold_core::{
+    ids::{VersionId, VmId, ZoneId},
+    member::VmState,
+    refuse::Failure,
+    units::Span,
+};
+use sequoiahold_standins::driver::{CallId, Outcome, Shape, World};
+
+/// Time for all processes to adopt the first set and load the first version.
+const WARM_UP: Span = Span::secs(5);
+
+struct Script {
+    world: World,
+    marked: Vec<CallId>,
+}
+
+impl Script {
+    fn new() -> Self {
+        Self { world: World::new(Shape::default()), marked: vec![] }
+    }
+
+    fn set_up(&mut self, shape: Shape) {
+        self.world = World::new(shape);
+        self.world.publish(|_| ());
+        self.world.advance(WARM_UP);
+        self.marked.clear();
+    }
+
+    fn summary(&self) -> String {
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for call in &self.marked {
+            let text = match &self.world.calls[call.0].end {
+                None => "open".to_owned(),
+                Some((_, Outcome::Answered(_))) => "answered".to_owned(),
+                Some((_, Outcome::Refused(reason, _))) => format!("refused {reason:?}"),
+                Some((_, Outcome::Failed(Failure::Unknown))) => "unknown".to_owned(),
+                Some((_, Outcome::Failed(failure))) => format!("failed {failure:?}"),
+            };
+            *counts.entry(text).or_default() += 1;
+        }
+        let mut out = String::new();
+        for (text, count) in counts {
+            let _ = writeln!(out, "{text}: {count}");
+        }
+        out
+    }
+
+    fn endpoints(&self) -> String {
+        let mut out = String::new();
+        for (vm, engine) in &self.world.engines {
+            let Some(core) = self.world.endpoint(vm) else {
+                let _ = writeln!(out, "{vm}: no process");
+                continue;
+            };
+            let gate = core.gate();
+            let version = gate.version().map_or("-", VersionId::as_str);
+            let (life, open) = (core.life(), gate.open());
+            let (overloads, crashes) = (engine.overloads, engine.crashes);
+            let _ = writeln!(
+                out,
+                "{vm}: {life:?} {version} open {open} overloads {overloads} crashes {crashes}"
+            );
+        }
+        out
+    }
+
+    fn ask(&mut self, command: &Command) -> Result<(), Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let at: VmId = args.next_pos().ok_or("which entry?")?.parse()?;
+        let count: usize = parsed(&mut args, "count")?.unwrap_or(1);
+        let every: Option<Span> = parsed(&mut args, "every")?;
+        let client = args.take_key("client").unwrap_or("c1").to_owned();
+        let service = args.take_key("service").unwrap_or("llm").to_owned();
+        let key = parsed(&mut args, "key")?;
+        args.reject_next()?;
+        for _ in 0..count {
+            self.marked.push(self.world.ask(&at, &service, &client, key.clone()));
+            every.into_iter().for_each(|span| self.world.advance(span));
+        }
+        Ok(())
+    }
+
+    fn fault(&mut self, command: &Command) -> Result<String, Box<dyn Error>> {
+        let mut args = command.consume_args();
+        let mut next = || args.next_pos().ok_or("an argument is missing");
+        let world = &mut self.world;
+        match command.name.as_str() {
+            "kill" => world.kill(&next()?.parse()?),
+            "start" => world.start(&next()?.parse()?),
+            "pause" => world.pause(&next()?.parse()?, next()?.parse()?),
+            "drain" => return Ok(format!("in progress: {}", world.drain(&next()?.parse()?))),
+            "cut" => world.cut(&next()?.parse()?, &next()?.parse()?),
+            "heal" => world.heal(),
+            "platform" => world.down = next()? == "down",
+            "leaving" => drop(world.list.insert(next()?.parse()?, VmState::Leaving)),
+            "crash" => {
+                let vm: VmId = next()?.parse()?;
+                world.engines.get_mut(&vm).ok_or("no such engine")?.crash();
+            }
+            "cool" => {
+                let vm: VmId = next()?.parse()?;
+                world.engines.get_mut(&vm).ok_or("no such engine")?.finished = 0;
+            }
+            other => return Err(format!("unknown command {other}").into()),
+        }
+        args.reject_next()?;
+        Ok(String::new())
+    }
+}
+
+impl Runner for Script {
+    type Command = Command;
+
+    fn run(&mut self, command: &Command, _: &Context) -> Result<String, Box<dyn Error>> {
+        let mut args = command.consume_args();
+        match command.name.as_str() {
+            "fleet" => {
+                let base = Shape::default();
+                let shape = Shape {
+                    zones: parsed(&mut args, "zones")?.unwrap_or(base.zones),
+                    entries: parsed(&mut args, "entries")?.unwrap_or(base.entries),
+                    endpoints: parsed(&mut args, "endpoints")?.unwrap_or(base.endpoints),
+                    plain: parsed(&mut args, "plain")?.unwrap_or(base.plain),
+                    slots: parsed(&mut args, "slots")?.unwrap_or(base.slots),
+                    cold: parsed(&mut args, "cold")?.unwrap_or(base.cold),
+                    clients: parsed(&mut args, "clients")?.unwrap_or(base.clients),
+                    seed: parsed(&mut args, "seed")?.unwrap_or(base.seed),
+                };
+                args.reject_next()?;
+                self.set_up(shape);
+            }
+            "advance" => {
+                let span = args.next_pos().ok_or("how long?")?.parse()?;
+                args.reject_next()?;
+                self.world.advance(span);
+            }
+            "out" | "back" => {
+                let zone: ZoneId = args.next_pos().ok_or("which zone?")?.parse()?;
+                self.world.set_out(&zone, command.name == "out");
+            }
+            "version" => {
+                let version: VersionId = args.next_pos().ok_or("which version?")?.parse()?;
+                self.world.set_version(&version);
+            }
+            "ask" => self.ask(command)?,
+            "mark" => self.marked.clear(),
+            "received" => return Ok(self.summary()),
+            "endpoints" => return Ok(self.endpoints()),
+            "runs" => {
+                let runs: Vec<u32> =
+                    self.marked.iter().map(|c| self.world.calls[c.0].runs).collect();
+                return Ok(format!("most runs of a call: {}", runs.iter().max().unwrap_or(&0)));
+            }
+            _ => return self.fault(command),
+        }
+        Ok(String::new())
+    }
+}
+
+fn parsed<T: FromStr<Err: Error + 'static>>(
+    args: &mut ArgumentConsumer<'_>,
+    name: &str,
+) -> Result<Option<T>, Box<dyn Error>> {
+    Ok(args.take_key(name).map(str::parse).transpose()?)
+}
+
+#[rstest]
+fn scenario(#[files("../../scenarios/*.txt")] path: PathBuf) {
+    goldenscript::run(&mut Script::new(), path).expect("the scenario gives what its file says");
+}
