Metrics: counters and histograms per account, in status and to a StatsD sink

Cause: counters stood in the event loops only and there were no times. Up to 20 accounts with the greatest weight have histograms of their own, the rest share one set, so memory is bounded.

--- /dev/null
+++ b/crates/core/src/histogram.rs
@@ -0,0 +1,106 @@
+//! Histograms of times per client account and per measure, bounded in number.
+
+use std::{collections::BTreeMap, fmt};
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::{declare::Fleet, ids::ClientId, units::Span};
+
+/// Client accounts that have histograms of their own; the rest share one set.
+const NAMED: usize = 20;
+/// Longest time that a histogram tells apart, in microseconds.
+const LONGEST: u64 = 600_000_000;
+/// Significant digits of a histogram.
+const DIGITS: u8 = 2;
+
+/// What is measured of a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Measure {
+    /// From one part of the answer to the next.
+    Between,
+    /// From the arrival to the first part of the answer.
+    First,
+    /// From the arrival to the hand-over to an endpoint.
+    Queue,
+    /// From the arrival to the end of the answer.
+    Whole,
+}
+
+impl fmt::Display for Measure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Between => "between",
+            Self::First => "first",
+            Self::Queue => "queue",
+            Self::Whole => "whole",
+        })
+    }
+}
+
+/// The figures of one histogram.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Summary {
+    /// The values recorded.
+    pub count: u64,
+    /// The median.
+    pub p50: Span,
+    /// The 95th percentile.
+    pub p95: Span,
+    /// The 99th percentile.
+    pub p99: Span,
+}
+
+/// Histograms by client account and measure.
+#[derive(Clone, Debug, Default)]
+pub struct Histograms {
+    named: BTreeMap<ClientId, BTreeMap<Measure, Histogram<u32>>>,
+    rest: BTreeMap<Measure, Histogram<u32>>,
+}
+
+impl Histograms {
+    /// Gives histograms of their own to the accounts with the greatest weight.
+    pub fn follow(&mut self, fleet: &Fleet) {
+        let mut clients: Vec<_> = fleet.clients.values().collect();
+        clients.sort_by_key(|client| (std::cmp::Reverse(client.weight), client.name.clone()));
+        clients.truncate(NAMED);
+        let wanted = |name: &ClientId| clients.iter().any(|client| client.name == *name);
+        self.named.retain(|name, _| wanted(name));
+        for client in clients {
+            self.named.entry(client.name.clone()).or_default();
+        }
+    }
+
+    /// Records a time.
+    pub fn record(&mut self, client: &ClientId, measure: Measure, span: Span) {
+        let measures = self.named.get_mut(client).unwrap_or(&mut self.rest);
+        let histogram = measures.entry(measure).or_insert_with(empty);
+        histogram.saturating_record(span.0.max(1));
+    }
+
+    /// Returns the label under which an account is shown.
+    pub fn label<'a>(&self, client: &'a ClientId) -> &'a str {
+        if self.named.contains_key(client) { client.as_str() } else { "rest" }
+    }
+
+    /// Returns the figures by label and measure.
+    pub fn summaries(&self) -> BTreeMap<String, BTreeMap<Measure, Summary>> {
+        let named = self.named.iter().map(|(name, measures)| (name.as_str(), measures));
+        named
+            .chain([("rest", &self.rest)])
+            .filter(|(_, measures)| !measures.is_empty())
+            .map(|(name, measures)| (name.to_owned(), measures.iter().map(summary).collect()))
+            .collect()
+    }
+}
+
+fn empty() -> Histogram<u32> {
+    Histogram::new_with_max(LONGEST, DIGITS).expect("the bounds are valid")
+}
+
+fn summary((measure, histogram): (&Measure, &Histogram<u32>)) -> (Measure, Summary) {
+    let at = |percentile: f64| Span(histogram.value_at_percentile(percentile));
+    let summary = Summary { count: histogram.len(), p50: at(50.0), p95: at(95.0), p99: at(99.0) };
+    (*measure, summary)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod endpoint;
 pub mod entry;
 pub mod gate;
+pub mod histogram;
 pub mod ids;
 pub mod member;
 pub mod peers;
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -1,6 +1,6 @@
 //! The endpoint's event loop: owns the state and does what the decisions ask for.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use sequoiahold_core::{
@@ -18,7 +18,7 @@
     event::{Admit, Event},
     store::Store,
 };
-use crate::{clock::Clock, net::Links, settings, status::Status};
+use crate::{clock::Clock, metrics::Metrics, net::Links, settings, status::Status};
 
 /// What the event loop works with.
 pub struct Parts {
@@ -34,6 +34,8 @@
     pub in_force: watch::Sender<Option<InForce>>,
     /// The sender of this loop's own events.
     pub events: mpsc::UnboundedSender<Event>,
+    /// The counters.
+    pub metrics: Metrics,
 }
 
 /// The state of an endpoint process.
@@ -42,7 +44,6 @@
     parts: Parts,
     drawer: Drawer,
     endpoint: Endpoint,
-    counters: BTreeMap<String, u64>,
 }
 
 impl EventLoop {
@@ -56,7 +57,7 @@
             draws: settings.weights.draws,
         };
         let endpoint = Endpoint::new(own, parts.clock.now());
-        Self { settings, parts, drawer, endpoint, counters: BTreeMap::new() }
+        Self { settings, parts, drawer, endpoint }
     }
 
     /// Handles events and timers until all senders are gone.
@@ -88,7 +89,7 @@
             Event::Have(peer, bits) => self.endpoint.have(now, &peer, &bits),
             Event::Loaded(version, taken) => {
                 self.endpoint.loaded(now, &version, taken);
-                self.count(if taken { "loads.taken" } else { "loads.failed" });
+                self.parts.metrics.count(if taken { "loads.taken" } else { "loads.failed" });
             }
             Event::TellHave(manifest, reply) => drop(reply.send(self.have(manifest))),
             Event::Set(above, reply) => drop(reply.send(self.endpoint.newer(above))),
@@ -131,7 +132,7 @@
             (TransferOutcome::Kept | TransferOutcome::Whole, Some(data)) => {
                 self.parts.store.keep(digest, data);
             }
-            (TransferOutcome::Corrupt, _) => self.count("chunks.corrupt"),
+            (TransferOutcome::Corrupt, _) => self.parts.metrics.count("chunks.corrupt"),
             _ => {}
         }
     }
@@ -218,14 +219,10 @@
             limit: gate.limit(),
             running: gate.running(),
             open: gate.open(),
-            endpoints: BTreeMap::new(),
-            counters: self.counters.clone(),
+            counters: self.parts.metrics.counters(),
+            ..Status::default()
         }
     }
-
-    fn count(&mut self, name: &str) {
-        *self.counters.entry(name.to_owned()).or_default() += 1;
-    }
 }
 
 async fn give(
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -17,6 +17,7 @@
 use self::{ask::Asks, engine::Engine, event_loop::EventLoop, peers::PeerService, store::Store};
 use crate::{
     clock::Clock,
+    metrics::Metrics,
     net::{Links, Tls, listen},
     platform::Platform,
     reader, settings, status,
@@ -48,7 +49,15 @@
     reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
     log::info!("endpoint {} listens on {}", settings.vm, settings.peers);
 
-    let parts = event_loop::Parts { clock, links, store, engine, in_force, events: events.clone() };
+    let parts = event_loop::Parts {
+        clock,
+        links,
+        store,
+        engine,
+        in_force,
+        events: events.clone(),
+        metrics: Metrics::new(&settings.metrics, settings.vm.as_str())?,
+    };
     actix_rt::spawn(EventLoop::new(settings, parts).run(receiver));
     signal(SignalKind::terminate())?.recv().await;
     log::info!("told to stop");
--- a/crates/sequoiahold/src/entry/event_loop.rs
+++ b/crates/sequoiahold/src/entry/event_loop.rs
@@ -1,6 +1,6 @@
 //! The entry's event loop: owns the state and does what the decisions ask for.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc};
 
 use sequoiahold_core::{
     adopt::{Adoption, InForce},
@@ -17,6 +17,7 @@
 use super::event::{Event, Send, Step};
 use crate::{
     clock::Clock,
+    metrics::Metrics,
     net::{Links, call},
     settings,
     status::{EndpointStatus, Status},
@@ -25,36 +26,38 @@
 /// Heartbeat intervals without an answer after which a connection is replaced.
 const SILENT_BEATS: u64 = 3;
 
+/// What the event loop works with.
+pub struct Parts {
+    /// The clock.
+    pub clock: Clock,
+    /// The connections to endpoints.
+    pub links: Links,
+    /// Shows the configuration in force to the tasks.
+    pub in_force: watch::Sender<Option<InForce>>,
+    /// The sender of this loop's own events.
+    pub events: mpsc::UnboundedSender<Event>,
+}
+
 /// The state of an entry process.
 pub struct EventLoop {
     settings: settings::Entry,
-    clock: Clock,
-    links: Links,
-    in_force: watch::Sender<Option<InForce>>,
-    events: mpsc::UnboundedSender<Event>,
+    parts: Parts,
     entry: Entry,
     waiting: SecondaryMap<RequestKey, mpsc::UnboundedSender<Step>>,
-    counters: BTreeMap<String, u64>,
+    metrics: Metrics,
 }
 
 impl EventLoop {
     /// Returns the event loop of a process that knows nothing yet.
-    pub fn new(
-        settings: settings::Entry,
-        clock: Clock,
-        links: Links,
-        in_force: watch::Sender<Option<InForce>>,
-        events: mpsc::UnboundedSender<Event>,
-    ) -> Self {
+    pub fn new(settings: settings::Entry, parts: Parts, metrics: Metrics) -> Self {
         let own = Identity {
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
-            incarnation: clock.incarnation(),
+            incarnation: parts.clock.incarnation(),
             heartbeat: settings.heartbeat,
         };
-        let entry = Entry::new(own, clock.incarnation().0);
-        let (waiting, counters) = Default::default();
-        Self { settings, clock, links, in_force, events, entry, waiting, counters }
+        let entry = Entry::new(own, parts.clock.incarnation().0);
+        Self { settings, parts, entry, waiting: SecondaryMap::new(), metrics }
     }
 
     /// Handles events and timers until all senders are gone.
@@ -65,8 +68,8 @@
                     Some(event) => self.on_event(event),
                     None => return,
                 },
-                () = self.clock.until(self.entry.next_time()) => {
-                    self.entry.tick(self.clock.now());
+                () = self.parts.clock.until(self.entry.next_time()) => {
+                    self.entry.tick(self.parts.clock.now());
                 }
             }
             self.perform();
@@ -74,7 +77,7 @@
     }
 
     fn on_event(&mut self, event: Event) {
-        let now = self.clock.now();
+        let now = self.parts.clock.now();
         match event {
             Event::Offer(published) => self.on_offer(published),
             Event::Vms(list) => self.entry.list(&list),
@@ -89,11 +92,11 @@
             Event::Failed(key, failure) => self.entry.failed(key, failure),
             Event::Ended(key) => {
                 self.entry.ended(key);
-                self.count("requests.answered");
+                self.metrics.count("requests.answered");
             }
             Event::Left(key) => {
                 self.entry.left(key);
-                self.count("requests.left");
+                self.metrics.count("requests.left");
             }
             Event::Set(above, reply) => drop(reply.send(self.entry.newer(above))),
             Event::Tell(reply) => drop(reply.send(self.entry.beat())),
@@ -102,13 +105,17 @@
     }
 
     fn on_offer(&mut self, published: Arc<Published>) {
-        let outcome = self.entry.offer(self.clock.now(), published);
+        let outcome = self.entry.offer(self.parts.clock.now(), published);
         match &outcome {
             Adoption::Adopted(_) => log::info!("{outcome}"),
             Adoption::Refused(_) => log::warn!("{outcome}"),
             Adoption::Old(_) => return,
         }
-        self.in_force.send_replace(self.entry.in_force().cloned());
+        if let Some(now) = self.entry.in_force() {
+            self.metrics.follow(&now.fleet);
+            self.metrics.gauge("generation", now.published.head.generation.0);
+        }
+        self.parts.in_force.send_replace(self.entry.in_force().cloned());
     }
 
     fn perform(&mut self) {
@@ -118,15 +125,15 @@
                     self.step(request, Step::Send(Send { request, id, vm, addr, left }));
                 }
                 Output::Refuse(key, refusal) => {
-                    self.count("requests.refused");
+                    self.metrics.count("requests.refused");
                     self.step(key, Step::Refuse(refusal));
                 }
                 Output::Fail(key, failure) => {
-                    self.count("requests.failed");
+                    self.metrics.count("requests.failed");
                     self.step(key, Step::Fail(failure));
                 }
                 Output::Beat(vm, addr) => self.send_beat(vm, addr),
-                Output::Close(vm) => self.links.close(&vm),
+                Output::Close(vm) => self.parts.links.close(&vm),
             }
         }
     }
@@ -138,7 +145,7 @@
     }
 
     fn send_beat(&self, vm: VmId, addr: SocketAddr) {
-        let (links, events) = (self.links.clone(), self.events.clone());
+        let (links, events) = (self.parts.links.clone(), self.parts.events.clone());
         let beat = Call::Beat(Box::new(self.entry.beat()));
         let patience = Span(self.settings.heartbeat.0 * SILENT_BEATS);
         actix_rt::spawn(async move {
@@ -165,7 +172,8 @@
             running: self.entry.in_progress() as u32,
             open: true,
             endpoints: self.entry.router().known().iter().map(|e| self.endpoint(e)).collect(),
-            counters: self.counters.clone(),
+            counters: self.metrics.counters(),
+            times: self.metrics.summaries(),
             ..Status::default()
         }
     }
@@ -178,8 +186,4 @@
         let open = load.open && !known.leaving;
         (vm.clone(), EndpointStatus { zone, version, limit, running, open })
     }
-
-    fn count(&mut self, name: &str) {
-        *self.counters.entry(name.to_owned()).or_default() += 1;
-    }
 }
--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod problem;
 mod request;
 mod server;
+mod stopwatch;
 
 use std::{rc::Rc, time::Duration};
 
@@ -17,6 +18,7 @@
 use self::{event_loop::EventLoop, peers::PeerService, server::Server};
 use crate::{
     clock::Clock,
+    metrics::Metrics,
     net::{Links, Tls, listen},
     platform::Platform,
     reader, settings, status,
@@ -39,11 +41,13 @@
     status::serve(settings.admin, events.clone(), Event::Status).await?;
     reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
 
-    let server = Server::new(&settings, clock, links.clone(), config, events.clone());
+    let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
+    let parts = event_loop::Parts { clock, links, in_force, events };
+    let server = Server::new(&settings, &parts, config, metrics.clone());
     server.listen(settings.callers).await?;
     log::info!("entry {} takes callers on {}", settings.vm, settings.callers);
 
-    let event_loop = EventLoop::new(settings, clock, links, in_force, events);
+    let event_loop = EventLoop::new(settings, parts, metrics);
     actix_rt::spawn(event_loop.run(receiver));
     signal(SignalKind::terminate())?.recv().await;
     log::info!("told to stop, {} requests in progress", server.in_progress());
--- a/crates/sequoiahold/src/entry/request.rs
+++ b/crates/sequoiahold/src/entry/request.rs
@@ -20,8 +20,12 @@
     event::{Event, Send, Step},
     problem,
     server::Active,
+    stopwatch::Stopwatch,
+};
+use crate::{
+    metrics::Metrics,
+    net::{Links, read, write},
 };
-use crate::net::{Links, read, write};
 
 /// Parts of an answer that wait for a slow caller.
 const PARTS: usize = 32;
@@ -50,6 +54,8 @@
     pub links: Links,
     /// The event loop.
     pub events: mpsc::UnboundedSender<Event>,
+    /// The counters and histograms.
+    pub metrics: Metrics,
 }
 
 enum Offer {
@@ -62,6 +68,7 @@
     /// Runs one request and returns the answer, whose parts may follow later.
     pub async fn run(&self, incoming: Incoming, guard: Active) -> Response<Body> {
         let (steps, mut life) = mpsc::unbounded_channel();
+        let watch = Stopwatch::start(&self.metrics, &incoming.arrival.client);
         self.tell(Event::Arrive(incoming.arrival.clone(), steps));
         while let Some(step) = life.recv().await {
             let send = match step {
@@ -72,10 +79,12 @@
             let departure = Departure { request: send.request, requests: self, armed: true };
             let offer = self.offer(&incoming, &send).await;
             departure.disarm();
+            watch.sent();
             match offer {
                 Offer::Started(started, writer, reader) => {
                     self.tell(Event::Started(send.request));
-                    return self.answer(send.request, started, (writer, reader), guard);
+                    let streams = (writer, reader);
+                    return self.answer(send.request, started, streams, (watch, guard));
                 }
                 Offer::Refused(refusal) => self.tell(Event::Refused(send.request, refusal)),
                 Offer::Failed(failure) => self.tell(Event::Failed(send.request, failure)),
@@ -121,7 +130,7 @@
         key: RequestKey,
         started: Started,
         streams: (SendStream, RecvStream),
-        guard: Active,
+        (mut watch, guard): (Stopwatch, Active),
     ) -> Response<Body> {
         let (parts, receiver) = mpsc::channel(PARTS);
         let status = StatusCode::from_u16(started.status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -131,7 +140,7 @@
         }
         let requests = self.clone();
         actix_rt::spawn(async move {
-            let event = match forward(streams, &parts).await {
+            let event = match forward(streams, &parts, &mut watch).await {
                 Forwarded::Whole => Event::Ended(key),
                 Forwarded::Left => Event::Left(key),
                 Forwarded::BrokenOff => Event::Failed(key, Failure::Unknown),
@@ -175,7 +184,11 @@
 }
 
 /// Forwards the parts of an answer in order.
-async fn forward(streams: (SendStream, RecvStream), parts: &mpsc::Sender<Part>) -> Forwarded {
+async fn forward(
+    streams: (SendStream, RecvStream),
+    parts: &mpsc::Sender<Part>,
+    watch: &mut Stopwatch,
+) -> Forwarded {
     let (mut send, mut recv) = streams;
     let mut count = 0;
     loop {
@@ -189,6 +202,7 @@
         match reply {
             Ok(Reply::Part(number, data)) if number == count => {
                 count += 1;
+                watch.part();
                 if parts.send(Part::Data(data)).await.is_err() {
                     let _ = send.reset(0u32.into());
                     return Forwarded::Left;
@@ -196,6 +210,7 @@
             }
             Ok(Reply::End(whole)) if whole == count => {
                 let _ = parts.send(Part::End).await;
+                watch.end();
                 return Forwarded::Whole;
             }
             _ => return Forwarded::BrokenOff,
--- a/crates/sequoiahold/src/entry/server.rs
+++ b/crates/sequoiahold/src/entry/server.rs
@@ -13,15 +13,15 @@
     refuse::{Reason, Refusal},
     units::Span,
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 
 use super::{
     body::Body,
-    event::Event,
+    event_loop::Parts,
     problem,
     request::{Incoming, Requests},
 };
-use crate::{clock::Clock, http, net::Links, settings};
+use crate::{http, metrics::Metrics, settings};
 
 /// Path of the chat completions of model services.
 const CHAT: &str = "/v1/chat/completions";
@@ -44,13 +44,17 @@
     /// Returns a server that asks the event loop behind `events`.
     pub fn new(
         settings: &settings::Entry,
-        clock: Clock,
-        links: Links,
+        parts: &Parts,
         config: watch::Receiver<Option<InForce>>,
-        events: mpsc::UnboundedSender<Event>,
+        metrics: Metrics,
     ) -> Self {
-        let requests =
-            Requests { vm: settings.vm.clone(), incarnation: clock.incarnation(), links, events };
+        let requests = Requests {
+            vm: settings.vm.clone(),
+            incarnation: parts.clock.incarnation(),
+            links: parts.links.clone(),
+            events: parts.events.clone(),
+            metrics,
+        };
         let limit = settings.body.0 as usize;
         Self { config, requests, limit, active: Rc::default(), draining: Rc::default() }
     }
--- /dev/null
+++ b/crates/sequoiahold/src/entry/stopwatch.rs
@@ -0,0 +1,47 @@
+//! The times of one request, recorded as they pass.
+
+use std::time::Instant;
+
+use sequoiahold_core::{histogram::Measure, ids::ClientId, units::Span};
+
+use crate::metrics::Metrics;
+
+/// Records the times of one request.
+pub struct Stopwatch {
+    metrics: Metrics,
+    client: ClientId,
+    start: Instant,
+    last: Option<Instant>,
+}
+
+impl Stopwatch {
+    /// Starts at the arrival of a request.
+    pub fn start(metrics: &Metrics, client: &ClientId) -> Self {
+        let (metrics, client) = (metrics.clone(), client.clone());
+        Self { metrics, client, start: Instant::now(), last: None }
+    }
+
+    /// Records the hand-over to an endpoint.
+    pub fn sent(&self) {
+        self.record(Measure::Queue, self.start);
+    }
+
+    /// Records a part of the answer.
+    pub fn part(&mut self) {
+        match self.last {
+            None => self.record(Measure::First, self.start),
+            Some(last) => self.record(Measure::Between, last),
+        }
+        self.last = Some(Instant::now());
+    }
+
+    /// Records the end of a whole answer.
+    pub fn end(&self) {
+        self.record(Measure::Whole, self.start);
+    }
+
+    fn record(&self, measure: Measure, since: Instant) {
+        let span = Span(since.elapsed().as_micros() as u64);
+        self.metrics.time(&self.client, measure, span);
+    }
+}
--- a/crates/sequoiahold/src/lib.rs
+++ b/crates/sequoiahold/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod http;
 pub mod logging;
+pub mod metrics;
 pub mod net;
 pub mod platform;
 pub mod reader;
--- a/crates/sequoiahold/src/settings/endpoint.rs
+++ b/crates/sequoiahold/src/settings/endpoint.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Check, Keys, Log, Platform, platform::check_url};
+use super::{Check, Keys, Log, Metrics, Platform, platform::check_url};
 
 /// Settings of an endpoint process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -29,6 +29,9 @@
     /// Log lines.
     #[serde(default)]
     pub log: Log,
+    /// Metrics.
+    #[serde(default)]
+    pub metrics: Metrics,
     /// The engine or plain service behind this process.
     pub engine: Engine,
     /// How weights are drawn.
--- a/crates/sequoiahold/src/settings/entry.rs
+++ b/crates/sequoiahold/src/settings/entry.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Check, Keys, Log, Platform};
+use super::{Check, Keys, Log, Metrics, Platform};
 
 /// Settings of an entry process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -31,6 +31,9 @@
     /// Log lines.
     #[serde(default)]
     pub log: Log,
+    /// Metrics.
+    #[serde(default)]
+    pub metrics: Metrics,
     /// The time between two heartbeats on a connection.
     #[serde(default = "Entry::default_heartbeat")]
     pub heartbeat: Span,
--- a/crates/sequoiahold/src/settings/mod.rs
+++ b/crates/sequoiahold/src/settings/mod.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod keys;
 mod log;
+mod metrics;
 mod platform;
 
 use std::{fs, path::Path};
@@ -16,6 +17,7 @@
     entry::Entry,
     keys::Keys,
     log::{Format, Log},
+    metrics::Metrics,
     platform::Platform,
 };
 
--- a/crates/sequoiahold/src/status.rs
+++ b/crates/sequoiahold/src/status.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeMap, fmt, net::SocketAddr};
 
 use actix_http::{Request, Response, StatusCode, body::BoxBody};
-use sequoiahold_core::ids::{Generation, Incarnation, VersionId, VmId, ZoneId};
+use sequoiahold_core::{
+    histogram::{Measure, Summary},
+    ids::{Generation, Incarnation, VersionId, VmId, ZoneId},
+};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
@@ -36,6 +39,9 @@
     pub endpoints: BTreeMap<VmId, EndpointStatus>,
     /// Counters by name.
     pub counters: BTreeMap<String, u64>,
+    /// Times by client account and measure.
+    #[serde(default)]
+    pub times: BTreeMap<String, BTreeMap<Measure, Summary>>,
 }
 
 /// What an entry knows of an endpoint.
@@ -70,6 +76,13 @@
         for (name, count) in &self.counters {
             writeln!(f, "  {name:40} {count}")?;
         }
+        for (account, measures) in &self.times {
+            for (measure, summary) in measures {
+                let Summary { count, p50, p95, p99 } = summary;
+                let name = format!("{account} {measure}");
+                writeln!(f, "  {name:40} {count} p50 {p50} p95 {p95} p99 {p99}")?;
+            }
+        }
         Ok(())
     }
 }
--- a/crates/standins/src/demo/deployment.rs
+++ b/crates/standins/src/demo/deployment.rs
@@ -13,7 +13,7 @@
 use anyhow::{Context as _, bail};
 use sequoiahold::{
     command::files,
-    settings::{self, Log},
+    settings::{self, Log, Metrics},
     status::Status,
 };
 use sequoiahold_core::{
@@ -335,6 +335,7 @@
                 platform,
                 keys,
                 log: Log::default(),
+                metrics: Metrics::default(),
                 heartbeat: Span::millis(300),
                 body: Bytes(1_000_000),
             };
@@ -351,6 +352,7 @@
             platform,
             keys,
             log: Log::default(),
+            metrics: Metrics::default(),
             engine: settings::Engine {
                 url: format!("http://{}", beside_vm(vm, 8000)),
                 fences: true,
