--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -18,7 +18,13 @@
     event::{Admit, Event},
     store::Store,
 };
-use crate::{clock::Clock, metrics::Metrics, net::Links, settings, status::Status};
+use crate::{
+    clock::Clock,
+    metrics::Metrics,
+    net::{Links, Traffic},
+    settings,
+    status::Status,
+};
 
 /// What the event loop works with.
 pub struct Parts {
@@ -34,6 +40,8 @@
     pub in_force: watch::Sender<Option<InForce>>,
     /// The sender of this loop's own events.
     pub events: mpsc::UnboundedSender<Event>,
+    /// Counts the bytes between processes.
+    pub traffic: Traffic,
     /// The counters.
     pub metrics: Metrics,
 }
@@ -220,6 +228,7 @@
             running: gate.running(),
             open: gate.open(),
             counters: self.parts.metrics.counters(),
+            wire: self.parts.traffic.total(),
             ..Status::default()
         }
     }
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -18,7 +18,7 @@
 use crate::{
     clock::Clock,
     metrics::Metrics,
-    net::{Links, Tls, listen},
+    net::{Links, Tls, Traffic, listen},
     platform::Platform,
     reader, settings, status,
 };
@@ -36,7 +36,8 @@
     let clock = Clock::default();
     let (events, receiver) = mpsc::unbounded_channel();
     let (in_force, config) = watch::channel(None);
-    let links = Links::new(tls.clone());
+    let traffic = Traffic::default();
+    let links = Links::new(tls.clone(), traffic.clone());
     let store = Store::default();
     let engine = Engine::new(&settings.engine);
     let platform = Platform::new(settings.platform.clone());
@@ -44,7 +45,7 @@
     let asks =
         Asks { events: events.clone(), engine: engine.clone(), incarnation: clock.incarnation() };
     let peers = PeerService { events: events.clone(), store: store.clone(), asks };
-    let listening = listen(settings.peers, &tls, peers)?;
+    let listening = listen(settings.peers, &tls, traffic.clone(), peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
     reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
     log::info!("endpoint {} listens on {}", settings.vm, settings.peers);
@@ -56,6 +57,7 @@
         engine,
         in_force,
         events: events.clone(),
+        traffic,
         metrics: Metrics::new(&settings.metrics, settings.vm.as_str())?,
     };
     actix_rt::spawn(EventLoop::new(settings, parts).run(receiver));
--- a/crates/sequoiahold/src/entry/event_loop.rs
+++ b/crates/sequoiahold/src/entry/event_loop.rs
@@ -18,7 +18,7 @@
 use crate::{
     clock::Clock,
     metrics::Metrics,
-    net::{Links, call},
+    net::{Links, Traffic, call},
     settings,
     status::{EndpointStatus, Status},
 };
@@ -36,6 +36,8 @@
     pub in_force: watch::Sender<Option<InForce>>,
     /// The sender of this loop's own events.
     pub events: mpsc::UnboundedSender<Event>,
+    /// Counts the bytes between processes.
+    pub traffic: Traffic,
 }
 
 /// The state of an entry process.
@@ -173,6 +175,7 @@
             open: true,
             endpoints: self.entry.router().known().iter().map(|e| self.endpoint(e)).collect(),
             counters: self.metrics.counters(),
+            wire: self.parts.traffic.total(),
             times: self.metrics.summaries(),
             ..Status::default()
         }
--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -19,7 +19,7 @@
 use crate::{
     clock::Clock,
     metrics::Metrics,
-    net::{Links, Tls, listen},
+    net::{Links, Tls, Traffic, listen},
     platform::Platform,
     reader, settings, status,
 };
@@ -33,16 +33,17 @@
     let clock = Clock::default();
     let (events, receiver) = mpsc::unbounded_channel();
     let (in_force, config) = watch::channel(None);
-    let links = Links::new(tls.clone());
+    let traffic = Traffic::default();
+    let links = Links::new(tls.clone(), traffic.clone());
     let platform = Platform::new(settings.platform.clone());
 
     let peers = PeerService { events: events.clone() };
-    let listening = listen(settings.peers, &tls, peers)?;
+    let listening = listen(settings.peers, &tls, traffic.clone(), peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
     reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
 
     let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
-    let parts = event_loop::Parts { clock, links, in_force, events };
+    let parts = event_loop::Parts { clock, links, in_force, events, traffic };
     let server = Server::new(&settings, &parts, config, metrics.clone());
     server.listen(settings.callers).await?;
     log::info!("entry {} takes callers on {}", settings.vm, settings.callers);
--- a/crates/sequoiahold/src/net/link.rs
+++ b/crates/sequoiahold/src/net/link.rs
@@ -9,7 +9,7 @@
     proto::{Call, Reply},
 };
 
-use super::{Tls, read, write};
+use super::{Tls, Traffic, read, write};
 
 /// Time within which a connection must be established.
 const CONNECT: Duration = Duration::from_secs(2);
@@ -18,13 +18,14 @@
 #[derive(Clone, Debug)]
 pub struct Links {
     tls: Rc<Tls>,
+    traffic: Traffic,
     open: Rc<RefCell<BTreeMap<VmId, Connection>>>,
 }
 
 impl Links {
     /// Returns an empty set of connections.
-    pub fn new(tls: Rc<Tls>) -> Self {
-        Self { tls, open: Rc::default() }
+    pub fn new(tls: Rc<Tls>, traffic: Traffic) -> Self {
+        Self { tls, traffic, open: Rc::default() }
     }
 
     /// Returns the open connection to a VM, or opens one from a new local port.
@@ -43,6 +44,7 @@
         let connection = actix_rt::time::timeout(CONNECT, connecting)
             .await
             .with_context(|| format!("no answer from {vm} at {addr}"))??;
+        self.traffic.add(&connection);
         self.open.borrow_mut().insert(vm.clone(), connection.clone());
         Ok(connection)
     }
--- a/crates/sequoiahold/src/net/mod.rs
+++ b/crates/sequoiahold/src/net/mod.rs
@@ -4,10 +4,12 @@
 pub mod link;
 pub mod serve;
 pub mod tls;
+pub mod traffic;
 
 pub use self::{
     frame::{read, write},
     link::{Links, call},
     serve::listen,
     tls::Tls,
+    traffic::{Traffic, Wire},
 };
--- a/crates/sequoiahold/src/net/serve.rs
+++ b/crates/sequoiahold/src/net/serve.rs
@@ -5,7 +5,7 @@
 use quinn::{Connection, Endpoint, RecvStream, SendStream};
 use sequoiahold_core::proto::Call;
 
-use super::{Tls, read};
+use super::{Tls, Traffic, read};
 
 /// Time within which an opened stream must carry its call.
 const CALL: Duration = Duration::from_secs(5);
@@ -17,15 +17,23 @@
 }
 
 /// Listens for other processes until the endpoint is closed.
-pub fn listen(addr: SocketAddr, tls: &Tls, service: impl Serve) -> anyhow::Result<Endpoint> {
+pub fn listen(
+    addr: SocketAddr,
+    tls: &Tls,
+    traffic: Traffic,
+    service: impl Serve,
+) -> anyhow::Result<Endpoint> {
     let endpoint = Endpoint::server(tls.server.clone(), addr)?;
     let accepting = endpoint.clone();
     actix_rt::spawn(async move {
         while let Some(incoming) = accepting.accept().await {
-            let service = service.clone();
+            let (service, traffic) = (service.clone(), traffic.clone());
             actix_rt::spawn(async move {
                 match incoming.await {
-                    Ok(connection) => streams(connection, service).await,
+                    Ok(connection) => {
+                        traffic.add(&connection);
+                        streams(connection, service).await;
+                    }
                     Err(error) => log::debug!("handshake failed: {error}"),
                 }
             });
--- a/crates/sequoiahold/src/status.rs
+++ b/crates/sequoiahold/src/status.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::http;
+use crate::{http, net::Wire};
 
 /// What a process holds and does.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -37,6 +37,9 @@
     pub open: bool,
     /// The endpoints that an entry knows.
     pub endpoints: BTreeMap<VmId, EndpointStatus>,
+    /// Bytes between this process and the system's others.
+    #[serde(default)]
+    pub wire: Wire,
     /// Counters by name.
     pub counters: BTreeMap<String, u64>,
     /// Times by client account and measure.
@@ -68,6 +71,7 @@
         writeln!(f, "missing      {}", self.missing)?;
         writeln!(f, "running      {} of {}", self.running, self.limit)?;
         writeln!(f, "open         {}", self.open)?;
+        writeln!(f, "wire         {} sent, {} received", self.wire.sent, self.wire.received)?;
         for (vm, endpoint) in &self.endpoints {
             let version = endpoint.version.as_ref().map_or("-", |v| v.as_str());
             let (running, limit) = (endpoint.running, endpoint.limit);
--- /dev/null
+++ b/crates/standins/src/bench/fake_endpoint.rs
@@ -0,0 +1,70 @@
+//! A fake endpoint process: answers heartbeats and requests over the real protocol.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use quinn::{RecvStream, SendStream};
+use sequoiahold::net::{Tls, Traffic, listen, serve::Serve, write};
+use sequoiahold_core::{
+    ids::{Generation, Incarnation, VmId},
+    proto::{Beat, Call, Load, Reply, Started},
+};
+
+/// A fake endpoint.
+#[derive(Clone, Debug)]
+pub struct FakeEndpoint {
+    /// The VM.
+    pub vm: VmId,
+    /// The parts of an answer.
+    pub parts: u32,
+    /// The pause before each part.
+    pub pause: Duration,
+}
+
+impl FakeEndpoint {
+    /// Starts to answer on `addr`.
+    pub fn start(self, addr: SocketAddr, tls: &Tls) -> anyhow::Result<()> {
+        listen(addr, tls, Traffic::default(), self)?;
+        Ok(())
+    }
+
+    fn beat(&self) -> Beat {
+        let load = Load { version: "llm-1".parse().ok(), limit: 1_000, running: 0, open: true };
+        Beat {
+            vm: self.vm.clone(),
+            incarnation: Incarnation(1),
+            generation: Generation(1),
+            load: Some(load),
+        }
+    }
+
+    async fn answer(&self, send: &mut SendStream) -> anyhow::Result<()> {
+        let started = Started {
+            status: 200,
+            content: "text/event-stream".to_owned(),
+            version: "llm-1".parse().ok(),
+            incarnation: Incarnation(1),
+        };
+        write(send, &Reply::Started(started)).await?;
+        let data =
+            Bytes::from_static(b"data: {\"choices\":[{\"delta\":{\"content\":\"token\"}}]}\n\n");
+        for number in 0..self.parts {
+            actix_rt::time::sleep(self.pause).await;
+            write(send, &Reply::Part(number, data.clone())).await?;
+        }
+        write(send, &Reply::End(self.parts)).await
+    }
+}
+
+impl Serve for FakeEndpoint {
+    async fn serve(&self, call: Call, mut send: SendStream, _: RecvStream) {
+        let done = match call {
+            Call::Beat(_) => write(&mut send, &Reply::Beat(Box::new(self.beat()))).await,
+            Call::Ask(_) => self.answer(&mut send).await,
+            _ => Ok(()),
+        };
+        if done.is_ok() {
+            let _ = send.finish();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bench/mod.rs
@@ -0,0 +1,44 @@
+//! Slopes of one real process against growing numbers of peers, objects, changes and requests.
+
+mod declared;
+mod fake_endpoint;
+mod fit;
+mod probe;
+mod role;
+mod series;
+
+use std::path::PathBuf;
+
+use anyhow::bail;
+
+pub use self::{
+    fit::{Fit, Point, fit},
+    probe::{Probe, Sample},
+};
+
+/// The options of a bench.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// What grows.
+    pub series: String,
+    /// The program under test.
+    pub program: PathBuf,
+}
+
+/// Runs a series and prints its points, slope and residual.
+pub async fn run(options: Options) -> anyhow::Result<u8> {
+    match options.series.as_str() {
+        "entry-endpoints" => series::entry_endpoints(&options.program).await?,
+        "entry-objects" => series::entry_objects(&options.program).await?,
+        "entry-changes" => series::entry_changes(&options.program).await?,
+        "entry-requests" => series::entry_requests(&options.program).await?,
+        "entry-tokens" => series::entry_tokens(&options.program).await?,
+        "endpoint-entries" => series::endpoint_entries(&options.program).await?,
+        "endpoint-chunks" => series::endpoint_chunks(&options.program).await?,
+        other => bail!(
+            "unknown series {other:?}; one of entry-endpoints, entry-objects, entry-changes, \
+             entry-requests, entry-tokens, endpoint-entries, endpoint-chunks"
+        ),
+    }
+    Ok(0)
+}
--- /dev/null
+++ b/crates/standins/src/bench/probe.rs
@@ -0,0 +1,68 @@
+//! What a process uses, read from the operating system and from its status.
+
+use std::{fs, net::SocketAddr, time::Duration};
+
+use anyhow::Context as _;
+use sequoiahold::status::Status;
+
+/// Clock ticks of processor time in a second.
+const TICKS: f64 = 100.0;
+/// Bytes of a page.
+const PAGE: f64 = 4096.0;
+
+/// What a process used at one time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sample {
+    /// Processor time, in seconds.
+    pub processor: f64,
+    /// Resident memory, in MB.
+    pub memory: f64,
+    /// Bytes between processes, both ways, headers included.
+    pub wire: f64,
+}
+
+/// Watches one process.
+#[derive(Clone, Debug)]
+pub struct Probe {
+    /// The process id.
+    pub id: u32,
+    /// The address of its status.
+    pub admin: SocketAddr,
+}
+
+impl Probe {
+    /// Reads what the process has used since its start.
+    pub async fn sample(&self) -> anyhow::Result<Sample> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.id)).context("stat")?;
+        let fields: Vec<&str> =
+            stat.rsplit_once(") ").context("stat")?.1.split_whitespace().collect();
+        let field = |index: usize| fields.get(index).and_then(|f| f.parse::<f64>().ok());
+        let ticks = field(11).unwrap_or(0.0) + field(12).unwrap_or(0.0);
+        let status = self.status().await?;
+        Ok(Sample {
+            processor: ticks / TICKS,
+            memory: field(21).unwrap_or(0.0) * PAGE / 1e6,
+            wire: (status.wire.sent.0 + status.wire.received.0) as f64,
+        })
+    }
+
+    /// Returns what the process used a second over a time, and its memory at the end.
+    pub async fn over(&self, length: Duration) -> anyhow::Result<Sample> {
+        let start = self.sample().await?;
+        actix_rt::time::sleep(length).await;
+        let end = self.sample().await?;
+        let seconds = length.as_secs_f64();
+        Ok(Sample {
+            processor: (end.processor - start.processor) / seconds,
+            memory: end.memory,
+            wire: (end.wire - start.wire) / seconds,
+        })
+    }
+
+    /// Reads the status of the process.
+    pub async fn status(&self) -> anyhow::Result<Status> {
+        let request = awc::Client::default().get(format!("http://{}/status", self.admin));
+        let mut response = request.send().await.map_err(|e| anyhow::anyhow!("status: {e}"))?;
+        Ok(serde_json::from_slice(&response.body().limit(8_000_000).await?)?)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bench/role.rs
@@ -0,0 +1,119 @@
+//! One real process of a role, with the stand-ins it needs.
+
+use std::{net::SocketAddr, path::Path};
+
+use sequoiahold::{
+    net::Tls,
+    settings::{self, Keys, Log, Metrics},
+};
+use sequoiahold_core::{
+    declare::{Declared, Published},
+    ids::Generation,
+    units::{ByteRate, Bytes, Span},
+};
+
+use super::{declared::Net, probe::Probe};
+use crate::{keys::Authority, platform::Platform, processes::Process};
+
+/// Port of the platform's stand-in.
+const PLATFORM: u16 = 7900;
+
+/// A real process under measurement.
+pub struct Role {
+    /// Watches the process.
+    pub probe: Probe,
+    /// The platform that it reads.
+    pub platform: Platform,
+    /// The address for callers of an entry.
+    pub callers: SocketAddr,
+    /// Mints keys for fake peers.
+    pub authority: Authority,
+    /// The network of the running VMs.
+    pub net: Net,
+    _process: Process,
+}
+
+impl Role {
+    /// Starts an entry named `entry`, after the platform shows `declared`.
+    pub async fn entry(program: &Path, net: Net, declared: &[Declared]) -> anyhow::Result<Self> {
+        let (platform, services) = Self::platform(net, declared).await?;
+        let dir = directory()?;
+        let authority = Authority::mint(&dir)?;
+        let settings = settings::Entry {
+            vm: "entry".parse()?,
+            zone: "near".parse()?,
+            callers: net.address(0, 8080),
+            peers: net.address(0, 7400),
+            admin: net.address(0, 7401),
+            platform: services,
+            keys: authority.write("entry")?,
+            log: Log::default(),
+            metrics: Metrics::default(),
+            heartbeat: Span::secs(1),
+            body: Bytes(1_000_000),
+        };
+        let process = Process::start(program, "entry", "entry", &dir, &settings)?;
+        let probe = Probe { id: process.id(), admin: settings.admin };
+        Ok(Self { probe, platform, callers: settings.callers, authority, net, _process: process })
+    }
+
+    /// Starts the endpoint `near-1` before the engine and origin of its network.
+    pub async fn endpoint(program: &Path, net: Net, declared: &[Declared]) -> anyhow::Result<Self> {
+        let (platform, services) = Self::platform(net, declared).await?;
+        let dir = directory()?;
+        let authority = Authority::mint(&dir)?;
+        let settings = settings::Endpoint {
+            vm: "near-1".parse()?,
+            zone: "near".parse()?,
+            peers: net.address(1, 7400),
+            admin: net.address(1, 7401),
+            platform: services,
+            keys: authority.write("near-1")?,
+            log: Log::default(),
+            metrics: Metrics::default(),
+            engine: settings::Engine {
+                url: format!("http://{}", net.address(1, 8000)),
+                fences: true,
+            },
+            weights: settings::Weights {
+                origin: format!("http://{}", net.address(0, 7910)),
+                rate: ByteRate(1_000_000_000),
+                draws: 4,
+                memory: Bytes(1_000_000_000),
+            },
+            look: Span::millis(200),
+        };
+        let process = Process::start(program, "endpoint", "near-1", &dir, &settings)?;
+        let probe = Probe { id: process.id(), admin: settings.admin };
+        Ok(Self { probe, platform, callers: settings.peers, authority, net, _process: process })
+    }
+
+    /// Shows another set under a generation.
+    pub fn publish(&self, declared: &[Declared], generation: u64) -> anyhow::Result<()> {
+        self.platform.publish(Published::render(declared, Generation(generation))?);
+        Ok(())
+    }
+
+    /// Returns the keys of a fake peer.
+    pub fn tls(&self, vm: &str) -> anyhow::Result<Tls> {
+        let keys: Keys = self.authority.write(vm)?;
+        Tls::load(&keys)
+    }
+
+    async fn platform(
+        net: Net,
+        declared: &[Declared],
+    ) -> anyhow::Result<(Platform, settings::Platform)> {
+        let addr = net.address(0, PLATFORM);
+        let platform = Platform::start(addr).await?;
+        platform.publish(Published::render(declared, Generation(1))?);
+        let url = format!("http://{addr}");
+        Ok((platform, settings::Platform { config: url.clone(), vms: url }))
+    }
+}
+
+fn directory() -> anyhow::Result<std::path::PathBuf> {
+    let dir = std::env::temp_dir().join(format!("sequoiahold-bench-{}", std::process::id()));
+    std::fs::create_dir_all(&dir)?;
+    Ok(dir)
+}
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -6,7 +6,7 @@
 use pico_args::Arguments;
 use sequoiahold_core::{ids::VersionId, units::Bytes};
 
-use crate::{content::Content, demo};
+use crate::{bench, content::Content, demo};
 
 const HELP: &str = "\
 Stand-ins, load and experiments for sequoiahold.
@@ -16,6 +16,8 @@
 Commands:
   demo [glasmarke|tannverket] [--seed N] [--program FILE] [--examples DIR]
       run a deployment on loopback; the last line of output is one JSON object
+  bench SERIES [--program FILE]
+      measure one real process against a growing number and fit the slope
   manifest VERSION --size SIZE --chunk SIZE
       print the digest of the manifest of generated weights
 ";
@@ -51,6 +53,15 @@
             };
             actix_rt::System::new().block_on(demo::run(options))
         }
+        Some("bench") => {
+            let options = bench::Options {
+                program: args
+                    .opt_value_from_str("--program")?
+                    .unwrap_or_else(|| PathBuf::from("target/release/sequoiahold")),
+                series: args.free_from_str()?,
+            };
+            actix_rt::System::new().block_on(bench::run(options))
+        }
         Some("manifest") => {
             let size: Bytes = args.value_from_str("--size")?;
             let chunk: Bytes = args.value_from_str("--chunk")?;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of the served systems, and the load and experiment tool over them.
 
+pub mod bench;
 pub mod callers;
 pub mod cli;
 pub mod content;
