Keys are reread when their files change, without a restart

Cause: keys were read once. A look each second puts changed files in force for new connections of both directions; files that cannot be read leave the old keys in force and are counted. The test of broken files failed first: the task noted the files' times at its own start, so a change between the load and the task's first look was never seen (keys.refused none, expected 1). The times are now kept with the loaded keys. A certificate file without a certificate is refused with the name of the key.

--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -8,7 +8,7 @@
 mod peers;
 mod store;
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_rt::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -18,7 +18,7 @@
 use crate::{
     clock::Clock,
     metrics::Metrics,
-    net::{Links, Tls, Traffic, listen},
+    net::{Links, Tls, Traffic, listen, rotate},
     platform::Platform,
     reader, settings, status,
 };
@@ -32,7 +32,7 @@
 
 /// Runs an endpoint process until it is told to stop and its requests are done.
 pub async fn run(settings: settings::Endpoint) -> anyhow::Result<()> {
-    let tls = Rc::new(Tls::load(&settings.keys)?);
+    let tls = Rc::new(RefCell::new(Tls::load(&settings.keys)?));
     let clock = Clock::default();
     let (events, receiver) = mpsc::unbounded_channel();
     let (in_force, config) = watch::channel(None);
@@ -45,11 +45,13 @@
     let asks =
         Asks { events: events.clone(), engine: engine.clone(), incarnation: clock.incarnation() };
     let peers = PeerService { events: events.clone(), store: store.clone(), asks };
-    let listening = listen(settings.peers, &tls, traffic.clone(), peers)?;
+    let listening = listen(settings.peers, &tls.borrow(), traffic.clone(), peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
     reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
     log::info!("endpoint {} listens on {}", settings.vm, settings.peers);
 
+    let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
+    actix_rt::spawn(rotate(settings.keys.clone(), tls, listening.clone(), metrics.clone()));
     let parts = event_loop::Parts {
         clock,
         links,
@@ -58,7 +60,7 @@
         in_force,
         events: events.clone(),
         traffic,
-        metrics: Metrics::new(&settings.metrics, settings.vm.as_str())?,
+        metrics,
     };
     actix_rt::spawn(EventLoop::new(settings, parts).run(receiver));
     signal(SignalKind::terminate())?.recv().await;
--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -9,7 +9,7 @@
 mod server;
 mod stopwatch;
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_rt::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -19,7 +19,7 @@
 use crate::{
     clock::Clock,
     metrics::Metrics,
-    net::{Links, Tls, Traffic, listen},
+    net::{Links, Tls, Traffic, listen, rotate},
     platform::Platform,
     reader, settings, status,
 };
@@ -29,7 +29,7 @@
 
 /// Runs an entry process until it is told to stop and its requests are done.
 pub async fn run(settings: settings::Entry) -> anyhow::Result<()> {
-    let tls = Rc::new(Tls::load(&settings.keys)?);
+    let tls = Rc::new(RefCell::new(Tls::load(&settings.keys)?));
     let clock = Clock::default();
     let (events, receiver) = mpsc::unbounded_channel();
     let (in_force, config) = watch::channel(None);
@@ -38,11 +38,12 @@
     let platform = Platform::new(settings.platform.clone());
 
     let peers = PeerService { events: events.clone() };
-    let listening = listen(settings.peers, &tls, traffic.clone(), peers)?;
+    let listening = listen(settings.peers, &tls.borrow(), traffic.clone(), peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
     reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
 
     let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
+    actix_rt::spawn(rotate(settings.keys.clone(), tls, listening.clone(), metrics.clone()));
     let parts = event_loop::Parts { clock, links, in_force, events, traffic };
     let server = Server::new(&settings, &parts, config, metrics.clone());
     server.listen(settings.callers).await?;
--- a/crates/sequoiahold/src/net/link.rs
+++ b/crates/sequoiahold/src/net/link.rs
@@ -17,14 +17,14 @@
 /// The open connections by VM.
 #[derive(Clone, Debug)]
 pub struct Links {
-    tls: Rc<Tls>,
+    tls: Rc<RefCell<Tls>>,
     traffic: Traffic,
     open: Rc<RefCell<BTreeMap<VmId, Connection>>>,
 }
 
 impl Links {
     /// Returns an empty set of connections.
-    pub fn new(tls: Rc<Tls>, traffic: Traffic) -> Self {
+    pub fn new(tls: Rc<RefCell<Tls>>, traffic: Traffic) -> Self {
         Self { tls, traffic, open: Rc::default() }
     }
 
@@ -39,7 +39,7 @@
         let local: SocketAddr =
             if addr.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
         let mut endpoint = Endpoint::client(local)?;
-        endpoint.set_default_client_config(self.tls.client.clone());
+        endpoint.set_default_client_config(self.tls.borrow().client.clone());
         let connecting = endpoint.connect(addr, vm.as_str())?;
         let connection = actix_rt::time::timeout(CONNECT, connecting)
             .await
--- a/crates/sequoiahold/src/net/tls.rs
+++ b/crates/sequoiahold/src/net/tls.rs
@@ -1,8 +1,13 @@
 //! Mutual TLS between the system's processes.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    fs, io,
+    path::Path,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
 
-use anyhow::Context as _;
+use anyhow::{Context as _, ensure};
 use quinn::{
     ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt,
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
@@ -28,11 +33,14 @@
     pub client: ClientConfig,
     /// For connections that this process takes.
     pub server: ServerConfig,
+    /// When the files were changed, at the time they were read.
+    pub changed: [SystemTime; 3],
 }
 
 impl Tls {
     /// Reads the keys.
     pub fn load(keys: &Keys) -> anyhow::Result<Self> {
+        let changed = changed(keys)?;
         let mut roots = RootCertStore::empty();
         for cert in CertificateDer::pem_file_iter(&keys.ca).context("keys.ca")? {
             roots.add(cert.context("keys.ca")?)?;
@@ -41,6 +49,8 @@
         let chain: Vec<_> = CertificateDer::pem_file_iter(&keys.cert)
             .and_then(Iterator::collect)
             .context("keys.cert")?;
+        ensure!(!roots.is_empty(), "keys.ca: {} holds no certificate", keys.ca.display());
+        ensure!(!chain.is_empty(), "keys.cert: {} holds no certificate", keys.cert.display());
         let key = || PrivateKeyDer::from_pem_file(&keys.key).context("keys.key");
         let provider = Arc::new(rustls::crypto::ring::default_provider());
 
@@ -62,10 +72,17 @@
         server.transport_config(transport()?);
         let mut client = ClientConfig::new(Arc::new(QuicClientConfig::try_from(client)?));
         client.transport_config(transport()?);
-        Ok(Self { client, server })
+        Ok(Self { client, server, changed })
     }
 }
 
+/// Returns when the files of the keys were changed.
+pub(super) fn changed(keys: &Keys) -> anyhow::Result<[SystemTime; 3]> {
+    let at = |path: &Path| fs::metadata(path)?.modified();
+    let read = || Ok::<_, io::Error>([at(&keys.ca)?, at(&keys.cert)?, at(&keys.key)?]);
+    read().context("keys")
+}
+
 fn transport() -> anyhow::Result<Arc<TransportConfig>> {
     let mut config = TransportConfig::default();
     config.max_idle_timeout(Some(IdleTimeout::try_from(IDLE)?));
--- a/crates/standins/src/bench/role.rs
+++ b/crates/standins/src/bench/role.rs
@@ -1,9 +1,9 @@
 //! One real process of a role, with the stand-ins it needs.
 
-use std::{net::SocketAddr, path::Path};
+use std::{cell::RefCell, net::SocketAddr, path::Path, rc::Rc};
 
 use sequoiahold::{
-    net::Tls,
+    net::{Links, Tls, Traffic},
     settings::{self, Keys, Log, Metrics},
 };
 use sequoiahold_core::{
@@ -100,6 +100,12 @@
         Tls::load(&keys)
     }
 
+    /// Returns the connections of a fake peer.
+    pub fn links(&self, vm: &str) -> anyhow::Result<Links> {
+        let tls = Rc::new(RefCell::new(self.tls(vm)?));
+        Ok(Links::new(tls, Traffic::default()))
+    }
+
     async fn platform(
         net: Net,
         declared: &[Declared],
--- a/crates/standins/src/bench/series.rs
+++ b/crates/standins/src/bench/series.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, path::Path, time::Duration};
 
-use sequoiahold::net::{Links, Traffic, call};
+use sequoiahold::net::{Links, call};
 use sequoiahold_core::{
     ids::{Digest, Generation, Incarnation, ServiceId, VmId},
     proto::{Beat, Call, Reply},
@@ -138,7 +138,7 @@
         let beats: Vec<_> = (0..entries)
             .map(|number| {
                 let vm: VmId = format!("entry-{number}").parse()?;
-                let links = Links::new(role.tls(vm.as_str())?.into(), Traffic::default());
+                let links = role.links(vm.as_str())?;
                 Ok(actix_rt::spawn(beat_for_ever(links, vm, net)))
             })
             .collect::<anyhow::Result<_>>()?;
@@ -155,7 +155,7 @@
     let mut series = Series::new("chunks/s");
     for (net, rate) in Net::each([0u32, 20, 40, 80]) {
         let (role, content) = endpoint_with_weights(program, net).await?;
-        let links = Links::new(role.tls("peer")?.into(), Traffic::default());
+        let links = role.links("peer")?;
         let digests: Vec<Digest> = content.manifest.chunks.clone();
         let drawing = async {
             for number in 0..rate * LENGTH.as_secs() as u32 {
--- a/crates/standins/src/keys.rs
+++ b/crates/standins/src/keys.rs
@@ -6,7 +6,7 @@
 };
 
 use anyhow::Context as _;
-use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair, date_time_ymd};
 use sequoiahold::settings::Keys;
 
 /// A certificate authority for tests.
@@ -27,8 +27,25 @@
 
     /// Mints the keys of a VM and writes them.
     pub fn write(&self, vm: &str) -> anyhow::Result<Keys> {
+        self.write_params(vm, CertificateParams::new(vec![vm.to_owned()])?)
+    }
+
+    /// Mints keys whose certificate ended long ago and writes them.
+    pub fn write_expired(&self, vm: &str) -> anyhow::Result<Keys> {
+        let mut params = CertificateParams::new(vec![vm.to_owned()])?;
+        params.not_before = date_time_ymd(2001, 1, 1);
+        params.not_after = date_time_ymd(2002, 1, 1);
+        self.write_params(vm, params)
+    }
+
+    /// Returns the certificate of the authority.
+    pub fn pem(&self) -> String {
+        self.issuer.pem()
+    }
+
+    fn write_params(&self, vm: &str, params: CertificateParams) -> anyhow::Result<Keys> {
         let key = KeyPair::generate()?;
-        let cert = CertificateParams::new(vec![vm.to_owned()])?.signed_by(&key, &self.issuer)?;
+        let cert = params.signed_by(&key, &self.issuer)?;
         let keys = Keys {
             ca: self.dir.join("ca.pem"),
             cert: self.dir.join(format!("{vm}.pem")),
