--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry process: takes callers and routes their requests to endpoints.
 
+mod auth;
 mod body;
 mod event;
 mod event_loop;
--- a/crates/sequoiahold/src/entry/server.rs
+++ b/crates/sequoiahold/src/entry/server.rs
@@ -2,12 +2,11 @@
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::{ConnectionType, HttpMessage as _, Request, Response, header};
+use actix_http::{ConnectionType, HttpMessage as _, Request, Response};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use sequoiahold_core::{
     adopt::InForce,
-    declare::Fleet,
     entry::Arrival,
     ids::{Digest, OnceKey, ServiceId},
     refuse::{Reason, Refusal},
@@ -16,12 +15,17 @@
 use tokio::sync::watch;
 
 use super::{
+    auth,
     body::Body,
     event_loop::Parts,
     problem,
     request::{Incoming, Requests},
 };
-use crate::{http, metrics::Metrics, settings};
+use crate::{
+    http,
+    metrics::Metrics,
+    settings::{self, Limits},
+};
 
 /// Path of the chat completions of model services.
 const CHAT: &str = "/v1/chat/completions";
@@ -35,7 +39,7 @@
 pub struct Server {
     config: watch::Receiver<Option<InForce>>,
     requests: Requests,
-    limit: usize,
+    limits: Limits,
     active: Rc<Cell<usize>>,
     draining: Rc<Cell<bool>>,
 }
@@ -55,14 +59,15 @@
             events: parts.events.clone(),
             metrics,
         };
-        let limit = settings.body.0 as usize;
-        Self { config, requests, limit, active: Rc::default(), draining: Rc::default() }
+        let limits = settings.limits.clone();
+        Self { config, requests, limits, active: Rc::default(), draining: Rc::default() }
     }
 
     /// Starts to take callers on `addr`.
     pub async fn listen(&self, addr: SocketAddr) -> anyhow::Result<()> {
         let server = self.clone();
-        http::serve(addr, move |request| server.clone().handle(request)).await
+        let limits = self.limits.clone();
+        http::serve_callers(addr, limits, move |request| server.clone().handle(request)).await
     }
 
     /// Returns the number of requests in progress.
@@ -97,8 +102,9 @@
     async fn incoming(&self, mut request: Request) -> Result<Incoming, Refusal> {
         let fleet = self.config.borrow().as_ref().map(|now| now.fleet.clone());
         let fleet = fleet.ok_or(Refusal::after(Reason::Unconfigured, Span::secs(1)))?;
-        let client = client(&fleet, &request)?;
-        let body = self.body(&mut request).await?;
+        let client = auth::client(&fleet, &request)?;
+        let upload = actix_rt::time::timeout(self.limits.upload.into(), self.body(&mut request));
+        let body = upload.await.map_err(|_| Refusal::new(Reason::BadRequest))??;
         let (service, path) = target(&request, &body)?;
         let declared = fleet.services.get(&service).ok_or(Refusal::new(Reason::UnknownService))?;
         if !client.services.contains(&service) {
@@ -119,7 +125,7 @@
         let mut body = BytesMut::new();
         while let Some(part) = payload.next().await {
             let part = part.map_err(|_| Refusal::new(Reason::BadRequest))?;
-            if body.len() + part.len() > self.limit {
+            if body.len() + part.len() > self.limits.body.0 as usize {
                 return Err(Refusal::new(Reason::BadRequest));
             }
             body.extend_from_slice(&part);
@@ -145,19 +151,6 @@
     }
 }
 
-fn client<'a>(
-    fleet: &'a Fleet,
-    request: &Request,
-) -> Result<&'a sequoiahold_core::declare::Client, Refusal> {
-    let key = request
-        .headers()
-        .get(header::AUTHORIZATION)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.strip_prefix("Bearer "))
-        .map(|key| Digest::of(key.as_bytes()));
-    key.and_then(|key| fleet.client_by_key(&key)).ok_or(Refusal::new(Reason::BadKey))
-}
-
 fn target(request: &Request, body: &Bytes) -> Result<(ServiceId, String), Refusal> {
     #[derive(serde::Deserialize)]
     struct Named {
--- a/crates/sequoiahold/src/http.rs
+++ b/crates/sequoiahold/src/http.rs
@@ -1,13 +1,34 @@
 //! A small HTTP server on the current thread, HTTP/1.1 and HTTP/2 without TLS.
 
-use std::{convert::Infallible, net::SocketAddr};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::{HttpService, Request, Response, body::MessageBody};
+use actix_http::{HttpService, KeepAlive, Request, Response, body::MessageBody};
 use actix_rt::net::TcpListener;
 use actix_service::{Service as _, ServiceFactory as _, fn_service};
 
-/// Serves `handler` on `addr` until the process ends.
+use crate::settings::Limits;
+
+/// Time that a closing connection may take.
+const DISCONNECT: Duration = Duration::from_secs(2);
+
+/// Serves `handler` on `addr` until the process ends, with the default limits.
 pub async fn serve<H, F, B>(addr: SocketAddr, handler: H) -> anyhow::Result<()>
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: MessageBody + 'static,
+{
+    serve_callers(addr, Limits::default(), handler).await
+}
+
+/// Serves `handler` on `addr` until the process ends.
+///
+/// A connection above the limit is closed at once; one that is slow to send a head is closed.
+pub async fn serve_callers<H, F, B>(
+    addr: SocketAddr,
+    limits: Limits,
+    handler: H,
+) -> anyhow::Result<()>
 where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<B>> + 'static,
@@ -18,14 +39,26 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    let factory = HttpService::build().finish(answer).tcp_auto_h2c();
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(limits.idle.into()))
+        .client_request_timeout(limits.head.into())
+        .client_disconnect_timeout(DISCONNECT)
+        .finish(answer)
+        .tcp_auto_h2c();
     let service = factory.new_service(()).await.map_err(|()| anyhow::anyhow!("no service"))?;
+    let open = Rc::new(Cell::new(0));
     actix_rt::spawn(async move {
         loop {
             match listener.accept().await {
+                Ok(_) if open.get() >= limits.connections => {}
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
-                    actix_rt::spawn(service.call(stream));
+                    let guard = Open::new(&open);
+                    let connection = service.call(stream);
+                    actix_rt::spawn(async move {
+                        let _ = connection.await;
+                        drop(guard);
+                    });
                 }
                 Err(error) => log::warn!("accept failed: {error}"),
             }
@@ -33,3 +66,19 @@
     });
     Ok(())
 }
+
+/// Counts a connection as open while it lives.
+struct Open(Rc<Cell<u32>>);
+
+impl Open {
+    fn new(count: &Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- a/crates/sequoiahold/src/settings/entry.rs
+++ b/crates/sequoiahold/src/settings/entry.rs
@@ -4,11 +4,11 @@
 
 use sequoiahold_core::{
     ids::{VmId, ZoneId},
-    units::{Bytes, Span},
+    units::Span,
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Check, Keys, Log, Metrics, Platform};
+use super::{Check, Keys, Limits, Log, Metrics, Platform};
 
 /// Settings of an entry process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -37,19 +37,15 @@
     /// The time between two heartbeats on a connection.
     #[serde(default = "Entry::default_heartbeat")]
     pub heartbeat: Span,
-    /// The largest body of a request.
-    #[serde(default = "Entry::default_body")]
-    pub body: Bytes,
+    /// Limits for callers.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 impl Entry {
     fn default_heartbeat() -> Span {
         Span::millis(500)
     }
-
-    fn default_body() -> Bytes {
-        Bytes(1_000_000)
-    }
 }
 
 impl Check for Entry {
@@ -58,9 +54,7 @@
         if self.heartbeat < Span::millis(50) || self.heartbeat > Span::secs(5) {
             return Err(("heartbeat".to_owned(), "must be between 50ms and 5s".to_owned()));
         }
-        if self.body.0 == 0 || self.body.0 > 4_000_000 {
-            return Err(("body".to_owned(), "must be between 1B and 4MB".to_owned()));
-        }
+        self.limits.check()?;
         Ok(())
     }
 }
--- a/crates/standins/src/bench/declared.rs
+++ b/crates/standins/src/bench/declared.rs
@@ -1,6 +1,6 @@
 //! Declarations of the size that a series needs.
 
-use std::net::SocketAddr;
+use std::{fmt, net::SocketAddr};
 
 use sequoiahold_core::{
     declare::{
@@ -34,7 +34,18 @@
     }
 }
 
+impl fmt::Display for Net {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
 impl Net {
+    /// Returns the loopback network `127.number`.
+    pub fn new(number: u8) -> Self {
+        Self(number)
+    }
+
     /// Pairs each value with a network.
     pub fn each<T>(values: impl IntoIterator<Item = T>) -> impl Iterator<Item = (Self, T)> {
         (60..).map(Self).zip(values)
@@ -96,7 +107,7 @@
     declared.map(|(index, object)| Declared { object, source: source(index) }).collect()
 }
 
-fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+fn name<T: std::str::FromStr<Err: fmt::Debug>>(text: &str) -> T {
     text.parse().expect("a generated name is sound")
 }
 
--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -12,8 +12,10 @@
 use anyhow::bail;
 
 pub use self::{
+    declared::{Counts, Net, set},
     fit::{Fit, Point, fit},
     probe::{Probe, Sample},
+    role::Role,
 };
 
 /// The options of a bench.
--- a/crates/standins/src/bench/role.rs
+++ b/crates/standins/src/bench/role.rs
@@ -1,10 +1,15 @@
 //! One real process of a role, with the stand-ins it needs.
 
-use std::{cell::RefCell, net::SocketAddr, path::Path, rc::Rc};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+};
 
 use sequoiahold::{
     net::{Links, Tls, Traffic},
-    settings::{self, Keys, Log, Metrics},
+    settings::{self, Keys, Limits, Log, Metrics},
 };
 use sequoiahold_core::{
     declare::{Declared, Published},
@@ -31,13 +36,30 @@
     /// The network of the running VMs.
     pub net: Net,
     _process: Process,
+    dir: PathBuf,
+}
+
+impl Drop for Role {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
 }
 
 impl Role {
     /// Starts an entry named `entry`, after the platform shows `declared`.
     pub async fn entry(program: &Path, net: Net, declared: &[Declared]) -> anyhow::Result<Self> {
+        Self::entry_with(program, net, declared, Limits::default()).await
+    }
+
+    /// Starts an entry with other limits for callers.
+    pub async fn entry_with(
+        program: &Path,
+        net: Net,
+        declared: &[Declared],
+        limits: Limits,
+    ) -> anyhow::Result<Self> {
         let (platform, services) = Self::platform(net, declared).await?;
-        let dir = directory()?;
+        let dir = directory(net)?;
         let authority = Authority::mint(&dir)?;
         let settings = settings::Entry {
             vm: "entry".parse()?,
@@ -50,17 +72,25 @@
             log: Log::default(),
             metrics: Metrics::default(),
             heartbeat: Span::secs(1),
-            body: Bytes(1_000_000),
+            limits,
         };
         let process = Process::start(program, "entry", "entry", &dir, &settings)?;
         let probe = Probe { id: process.id(), admin: settings.admin };
-        Ok(Self { probe, platform, callers: settings.callers, authority, net, _process: process })
+        Ok(Self {
+            probe,
+            platform,
+            callers: settings.callers,
+            authority,
+            net,
+            _process: process,
+            dir,
+        })
     }
 
     /// Starts the endpoint `near-1` before the engine and origin of its network.
     pub async fn endpoint(program: &Path, net: Net, declared: &[Declared]) -> anyhow::Result<Self> {
         let (platform, services) = Self::platform(net, declared).await?;
-        let dir = directory()?;
+        let dir = directory(net)?;
         let authority = Authority::mint(&dir)?;
         let settings = settings::Endpoint {
             vm: "near-1".parse()?,
@@ -85,7 +115,15 @@
         };
         let process = Process::start(program, "endpoint", "near-1", &dir, &settings)?;
         let probe = Probe { id: process.id(), admin: settings.admin };
-        Ok(Self { probe, platform, callers: settings.peers, authority, net, _process: process })
+        Ok(Self {
+            probe,
+            platform,
+            callers: settings.peers,
+            authority,
+            net,
+            _process: process,
+            dir,
+        })
     }
 
     /// Shows another set under a generation.
@@ -118,8 +156,8 @@
     }
 }
 
-fn directory() -> anyhow::Result<std::path::PathBuf> {
-    let dir = std::env::temp_dir().join(format!("sequoiahold-bench-{}", std::process::id()));
+fn directory(net: Net) -> anyhow::Result<PathBuf> {
+    let dir = std::env::temp_dir().join(format!("sequoiahold-bench-{}-{net}", std::process::id()));
     std::fs::create_dir_all(&dir)?;
     Ok(dir)
 }
--- a/crates/standins/src/demo/deployment.rs
+++ b/crates/standins/src/demo/deployment.rs
@@ -13,7 +13,7 @@
 use anyhow::{Context as _, bail};
 use sequoiahold::{
     command::files,
-    settings::{self, Log, Metrics},
+    settings::{self, Limits, Log, Metrics},
     status::Status,
 };
 use sequoiahold_core::{
@@ -337,7 +337,7 @@
                 log: Log::default(),
                 metrics: Metrics::default(),
                 heartbeat: Span::millis(300),
-                body: Bytes(1_000_000),
+                limits: Limits::default(),
             };
             return Process::start(program, "entry", name, &self.dir, &settings);
         }
--- /dev/null
+++ b/crates/standins/tests/callers.rs
@@ -0,0 +1,89 @@
+//! Callers that are slow, too large, too many or unknown, against a real entry process.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use rstest::rstest;
+use sequoiahold::settings::Limits;
+use sequoiahold_core::units::{Bytes, Span};
+use sequoiahold_standins::{
+    bench::{Counts, Net, Role, set},
+    content::Content,
+    processes::program,
+};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
+
+/// Time after which a slow caller must have been cut off.
+const CUT: Duration = Duration::from_secs(10);
+
+async fn entry(net: u8, limits: Limits) -> Role {
+    let content = Content::of(&"llm-1".parse().unwrap(), Bytes(64_000), Bytes(64_000)).unwrap();
+    let counts = Counts { net: Net::new(net), clients: 3, ..Counts::default() };
+    let declared = set(counts, &content.manifest);
+    let role = Role::entry_with(&program(), counts.net, &declared, limits).await.unwrap();
+    let end = Instant::now() + CUT;
+    while !role.probe.status().await.is_ok_and(|s| s.generation.0 > 0) && Instant::now() < end {
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    role
+}
+
+/// Sends bytes on a new connection and returns all that comes back until it closes.
+async fn exchange(addr: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut back = vec![];
+    let _ = actix_rt::time::timeout(CUT, stream.read_to_end(&mut back)).await;
+    String::from_utf8_lossy(&back).into_owned()
+}
+
+fn request(key: &str, length: usize, body: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {key}\r\n\
+         connection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+#[rstest]
+fn limits_hold_for_callers() {
+    let limits = Limits {
+        body: Bytes(1_000),
+        head: Span::secs(1),
+        upload: Span::secs(1),
+        connections: 4,
+        ..Limits::default()
+    };
+    actix_rt::System::new().block_on(async {
+        let role = entry(90, limits).await;
+        let addr = role.callers;
+        let body = "{\"model\":\"llm\",\"messages\":[]}";
+
+        let unknown = exchange(addr, &request("key-nobody", body.len(), body)).await;
+        assert!(unknown.starts_with("HTTP/1.1 401"), "{unknown}");
+        let known = exchange(addr, &request("key-account-1", body.len(), body)).await;
+        assert!(known.starts_with("HTTP/1.1 503") && known.contains("\"not_run\":true"), "{known}");
+        let large = "x".repeat(2_000);
+        let too_large = exchange(addr, &request("key-account-1", large.len(), &large)).await;
+        assert!(too_large.starts_with("HTTP/1.1 400"), "{too_large}");
+        let slow_body = exchange(addr, &request("key-account-1", 500, "{")).await;
+        assert!(slow_body.starts_with("HTTP/1.1 400"), "{slow_body}");
+        let start = Instant::now();
+        let slow_head = exchange(addr, "POST /v1/chat").await;
+        assert!(start.elapsed() < CUT, "the connection stays open: {slow_head}");
+
+        let mut held = vec![];
+        for _ in 0..4 {
+            held.push(TcpStream::connect(addr).await.unwrap());
+        }
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+        let refused = exchange(addr, &request("key-account-1", body.len(), body)).await;
+        assert_eq!(refused, "", "a connection above the limit is closed");
+        let status = serde_json::to_string(&role.probe.status().await.unwrap()).unwrap();
+        assert!(!status.contains("key-account"), "no API key is shown");
+    });
+}
