--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -24,12 +24,48 @@
 
 impl std::error::Error for BadId {}
 
-macro_rules! name_id {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-        pub struct $name(Arc<str>);
+/// The name of a VM.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct VmId(Arc<str>);
+
+/// The name of an availability zone.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ZoneId(Arc<str>);
+
+/// The name of a region.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RegionId(Arc<str>);
+
+/// The name of an endpoint pool.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PoolId(Arc<str>);
+
+/// The name of a service that callers ask for.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ServiceId(Arc<str>);
+
+/// The name of a model.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ModelId(Arc<str>);
+
+/// The name of one version of a model.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct VersionId(Arc<str>);
 
+/// The name of an adapter.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct AdapterId(Arc<str>);
+
+/// The name of a client account.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ClientId(Arc<str>);
+
+/// An idempotency key that a caller sends with a call that may not be repeated.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct OnceKey(Arc<str>);
+
+macro_rules! name_id {
+    ($($name:ident)*) => {$(
         impl $name {
             /// Returns the name as text.
             pub fn as_str(&self) -> &str {
@@ -64,49 +100,10 @@
                 text.parse().map_err(D::Error::custom)
             }
         }
-    };
+    )*};
 }
 
-name_id!(
-    /// The name of a VM.
-    VmId
-);
-name_id!(
-    /// The name of an availability zone.
-    ZoneId
-);
-name_id!(
-    /// The name of a region.
-    RegionId
-);
-name_id!(
-    /// The name of an endpoint pool.
-    PoolId
-);
-name_id!(
-    /// The name of a service that callers ask for.
-    ServiceId
-);
-name_id!(
-    /// The name of a model.
-    ModelId
-);
-name_id!(
-    /// The name of one version of a model.
-    VersionId
-);
-name_id!(
-    /// The name of an adapter.
-    AdapterId
-);
-name_id!(
-    /// The name of a client account.
-    ClientId
-);
-name_id!(
-    /// An idempotency key that a caller sends with a call that may not be repeated.
-    OnceKey
-);
+name_id!(VmId ZoneId RegionId PoolId ServiceId ModelId VersionId AdapterId ClientId OnceKey);
 
 /// A BLAKE3 digest.
 #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -171,14 +168,32 @@
     }
 }
 
-macro_rules! number_id {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(
-            Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-        )]
-        pub struct $name(pub u64);
+/// The generation of a published configuration; it only rises.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Generation(pub u64);
+
+/// The start of a process: microseconds of its wall clock at the start.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Incarnation(pub u64);
+
+/// A request, unique within the incarnation of its entry process.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct RequestId(pub u64);
+
+/// The fencing number of an order to an engine.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Fence(pub u64);
 
+macro_rules! number_id {
+    ($($name:ident)*) => {$(
         impl $name {
             /// Returns the number that follows this one.
             pub fn next(self) -> Self {
@@ -201,25 +216,10 @@
                     .map_err(|_| BadId { text: text.to_owned(), allowed: "a whole number" })
             }
         }
-    };
+    )*};
 }
 
-number_id!(
-    /// The generation of a published configuration; it only rises.
-    Generation
-);
-number_id!(
-    /// The start of a process: microseconds of its wall clock at the start.
-    Incarnation
-);
-number_id!(
-    /// A request, unique within the incarnation of its entry process.
-    RequestId
-);
-number_id!(
-    /// The fencing number of an order to an engine.
-    Fence
-);
+number_id!(Generation Incarnation RequestId Fence);
 
 fn check_name(text: &str) -> Result<(), BadId> {
     let allowed = "a name of 1 to 63 characters from a-z, 0-9, '-', '_', '.' that starts with a letter or digit";
--- a/crates/sequoiahold/src/settings/log.rs
+++ b/crates/sequoiahold/src/settings/log.rs
@@ -35,11 +35,11 @@
     use log::LevelFilter;
     use serde::{Deserialize, Deserializer, Serializer, de::Error as _};
 
-    pub fn serialize<S: Serializer>(level: &LevelFilter, s: S) -> Result<S::Ok, S::Error> {
+    pub(super) fn serialize<S: Serializer>(level: &LevelFilter, s: S) -> Result<S::Ok, S::Error> {
         s.serialize_str(&level.as_str().to_lowercase())
     }
 
-    pub fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<LevelFilter, D::Error> {
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<LevelFilter, D::Error> {
         let text = String::deserialize(d)?;
         let allowed = "one of off, error, warn, info, debug, trace";
         text.parse().map_err(|_| D::Error::custom(format!("{text:?} is not {allowed}")))
