Check declarations as a whole set; render never lowers a generation

Cause: check knew references, duplicate names and five bounds. A set with two VMs at one address, a model on another model's version, a zone without VMs or all zones out at once passed, and faults inside an object named only its position, not its key, since an internally tagged enum hides the path.

Ruled out: a JSON schema (says nothing about references), and checking a set with unreadable files as a whole (each reference into such a file was told as a fault of its own).

A key given twice was taken silently before (test failed first).

Conclusion: model and version are the only kinds that refer to each other; the circle is sound when the version belongs to the model, which is checked.

--- a/crates/core/src/declare/check.rs
+++ b/crates/core/src/declare/check.rs
@@ -2,29 +2,37 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Backend, Declared, Fault, Object, Role};
+use super::{Backend, Declared, Fault, Object, Role, bounds, whole};
 
 /// Returns all faults of a set.
 pub fn check(declared: &[Declared]) -> Vec<Fault> {
-    let names = Names::new(declared);
+    let mut faults = check_part(declared, &[]);
+    faults.extend(whole::faults(declared));
+    faults
+}
+
+/// Returns the faults of the objects that could be read, where those named in `broken` could not.
+pub(super) fn check_part(declared: &[Declared], broken: &[(String, String)]) -> Vec<Fault> {
+    let names = Names::new(declared, broken);
     let mut faults = duplicates(declared);
     for one in declared {
         faults.extend(references(one, &names));
-        faults.extend(limits(one));
+        faults.extend(bounds::faults(one));
     }
-    faults.extend(empty_pools(declared));
     faults
 }
 
 struct Names<'a> {
-    kinds: BTreeMap<&'static str, BTreeSet<&'a str>>,
+    kinds: BTreeMap<&'a str, BTreeSet<&'a str>>,
 }
 
 impl<'a> Names<'a> {
-    fn new(declared: &'a [Declared]) -> Self {
+    fn new(declared: &'a [Declared], broken: &'a [(String, String)]) -> Self {
         let mut kinds: BTreeMap<_, BTreeSet<_>> = BTreeMap::new();
-        for one in declared {
-            kinds.entry(one.object.kind()).or_default().insert(one.object.name());
+        let sound = declared.iter().map(|one| (one.object.kind(), one.object.name()));
+        let broken = broken.iter().map(|(kind, name)| (kind.as_str(), name.as_str()));
+        for (kind, name) in sound.chain(broken) {
+            kinds.entry(kind).or_default().insert(name);
         }
         Self { kinds }
     }
@@ -78,44 +86,3 @@
     };
     found.into_iter().flatten().collect()
 }
-
-fn limits(one: &Declared) -> Vec<Fault> {
-    let mut faults = Vec::new();
-    let mut need = |sound: bool, key: &str, text: &str| {
-        if !sound {
-            faults.push(Fault::at(&one.source, key, text));
-        }
-    };
-    match &one.object {
-        Object::Pool(o) => {
-            need(o.slots > 0, "slots", "must be at least 1");
-            need(o.cold > 0 && o.cold <= o.slots, "cold", "must be between 1 and slots");
-        }
-        Object::Client(o) => need(o.weight > 0, "weight", "must be at least 1"),
-        Object::Service(o) => need(o.timeout.0 > 0, "timeout", "must be above 0"),
-        Object::Version(o) => need(o.size.0 > 0, "size", "must be above 0"),
-        Object::Zone(o) => need(o.link.0 > 0, "link", "must be above 0"),
-        _ => {}
-    }
-    faults
-}
-
-fn empty_pools(declared: &[Declared]) -> Vec<Fault> {
-    let used: BTreeSet<_> = declared
-        .iter()
-        .filter_map(|one| match &one.object {
-            Object::Vm(vm) => match &vm.role {
-                Role::Endpoint(pool) => Some(pool.as_str()),
-                Role::Entry => None,
-            },
-            _ => None,
-        })
-        .collect();
-    let empty =
-        |one: &&Declared| matches!(&one.object, Object::Pool(p) if !used.contains(p.name.as_str()));
-    declared
-        .iter()
-        .filter(empty)
-        .map(|one| Fault::at(&one.source, "name", "the pool has no endpoint VM"))
-        .collect()
-}
--- a/crates/core/src/declare/load.rs
+++ b/crates/core/src/declare/load.rs
@@ -2,7 +2,13 @@
 
 use std::fmt;
 
-use super::{Object, check, fleet::Fleet};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use super::{Object, check, fleet::Fleet, unique::Unique};
+
+/// The kinds that an object may have.
+const KINDS: &str = "zone, pool, service, model, version, adapter, client, vm";
 
 /// Where an object was declared.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -42,6 +48,11 @@
             text: text.into(),
         }
     }
+
+    /// Returns a fault of the whole set, shown at a file of it.
+    pub fn of_set(file: &str, text: &str) -> Self {
+        Self { file: file.to_owned(), key: "[]".to_owned(), text: text.to_owned() }
+    }
 }
 
 impl fmt::Display for Fault {
@@ -53,52 +64,118 @@
 /// The faults that keep a set from being used.
 pub type ReadError = Vec<Fault>;
 
-/// Reads the objects of one file, a JSON array.
-pub fn parse(file: &str, text: &str) -> Result<Vec<Declared>, ReadError> {
-    let values: Vec<serde_json::Value> = serde_json::from_str(text).map_err(|e| {
-        vec![Fault {
-            file: file.to_owned(),
-            key: format!("line {}", e.line()),
-            text: format!("not a JSON array of objects: {e}"),
-        }]
-    })?;
-    let mut declared = Vec::with_capacity(values.len());
-    let mut faults = Vec::new();
-    for (index, value) in values.into_iter().enumerate() {
-        match object(file, index, value) {
-            Ok(one) => declared.push(one),
-            Err(fault) => faults.push(fault),
+/// What could be read of a set.
+#[derive(Clone, Debug, Default)]
+struct Parsed {
+    declared: Vec<Declared>,
+    /// The kinds and names of objects with faults.
+    broken: Vec<(String, String)>,
+    /// Whether each file is a JSON array.
+    whole: bool,
+    faults: Vec<Fault>,
+}
+
+impl Parsed {
+    fn add(&mut self, file: &str, text: &str) {
+        let values: Vec<Unique> = match serde_json::from_str(text) {
+            Ok(values) => values,
+            Err(error) => {
+                self.whole = false;
+                return self.faults.push(Fault {
+                    file: file.to_owned(),
+                    key: format!("line {}", error.line()),
+                    text: format!("not a JSON array of objects: {error}"),
+                });
+            }
+        };
+        for (index, Unique(value)) in values.into_iter().enumerate() {
+            let text = |key| value.get(key).and_then(Value::as_str).map(str::to_owned);
+            let name = text("kind").zip(text("name"));
+            match object(file, index, value) {
+                Ok(one) => self.declared.push(one),
+                Err(fault) => {
+                    self.broken.extend(name);
+                    self.faults.push(fault);
+                }
+            }
         }
     }
-    if faults.is_empty() { Ok(declared) } else { Err(faults) }
+
+    /// Checks what was read; a set with unreadable objects is not checked as a whole.
+    fn check(&mut self) {
+        let found = match (self.whole, self.faults.is_empty()) {
+            (true, true) => check(&self.declared),
+            (true, false) => check::check_part(&self.declared, &self.broken),
+            (false, _) => vec![],
+        };
+        self.faults.extend(found);
+    }
 }
 
 /// Reads and checks a whole set of files, given as names and texts.
 pub fn read_set<'a>(
     files: impl IntoIterator<Item = (&'a str, &'a str)>,
 ) -> Result<(Vec<Declared>, Fleet), ReadError> {
-    let mut declared = Vec::new();
-    let mut faults = Vec::new();
+    let mut parsed = Parsed { whole: true, ..Parsed::default() };
     for (file, text) in files {
-        match parse(file, text) {
-            Ok(mut objects) => declared.append(&mut objects),
-            Err(mut found) => faults.append(&mut found),
-        }
+        parsed.add(file, text);
     }
-    faults.extend(check(&declared));
-    if !faults.is_empty() {
-        faults.sort();
-        return Err(faults);
+    parsed.check();
+    if !parsed.faults.is_empty() {
+        parsed.faults.sort();
+        return Err(parsed.faults);
     }
-    let fleet = Fleet::new(declared.iter().map(|d| d.object.clone()));
-    Ok((declared, fleet))
+    let fleet = Fleet::new(parsed.declared.iter().map(|d| d.object.clone()));
+    Ok((parsed.declared, fleet))
 }
 
-fn object(file: &str, index: usize, value: serde_json::Value) -> Result<Declared, Fault> {
-    let object = serde_path_to_error::deserialize(value).map_err(|e| {
-        let path = e.path().to_string();
-        let key = if path == "." { format!("[{index}]") } else { format!("[{index}].{path}") };
-        Fault { file: file.to_owned(), key, text: e.inner().to_string() }
-    })?;
+fn object(file: &str, index: usize, mut value: Value) -> Result<Declared, Fault> {
+    let fault = |key: &str, text: String| Fault {
+        file: file.to_owned(),
+        key: if key.is_empty() { format!("[{index}]") } else { format!("[{index}].{key}") },
+        text,
+    };
+    let Some(map) = value.as_object_mut() else {
+        return Err(fault("", "not a JSON object".to_owned()));
+    };
+    let kind = match map.remove("kind") {
+        Some(Value::String(kind)) => kind,
+        Some(_) => return Err(fault("kind", format!("must be one of {KINDS}"))),
+        None => return Err(fault("kind", format!("is missing; must be one of {KINDS}"))),
+    };
+    let object = match kind.as_str() {
+        "zone" => typed(value).map(Object::Zone),
+        "pool" => typed(value).map(Object::Pool),
+        "service" => typed(value).map(Object::Service),
+        "model" => typed(value).map(Object::Model),
+        "version" => typed(value).map(Object::Version),
+        "adapter" => typed(value).map(Object::Adapter),
+        "client" => typed(value).map(Object::Client),
+        "vm" => typed(value).map(Object::Vm),
+        other => return Err(fault("kind", format!("{other:?} is not one of {KINDS}"))),
+    };
+    let object = object.map_err(|(key, text)| fault(&key, text))?;
     Ok(Declared { object, source: Source { file: file.to_owned(), index } })
 }
+
+/// Reads an object of a known kind; the error is the key and what is wrong with it.
+fn typed<T: DeserializeOwned>(value: Value) -> Result<T, (String, String)> {
+    serde_path_to_error::deserialize(value).map_err(|e| {
+        let path = e.path().to_string();
+        let text = e.inner().to_string();
+        let path = if path == "." { String::new() } else { path };
+        (key_of(path, &text), text)
+    })
+}
+
+/// Returns the path of the key at fault; of a missing or unknown key only the text has the name.
+fn key_of(path: String, text: &str) -> String {
+    let named = ["missing field `", "unknown field `"]
+        .iter()
+        .find_map(|start| text.strip_prefix(start)?.split_once('`'));
+    match named {
+        Some((key, _)) if path.is_empty() => key.to_owned(),
+        Some((key, _)) if !path.ends_with(key) => format!("{path}.{key}"),
+        _ => path,
+    }
+}
--- a/crates/sequoiahold/src/cli.rs
+++ b/crates/sequoiahold/src/cli.rs
@@ -22,7 +22,8 @@
   entry --config FILE       take callers and route to endpoints
   endpoint --config FILE    stand before one engine or plain service
   check DIR                 check a set of declarations
-  render DIR --out DIR      turn a sound set into the values to publish
+  render DIR --out DIR [--generation N] [--replace]
+                            turn a sound set into the values to publish
   status ADDR [--json]      show what a process holds and does
 
 Options:
@@ -65,9 +66,10 @@
         Some("render") => {
             let out: PathBuf = args.value_from_os_str("--out", path)?;
             let generation: Option<Generation> = args.opt_value_from_str("--generation")?;
+            let replace = args.contains("--replace");
             let dir = directory(&mut args)?;
             finish(args)?;
-            command::render::run(&dir, &out, generation)
+            command::render::run(&command::render::Options { dir, out, generation, replace })
         }
         Some("status") => {
             let json = args.contains("--json");
--- a/crates/sequoiahold/src/command/render.rs
+++ b/crates/sequoiahold/src/command/render.rs
@@ -1,44 +1,98 @@
 //! `sequoiahold render`: turns a sound set into the values to publish.
 
-use std::{fs, path::Path};
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+};
 
-use anyhow::Context as _;
+use anyhow::{Context as _, bail};
 use sequoiahold_core::{
-    declare::{Head, Published, load::read_set},
+    declare::{Fleet, Head, HeadEntry, Published, load::read_set},
     ids::Generation,
 };
 
 use super::files;
 use crate::cli::EXIT_UNSOUND;
 
-/// Writes the head and the parts of the set in `dir` below `out`.
-pub fn run(dir: &Path, out: &Path, generation: Option<Generation>) -> anyhow::Result<u8> {
+/// The name of the file with the head value.
+const HEAD: &str = "head.json";
+
+/// How a set is rendered.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The directory of the declarations.
+    pub dir: PathBuf,
+    /// The directory that the values are written to.
+    pub out: PathBuf,
+    /// The generation, or `None` for the one after the last.
+    pub generation: Option<Generation>,
+    /// Whether the values of another fleet may be replaced.
+    pub replace: bool,
+}
+
+/// Writes the head and the parts of a sound set.
+pub fn run(options: &Options) -> anyhow::Result<u8> {
+    let (dir, out) = (&options.dir, &options.out);
     let files = files::read(dir)?;
     let set = read_set(files.iter().map(|(name, text)| (name.as_str(), text.as_str())));
-    let declared = match set {
-        Ok((declared, _)) => declared,
+    let (declared, fleet) = match set {
+        Ok(set) => set,
         Err(faults) => {
             faults.iter().for_each(|fault| eprintln!("{fault}"));
             return Ok(EXIT_UNSOUND);
         }
     };
-    let generation = generation.unwrap_or_else(|| last_generation(out).next());
+    let last = last(out)?;
+    if let Some(last) = &last {
+        check_fleet(last, &fleet, options)?;
+    }
+    let above = last.map_or(Generation::default(), |last| last.head.generation);
+    let generation = options.generation.unwrap_or(above.next());
+    if generation <= above {
+        bail!("generation {generation} is not above {above}, the last one in {}", out.display());
+    }
     let published = Published::render(&declared, generation)?;
     let parts = out.join("parts");
     fs::create_dir_all(&parts).with_context(|| format!("cannot create {}", parts.display()))?;
     for (digest, part) in &published.parts {
         write(&parts.join(digest.to_string()), part)?;
     }
-    write(&out.join("head.json"), &serde_json::to_vec_pretty(&published.head)?)?;
+    write(&out.join(HEAD), &serde_json::to_vec_pretty(&published.head)?)?;
     println!("generation {generation}: {} parts in {}", published.parts.len(), out.display());
     Ok(0)
 }
 
-fn last_generation(out: &Path) -> Generation {
-    fs::read(out.join("head.json"))
-        .ok()
-        .and_then(|text| serde_json::from_slice::<Head>(&text).ok())
-        .map_or(Generation::default(), |head| head.generation)
+/// Reads the set that was rendered last, `None` where there is none.
+fn last(out: &Path) -> anyhow::Result<Option<Published>> {
+    let path = out.join(HEAD);
+    let text = match fs::read(&path) {
+        Ok(text) => text,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(error).with_context(|| format!("cannot read {}", path.display())),
+    };
+    let head: Head = serde_json::from_slice(&text)
+        .with_context(|| format!("{} is not a head; move it away", path.display()))?;
+    let part = |entry: &HeadEntry| {
+        let data = fs::read(out.join("parts").join(entry.digest.to_string())).ok()?;
+        Some((entry.digest, data.into()))
+    };
+    let parts = head.parts.iter().filter_map(part).collect();
+    Ok(Some(Published { head, parts }))
+}
+
+/// Fails where the last set is of a fleet that shares no availability zone with the new one.
+fn check_fleet(last: &Published, fleet: &Fleet, options: &Options) -> anyhow::Result<()> {
+    let same =
+        last.fleet().is_ok_and(|last| last.zones.keys().any(|z| fleet.zones.contains_key(z)));
+    if same || options.replace {
+        return Ok(());
+    }
+    bail!(
+        "{} holds generation {} of another fleet, or one that cannot be read; \
+         give another --out, or --replace to continue its generations with this fleet",
+        options.out.display(),
+        last.head.generation
+    )
 }
 
 fn write(path: &Path, data: &[u8]) -> anyhow::Result<()> {
