--- /dev/null
+++ b/crates/core/src/endpoint/calls.rs
@@ -0,0 +1,156 @@
+//! Calls with keys and tickets at an endpoint.
+
+use std::net::SocketAddr;
+
+use super::{Endpoint, Output, Timer};
+use crate::{
+    declare::{Fleet, Service},
+    gate::Ticket,
+    ids::{ClientId, Generation, Incarnation, ServiceId, VersionId, VmId},
+    once::{Answer, CallKey, HandOver, OnceTicket, RunEnd, Verdict},
+    proto::KeysAsk,
+    refuse::{Failure, Reason, Refusal},
+    time::Time,
+    units::Span,
+};
+
+/// Pause before an endpoint that has not handed over its keys is asked again.
+const KEYS: Span = Span::millis(300);
+
+/// A call as it comes to an endpoint.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Offered {
+    /// The request.
+    pub ticket: Ticket,
+    /// The incarnation of the endpoint that the entry means.
+    pub to: Incarnation,
+    /// The client account.
+    pub client: ClientId,
+    /// The service.
+    pub service: ServiceId,
+    /// The key of a call that may not be repeated.
+    pub key: Option<CallKey>,
+}
+
+/// What an endpoint does with a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Hand it over; this version answers.
+    Run(Option<VersionId>),
+    /// Give the answer of the earlier call with the same key again.
+    Replay(Answer),
+    /// Say that this call does not run.
+    Refuse(Refusal),
+    /// Say that the outcome is not known.
+    Fail(Failure),
+    /// Say nothing: the message is a copy.
+    Drop,
+}
+
+impl Endpoint {
+    /// Decides what becomes of a call.
+    pub fn decide(&mut self, now: Time, call: &Offered) -> Decision {
+        if call.to != self.own.incarnation {
+            return Decision::Fail(Failure::Unknown);
+        }
+        if !self.seen.is_first(&call.ticket) {
+            return Decision::Drop;
+        }
+        if let Some(key) = &call.key {
+            match self.once.decide(now, &call.client, key) {
+                Verdict::Run => {}
+                Verdict::Replay(answer) => return Decision::Replay(answer),
+                Verdict::Refuse(refusal) => return Decision::Refuse(refusal),
+                Verdict::Fail(failure) => return Decision::Fail(failure),
+            }
+        }
+        match self.ask(call.ticket.clone(), &call.service) {
+            Ok(version) => {
+                if let Some(key) = &call.key {
+                    self.once.begin(now, &call.client, key);
+                }
+                Decision::Run(version)
+            }
+            Err(refusal) => Decision::Refuse(refusal),
+        }
+    }
+
+    /// Takes note of how a call that was handed over ended.
+    pub fn ended(&mut self, now: Time, call: &Offered, end: RunEnd) {
+        if let Some(key) = &call.key {
+            self.once.end(now, &call.client, key, end);
+        }
+        self.finished(&call.ticket);
+    }
+
+    /// Issues a ticket for a call that may not be repeated.
+    pub fn issue(
+        &mut self,
+        now: Time,
+        client: &ClientId,
+        service: &ServiceId,
+    ) -> Result<OnceTicket, Refusal> {
+        let fleet = self.fleet().ok_or(Refusal::new(Reason::Unconfigured))?;
+        if fleet.pool_of(&self.own.vm).is_none_or(|pool| pool.service != *service) {
+            return Err(Refusal::new(Reason::UnknownService));
+        }
+        if !self.gate.open() {
+            return Err(Refusal::new(Reason::Leaving));
+        }
+        self.once.issue(now, client)
+    }
+
+    /// Tells another endpoint which of its keys this process has run or runs.
+    pub fn hand_over(&mut self, now: Time, ask: &KeysAsk) -> HandOver {
+        self.once.hand_over(now, &ask.vm, &ask.members, ask.generation)
+    }
+
+    /// Takes the keys that another endpoint hands over.
+    pub fn take_over(&mut self, now: Time, from: &VmId, given: HandOver) {
+        self.once.take_over(now, from, given);
+    }
+
+    /// Takes the members that share the keys from the set in force.
+    pub(super) fn adopt_keys(&mut self, now: Time) {
+        let Some((members, declared)) = self.members() else { return };
+        self.once.adopt(now, self.adopter.generation(), members, &declared);
+        if !std::mem::replace(&mut self.asking, true) {
+            self.timers.at(now, Timer::Keys);
+        }
+    }
+
+    /// Asks the endpoints that have not handed over their keys.
+    pub(super) fn ask_keys(&mut self, now: Time) {
+        let silent = self.once.ask_next();
+        self.asking = !silent.is_empty();
+        let (Some(fleet), Some((members, _))) = (self.fleet(), self.members()) else { return };
+        if !self.asking {
+            return;
+        }
+        let generation: Generation = self.adopter.generation();
+        let addr = |vm: &VmId| -> Option<SocketAddr> { Some(fleet.vms.get(vm)?.addr) };
+        for (vm, addr) in silent.iter().filter_map(|vm| Some((vm, addr(vm)?))) {
+            let (own, members) = (self.own.vm.clone(), members.clone());
+            let ask = Box::new(KeysAsk { vm: own, generation, members });
+            self.outputs.push(Output::AskKeys(vm.clone(), addr, ask));
+        }
+        self.timers.at(now + KEYS, Timer::Keys);
+    }
+
+    /// Returns the endpoints in service and all declared ones, where calls may not be repeated.
+    fn members(&self) -> Option<(Vec<VmId>, Vec<VmId>)> {
+        let fleet = self.fleet()?;
+        let service = &fleet.pool_of(&self.own.vm)?.service;
+        fleet.services.get(service).filter(|service: &&Service| !service.repeatable)?;
+        Some((key_members(&fleet, service), fleet.endpoints(service).map(named).collect()))
+    }
+}
+
+/// Returns the endpoints that share the chosen keys of a service.
+pub fn key_members(fleet: &Fleet, service: &ServiceId) -> Vec<VmId> {
+    fleet.endpoints(service).map(named).filter(|vm| fleet.in_service(vm)).collect()
+}
+
+fn named(vm: &crate::declare::Vm) -> VmId {
+    vm.name.clone()
+}
--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -1,11 +1,15 @@
 //! Decisions of an endpoint process.
 
+mod calls;
 mod life;
 mod wanted;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-pub use self::life::{LifeEvent, LifeState};
+pub use self::{
+    calls::{Decision, Offered, key_members},
+    life::{LifeEvent, LifeState},
+};
 use self::{life::chart, wanted::Wanted};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
@@ -14,7 +18,8 @@
     gate::{Gate, Seen, Ticket},
     ids::{Digest, Fence, Generation, Incarnation, ServiceId, VersionId, VmId},
     member::VmState,
-    proto::{Beat, Load},
+    once::{Once, Seen as Copies},
+    proto::{Beat, KeysAsk, Load},
     refuse::{Reason, Refusal},
     time::{Time, Timers},
     units::Span,
@@ -65,6 +70,8 @@
     ReadManifest(VersionId, Digest, Vec<Place>),
     /// Ask a peer which chunks of a manifest it holds.
     AskHave(Digest, VmId, SocketAddr),
+    /// Ask another endpoint which keys of this one it has run.
+    AskKeys(VmId, SocketAddr, Box<KeysAsk>),
     /// Draw a chunk.
     Draw(Digest, Place),
     /// Give the engine the chunks of a version and the order to load it.
@@ -74,6 +81,7 @@
 #[derive(Clone, Debug)]
 enum Timer {
     Draw,
+    Keys,
     Load,
     Look,
     Manifest,
@@ -86,6 +94,8 @@
     pub vm: VmId,
     /// The incarnation of the process.
     pub incarnation: Incarnation,
+    /// The wall clock at time 0, in microseconds since the Unix epoch.
+    pub epoch: Time,
     /// The time between two looks at the engine.
     pub look: Span,
     /// The chunks that are drawn at the same time.
@@ -98,6 +108,9 @@
     own: Identity,
     adopter: Adopter,
     gate: Gate,
+    once: Once,
+    seen: Copies,
+    asking: bool,
     life: Machine<LifeState, LifeEvent>,
     engine: Option<EngineState>,
     wanted: Option<Wanted>,
@@ -114,9 +127,12 @@
         let mut timers = Timers::default();
         timers.at(now, Timer::Look);
         Self {
+            once: Once::new(own.vm.clone(), own.incarnation, own.epoch),
             own,
             adopter: Adopter::default(),
             gate: Gate::default(),
+            seen: Copies::default(),
+            asking: false,
             life: Machine::new(Arc::new(chart())),
             engine: None,
             wanted: None,
@@ -134,6 +150,7 @@
         if matches!(outcome, Adoption::Adopted(_)) {
             self.set_closed();
             self.set_wanted(now);
+            self.adopt_keys(now);
         }
         outcome
     }
@@ -248,6 +265,7 @@
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Draw => self.ask_peers(now),
+                Timer::Keys => self.ask_keys(now),
                 Timer::Load => self.follow(now),
                 Timer::Look => {
                     self.timers.at(now + self.own.look, Timer::Look);
@@ -289,6 +307,11 @@
         &self.gate
     }
 
+    /// Returns the keys and tickets of this process.
+    pub fn once(&self) -> &Once {
+        &self.once
+    }
+
     /// Returns the state of this process.
     pub fn life(&self) -> LifeState {
         self.life.state()
--- /dev/null
+++ b/crates/core/src/entry/keyed.rs
@@ -0,0 +1,52 @@
+//! The choice of the one endpoint that may run a call with a key or ticket.
+
+use std::net::SocketAddr;
+
+use super::Entry;
+use crate::{
+    declare::Fleet,
+    endpoint::key_members,
+    ids::{ServiceId, VmId},
+    once::{CallKey, owner},
+    refuse::{Reason, Refusal},
+    units::Span,
+};
+
+/// The time after which a caller may come back with its key.
+const RETRY: Span = Span::secs(1);
+
+impl Entry {
+    /// Returns an endpoint that may issue a ticket for a service.
+    pub fn issuer(&mut self, service: &ServiceId) -> Result<(VmId, SocketAddr), Refusal> {
+        let fleet = self.fleet().ok_or(Refusal::after(Reason::Unconfigured, RETRY))?;
+        let vm = self.router.choose(&fleet, service, &[], &mut self.rng)?;
+        let addr = fleet.vms.get(&vm).map(|vm| vm.addr).ok_or(Refusal::new(Reason::NoEndpoint))?;
+        Ok((vm, addr))
+    }
+
+    /// Returns the endpoint that alone may run a call with this key.
+    pub(super) fn choose_keyed(
+        &self,
+        fleet: &Fleet,
+        service: &ServiceId,
+        key: &CallKey,
+        tried: &[VmId],
+    ) -> Result<VmId, Refusal> {
+        let unreachable = Refusal::after(Reason::NoEndpoint, RETRY);
+        let vm = match key {
+            CallKey::Chosen(key) => owner(&key_members(fleet, service), key).cloned(),
+            CallKey::Ticket(ticket) => Some(ticket.vm.clone()),
+        };
+        let vm = vm.filter(|vm| !tried.contains(vm)).ok_or(unreachable)?;
+        let pool = fleet.pool_of(&vm).filter(|pool| pool.service == *service);
+        pool.ok_or(Refusal::new(Reason::Key))?;
+        let incarnation = self.incarnations.get(&vm).ok_or(unreachable)?;
+        if let CallKey::Ticket(ticket) = key
+            && ticket.incarnation != *incarnation
+        {
+            return Err(Refusal::new(Reason::Key));
+        }
+        self.router.known().get(&vm).filter(|known| known.load.open).ok_or(unreachable)?;
+        Ok(vm)
+    }
+}
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of an entry process.
 
+mod keyed;
 mod request;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
@@ -45,6 +46,8 @@
         vm: VmId,
         /// Its address.
         addr: SocketAddr,
+        /// The incarnation of its process.
+        to: Incarnation,
         /// The time left until the deadline.
         left: Span,
     },
@@ -86,6 +89,7 @@
     chart: Arc<Chart<RequestState, RequestEvent>>,
     timers: Timers<Timer>,
     beating: BTreeMap<VmId, Time>,
+    incarnations: BTreeMap<VmId, Incarnation>,
     outputs: Vec<Output>,
     last: RequestId,
     rng: SmallRng,
@@ -103,6 +107,7 @@
             chart: Arc::new(chart()),
             timers: Timers::default(),
             beating: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
             outputs: vec![],
             last: RequestId::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -127,6 +132,7 @@
 
     /// Takes the state that a peer told.
     pub fn heard(&mut self, beat: Beat) {
+        self.incarnations.insert(beat.vm.clone(), beat.incarnation);
         if let Some(load) = beat.load {
             self.router.report(&beat.vm, load);
         }
@@ -214,7 +220,12 @@
 
     /// Returns the service that a request in progress asks for.
     pub fn service(&self, key: RequestKey) -> Option<&ServiceId> {
-        self.requests.get(key).map(|request| &request.arrival.service)
+        self.arrival(key).map(|arrival| &arrival.service)
+    }
+
+    /// Returns a request in progress as it came.
+    pub fn arrival(&self, key: RequestKey) -> Option<&Arrival> {
+        self.requests.get(key).map(|request| &request.arrival)
     }
 
     /// Returns what is known of the endpoints.
@@ -251,14 +262,20 @@
 
     fn choose(&mut self, now: Time, key: RequestKey) -> Result<Output, Refusal> {
         let fleet = self.fleet().ok_or(Refusal::after(Reason::Unconfigured, RETRY))?;
-        let request = self.requests.get_mut(key).ok_or(Refusal::new(Reason::Leaving))?;
+        let request = self.requests.get(key).ok_or(Refusal::new(Reason::Leaving))?;
         let left = request.left(now).ok_or(Refusal::new(Reason::Deadline))?;
         let service = &request.arrival.service;
-        let vm = self.router.choose(&fleet, service, &request.tried, &mut self.rng)?;
+        let vm = match &request.arrival.key {
+            Some(key) => self.choose_keyed(&fleet, service, key, &request.tried)?,
+            None => self.router.choose(&fleet, service, &request.tried, &mut self.rng)?,
+        };
         let addr = fleet.vms.get(&vm).map(|vm| vm.addr).ok_or(Refusal::new(Reason::NoEndpoint))?;
-        request.tried.push(vm.clone());
+        let to = self.incarnations.get(&vm).copied().unwrap_or_default();
+        if let Some(request) = self.requests.get_mut(key) {
+            request.tried.push(vm.clone());
+        }
         self.last = self.last.next();
-        Ok(Output::Send { request: key, id: self.last, vm, addr, left })
+        Ok(Output::Send { request: key, id: self.last, vm, addr, to, left })
     }
 
     fn refuse(&mut self, key: RequestKey, refusal: Refusal) {
--- a/crates/core/src/entry/request.rs
+++ b/crates/core/src/entry/request.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     chart::{Chart, Machine},
-    ids::{ClientId, Digest, OnceKey, ServiceId, VmId},
+    ids::{ClientId, Digest, ServiceId, VmId},
+    once::CallKey,
     time::Time,
     units::Span,
 };
@@ -21,8 +22,8 @@
     pub client: ClientId,
     /// The service.
     pub service: ServiceId,
-    /// The idempotency key.
-    pub key: Option<OnceKey>,
+    /// The key of a call that may not be repeated.
+    pub key: Option<CallKey>,
     /// The digest of what is asked, the same for each copy of the request.
     pub print: Digest,
     /// The time that the call may take.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod histogram;
 pub mod ids;
 pub mod member;
+pub mod once;
 pub mod peers;
 pub mod proto;
 pub mod refuse;
--- /dev/null
+++ b/crates/core/src/once/key.rs
@@ -0,0 +1,87 @@
+//! The names of calls that may not be repeated.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{BadId, Incarnation, OnceKey, VmId},
+    time::Time,
+};
+
+/// The parts of a ticket's text are parted by this.
+const MARK: char = ':';
+
+/// A ticket that one incarnation of an endpoint issued and only that incarnation runs.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct OnceTicket {
+    /// The endpoint VM.
+    pub vm: VmId,
+    /// The incarnation of the endpoint process.
+    pub incarnation: Incarnation,
+    /// The number of the ticket.
+    pub number: u64,
+}
+
+/// What names a call that may not be repeated.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum CallKey {
+    /// An idempotency key that the caller chose.
+    Chosen(OnceKey),
+    /// A ticket that an endpoint issued.
+    Ticket(OnceTicket),
+}
+
+impl fmt::Display for OnceTicket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}{MARK}{}{MARK}{}", self.vm, self.incarnation, self.number)
+    }
+}
+
+impl FromStr for OnceTicket {
+    type Err = BadId;
+
+    fn from_str(text: &str) -> Result<Self, BadId> {
+        let bad = || BadId { text: text.to_owned(), allowed: "a ticket such as vm-1:17:3" };
+        let mut parts = text.split(MARK);
+        let mut next = || parts.next().ok_or_else(bad);
+        let vm = next()?.parse()?;
+        let incarnation = next()?.parse()?;
+        let number = next()?.parse().map_err(|_| bad())?;
+        if parts.next().is_some() {
+            return Err(bad());
+        }
+        Ok(Self { vm, incarnation, number })
+    }
+}
+
+impl fmt::Display for CallKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Chosen(key) => write!(f, "{key}"),
+            Self::Ticket(ticket) => write!(f, "{ticket}"),
+        }
+    }
+}
+
+impl FromStr for CallKey {
+    type Err = BadId;
+
+    fn from_str(text: &str) -> Result<Self, BadId> {
+        if text.contains(MARK) {
+            return text.parse().map(Self::Ticket);
+        }
+        text.parse().map(Self::Chosen)
+    }
+}
+
+/// Returns the time at which a key of the form UUID version 7 was made, `None` for another key.
+pub(super) fn created(key: &OnceKey, epoch: Time) -> Option<Time> {
+    let parts: Vec<&str> = key.as_str().split('-').collect();
+    let lengths: Vec<usize> = parts.iter().map(|part| part.len()).collect();
+    if lengths != [8, 4, 4, 4, 12] || !parts[2].starts_with('7') {
+        return None;
+    }
+    let millis = u64::from_str_radix(&[parts[0], parts[1]].concat(), 16).ok()?;
+    Some(Time(millis.saturating_mul(1_000).saturating_sub(epoch.0)))
+}
--- a/crates/core/src/proto.rs
+++ b/crates/core/src/proto.rs
@@ -7,9 +7,8 @@
 
 use crate::{
     declare::Published,
-    ids::{
-        ClientId, Digest, Generation, Incarnation, OnceKey, RequestId, ServiceId, VersionId, VmId,
-    },
+    ids::{ClientId, Digest, Generation, Incarnation, RequestId, ServiceId, VersionId, VmId},
+    once::{CallKey, HandOver, OnceTicket},
     refuse::{Failure, Refusal},
     units::Span,
 };
@@ -32,6 +31,21 @@
     Chunk(Digest),
     /// Tell which chunks of this manifest are held.
     Have(Digest),
+    /// Tell which keys of the asking endpoint have run.
+    Keys(Box<KeysAsk>),
+    /// Issue a ticket for a call of this client account at this service.
+    Ticket(ClientId, ServiceId),
+}
+
+/// A question of the new owner of keys to an endpoint that may have run some of them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct KeysAsk {
+    /// The endpoint that asks.
+    pub vm: VmId,
+    /// The generation that it follows.
+    pub generation: Generation,
+    /// The endpoints that share the keys under that generation.
+    pub members: Vec<VmId>,
 }
 
 /// A request on its way to an endpoint.
@@ -41,6 +55,8 @@
     pub entry: VmId,
     /// The incarnation of the entry.
     pub incarnation: Incarnation,
+    /// The incarnation of the endpoint that the entry means.
+    pub to: Incarnation,
     /// The number of the request at the entry.
     pub id: RequestId,
     /// The client account.
@@ -51,8 +67,8 @@
     pub method: String,
     /// The path and query of a plain call.
     pub path: String,
-    /// The idempotency key.
-    pub key: Option<OnceKey>,
+    /// The key of a call that may not be repeated.
+    pub key: Option<CallKey>,
     /// The time left until the deadline.
     pub left: Span,
     /// The body.
@@ -106,6 +122,10 @@
     Chunk(Option<Bytes>),
     /// The bits of the chunks that the peer holds, first chunk lowest.
     Have(Vec<u8>),
+    /// The keys that the peer has run.
+    Keys(Box<HandOver>),
+    /// A ticket.
+    Ticket(OnceTicket),
 }
 
 /// The first part of an answer.
--- a/crates/core/src/refuse.rs
+++ b/crates/core/src/refuse.rs
@@ -34,6 +34,10 @@
     Version,
     /// The key may have run before, at another owner or incarnation.
     Key,
+    /// A call with this key is in progress.
+    Running,
+    /// A call with this key ran to its end and its answer is no longer held.
+    Ran,
 }
 
 impl Reason {
@@ -43,7 +47,7 @@
             Self::BadRequest => 400,
             Self::BadKey => 401,
             Self::UnknownService => 404,
-            Self::Key => 409,
+            Self::Key | Self::Ran | Self::Running => 409,
             Self::Suspect => 422,
             Self::Overload | Self::Share => 429,
             _ => 503,
@@ -66,6 +70,8 @@
             Self::UnknownService => "the service is not declared",
             Self::Version => "the endpoint does not hold the version",
             Self::Key => "the key may have been used before",
+            Self::Running => "a call with this key is in progress",
+            Self::Ran => "a call with this key ran to its end and its answer is no longer held",
         })
     }
 }
--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -41,7 +41,7 @@
 pub struct TimerId(Time, u64);
 
 /// The timer service: keeps subscriptions and hands out the keys that are due.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Timers<K> {
     queue: BTreeMap<TimerId, K>,
     count: u64,
--- a/crates/sequoiahold/src/endpoint/ask.rs
+++ b/crates/sequoiahold/src/endpoint/ask.rs
@@ -1,21 +1,26 @@
 //! The life of one request at an endpoint.
 
-use futures_util::StreamExt as _;
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt as _};
 use quinn::{RecvStream, SendStream};
 use sequoiahold_core::{
-    gate::Ticket,
+    endpoint::{Decision, Offered},
     ids::{Incarnation, VersionId},
+    once::{Answer, MAX_ANSWER, RunEnd},
     proto::{Ask, Reply, Started},
     refuse::{Failure, Reason, Refusal},
 };
 use tokio::sync::{mpsc, oneshot};
 
 use super::{
-    engine::Engine,
+    engine::{Engine, SendError},
     event::{Admit, Event},
 };
 use crate::net::write;
 
+/// The content type of an answer that names none.
+const BYTES: &str = "application/octet-stream";
+
 /// Runs requests that entries send.
 #[derive(Clone)]
 pub struct Asks {
@@ -30,80 +35,175 @@
 impl Asks {
     /// Runs one request and writes its answer.
     pub async fn run(&self, ask: Ask, mut send: SendStream, _recv: RecvStream) {
-        let ticket: Ticket = (ask.entry.clone(), ask.incarnation, ask.id);
-        match self.admit(&ticket, &ask).await {
-            Ok(version) => {
-                let guard = Running { ticket, events: self.events.clone() };
-                self.hand_over(&ask, version, &mut send).await;
-                drop(guard);
+        let offered = Offered {
+            ticket: (ask.entry.clone(), ask.incarnation, ask.id),
+            to: ask.to,
+            client: ask.client.clone(),
+            service: ask.service.clone(),
+            key: ask.key.clone(),
+        };
+        match self.admit(&offered).await {
+            Decision::Run(version) => {
+                let running = Running::new(offered, self.events.clone());
+                Run { asks: self, ask: &ask, version, running }.hand_over(&mut send).await;
+            }
+            Decision::Replay(answer) => self.replay(answer, &mut send).await,
+            Decision::Refuse(refusal) => {
+                drop(write(&mut send, &Reply::Refused(refusal)).await);
             }
-            Err(refusal) => drop(write(&mut send, &Reply::Refused(refusal)).await),
+            Decision::Fail(failure) => drop(write(&mut send, &Reply::Failed(failure)).await),
+            Decision::Drop => {}
         }
         let _ = send.finish();
     }
 
-    async fn admit(&self, ticket: &Ticket, ask: &Ask) -> Result<Option<VersionId>, Refusal> {
+    async fn admit(&self, offered: &Offered) -> Decision {
         let (reply, decision) = oneshot::channel();
-        let admit = Admit { ticket: ticket.clone(), service: ask.service.clone(), reply };
-        let _ = self.events.send(Event::Admit(admit));
-        decision.await.unwrap_or(Err(Refusal::new(Reason::Leaving)))
+        let _ = self.events.send(Event::Admit(Admit { offered: offered.clone(), reply }));
+        decision.await.unwrap_or(Decision::Refuse(Refusal::new(Reason::Leaving)))
+    }
+
+    async fn replay(&self, answer: Answer, send: &mut SendStream) {
+        let (status, content) = (answer.status, answer.content);
+        let incarnation = self.incarnation;
+        let started = Started { status, content, version: None, incarnation };
+        let part = Reply::Part(0, answer.body.unwrap_or_default());
+        for reply in [Reply::Started(started), part, Reply::End(1)] {
+            if write(send, &reply).await.is_err() {
+                return;
+            }
+        }
     }
+}
+
+/// A request that has passed the gate.
+struct Run<'a> {
+    asks: &'a Asks,
+    ask: &'a Ask,
+    version: Option<VersionId>,
+    running: Running,
+}
 
-    async fn hand_over(&self, ask: &Ask, version: Option<VersionId>, send: &mut SendStream) {
-        let id = format!("{}.{}.{}", ask.entry, ask.incarnation, ask.id);
-        let key = ask.key.as_ref().map(|key| key.as_str());
-        let sent = self.engine.send(&ask.method, &ask.path, &id, key, ask.body.clone());
-        let answer = actix_rt::time::timeout(ask.left.into(), sent).await;
-        let Ok(Ok(mut response)) = answer else {
-            let _ = write(send, &Reply::Failed(Failure::Unknown)).await;
-            return;
+impl Run<'_> {
+    /// Hands the request to the engine or service and forwards its answer.
+    async fn hand_over(mut self, send: &mut SendStream) {
+        let id = self.id();
+        let key = self.ask.key.as_ref().map(ToString::to_string);
+        let (method, path, body) = (&self.ask.method, &self.ask.path, self.ask.body.clone());
+        let sent = self.asks.engine.send(method, path, &id, key.as_deref(), body);
+        let sent = actix_rt::time::timeout(self.ask.left.into(), sent);
+        let stays = !self.stops_with_caller();
+        let answer = tokio::select! {
+            answer = sent => answer,
+            _ = send.stopped(), if !stays => return self.cancel().await,
+        };
+        let response = match answer {
+            Ok(Ok(response)) => response,
+            Ok(Err(SendError::NotSent)) => {
+                self.running.end = RunEnd::NotRun;
+                let refusal = Refusal::after(Reason::NoEndpoint, super::RETRY);
+                return drop(write(send, &Reply::Refused(refusal)).await);
+            }
+            Ok(Err(SendError::Unknown)) | Err(_) => {
+                let failure = self.failure().await;
+                return drop(write(send, &Reply::Failed(failure)).await);
+            }
         };
         let content = response.headers().get("content-type").and_then(|v| v.to_str().ok());
         let started = Started {
             status: response.status().as_u16(),
-            content: content.unwrap_or("application/octet-stream").to_owned(),
-            version,
-            incarnation: self.incarnation,
+            content: content.unwrap_or(BYTES).to_owned(),
+            version: self.version.clone(),
+            incarnation: self.asks.incarnation,
         };
-        if write(send, &Reply::Started(started)).await.is_err() {
-            self.engine.cancel(&id).await;
-            return;
-        }
+        self.forward(started, response, send).await;
+    }
+
+    /// Forwards the parts of an answer and keeps it for repeats of its key.
+    async fn forward<E>(
+        mut self,
+        started: Started,
+        mut response: impl Stream<Item = Result<Bytes, E>> + Unpin,
+        send: &mut SendStream,
+    ) {
+        let (status, content) = (started.status, started.content.clone());
+        let mut heard = write(send, &Reply::Started(started)).await.is_ok();
+        let mut kept = BytesMut::new();
+        let mut whole = true;
         let mut count = 0;
-        loop {
+        while heard || !self.stops_with_caller() {
             let part = tokio::select! {
                 part = response.next() => part,
-                _ = send.stopped() => {
-                    self.engine.cancel(&id).await;
-                    return;
+                _ = send.stopped(), if heard => {
+                    heard = false;
+                    continue;
                 }
             };
             let reply = match part {
-                Some(Ok(data)) => Reply::Part(count, data),
-                Some(Err(_)) => Reply::Failed(Failure::Unknown),
-                None => Reply::End(count),
+                Some(Ok(data)) => {
+                    whole &= kept.len() + data.len() <= MAX_ANSWER;
+                    if whole && self.ask.key.is_some() {
+                        kept.extend_from_slice(&data);
+                    }
+                    Reply::Part(count, data)
+                }
+                Some(Err(_)) => Reply::Failed(self.failure().await),
+                None => {
+                    let body = whole.then(|| kept.split().freeze());
+                    let content = content.clone();
+                    self.running.end = RunEnd::Answered(Answer { status, content, body });
+                    Reply::End(count)
+                }
             };
             let last = !matches!(reply, Reply::Part(..));
-            if write(send, &reply).await.is_err() {
-                self.engine.cancel(&id).await;
-                return;
-            }
+            heard = heard && write(send, &reply).await.is_ok();
             if last {
                 return;
             }
             count += 1;
         }
+        self.cancel().await;
+    }
+
+    fn id(&self) -> String {
+        format!("{}.{}.{}", self.ask.entry, self.ask.incarnation, self.ask.id)
+    }
+
+    /// Returns whether the run is of no use once its caller has gone.
+    fn stops_with_caller(&self) -> bool {
+        self.version.is_some()
+    }
+
+    async fn cancel(&self) {
+        if self.version.is_some() {
+            self.asks.engine.cancel(&self.id()).await;
+        }
+    }
+
+    /// Returns how a request ended whose answer broke off.
+    async fn failure(&self) -> Failure {
+        if self.version.is_some() && self.asks.engine.cancel(&self.id()).await {
+            return Failure::Cancelled;
+        }
+        Failure::Unknown
     }
 }
 
-/// Tells the event loop that a request has ended, however its task ends.
+/// Tells the event loop how a request has ended, however its task ends.
 struct Running {
-    ticket: Ticket,
+    offered: Offered,
+    end: RunEnd,
     events: mpsc::UnboundedSender<Event>,
 }
 
+impl Running {
+    fn new(offered: Offered, events: mpsc::UnboundedSender<Event>) -> Self {
+        Self { offered, end: RunEnd::Unknown, events }
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
-        let _ = self.events.send(Event::Finish(self.ticket.clone()));
+        let _ = self.events.send(Event::Ended(self.offered.clone(), self.end.clone()));
     }
 }
--- a/crates/sequoiahold/src/endpoint/engine.rs
+++ b/crates/sequoiahold/src/endpoint/engine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use anyhow::{anyhow, bail};
-use awc::Client;
+use awc::{Client, error::SendRequestError};
 use bytes::Bytes;
 use sequoiahold_core::{
     endpoint::EngineState,
@@ -29,6 +29,15 @@
     fence: Fence,
 }
 
+/// Why a request has no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendError {
+    /// No byte of it left this process.
+    NotSent,
+    /// It may have reached the engine or service.
+    Unknown,
+}
+
 /// Talks to the engine over HTTP.
 #[derive(Clone)]
 pub struct Engine {
@@ -79,12 +88,13 @@
         id: &str,
         key: Option<&str>,
         body: Bytes,
-    ) -> anyhow::Result<
+    ) -> Result<
         awc::ClientResponse<
             impl Unpin + futures_util::Stream<Item = Result<Bytes, awc::error::PayloadError>> + use<>,
         >,
+        SendError,
     > {
-        let method = method.parse().map_err(|_| anyhow!("method {method:?}"))?;
+        let method = method.parse().map_err(|_| SendError::NotSent)?;
         let mut request = self
             .client
             .request(method, format!("{}{path}", self.url))
@@ -93,7 +103,10 @@
         if let Some(key) = key {
             request = request.insert_header(("idempotency-key", key));
         }
-        request.send_body(body).await.map_err(|e| anyhow!("engine: {e}"))
+        request.send_body(body).await.map_err(|error| match error {
+            SendRequestError::Url(_) | SendRequestError::Connect(_) => SendError::NotSent,
+            _ => SendError::Unknown,
+        })
     }
 
     /// Cancels a request and returns whether the engine confirmed its end.
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -5,11 +5,11 @@
 use bytes::Bytes;
 use sequoiahold_core::{
     declare::Published,
-    endpoint::EngineState,
-    gate::Ticket,
-    ids::{Digest, Generation, ServiceId, VersionId, VmId},
+    endpoint::{Decision, EngineState, Offered},
+    ids::{ClientId, Digest, Generation, ServiceId, VersionId, VmId},
     member::VmState,
-    proto::Beat,
+    once::{HandOver, OnceTicket, RunEnd},
+    proto::{Beat, KeysAsk},
     refuse::Refusal,
     weights::Manifest,
 };
@@ -29,7 +29,13 @@
     /// A request asks to pass the gate.
     Admit(Admit),
     /// A request that passed has ended.
-    Finish(Ticket),
+    Ended(Offered, RunEnd),
+    /// Another endpoint handed over keys.
+    Keys(VmId, HandOver),
+    /// Another endpoint asks for its keys.
+    TellKeys(Box<KeysAsk>, oneshot::Sender<HandOver>),
+    /// A ticket is asked for.
+    Ticket(ClientId, ServiceId, oneshot::Sender<Result<OnceTicket, Refusal>>),
     /// The manifest of a version was read, or could not be.
     Manifest(VersionId, Option<Manifest>),
     /// A draw has ended with a chunk, or without.
@@ -54,9 +60,7 @@
 #[derive(Debug)]
 pub struct Admit {
     /// The request.
-    pub ticket: Ticket,
-    /// The service that it asks for.
-    pub service: ServiceId,
-    /// Takes the decision: the version that answers, or a refusal.
-    pub reply: oneshot::Sender<Result<Option<VersionId>, Refusal>>,
+    pub offered: Offered,
+    /// Takes the decision.
+    pub reply: oneshot::Sender<Decision>,
 }
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -1,13 +1,16 @@
 //! The endpoint's event loop: owns the state and does what the decisions ask for.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use sequoiahold_core::{
     adopt::{Adoption, InForce},
     declare::Published,
-    endpoint::{Endpoint, Identity, Output, Place},
-    ids::{Digest, Fence, VersionId},
+    endpoint::{Decision, Endpoint, Identity, Output, Place},
+    ids::{Digest, Fence, VersionId, VmId},
+    once::RunEnd,
+    proto::{Call, KeysAsk, Reply},
+    time::Time,
     weights::{Manifest, TransferOutcome},
 };
 use tokio::sync::{mpsc, watch};
@@ -18,7 +21,16 @@
     event::{Admit, Event},
     store::Store,
 };
-use crate::{clock::Clock, metrics::Metrics, net::Links, settings, status::Status};
+use crate::{
+    clock::Clock,
+    metrics::Metrics,
+    net::{Links, call},
+    settings,
+    status::Status,
+};
+
+/// Time that a question for keys may take.
+const KEYS: Duration = Duration::from_secs(2);
 
 /// What the event loop works with.
 pub struct Parts {
@@ -53,6 +65,7 @@
         let own = Identity {
             vm: settings.vm.clone(),
             incarnation: parts.clock.incarnation(),
+            epoch: Time(parts.clock.incarnation().0),
             look: settings.look,
             draws: settings.weights.draws,
         };
@@ -83,7 +96,12 @@
             Event::Vms(list) => self.endpoint.list(&list),
             Event::Engine(state) => self.endpoint.engine(now, state),
             Event::Admit(admit) => self.on_admit(admit),
-            Event::Finish(ticket) => self.endpoint.finished(&ticket),
+            Event::Ended(call, end) => self.endpoint.ended(now, &call, end),
+            Event::Keys(vm, given) => self.endpoint.take_over(now, &vm, given),
+            Event::TellKeys(ask, reply) => drop(reply.send(self.endpoint.hand_over(now, &ask))),
+            Event::Ticket(client, service, reply) => {
+                drop(reply.send(self.endpoint.issue(now, &client, &service)));
+            }
             Event::Manifest(version, manifest) => self.on_manifest(&version, manifest),
             Event::Drawn(digest, data) => self.on_drawn(digest, data),
             Event::Have(peer, bits) => self.endpoint.have(now, &peer, &bits),
@@ -110,10 +128,11 @@
     }
 
     fn on_admit(&mut self, admit: Admit) {
-        let decision = self.endpoint.ask(admit.ticket.clone(), &admit.service);
-        let passed = decision.is_ok();
+        let now = self.parts.clock.now();
+        let decision = self.endpoint.decide(now, &admit.offered);
+        let passed = matches!(decision, Decision::Run(_));
         if admit.reply.send(decision).is_err() && passed {
-            self.endpoint.finished(&admit.ticket);
+            self.endpoint.ended(now, &admit.offered, RunEnd::NotRun);
         }
     }
 
@@ -152,12 +171,27 @@
                         }
                     });
                 }
+                Output::AskKeys(vm, addr, ask) => self.ask_keys(vm, addr, ask),
                 Output::Draw(digest, place) => self.draw(digest, place),
                 Output::Load(version, manifest, fence) => self.load(version, manifest, fence),
             }
         }
     }
 
+    fn ask_keys(&self, vm: VmId, addr: SocketAddr, ask: Box<KeysAsk>) {
+        let (links, events) = (self.parts.links.clone(), self.parts.events.clone());
+        actix_rt::spawn(async move {
+            let asked = async {
+                let connection = links.get(&vm, addr).await?;
+                call(&connection, &Call::Keys(ask)).await
+            };
+            match actix_rt::time::timeout(KEYS, asked).await {
+                Ok(Ok(Reply::Keys(given))) => drop(events.send(Event::Keys(vm, *given))),
+                _ => links.close(&vm),
+            }
+        });
+    }
+
     fn look(&self) {
         let (engine, events) = (self.parts.engine.clone(), self.parts.events.clone());
         actix_rt::spawn(async move {
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -11,6 +11,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_rt::signal::unix::{SignalKind, signal};
+use sequoiahold_core::units::Span;
 use tokio::sync::{mpsc, oneshot, watch};
 
 pub use self::event::Event;
@@ -23,6 +24,8 @@
     reader, settings, status,
 };
 
+/// The time after which a refused caller may come back when no better figure is known.
+const RETRY: Span = Span::secs(1);
 /// Time that a graceful shutdown may take at the most.
 const DRAIN: Duration = Duration::from_secs(120);
 /// Pause between two looks at the requests in progress during a shutdown.
--- a/crates/sequoiahold/src/endpoint/peers.rs
+++ b/crates/sequoiahold/src/endpoint/peers.rs
@@ -25,6 +25,14 @@
             Call::Beat(_) => self.query(Event::Tell).await.map(|beat| Reply::Beat(Box::new(beat))),
             Call::Set(above) => self.query(|reply| Event::Set(above, reply)).await.map(Reply::Set),
             Call::Chunk(digest) => Some(Reply::Chunk(self.store.get(&digest))),
+            Call::Keys(ask) => {
+                let given = self.query(|reply| Event::TellKeys(ask, reply)).await;
+                given.map(|given| Reply::Keys(Box::new(given)))
+            }
+            Call::Ticket(client, service) => {
+                let issued = self.query(|reply| Event::Ticket(client, service, reply)).await;
+                issued.map(|issued| issued.map_or_else(Reply::Refused, Reply::Ticket))
+            }
             Call::Have(manifest) => {
                 self.query(|reply| Event::TellHave(manifest, reply)).await.map(Reply::Have)
             }
--- a/crates/sequoiahold/src/entry/event.rs
+++ b/crates/sequoiahold/src/entry/event.rs
@@ -5,7 +5,7 @@
 use sequoiahold_core::{
     declare::Published,
     entry::{Arrival, RequestKey},
-    ids::{Generation, RequestId, VmId},
+    ids::{Generation, Incarnation, RequestId, ServiceId, VmId},
     member::VmState,
     proto::Beat,
     refuse::{Failure, Refusal},
@@ -42,6 +42,8 @@
     Set(Generation, oneshot::Sender<Option<Arc<Published>>>),
     /// A peer asks for this process's state.
     Tell(oneshot::Sender<Beat>),
+    /// An endpoint that may issue a ticket for a service is asked for.
+    Issuer(ServiceId, oneshot::Sender<Result<(VmId, SocketAddr), Refusal>>),
     /// The status is asked for.
     Status(oneshot::Sender<Status>),
 }
@@ -68,6 +70,8 @@
     pub vm: VmId,
     /// Its address.
     pub addr: SocketAddr,
+    /// The incarnation of its process.
+    pub to: Incarnation,
     /// The time left until the deadline.
     pub left: Span,
 }
--- a/crates/sequoiahold/src/entry/event_loop.rs
+++ b/crates/sequoiahold/src/entry/event_loop.rs
@@ -100,6 +100,7 @@
             }
             Event::Set(above, reply) => drop(reply.send(self.entry.newer(above))),
             Event::Tell(reply) => drop(reply.send(self.entry.beat())),
+            Event::Issuer(service, reply) => drop(reply.send(self.entry.issuer(&service))),
             Event::Status(reply) => drop(reply.send(self.status())),
         }
     }
@@ -121,8 +122,8 @@
     fn perform(&mut self) {
         for output in self.entry.outputs() {
             match output {
-                Output::Send { request, id, vm, addr, left } => {
-                    self.step(request, Step::Send(Send { request, id, vm, addr, left }));
+                Output::Send { request, id, vm, addr, to, left } => {
+                    self.step(request, Step::Send(Send { request, id, vm, addr, to, left }));
                 }
                 Output::Refuse(key, refusal) => {
                     self.metrics.count("requests.refused");
--- a/crates/sequoiahold/src/entry/peers.rs
+++ b/crates/sequoiahold/src/entry/peers.rs
@@ -28,7 +28,9 @@
                 let _ = self.events.send(Event::Set(above, tx));
                 rx.await.ok().map(Reply::Set)
             }
-            Call::Ask(_) | Call::Chunk(_) | Call::Have(_) => None,
+            Call::Ask(_) | Call::Chunk(_) | Call::Have(_) | Call::Keys(_) | Call::Ticket(..) => {
+                None
+            }
         };
         if let Some(reply) = reply {
             let _ = write(&mut send, &reply).await;
--- a/crates/sequoiahold/src/entry/problem.rs
+++ b/crates/sequoiahold/src/entry/problem.rs
@@ -5,19 +5,23 @@
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
 use bytes::Bytes;
-use sequoiahold_core::refuse::{Failure, Refusal};
+use sequoiahold_core::{
+    once::OnceTicket,
+    refuse::{Failure, Refusal},
+};
 use serde_json::json;
 
 use super::body::Body;
 
-/// Returns the answer for a request that did not run.
-pub fn refused(refusal: Refusal) -> Response<Body> {
+/// Returns the answer for a refused request; with a key, an earlier call may have run.
+pub fn refused(refusal: Refusal, keyed: bool) -> Response<Body> {
     let detail = json!({
         "type": "about:blank",
         "title": refusal.reason.to_string(),
         "reason": refusal.reason,
         "status": refusal.reason.status(),
-        "not_run": true,
+        "not_run": !keyed,
+        "outcome": if keyed { "unknown" } else { "not_run" },
         "retry_after_ms": refusal.retry.map(|span| span.0 / 1_000),
     });
     let mut response = problem(refusal.reason.status(), &detail);
@@ -44,6 +48,15 @@
     problem(502, &detail)
 }
 
+/// Returns the answer that carries a ticket.
+pub fn ticket(ticket: OnceTicket) -> Response<Body> {
+    let body = json!({ "ticket": ticket.to_string() }).to_string();
+    let mut response = Response::with_body(StatusCode::CREATED, Body::Whole(Bytes::from(body)));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
 fn problem(status: u16, detail: &serde_json::Value) -> Response<Body> {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
     let body = Bytes::from(detail.to_string());
--- a/crates/sequoiahold/src/entry/request.rs
+++ b/crates/sequoiahold/src/entry/request.rs
@@ -1,5 +1,7 @@
 //! The life of one request at an entry.
 
+use std::{net::SocketAddr, time::Duration};
+
 use actix_http::{
     Response, StatusCode,
     header::{CONTENT_TYPE, HeaderValue},
@@ -8,12 +10,13 @@
 use quinn::{RecvStream, SendStream};
 use sequoiahold_core::{
     entry::{Arrival, RequestKey},
-    ids::{Incarnation, VmId},
+    ids::{ClientId, Incarnation, ServiceId, VmId},
+    once::OnceTicket,
     proto::{Ask, Call, Reply, Started},
     refuse::{Failure, Reason, Refusal},
     units::Span,
 };
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use super::{
     body::{Body, Part},
@@ -24,9 +27,11 @@
 };
 use crate::{
     metrics::Metrics,
-    net::{Links, read, write},
+    net::{Links, call, read, write},
 };
 
+/// Time that the issue of a ticket may take.
+const ISSUE: Duration = Duration::from_secs(2);
 /// Parts of an answer that wait for a slow caller.
 const PARTS: usize = 32;
 
@@ -70,10 +75,11 @@
         let (steps, mut life) = mpsc::unbounded_channel();
         let watch = Stopwatch::start(&self.metrics, &incoming.arrival.client);
         self.tell(Event::Arrive(incoming.arrival.clone(), steps));
+        let keyed = incoming.arrival.key.is_some();
         while let Some(step) = life.recv().await {
             let send = match step {
                 Step::Send(send) => send,
-                Step::Refuse(refusal) => return problem::refused(refusal),
+                Step::Refuse(refusal) => return problem::refused(refusal, keyed),
                 Step::Fail(failure) => return problem::failed(failure),
             };
             let departure = Departure { request: send.request, requests: self, armed: true };
@@ -90,13 +96,38 @@
                 Offer::Failed(failure) => self.tell(Event::Failed(send.request, failure)),
             }
         }
-        problem::refused(Refusal::new(Reason::Leaving))
+        problem::refused(Refusal::new(Reason::Leaving), keyed)
+    }
+
+    /// Has an endpoint issue a ticket that it alone will run.
+    pub async fn ticket(&self, client: ClientId, service: ServiceId) -> Response<Body> {
+        let (reply, issuer) = oneshot::channel();
+        self.tell(Event::Issuer(service.clone(), reply));
+        let issuer = issuer.await.unwrap_or(Err(Refusal::new(Reason::Leaving)));
+        let issued = match issuer {
+            Ok((vm, addr)) => self.issue(&vm, addr, Call::Ticket(client, service)).await,
+            Err(refusal) => Err(refusal),
+        };
+        issued.map_or_else(|refusal| problem::refused(refusal, false), problem::ticket)
+    }
+
+    async fn issue(&self, vm: &VmId, addr: SocketAddr, ask: Call) -> Result<OnceTicket, Refusal> {
+        let asked = async {
+            let connection = self.links.get(vm, addr).await?;
+            call(&connection, &ask).await
+        };
+        match actix_rt::time::timeout(ISSUE, asked).await {
+            Ok(Ok(Reply::Ticket(ticket))) => Ok(ticket),
+            Ok(Ok(Reply::Refused(refusal))) => Err(refusal),
+            _ => Err(Refusal::after(Reason::NoEndpoint, Span::secs(1))),
+        }
     }
 
     async fn offer(&self, incoming: &Incoming, to: &Send) -> Offer {
         let unreachable = Offer::Refused(Refusal::after(Reason::NoEndpoint, Span::secs(1)));
         let Ok(connection) = self.links.get(&to.vm, to.addr).await else { return unreachable };
-        let Ok((mut send, mut recv)) = connection.open_bi().await else { return unreachable };
+        let opened = actix_rt::time::timeout(to.left.into(), connection.open_bi()).await;
+        let Ok(Ok((mut send, mut recv))) = opened else { return unreachable };
         let ask = Call::Ask(Box::new(self.ask(incoming, to)));
         let exchange = async {
             write(&mut send, &ask).await?;
@@ -114,6 +145,7 @@
         Ask {
             entry: self.vm.clone(),
             incarnation: self.incarnation,
+            to: to.to,
             id: to.id,
             client: incoming.arrival.client.clone(),
             service: incoming.arrival.service.clone(),
--- a/crates/sequoiahold/src/entry/server.rs
+++ b/crates/sequoiahold/src/entry/server.rs
@@ -9,7 +9,8 @@
     adopt::InForce,
     declare::Fleet,
     entry::Arrival,
-    ids::{Digest, OnceKey, ServiceId},
+    ids::{ClientId, Digest, ServiceId},
+    once::CallKey,
     refuse::{Reason, Refusal},
     units::Span,
 };
@@ -27,9 +28,17 @@
 const CHAT: &str = "/v1/chat/completions";
 /// Prefix of the paths of plain services.
 const SERVICES: &str = "/services/";
+/// Prefix of the paths at which tickets are issued.
+const TICKETS: &str = "/tickets/";
 /// Header that carries the idempotency key.
 const KEY: &str = "idempotency-key";
 
+/// What a caller wishes.
+enum Wish {
+    Run(Incoming),
+    Ticket(ClientId, ServiceId),
+}
+
 /// Takes callers.
 #[derive(Clone)]
 pub struct Server {
@@ -84,9 +93,11 @@
 
     async fn handle(self, request: Request) -> Response<Body> {
         let guard = Active::new(&self.active);
-        let mut response = match self.incoming(request).await {
-            Ok(incoming) => self.requests.run(incoming, guard).await,
-            Err(refusal) => problem::refused(refusal),
+        let keyed = request.headers().contains_key(KEY);
+        let mut response = match self.wish(request).await {
+            Ok(Wish::Run(incoming)) => self.requests.run(incoming, guard).await,
+            Ok(Wish::Ticket(client, service)) => self.requests.ticket(client, service).await,
+            Err(refusal) => problem::refused(refusal, keyed),
         };
         if self.draining.get() {
             response.head_mut().set_connection_type(ConnectionType::Close);
@@ -94,10 +105,16 @@
         response
     }
 
-    async fn incoming(&self, mut request: Request) -> Result<Incoming, Refusal> {
+    async fn wish(&self, mut request: Request) -> Result<Wish, Refusal> {
         let fleet = self.config.borrow().as_ref().map(|now| now.fleet.clone());
         let fleet = fleet.ok_or(Refusal::after(Reason::Unconfigured, Span::secs(1)))?;
         let client = client(&fleet, &request)?;
+        if let Some(service) = request.path().strip_prefix(TICKETS) {
+            let service = service.parse().map_err(|_| Refusal::new(Reason::BadRequest))?;
+            let known = Some(&service).filter(|service| client.services.contains(service));
+            known.ok_or(Refusal::new(Reason::UnknownService))?;
+            return Ok(Wish::Ticket(client.name.clone(), service));
+        }
         let body = self.body(&mut request).await?;
         let (service, path) = target(&request, &body)?;
         let declared = fleet.services.get(&service).ok_or(Refusal::new(Reason::UnknownService))?;
@@ -107,11 +124,11 @@
         let arrival = Arrival {
             client: client.name.clone(),
             service,
-            key: key(&request)?,
+            key: key(&request)?.filter(|_| !declared.repeatable),
             print: Digest::of(&[path.as_bytes(), b"\n", &body].concat()),
             timeout: declared.timeout,
         };
-        Ok(Incoming { arrival, method: request.method().to_string(), path, body })
+        Ok(Wish::Run(Incoming { arrival, method: request.method().to_string(), path, body }))
     }
 
     async fn body(&self, request: &mut Request) -> Result<Bytes, Refusal> {
@@ -180,7 +197,7 @@
     Ok((service, path))
 }
 
-fn key(request: &Request) -> Result<Option<OnceKey>, Refusal> {
+fn key(request: &Request) -> Result<Option<CallKey>, Refusal> {
     let Some(value) = request.headers().get(KEY) else { return Ok(None) };
     let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
     parsed.map(Some).ok_or(Refusal::new(Reason::BadRequest))
--- a/crates/standins/src/driver/calls.rs
+++ b/crates/standins/src/driver/calls.rs
@@ -2,6 +2,7 @@
 
 use sequoiahold_core::{
     ids::VersionId,
+    once::CallKey,
     refuse::{Failure, Reason},
     time::Time,
     units::Span,
@@ -18,6 +19,8 @@
     Answered(Option<VersionId>),
     /// A refusal that says the call did not run.
     Refused(Reason, Option<Span>),
+    /// A refusal of a call with a key that does not say whether the key ran.
+    Unsaid(Reason),
     /// An answer that says the call was handed over and failed.
     Failed(Failure),
 }
@@ -25,6 +28,8 @@
 /// A call and what became of it.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
+    /// The key of a call that may not be repeated.
+    pub key: Option<CallKey>,
     /// When it was made.
     pub at: Time,
     /// When its answer began.
--- a/crates/standins/src/driver/deliver.rs
+++ b/crates/standins/src/driver/deliver.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use sequoiahold_core::{
+    endpoint::Decision,
     entry::RequestKey,
     gate::Ticket,
     ids::{Digest, Fence, VersionId, VmId},
+    once::{Answer, RunEnd},
     refuse::Failure,
     time::Time,
     units::Span,
@@ -49,6 +51,15 @@
             Message::Started(key) => self.started(to, key),
             Message::Ended(key, version) => self.ended(to, key, version),
             Message::Failed(key, failure) => self.failed(to, key, failure),
+            Message::AskKeys(ask) => {
+                let now = self.now;
+                let Some(node) = self.endpoints.get_mut(to) else { return };
+                let given = node.core.hand_over(now, &ask);
+                self.send(to, from, Message::Keys(given));
+            }
+            Message::Keys(given) => {
+                self.on_endpoint(to, |core, now| core.take_over(now, from, given));
+            }
             Message::AskHave(manifest) => {
                 let bits = self.have(to, manifest);
                 self.send(to, from, Message::Have(bits));
@@ -63,12 +74,23 @@
     }
 
     fn asked(&mut self, from: &VmId, to: &VmId, ask: Ask) {
-        let Ask { call, request, ticket, service, .. } = ask;
+        let Ask { call, request, offered, .. } = ask;
+        let now = self.now;
         let Some(node) = self.endpoints.get_mut(to) else { return };
-        if let Err(refusal) = node.core.ask(ticket.clone(), &service) {
-            return self.send(to, from, Message::Refused(request, refusal));
+        match node.core.decide(now, &offered) {
+            Decision::Run(_) => {}
+            Decision::Replay(_) => return self.send(to, from, Message::Ended(request, None)),
+            Decision::Refuse(refusal) => {
+                return self.send(to, from, Message::Refused(request, refusal));
+            }
+            Decision::Fail(failure) => {
+                return self.send(to, from, Message::Failed(request, failure));
+            }
+            Decision::Drop => return,
         }
-        self.calls[call.0].runs += 1;
+        let ticket = offered.ticket.clone();
+        node.open.insert(ticket.clone(), offered);
+        self.count_run(call);
         let poison = self.engines[to].poison.contains(&call);
         let began = self.engines.get_mut(to).is_some_and(|e| e.begin(ticket.clone(), call));
         if poison && let Some(engine) = self.engines.get_mut(to) {
@@ -91,6 +113,7 @@
     }
 
     pub(super) fn done(&mut self, vm: &VmId, ticket: &Ticket, key: RequestKey, incarnation: u64) {
+        let now = self.now;
         let Some(engine) = self.engines.get_mut(vm) else { return };
         let whole = engine.incarnation == incarnation;
         let run = engine.running.remove(ticket).filter(|_| whole);
@@ -98,7 +121,17 @@
             engine.finished += 1;
         }
         let Some(node) = self.endpoints.get_mut(vm) else { return };
-        node.core.finished(ticket);
+        let end = match &run {
+            Some(_) => RunEnd::Answered(Answer {
+                status: 200,
+                content: String::new(),
+                body: Some(vec![].into()),
+            }),
+            None => RunEnd::Unknown,
+        };
+        if let Some(offered) = node.open.remove(ticket) {
+            node.core.ended(now, &offered, end);
+        }
         let message = match run {
             Some((_, version)) => Message::Ended(key, version),
             None => Message::Failed(key, Failure::Unknown),
--- a/crates/standins/src/driver/message.rs
+++ b/crates/standins/src/driver/message.rs
@@ -1,10 +1,11 @@
 //! Messages between driven processes.
 
 use sequoiahold_core::{
+    endpoint::Offered,
     entry::RequestKey,
-    gate::Ticket,
-    ids::{Digest, ServiceId, VersionId},
-    proto::Beat,
+    ids::{Digest, VersionId},
+    once::HandOver,
+    proto::{Beat, KeysAsk},
     refuse::{Failure, Refusal},
     units::Span,
 };
@@ -18,10 +19,8 @@
     pub call: CallId,
     /// The key at the entry.
     pub request: RequestKey,
-    /// The request at the endpoint.
-    pub ticket: Ticket,
-    /// The service.
-    pub service: ServiceId,
+    /// The call at the endpoint.
+    pub offered: Offered,
     /// The time left.
     pub left: Span,
 }
@@ -43,6 +42,10 @@
     Ended(RequestKey, Option<VersionId>),
     /// A request was handed over and failed.
     Failed(RequestKey, Failure),
+    /// A question for the keys that an endpoint has run.
+    AskKeys(Box<KeysAsk>),
+    /// The keys that an endpoint has run.
+    Keys(HandOver),
     /// A question for the chunks of a manifest that are held.
     AskHave(Digest),
     /// The chunks that are held, as bits.
--- a/crates/standins/src/driver/mod.rs
+++ b/crates/standins/src/driver/mod.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod fleet;
 mod message;
+mod once;
 mod perform;
 mod world;
 
@@ -13,5 +14,6 @@
     engine::FakeEngine,
     fleet::Shape,
     message::Message,
+    once::Keys,
     world::World,
 };
--- a/crates/standins/src/driver/perform.rs
+++ b/crates/standins/src/driver/perform.rs
@@ -1,7 +1,7 @@
 //! What driven processes do with the outputs of their decisions.
 
 use sequoiahold_core::{
-    endpoint::{self, Place},
+    endpoint::{self, Offered, Place},
     entry::{self, RequestKey},
     ids::{Digest, VmId},
     refuse::Failure,
@@ -39,19 +39,33 @@
 
     fn perform_entry(&mut self, vm: &VmId, output: entry::Output) {
         match output {
-            entry::Output::Send { request, id, vm: to, left, .. } => {
+            entry::Output::Send { request, id, vm: to, to: incarnation, left, .. } => {
                 let Some(node) = self.entries.get_mut(vm) else { return };
                 let Some((call, at)) = node.calls.get_mut(&request) else { return };
                 *at = Some(to.clone());
                 let call = *call;
-                let incarnation = node.core.beat().incarnation;
-                let ticket = (vm.clone(), incarnation, id);
-                let service = node.core.service(request).cloned();
-                let Some(service) = service else { return };
-                self.send(vm, &to, Message::Ask(Ask { call, request, ticket, service, left }));
+                let ticket = (vm.clone(), node.core.beat().incarnation, id);
+                let Some(arrival) = node.core.arrival(request) else { return };
+                let offered = Offered {
+                    ticket,
+                    to: incarnation,
+                    client: arrival.client.clone(),
+                    service: arrival.service.clone(),
+                    key: arrival.key.clone(),
+                };
+                self.send(vm, &to, Message::Ask(Ask { call, request, offered, left }));
             }
             entry::Output::Refuse(key, refusal) => {
-                self.finish(vm, key, Outcome::Refused(refusal.reason, refusal.retry));
+                let call = self.entries.get(vm).and_then(|node| node.calls.get(&key));
+                let keyed = call.is_some_and(|(call, _)| self.calls[call.0].key.is_some());
+                self.finish(
+                    vm,
+                    key,
+                    match keyed {
+                        true => Outcome::Unsaid(refusal.reason),
+                        false => Outcome::Refused(refusal.reason, refusal.retry),
+                    },
+                );
             }
             entry::Output::Fail(key, failure) => self.finish(vm, key, Outcome::Failed(failure)),
             entry::Output::Beat(to, _) => {
@@ -76,6 +90,9 @@
                 let vm = vm.clone();
                 self.push(CHUNK, Event::Manifest { vm, epoch, version, manifest: found });
             }
+            endpoint::Output::AskKeys(to, _, ask) => {
+                self.send(vm, &to, Message::AskKeys(ask));
+            }
             endpoint::Output::AskHave(manifest, to, _) => {
                 self.send(vm, &to, Message::AskHave(manifest));
             }
--- a/crates/standins/src/driver/world.rs
+++ b/crates/standins/src/driver/world.rs
@@ -7,18 +7,19 @@
 
 use sequoiahold_core::{
     declare::{Declared, Fleet, Object, Published, Role, Vm},
-    endpoint::{self, Endpoint},
+    endpoint::{self, Endpoint, Offered},
     entry::{self, Arrival, Entry, RequestKey},
     gate::Ticket,
-    ids::{Digest, Fence, Generation, Incarnation, OnceKey, VersionId, VmId, ZoneId},
+    ids::{Digest, Fence, Generation, Incarnation, VersionId, VmId, ZoneId},
     member::VmState,
+    once::CallKey,
     refuse::{Failure, Reason},
     time::Time,
     units::Span,
     weights::Manifest,
 };
 
-use super::{CallId, CallRecord, FakeEngine, Message, Outcome, Shape};
+use super::{CallId, CallRecord, FakeEngine, Keys, Message, Outcome, Shape};
 
 /// One-way delay within a zone.
 const NEAR: Span = Span::millis(1);
@@ -32,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub(super) enum Event {
     Deliver { from: VmId, to: VmId, epoch: u64, message: Message },
+    Copy { from: VmId, to: VmId, message: Message },
     Silent { entry: VmId, vm: VmId, epoch: u64, sent: Time },
     Look { vm: VmId, epoch: u64 },
     First { vm: VmId, ticket: Ticket, request: RequestKey, incarnation: u64 },
@@ -51,6 +53,7 @@
 
 pub(super) struct EndpointNode {
     pub(super) core: Endpoint,
+    pub(super) open: BTreeMap<Ticket, Offered>,
     pub(super) held: BTreeMap<Digest, Vec<u8>>,
 }
 
@@ -68,6 +71,8 @@
     pub down: bool,
     /// The set that the platform shows.
     pub shown: Option<Arc<Published>>,
+    /// The runs of keys and the faults of messages.
+    pub keys: Keys,
     shape: Shape,
     fleet: Fleet,
     declared: Vec<Declared>,
@@ -94,6 +99,7 @@
             list,
             down: false,
             shown: None,
+            keys: Keys::default(),
             shape,
             fleet,
             declared,
@@ -168,9 +174,11 @@
             self.entries.insert(vm, node);
         } else {
             let look = Span::millis(100);
-            let own = endpoint::Identity { vm: vm.clone(), incarnation, look, draws: 4 };
+            let epoch = Time::default();
+            let own = endpoint::Identity { vm: vm.clone(), incarnation, epoch, look, draws: 4 };
             let core = Endpoint::new(own, self.now);
-            self.endpoints.insert(vm.clone(), EndpointNode { core, held: BTreeMap::new() });
+            let (open, held) = Default::default();
+            self.endpoints.insert(vm.clone(), EndpointNode { core, open, held });
         }
     }
 
@@ -211,9 +219,10 @@
     }
 
     /// Makes a call at an entry.
-    pub fn ask(&mut self, at: &VmId, service: &str, client: &str, key: Option<OnceKey>) -> CallId {
+    pub fn ask(&mut self, at: &VmId, service: &str, client: &str, key: Option<CallKey>) -> CallId {
         let call = CallId(self.calls.len());
-        self.calls.push(CallRecord { at: self.now, first: None, end: None, runs: 0 });
+        let record = CallRecord { key: key.clone(), at: self.now, first: None, end: None, runs: 0 };
+        self.calls.push(record);
         let arrival = Arrival {
             client: client.parse().expect("a client account"),
             service: service.parse().expect("a service"),
@@ -307,7 +316,7 @@
 
     pub(super) fn send(&mut self, from: &VmId, to: &VmId, message: Message) {
         let zones = (self.fleet.vms[from].zone.clone(), self.fleet.vms[to].zone.clone());
-        if self.cuts.contains(&zones) {
+        if self.cuts.contains(&zones) || self.disturb(from, to, &message) {
             return;
         }
         let delay = if zones.0 == zones.1 { NEAR } else { FAR };
@@ -324,6 +333,7 @@
             Event::Deliver { from, to, epoch, message } if self.epochs[&to] == epoch => {
                 self.deliver(&from, &to, message);
             }
+            Event::Copy { from, to, message } => self.deliver(&from, &to, message),
             Event::Silent { entry, vm, epoch, sent } if self.epochs[&entry] == epoch => {
                 self.check_silence(&entry, &vm, sent);
             }
@@ -362,7 +372,7 @@
     /// Returns when the process that an event is for wakes, where it is paused.
     fn held_back(&self, event: &Event) -> Option<Time> {
         let vm = match event {
-            Event::Deliver { to, .. } => to,
+            Event::Copy { to, .. } | Event::Deliver { to, .. } => to,
             Event::Silent { entry, .. } => entry,
             Event::Look { vm, .. }
             | Event::Manifest { vm, .. }
--- a/crates/standins/tests/scenarios.rs
+++ b/crates/standins/tests/scenarios.rs
@@ -7,6 +7,7 @@
 use sequoiahold_core::{
     ids::{VersionId, VmId, ZoneId},
     member::VmState,
+    once::CallKey,
     refuse::Failure,
     units::Span,
 };
@@ -18,11 +19,12 @@
 struct Script {
     world: World,
     marked: Vec<CallId>,
+    ticket: Option<CallKey>,
 }
 
 impl Script {
     fn new() -> Self {
-        Self { world: World::new(Shape::default()), marked: vec![] }
+        Self { world: World::new(Shape::default()), marked: vec![], ticket: None }
     }
 
     fn set_up(&mut self, shape: Shape) {
@@ -39,6 +41,9 @@
                 None => "open".to_owned(),
                 Some((_, Outcome::Answered(_))) => "answered".to_owned(),
                 Some((_, Outcome::Refused(reason, _))) => format!("refused {reason:?}"),
+                Some((_, Outcome::Unsaid(reason))) => {
+                    format!("refused {reason:?}, key may have run")
+                }
                 Some((_, Outcome::Failed(Failure::Unknown))) => "unknown".to_owned(),
                 Some((_, Outcome::Failed(failure))) => format!("failed {failure:?}"),
             };
@@ -77,7 +82,10 @@
         let every: Option<Span> = parsed(&mut args, "every")?;
         let client = args.take_key("client").unwrap_or("c1").to_owned();
         let service = args.take_key("service").unwrap_or("llm").to_owned();
-        let key = parsed(&mut args, "key")?;
+        let key = match args.take_key("key") {
+            Some("ticket") => self.ticket.clone(),
+            key => key.map(str::parse).transpose()?,
+        };
         args.reject_next()?;
         for _ in 0..count {
             self.marked.push(self.world.ask(&at, &service, &client, key.clone()));
@@ -98,6 +106,9 @@
             "cut" => world.cut(&next()?.parse()?, &next()?.parse()?),
             "heal" => world.heal(),
             "platform" => world.down = next()? == "down",
+            "copies" => world.keys.copies = Some(next()?.parse()?),
+            "mute" => world.keys.mute.push(next()?.parse()?),
+            "unmute" => world.keys.mute.clear(),
             "leaving" => drop(world.list.insert(next()?.parse()?, VmState::Leaving)),
             "crash" => {
                 let vm: VmId = next()?.parse()?;
@@ -157,6 +168,13 @@
                     self.marked.iter().map(|c| self.world.calls[c.0].runs).collect();
                 return Ok(format!("most runs of a call: {}", runs.iter().max().unwrap_or(&0)));
             }
+            "key-runs" => return Ok(format!("most runs of a key: {}", self.world.most_runs())),
+            "ticket" => {
+                let vm: VmId = args.next_pos().ok_or("which endpoint?")?.parse()?;
+                args.reject_next()?;
+                self.ticket = self.world.issue(&vm, "c1", "orders").map(CallKey::Ticket);
+                return Ok(format!("issued: {}", self.ticket.is_some()));
+            }
             _ => return self.fault(command),
         }
         Ok(String::new())
