--- a/crates/standins/tests/callers.rs
+++ b/crates/standins/tests/callers.rs
@@ -7,7 +7,10 @@
 
 use rstest::rstest;
 use sequoiahold::settings::Limits;
-use sequoiahold_core::units::{Bytes, Span};
+use sequoiahold_core::{
+    declare::check,
+    units::{Bytes, Span},
+};
 use sequoiahold_standins::{
     bench::{Counts, Net, Role, set},
     content::Content,
@@ -23,8 +26,9 @@
 
 async fn entry(net: u8, limits: Limits) -> Role {
     let content = Content::of(&"llm-1".parse().unwrap(), Bytes(64_000), Bytes(64_000)).unwrap();
-    let counts = Counts { net: Net::new(net), clients: 3, ..Counts::default() };
+    let counts = Counts { net: Net::new(net), endpoints: 1, clients: 3, ..Counts::default() };
     let declared = set(counts, &content.manifest);
+    assert_eq!(check(&declared), vec![], "the set is sound");
     let role = Role::entry_with(&program(), counts.net, &declared, limits).await.unwrap();
     let end = Instant::now() + CUT;
     while !role.probe.status().await.is_ok_and(|s| s.generation.0 > 0) && Instant::now() < end {
