--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -6,7 +6,12 @@
     time::{Duration, Instant},
 };
 
-use awc::Client;
+use awc::{
+    Client, ClientResponse,
+    error::{PayloadError, SendRequestError},
+};
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt as _};
 use sequoiahold_core::ids::{Digest, ServiceId};
 use serde_json::{Value, json};
 
@@ -26,6 +31,8 @@
     Unknown,
     /// An answer that broke off, or none.
     Broken,
+    /// No connection to the entry.
+    Unreached,
     /// An answer that is not the one to its request.
     Wrong,
     /// An answer from weights that are no whole version.
@@ -33,18 +40,31 @@
 }
 
 /// One finished call.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Call {
+    /// The prompt of a question, or the name of an order.
+    pub name: String,
     /// When it was made.
     pub at: Instant,
     /// The time until its end.
     pub took: Duration,
-    /// The time until its first part.
+    /// The time until its first token.
     pub first: Option<Duration>,
     /// What was received.
     pub received: Received,
 }
 
+/// A question to a model service.
+#[derive(Clone, Copy, Debug)]
+pub struct Question<'a> {
+    /// The model service.
+    pub service: &'a ServiceId,
+    /// The prompt, another one for each question.
+    pub prompt: &'a str,
+    /// The tokens of the answer.
+    pub tokens: u32,
+}
+
 /// A caller of one client account.
 #[derive(Clone)]
 pub struct Caller {
@@ -63,35 +83,39 @@
     pub async fn ask(
         &self,
         entry: SocketAddr,
-        service: &ServiceId,
-        prompt: &str,
-        tokens: u32,
+        question: &Question<'_>,
         allowed: &BTreeSet<Digest>,
     ) -> Call {
-        let at = Instant::now();
-        let body = json!({
-            "model": service,
-            "stream": true,
-            "max_tokens": tokens,
-            "messages": [{ "role": "user", "content": prompt }],
-        });
-        let url = format!("http://{entry}/v1/chat/completions");
-        let request = self.client.post(url).bearer_auth(&self.key).send_json(&body);
-        let Ok(mut response) = request.await else { return ended(at, None, Received::Broken) };
-        let status = response.status().as_u16();
-        let Ok(text) = response.body().limit(4_000_000).await else {
-            return ended(at, None, Received::Broken);
+        let started = Started::new(question.prompt);
+        let mut response = match self.send(entry, question).await {
+            Ok(response) => response,
+            Err(error) => return started.end(None, failure(&error)),
         };
+        let status = response.status().as_u16();
+        let (mut text, mut first) = (BytesMut::new(), None);
+        while let Some(part) = response.next().await {
+            let Ok(part) = part else { return started.end(first, Received::Broken) };
+            first = first.or(Some(started.at.elapsed()));
+            text.extend_from_slice(&part);
+        }
         let received = match status {
-            200 => judge(&String::from_utf8_lossy(&text), prompt, tokens, allowed),
+            200 => judge(&String::from_utf8_lossy(&text), question, allowed),
             _ => refusal(&text),
         };
-        ended(at, None, received)
+        started.end(first, received)
+    }
+
+    /// Asks a model service and leaves after the first part of the answer.
+    pub async fn ask_and_leave(&self, entry: SocketAddr, question: &Question<'_>) -> bool {
+        match self.send(entry, question).await {
+            Ok(mut response) => matches!(response.next().await, Some(Ok(_))),
+            Err(_) => false,
+        }
     }
 
     /// Places an order at a plain service.
     pub async fn order(&self, entry: SocketAddr, service: &ServiceId, name: &str) -> Call {
-        let at = Instant::now();
+        let started = Started::new(name);
         let url = format!("http://{entry}/services/{service}/orders");
         let request = self
             .client
@@ -99,21 +123,62 @@
             .bearer_auth(&self.key)
             .insert_header(("idempotency-key", name))
             .send_body(name.to_owned());
-        let Ok(mut response) = request.await else { return ended(at, None, Received::Broken) };
+        let mut response = match request.await {
+            Ok(response) => response,
+            Err(error) => return started.end(None, failure(&error)),
+        };
         let status = response.status().as_u16();
-        let Ok(text) = response.body().await else { return ended(at, None, Received::Broken) };
+        let Ok(text) = response.body().await else { return started.end(None, Received::Broken) };
         let own = serde_json::from_slice::<Value>(&text).is_ok_and(|v| v["done"] == name);
         let received = match status {
             200 if own => Received::Answered,
             200 => Received::Wrong,
             _ => refusal(&text),
         };
-        ended(at, None, received)
+        started.end(None, received)
     }
+
+    async fn send(
+        &self,
+        entry: SocketAddr,
+        question: &Question<'_>,
+    ) -> Result<
+        ClientResponse<impl Stream<Item = Result<Bytes, PayloadError>> + Unpin + use<>>,
+        SendRequestError,
+    > {
+        let body = json!({
+            "model": question.service,
+            "stream": true,
+            "max_tokens": question.tokens,
+            "messages": [{ "role": "user", "content": question.prompt }],
+        });
+        let url = format!("http://{entry}/v1/chat/completions");
+        self.client.post(url).bearer_auth(&self.key).send_json(&body).await
+    }
+}
+
+/// A call that has been made.
+struct Started {
+    name: String,
+    at: Instant,
 }
 
-fn ended(at: Instant, first: Option<Duration>, received: Received) -> Call {
-    Call { at, took: at.elapsed(), first, received }
+impl Started {
+    fn new(name: &str) -> Self {
+        Self { name: name.to_owned(), at: Instant::now() }
+    }
+
+    fn end(self, first: Option<Duration>, received: Received) -> Call {
+        let took = self.at.elapsed();
+        Call { name: self.name, at: self.at, took, first, received }
+    }
+}
+
+fn failure(error: &SendRequestError) -> Received {
+    match error {
+        SendRequestError::Connect(_) => Received::Unreached,
+        _ => Received::Broken,
+    }
 }
 
 fn refusal(text: &[u8]) -> Received {
@@ -124,7 +189,8 @@
     }
 }
 
-fn judge(text: &str, prompt: &str, tokens: u32, allowed: &BTreeSet<Digest>) -> Received {
+fn judge(text: &str, question: &Question<'_>, allowed: &BTreeSet<Digest>) -> Received {
+    let Question { prompt, tokens, .. } = *question;
     let events: Vec<&str> = text.split("\n\n").filter_map(|e| e.strip_prefix("data: ")).collect();
     let Some((last, parts)) = events.split_last() else { return Received::Broken };
     if *last != "[DONE]" || parts.len() != tokens as usize {
--- a/crates/standins/src/demo/report.rs
+++ b/crates/standins/src/demo/report.rs
@@ -7,8 +7,11 @@
 
 use serde::Serialize;
 
-use super::load::Load;
-use crate::callers::{Call, Received};
+use crate::{
+    callers::{Call, Received},
+    deployment::Deployment,
+    load::Load,
+};
 
 /// Figures of one phase.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
@@ -41,16 +44,19 @@
     pub answered: usize,
     #[serde(rename = "refused_not_run")]
     pub not_run: usize,
+    #[serde(rename = "not_run_but_began")]
+    pub began: usize,
     pub unknown: usize,
+    pub unreached: usize,
     pub wrong: usize,
     pub partial_weights: usize,
     pub cold_overload: u64,
     #[serde(rename = "late_zone_work")]
-    pub late_zone: u64,
+    pub late_zone: usize,
     #[serde(rename = "late_leaving_work")]
-    pub late_leaving: u64,
+    pub late_leaving: usize,
     #[serde(rename = "orders_run_twice")]
-    pub run_twice: u64,
+    pub run_twice: usize,
     #[serde(rename = "cut_in_shutdown")]
     pub cut: usize,
     #[serde(rename = "config_in_force_s")]
@@ -89,17 +95,30 @@
         self.answered = of(Received::Answered);
         self.not_run = of(Received::NotRun);
         self.unknown = of(Received::Unknown);
+        self.unreached = of(Received::Unreached);
         self.wrong = of(Received::Wrong);
         self.partial_weights = of(Received::Partial);
         self.cut = of(Received::Broken);
     }
 
+    /// Fills in what the stand-ins' records say.
+    pub fn fill(&mut self, deployment: &Deployment, calls: &[Call]) {
+        let records = deployment.records();
+        self.vms = deployment.plan.fleet.vms.len();
+        self.replicas = deployment.engines.len();
+        self.model_bytes = deployment.plan.size().0;
+        self.cold_overload = records.overloads();
+        self.run_twice = records.run_twice();
+        self.began = records.not_run_but_began(calls);
+    }
+
     /// Prints the report as one line of JSON and returns the exit code.
     pub fn print(&self) -> anyhow::Result<u8> {
         println!("{}", serde_json::to_string(self)?);
-        let broken = self.wrong + self.partial_weights + self.cut;
+        let broken = self.wrong + self.partial_weights + self.cut + self.unreached;
         let late = self.late_zone + self.late_leaving;
-        let sound = broken == 0 && late + self.cold_overload + self.run_twice == 0;
+        let run = self.run_twice + self.began;
+        let sound = broken + late + run == 0 && self.cold_overload == 0;
         Ok(u8::from(!sound))
     }
 }
--- /dev/null
+++ b/crates/standins/src/deployment/plan.rs
@@ -0,0 +1,177 @@
+//! A declared deployment, and changes of its declarations.
+
+use std::{collections::BTreeSet, path::Path};
+
+use sequoiahold::command::files;
+use sequoiahold_core::{
+    declare::{Backend, Declared, Fleet, Object, Role, Service, Vm, load::read_set},
+    ids::{ServiceId, VersionId, VmId, ZoneId},
+    units::Bytes,
+};
+
+use super::network::Network;
+use crate::content::Content;
+
+/// A declared deployment.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The declared objects.
+    pub declared: Vec<Declared>,
+    /// The fleet that they make.
+    pub fleet: Fleet,
+    /// The size of a chunk of the weights.
+    pub chunk: Bytes,
+}
+
+impl Plan {
+    /// Reads a deployment below the directory of examples.
+    pub fn read(examples: &Path, name: &str) -> anyhow::Result<Self> {
+        let files = files::read(&examples.join(name))?;
+        let set = read_set(files.iter().map(|(name, text)| (name.as_str(), text.as_str())));
+        let (declared, fleet) = set.map_err(|faults| anyhow::anyhow!("{}", faults[0]))?;
+        Ok(Self { declared, fleet, chunk: Bytes(64_000) })
+    }
+
+    /// Returns a deployment of two zones, each with an entry, two engines and one that takes orders.
+    pub fn small(examples: &Path) -> anyhow::Result<Self> {
+        let plan = Self::read(examples, "glasmarke")?;
+        let zones: BTreeSet<ZoneId> = plan.fleet.zones.keys().take(2).cloned().collect();
+        let (model, orders) = (plan.model(), plan.orders());
+        let kept = |vm: &Vm| {
+            let name = vm.name.as_str();
+            let ends = |role: &str, number: u32| name.ends_with(&format!("-{role}-{number}"));
+            let engine = ends(model.as_str(), 1) || ends(model.as_str(), 2);
+            zones.contains(&vm.zone) && (engine || ends("entry", 1) || ends(orders.as_str(), 1))
+        };
+        plan.keep(kept).resize(Bytes(1_000_000), Bytes(32_000))
+    }
+
+    /// Keeps only some VMs, and the zones and pools that they need.
+    pub fn keep(mut self, keep: impl Fn(&Vm) -> bool) -> Self {
+        let vms: Vec<&Vm> = self.fleet.vms.values().filter(|vm| keep(vm)).collect();
+        let names: BTreeSet<&VmId> = vms.iter().map(|vm| &vm.name).collect();
+        let zones: BTreeSet<&ZoneId> = vms.iter().map(|vm| &vm.zone).collect();
+        let pools: BTreeSet<_> = vms
+            .iter()
+            .filter_map(|vm| match &vm.role {
+                Role::Endpoint(pool) => Some(pool),
+                Role::Entry => None,
+            })
+            .collect();
+        self.declared.retain(|one| match &one.object {
+            Object::Vm(vm) => names.contains(&vm.name),
+            Object::Zone(zone) => zones.contains(&zone.name),
+            Object::Pool(pool) => pools.contains(&pool.name),
+            _ => true,
+        });
+        self.renew();
+        self
+    }
+
+    /// Moves all VMs to another loopback network.
+    pub fn move_to(&mut self, network: &Network) {
+        for vm in self.declared.iter_mut().filter_map(as_vm) {
+            vm.addr = network.translate(vm.addr);
+        }
+        self.renew();
+    }
+
+    /// Gives all versions weights of another size.
+    pub fn resize(mut self, size: Bytes, chunk: Bytes) -> anyhow::Result<Self> {
+        for one in &mut self.declared {
+            if let Object::Version(version) = &mut one.object {
+                version.size = size;
+                version.manifest = Content::of(&version.name, size, chunk)?.manifest.digest();
+            }
+        }
+        self.chunk = chunk;
+        self.renew();
+        Ok(self)
+    }
+
+    /// Returns the version with this number of the first model.
+    pub fn version(&self, number: usize) -> VersionId {
+        self.fleet.versions.keys().nth(number - 1).cloned().expect("the plan has two versions")
+    }
+
+    /// Returns the first zone.
+    pub fn first_zone(&self) -> ZoneId {
+        self.fleet.zones.keys().next().cloned().expect("the plan has a zone")
+    }
+
+    /// Returns the endpoint VMs before engines.
+    pub fn model_vms(&self) -> Vec<VmId> {
+        let engines = self.fleet.vms.values().filter(|vm| self.is_model_vm(vm));
+        engines.map(|vm| vm.name.clone()).collect()
+    }
+
+    /// Returns the endpoint VMs before plain services whose calls may not be repeated.
+    pub fn order_vms(&self) -> Vec<VmId> {
+        let orders = self.orders();
+        self.fleet.endpoints(&orders).map(|vm| vm.name.clone()).collect()
+    }
+
+    /// Returns the entry VMs.
+    pub fn entry_vms(&self) -> Vec<VmId> {
+        let entries = self.fleet.vms.values().filter(|vm| vm.role == Role::Entry);
+        entries.map(|vm| vm.name.clone()).collect()
+    }
+
+    /// Returns the first model service.
+    pub fn model(&self) -> ServiceId {
+        self.service(|service| matches!(service.backend, Backend::Model(_)))
+    }
+
+    /// Returns the first plain service whose calls may not be repeated.
+    pub fn orders(&self) -> ServiceId {
+        self.service(|service| matches!(service.backend, Backend::Plain) && !service.repeatable)
+    }
+
+    /// Sets the version that the first model's endpoints serve.
+    pub fn set_version(&self, declared: &mut [Declared], number: usize) {
+        for one in declared {
+            if let Object::Model(model) = &mut one.object {
+                model.version = self.version(number);
+            }
+        }
+    }
+
+    /// Takes a zone out, or back in.
+    pub fn set_out(&self, declared: &mut [Declared], zone: &ZoneId, out: bool) {
+        for one in declared {
+            if let Object::Zone(object) = &mut one.object
+                && object.name == *zone
+            {
+                object.out = out;
+            }
+        }
+    }
+
+    /// Returns the size of the first model's weights.
+    pub fn size(&self) -> Bytes {
+        self.fleet.versions.values().next().map_or(Bytes(0), |version| version.size)
+    }
+
+    fn is_model_vm(&self, vm: &Vm) -> bool {
+        match &vm.role {
+            Role::Endpoint(pool) => self.fleet.pool_version(pool).is_some(),
+            Role::Entry => false,
+        }
+    }
+
+    fn service(&self, wanted: impl Fn(&Service) -> bool) -> ServiceId {
+        let service = self.fleet.services.values().find(|service| wanted(service));
+        service.map(|service| service.name.clone()).expect("the plan has both kinds of service")
+    }
+
+    fn renew(&mut self) {
+        self.fleet = Fleet::new(self.declared.iter().map(|one| one.object.clone()));
+    }
+}
+
+fn as_vm(one: &mut Declared) -> Option<&mut Vm> {
+    match &mut one.object {
+        Object::Vm(vm) => Some(vm),
+        _ => None,
+    }
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -45,6 +45,19 @@
     pub fences: bool,
 }
 
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            slots: 8,
+            cold: 2,
+            warm: 400,
+            step: Duration::from_millis(10),
+            load: Duration::from_millis(300),
+            fences: true,
+        }
+    }
+}
+
 /// A request that an engine began.
 #[derive(Clone, Debug)]
 pub struct Began {
@@ -52,6 +65,8 @@
     pub at: Instant,
     /// Its id.
     pub id: String,
+    /// What it asks.
+    pub prompt: String,
 }
 
 /// What a test reads of an engine.
@@ -133,6 +148,11 @@
         state.tokens = 0;
     }
 
+    /// Returns the version that the engine holds.
+    pub fn version(&self) -> Option<VersionId> {
+        self.state.borrow().version.as_ref().map(|(version, _, _)| version.clone())
+    }
+
     /// Returns the requests that the engine bears now.
     pub fn bears(&self) -> u32 {
         let tokens = self.state.borrow().tokens.min(self.behaviour.warm);
@@ -214,7 +234,8 @@
         let Some((version, _, weights)) = state.version.clone() else {
             return reply::status(503);
         };
-        state.began.push(Began { at: Instant::now(), id: id.clone() });
+        let prompt: String = chat.messages.into_iter().map(|message| message.content).collect();
+        state.began.push(Began { at: Instant::now(), id: id.clone(), prompt: prompt.clone() });
         if state.running.len() as u32 >= bears {
             state.overloads += 1;
         }
@@ -226,7 +247,7 @@
             id,
             version,
             weights,
-            prompt: chat.messages.into_iter().map(|message| message.content).collect(),
+            prompt,
             tokens: chat.max_tokens.unwrap_or(TOKENS),
         };
         actix_rt::spawn(generation.run(pieces));
--- /dev/null
+++ b/crates/standins/src/fixture.rs
@@ -0,0 +1,42 @@
+//! The fixture of the process tests: a small deployment of real processes on loopback.
+
+use std::{path::Path, time::Duration};
+
+use anyhow::Context as _;
+
+use crate::{
+    callers::{Call, Received},
+    deployment::{Deployment, Plan, Setup},
+};
+
+/// Time in which a change must be in force everywhere, and no late work may begin after it.
+pub const FEW_SECONDS: Duration = Duration::from_secs(5);
+/// Time that the deployment may take to become ready, and that a stop may take.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+
+/// Starts a small deployment and waits until all its endpoints take work.
+pub async fn start(setup: Setup) -> anyhow::Result<Deployment> {
+    let own = std::env::current_exe()?;
+    let mut dirs = own.ancestors().map(|dir| dir.join("examples"));
+    let holds = |dir: &Path| dir.join("glasmarke").is_dir();
+    let examples = dirs.find(|dir| holds(dir)).context("no directory of examples")?;
+    start_plan(Plan::small(&examples)?, setup).await
+}
+
+/// Starts a deployment and waits until all its endpoints take work.
+pub async fn start_plan(plan: Plan, setup: Setup) -> anyhow::Result<Deployment> {
+    let deployment = Deployment::start(plan, setup).await?;
+    deployment.wait_ready(&deployment.plan.version(1), PATIENCE).await?;
+    deployment.wait_open(PATIENCE).await?;
+    Ok(deployment)
+}
+
+/// Lets time pass.
+pub async fn pass(time: Duration) {
+    actix_rt::time::sleep(time).await;
+}
+
+/// Returns how many calls ended in this way.
+pub fn count(calls: &[Call], received: Received) -> usize {
+    calls.iter().filter(|call| call.received == received).count()
+}
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,154 @@
+//! A steady load of callers of all client accounts.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
+use sequoiahold_core::ids::{Digest, ServiceId};
+
+use crate::{
+    callers::{Call, Caller, Question},
+    deployment::Deployment,
+};
+
+/// Pause between two looks at the calls in progress.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// The shape of a load.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// The seed.
+    pub seed: u64,
+    /// The pause between two requests of all callers together.
+    pub pause: Duration,
+    /// Every how many requests an order is placed; none where this is 0.
+    pub orders: u64,
+    /// Every how many orders one is repeated through another entry; none where this is 0.
+    pub repeats: u64,
+    /// The tokens of an answer.
+    pub tokens: u32,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        let pause = Duration::from_millis(12);
+        Self { seed: 1, pause, orders: 10, repeats: 0, tokens: 16 }
+    }
+}
+
+/// A running load.
+#[derive(Clone)]
+pub struct Load {
+    /// The entries that callers use; the platform's balancer in the tests.
+    pub entries: Rc<RefCell<Vec<SocketAddr>>>,
+    calls: Rc<RefCell<Vec<Call>>>,
+    stopped: Rc<Cell<bool>>,
+    active: Rc<Cell<usize>>,
+    target: Rc<Target>,
+}
+
+/// What the callers ask for.
+struct Target {
+    callers: Vec<Caller>,
+    model: ServiceId,
+    orders: ServiceId,
+    whole: BTreeSet<Digest>,
+}
+
+impl Load {
+    /// Starts callers of all client accounts against all entries.
+    pub fn start(deployment: &Deployment, shape: Shape) -> Self {
+        let clients = deployment.plan.fleet.clients.keys();
+        let target = Target {
+            callers: clients.map(|client| Caller::new(&format!("key-{client}"))).collect(),
+            model: deployment.plan.model(),
+            orders: deployment.plan.orders(),
+            whole: deployment.whole.clone(),
+        };
+        let load = Self {
+            entries: Rc::new(RefCell::new(deployment.entries())),
+            calls: Rc::default(),
+            stopped: Rc::default(),
+            active: Rc::default(),
+            target: Rc::new(target),
+        };
+        actix_rt::spawn(load.clone().run(shape));
+        load
+    }
+
+    /// Takes an entry from those that callers use.
+    pub fn avoid(&self, entry: SocketAddr) {
+        self.entries.borrow_mut().retain(|addr| *addr != entry);
+    }
+
+    /// Returns the calls that have ended so far.
+    pub fn calls(&self) -> Vec<Call> {
+        self.calls.borrow().clone()
+    }
+
+    /// Returns the number of calls in progress.
+    pub fn in_progress(&self) -> usize {
+        self.active.get()
+    }
+
+    /// Ends the load and returns all calls.
+    pub async fn stop(self) -> Vec<Call> {
+        self.stopped.set(true);
+        while self.active.get() > 0 {
+            actix_rt::time::sleep(LOOK).await;
+        }
+        self.calls()
+    }
+
+    async fn run(self, shape: Shape) {
+        let mut rng = SmallRng::seed_from_u64(shape.seed);
+        for number in 0u64.. {
+            if self.stopped.get() {
+                return;
+            }
+            let entries = self.entries.borrow().clone();
+            let caller = self.target.callers.choose(&mut rng).expect("a caller").clone();
+            let entry = *entries.choose(&mut rng).expect("an entry");
+            let name = format!("{number}-{}", rng.random::<u32>());
+            if shape.orders > 0 && number.is_multiple_of(shape.orders) {
+                self.order(&caller, entry, &name);
+                let count = number / shape.orders;
+                if shape.repeats > 0 && count.is_multiple_of(shape.repeats) {
+                    let others: Vec<_> = entries.into_iter().filter(|e| *e != entry).collect();
+                    self.order(&caller, *others.choose(&mut rng).unwrap_or(&entry), &name);
+                }
+            } else {
+                self.ask(&caller, entry, name, shape.tokens);
+            }
+            actix_rt::time::sleep(shape.pause).await;
+        }
+    }
+
+    fn ask(&self, caller: &Caller, entry: SocketAddr, name: String, tokens: u32) {
+        let (target, caller) = (self.target.clone(), caller.clone());
+        self.track(async move {
+            let question = Question { service: &target.model, prompt: &name, tokens };
+            caller.ask(entry, &question, &target.whole).await
+        });
+    }
+
+    fn order(&self, caller: &Caller, entry: SocketAddr, name: &str) {
+        let (target, caller, name) = (self.target.clone(), caller.clone(), name.to_owned());
+        self.track(async move { caller.order(entry, &target.orders, &name).await });
+    }
+
+    fn track(&self, call: impl Future<Output = Call> + 'static) {
+        let (calls, active) = (self.calls.clone(), self.active.clone());
+        active.set(active.get() + 1);
+        actix_rt::spawn(async move {
+            let call = call.await;
+            calls.borrow_mut().push(call);
+            active.set(active.get() - 1);
+        });
+    }
+}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -23,20 +23,58 @@
 /// Time between two looks of a waiting watch.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// What is wrong with the service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// It refuses all calls.
+    Down,
+    /// Nothing.
+    #[default]
+    None,
+    /// It shows the set that was published before the last.
+    RolledBack,
+    /// It goes on showing what it showed when the fault began.
+    Stale,
+}
+
 /// What a test sets and reads.
 #[derive(Debug, Default)]
 pub struct State {
-    /// The set that is shown.
-    pub published: Option<Published>,
-    /// The list of VMs.
+    /// The sets that were published, the last one at the end.
+    pub published: Vec<Published>,
+    /// The list of VMs as it will be shown.
     pub vms: BTreeMap<VmId, VmState>,
-    /// Whether the service answers at all.
-    pub down: bool,
+    /// What is wrong with the service.
+    pub fault: Fault,
+    /// The time after which a change of the list shows.
+    pub lag: Duration,
     /// The calls that were answered.
     pub calls: u64,
     /// The calls that were refused above the rate.
     pub refused: u64,
     second: Option<(Instant, u32)>,
+    frozen: usize,
+    changes: VecDeque<(Instant, VmId, VmState)>,
+}
+
+impl State {
+    /// Returns the set that is shown.
+    fn shown(&self) -> Option<&Published> {
+        match self.fault {
+            Fault::None | Fault::Down => self.published.last(),
+            Fault::RolledBack => self.published.get(self.frozen.checked_sub(2)?),
+            Fault::Stale => self.published.get(self.frozen.checked_sub(1)?),
+        }
+    }
+
+    /// Returns the list of VMs with the changes that show by now.
+    fn list(&mut self) -> &BTreeMap<VmId, VmState> {
+        let now = Instant::now();
+        while let Some((_, vm, state)) = self.changes.pop_front_if(|(shows, ..)| *shows <= now) {
+            self.vms.insert(vm, state);
+        }
+        &self.vms
+    }
 }
 
 /// A running stand-in.
@@ -57,19 +95,33 @@
 
     /// Publishes a set.
     pub fn publish(&self, published: Published) {
-        self.state.borrow_mut().published = Some(published);
+        self.state.borrow_mut().published.push(published);
+    }
+
+    /// Sets what is wrong with the service.
+    pub fn set_fault(&self, fault: Fault) {
+        let mut state = self.state.borrow_mut();
+        state.fault = fault;
+        state.frozen = state.published.len();
+    }
+
+    /// Sets the state of a VM in the list; it shows after the lag.
+    pub fn list(&self, vm: &VmId, vm_state: VmState) {
+        let mut state = self.state.borrow_mut();
+        let shows = Instant::now() + state.lag;
+        state.changes.push_back((shows, vm.clone(), vm_state));
     }
 
     async fn answer(self, request: Request) -> Response<Body> {
         if !self.count() {
             return reply::status(429);
         }
-        if self.state.borrow().down {
+        if self.is_down() {
             return reply::status(503);
         }
         match request.path() {
             "/v1/head" => self.head(&request).await,
-            "/v1/vms" => reply::json(&self.state.borrow().vms),
+            "/v1/vms" => reply::json(self.state.borrow_mut().list()),
             path => self.part(path),
         }
     }
@@ -78,25 +130,30 @@
         let seen: Option<u64> = reply::query(request, "other_than").and_then(|n| n.parse().ok());
         let wait = reply::query(request, "wait_ms").and_then(|n| n.parse().ok()).unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait);
-        while Instant::now() < end && self.generation() == seen && !self.state.borrow().down {
+        while Instant::now() < end && self.generation() == seen && !self.is_down() {
             actix_rt::time::sleep(LOOK).await;
         }
-        match &self.state.borrow().published {
-            Some(published) if !self.state.borrow().down => reply::json(&published.head),
-            Some(_) => reply::status(503),
-            None => reply::status(404),
+        if self.is_down() {
+            return reply::status(503);
         }
+        let state = self.state.borrow();
+        state.shown().map_or_else(|| reply::status(404), |shown| reply::json(&shown.head))
     }
 
     fn part(&self, path: &str) -> Response<Body> {
         let state = self.state.borrow();
         let digest: Option<Digest> = path.strip_prefix("/v1/parts/").and_then(|d| d.parse().ok());
-        let part = digest.and_then(|digest| state.published.as_ref()?.parts.get(&digest).cloned());
+        let parts = |digest| state.published.iter().find_map(|set| set.parts.get(&digest).cloned());
+        let part = digest.and_then(parts);
         part.map_or_else(|| reply::status(404), reply::data)
     }
 
     fn generation(&self) -> Option<u64> {
-        self.state.borrow().published.as_ref().map(|published| published.head.generation.0)
+        self.state.borrow().shown().map(|published| published.head.generation.0)
+    }
+
+    fn is_down(&self) -> bool {
+        self.state.borrow().fault == Fault::Down
     }
 
     fn count(&self) -> bool {
--- /dev/null
+++ b/crates/standins/src/relay/udp.rs
@@ -0,0 +1,91 @@
+//! A relay of datagrams.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+};
+
+use actix_rt::net::UdpSocket;
+
+use super::Passage;
+
+/// Largest datagram, in bytes.
+const MAX_DATAGRAM: usize = 65_536;
+
+/// A running relay.
+#[derive(Clone, Debug)]
+pub struct UdpRelay {
+    /// What the relay lets through.
+    pub passage: Passage,
+    /// The address that the relay listens on.
+    pub addr: SocketAddr,
+}
+
+/// A flow from one client.
+#[derive(Clone, Debug)]
+struct Flow {
+    upstream: Rc<UdpSocket>,
+    epoch: u64,
+}
+
+impl UdpRelay {
+    /// Relays datagrams that arrive on `addr` to `to`.
+    pub async fn start(addr: SocketAddr, to: SocketAddr) -> anyhow::Result<Self> {
+        let relay = Self { passage: Passage::default(), addr };
+        let socket = Rc::new(UdpSocket::bind(addr).await?);
+        actix_rt::spawn(relay.clone().receive(socket, to));
+        Ok(relay)
+    }
+
+    async fn receive(self, socket: Rc<UdpSocket>, to: SocketAddr) {
+        let flows: Rc<RefCell<BTreeMap<SocketAddr, Flow>>> = Rc::default();
+        let mut datagram = vec![0; MAX_DATAGRAM];
+        loop {
+            let Ok((size, client)) = socket.recv_from(&mut datagram).await else { continue };
+            let known = flows.borrow().get(&client).cloned();
+            let flow = match known {
+                Some(flow) => flow,
+                None => match self.open(&socket, client, to).await {
+                    Ok(flow) => {
+                        flows.borrow_mut().insert(client, flow.clone());
+                        flow
+                    }
+                    Err(_) => continue,
+                },
+            };
+            if self.passage.lets(client.ip(), flow.epoch) {
+                let _ = flow.upstream.send(&datagram[..size]).await;
+            }
+        }
+    }
+
+    async fn open(
+        &self,
+        socket: &Rc<UdpSocket>,
+        client: SocketAddr,
+        to: SocketAddr,
+    ) -> anyhow::Result<Flow> {
+        let upstream = Rc::new(UdpSocket::bind((self.addr.ip(), 0)).await?);
+        upstream.connect(to).await?;
+        let flow = Flow { upstream, epoch: self.passage.epoch() };
+        actix_rt::spawn(answer(self.passage.clone(), flow.clone(), socket.clone(), client));
+        Ok(flow)
+    }
+}
+
+async fn answer(passage: Passage, flow: Flow, socket: Rc<UdpSocket>, client: SocketAddr) {
+    let source: IpAddr = client.ip();
+    let mut datagram = vec![0; MAX_DATAGRAM];
+    loop {
+        match flow.upstream.recv(&mut datagram).await {
+            Ok(size) if passage.lets(source, flow.epoch) => {
+                let _ = socket.send_to(&datagram[..size], client).await;
+            }
+            Ok(_) => {}
+            // The process behind is gone; the flow works again once another listens there.
+            Err(_) => actix_rt::time::sleep(std::time::Duration::from_millis(10)).await,
+        }
+    }
+}
