--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -35,7 +35,7 @@
     let clock = Clock::default();
     let (events, receiver) = mpsc::unbounded_channel();
     let (in_force, config) = watch::channel(None);
-    let links = Links::new(tls.clone());
+    let links = Links::new(tls.clone(), settings.peers.ip());
     let store = Store::default();
     let engine = Engine::new(&settings.engine);
     let platform = Platform::new(settings.platform.clone());
--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -31,7 +31,7 @@
     let clock = Clock::default();
     let (events, receiver) = mpsc::unbounded_channel();
     let (in_force, config) = watch::channel(None);
-    let links = Links::new(tls.clone());
+    let links = Links::new(tls.clone(), settings.peers.ip());
     let platform = Platform::new(settings.platform.clone());
 
     let peers = PeerService { events: events.clone() };
--- a/crates/sequoiahold/src/net/link.rs
+++ b/crates/sequoiahold/src/net/link.rs
@@ -1,6 +1,12 @@
 //! Connections to other processes, each on a UDP socket of its own.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
 
 use anyhow::Context as _;
 use quinn::{Connection, Endpoint};
@@ -18,13 +24,14 @@
 #[derive(Clone, Debug)]
 pub struct Links {
     tls: Rc<Tls>,
+    own: IpAddr,
     open: Rc<RefCell<BTreeMap<VmId, Connection>>>,
 }
 
 impl Links {
-    /// Returns an empty set of connections.
-    pub fn new(tls: Rc<Tls>) -> Self {
-        Self { tls, open: Rc::default() }
+    /// Returns an empty set of connections that start at this VM's own address.
+    pub fn new(tls: Rc<Tls>, own: IpAddr) -> Self {
+        Self { tls, own, open: Rc::default() }
     }
 
     /// Returns the open connection to a VM, or opens one from a new local port.
@@ -35,9 +42,7 @@
         {
             return Ok(open);
         }
-        let local: SocketAddr =
-            if addr.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
-        let mut endpoint = Endpoint::client(local)?;
+        let mut endpoint = Endpoint::client((self.own, 0).into())?;
         endpoint.set_default_client_config(self.tls.client.clone());
         let connecting = endpoint.connect(addr, vm.as_str())?;
         let connection = actix_rt::time::timeout(CONNECT, connecting)
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -148,6 +148,11 @@
         state.tokens = 0;
     }
 
+    /// Makes the engine cold again without warning.
+    pub fn turn_cold(&self) {
+        self.state.borrow_mut().tokens = 0;
+    }
+
     /// Returns the version that the engine holds.
     pub fn version(&self) -> Option<VersionId> {
         self.state.borrow().version.as_ref().map(|(version, _, _)| version.clone())
--- a/crates/standins/src/fixture.rs
+++ b/crates/standins/src/fixture.rs
@@ -40,3 +40,13 @@
 pub fn count(calls: &[Call], received: Received) -> usize {
     calls.iter().filter(|call| call.received == received).count()
 }
+
+/// Panics where what callers received does not fit the records of the stand-ins.
+pub fn assert_sound(deployment: &Deployment, calls: &[Call]) {
+    let records = deployment.records();
+    assert_eq!(count(calls, Received::Wrong), 0, "each caller gets its own answer");
+    assert_eq!(count(calls, Received::Partial), 0, "no answer is from partial weights");
+    assert_eq!(records.not_run_but_began(calls), 0, "what was told \"not run\" did not begin");
+    assert_eq!(records.run_twice(), 0, "no order runs twice");
+    assert_eq!(records.partial_engines(), 0, "no engine holds partial weights");
+}
--- a/crates/standins/src/origin.rs
+++ b/crates/standins/src/origin.rs
@@ -21,6 +21,9 @@
     reply::{self, Body},
 };
 
+/// Pause between two looks while nothing is given.
+const LOOK: Duration = Duration::from_millis(50);
+
 /// What a test sets and reads.
 #[derive(Debug)]
 pub struct State {
@@ -28,6 +31,13 @@
     pub blobs: BTreeMap<Digest, Bytes>,
     /// The bytes that were given.
     pub given: u64,
+    /// The blobs in a thousand that are given with a fault.
+    pub corrupt: u64,
+    /// The blobs that were given with a fault.
+    pub spoiled: u64,
+    /// Whether nothing is given until this is false again.
+    pub stalled: bool,
+    count: u64,
     free: Instant,
 }
 
@@ -42,7 +52,15 @@
 impl Origin {
     /// Starts the origin on `addr`.
     pub async fn start(addr: SocketAddr, rate: ByteRate) -> anyhow::Result<Self> {
-        let state = State { blobs: BTreeMap::new(), given: 0, free: Instant::now() };
+        let state = State {
+            blobs: BTreeMap::new(),
+            given: 0,
+            corrupt: 0,
+            spoiled: 0,
+            stalled: false,
+            count: 0,
+            free: Instant::now(),
+        };
         let origin = Self { state: Rc::new(RefCell::new(state)), rate };
         let server = origin.clone();
         http::serve(addr, move |request| server.clone().answer(request)).await?;
@@ -64,7 +82,25 @@
         let Some(blob) = blob else { return reply::status(404) };
         let sent = self.reserve(blob.len() as u64);
         actix_rt::time::sleep_until(sent.into()).await;
-        reply::data(blob)
+        while self.state.borrow().stalled {
+            actix_rt::time::sleep(LOOK).await;
+        }
+        reply::data(self.spoil(blob))
+    }
+
+    /// Returns a blob as it is given: the share that the test sets has a wrong byte.
+    fn spoil(&self, blob: Bytes) -> Bytes {
+        let mut state = self.state.borrow_mut();
+        state.count += 1;
+        let before = (state.count - 1) * state.corrupt / 1_000;
+        if state.count * state.corrupt / 1_000 == before || blob.is_empty() {
+            return blob;
+        }
+        state.spoiled += 1;
+        let mut spoiled = blob.to_vec();
+        let middle = spoiled.len() / 2;
+        spoiled[middle] ^= 1;
+        Bytes::from(spoiled)
     }
 
     fn reserve(&self, size: u64) -> Instant {
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -1,21 +1,37 @@
 //! Stand-in of a plain service with calls that may not be repeated.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::{Method, Request, Response};
+use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
 use sequoiahold::http;
 use sequoiahold_core::endpoint::EngineState;
 use serde_json::json;
 
 use crate::reply::{self, Body};
 
-/// What a test reads.
+/// How a service answers calls that change something.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mode {
+    /// At once.
+    #[default]
+    Prompt,
+    /// After this time; the call has run before.
+    Slow(Duration),
+    /// Never: the service runs the call, then breaks the answer off.
+    Crash,
+}
+
+/// What a test sets and reads.
 #[derive(Debug, Default)]
 pub struct State {
     /// The calls that changed something, by their body's order name.
     pub ran: BTreeMap<String, u32>,
+    /// The calls that changed something, by their idempotency key.
+    pub keys: BTreeMap<String, u32>,
     /// The calls that only read.
     pub reads: u64,
+    /// How the services answer.
+    pub mode: Mode,
 }
 
 /// A running stand-in.
@@ -48,9 +64,23 @@
             self.state.borrow_mut().reads += 1;
             return reply::json(&json!({ "path": request.path() }));
         }
+        let key = request.headers().get("idempotency-key").and_then(|key| key.to_str().ok());
+        let key = key.unwrap_or_default().to_owned();
         let body = reply::read_body(&mut request).await;
         let name = String::from_utf8_lossy(&body).into_owned();
-        *self.state.borrow_mut().ran.entry(name.clone()).or_default() += 1;
+        let mode = self.run(key, name.clone());
+        match mode {
+            Mode::Prompt => {}
+            Mode::Slow(time) => actix_rt::time::sleep(time).await,
+            Mode::Crash => return Response::with_body(StatusCode::OK, Body::broken()),
+        }
         reply::json(&json!({ "done": name }))
     }
+
+    fn run(&self, key: String, name: String) -> Mode {
+        let mut state = self.state.borrow_mut();
+        *state.keys.entry(key).or_default() += 1;
+        *state.ran.entry(name).or_default() += 1;
+        state.mode
+    }
 }
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -23,6 +23,13 @@
     Pieces(mpsc::UnboundedReceiver<Bytes>),
 }
 
+impl Body {
+    /// Returns a body that breaks off before its first byte.
+    pub fn broken() -> Self {
+        Self::Pieces(mpsc::unbounded_channel().1)
+    }
+}
+
 /// A body that broke off.
 #[derive(Clone, Copy, Debug)]
 pub struct BrokenOff;
--- a/crates/standins/tests/process_kill.rs
+++ b/crates/standins/tests/process_kill.rs
@@ -4,21 +4,12 @@
 
 use rstest::rstest;
 use sequoiahold_standins::{
-    callers::{Call, Received},
-    deployment::{Deployment, Setup},
-    fixture::{PATIENCE, count, pass, start},
+    callers::Received,
+    deployment::Setup,
+    fixture::{PATIENCE, assert_sound, count, pass, start},
     load::{Load, Shape},
 };
 
-fn assert_sound(deployment: &Deployment, calls: &[Call]) {
-    let records = deployment.records();
-    assert_eq!(count(calls, Received::Wrong), 0, "each caller gets its own answer");
-    assert_eq!(count(calls, Received::Partial), 0, "no answer is from partial weights");
-    assert_eq!(records.not_run_but_began(calls), 0, "no request that was told \"not run\" began");
-    assert_eq!(records.run_twice(), 0, "no order runs twice");
-    assert_eq!(records.partial_engines(), 0, "no engine holds partial weights");
-}
-
 #[rstest]
 #[actix_rt::test]
 async fn endpoint_is_killed_and_comes_back() {
