--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -7,8 +7,9 @@
 mod problem;
 mod request;
 mod server;
+mod stopwatch;
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_rt::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -17,7 +18,8 @@
 use self::{event_loop::EventLoop, peers::PeerService, server::Server};
 use crate::{
     clock::Clock,
-    net::{Links, Tls, listen},
+    metrics::Metrics,
+    net::{Links, Tls, Traffic, listen, rotate},
     platform::Platform,
     reader, settings, status,
 };
@@ -27,23 +29,27 @@
 
 /// Runs an entry process until it is told to stop and its requests are done.
 pub async fn run(settings: settings::Entry) -> anyhow::Result<()> {
-    let tls = Rc::new(Tls::load(&settings.keys)?);
+    let tls = Rc::new(RefCell::new(Tls::load(&settings.keys)?));
     let clock = Clock::default();
     let (events, receiver) = mpsc::unbounded_channel();
     let (in_force, config) = watch::channel(None);
-    let links = Links::new(tls.clone(), settings.peers.ip());
+    let traffic = Traffic::default();
+    let links = Links::new(tls.clone(), traffic.clone()).bound_to(settings.peers.ip());
     let platform = Platform::new(settings.platform.clone());
 
     let peers = PeerService { events: events.clone() };
-    let listening = listen(settings.peers, &tls, peers)?;
+    let listening = listen(settings.peers, &tls.borrow(), traffic.clone(), peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
     reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
 
-    let server = Server::new(&settings, clock, links.clone(), config, events.clone());
+    let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
+    actix_rt::spawn(rotate(settings.keys.clone(), tls, listening.clone(), metrics.clone()));
+    let parts = event_loop::Parts { clock, links, in_force, events, traffic };
+    let server = Server::new(&settings, &parts, config, metrics.clone());
     server.listen(settings.callers).await?;
     log::info!("entry {} takes callers on {}", settings.vm, settings.callers);
 
-    let event_loop = EventLoop::new(settings, clock, links, in_force, events);
+    let event_loop = EventLoop::new(settings, parts, metrics);
     actix_rt::spawn(event_loop.run(receiver));
     signal(SignalKind::terminate())?.recv().await;
     log::info!("told to stop, {} requests in progress", server.in_progress());
--- a/crates/sequoiahold/src/net/link.rs
+++ b/crates/sequoiahold/src/net/link.rs
@@ -15,7 +15,7 @@
     proto::{Call, Reply},
 };
 
-use super::{Tls, read, write};
+use super::{Tls, Traffic, read, write};
 
 /// Time within which a connection must be established.
 const CONNECT: Duration = Duration::from_secs(2);
@@ -23,15 +23,21 @@
 /// The open connections by VM.
 #[derive(Clone, Debug)]
 pub struct Links {
-    tls: Rc<Tls>,
-    own: IpAddr,
+    tls: Rc<RefCell<Tls>>,
+    traffic: Traffic,
+    local: Option<IpAddr>,
     open: Rc<RefCell<BTreeMap<VmId, Connection>>>,
 }
 
 impl Links {
-    /// Returns an empty set of connections that start at this VM's own address.
-    pub fn new(tls: Rc<Tls>, own: IpAddr) -> Self {
-        Self { tls, own, open: Rc::default() }
+    /// Returns an empty set of connections.
+    pub fn new(tls: Rc<RefCell<Tls>>, traffic: Traffic) -> Self {
+        Self { tls, traffic, local: None, open: Rc::default() }
+    }
+
+    /// Returns the connections with `local` as the address that new ones start at.
+    pub fn bound_to(self, local: IpAddr) -> Self {
+        Self { local: Some(local), ..self }
     }
 
     /// Returns the open connection to a VM, or opens one from a new local port.
@@ -42,12 +48,15 @@
         {
             return Ok(open);
         }
-        let mut endpoint = Endpoint::client((self.own, 0).into())?;
-        endpoint.set_default_client_config(self.tls.client.clone());
+        let any: IpAddr = if addr.is_ipv4() { [0; 4].into() } else { [0u16; 8].into() };
+        let local = self.local.unwrap_or(any);
+        let mut endpoint = Endpoint::client((local, 0).into())?;
+        endpoint.set_default_client_config(self.tls.borrow().client.clone());
         let connecting = endpoint.connect(addr, vm.as_str())?;
         let connection = actix_rt::time::timeout(CONNECT, connecting)
             .await
             .with_context(|| format!("no answer from {vm} at {addr}"))??;
+        self.traffic.add(&connection);
         self.open.borrow_mut().insert(vm.clone(), connection.clone());
         Ok(connection)
     }
--- a/crates/sequoiahold/src/status.rs
+++ b/crates/sequoiahold/src/status.rs
@@ -3,11 +3,14 @@
 use std::{collections::BTreeMap, fmt, net::SocketAddr};
 
 use actix_http::{Request, Response, StatusCode, body::BoxBody};
-use sequoiahold_core::ids::{Generation, Incarnation, VersionId, VmId, ZoneId};
+use sequoiahold_core::{
+    histogram::{Measure, Summary},
+    ids::{Generation, Incarnation, VersionId, VmId, ZoneId},
+};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::http;
+use crate::{http, net::Wire};
 
 /// What a process holds and does.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -34,8 +37,14 @@
     pub open: bool,
     /// The endpoints that an entry knows.
     pub endpoints: BTreeMap<VmId, EndpointStatus>,
+    /// Bytes between this process and the system's others.
+    #[serde(default)]
+    pub wire: Wire,
     /// Counters by name.
     pub counters: BTreeMap<String, u64>,
+    /// Times by client account and measure.
+    #[serde(default)]
+    pub times: BTreeMap<String, BTreeMap<Measure, Summary>>,
 }
 
 /// What an entry knows of an endpoint.
@@ -62,6 +71,7 @@
         writeln!(f, "missing      {}", self.missing)?;
         writeln!(f, "running      {} of {}", self.running, self.limit)?;
         writeln!(f, "open         {}", self.open)?;
+        writeln!(f, "wire         {} sent, {} received", self.wire.sent, self.wire.received)?;
         for (vm, endpoint) in &self.endpoints {
             let version = endpoint.version.as_ref().map_or("-", |v| v.as_str());
             let (running, limit) = (endpoint.running, endpoint.limit);
@@ -70,6 +80,13 @@
         for (name, count) in &self.counters {
             writeln!(f, "  {name:40} {count}")?;
         }
+        for (account, measures) in &self.times {
+            for (measure, summary) in measures {
+                let Summary { count, p50, p95, p99 } = summary;
+                let name = format!("{account} {measure}");
+                writeln!(f, "  {name:40} {count} p50 {p50} p95 {p95} p99 {p99}")?;
+            }
+        }
         Ok(())
     }
 }
--- a/crates/standins/src/deployment/settings.rs
+++ b/crates/standins/src/deployment/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use sequoiahold::settings::{self, Log};
+use sequoiahold::settings::{self, Log, Metrics};
 use sequoiahold_core::{
     declare::Vm,
     units::{ByteRate, Bytes, Span},
@@ -50,6 +50,7 @@
             platform: self.platform(),
             keys,
             log: Log::default(),
+            metrics: Metrics::default(),
             heartbeat: Span::millis(300),
             body: Bytes(1_000_000),
         }
@@ -69,6 +70,7 @@
             platform: self.platform(),
             keys,
             log: Log::default(),
+            metrics: Metrics::default(),
             engine: settings::Engine { url: format!("http://{}", addrs.engine), fences: true },
             weights: settings::Weights {
                 origin: format!("http://{}", self.origin),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,10 +1,12 @@
 //! Stand-ins of the served systems, and the load and experiment tool over them.
 
+pub mod bench;
 pub mod callers;
 pub mod cli;
 pub mod content;
 pub mod demo;
 pub mod deployment;
+pub mod driver;
 pub mod engine;
 pub mod fixture;
 pub mod keys;
