--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -40,7 +40,7 @@
     let (events, receiver) = mpsc::unbounded_channel();
     let (in_force, config) = watch::channel(None);
     let traffic = Traffic::default();
-    let links = Links::new(tls.clone(), traffic.clone());
+    let links = Links::new(tls.clone(), traffic.clone()).bound_to(settings.peers.ip());
     let store = Store::default();
     let engine = Engine::new(&settings.engine);
     let platform = Platform::new(settings.platform.clone());
--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -35,7 +35,7 @@
     let (events, receiver) = mpsc::unbounded_channel();
     let (in_force, config) = watch::channel(None);
     let traffic = Traffic::default();
-    let links = Links::new(tls.clone(), traffic.clone());
+    let links = Links::new(tls.clone(), traffic.clone()).bound_to(settings.peers.ip());
     let platform = Platform::new(settings.platform.clone());
 
     let peers = PeerService { events: events.clone() };
--- a/crates/sequoiahold/src/net/link.rs
+++ b/crates/sequoiahold/src/net/link.rs
@@ -1,6 +1,12 @@
 //! Connections to other processes, each on a UDP socket of its own.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
 
 use anyhow::Context as _;
 use quinn::{Connection, Endpoint};
@@ -19,13 +25,19 @@
 pub struct Links {
     tls: Rc<RefCell<Tls>>,
     traffic: Traffic,
+    local: Option<IpAddr>,
     open: Rc<RefCell<BTreeMap<VmId, Connection>>>,
 }
 
 impl Links {
     /// Returns an empty set of connections.
     pub fn new(tls: Rc<RefCell<Tls>>, traffic: Traffic) -> Self {
-        Self { tls, traffic, open: Rc::default() }
+        Self { tls, traffic, local: None, open: Rc::default() }
+    }
+
+    /// Returns the connections with `local` as the address that new ones start at.
+    pub fn bound_to(self, local: IpAddr) -> Self {
+        Self { local: Some(local), ..self }
     }
 
     /// Returns the open connection to a VM, or opens one from a new local port.
@@ -36,9 +48,9 @@
         {
             return Ok(open);
         }
-        let local: SocketAddr =
-            if addr.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0u16; 8], 0).into() };
-        let mut endpoint = Endpoint::client(local)?;
+        let any: IpAddr = if addr.is_ipv4() { [0; 4].into() } else { [0u16; 8].into() };
+        let local = self.local.unwrap_or(any);
+        let mut endpoint = Endpoint::client((local, 0).into())?;
         endpoint.set_default_client_config(self.tls.borrow().client.clone());
         let connecting = endpoint.connect(addr, vm.as_str())?;
         let connection = actix_rt::time::timeout(CONNECT, connecting)
