--- a/crates/standins/src/deployment/mod.rs
+++ b/crates/standins/src/deployment/mod.rs
@@ -80,7 +80,9 @@
     pub fn publish(&mut self, change: impl FnOnce(&mut Vec<Declared>)) -> anyhow::Result<()> {
         change(&mut self.declared);
         self.generation = self.generation.next();
-        self.platform.publish(Published::render(&self.declared, self.generation)?);
+        let published = Published::render(&self.declared, self.generation)?;
+        published.fleet()?;
+        self.platform.publish(published);
         Ok(())
     }
 
--- a/crates/standins/src/deployment/plan.rs
+++ b/crates/standins/src/deployment/plan.rs
@@ -4,7 +4,7 @@
 
 use sequoiahold::command::files;
 use sequoiahold_core::{
-    declare::{Backend, Declared, Fleet, Object, Role, Service, Vm, load::read_set},
+    declare::{Backend, Declared, Fleet, Object, Pool, Role, Service, Vm, load::read_set},
     ids::{ServiceId, VersionId, VmId, ZoneId},
     units::Bytes,
 };
@@ -43,27 +43,29 @@
             let engine = ends(model.as_str(), 1) || ends(model.as_str(), 2);
             zones.contains(&vm.zone) && (engine || ends("entry", 1) || ends(orders.as_str(), 1))
         };
-        plan.keep(kept).resize(Bytes(1_000_000), Bytes(32_000))
+        plan.keep(kept).resize(Bytes(1_000_000), Bytes(8_000))
     }
 
-    /// Keeps only some VMs, and the zones and pools that they need.
+    /// Keeps only some VMs, and the zones, pools and services that they need.
     pub fn keep(mut self, keep: impl Fn(&Vm) -> bool) -> Self {
-        let vms: Vec<&Vm> = self.fleet.vms.values().filter(|vm| keep(vm)).collect();
+        let fleet = &self.fleet;
+        let vms: Vec<&Vm> = fleet.vms.values().filter(|vm| keep(vm)).collect();
         let names: BTreeSet<&VmId> = vms.iter().map(|vm| &vm.name).collect();
         let zones: BTreeSet<&ZoneId> = vms.iter().map(|vm| &vm.zone).collect();
-        let pools: BTreeSet<_> = vms
-            .iter()
-            .filter_map(|vm| match &vm.role {
-                Role::Endpoint(pool) => Some(pool),
-                Role::Entry => None,
-            })
-            .collect();
+        let pools: Vec<&Pool> = vms.iter().filter_map(|vm| fleet.pool_of(&vm.name)).collect();
+        let serves = |service: &ServiceId| pools.iter().any(|pool| pool.service == *service);
         self.declared.retain(|one| match &one.object {
             Object::Vm(vm) => names.contains(&vm.name),
             Object::Zone(zone) => zones.contains(&zone.name),
-            Object::Pool(pool) => pools.contains(&pool.name),
+            Object::Pool(pool) => serves(&pool.service),
+            Object::Service(service) => serves(&service.name),
             _ => true,
         });
+        for one in &mut self.declared {
+            if let Object::Client(client) = &mut one.object {
+                client.services.retain(&serves);
+            }
+        }
         self.renew();
         self
     }
--- a/crates/standins/src/deployment/settings.rs
+++ b/crates/standins/src/deployment/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use sequoiahold::settings::{self, Log, Metrics};
+use sequoiahold::settings::{self, Limits, Log, Metrics};
 use sequoiahold_core::{
     declare::Vm,
     units::{ByteRate, Bytes, Span},
@@ -52,7 +52,7 @@
             log: Log::default(),
             metrics: Metrics::default(),
             heartbeat: Span::millis(300),
-            body: Bytes(1_000_000),
+            limits: Limits::default(),
         }
     }
 
