A connection that closes before the answer is no proof that a call did not run

Seen by order_whose_service_crashes_after_running_it: the service ran the order and broke the connection off; the copy through another entry ran it again. Cause: awc reports a connection that closes before the first byte of the answer as SendRequestError::Connect(Disconnected), and the endpoint took every Connect error as "not sent", so that it freed the key and the entry may say "not run". Ruled out: the owner of the key (four other tests of orders pass), a second send by the client (the service counted one run after the first copy). Now only errors before the connection stands count as not sent.

Orders carry keys in the form UUID version 7, as callers are told to, and tests wait until endpoints that just started take them.

--- a/crates/sequoiahold/src/endpoint/engine.rs
+++ b/crates/sequoiahold/src/endpoint/engine.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use anyhow::{anyhow, bail};
-use awc::{Client, error::SendRequestError};
+use awc::{
+    Client,
+    error::{ConnectError, SendRequestError},
+};
 use bytes::Bytes;
 use sequoiahold_core::{
     endpoint::EngineState,
@@ -38,6 +41,20 @@
     Unknown,
 }
 
+impl SendError {
+    /// Returns whether a request may have left; the client reports a connection that closes
+    /// before the answer as a failure to connect.
+    fn of(error: &SendRequestError) -> Self {
+        match error {
+            SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => {
+                Self::Unknown
+            }
+            SendRequestError::Url(_) | SendRequestError::Connect(_) => Self::NotSent,
+            _ => Self::Unknown,
+        }
+    }
+}
+
 /// Talks to the engine over HTTP.
 #[derive(Clone)]
 pub struct Engine {
@@ -103,10 +120,7 @@
         if let Some(key) = key {
             request = request.insert_header(("idempotency-key", key));
         }
-        request.send_body(body).await.map_err(|error| match error {
-            SendRequestError::Url(_) | SendRequestError::Connect(_) => SendError::NotSent,
-            _ => SendError::Unknown,
-        })
+        request.send_body(body).await.map_err(|error| SendError::of(&error))
     }
 
     /// Cancels a request and returns whether the engine confirmed its end.
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -3,12 +3,12 @@
 use std::{
     collections::BTreeSet,
     net::SocketAddr,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use awc::{
     Client, ClientResponse,
-    error::{PayloadError, SendRequestError},
+    error::{ConnectError, PayloadError, SendRequestError},
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt as _};
@@ -65,6 +65,27 @@
     pub tokens: u32,
 }
 
+/// An order at a plain service.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// What is ordered, another name for each order.
+    pub name: String,
+    /// The idempotency key, the same for each copy of the order.
+    pub key: String,
+}
+
+impl Order {
+    /// Returns an order made now, whose key is a UUID of version 7.
+    pub fn now(name: &str) -> Self {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let time = format!("{:012x}", wall.as_millis() as u64);
+        let digest = Digest::of(name.as_bytes()).to_string();
+        let (head, tail) = time.split_at(8);
+        let key = format!("{head}-{tail}-7{}-8{}-{}", &digest[..3], &digest[3..6], &digest[6..18]);
+        Self { name: name.to_owned(), key }
+    }
+}
+
 /// A caller of one client account.
 #[derive(Clone)]
 pub struct Caller {
@@ -114,22 +135,22 @@
     }
 
     /// Places an order at a plain service.
-    pub async fn order(&self, entry: SocketAddr, service: &ServiceId, name: &str) -> Call {
-        let started = Started::new(name);
+    pub async fn order(&self, entry: SocketAddr, service: &ServiceId, order: &Order) -> Call {
+        let started = Started::new(&order.name);
         let url = format!("http://{entry}/services/{service}/orders");
         let request = self
             .client
             .post(url)
             .bearer_auth(&self.key)
-            .insert_header(("idempotency-key", name))
-            .send_body(name.to_owned());
+            .insert_header(("idempotency-key", order.key.as_str()))
+            .send_body(order.name.clone());
         let mut response = match request.await {
             Ok(response) => response,
             Err(error) => return started.end(None, failure(&error)),
         };
         let status = response.status().as_u16();
         let Ok(text) = response.body().await else { return started.end(None, Received::Broken) };
-        let own = serde_json::from_slice::<Value>(&text).is_ok_and(|v| v["done"] == name);
+        let own = serde_json::from_slice::<Value>(&text).is_ok_and(|v| v["done"] == *order.name);
         let received = match status {
             200 if own => Received::Answered,
             200 => Received::Wrong,
@@ -138,6 +159,15 @@
         started.end(None, received)
     }
 
+    /// Asks for a ticket that names one call of a plain service.
+    pub async fn ticket(&self, entry: SocketAddr, service: &ServiceId) -> Option<String> {
+        let url = format!("http://{entry}/tickets/{service}");
+        let mut response = self.client.post(url).bearer_auth(&self.key).send().await.ok()?;
+        let text = response.body().await.ok()?;
+        let value: Value = serde_json::from_slice(&text).ok()?;
+        value["ticket"].as_str().map(str::to_owned)
+    }
+
     async fn send(
         &self,
         entry: SocketAddr,
@@ -176,6 +206,7 @@
 
 fn failure(error: &SendRequestError) -> Received {
     match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => Received::Broken,
         SendRequestError::Connect(_) => Received::Unreached,
         _ => Received::Broken,
     }
--- a/crates/standins/src/demo/mod.rs
+++ b/crates/standins/src/demo/mod.rs
@@ -48,6 +48,7 @@
     progress("the deployment is started, its VMs draw the first version");
     deployment.wait_ready(&deployment.plan.version(1), READY).await?;
     deployment.wait_open(READY).await?;
+    deployment.wait_orders(READY).await?;
 
     let load =
         Load::start(&deployment, Shape { seed: options.seed, repeats: 2, ..Shape::default() });
--- a/crates/standins/src/deployment/mod.rs
+++ b/crates/standins/src/deployment/mod.rs
@@ -28,6 +28,7 @@
 use self::settings::{Addrs, Services, admin_addr, caller_addr};
 pub use self::{plan::Plan, records::Records, start::Setup};
 use crate::{
+    callers::{Caller, Order, Received},
     engine::Engine,
     keys::Authority,
     origin::Origin,
@@ -164,6 +165,34 @@
         }
     }
 
+    /// Waits until an order through each entry is answered; endpoints that just started run none.
+    pub async fn wait_orders(&self, patience: Duration) -> anyhow::Result<()> {
+        let (caller, service) = (self.caller(), self.plan.orders());
+        let end = Instant::now() + patience;
+        let mut number = 0;
+        for entry in self.entries() {
+            loop {
+                number += 1;
+                let order = Order::now(&format!("probe-{number}"));
+                let call = caller.order(entry, &service, &order).await;
+                if call.received == Received::Answered {
+                    break;
+                }
+                if Instant::now() > end {
+                    bail!("an order through {entry} ended as {:?}", call.received);
+                }
+                actix_rt::time::sleep(LOOK).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns a caller of the first client account.
+    pub fn caller(&self) -> Caller {
+        let client = self.plan.fleet.clients.keys().next().expect("the plan has a client account");
+        Caller::new(&format!("key-{client}"))
+    }
+
     /// Waits until all running processes show the published generation; returns the time it took.
     pub async fn wait_in_force(&self, patience: Duration) -> anyhow::Result<Duration> {
         let start = Instant::now();
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -12,7 +12,7 @@
 use sequoiahold_core::ids::{Digest, ServiceId};
 
 use crate::{
-    callers::{Call, Caller, Question},
+    callers::{Call, Caller, Order, Question},
     deployment::Deployment,
 };
 
@@ -116,11 +116,12 @@
             let entry = *entries.choose(&mut rng).expect("an entry");
             let name = format!("{number}-{}", rng.random::<u32>());
             if shape.orders > 0 && number.is_multiple_of(shape.orders) {
-                self.order(&caller, entry, &name);
+                let order = Order::now(&name);
+                self.order(&caller, entry, &order);
                 let count = number / shape.orders;
                 if shape.repeats > 0 && count.is_multiple_of(shape.repeats) {
                     let others: Vec<_> = entries.into_iter().filter(|e| *e != entry).collect();
-                    self.order(&caller, *others.choose(&mut rng).unwrap_or(&entry), &name);
+                    self.order(&caller, *others.choose(&mut rng).unwrap_or(&entry), &order);
                 }
             } else {
                 self.ask(&caller, entry, name, shape.tokens);
@@ -137,9 +138,9 @@
         });
     }
 
-    fn order(&self, caller: &Caller, entry: SocketAddr, name: &str) {
-        let (target, caller, name) = (self.target.clone(), caller.clone(), name.to_owned());
-        self.track(async move { caller.order(entry, &target.orders, &name).await });
+    fn order(&self, caller: &Caller, entry: SocketAddr, order: &Order) {
+        let (target, caller, order) = (self.target.clone(), caller.clone(), order.clone());
+        self.track(async move { caller.order(entry, &target.orders, &order).await });
     }
 
     fn track(&self, call: impl Future<Output = Call> + 'static) {
