--- a/crates/core/src/once/mod.rs
+++ b/crates/core/src/once/mod.rs
@@ -125,8 +125,8 @@
         generation: Generation,
     ) -> HandOver {
         self.owners.heard(generation);
+        let records = self.memory.owned_by(to, members);
         let known = self.owners.generation();
-        let records = if known >= generation { self.memory.owned_by(to, members) } else { vec![] };
         HandOver { generation: known, asked: generation, age: self.owners.age(now), records }
     }
 
--- a/crates/core/src/once/owners.rs
+++ b/crates/core/src/once/owners.rs
@@ -99,10 +99,13 @@
         self.newest = self.newest.max(generation);
     }
 
-    /// Takes the word of another endpoint; returns whether it answers the present question.
+    /// Takes the word of another endpoint and returns whether it holds for the present set.
+    ///
+    /// An endpoint above the generation of the question may run the keys by a set that this one
+    /// has not seen; one below the last change of owners may run them by an old set.
     pub fn confirm(&mut self, now: Time, from: &VmId, given: &HandOver) -> bool {
         self.heard(given.generation);
-        if given.generation < self.changed || given.asked < self.changed {
+        if given.generation < self.changed || given.generation > given.asked {
             return false;
         }
         if let Some(earlier) = self.earlier.get_mut(from)
