Answers end for sure; one more run after a known end; suspects of crashes

Besides: the head of an answer waits for its first part; an event stream that breaks ends with "event: error" and the problem; a connection that breaks after the hand-over is unknown; a crash is seen by the engine's new start.

Not covered: the same bad request sent many times within one heartbeat.

--- a/crates/core/src/endpoint/calls.rs
+++ b/crates/core/src/endpoint/calls.rs
@@ -8,8 +8,9 @@
     gate::Ticket,
     ids::{ClientId, Generation, Incarnation, ServiceId, VersionId, VmId},
     once::{Answer, CallKey, HandOver, OnceTicket, RunEnd, Verdict},
-    proto::KeysAsk,
+    proto::{Beat, KeysAsk},
     refuse::{Failure, Reason, Refusal},
+    suspect::Print,
     time::Time,
     units::Span,
 };
@@ -30,13 +31,24 @@
     pub service: ServiceId,
     /// The key of a call that may not be repeated.
     pub key: Option<CallKey>,
+    /// The fingerprint, the same for each copy of the request.
+    pub print: Print,
+}
+
+/// What a request that passes the gate meets.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Pass {
+    /// The version that answers it.
+    pub version: Option<VersionId>,
+    /// The start of the engine as it was seen last.
+    pub engine: u64,
 }
 
 /// What an endpoint does with a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
-    /// Hand it over; this version answers.
-    Run(Option<VersionId>),
+    /// Hand it over.
+    Run(Pass),
     /// Give the answer of the earlier call with the same key again.
     Replay(Answer),
     /// Say that this call does not run.
@@ -64,19 +76,33 @@
                 Verdict::Fail(failure) => return Decision::Fail(failure),
             }
         }
+        if let Err(refusal) = self.flights.admit(call.print) {
+            return Decision::Refuse(refusal);
+        }
         match self.ask(call.ticket.clone(), &call.service) {
             Ok(version) => {
+                self.flights.start(call.ticket.clone(), call.print);
                 if let Some(key) = &call.key {
                     self.once.begin(now, &call.client, key);
                 }
-                Decision::Run(version)
+                Decision::Run(Pass { version, engine: self.flights.engine() })
             }
             Err(refusal) => Decision::Refuse(refusal),
         }
     }
 
+    /// Takes note that the engine crashed under a call, and returns how the call failed.
+    pub fn fell(&mut self, now: Time, call: &Offered, engine: u64) -> Failure {
+        self.flights.look(now, &self.own.vm, engine);
+        match self.flights.suspects.is_sole(call.print) {
+            true => Failure::CrashedAlone,
+            false => Failure::Crashed,
+        }
+    }
+
     /// Takes note of how a call that was handed over ended.
     pub fn ended(&mut self, now: Time, call: &Offered, end: RunEnd) {
+        self.flights.end(&call.ticket, &end);
         if let Some(key) = &call.key {
             self.once.end(now, &call.client, key, end);
         }
@@ -100,6 +126,13 @@
         self.once.issue(now, client)
     }
 
+    /// Takes the state that an entry told.
+    pub fn heard(&mut self, now: Time, beat: &Beat) {
+        for crash in &beat.crashes {
+            self.flights.suspects.accuse(now, crash.clone());
+        }
+    }
+
     /// Tells another endpoint which of its keys this process has run or runs.
     pub fn hand_over(&mut self, now: Time, ask: &KeysAsk) -> HandOver {
         self.once.hand_over(now, &ask.vm, &ask.members, ask.generation)
--- /dev/null
+++ b/crates/core/src/endpoint/flights.rs
@@ -0,0 +1,73 @@
+//! The requests in flight at an engine, and whom its crashes accuse.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    gate::Ticket,
+    ids::VmId,
+    once::RunEnd,
+    refuse::{Reason, Refusal},
+    suspect::{Crash, Print, Standing, Suspects},
+    time::Time,
+    units::Span,
+};
+
+/// The time after which a suspected request may come again while another suspect runs.
+const RETRY: Span = Span::secs(1);
+
+/// The requests in flight and the suspects.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Flights {
+    pub(super) suspects: Suspects,
+    engine: Option<u64>,
+    flying: BTreeMap<Ticket, Print>,
+    fallen: Vec<Print>,
+}
+
+impl Flights {
+    /// Returns the start of the engine as it was seen last.
+    pub(super) fn engine(&self) -> u64 {
+        self.engine.unwrap_or_default()
+    }
+
+    /// Lets a request start, or refuses it: condemned ones always, suspects beside another one.
+    pub(super) fn admit(&self, print: Print) -> Result<(), Refusal> {
+        match self.suspects.standing(print) {
+            Standing::Clear => Ok(()),
+            Standing::Condemned => Err(Refusal::new(Reason::Suspect)),
+            Standing::Suspect => {
+                let suspected = |print: &Print| self.suspects.standing(*print) != Standing::Clear;
+                match self.flying.values().any(suspected) {
+                    true => Err(Refusal::after(Reason::Suspect, RETRY)),
+                    false => Ok(()),
+                }
+            }
+        }
+    }
+
+    /// Takes note that a request is handed over.
+    pub(super) fn start(&mut self, ticket: Ticket, print: Print) {
+        self.flying.insert(ticket, print);
+    }
+
+    /// Takes note of how a request ended.
+    pub(super) fn end(&mut self, ticket: &Ticket, end: &RunEnd) {
+        let Some(print) = self.flying.remove(ticket) else { return };
+        match end {
+            RunEnd::Answered(_) => self.suspects.clear(print),
+            RunEnd::NotRun => {}
+            RunEnd::Unknown => self.fallen.push(print),
+        }
+    }
+
+    /// Takes the start that the engine shows; another one than before means that it crashed.
+    pub(super) fn look(&mut self, now: Time, vm: &VmId, engine: u64) {
+        let fallen = std::mem::take(&mut self.fallen);
+        let before = self.engine.replace(engine).filter(|before| *before != engine);
+        let Some(before) = before else { return };
+        let prints: Vec<Print> = self.flying.values().copied().chain(fallen).collect();
+        if !prints.is_empty() {
+            self.suspects.accuse(now, Crash { vm: vm.clone(), engine: before, prints });
+        }
+    }
+}
--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -1,16 +1,17 @@
 //! Decisions of an endpoint process.
 
 mod calls;
+mod flights;
 mod life;
 mod wanted;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 pub use self::{
-    calls::{Decision, Offered, key_members},
+    calls::{Decision, Offered, Pass, key_members},
     life::{LifeEvent, LifeState},
 };
-use self::{life::chart, wanted::Wanted};
+use self::{flights::Flights, life::chart, wanted::Wanted};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
     chart::Machine,
@@ -111,6 +112,7 @@
     once: Once,
     seen: Copies,
     asking: bool,
+    flights: Flights,
     life: Machine<LifeState, LifeEvent>,
     engine: Option<EngineState>,
     wanted: Option<Wanted>,
@@ -133,6 +135,7 @@
             gate: Gate::default(),
             seen: Copies::default(),
             asking: false,
+            flights: Flights::default(),
             life: Machine::new(Arc::new(chart())),
             engine: None,
             wanted: None,
@@ -169,6 +172,9 @@
             running: state.running,
         });
         self.gate.observe(seen.unwrap_or_default());
+        if let Some(state) = &state {
+            self.flights.look(now, &self.own.vm, state.incarnation);
+        }
         self.engine = state;
         self.follow(now);
     }
@@ -262,6 +268,7 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time) {
+        self.flights.suspects.expire(now);
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Draw => self.ask_peers(now),
@@ -335,6 +342,7 @@
             incarnation: self.own.incarnation,
             generation: self.adopter.generation(),
             load: Some(load),
+            crashes: self.flights.suspects.told(),
         }
     }
 
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of an entry process.
 
 mod keyed;
+mod outcome;
 mod request;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
@@ -12,6 +13,7 @@
 use self::request::{Request, chart};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
+    budget::Budget,
     chart::Chart,
     declare::{Fleet, Published, Role},
     ids::{Generation, Incarnation, RequestId, ServiceId, VmId, ZoneId},
@@ -19,6 +21,7 @@
     proto::Beat,
     refuse::{Failure, Reason, Refusal},
     route::Router,
+    suspect::Suspects,
     time::{Time, Timers},
     units::Span,
 };
@@ -64,6 +67,7 @@
 #[derive(Clone, Debug)]
 enum Timer {
     Beat(VmId),
+    Deadline(RequestKey),
 }
 
 /// Who an entry is.
@@ -90,6 +94,8 @@
     timers: Timers<Timer>,
     beating: BTreeMap<VmId, Time>,
     incarnations: BTreeMap<VmId, Incarnation>,
+    suspects: Suspects,
+    budget: Budget,
     outputs: Vec<Output>,
     last: RequestId,
     rng: SmallRng,
@@ -108,6 +114,8 @@
             timers: Timers::default(),
             beating: BTreeMap::new(),
             incarnations: BTreeMap::new(),
+            suspects: Suspects::default(),
+            budget: Budget::default(),
             outputs: vec![],
             last: RequestId::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -119,6 +127,7 @@
         let outcome = self.adopter.offer(published);
         if matches!(outcome, Adoption::Adopted(_)) {
             self.start_beats(now);
+            self.keep_budgets();
         }
         outcome
     }
@@ -131,7 +140,10 @@
     }
 
     /// Takes the state that a peer told.
-    pub fn heard(&mut self, beat: Beat) {
+    pub fn heard(&mut self, now: Time, beat: Beat) {
+        for crash in beat.crashes {
+            self.suspects.accuse(now, crash);
+        }
         self.incarnations.insert(beat.vm.clone(), beat.incarnation);
         if let Some(load) = beat.load {
             self.router.report(&beat.vm, load);
@@ -146,14 +158,25 @@
 
     /// Takes a request; its first output follows.
     pub fn arrive(&mut self, now: Time, arrival: Arrival) -> RequestKey {
-        let request = Request::new(arrival, now, self.chart.clone());
-        let key = self.requests.insert(request);
-        self.send(now, key, Refusal::after(Reason::NoEndpoint, RETRY));
+        let deadline = now + arrival.timeout;
+        self.budget.earn(&arrival.client);
+        let held = self.held_against(&arrival);
+        let key = self.requests.insert_with_key(|key| {
+            let timer = self.timers.at(deadline, Timer::Deadline(key));
+            Request::new(arrival, now, self.chart.clone(), timer)
+        });
+        match held {
+            Some(refusal) => self.refuse(key, refusal),
+            None => self.send(now, key, Refusal::after(Reason::NoEndpoint, RETRY)),
+        }
         key
     }
 
     /// Takes note that an endpoint refused a request.
     pub fn refused(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
+        if refusal == Refusal::new(Reason::Suspect) {
+            return self.refuse(key, refusal);
+        }
         self.send(now, key, refusal);
     }
 
@@ -164,15 +187,9 @@
         }
     }
 
-    /// Takes note that a request was handed over and failed.
-    pub fn failed(&mut self, key: RequestKey, failure: Failure) {
-        if self.end(key, RequestEvent::Fail) {
-            self.outputs.push(Output::Fail(key, failure));
-        }
-    }
-
     /// Takes note that a request has its whole answer.
     pub fn ended(&mut self, key: RequestKey) {
+        self.acquit(key);
         self.end(key, RequestEvent::End);
     }
 
@@ -183,8 +200,12 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time) {
-        while let Some(Timer::Beat(vm)) = self.timers.pop(now) {
-            self.send_beat(now, vm);
+        self.suspects.expire(now);
+        while let Some(timer) = self.timers.pop(now) {
+            match timer {
+                Timer::Beat(vm) => self.send_beat(now, vm),
+                Timer::Deadline(key) => self.out_of_time(key),
+            }
         }
     }
 
@@ -215,6 +236,7 @@
             incarnation: self.own.incarnation,
             generation: self.adopter.generation(),
             load: None,
+            crashes: self.suspects.told(),
         }
     }
 
@@ -267,7 +289,10 @@
         let service = &request.arrival.service;
         let vm = match &request.arrival.key {
             Some(key) => self.choose_keyed(&fleet, service, key, &request.tried)?,
-            None => self.router.choose(&fleet, service, &request.tried, &mut self.rng)?,
+            None => {
+                let avoided = self.avoided(key);
+                self.router.choose(&fleet, service, &avoided, &mut self.rng)?
+            }
         };
         let addr = fleet.vms.get(&vm).map(|vm| vm.addr).ok_or(Refusal::new(Reason::NoEndpoint))?;
         let to = self.incarnations.get(&vm).copied().unwrap_or_default();
@@ -278,17 +303,11 @@
         Ok(Output::Send { request: key, id: self.last, vm, addr, to, left })
     }
 
-    fn refuse(&mut self, key: RequestKey, refusal: Refusal) {
-        if self.end(key, RequestEvent::Refuse) {
-            self.outputs.push(Output::Refuse(key, refusal));
-        }
-    }
-
     fn end(&mut self, key: RequestKey, event: RequestEvent) -> bool {
         let Some(request) = self.requests.get_mut(key) else { return false };
         let ended = request.state.apply(event);
-        if ended {
-            self.requests.remove(key);
+        if ended && let Some(request) = self.requests.remove(key) {
+            self.timers.cancel(request.timer);
         }
         ended
     }
--- /dev/null
+++ b/crates/core/src/entry/outcome.rs
@@ -0,0 +1,132 @@
+//! How requests end at an entry, and when one may be run once more.
+
+use super::{Arrival, Entry, Output, RequestEvent, RequestKey, RequestState};
+use crate::{
+    declare::Fleet,
+    ids::VmId,
+    refuse::{Failure, Reason, Refusal},
+    suspect::{Print, Standing},
+    time::Time,
+    units::Span,
+};
+
+/// The time after which a suspected request may come again while a copy of it runs.
+const RETRY: Span = Span::secs(1);
+
+impl Entry {
+    /// Takes note that a request was handed over and failed.
+    pub fn failed(&mut self, now: Time, key: RequestKey, failure: Failure) {
+        self.suspect(now, key, failure);
+        if self.may_rerun(now, key, failure) && self.rerun(now, key, failure) {
+            return;
+        }
+        self.fail(key, failure);
+    }
+
+    /// Gives a request that has not run its final answer; one that ran before has failed.
+    pub(super) fn refuse(&mut self, key: RequestKey, refusal: Refusal) {
+        let failure = self.requests.get(key).and_then(|request| request.failure);
+        if let Some(failure) = failure {
+            return self.fail(key, failure);
+        }
+        if self.end(key, RequestEvent::Refuse) {
+            self.outputs.push(Output::Refuse(key, refusal));
+        }
+    }
+
+    fn fail(&mut self, key: RequestKey, failure: Failure) {
+        if self.end(key, RequestEvent::Fail) {
+            self.outputs.push(Output::Fail(key, failure));
+        }
+    }
+
+    fn suspect(&mut self, now: Time, key: RequestKey, failure: Failure) {
+        let Some(request) = self.requests.get(key) else { return };
+        let print = Print::from(&request.arrival.print);
+        match failure {
+            Failure::Crashed => self.suspects.suspect(now, print, false),
+            Failure::CrashedAlone => self.suspects.suspect(now, print, true),
+            Failure::Cancelled | Failure::Unknown => {}
+        }
+    }
+
+    /// Returns the endpoints that a request must not run at: those tried, and beside other suspects.
+    pub(super) fn avoided(&self, key: RequestKey) -> Vec<VmId> {
+        let Some(request) = self.requests.get(key) else { return vec![] };
+        let suspected = |arrival: &Arrival| {
+            self.suspects.standing(Print::from(&arrival.print)) != Standing::Clear
+        };
+        let mut avoided = request.tried.clone();
+        if suspected(&request.arrival) {
+            let others = self.requests.iter().filter(|(other, _)| *other != key);
+            let beside = others.filter(|(_, other)| suspected(&other.arrival));
+            avoided.extend(beside.filter_map(|(_, other)| other.tried.last().cloned()));
+        }
+        avoided
+    }
+
+    /// Gives a request whose deadline has passed its final answer.
+    pub(super) fn out_of_time(&mut self, key: RequestKey) {
+        let Some(request) = self.requests.get(key) else { return };
+        if request.state.state() == RequestState::Arrived {
+            return self.refuse(key, Refusal::new(Reason::Deadline));
+        }
+        self.fail(key, Failure::Unknown);
+    }
+
+    /// Returns why a request is refused on arrival for the crashes that it is suspected of.
+    pub(super) fn held_against(&self, arrival: &Arrival) -> Option<Refusal> {
+        match self.suspects.standing(Print::from(&arrival.print)) {
+            Standing::Clear => None,
+            Standing::Condemned => Some(Refusal::new(Reason::Suspect)),
+            Standing::Suspect => {
+                let same = |arrived: &Arrival| arrived.print == arrival.print;
+                let copy = self.requests.values().any(|request| same(&request.arrival));
+                copy.then_some(Refusal::after(Reason::Suspect, RETRY))
+            }
+        }
+    }
+
+    /// Takes back what is held against a request that ran to its end.
+    pub(super) fn acquit(&mut self, key: RequestKey) {
+        if let Some(request) = self.requests.get(key) {
+            self.suspects.clear(Print::from(&request.arrival.print));
+        }
+    }
+
+    /// Returns whether a request whose first run has ended may be run once more elsewhere.
+    fn may_rerun(&mut self, now: Time, key: RequestKey, failure: Failure) -> bool {
+        let known = matches!(failure, Failure::Crashed | Failure::Cancelled);
+        let (Some(fleet), Some(request)) = (self.fleet(), self.requests.get(key)) else {
+            return false;
+        };
+        let arrival = &request.arrival;
+        known
+            && request.state.state() == RequestState::Offered
+            && request.failure.is_none()
+            && request.left(now).is_some()
+            && is_repeatable(&fleet, arrival)
+            && !self.suspects.is_sole(Print::from(&arrival.print))
+            && self.budget.spend(&arrival.client)
+    }
+
+    /// Forgets the retry budgets of client accounts that are no longer declared.
+    pub(super) fn keep_budgets(&mut self) {
+        if let Some(fleet) = self.fleet() {
+            self.budget.keep(|client| fleet.clients.contains_key(client));
+        }
+    }
+
+    fn rerun(&mut self, now: Time, key: RequestKey, failure: Failure) -> bool {
+        let Ok(output) = self.choose(now, key) else { return false };
+        if let Some(request) = self.requests.get_mut(key) {
+            request.failure = Some(failure);
+        }
+        self.outputs.push(output);
+        true
+    }
+}
+
+fn is_repeatable(fleet: &Fleet, arrival: &Arrival) -> bool {
+    fleet.services.get(&arrival.service).is_some_and(|service| service.repeatable)
+}
--- a/crates/core/src/entry/request.rs
+++ b/crates/core/src/entry/request.rs
@@ -8,7 +8,8 @@
     chart::{Chart, Machine},
     ids::{ClientId, Digest, ServiceId, VmId},
     once::CallKey,
-    time::Time,
+    refuse::Failure,
+    time::{Time, TimerId},
     units::Span,
 };
 
@@ -74,6 +75,8 @@
     pub(super) arrival: Arrival,
     pub(super) tried: Vec<VmId>,
     pub(super) state: Machine<RequestState, RequestEvent>,
+    pub(super) failure: Option<Failure>,
+    pub(super) timer: TimerId,
     deadline: Time,
 }
 
@@ -82,9 +85,11 @@
         arrival: Arrival,
         now: Time,
         chart: Arc<Chart<RequestState, RequestEvent>>,
+        timer: TimerId,
     ) -> Self {
         let deadline = now + arrival.timeout;
-        Self { arrival, tried: vec![], state: Machine::new(chart), deadline }
+        let state = Machine::new(chart);
+        Self { arrival, tried: vec![], state, failure: None, timer, deadline }
     }
 
     /// Returns the time left until the deadline, `None` where it has passed.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decision logic of sequoiahold: messages in, outcomes out, no sockets, clocks or threads.
 
 pub mod adopt;
+pub mod budget;
 pub mod chart;
 pub mod declare;
 pub mod endpoint;
@@ -14,6 +15,7 @@
 pub mod proto;
 pub mod refuse;
 pub mod route;
+pub mod suspect;
 pub mod time;
 pub mod units;
 pub mod weights;
--- a/crates/core/src/proto.rs
+++ b/crates/core/src/proto.rs
@@ -10,6 +10,7 @@
     ids::{ClientId, Digest, Generation, Incarnation, RequestId, ServiceId, VersionId, VmId},
     once::{CallKey, HandOver, OnceTicket},
     refuse::{Failure, Refusal},
+    suspect::{Crash, Print},
     units::Span,
 };
 
@@ -69,6 +70,8 @@
     pub path: String,
     /// The key of a call that may not be repeated.
     pub key: Option<CallKey>,
+    /// The fingerprint, the same for each copy of the request.
+    pub print: Print,
     /// The time left until the deadline.
     pub left: Span,
     /// The body.
@@ -86,6 +89,8 @@
     pub generation: Generation,
     /// What an endpoint bears, or `None` from an entry.
     pub load: Option<Load>,
+    /// The crashes that the sender saw or was told of lately.
+    pub crashes: Vec<Crash>,
 }
 
 /// The load that an endpoint reports.
--- a/crates/core/src/refuse.rs
+++ b/crates/core/src/refuse.rs
@@ -103,6 +103,8 @@
 pub enum Failure {
     /// The engine or service crashed while the request was in progress.
     Crashed,
+    /// The engine crashed and no other request in progress is suspected of it.
+    CrashedAlone,
     /// The run was cancelled and the engine confirmed its end.
     Cancelled,
     /// Whether the request ran to its end is not known.
--- a/crates/sequoiahold/src/endpoint/ask.rs
+++ b/crates/sequoiahold/src/endpoint/ask.rs
@@ -1,11 +1,13 @@
 //! The life of one request at an endpoint.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt as _};
 use quinn::{RecvStream, SendStream};
 use sequoiahold_core::{
-    endpoint::{Decision, Offered},
-    ids::{Incarnation, VersionId},
+    endpoint::{Decision, Offered, Pass},
+    ids::Incarnation,
     once::{Answer, MAX_ANSWER, RunEnd},
     proto::{Ask, Reply, Started},
     refuse::{Failure, Reason, Refusal},
@@ -18,6 +20,10 @@
 };
 use crate::net::write;
 
+/// Looks at an engine that broke off an answer before the outcome counts as unknown.
+const LOOKS: u32 = 10;
+/// Pause between two such looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
 /// The content type of an answer that names none.
 const BYTES: &str = "application/octet-stream";
 
@@ -41,11 +47,12 @@
             client: ask.client.clone(),
             service: ask.service.clone(),
             key: ask.key.clone(),
+            print: ask.print,
         };
         match self.admit(&offered).await {
-            Decision::Run(version) => {
+            Decision::Run(pass) => {
                 let running = Running::new(offered, self.events.clone());
-                Run { asks: self, ask: &ask, version, running }.hand_over(&mut send).await;
+                Run { asks: self, ask: &ask, pass, running }.hand_over(&mut send).await;
             }
             Decision::Replay(answer) => self.replay(answer, &mut send).await,
             Decision::Refuse(refusal) => {
@@ -80,7 +87,7 @@
 struct Run<'a> {
     asks: &'a Asks,
     ask: &'a Ask,
-    version: Option<VersionId>,
+    pass: Pass,
     running: Running,
 }
 
@@ -113,7 +120,7 @@
         let started = Started {
             status: response.status().as_u16(),
             content: content.unwrap_or(BYTES).to_owned(),
-            version: self.version.clone(),
+            version: self.pass.version.clone(),
             incarnation: self.asks.incarnation,
         };
         self.forward(started, response, send).await;
@@ -171,22 +178,38 @@
 
     /// Returns whether the run is of no use once its caller has gone.
     fn stops_with_caller(&self) -> bool {
-        self.version.is_some()
+        self.pass.version.is_some()
     }
 
     async fn cancel(&self) {
-        if self.version.is_some() {
+        if self.pass.version.is_some() {
             self.asks.engine.cancel(&self.id()).await;
         }
     }
 
     /// Returns how a request ended whose answer broke off.
     async fn failure(&self) -> Failure {
-        if self.version.is_some() && self.asks.engine.cancel(&self.id()).await {
-            return Failure::Cancelled;
+        if self.pass.version.is_none() {
+            return Failure::Unknown;
+        }
+        for _ in 0..LOOKS {
+            match self.asks.engine.state().await {
+                Ok(state) if state.incarnation != self.pass.engine => {
+                    return self.fell(state.incarnation).await;
+                }
+                Ok(_) if self.asks.engine.cancel(&self.id()).await => return Failure::Cancelled,
+                _ => actix_rt::time::sleep(LOOK_PAUSE).await,
+            }
         }
         Failure::Unknown
     }
+
+    async fn fell(&self, engine: u64) -> Failure {
+        let (reply, failure) = oneshot::channel();
+        let offered = self.running.offered.clone();
+        let _ = self.asks.events.send(Event::Fell(offered, engine, reply));
+        failure.await.unwrap_or(Failure::Crashed)
+    }
 }
 
 /// Tells the event loop how a request has ended, however its task ends.
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -10,7 +10,7 @@
     member::VmState,
     once::{HandOver, OnceTicket, RunEnd},
     proto::{Beat, KeysAsk},
-    refuse::Refusal,
+    refuse::{Failure, Refusal},
     weights::Manifest,
 };
 use tokio::sync::oneshot;
@@ -30,6 +30,10 @@
     Admit(Admit),
     /// A request that passed has ended.
     Ended(Offered, RunEnd),
+    /// The engine, which now shows this start, crashed under a request.
+    Fell(Offered, u64, oneshot::Sender<Failure>),
+    /// An entry told its state.
+    Heard(Box<Beat>),
     /// Another endpoint handed over keys.
     Keys(VmId, HandOver),
     /// Another endpoint asks for its keys.
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -97,6 +97,10 @@
             Event::Engine(state) => self.endpoint.engine(now, state),
             Event::Admit(admit) => self.on_admit(admit),
             Event::Ended(call, end) => self.endpoint.ended(now, &call, end),
+            Event::Fell(call, engine, reply) => {
+                let _ = reply.send(self.endpoint.fell(now, &call, engine));
+            }
+            Event::Heard(beat) => self.endpoint.heard(now, &beat),
             Event::Keys(vm, given) => self.endpoint.take_over(now, &vm, given),
             Event::TellKeys(ask, reply) => drop(reply.send(self.endpoint.hand_over(now, &ask))),
             Event::Ticket(client, service, reply) => {
--- a/crates/sequoiahold/src/entry/event_loop.rs
+++ b/crates/sequoiahold/src/entry/event_loop.rs
@@ -81,7 +81,7 @@
         match event {
             Event::Offer(published) => self.on_offer(published),
             Event::Vms(list) => self.entry.list(&list),
-            Event::Beat(beat) => self.entry.heard(*beat),
+            Event::Beat(beat) => self.entry.heard(now, *beat),
             Event::Silent(vm) => self.entry.silent(&vm),
             Event::Arrive(arrival, steps) => {
                 let key = self.entry.arrive(now, arrival);
@@ -89,7 +89,7 @@
             }
             Event::Refused(key, refusal) => self.entry.refused(now, key, refusal),
             Event::Started(key) => self.entry.started(key),
-            Event::Failed(key, failure) => self.entry.failed(key, failure),
+            Event::Failed(key, failure) => self.entry.failed(now, key, failure),
             Event::Ended(key) => {
                 self.entry.ended(key);
                 self.metrics.count("requests.answered");
--- a/crates/sequoiahold/src/entry/problem.rs
+++ b/crates/sequoiahold/src/entry/problem.rs
@@ -13,6 +13,9 @@
 
 use super::body::Body;
 
+/// The status of a request that was handed over and has no whole answer.
+const FAILED: u16 = 502;
+
 /// Returns the answer for a refused request; with a key, an earlier call may have run.
 pub fn refused(refusal: Refusal, keyed: bool) -> Response<Body> {
     let detail = json!({
@@ -34,18 +37,26 @@
 
 /// Returns the answer for a request that was handed over and has no whole answer.
 pub fn failed(failure: Failure) -> Response<Body> {
+    problem(FAILED, &failed_detail(failure))
+}
+
+/// Returns the last event of an answer that broke off, so that no part looks whole.
+pub fn event(failure: Failure) -> Bytes {
+    Bytes::from(format!("event: error\ndata: {}\n\n", failed_detail(failure)))
+}
+
+fn failed_detail(failure: Failure) -> serde_json::Value {
     let outcome = match failure {
-        Failure::Crashed | Failure::Cancelled => "failed",
+        Failure::Crashed | Failure::CrashedAlone | Failure::Cancelled => "failed",
         Failure::Unknown => "unknown",
     };
-    let detail = json!({
+    json!({
         "type": "about:blank",
         "title": "the request was handed over and has no whole answer",
-        "status": 502,
+        "status": FAILED,
         "not_run": false,
         "outcome": outcome,
-    });
-    problem(502, &detail)
+    })
 }
 
 /// Returns the answer that carries a ticket.
--- a/crates/sequoiahold/src/entry/request.rs
+++ b/crates/sequoiahold/src/entry/request.rs
@@ -1,6 +1,9 @@
 //! The life of one request at an entry.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use actix_http::{
     Response, StatusCode,
@@ -14,6 +17,7 @@
     once::OnceTicket,
     proto::{Ask, Call, Reply, Started},
     refuse::{Failure, Reason, Refusal},
+    suspect::Print,
     units::Span,
 };
 use tokio::sync::{mpsc, oneshot};
@@ -30,6 +34,8 @@
     net::{Links, call, read, write},
 };
 
+/// The content type of an answer that comes as events.
+const EVENTS: &str = "text/event-stream";
 /// Time that the issue of a ticket may take.
 const ISSUE: Duration = Duration::from_secs(2);
 /// Parts of an answer that wait for a slow caller.
@@ -63,8 +69,10 @@
     pub metrics: Metrics,
 }
 
+type Streams = (SendStream, RecvStream);
+
 enum Offer {
-    Started(Started, SendStream, RecvStream),
+    Started(Started, Reply, Streams),
     Refused(Refusal),
     Failed(Failure),
 }
@@ -87,10 +95,11 @@
             departure.disarm();
             watch.sent();
             match offer {
-                Offer::Started(started, writer, reader) => {
+                Offer::Started(started, first, streams) => {
                     self.tell(Event::Started(send.request));
-                    let streams = (writer, reader);
-                    return self.answer(send.request, started, streams, (watch, guard));
+                    let left = Instant::now() + send.left.into();
+                    let answer = Answer { key: send.request, first, streams, left };
+                    return self.answer(answer, started, (watch, guard));
                 }
                 Offer::Refused(refusal) => self.tell(Event::Refused(send.request, refusal)),
                 Offer::Failed(failure) => self.tell(Event::Failed(send.request, failure)),
@@ -129,12 +138,21 @@
         let opened = actix_rt::time::timeout(to.left.into(), connection.open_bi()).await;
         let Ok(Ok((mut send, mut recv))) = opened else { return unreachable };
         let ask = Call::Ask(Box::new(self.ask(incoming, to)));
+        let mut started = None;
         let exchange = async {
             write(&mut send, &ask).await?;
+            match read::<Reply>(&mut recv).await? {
+                Reply::Started(head) => started = Some(head),
+                reply => return Ok(reply),
+            }
             read::<Reply>(&mut recv).await
         };
-        match actix_rt::time::timeout(to.left.into(), exchange).await {
-            Ok(Ok(Reply::Started(started))) => Offer::Started(started, send, recv),
+        let reply = actix_rt::time::timeout(to.left.into(), exchange).await;
+        match reply {
+            Ok(Ok(first @ (Reply::Part(..) | Reply::End(_)))) => match started {
+                Some(started) => Offer::Started(started, first, (send, recv)),
+                None => Offer::Failed(Failure::Unknown),
+            },
             Ok(Ok(Reply::Refused(refusal))) => Offer::Refused(refusal),
             Ok(Ok(Reply::Failed(failure))) => Offer::Failed(failure),
             Ok(Ok(_) | Err(_)) | Err(_) => Offer::Failed(Failure::Unknown),
@@ -152,6 +170,7 @@
             method: incoming.method.clone(),
             path: incoming.path.clone(),
             key: incoming.arrival.key.clone(),
+            print: Print::from(&incoming.arrival.print),
             left: to.left,
             body: incoming.body.clone(),
         }
@@ -159,9 +178,8 @@
 
     fn answer(
         &self,
-        key: RequestKey,
+        answer: Answer,
         started: Started,
-        streams: (SendStream, RecvStream),
         (mut watch, guard): (Stopwatch, Active),
     ) -> Response<Body> {
         let (parts, receiver) = mpsc::channel(PARTS);
@@ -172,10 +190,16 @@
         }
         let requests = self.clone();
         actix_rt::spawn(async move {
-            let event = match forward(streams, &parts, &mut watch).await {
+            let key = answer.key;
+            let event = match answer.forward(&parts, &mut watch).await {
                 Forwarded::Whole => Event::Ended(key),
                 Forwarded::Left => Event::Left(key),
-                Forwarded::BrokenOff => Event::Failed(key, Failure::Unknown),
+                Forwarded::BrokenOff(failure) => {
+                    if started.content.starts_with(EVENTS) {
+                        let _ = parts.send(Part::Data(problem::event(failure))).await;
+                    }
+                    Event::Failed(key, failure)
+                }
             };
             requests.tell(event);
             drop(guard);
@@ -210,42 +234,54 @@
 }
 
 enum Forwarded {
-    BrokenOff,
+    BrokenOff(Failure),
     Left,
     Whole,
 }
 
-/// Forwards the parts of an answer in order.
-async fn forward(
-    streams: (SendStream, RecvStream),
-    parts: &mpsc::Sender<Part>,
-    watch: &mut Stopwatch,
-) -> Forwarded {
-    let (mut send, mut recv) = streams;
-    let mut count = 0;
-    loop {
-        let reply = tokio::select! {
-            reply = read::<Reply>(&mut recv) => reply,
-            () = parts.closed() => {
-                let _ = send.reset(0u32.into());
-                return Forwarded::Left;
+/// An answer on its way to its caller.
+struct Answer {
+    key: RequestKey,
+    first: Reply,
+    streams: Streams,
+    left: Instant,
+}
+
+impl Answer {
+    /// Forwards the parts of an answer in order.
+    async fn forward(self, parts: &mpsc::Sender<Part>, watch: &mut Stopwatch) -> Forwarded {
+        let (mut send, mut recv) = self.streams;
+        let mut next = Ok(self.first);
+        let mut count = 0;
+        loop {
+            match next {
+                Ok(Reply::Part(number, data)) if number == count => {
+                    count += 1;
+                    watch.part();
+                    if parts.send(Part::Data(data)).await.is_err() {
+                        let _ = send.reset(0u32.into());
+                        return Forwarded::Left;
+                    }
+                }
+                Ok(Reply::End(whole)) if whole == count => {
+                    let _ = parts.send(Part::End).await;
+                    watch.end();
+                    return Forwarded::Whole;
+                }
+                Ok(Reply::Failed(failure)) => return Forwarded::BrokenOff(failure),
+                _ => return Forwarded::BrokenOff(Failure::Unknown),
             }
-        };
-        match reply {
-            Ok(Reply::Part(number, data)) if number == count => {
-                count += 1;
-                watch.part();
-                if parts.send(Part::Data(data)).await.is_err() {
+            next = tokio::select! {
+                reply = read::<Reply>(&mut recv) => reply,
+                () = parts.closed() => {
                     let _ = send.reset(0u32.into());
                     return Forwarded::Left;
                 }
-            }
-            Ok(Reply::End(whole)) if whole == count => {
-                let _ = parts.send(Part::End).await;
-                watch.end();
-                return Forwarded::Whole;
-            }
-            _ => return Forwarded::BrokenOff,
+                () = actix_rt::time::sleep_until(self.left.into()) => {
+                    let _ = send.reset(0u32.into());
+                    return Forwarded::BrokenOff(Failure::Unknown);
+                }
+            };
         }
     }
 }
--- a/crates/standins/src/driver/calls.rs
+++ b/crates/standins/src/driver/calls.rs
@@ -12,6 +12,19 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct CallId(pub usize);
 
+/// What a caller asks.
+#[derive(Clone, Debug)]
+pub struct Asked<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The client account.
+    pub client: &'a str,
+    /// The key of a call that may not be repeated.
+    pub key: Option<CallKey>,
+    /// The body, another one for each call where there is none.
+    pub body: Option<&'a str>,
+}
+
 /// What a caller received.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Outcome {
--- a/crates/standins/src/driver/deliver.rs
+++ b/crates/standins/src/driver/deliver.rs
@@ -28,7 +28,8 @@
 impl World {
     pub(super) fn deliver(&mut self, from: &VmId, to: &VmId, message: Message) {
         match message {
-            Message::Beat(_) => {
+            Message::Beat(beat) => {
+                self.on_endpoint(to, |core, now| core.heard(now, &beat));
                 let answer = self.endpoints.get(to).map(|node| Message::Answer(node.core.beat()));
                 answer.into_iter().for_each(|answer| self.send(to, from, answer));
             }
@@ -36,7 +37,7 @@
                 let now = self.now;
                 if let Some(node) = self.entries.get_mut(to) {
                     node.heard.insert(from.clone(), now);
-                    node.core.heard(beat);
+                    node.core.heard(now, beat);
                 }
                 self.perform(to);
             }
@@ -88,10 +89,10 @@
             }
             Decision::Drop => return,
         }
-        let ticket = offered.ticket.clone();
+        let (ticket, print) = (offered.ticket.clone(), offered.print);
         node.open.insert(ticket.clone(), offered);
         self.count_run(call);
-        let poison = self.engines[to].poison.contains(&call);
+        let poison = self.keys.poison.contains(&print);
         let began = self.engines.get_mut(to).is_some_and(|e| e.begin(ticket.clone(), call));
         if poison && let Some(engine) = self.engines.get_mut(to) {
             engine.crash();
@@ -120,22 +121,22 @@
         if run.is_some() {
             engine.finished += 1;
         }
+        let engine = engine.incarnation;
         let Some(node) = self.endpoints.get_mut(vm) else { return };
-        let end = match &run {
-            Some(_) => RunEnd::Answered(Answer {
-                status: 200,
-                content: String::new(),
-                body: Some(vec![].into()),
-            }),
-            None => RunEnd::Unknown,
-        };
-        if let Some(offered) = node.open.remove(ticket) {
-            node.core.ended(now, &offered, end);
-        }
-        let message = match run {
-            Some((_, version)) => Message::Ended(key, version),
-            None => Message::Failed(key, Failure::Unknown),
+        let Some(offered) = node.open.remove(ticket) else { return };
+        let body = Some(vec![].into());
+        let (end, message) = match run {
+            Some((_, version)) => {
+                let answer = Answer { status: 200, content: String::new(), body };
+                (RunEnd::Answered(answer), Message::Ended(key, version))
+            }
+            None if whole => (RunEnd::Unknown, Message::Failed(key, Failure::Unknown)),
+            None => {
+                let failure = node.core.fell(now, &offered, engine);
+                (RunEnd::Unknown, Message::Failed(key, failure))
+            }
         };
+        node.core.ended(now, &offered, end);
         self.send(vm, &ticket.0, message);
         self.perform(vm);
     }
@@ -159,8 +160,9 @@
     }
 
     pub(super) fn failed(&mut self, entry: &VmId, key: RequestKey, failure: Failure) {
+        let now = self.now;
         if let Some(node) = self.entries.get_mut(entry) {
-            node.core.failed(key, failure);
+            node.core.failed(now, key, failure);
         }
         self.perform(entry);
     }
--- a/crates/standins/src/driver/engine.rs
+++ b/crates/standins/src/driver/engine.rs
@@ -1,6 +1,6 @@
 //! A fake engine or plain service in virtual time.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use sequoiahold_core::{
     endpoint::EngineState,
@@ -28,8 +28,6 @@
     pub overloads: u32,
     /// Crashes of the engine.
     pub crashes: u32,
-    /// The calls that crash the engine.
-    pub poison: BTreeSet<CallId>,
     /// The highest fencing number seen.
     pub fence: Fence,
     slots: u32,
@@ -46,7 +44,6 @@
             finished: 0,
             overloads: 0,
             crashes: 0,
-            poison: BTreeSet::new(),
             fence: Fence::default(),
             slots,
             cold,
--- a/crates/standins/src/driver/mod.rs
+++ b/crates/standins/src/driver/mod.rs
@@ -10,7 +10,7 @@
 mod world;
 
 pub use self::{
-    calls::{CallId, CallRecord, Outcome},
+    calls::{Asked, CallId, CallRecord, Outcome},
     engine::FakeEngine,
     fleet::Shape,
     message::Message,
--- a/crates/standins/src/driver/once.rs
+++ b/crates/standins/src/driver/once.rs
@@ -1,10 +1,11 @@
 //! Keys and tickets in a driven world: who ran what, and copies of messages.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use sequoiahold_core::{
     ids::VmId,
     once::{CallKey, OnceTicket},
+    suspect::Print,
     units::Span,
 };
 
@@ -22,6 +23,8 @@
     pub copies: Option<Span>,
     /// The VMs whose answers to entries are lost.
     pub mute: Vec<VmId>,
+    /// The requests that crash the engine that runs them.
+    pub poison: BTreeSet<Print>,
 }
 
 impl World {
--- a/crates/standins/src/driver/perform.rs
+++ b/crates/standins/src/driver/perform.rs
@@ -5,6 +5,7 @@
     entry::{self, RequestKey},
     ids::{Digest, VmId},
     refuse::Failure,
+    suspect::Print,
     units::Span,
 };
 
@@ -52,6 +53,7 @@
                     client: arrival.client.clone(),
                     service: arrival.service.clone(),
                     key: arrival.key.clone(),
+                    print: Print::from(&arrival.print),
                 };
                 self.send(vm, &to, Message::Ask(Ask { call, request, offered, left }));
             }
--- a/crates/standins/src/driver/world.rs
+++ b/crates/standins/src/driver/world.rs
@@ -12,14 +12,13 @@
     gate::Ticket,
     ids::{Digest, Fence, Generation, Incarnation, VersionId, VmId, ZoneId},
     member::VmState,
-    once::CallKey,
     refuse::{Failure, Reason},
     time::Time,
     units::Span,
     weights::Manifest,
 };
 
-use super::{CallId, CallRecord, FakeEngine, Keys, Message, Outcome, Shape};
+use super::{Asked, CallId, CallRecord, FakeEngine, Keys, Message, Outcome, Shape};
 
 /// One-way delay within a zone.
 const NEAR: Span = Span::millis(1);
@@ -219,17 +218,19 @@
     }
 
     /// Makes a call at an entry.
-    pub fn ask(&mut self, at: &VmId, service: &str, client: &str, key: Option<CallKey>) -> CallId {
+    pub fn ask(&mut self, at: &VmId, asked: Asked) -> CallId {
         let call = CallId(self.calls.len());
-        let record = CallRecord { key: key.clone(), at: self.now, first: None, end: None, runs: 0 };
-        self.calls.push(record);
+        let body = asked.body.map_or_else(|| call.0.to_string(), ToOwned::to_owned);
         let arrival = Arrival {
-            client: client.parse().expect("a client account"),
-            service: service.parse().expect("a service"),
-            key,
-            print: Digest::of(&call.0.to_le_bytes()),
+            client: asked.client.parse().expect("a client account"),
+            service: asked.service.parse().expect("a service"),
+            key: asked.key.clone(),
+            print: Digest::of(body.as_bytes()),
             timeout: Span::secs(30),
         };
+        let (at_time, key) = (self.now, asked.key);
+        let record = CallRecord { key, at: at_time, first: None, end: None, runs: 0 };
+        self.calls.push(record);
         let now = self.now;
         match self.entries.get_mut(at) {
             Some(node) => {
--- a/crates/standins/tests/scenarios.rs
+++ b/crates/standins/tests/scenarios.rs
@@ -5,13 +5,14 @@
 use goldenscript::{ArgumentConsumer, Command, Context, Runner};
 use rstest::rstest;
 use sequoiahold_core::{
-    ids::{VersionId, VmId, ZoneId},
+    ids::{Digest, VersionId, VmId, ZoneId},
     member::VmState,
     once::CallKey,
     refuse::Failure,
+    suspect::Print,
     units::Span,
 };
-use sequoiahold_standins::driver::{CallId, Outcome, Shape, World};
+use sequoiahold_standins::driver::{Asked, CallId, Outcome, Shape, World};
 
 /// Time for all processes to adopt the first set and load the first version.
 const WARM_UP: Span = Span::secs(5);
@@ -86,9 +87,12 @@
             Some("ticket") => self.ticket.clone(),
             key => key.map(str::parse).transpose()?,
         };
+        let body = args.take_key("body").map(ToOwned::to_owned);
         args.reject_next()?;
+        let body = body.as_deref();
         for _ in 0..count {
-            self.marked.push(self.world.ask(&at, &service, &client, key.clone()));
+            let (service, client, key) = (&*service, &*client, key.clone());
+            self.marked.push(self.world.ask(&at, Asked { service, client, key, body }));
             every.into_iter().for_each(|span| self.world.advance(span));
         }
         Ok(())
@@ -107,6 +111,10 @@
             "heal" => world.heal(),
             "platform" => world.down = next()? == "down",
             "copies" => world.keys.copies = Some(next()?.parse()?),
+            "poison" => {
+                let print = Print::from(&Digest::of(next()?.as_bytes()));
+                world.keys.poison.insert(print);
+            }
             "mute" => world.keys.mute.push(next()?.parse()?),
             "unmute" => world.keys.mute.clear(),
             "leaving" => drop(world.list.insert(next()?.parse()?, VmState::Leaving)),
