--- a/crates/core/src/once/key.rs
+++ b/crates/core/src/once/key.rs
@@ -13,7 +13,7 @@
 const MARK: char = ':';
 
 /// A ticket that one incarnation of an endpoint issued and only that incarnation runs.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct OnceTicket {
     /// The endpoint VM.
     pub vm: VmId,
@@ -24,7 +24,7 @@
 }
 
 /// What names a call that may not be repeated.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum CallKey {
     /// An idempotency key that the caller chose.
     Chosen(OnceKey),
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -24,7 +24,7 @@
 use crate::{
     clock::Clock,
     metrics::Metrics,
-    net::{Links, call},
+    net::{Links, Traffic, call},
     settings,
     status::Status,
 };
@@ -46,6 +46,8 @@
     pub in_force: watch::Sender<Option<InForce>>,
     /// The sender of this loop's own events.
     pub events: mpsc::UnboundedSender<Event>,
+    /// Counts the bytes between processes.
+    pub traffic: Traffic,
     /// The counters.
     pub metrics: Metrics,
 }
@@ -258,6 +260,7 @@
             running: gate.running(),
             open: gate.open(),
             counters: self.parts.metrics.counters(),
+            wire: self.parts.traffic.total(),
             ..Status::default()
         }
     }
