Leaving and shutdown: the list's word is kept, an entry refuses while it drains

Cause: an entry forgot "leaving" of a VM that it had no report of yet; an endpoint that was leaving opened again once a list no longer named it; an entry that was told to stop went on taking work over open connections, and ended 100 ms after its last answer was handed to the HTTP library, written or not.

Ruled out: to drop a VM that the list no longer names (the list lags and can be stale; heartbeats already tell).

--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -158,9 +158,11 @@
         outcome
     }
 
-    /// Takes the platform's list of VMs.
+    /// Takes the platform's list of VMs; where it does not name this VM, nothing changes.
     pub fn list(&mut self, list: &BTreeMap<VmId, VmState>) {
-        self.leaving = list.get(&self.own.vm) == Some(&VmState::Leaving);
+        if let Some(state) = list.get(&self.own.vm) {
+            self.leaving = *state == VmState::Leaving;
+        }
         self.set_closed();
     }
 
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -4,7 +4,11 @@
 mod outcome;
 mod request;
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
@@ -94,6 +98,7 @@
     timers: Timers<Timer>,
     beating: BTreeMap<VmId, Time>,
     incarnations: BTreeMap<VmId, Incarnation>,
+    leaving: BTreeSet<VmId>,
     suspects: Suspects,
     budget: Budget,
     outputs: Vec<Output>,
@@ -114,6 +119,7 @@
             timers: Timers::default(),
             beating: BTreeMap::new(),
             incarnations: BTreeMap::new(),
+            leaving: BTreeSet::new(),
             suspects: Suspects::default(),
             budget: Budget::default(),
             outputs: vec![],
@@ -132,10 +138,16 @@
         outcome
     }
 
-    /// Takes the platform's list of VMs.
+    /// Takes the platform's list of VMs; one that it no longer names stays as it was.
     pub fn list(&mut self, list: &BTreeMap<VmId, VmState>) {
         for (vm, state) in list {
-            self.router.leaving(vm, *state == VmState::Leaving);
+            let leaving = *state == VmState::Leaving;
+            if leaving {
+                self.leaving.insert(vm.clone())
+            } else {
+                self.leaving.remove(vm)
+            };
+            self.router.leaving(vm, leaving);
         }
     }
 
@@ -147,6 +159,7 @@
         self.incarnations.insert(beat.vm.clone(), beat.incarnation);
         if let Some(load) = beat.load {
             self.router.report(&beat.vm, load);
+            self.router.leaving(&beat.vm, self.leaving.contains(&beat.vm));
         }
     }
 
@@ -174,6 +187,9 @@
 
     /// Takes note that an endpoint refused a request.
     pub fn refused(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
+        if refusal.reason == Reason::Leaving {
+            self.shun(key);
+        }
         if refusal == Refusal::new(Reason::Suspect) {
             return self.refuse(key, refusal);
         }
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// Offers nothing more to the endpoint that refused a request until it tells its state again.
+    pub(super) fn shun(&mut self, key: RequestKey) {
+        if let Some(vm) = self.requests.get(key).and_then(|request| request.tried.last()) {
+            self.router.leaving(vm, true);
+        }
+    }
+
     /// Takes back what is held against a request that ran to its end.
     pub(super) fn acquit(&mut self, key: RequestKey) {
         if let Some(request) = self.requests.get(key) {
--- a/crates/sequoiahold/src/entry/body.rs
+++ b/crates/sequoiahold/src/entry/body.rs
@@ -10,6 +10,8 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
+use super::server::Active;
+
 /// An answer that broke off before its end.
 #[derive(Clone, Copy, Debug)]
 pub struct BrokenOff;
@@ -28,7 +30,12 @@
     /// The whole body.
     Whole(Bytes),
     /// Parts as they arrive; `None` from the channel without an end mark breaks the answer off.
-    Parts(mpsc::Receiver<Part>),
+    ///
+    /// The request counts as in progress until its body is written.
+    Parts(
+        mpsc::Receiver<Part>,
+        #[expect(dead_code, reason = "held until the body is written")] Active,
+    ),
 }
 
 /// A part of a body that arrives piece by piece.
@@ -46,7 +53,7 @@
     fn size(&self) -> BodySize {
         match self {
             Self::Whole(body) => BodySize::Sized(body.len() as u64),
-            Self::Parts(_) => BodySize::Stream,
+            Self::Parts(..) => BodySize::Stream,
         }
     }
 
@@ -57,7 +64,7 @@
         match self.get_mut() {
             Self::Whole(body) if body.is_empty() => Poll::Ready(None),
             Self::Whole(body) => Poll::Ready(Some(Ok(std::mem::take(body)))),
-            Self::Parts(parts) => parts.poll_recv(context).map(|part| match part {
+            Self::Parts(parts, _) => parts.poll_recv(context).map(|part| match part {
                 Some(Part::Data(data)) => Some(Ok(data)),
                 Some(Part::End) => None,
                 None => Some(Err(BrokenOff)),
--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -47,14 +47,14 @@
     actix_rt::spawn(rotate(settings.keys.clone(), tls, listening.clone(), metrics.clone()));
     let parts = event_loop::Parts { clock, links, in_force, events, traffic };
     let server = Server::new(&settings, &parts, config, metrics.clone());
-    server.listen(settings.callers).await?;
+    let open = server.listen(settings.callers).await?;
     log::info!("entry {} takes callers on {}", settings.vm, settings.callers);
 
     let event_loop = EventLoop::new(settings, parts, metrics);
     actix_rt::spawn(event_loop.run(receiver));
     signal(SignalKind::terminate())?.recv().await;
     log::info!("told to stop, {} requests in progress", server.in_progress());
-    server.drain(DRAIN).await;
+    server.drain(DRAIN, &open).await;
     listening.close(0u32.into(), b"stopped");
     listening.wait_idle().await;
     Ok(())
--- a/crates/sequoiahold/src/entry/request.rs
+++ b/crates/sequoiahold/src/entry/request.rs
@@ -184,7 +184,7 @@
     ) -> Response<Body> {
         let (parts, receiver) = mpsc::channel(PARTS);
         let status = StatusCode::from_u16(started.status).unwrap_or(StatusCode::BAD_GATEWAY);
-        let mut response = Response::with_body(status, Body::Parts(receiver));
+        let mut response = Response::with_body(status, Body::Parts(receiver, guard));
         if let Ok(content) = HeaderValue::from_str(&started.content) {
             response.headers_mut().insert(CONTENT_TYPE, content);
         }
@@ -202,7 +202,6 @@
                 }
             };
             requests.tell(event);
-            drop(guard);
         });
         response
     }
--- a/crates/sequoiahold/src/entry/server.rs
+++ b/crates/sequoiahold/src/entry/server.rs
@@ -37,6 +37,11 @@
 /// Header that carries the idempotency key.
 const KEY: &str = "idempotency-key";
 
+/// Time that open connections have to deliver their last bytes.
+const LAST_BYTES: Duration = Duration::from_secs(2);
+/// Pause between two looks at what is still in progress.
+const LOOK: Duration = Duration::from_millis(20);
+
 /// What a caller wishes.
 enum Wish {
     Run(Incoming),
@@ -72,8 +77,8 @@
         Self { config, requests, limits, active: Rc::default(), draining: Rc::default() }
     }
 
-    /// Starts to take callers on `addr`.
-    pub async fn listen(&self, addr: SocketAddr) -> anyhow::Result<()> {
+    /// Starts to take callers on `addr`; the number of their open connections is returned.
+    pub async fn listen(&self, addr: SocketAddr) -> anyhow::Result<Rc<Cell<u32>>> {
         let server = self.clone();
         let limits = self.limits.clone();
         http::serve_callers(addr, limits, move |request| server.clone().handle(request)).await
@@ -84,16 +89,12 @@
         self.active.get()
     }
 
-    /// Lets the requests in progress finish, for at most `patience`.
-    pub async fn drain(&self, patience: Duration) {
+    /// Refuses new work and lets the requests in progress finish, for at most `patience`.
+    pub async fn drain(&self, patience: Duration, open: &Cell<u32>) {
         self.draining.set(true);
-        let done = async {
-            while self.active.get() > 0 {
-                actix_rt::time::sleep(Duration::from_millis(20)).await;
-            }
-        };
+        let done = until(|| self.active.get() == 0);
         let _ = actix_rt::time::timeout(patience, done).await;
-        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        let _ = actix_rt::time::timeout(LAST_BYTES, until(|| open.get() == 0)).await;
     }
 
     async fn handle(self, request: Request) -> Response<Body> {
@@ -111,6 +112,9 @@
     }
 
     async fn wish(&self, mut request: Request) -> Result<Wish, Refusal> {
+        if self.draining.get() {
+            return Err(Refusal::after(Reason::Leaving, Span::secs(1)));
+        }
         let fleet = self.config.borrow().as_ref().map(|now| now.fleet.clone());
         let fleet = fleet.ok_or(Refusal::after(Reason::Unconfigured, Span::secs(1)))?;
         let client = auth::client(&fleet, &request)?;
@@ -151,6 +155,12 @@
     }
 }
 
+async fn until(done: impl Fn() -> bool) {
+    while !done() {
+        actix_rt::time::sleep(LOOK).await;
+    }
+}
+
 /// Counts a request as in progress while it lives.
 #[derive(Debug)]
 pub struct Active(Rc<Cell<usize>>);
--- a/crates/sequoiahold/src/http.rs
+++ b/crates/sequoiahold/src/http.rs
@@ -18,17 +18,17 @@
     F: Future<Output = Response<B>> + 'static,
     B: MessageBody + 'static,
 {
-    serve_callers(addr, Limits::default(), handler).await
+    serve_callers(addr, Limits::default(), handler).await.map(drop)
 }
 
-/// Serves `handler` on `addr` until the process ends.
+/// Serves `handler` on `addr` until the process ends; the number of open connections is returned.
 ///
 /// A connection above the limit is closed at once; one that is slow to send a head is closed.
 pub async fn serve_callers<H, F, B>(
     addr: SocketAddr,
     limits: Limits,
     handler: H,
-) -> anyhow::Result<()>
+) -> anyhow::Result<Rc<Cell<u32>>>
 where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<B>> + 'static,
@@ -47,6 +47,7 @@
         .tcp_auto_h2c();
     let service = factory.new_service(()).await.map_err(|()| anyhow::anyhow!("no service"))?;
     let open = Rc::new(Cell::new(0));
+    let count = open.clone();
     actix_rt::spawn(async move {
         loop {
             match listener.accept().await {
@@ -64,7 +65,7 @@
             }
         }
     });
-    Ok(())
+    Ok(count)
 }
 
 /// Counts a connection as open while it lives.
--- a/crates/standins/src/bench/fake_endpoint.rs
+++ b/crates/standins/src/bench/fake_endpoint.rs
@@ -34,6 +34,7 @@
             vm: self.vm.clone(),
             incarnation: Incarnation(1),
             generation: Generation(1),
+            crashes: vec![],
             load: Some(load),
         }
     }
--- a/crates/standins/src/bench/series.rs
+++ b/crates/standins/src/bench/series.rs
@@ -236,6 +236,7 @@
             vm: vm.clone(),
             incarnation: Incarnation(1),
             generation: Generation(1),
+            crashes: vec![],
             load: None,
         };
         let endpoint: VmId = "near-1".parse().expect("a sound name");
