zone.pml; an endpoint that wakes late passes nothing; "leaving" is held

Now an endpoint whose clock jumped by more than 1 s refuses until it has read the platform, for at most 2 s; one that the list showed as leaving opens again only when the list has not said so for 30 s.

Ruled out: "leaving" for good within an incarnation (one wrong list would close the fleet).

--- a/crates/core/src/endpoint/calls.rs
+++ b/crates/core/src/endpoint/calls.rs
@@ -76,7 +76,8 @@
                 Verdict::Fail(failure) => return Decision::Fail(failure),
             }
         }
-        if let Err(refusal) = self.flights.admit(call.print) {
+        let admitted = self.presence.admit(now).and_then(|()| self.flights.admit(call.print));
+        if let Err(refusal) = admitted {
             return Decision::Refuse(refusal);
         }
         match self.ask(call.ticket.clone(), &call.service) {
--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod flights;
 mod life;
+mod presence;
 mod wanted;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
@@ -11,7 +12,7 @@
     calls::{Decision, Offered, Pass, key_members},
     life::{LifeEvent, LifeState},
 };
-use self::{flights::Flights, life::chart, wanted::Wanted};
+use self::{flights::Flights, life::chart, presence::Presence, wanted::Wanted};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
     chart::Machine,
@@ -117,7 +118,7 @@
     engine: Option<EngineState>,
     wanted: Option<Wanted>,
     drawing: u32,
-    leaving: bool,
+    presence: Presence,
     draining: bool,
     timers: Timers<Timer>,
     outputs: Vec<Output>,
@@ -140,7 +141,7 @@
             engine: None,
             wanted: None,
             drawing: 0,
-            leaving: false,
+            presence: Presence::default(),
             draining: false,
             timers,
             outputs: vec![],
@@ -159,10 +160,8 @@
     }
 
     /// Takes the platform's list of VMs; where it does not name this VM, nothing changes.
-    pub fn list(&mut self, list: &BTreeMap<VmId, VmState>) {
-        if let Some(state) = list.get(&self.own.vm) {
-            self.leaving = *state == VmState::Leaving;
-        }
+    pub fn list(&mut self, now: Time, list: &BTreeMap<VmId, VmState>) {
+        self.presence.list(now, list.get(&self.own.vm).copied());
         self.set_closed();
     }
 
@@ -271,6 +270,7 @@
     /// Does what is due.
     pub fn tick(&mut self, now: Time) {
         self.flights.suspects.expire(now);
+        self.presence.note(now);
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Draw => self.ask_peers(now),
@@ -361,7 +361,7 @@
 
     fn set_closed(&mut self) {
         let in_service = self.fleet().is_some_and(|fleet| fleet.in_service(&self.own.vm));
-        self.gate.close(self.leaving || self.draining || !in_service);
+        self.gate.close(self.presence.is_leaving() || self.draining || !in_service);
     }
 
     fn set_wanted(&mut self, now: Time) {
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -95,7 +95,7 @@
         let now = self.parts.clock.now();
         match event {
             Event::Offer(published) => self.on_offer(published),
-            Event::Vms(list) => self.endpoint.list(&list),
+            Event::Vms(list) => self.endpoint.list(now, &list),
             Event::Engine(state) => self.endpoint.engine(now, state),
             Event::Admit(admit) => self.on_admit(admit),
             Event::Ended(call, end) => self.endpoint.ended(now, &call, end),
--- a/crates/standins/src/driver/world.rs
+++ b/crates/standins/src/driver/world.rs
@@ -403,7 +403,7 @@
             }
             if let Some(node) = self.endpoints.get_mut(&vm) {
                 shown.iter().for_each(|set| drop(node.core.offer(now, set.clone())));
-                node.core.list(&list);
+                node.core.list(now, &list);
             }
             self.perform(&vm);
         }
--- a/crates/standins/tests/scenarios.rs
+++ b/crates/standins/tests/scenarios.rs
@@ -118,6 +118,7 @@
             "mute" => world.keys.mute.push(next()?.parse()?),
             "unmute" => world.keys.mute.clear(),
             "vanish" => drop(world.list.remove(&next()?.parse()?)),
+            "live" => drop(world.list.insert(next()?.parse()?, VmState::Live)),
             "leaving" => drop(world.list.insert(next()?.parse()?, VmState::Leaving)),
             "crash" => {
                 let vm: VmId = next()?.parse()?;
