--- a/crates/sequoiahold/src/endpoint/ask.rs
+++ b/crates/sequoiahold/src/endpoint/ask.rs
@@ -20,6 +20,8 @@
 };
 use crate::net::write;
 
+/// Time without a part after which a model's answer counts as broken off.
+const SILENT: Duration = Duration::from_secs(10);
 /// Looks at an engine that broke off an answer before the outcome counts as unknown.
 const LOOKS: u32 = 10;
 /// Pause between two such looks.
@@ -141,6 +143,10 @@
         while heard || !self.stops_with_caller() {
             let part = tokio::select! {
                 part = response.next() => part,
+                () = self.silence() => {
+                    let failure = Reply::Failed(self.failure().await);
+                    return drop(write(send, &failure).await);
+                }
                 _ = send.stopped(), if heard => {
                     heard = false;
                     continue;
@@ -181,6 +187,14 @@
         self.pass.version.is_some()
     }
 
+    /// Waits until a model that goes on would have sent a part; a plain service may take its time.
+    async fn silence(&self) {
+        match self.pass.version {
+            Some(_) => actix_rt::time::sleep(SILENT).await,
+            None => std::future::pending().await,
+        }
+    }
+
     async fn cancel(&self) {
         if self.pass.version.is_some() {
             self.asks.engine.cancel(&self.id()).await;
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -14,8 +14,11 @@
 use sequoiahold_core::units::Span;
 use tokio::sync::{mpsc, oneshot, watch};
 
-pub use self::event::Event;
-use self::{ask::Asks, engine::Engine, event_loop::EventLoop, peers::PeerService, store::Store};
+use self::{ask::Asks, event_loop::EventLoop, peers::PeerService, store::Store};
+pub use self::{
+    engine::{Engine, SendError},
+    event::Event,
+};
 use crate::{
     clock::Clock,
     metrics::Metrics,
--- a/crates/sequoiahold/src/entry/event_loop.rs
+++ b/crates/sequoiahold/src/entry/event_loop.rs
@@ -152,15 +152,15 @@
         let beat = Call::Beat(Box::new(self.entry.beat()));
         let patience = Span(self.settings.heartbeat.0 * SILENT_BEATS);
         actix_rt::spawn(async move {
-            let exchange = async {
-                let connection = links.get(&vm, addr).await?;
-                call(&connection, &beat).await
+            let Ok(connection) = links.get(&vm, addr).await else {
+                return drop(events.send(Event::Silent(vm)));
             };
-            let event = match actix_rt::time::timeout(patience.into(), exchange).await {
-                Ok(Ok(Reply::Beat(beat))) => Event::Beat(beat),
-                _ => Event::Silent(vm),
-            };
-            let _ = events.send(event);
+            let exchange = call(&connection, &beat);
+            match actix_rt::time::timeout(patience.into(), exchange).await {
+                Ok(Ok(Reply::Beat(beat))) => drop(events.send(Event::Beat(beat))),
+                _ if links.is_open(&vm, &connection) => drop(events.send(Event::Silent(vm))),
+                _ => {}
+            }
         });
     }
 
--- a/crates/sequoiahold/src/net/link.rs
+++ b/crates/sequoiahold/src/net/link.rs
@@ -49,6 +49,12 @@
         Ok(connection)
     }
 
+    /// Returns whether a connection is the open one to a VM, so that its silence closes it.
+    pub fn is_open(&self, vm: &VmId, connection: &Connection) -> bool {
+        let open = self.open.borrow();
+        open.get(vm).is_some_and(|open| open.stable_id() == connection.stable_id())
+    }
+
     /// Closes the connection to a VM; the next one uses a new local port.
     pub fn close(&self, vm: &VmId) {
         if let Some(connection) = self.open.borrow_mut().remove(vm) {
--- /dev/null
+++ b/crates/sequoiahold/tests/engine.rs
@@ -0,0 +1,108 @@
+//! What an endpoint tells of a call whose connection to the engine or service fails.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use rstest::rstest;
+use sequoiahold::{
+    endpoint::{Engine, SendError},
+    settings,
+};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpListener,
+};
+
+/// What the far end does with a connection once a request has come.
+#[derive(Clone, Copy, Debug)]
+enum Far {
+    /// Closes it without an answer.
+    Closes,
+    /// Answers with half a head and closes it.
+    Halves,
+    /// Resets it.
+    Resets,
+}
+
+async fn listen(far: Far) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 1024];
+            let _ = stream.read(&mut request).await;
+            match far {
+                Far::Closes => {}
+                Far::Halves => drop(stream.write_all(b"HTTP/1.1 200 O").await),
+                Far::Resets => drop(stream.set_zero_linger()),
+            }
+        }
+    });
+    addr
+}
+
+fn engine(addr: SocketAddr) -> Engine {
+    Engine::new(&settings::Engine { url: format!("http://{addr}"), fences: false })
+}
+
+async fn order(engine: &Engine) -> Option<SendError> {
+    engine.send("POST", "/orders", "1", None, Bytes::from_static(b"plate")).await.err()
+}
+
+#[rstest]
+#[case::closed(Far::Closes)]
+#[case::half_a_head(Far::Halves)]
+#[case::reset(Far::Resets)]
+fn a_call_that_was_written_is_unknown(#[case] far: Far) {
+    actix_rt::System::new().block_on(async {
+        let engine = engine(listen(far).await);
+        assert_eq!(order(&engine).await, Some(SendError::Unknown));
+        assert_eq!(order(&engine).await, Some(SendError::Unknown));
+    });
+}
+
+#[test]
+fn a_call_without_a_connection_was_not_sent() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        drop(listener);
+        assert_eq!(order(&engine(addr)).await, Some(SendError::NotSent));
+    });
+}
+
+#[test]
+fn silent_connections_are_replaced_after_one_look() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        actix_rt::spawn(async move {
+            let mut count = 0;
+            while let Ok((mut stream, _)) = listener.accept().await {
+                count += 1;
+                let silent = count <= 2;
+                actix_rt::spawn(async move {
+                    let mut answered = false;
+                    let mut request = [0; 1024];
+                    while let Ok(1..) = stream.read(&mut request).await {
+                        if silent && answered {
+                            std::future::pending::<()>().await;
+                        }
+                        let state = "{\"incarnation\":1,\"version\":null,\"manifest\":null,\
+                                     \"limit\":4,\"running\":0,\"fence\":0}";
+                        let length = state.len();
+                        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+                        let _ = stream.write_all(format!("{head}{state}").as_bytes()).await;
+                        answered = true;
+                    }
+                });
+            }
+        });
+        let engine = engine(addr);
+        let (one, two) = tokio::join!(engine.state(), engine.state());
+        assert!(one.is_ok() && two.is_ok());
+        assert!(engine.state().await.is_err());
+        let again = actix_rt::time::timeout(Duration::from_secs(1), engine.state()).await;
+        assert!(again.is_ok_and(|state| state.is_ok()));
+    });
+}
--- a/crates/standins/src/driver/once.rs
+++ b/crates/standins/src/driver/once.rs
@@ -23,6 +23,8 @@
     pub copies: Option<Span>,
     /// The VMs whose answers to entries are lost.
     pub mute: Vec<VmId>,
+    /// The pairs of VMs whose connection has gone silent; a new one works.
+    pub silent: BTreeSet<(VmId, VmId)>,
     /// The requests that crash the engine that runs them.
     pub poison: BTreeSet<Print>,
 }
@@ -50,6 +52,10 @@
 
     /// Returns whether a message is lost, and sends a copy of a request later.
     pub(super) fn disturb(&mut self, from: &VmId, to: &VmId, message: &Message) -> bool {
+        let pairs = [(from.clone(), to.clone()), (to.clone(), from.clone())];
+        if pairs.iter().any(|pair| self.keys.silent.contains(pair)) {
+            return true;
+        }
         let answer = !matches!(message, Message::Answer(_) | Message::Keys(_));
         if self.keys.mute.contains(from) && self.entries.contains_key(to) && answer {
             return true;
--- a/crates/standins/src/driver/perform.rs
+++ b/crates/standins/src/driver/perform.rs
@@ -77,7 +77,10 @@
                 self.push(SILENT, Event::Silent { entry, vm: to.clone(), epoch, sent });
                 self.send(vm, &to, Message::Beat(beat));
             }
-            entry::Output::Close(to) => self.break_off(vm, &to),
+            entry::Output::Close(to) => {
+                self.keys.silent.remove(&(vm.clone(), to.clone()));
+                self.break_off(vm, &to);
+            }
         }
     }
 
--- a/crates/standins/tests/scenarios.rs
+++ b/crates/standins/tests/scenarios.rs
@@ -115,6 +115,7 @@
                 let print = Print::from(&Digest::of(next()?.as_bytes()));
                 world.keys.poison.insert(print);
             }
+            "silence" => drop(world.keys.silent.insert((next()?.parse()?, next()?.parse()?))),
             "mute" => world.keys.mute.push(next()?.parse()?),
             "unmute" => world.keys.mute.clear(),
             "vanish" => drop(world.list.remove(&next()?.parse()?)),
