--- a/crates/standins/src/content.rs
+++ b/crates/standins/src/content.rs
@@ -31,7 +31,7 @@
         let count = size.0.div_ceil(chunk.0);
         let parts = (0..count).map(|index| {
             let length = chunk.0.min(size.0 - index * chunk.0);
-            generate(model, last_change(model, number, index), index, length)
+            generate(model, last_change(model, number, (index, count)), index, length)
         });
         let parts: Vec<Data> = parts.collect();
         let digests: Vec<Digest> = parts.iter().map(|part| Digest::of(part)).collect();
@@ -58,8 +58,12 @@
     hasher.finalize().to_hex()[..8].to_owned()
 }
 
-fn last_change(model: &str, number: u64, index: u64) -> u64 {
+/// Returns the last version that changed a chunk; each version changes at least one.
+fn last_change(model: &str, number: u64, (index, count): (u64, u64)) -> u64 {
     let changed = |n: &u64| {
+        if index == n % count {
+            return true;
+        }
         let digest = blake3::hash(format!("{model} {n} {index}").as_bytes());
         u64::from(u16::from_le_bytes([digest.as_bytes()[0], digest.as_bytes()[1]])) % 1_000
             < CHANGED
