--- a/crates/sequoiahold/src/entry/event_loop.rs
+++ b/crates/sequoiahold/src/entry/event_loop.rs
@@ -83,7 +83,7 @@
         match event {
             Event::Offer(published) => self.on_offer(published),
             Event::Vms(list) => self.entry.list(&list),
-            Event::Beat(beat) => self.entry.heard(*beat),
+            Event::Beat(beat) => self.entry.heard(now, *beat),
             Event::Silent(vm) => self.entry.silent(&vm),
             Event::Arrive(arrival, steps) => {
                 let key = self.entry.arrive(now, arrival);
@@ -91,7 +91,7 @@
             }
             Event::Refused(key, refusal) => self.entry.refused(now, key, refusal),
             Event::Started(key) => self.entry.started(key),
-            Event::Failed(key, failure) => self.entry.failed(key, failure),
+            Event::Failed(key, failure) => self.entry.failed(now, key, failure),
             Event::Ended(key) => {
                 self.entry.ended(key);
                 self.metrics.count("requests.answered");
@@ -152,15 +152,15 @@
         let beat = Call::Beat(Box::new(self.entry.beat()));
         let patience = Span(self.settings.heartbeat.0 * SILENT_BEATS);
         actix_rt::spawn(async move {
-            let exchange = async {
-                let connection = links.get(&vm, addr).await?;
-                call(&connection, &beat).await
+            let Ok(connection) = links.get(&vm, addr).await else {
+                return drop(events.send(Event::Silent(vm)));
             };
-            let event = match actix_rt::time::timeout(patience.into(), exchange).await {
-                Ok(Ok(Reply::Beat(beat))) => Event::Beat(beat),
-                _ => Event::Silent(vm),
-            };
-            let _ = events.send(event);
+            let exchange = call(&connection, &beat);
+            match actix_rt::time::timeout(patience.into(), exchange).await {
+                Ok(Ok(Reply::Beat(beat))) => drop(events.send(Event::Beat(beat))),
+                _ if links.is_open(&vm, &connection) => drop(events.send(Event::Silent(vm))),
+                _ => {}
+            }
         });
     }
 
