--- a/crates/core/src/adopt.rs
+++ b/crates/core/src/adopt.rs
@@ -3,7 +3,7 @@
 use std::{fmt, sync::Arc};
 
 use crate::{
-    declare::{Fleet, Head, PublishError, Published},
+    declare::{Fleet, Head, PublishError, Published, SetId},
     ids::Generation,
 };
 
@@ -37,13 +37,36 @@
     }
 }
 
+/// Reads and checks a published set.
+pub trait Verify {
+    /// Returns the fleet that a sound set declares.
+    fn verify(&self, published: &Published) -> Result<Arc<Fleet>, PublishError>;
+}
+
+/// Checks each set whole, against its digests and all rules of declarations.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Whole;
+
+impl Verify for Whole {
+    fn verify(&self, published: &Published) -> Result<Arc<Fleet>, PublishError> {
+        published.fleet().map(Arc::new)
+    }
+}
+
 /// Decides which published set is in force.
 #[derive(Clone, Debug, Default)]
-pub struct Adopter {
+pub struct Adopter<V = Whole> {
     now: Option<InForce>,
+    id: Option<SetId>,
+    verify: V,
 }
 
-impl Adopter {
+impl<V: Verify> Adopter<V> {
+    /// Returns an adopter that holds nothing yet.
+    pub fn new(verify: V) -> Self {
+        Self { now: None, id: None, verify }
+    }
+
     /// Returns the configuration in force.
     pub fn in_force(&self) -> Option<&InForce> {
         self.now.as_ref()
@@ -51,29 +74,35 @@
 
     /// Returns the generation in force, 0 where there is none.
     pub fn generation(&self) -> Generation {
-        self.now.as_ref().map_or(Generation::default(), |now| now.published.head.generation)
+        self.id.map_or(Generation::default(), |id| id.generation)
     }
 
-    /// Returns the published set in force if it is above a generation.
-    pub fn newer(&self, above: Generation) -> Option<Arc<Published>> {
-        let newer = self.now.as_ref().filter(|_| self.generation() > above);
-        newer.map(|now| now.published.clone())
+    /// Returns the identity of the set in force.
+    pub fn id(&self) -> Option<SetId> {
+        self.id
     }
 
     /// Returns whether a set with this head would be newer than the one in force.
     pub fn wants(&self, head: &Head) -> bool {
-        head.generation > self.generation()
+        self.rises(&head.id())
+    }
+
+    /// Returns whether a set with this identity would be newer than the one in force.
+    pub fn rises(&self, id: &SetId) -> bool {
+        self.id.is_none_or(|held| *id > held)
     }
 
     /// Takes a set if it is newer and sound.
     pub fn offer(&mut self, published: Arc<Published>) -> Adoption {
-        if !self.wants(&published.head) {
+        let id = published.head.id();
+        if !self.rises(&id) {
             return Adoption::Old(self.generation());
         }
-        match published.fleet() {
+        match self.verify.verify(&published) {
             Ok(fleet) => {
-                self.now = Some(InForce { published, fleet: Arc::new(fleet) });
-                Adoption::Adopted(self.generation())
+                self.now = Some(InForce { published, fleet });
+                self.id = Some(id);
+                Adoption::Adopted(id.generation)
             }
             Err(error) => Adoption::Refused(error),
         }
--- /dev/null
+++ b/crates/core/src/config/fetch.rs
@@ -0,0 +1,106 @@
+//! A published set on its way into a process.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+
+use crate::{
+    declare::{Head, Published, SetId},
+    ids::{Digest, VmId},
+    time::Time,
+};
+
+/// Parts that are asked for at the same time.
+const WINDOW: usize = 4;
+
+/// Who gives a set.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// Another process.
+    Peer(VmId, SocketAddr),
+    /// The platform's configuration service.
+    Platform,
+}
+
+/// A set on its way into a process.
+#[derive(Clone, Debug)]
+pub(super) struct Fetch {
+    pub(super) id: SetId,
+    pub(super) source: Source,
+    pub(super) deadline: Time,
+    head: Option<Head>,
+    parts: BTreeMap<Digest, Bytes>,
+    missing: Vec<Digest>,
+    asked: Vec<Digest>,
+}
+
+impl Fetch {
+    pub(super) fn new(id: SetId, source: Source, deadline: Time) -> Self {
+        let (head, parts, missing, asked) = Default::default();
+        Self { id, source, deadline, head, parts, missing, asked }
+    }
+
+    /// Takes the head; returns whether it is as new as the one that was offered.
+    pub(super) fn start(
+        &mut self,
+        head: Head,
+        held: Option<&Published>,
+        partial: &BTreeMap<Digest, Bytes>,
+    ) -> bool {
+        let id = head.id();
+        if id < self.id || self.head.is_some() {
+            return false;
+        }
+        self.id = id;
+        for entry in &head.parts {
+            let part = held.and_then(|published| published.parts.get(&entry.digest));
+            match part.or_else(|| partial.get(&entry.digest)) {
+                Some(part) => drop(self.parts.insert(entry.digest, part.clone())),
+                None => self.missing.push(entry.digest),
+            }
+        }
+        self.missing.sort();
+        self.missing.dedup();
+        self.head = Some(head);
+        true
+    }
+
+    /// Returns whether the set is fetched from this peer.
+    pub(super) fn is_from(&self, vm: &VmId) -> bool {
+        matches!(&self.source, Source::Peer(peer, _) if peer == vm)
+    }
+
+    /// Returns the parts that have arrived.
+    pub(super) fn into_parts(self) -> BTreeMap<Digest, Bytes> {
+        self.parts
+    }
+
+    /// Returns the parts to ask for now.
+    pub(super) fn next(&mut self) -> Vec<Digest> {
+        let free = WINDOW.saturating_sub(self.asked.len());
+        let from = self.missing.len().saturating_sub(free);
+        let next = self.missing.split_off(from);
+        self.asked.extend(&next);
+        next
+    }
+
+    /// Takes a part; returns whether it is one that was asked for.
+    pub(super) fn arrived(&mut self, digest: Digest, part: Bytes) -> bool {
+        let Some(i) = self.asked.iter().position(|asked| *asked == digest) else { return false };
+        self.asked.swap_remove(i);
+        self.parts.insert(digest, part);
+        true
+    }
+
+    /// Returns whether a part was asked for and has not arrived.
+    pub(super) fn awaits(&self, digest: &Digest) -> bool {
+        self.asked.contains(digest)
+    }
+
+    /// Returns the set once all its parts are held.
+    pub(super) fn whole(&self) -> Option<Arc<Published>> {
+        let head = self.head.clone()?;
+        let whole = self.missing.is_empty() && self.asked.is_empty();
+        whole.then(|| Arc::new(Published { head, parts: self.parts.clone() }))
+    }
+}
--- a/crates/core/src/declare/mod.rs
+++ b/crates/core/src/declare/mod.rs
@@ -14,5 +14,5 @@
     fleet::Fleet,
     load::{Declared, Fault, ReadError, Source},
     object::*,
-    publish::{Head, HeadEntry, PublishError, Published},
+    publish::{Head, HeadEntry, PublishError, Published, SetId},
 };
--- a/crates/core/src/declare/publish.rs
+++ b/crates/core/src/declare/publish.rs
@@ -6,12 +6,17 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Declared, Fault, Fleet, Object, load};
-use crate::ids::{Digest, Generation};
+use crate::{
+    ids::{Digest, Generation},
+    peers::weight,
+};
 
 /// Largest value that the configuration service holds, in bytes.
 pub const MAX_VALUE: usize = 1_000_000;
-/// Size at which a part is closed, in bytes; one more object fits below `MAX_VALUE`.
-const PART_SIZE: usize = 256_000;
+/// Mean number of objects in a part; a change of one object moves one part.
+const PART_OBJECTS: u64 = 32;
+/// Size at which a part is closed, in bytes.
+const PART_SIZE: usize = 16_000;
 
 /// The head value: the generation and the parts that make the set.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -23,6 +28,39 @@
     pub parts: Vec<HeadEntry>,
 }
 
+/// The identity of a published set; of two sets the greater one is in force.
+///
+/// Generations decide. Where two different sets carry one generation, which is a fault, the
+/// greater digest of the head decides, so that all processes end with the same set.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct SetId {
+    /// The generation.
+    pub generation: Generation,
+    /// The digest of the head.
+    pub digest: Digest,
+}
+
+impl SetId {
+    /// Returns whether two different sets carry one generation.
+    pub fn conflicts(&self, other: &Self) -> bool {
+        self.generation == other.generation && self.digest != other.digest
+    }
+}
+
+impl fmt::Display for SetId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.generation, self.digest.short())
+    }
+}
+
+impl Head {
+    /// Returns the identity of the set.
+    pub fn id(&self) -> SetId {
+        let text = serde_json::to_vec(self).unwrap_or_default();
+        SetId { generation: self.generation, digest: Digest::of(&text) }
+    }
+}
+
 /// A part that a head names.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -106,24 +144,28 @@
         head.parts.iter().map(|part| part.digest).filter(|d| !held.contains_key(d)).collect()
     }
 
+    /// Cuts the sorted objects of a kind into parts.
+    ///
+    /// A part ends after an object whose name decides it, so that an object that comes or goes
+    /// changes no other part.
     fn add_group(&mut self, kind: &str, objects: &[&Object]) -> Result<(), PublishError> {
-        let mut lines: Vec<String> = Vec::new();
+        let mut part: Vec<&Object> = Vec::new();
         let mut size = 0;
         for object in objects {
-            let line = serde_json::to_string(object).unwrap_or_default();
-            if size + line.len() > PART_SIZE && !lines.is_empty() {
-                self.add_part(kind, &lines)?;
-                lines.clear();
+            size += serde_json::to_string(object).map_or(0, |line| line.len());
+            part.push(object);
+            if size > PART_SIZE || ends_part(object.name()) {
+                self.add_part(kind, &std::mem::take(&mut part))?;
                 size = 0;
             }
-            size += line.len() + 2;
-            lines.push(line);
         }
-        self.add_part(kind, &lines)
+        if part.is_empty() { Ok(()) } else { self.add_part(kind, &part) }
     }
 
-    fn add_part(&mut self, kind: &str, lines: &[String]) -> Result<(), PublishError> {
-        let name = format!("{kind}-{}", self.head.parts.len());
+    fn add_part(&mut self, kind: &str, objects: &[&Object]) -> Result<(), PublishError> {
+        let lines: Vec<_> =
+            objects.iter().map(|o| serde_json::to_string(o).unwrap_or_default()).collect();
+        let name = format!("{kind}-{}", objects.first().map_or("", |first| first.name()));
         let text = format!("[{}]", lines.join(",\n"));
         if text.len() > MAX_VALUE {
             return Err(PublishError::TooLarge(name));
@@ -134,3 +176,7 @@
         Ok(())
     }
 }
+
+fn ends_part(name: &str) -> bool {
+    weight("part", name.as_bytes()).is_multiple_of(PART_OBJECTS)
+}
--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -12,7 +12,7 @@
     chart::Machine,
     declare::{Fleet, Published, Vm},
     gate::{Gate, Seen, Ticket},
-    ids::{Digest, Fence, Generation, Incarnation, ServiceId, VersionId, VmId},
+    ids::{Digest, Fence, Incarnation, ServiceId, VersionId, VmId},
     member::VmState,
     proto::{Beat, Load},
     refuse::{Reason, Refusal},
@@ -273,11 +273,6 @@
         self.adopter.in_force()
     }
 
-    /// Returns the published set in force if it is above a generation.
-    pub fn newer(&self, above: Generation) -> Option<Arc<Published>> {
-        self.adopter.newer(above)
-    }
-
     /// Returns the manifest of the wanted version, if it is the one asked for.
     pub fn known_manifest(&self, digest: Digest) -> Option<Arc<Manifest>> {
         let wanted = self.wanted.as_ref().filter(|w| w.version.manifest == digest)?;
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -13,7 +13,7 @@
     adopt::{Adopter, Adoption, InForce},
     chart::Chart,
     declare::{Fleet, Published, Role},
-    ids::{Generation, Incarnation, RequestId, ServiceId, VmId, ZoneId},
+    ids::{Incarnation, RequestId, ServiceId, VmId, ZoneId},
     member::VmState,
     proto::Beat,
     refuse::{Failure, Reason, Refusal},
@@ -197,11 +197,6 @@
         self.adopter.in_force()
     }
 
-    /// Returns the published set in force if it is above a generation.
-    pub fn newer(&self, above: Generation) -> Option<Arc<Published>> {
-        self.adopter.newer(above)
-    }
-
     /// Returns the state that this process tells its peers.
     pub fn beat(&self) -> Beat {
         Beat {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod adopt;
 pub mod chart;
+pub mod config;
 pub mod declare;
 pub mod endpoint;
 pub mod entry;
--- a/crates/core/src/proto.rs
+++ b/crates/core/src/proto.rs
@@ -1,12 +1,10 @@
 //! Typed messages between the system's processes.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    declare::Published,
+    config::{ConfigCall, ConfigReply},
     ids::{
         ClientId, Digest, Generation, Incarnation, OnceKey, RequestId, ServiceId, VersionId, VmId,
     },
@@ -26,8 +24,8 @@
     Ask(Box<Ask>),
     /// Tell and learn the present state; also the heartbeat of the connection.
     Beat(Box<Beat>),
-    /// Send the published set if it is above this generation.
-    Set(Generation),
+    /// Exchange or ask for the configuration.
+    Config(ConfigCall),
     /// Send the chunk with this digest.
     Chunk(Digest),
     /// Tell which chunks of this manifest are held.
@@ -100,8 +98,8 @@
     Failed(Failure),
     /// The state of the peer.
     Beat(Box<Beat>),
-    /// The published set, or `None` where the peer has nothing newer.
-    Set(Option<Arc<Published>>),
+    /// What was asked for about the configuration.
+    Config(ConfigReply),
     /// The chunk, or `None` where the peer does not hold it.
     Chunk(Option<Bytes>),
     /// The bits of the chunks that the peer holds, first chunk lowest.
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -7,7 +7,7 @@
     declare::Published,
     endpoint::EngineState,
     gate::Ticket,
-    ids::{Digest, Generation, ServiceId, VersionId, VmId},
+    ids::{Digest, ServiceId, VersionId, VmId},
     member::VmState,
     proto::Beat,
     refuse::Refusal,
@@ -40,8 +40,6 @@
     Loaded(VersionId, bool),
     /// A peer asks which chunks of a manifest are held.
     TellHave(Digest, oneshot::Sender<Vec<u8>>),
-    /// A peer asks for the published set above a generation.
-    Set(Generation, oneshot::Sender<Option<Arc<Published>>>),
     /// A peer asks for this process's state.
     Tell(oneshot::Sender<Beat>),
     /// The status is asked for.
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -100,7 +100,6 @@
                 self.parts.metrics.count(if taken { "loads.taken" } else { "loads.failed" });
             }
             Event::TellHave(manifest, reply) => drop(reply.send(self.have(manifest))),
-            Event::Set(above, reply) => drop(reply.send(self.endpoint.newer(above))),
             Event::Tell(reply) => drop(reply.send(self.endpoint.beat())),
             Event::Status(reply) => drop(reply.send(self.status())),
             Event::Drain(reply) => drop(reply.send(self.endpoint.drain())),
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -11,12 +11,14 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_rt::signal::unix::{SignalKind, signal};
+use sequoiahold_core::config::Identity;
 use tokio::sync::{mpsc, oneshot, watch};
 
 pub use self::event::Event;
 use self::{ask::Asks, engine::Engine, event_loop::EventLoop, peers::PeerService, store::Store};
 use crate::{
     clock::Clock,
+    config,
     metrics::Metrics,
     net::{Links, Tls, Traffic, listen, rotate},
     platform::Platform,
@@ -35,7 +37,7 @@
     let tls = Rc::new(RefCell::new(Tls::load(&settings.keys)?));
     let clock = Clock::default();
     let (events, receiver) = mpsc::unbounded_channel();
-    let (in_force, config) = watch::channel(None);
+    let (in_force, _) = watch::channel(None);
     let traffic = Traffic::default();
     let links = Links::new(tls.clone(), traffic.clone());
     let store = Store::default();
@@ -44,13 +46,37 @@
 
     let asks =
         Asks { events: events.clone(), engine: engine.clone(), incarnation: clock.incarnation() };
-    let peers = PeerService { events: events.clone(), store: store.clone(), asks };
+    let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
+    let handle = config::start(config::Parts {
+        own: Identity {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            addr: settings.peers,
+        },
+        settings: settings.config.clone(),
+        clock,
+        links: Links::new(tls.clone(), traffic.clone()),
+        platform: platform.clone(),
+        metrics: metrics.clone(),
+        events: events.clone(),
+        offer: Event::Offer,
+    });
+    let config = handle.clone();
+    let peers = PeerService { events: events.clone(), store: store.clone(), config, asks };
     let listening = listen(settings.peers, &tls.borrow(), traffic.clone(), peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
-    reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
+    let listed = events.clone();
+    actix_rt::spawn(reader::list_vms(
+        platform,
+        settings.config.list,
+        clock.incarnation().0,
+        move |list| {
+            handle.list(list.clone());
+            listed.send(Event::Vms(list)).is_ok()
+        },
+    ));
     log::info!("endpoint {} listens on {}", settings.vm, settings.peers);
 
-    let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
     actix_rt::spawn(rotate(settings.keys.clone(), tls, listening.clone(), metrics.clone()));
     let parts = event_loop::Parts {
         clock,
--- a/crates/sequoiahold/src/endpoint/peers.rs
+++ b/crates/sequoiahold/src/endpoint/peers.rs
@@ -5,7 +5,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{ask::Asks, event::Event, store::Store};
-use crate::net::{serve::Serve, write};
+use crate::{
+    config::Handle,
+    net::{serve::Serve, write},
+};
 
 /// Answers the calls of other processes.
 #[derive(Clone)]
@@ -14,6 +17,8 @@
     pub events: mpsc::UnboundedSender<Event>,
     /// The chunks that are held.
     pub store: Store,
+    /// The configuration task.
+    pub config: Handle,
     /// Runs requests.
     pub asks: Asks,
 }
@@ -23,7 +28,7 @@
         let reply = match call {
             Call::Ask(ask) => return self.asks.run(*ask, send, recv).await,
             Call::Beat(_) => self.query(Event::Tell).await.map(|beat| Reply::Beat(Box::new(beat))),
-            Call::Set(above) => self.query(|reply| Event::Set(above, reply)).await.map(Reply::Set),
+            Call::Config(call) => self.config.answer(call).await,
             Call::Chunk(digest) => Some(Reply::Chunk(self.store.get(&digest))),
             Call::Have(manifest) => {
                 self.query(|reply| Event::TellHave(manifest, reply)).await.map(Reply::Have)
--- a/crates/sequoiahold/src/entry/event.rs
+++ b/crates/sequoiahold/src/entry/event.rs
@@ -5,7 +5,7 @@
 use sequoiahold_core::{
     declare::Published,
     entry::{Arrival, RequestKey},
-    ids::{Generation, RequestId, VmId},
+    ids::{RequestId, VmId},
     member::VmState,
     proto::Beat,
     refuse::{Failure, Refusal},
@@ -38,8 +38,6 @@
     Ended(RequestKey),
     /// The caller of a request has gone.
     Left(RequestKey),
-    /// A peer asks for the published set above a generation.
-    Set(Generation, oneshot::Sender<Option<Arc<Published>>>),
     /// A peer asks for this process's state.
     Tell(oneshot::Sender<Beat>),
     /// The status is asked for.
--- a/crates/sequoiahold/src/entry/event_loop.rs
+++ b/crates/sequoiahold/src/entry/event_loop.rs
@@ -100,7 +100,6 @@
                 self.entry.left(key);
                 self.metrics.count("requests.left");
             }
-            Event::Set(above, reply) => drop(reply.send(self.entry.newer(above))),
             Event::Tell(reply) => drop(reply.send(self.entry.beat())),
             Event::Status(reply) => drop(reply.send(self.status())),
         }
--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -12,12 +12,14 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_rt::signal::unix::{SignalKind, signal};
+use sequoiahold_core::config::Identity;
 use tokio::sync::{mpsc, watch};
 
 pub use self::event::Event;
 use self::{event_loop::EventLoop, peers::PeerService, server::Server};
 use crate::{
     clock::Clock,
+    config,
     metrics::Metrics,
     net::{Links, Tls, Traffic, listen, rotate},
     platform::Platform,
@@ -32,20 +34,43 @@
     let tls = Rc::new(RefCell::new(Tls::load(&settings.keys)?));
     let clock = Clock::default();
     let (events, receiver) = mpsc::unbounded_channel();
-    let (in_force, config) = watch::channel(None);
+    let (in_force, shown) = watch::channel(None);
     let traffic = Traffic::default();
     let links = Links::new(tls.clone(), traffic.clone());
     let platform = Platform::new(settings.platform.clone());
 
-    let peers = PeerService { events: events.clone() };
+    let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
+    let handle = config::start(config::Parts {
+        own: Identity {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            addr: settings.peers,
+        },
+        settings: settings.config.clone(),
+        clock,
+        links: Links::new(tls.clone(), traffic.clone()),
+        platform: platform.clone(),
+        metrics: metrics.clone(),
+        events: events.clone(),
+        offer: Event::Offer,
+    });
+    let peers = PeerService { events: events.clone(), config: handle.clone() };
     let listening = listen(settings.peers, &tls.borrow(), traffic.clone(), peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
-    reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
+    let listed = events.clone();
+    actix_rt::spawn(reader::list_vms(
+        platform,
+        settings.config.list,
+        clock.incarnation().0,
+        move |list| {
+            handle.list(list.clone());
+            listed.send(Event::Vms(list)).is_ok()
+        },
+    ));
 
-    let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
     actix_rt::spawn(rotate(settings.keys.clone(), tls, listening.clone(), metrics.clone()));
     let parts = event_loop::Parts { clock, links, in_force, events, traffic };
-    let server = Server::new(&settings, &parts, config, metrics.clone());
+    let server = Server::new(&settings, &parts, shown, metrics.clone());
     server.listen(settings.callers).await?;
     log::info!("entry {} takes callers on {}", settings.vm, settings.callers);
 
--- a/crates/sequoiahold/src/entry/peers.rs
+++ b/crates/sequoiahold/src/entry/peers.rs
@@ -5,13 +5,18 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::event::Event;
-use crate::net::{serve::Serve, write};
+use crate::{
+    config::Handle,
+    net::{serve::Serve, write},
+};
 
 /// Answers the calls of other processes.
 #[derive(Clone, Debug)]
 pub struct PeerService {
     /// The event loop.
     pub events: mpsc::UnboundedSender<Event>,
+    /// The configuration task.
+    pub config: Handle,
 }
 
 impl Serve for PeerService {
@@ -23,11 +28,7 @@
                 let _ = self.events.send(Event::Tell(tx));
                 rx.await.ok().map(|beat| Reply::Beat(Box::new(beat)))
             }
-            Call::Set(above) => {
-                let (tx, rx) = oneshot::channel();
-                let _ = self.events.send(Event::Set(above, tx));
-                rx.await.ok().map(Reply::Set)
-            }
+            Call::Config(call) => self.config.answer(call).await,
             Call::Ask(_) | Call::Chunk(_) | Call::Have(_) => None,
         };
         if let Some(reply) = reply {
--- a/crates/sequoiahold/src/lib.rs
+++ b/crates/sequoiahold/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod clock;
 pub mod command;
+pub mod config;
 pub mod endpoint;
 pub mod entry;
 pub mod http;
--- a/crates/sequoiahold/src/platform.rs
+++ b/crates/sequoiahold/src/platform.rs
@@ -1,12 +1,12 @@
 //! Reading the platform: the configuration service and the list of VMs.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
-use anyhow::{Context as _, bail};
 use awc::Client;
 use bytes::Bytes;
 use sequoiahold_core::{
-    declare::{Head, Published},
+    config::ReadError,
+    declare::Head,
     ids::{Digest, VmId},
     member::VmState,
 };
@@ -14,7 +14,7 @@
 use crate::settings;
 
 /// Time that a watch may wait at the configuration service.
-const WATCH: Duration = Duration::from_secs(5);
+const WATCH: Duration = Duration::from_secs(2);
 /// Time that any other call may take.
 const TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest value read, in bytes.
@@ -35,46 +35,34 @@
     }
 
     /// Waits until the head is another than `seen`, or the watch ends, and returns it.
-    pub async fn head(&self, seen: Option<u64>) -> anyhow::Result<Head> {
+    pub async fn head(&self, seen: Option<u64>) -> Result<Head, ReadError> {
         let watch = seen.map_or(String::new(), |generation| {
             format!("?other_than={generation}&wait_ms={}", WATCH.as_millis())
         });
         let body = self.get(&format!("{}/v1/head{watch}", self.settings.config)).await?;
-        serde_json::from_slice(&body).context("the head cannot be read")
+        serde_json::from_slice(&body).map_err(|_| ReadError::Down)
     }
 
-    /// Reads the parts of a head that are not among `held`.
-    pub async fn published(
-        &self,
-        head: Head,
-        held: &BTreeMap<Digest, Bytes>,
-    ) -> anyhow::Result<Arc<Published>> {
-        let mut parts = BTreeMap::new();
-        for entry in &head.parts {
-            let part = match held.get(&entry.digest) {
-                Some(part) => part.clone(),
-                None => {
-                    self.get(&format!("{}/v1/parts/{}", self.settings.config, entry.digest)).await?
-                }
-            };
-            parts.insert(entry.digest, part);
-        }
-        Ok(Arc::new(Published { head, parts }))
+    /// Reads a part.
+    pub async fn part(&self, digest: &Digest) -> Result<Bytes, ReadError> {
+        self.get(&format!("{}/v1/parts/{digest}", self.settings.config)).await
     }
 
     /// Reads the list of VMs.
-    pub async fn vms(&self) -> anyhow::Result<BTreeMap<VmId, VmState>> {
+    pub async fn vms(&self) -> Result<BTreeMap<VmId, VmState>, ReadError> {
         let body = self.get(&format!("{}/v1/vms", self.settings.vms)).await?;
-        serde_json::from_slice(&body).context("the list of VMs cannot be read")
+        serde_json::from_slice(&body).map_err(|_| ReadError::Down)
     }
 
-    async fn get(&self, url: &str) -> anyhow::Result<Bytes> {
+    async fn get(&self, url: &str) -> Result<Bytes, ReadError> {
         let sent = self.client.get(url).send().await;
-        let mut response = sent.map_err(|e| anyhow::anyhow!("{url}: {e}"))?;
-        if !response.status().is_success() {
-            bail!("{url}: status {}", response.status().as_u16());
+        let mut response = sent.map_err(|_| ReadError::Down)?;
+        match response.status().as_u16() {
+            200..=299 => {}
+            404 => return Err(ReadError::Empty),
+            429 => return Err(ReadError::Busy),
+            _ => return Err(ReadError::Down),
         }
-        let body = response.body().limit(MAX_VALUE).await;
-        body.map_err(|e| anyhow::anyhow!("{url}: {e}"))
+        response.body().limit(MAX_VALUE).await.map_err(|_| ReadError::Down)
     }
 }
--- a/crates/sequoiahold/src/settings/endpoint.rs
+++ b/crates/sequoiahold/src/settings/endpoint.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Check, Keys, Log, Metrics, Platform, platform::check_url};
+use super::{Check, Config, Keys, Log, Metrics, Platform, platform::check_url};
 
 /// Settings of an endpoint process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -26,6 +26,9 @@
     pub platform: Platform,
     /// The keys between processes.
     pub keys: Keys,
+    /// How published sets are learnt.
+    #[serde(default)]
+    pub config: Config,
     /// Log lines.
     #[serde(default)]
     pub log: Log,
@@ -87,6 +90,7 @@
 impl Check for Endpoint {
     fn check(&self) -> Result<(), (String, String)> {
         self.platform.check()?;
+        self.config.check()?;
         check_url("engine.url", &self.engine.url)?;
         check_url("weights.origin", &self.weights.origin)?;
         if self.weights.rate.0 == 0 {
--- a/crates/sequoiahold/src/settings/entry.rs
+++ b/crates/sequoiahold/src/settings/entry.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Check, Keys, Log, Metrics, Platform};
+use super::{Check, Config, Keys, Log, Metrics, Platform};
 
 /// Settings of an entry process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -28,6 +28,9 @@
     pub platform: Platform,
     /// The keys between processes.
     pub keys: Keys,
+    /// How published sets are learnt.
+    #[serde(default)]
+    pub config: Config,
     /// Log lines.
     #[serde(default)]
     pub log: Log,
@@ -55,6 +58,7 @@
 impl Check for Entry {
     fn check(&self) -> Result<(), (String, String)> {
         self.platform.check()?;
+        self.config.check()?;
         if self.heartbeat < Span::millis(50) || self.heartbeat > Span::secs(5) {
             return Err(("heartbeat".to_owned(), "must be between 50ms and 5s".to_owned()));
         }
--- a/crates/sequoiahold/src/settings/mod.rs
+++ b/crates/sequoiahold/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings of the processes, read from JSON and checked at load.
 
+mod config;
 mod endpoint;
 mod entry;
 mod keys;
@@ -13,6 +14,7 @@
 use serde::de::DeserializeOwned;
 
 pub use self::{
+    config::Config,
     endpoint::{Endpoint, Engine, Weights},
     entry::Entry,
     keys::Keys,
--- a/crates/standins/src/bench/role.rs
+++ b/crates/standins/src/bench/role.rs
@@ -47,6 +47,7 @@
             admin: net.address(0, 7401),
             platform: services,
             keys: authority.write("entry")?,
+            config: settings::Config::default(),
             log: Log::default(),
             metrics: Metrics::default(),
             heartbeat: Span::secs(1),
@@ -69,6 +70,7 @@
             admin: net.address(1, 7401),
             platform: services,
             keys: authority.write("near-1")?,
+            config: settings::Config::default(),
             log: Log::default(),
             metrics: Metrics::default(),
             engine: settings::Engine {
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -6,7 +6,7 @@
 use pico_args::Arguments;
 use sequoiahold_core::{ids::VersionId, units::Bytes};
 
-use crate::{bench, content::Content, demo};
+use crate::{bench, content::Content, demo, experiment};
 
 const HELP: &str = "\
 Stand-ins, load and experiments for sequoiahold.
@@ -18,6 +18,8 @@
       run a deployment on loopback; the last line of output is one JSON object
   bench SERIES [--program FILE]
       measure one real process against a growing number and fit the slope
+  experiment config [--seed N] [--json]
+      adopt configurations in a fleet of 5,310 processes in virtual time
   manifest VERSION --size SIZE --chunk SIZE
       print the digest of the manifest of generated weights
 ";
@@ -62,6 +64,7 @@
             };
             actix_rt::System::new().block_on(bench::run(options))
         }
+        Some("experiment") => experiment(args),
         Some("manifest") => {
             let size: Bytes = args.value_from_str("--size")?;
             let chunk: Bytes = args.value_from_str("--chunk")?;
@@ -72,3 +75,14 @@
         other => bail!("unknown command {other:?}; try --help"),
     }
 }
+
+fn experiment(mut args: Arguments) -> anyhow::Result<u8> {
+    let name: Option<String> = args.opt_free_from_str()?;
+    match name.as_deref() {
+        Some("config") => experiment::config::run(
+            args.opt_value_from_str("--seed")?.unwrap_or(1),
+            args.contains("--json"),
+        ),
+        other => bail!("unknown experiment {other:?}; try --help"),
+    }
+}
--- a/crates/standins/src/demo/deployment.rs
+++ b/crates/standins/src/demo/deployment.rs
@@ -17,6 +17,7 @@
     status::Status,
 };
 use sequoiahold_core::{
+    config::Seed,
     declare::{Backend, Declared, Fleet, Object, Published, Role, Vm, load::read_set},
     ids::{Digest, Generation, VersionId, VmId, ZoneId},
     member::VmState,
@@ -315,6 +316,18 @@
         Ok(())
     }
 
+    /// Returns the first entry of each zone, as seeds, those of `zone` first.
+    fn seeds(&self, zone: &ZoneId) -> Vec<Seed> {
+        let entries = self.fleet.vms.values().filter(|vm| vm.role == Role::Entry);
+        let mut first: BTreeMap<&ZoneId, &Vm> = BTreeMap::new();
+        for vm in entries {
+            first.entry(&vm.zone).or_insert(vm);
+        }
+        let mut seeds: Vec<&Vm> = first.into_values().collect();
+        seeds.sort_by_key(|vm| vm.zone != *zone);
+        seeds.into_iter().map(|vm| Seed { vm: vm.name.clone(), addr: vm.addr }).collect()
+    }
+
     fn start_process(
         &self,
         program: &Path,
@@ -324,6 +337,8 @@
         origin: SocketAddr,
     ) -> anyhow::Result<Process> {
         let platform = platform.clone();
+        let config =
+            settings::Config { seeds: self.seeds(&vm.zone), ..settings::Config::default() };
         let name = vm.name.as_str();
         if vm.role == Role::Entry {
             let settings = settings::Entry {
@@ -334,6 +349,7 @@
                 admin: beside_vm(vm, 7401),
                 platform,
                 keys,
+                config,
                 log: Log::default(),
                 metrics: Metrics::default(),
                 heartbeat: Span::millis(300),
@@ -351,6 +367,7 @@
             admin: beside_vm(vm, 7401),
             platform,
             keys,
+            config,
             log: Log::default(),
             metrics: Metrics::default(),
             engine: settings::Engine {
--- /dev/null
+++ b/crates/standins/src/experiment/config/fleet.rs
@@ -0,0 +1,92 @@
+//! A fleet of the size to design for, as declarations.
+
+use sequoiahold_core::{
+    declare::{Declared, Object, PublishError, Published, load::read_set},
+    ids::{Digest, Generation},
+};
+use serde_json::{Value, json};
+
+/// How many VMs and zones a fleet has.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// The availability zones.
+    pub zones: usize,
+    /// The entry VMs.
+    pub entries: usize,
+    /// The endpoint VMs.
+    pub endpoints: usize,
+    /// The client accounts.
+    pub clients: usize,
+}
+
+/// A fleet whose client accounts change.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    declared: Vec<Declared>,
+    generation: Generation,
+    changed: usize,
+}
+
+impl Fleet {
+    /// Returns a fleet of a size.
+    pub fn new(size: Size) -> Self {
+        let text = Value::Array(objects(size)).to_string();
+        let (declared, _) =
+            read_set([("fleet.json", text.as_str())]).expect("the generated fleet is sound");
+        Self { declared, generation: Generation(0), changed: 0 }
+    }
+
+    /// Changes one client account and returns the set under the next generation.
+    pub fn change(&mut self) -> Result<Published, PublishError> {
+        let clients = self.declared.iter_mut().filter_map(|one| match &mut one.object {
+            Object::Client(client) => Some(client),
+            _ => None,
+        });
+        let mut clients: Vec<_> = clients.collect();
+        let i = self.changed % clients.len();
+        clients[i].weight = clients[i].weight % 9 + 1;
+        self.changed += 7;
+        self.generation = self.generation.next();
+        Published::render(&self.declared, self.generation)
+    }
+
+    /// Changes one client account and returns the set under the present generation.
+    pub fn change_same(&mut self) -> Result<Published, PublishError> {
+        self.generation = Generation(self.generation.0 - 1);
+        self.change()
+    }
+}
+
+fn objects(size: Size) -> Vec<Value> {
+    let digest = Digest::of(b"weights").to_string();
+    let mut objects = vec![
+        json!({"kind": "model", "name": "m", "version": "m-1"}),
+        json!({"kind": "version", "name": "m-1", "model": "m", "manifest": digest, "size": "16GB"}),
+        json!({"kind": "service", "name": "llm", "backend": {"model": "m"}, "repeatable": true, "timeout": "30s"}),
+        json!({"kind": "pool", "name": "llm", "service": "llm", "slots": 32, "cold": 2}),
+    ];
+    let zone = |i: usize| format!("zone-{}", i % size.zones);
+    objects.extend((0..size.zones).map(|i| {
+        let region = format!("region-{}", i % 3);
+        json!({"kind": "zone", "name": zone(i), "region": region, "link": "2500KB/s"})
+    }));
+    objects.extend((0..size.clients).map(|i| {
+        let name = format!("account-{i}");
+        let key = Digest::of(name.as_bytes()).to_string();
+        json!({"kind": "client", "name": name, "key": key, "weight": 1, "services": ["llm"]})
+    }));
+    objects.extend((0..size.entries + size.endpoints).map(|i| {
+        let (kind, role) = if i < size.entries {
+            ("entry", json!("entry"))
+        } else {
+            ("llm", json!({"endpoint": "llm"}))
+        };
+        let name = format!("{}-{kind}-{i}", zone(i));
+        json!({"kind": "vm", "name": name, "zone": zone(i), "role": role, "addr": addr(i)})
+    }));
+    objects
+}
+
+fn addr(i: usize) -> String {
+    format!("10.{}.{}.{}:7400", i >> 16, (i >> 8) & 255, i & 255)
+}
--- /dev/null
+++ b/crates/standins/src/experiment/config/mod.rs
@@ -0,0 +1,309 @@
+//! Adoption of configurations by a whole fleet in virtual time.
+
+pub mod fleet;
+pub mod platform;
+pub mod world;
+
+use std::{collections::BTreeSet, fmt};
+
+use sequoiahold_core::{
+    config::Timing,
+    declare::{Published, SetId},
+    ids::ZoneId,
+    time::Time,
+    units::Span,
+};
+use serde::Serialize;
+
+use self::{
+    fleet::{Fleet, Size},
+    world::World,
+};
+
+/// The fleet to design for.
+pub const DESIGN: Size = Size { zones: 8, entries: 810, endpoints: 4_500, clients: 300 };
+/// The numbers that processes use by default.
+pub const TIMING: Timing = Timing {
+    interval: Span::secs(1),
+    fanout: 4,
+    readers: 3,
+    wait: Span::secs(2),
+    stale: Span::secs(4),
+};
+/// Time that a change may take to be in force everywhere.
+const PATIENCE: Span = Span::secs(60);
+/// Time between two changes at 11,000 changes a day.
+const CHANGE: Span = Span::millis(7_855);
+
+/// What one scenario showed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Row {
+    /// The scenario.
+    pub name: &'static str,
+    /// The processes that run at the end.
+    pub running: usize,
+    /// The processes that hold the expected set at the end.
+    pub in_force: usize,
+    /// Seconds until half of the processes held it.
+    pub p50: f64,
+    /// Seconds until 99 in 100 held it.
+    pub p99: f64,
+    /// Seconds until all held it.
+    pub max: f64,
+    /// The most platform calls in one second.
+    pub peak: u64,
+    /// All platform calls.
+    pub calls: u64,
+    /// Mean bytes a second of a process, sent and received.
+    pub mean_bytes: u64,
+    /// Most bytes a second of a process, sent and received.
+    pub max_bytes: u64,
+    /// Times that a process took a lower set than it held.
+    pub reverted: u64,
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { name, running, in_force, p50, p99, max, .. } = self;
+        write!(f, "{name:<22} {in_force:>5}/{running:<5} {p50:>6.2} {p99:>6.2} {max:>6.2} s ")?;
+        write!(f, "{:>5} calls/s {:>6} calls ", self.peak, self.calls)?;
+        write!(f, "{:>7} B/s mean {:>8} B/s max ", self.mean_bytes, self.max_bytes)?;
+        write!(f, "{} reverted", self.reverted)
+    }
+}
+
+/// A fleet whose processes all hold the first set.
+pub struct Run {
+    /// The processes and the platform.
+    pub world: World,
+    /// The declarations.
+    pub fleet: Fleet,
+    /// The set in force.
+    pub id: SetId,
+    set: Published,
+    from: Time,
+}
+
+impl Run {
+    /// Starts all processes and waits until the first set is in force everywhere.
+    pub fn start(size: Size, timing: Timing, seed: u64) -> anyhow::Result<Self> {
+        let mut fleet = Fleet::new(size);
+        let set = fleet.change()?;
+        let mut world = World::new(&set.fleet()?, timing, seed);
+        let id = world.publish(set.clone());
+        for i in 0..world.processes.len() {
+            world.restart(i, Span::millis(i as u64 % 1_000));
+        }
+        world.run(Time::default() + PATIENCE, |world| holds_all(world, id));
+        Ok(Self { world, fleet, id, set, from: Time::default() })
+    }
+
+    /// Publishes a change of one client account.
+    pub fn change(&mut self) -> anyhow::Result<()> {
+        self.set = self.fleet.change()?;
+        self.id = self.world.publish(self.set.clone());
+        Ok(())
+    }
+
+    /// Publishes another set under the present generation; returns its identity.
+    pub fn conflict(&mut self) -> anyhow::Result<SetId> {
+        let set = self.fleet.change_same()?;
+        Ok(self.world.publish(set))
+    }
+
+    /// Begins to measure.
+    pub fn mark(&mut self) {
+        self.from = self.world.now;
+        self.world.platform.calls.clear();
+        self.world.processes.iter_mut().for_each(|process| process.bytes = 0);
+    }
+
+    /// Waits until the set is in force in all processes that run.
+    pub fn wait(&mut self) {
+        let id = self.id;
+        let until = self.world.now + PATIENCE;
+        self.world.run(until, |world| holds_all(world, id));
+    }
+
+    /// Lets time pass.
+    pub fn pass(&mut self, span: Span) {
+        let until = self.world.now + span;
+        self.world.run(until, |_| false);
+    }
+
+    /// Returns what was measured since the mark.
+    pub fn row(&self, name: &'static str) -> Row {
+        let running: Vec<_> = self.world.running().collect();
+        let held = running.iter().filter_map(|process| process.held);
+        let mut times: Vec<f64> = held
+            .filter(|(id, _)| *id >= self.id)
+            .map(|(_, at)| (at - self.from).as_secs_f64())
+            .collect();
+        times.sort_by(f64::total_cmp);
+        let at = |share: f64| {
+            let i = ((times.len() as f64 * share).ceil() as usize).saturating_sub(1);
+            times.get(i).copied().unwrap_or_default()
+        };
+        let seconds = (self.world.now - self.from).as_secs_f64().max(1.0);
+        let rate = |bytes: u64| (bytes as f64 / seconds) as u64;
+        let bytes: Vec<u64> = running.iter().map(|process| process.bytes).collect();
+        Row {
+            name,
+            running: running.len(),
+            in_force: times.len(),
+            p50: at(0.5),
+            p99: at(0.99),
+            max: at(1.0),
+            peak: self.world.platform.calls.values().copied().max().unwrap_or(0),
+            calls: self.world.platform.calls.values().sum(),
+            mean_bytes: rate(bytes.iter().sum::<u64>() / bytes.len().max(1) as u64),
+            max_bytes: rate(bytes.iter().copied().max().unwrap_or(0)),
+            reverted: self.world.reverted,
+        }
+    }
+}
+
+/// Runs all scenarios and prints a row for each.
+pub fn run(seed: u64, json: bool) -> anyhow::Result<u8> {
+    let rows = rows(DESIGN, TIMING, seed, |row| {
+        if !json {
+            println!("{row}");
+        }
+    })?;
+    if json {
+        println!("{}", serde_json::to_string(&rows)?);
+    }
+    let sound = |row: &Row| row.in_force == row.running && row.reverted == 0;
+    Ok(u8::from(!rows.iter().all(sound)))
+}
+
+/// Runs all scenarios.
+pub fn rows(
+    size: Size,
+    timing: Timing,
+    seed: u64,
+    mut show: impl FnMut(&Row),
+) -> anyhow::Result<Vec<Row>> {
+    let scenarios: [fn(&mut Run) -> anyhow::Result<Row>; 8] =
+        [change, day, restarts, readers_lost, platform_down, rolled_back, zone_cut, conflict];
+    let mut rows = Vec::new();
+    let mut first = Run::start(size, timing, seed)?;
+    let mut add = |row: Row| {
+        show(&row);
+        rows.push(row);
+    };
+    add(first.row("all start"));
+    for scenario in scenarios {
+        let mut run = Run::start(size, timing, seed)?;
+        run.pass(Span::secs(5));
+        add(scenario(&mut run)?);
+        first.world.now = run.world.now;
+    }
+    Ok(rows)
+}
+
+fn change(run: &mut Run) -> anyhow::Result<Row> {
+    run.mark();
+    run.change()?;
+    run.wait();
+    Ok(run.row("one change"))
+}
+
+/// One minute at 11,000 changes a day.
+fn day(run: &mut Run) -> anyhow::Result<Row> {
+    run.mark();
+    for _ in 0..8 {
+        run.change()?;
+        run.pass(CHANGE);
+    }
+    let mut row = run.row("11,000 changes a day");
+    let last = Time(run.world.now.0 - CHANGE.0) - run.from;
+    [&mut row.p50, &mut row.p99, &mut row.max].into_iter().for_each(|t| *t -= last.as_secs_f64());
+    Ok(row)
+}
+
+/// A change while a fifth of the processes restart.
+fn restarts(run: &mut Run) -> anyhow::Result<Row> {
+    run.mark();
+    run.change()?;
+    for (n, i) in run.world.some(20).into_iter().enumerate() {
+        run.world.restart(i, Span::millis(500 + n as u64 % 1_500));
+    }
+    run.pass(Span::secs(2));
+    run.wait();
+    Ok(run.row("a fifth restarts"))
+}
+
+/// A change just after all readers of the platform are lost.
+fn readers_lost(run: &mut Run) -> anyhow::Result<Row> {
+    let now = run.world.now;
+    let reads =
+        |process: &world::Process| process.node.as_ref().is_some_and(|node| node.is_reader(now));
+    let readers: Vec<_> =
+        run.world.processes.iter().enumerate().filter(|(_, p)| reads(p)).map(|(i, _)| i).collect();
+    readers.into_iter().for_each(|i| run.world.stop(i));
+    run.mark();
+    run.change()?;
+    run.wait();
+    Ok(run.row("all readers lost"))
+}
+
+/// The platform goes down after a change; a fifth of the processes restart meanwhile.
+fn platform_down(run: &mut Run) -> anyhow::Result<Row> {
+    run.change()?;
+    run.pass(Span::millis(100));
+    run.world.platform.down = true;
+    run.mark();
+    for (n, i) in run.world.some(20).into_iter().enumerate() {
+        run.world.restart(i, Span::millis(n as u64 % 1_000));
+    }
+    run.pass(Span::secs(2));
+    run.wait();
+    run.pass(Span::secs(20));
+    Ok(run.row("platform down"))
+}
+
+/// The platform shows the first set again; a fifth of the processes restart meanwhile.
+fn rolled_back(run: &mut Run) -> anyhow::Result<Row> {
+    let old = run.set.clone();
+    run.change()?;
+    run.wait();
+    run.world.publish(old);
+    run.mark();
+    for (n, i) in run.world.some(20).into_iter().enumerate() {
+        run.world.restart(i, Span::millis(n as u64 % 1_000));
+    }
+    run.pass(Span::secs(2));
+    run.wait();
+    run.pass(Span::secs(20));
+    Ok(run.row("platform rolled back"))
+}
+
+/// A change while a zone is cut off for 30 s, then healed.
+fn zone_cut(run: &mut Run) -> anyhow::Result<Row> {
+    let zone: ZoneId = run.world.processes[0].vm.zone.clone();
+    run.world.cut = BTreeSet::from([zone]);
+    run.change()?;
+    run.pass(Span::secs(30));
+    run.world.cut.clear();
+    run.mark();
+    run.wait();
+    Ok(run.row("zone cut, healed"))
+}
+
+/// Another set under the present generation.
+fn conflict(run: &mut Run) -> anyhow::Result<Row> {
+    run.mark();
+    let other = run.conflict()?;
+    run.id = run.id.max(other);
+    run.pass(Span::secs(10));
+    run.wait();
+    Ok(run.row("two sets, one number"))
+}
+
+fn holds_all(world: &World, id: SetId) -> bool {
+    world
+        .processes
+        .iter()
+        .all(|process| process.node.is_none() || process.held.is_some_and(|(held, _)| held >= id))
+}
--- /dev/null
+++ b/crates/standins/src/experiment/config/platform.rs
@@ -0,0 +1,94 @@
+//! The configuration service in virtual time: watches, a rate, faults.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use bytes::Bytes;
+use sequoiahold_core::{
+    config::ReadError,
+    declare::{Head, Published, SetId},
+    ids::Digest,
+    time::Time,
+    units::Span,
+};
+
+/// Calls a second that the service answers across all readers.
+const RATE: u64 = 2_000;
+/// Time that a watch may wait.
+pub const WATCH: Span = Span::secs(2);
+
+/// A process, by its place and start, that waits for another head.
+pub type Watch = (usize, u64);
+
+/// The configuration service.
+#[derive(Debug, Default)]
+pub struct Platform {
+    /// Whether it answers at all.
+    pub down: bool,
+    shown: Option<Arc<Published>>,
+    parts: BTreeMap<Digest, Bytes>,
+    /// The calls of each second, refused ones included.
+    pub calls: BTreeMap<u64, u64>,
+    /// The processes that wait for another head.
+    watches: Vec<Watch>,
+}
+
+impl Platform {
+    /// Shows a set; returns the processes whose watch ends.
+    pub fn show(&mut self, set: Arc<Published>) -> Vec<Watch> {
+        self.parts.extend(set.parts.iter().map(|(digest, part)| (*digest, part.clone())));
+        self.shown = Some(set);
+        std::mem::take(&mut self.watches)
+    }
+
+    /// Returns the head that is shown.
+    pub fn head(&self) -> Result<Head, ReadError> {
+        match &self.shown {
+            _ if self.down => Err(ReadError::Down),
+            Some(shown) => Ok(shown.head.clone()),
+            None => Err(ReadError::Empty),
+        }
+    }
+
+    /// Takes a call for the head; `None` where it waits, at most for `WATCH`.
+    pub fn watch(
+        &mut self,
+        now: Time,
+        reader: Watch,
+        seen: Option<SetId>,
+    ) -> Option<Result<Head, ReadError>> {
+        if let Err(error) = self.count(now) {
+            return Some(Err(error));
+        }
+        let head = self.head();
+        let same =
+            matches!(&head, Ok(head) if seen.is_some_and(|s| s.generation == head.generation));
+        if same {
+            self.watches.push(reader);
+            return None;
+        }
+        Some(head)
+    }
+
+    /// Ends the watch of a process; returns whether it still waited.
+    pub fn end_watch(&mut self, reader: Watch) -> bool {
+        let before = self.watches.len();
+        self.watches.retain(|waiting| *waiting != reader);
+        self.watches.len() < before
+    }
+
+    /// Takes a call for a part.
+    pub fn part(&mut self, now: Time, digest: &Digest) -> Result<Bytes, ReadError> {
+        self.count(now)?;
+        self.parts.get(digest).cloned().ok_or(ReadError::Empty)
+    }
+
+    fn count(&mut self, now: Time) -> Result<(), ReadError> {
+        let calls = self.calls.entry(now.0 / 1_000_000).or_default();
+        *calls += 1;
+        match (*calls > RATE, self.down) {
+            (true, _) => Err(ReadError::Busy),
+            (_, true) => Err(ReadError::Down),
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/experiment/config/world.rs
@@ -0,0 +1,395 @@
+//! Many processes, a network and the platform in virtual time.
+
+use std::{
+    cell::RefCell,
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use sequoiahold_core::{
+    adopt::Verify,
+    config::{ConfigCall, ConfigReply, Identity, Node, Output, ReadError, Seed, Source, Timing},
+    declare::{Fleet, PublishError, Published, Role, SetId, Vm},
+    ids::ZoneId,
+    proto::encode,
+    time::Time,
+    units::Span,
+};
+
+use super::platform::{Platform, WATCH};
+
+/// One-way latency within a zone, and to the platform.
+const NEAR: Span = Span::millis(1);
+/// One-way latency between zones.
+const FAR: Span = Span::millis(3);
+/// Time after which a peer counts as silent.
+const SILENT: Span = Span::secs(1);
+/// Bytes of IP, UDP and QUIC headers with the tag in a packet.
+const PACKET_OVERHEAD: u64 = 60;
+/// Bytes of a packet that acknowledges others.
+const ACK: u64 = 70;
+/// Bytes of a message that fit into a packet.
+const PACKET: u64 = 1_200;
+
+/// Reads each set once for all processes.
+#[derive(Clone, Debug, Default)]
+pub struct Shared {
+    known: Rc<RefCell<BTreeMap<SetId, Arc<Fleet>>>>,
+}
+
+impl Verify for Shared {
+    fn verify(&self, published: &Published) -> Result<Arc<Fleet>, PublishError> {
+        let id = published.head.id();
+        if let Some(fleet) = self.known.borrow().get(&id) {
+            return Ok(fleet.clone());
+        }
+        let fleet = published.fleet().map(Arc::new)?;
+        self.known.borrow_mut().insert(id, fleet.clone());
+        Ok(fleet)
+    }
+}
+
+#[derive(Debug)]
+enum Event {
+    Tick(usize, u64),
+    Call(usize, usize, u64, Output),
+    Reply(usize, u64, Output, Option<ConfigReply>),
+    Platform(usize, u64, Output),
+    Watched(usize, u64),
+    WatchEnd(usize, u64),
+    Start(usize),
+}
+
+/// One process.
+#[derive(Debug)]
+pub struct Process {
+    /// The VM.
+    pub vm: Vm,
+    /// The configuration, `None` while the process is down.
+    pub node: Option<Node<Shared>>,
+    /// The set in force and since when.
+    pub held: Option<(SetId, Time)>,
+    /// Bytes sent and received.
+    pub bytes: u64,
+    epoch: u64,
+    due: Option<Time>,
+}
+
+/// Many processes, a network and the platform.
+#[derive(Debug)]
+pub struct World {
+    /// The time.
+    pub now: Time,
+    /// The processes.
+    pub processes: Vec<Process>,
+    /// The platform.
+    pub platform: Platform,
+    /// Zones that are cut off from others and from the platform.
+    pub cut: BTreeSet<ZoneId>,
+    /// Times that a process took a lower set than it held.
+    pub reverted: u64,
+    verify: Shared,
+    timing: Timing,
+    seeds: BTreeMap<ZoneId, Vec<Seed>>,
+    index: BTreeMap<SocketAddr, usize>,
+    queue: BinaryHeap<Reverse<Entry>>,
+    count: u64,
+    rng: SmallRng,
+}
+
+#[derive(Debug)]
+struct Entry(Time, u64, Event);
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+
+impl Eq for Entry {}
+
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+impl World {
+    /// Returns the processes of a fleet, all down.
+    pub fn new(fleet: &Fleet, timing: Timing, seed: u64) -> Self {
+        let mut seeds: BTreeMap<ZoneId, Vec<Seed>> = BTreeMap::new();
+        for vm in fleet.vms.values().filter(|vm| vm.role == Role::Entry) {
+            let of_zone = seeds.entry(vm.zone.clone()).or_default();
+            if of_zone.len() < 3 {
+                of_zone.push(Seed { vm: vm.name.clone(), addr: vm.addr });
+            }
+        }
+        let process = |vm: &Vm| Process {
+            vm: vm.clone(),
+            node: None,
+            held: None,
+            bytes: 0,
+            epoch: 0,
+            due: None,
+        };
+        let processes: Vec<Process> = fleet.vms.values().map(process).collect();
+        let index = processes.iter().enumerate().map(|(i, p)| (p.vm.addr, i)).collect();
+        Self {
+            now: Time::default(),
+            processes,
+            platform: Platform::default(),
+            cut: BTreeSet::new(),
+            reverted: 0,
+            verify: Shared::default(),
+            timing,
+            seeds,
+            index,
+            queue: BinaryHeap::new(),
+            count: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Stops a process and starts it again, with nothing, after a pause.
+    pub fn restart(&mut self, i: usize, pause: Span) {
+        self.stop(i);
+        self.push(self.now + pause, Event::Start(i));
+    }
+
+    /// Stops a process for good.
+    pub fn stop(&mut self, i: usize) {
+        let process = &mut self.processes[i];
+        process.epoch += 1;
+        process.node = None;
+        process.held = None;
+        process.due = None;
+    }
+
+    /// Shows a set at the platform.
+    pub fn publish(&mut self, set: Published) -> SetId {
+        let id = set.head.id();
+        for (reader, epoch) in self.platform.show(Arc::new(set)) {
+            self.push(self.now + NEAR, Event::Watched(reader, epoch));
+        }
+        id
+    }
+
+    /// Runs until a time, or until `done`, looked at every 10 ms; returns whether it was done.
+    pub fn run(&mut self, until: Time, done: impl Fn(&Self) -> bool) -> bool {
+        let mut look = self.now;
+        while let Some(Reverse(Entry(at, _, _))) = self.queue.peek()
+            && *at <= until
+        {
+            let Some(Reverse(Entry(at, _, event))) = self.queue.pop() else { break };
+            self.now = at;
+            self.on_event(event);
+            if self.now >= look {
+                if done(self) {
+                    return true;
+                }
+                look = self.now + Span::millis(10);
+            }
+        }
+        self.now = until;
+        done(self)
+    }
+
+    /// Returns the processes that run.
+    pub fn running(&self) -> impl Iterator<Item = &Process> {
+        self.processes.iter().filter(|process| process.node.is_some())
+    }
+
+    /// Returns a share of the processes, chosen by the seed.
+    pub fn some(&mut self, percent: u32) -> Vec<usize> {
+        (0..self.processes.len()).filter(|_| self.rng.random_range(0..100) < percent).collect()
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        self.count += 1;
+        self.queue.push(Reverse(Entry(at, self.count, event)));
+    }
+
+    fn start(&mut self, i: usize) {
+        let vm = self.processes[i].vm.clone();
+        let own = Identity { vm: vm.name.clone(), zone: vm.zone.clone(), addr: vm.addr };
+        let seeds = self.seeds.get(&vm.zone).cloned().unwrap_or_default();
+        let seed = self.rng.random();
+        let node = Node::with(self.verify.clone(), own, self.timing, (seeds, self.now, seed));
+        self.processes[i].node = Some(node);
+        self.perform(i);
+    }
+
+    fn on_event(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Start(i) => self.start(i),
+            Event::Tick(i, epoch) => {
+                if self.processes[i].due.is_some_and(|due| due <= now) {
+                    self.processes[i].due = None;
+                }
+                self.with(i, epoch, |node| node.tick(now));
+            }
+            Event::Call(from, to, epoch, output) => self.on_call(from, to, epoch, output),
+            Event::Reply(to, epoch, output, reply) => self.on_reply(to, epoch, output, reply),
+            Event::Platform(i, epoch, output) => self.on_platform(i, epoch, output),
+            Event::WatchEnd(i, epoch) => {
+                if self.platform.end_watch((i, epoch)) {
+                    self.on_event(Event::Watched(i, epoch));
+                }
+            }
+            Event::Watched(i, epoch) => {
+                let head = self.platform.head();
+                self.with(i, epoch, |node| node.read_head(now, head));
+            }
+        }
+    }
+
+    fn on_call(&mut self, from: usize, to: usize, epoch: u64, output: Output) {
+        let now = self.now;
+        let reachable = self.reachable(from, to);
+        let call = self.call_of(from, &output);
+        let Some((node, call)) = self.processes[to].node.as_mut().zip(call).filter(|_| reachable)
+        else {
+            return self.push(now + SILENT, Event::Reply(from, epoch, output, None));
+        };
+        let reply = node.answer(now, &call);
+        let bytes = cost(encode(&call).len()) + cost(encode(&reply).len());
+        self.processes[from].bytes += bytes;
+        self.processes[to].bytes += bytes;
+        let latency = self.latency(from, to);
+        self.push(now + latency, Event::Reply(from, epoch, output, Some(reply)));
+        self.perform(to);
+    }
+
+    fn on_reply(&mut self, to: usize, epoch: u64, output: Output, reply: Option<ConfigReply>) {
+        let now = self.now;
+        self.with(to, epoch, |node| match (output, reply) {
+            (Output::Gossip(_, _), Some(ConfigReply::Gossip(gossip))) => node.heard(now, &gossip),
+            (Output::Gossip(vm, _), _) => node.silent(now, &vm),
+            (Output::AskSet(vm, _), Some(ConfigReply::Set(set))) => node.peer_set(now, &vm, set),
+            (Output::AskSet(vm, _), _) => node.peer_set(now, &vm, None),
+            (Output::AskHead(vm, _, _), Some(ConfigReply::Head(head))) => {
+                node.peer_head(now, &vm, head.as_ref());
+            }
+            (Output::AskHead(vm, _, _), _) => node.peer_head(now, &vm, None),
+            (Output::AskPart(source, digest), Some(ConfigReply::Part(part))) => {
+                node.part(now, &source, digest, part);
+            }
+            (Output::AskPart(source, digest), _) => node.part(now, &source, digest, None),
+            _ => {}
+        });
+    }
+
+    fn on_platform(&mut self, i: usize, epoch: u64, output: Output) {
+        let now = self.now;
+        if self.processes[i].epoch != epoch {
+            return;
+        }
+        let cut = self.cut.contains(&self.processes[i].vm.zone);
+        match output {
+            Output::ReadHead(_) if cut => {
+                let down = Err(ReadError::Down);
+                self.with(i, epoch, |node| node.read_head(now, down));
+            }
+            Output::ReadHead(seen) => match self.platform.watch(now, (i, epoch), seen) {
+                Some(head) => self.with(i, epoch, |node| node.read_head(now, head)),
+                None => self.push(now + WATCH, Event::WatchEnd(i, epoch)),
+            },
+            Output::AskPart(source, digest) => {
+                let part = if cut { None } else { self.platform.part(now, &digest).ok() };
+                let bytes = part.as_ref().map_or(0, |part| cost(part.len()));
+                self.processes[i].bytes += bytes;
+                self.with(i, epoch, |node| node.part(now, &source, digest, part));
+            }
+            _ => {}
+        }
+    }
+
+    /// Lets a process decide, if it is still the one that asked, and does what follows.
+    fn with(&mut self, i: usize, epoch: u64, decide: impl FnOnce(&mut Node<Shared>)) {
+        let process = &mut self.processes[i];
+        if process.epoch != epoch {
+            return;
+        }
+        let Some(node) = process.node.as_mut() else { return };
+        decide(node);
+        self.perform(i);
+    }
+
+    fn perform(&mut self, i: usize) {
+        let now = self.now;
+        let epoch = self.processes[i].epoch;
+        let Some(node) = self.processes[i].node.as_mut() else { return };
+        let outputs = node.outputs();
+        let (id, next) = (node.id(), node.next_time());
+        let process = &mut self.processes[i];
+        let before = process.held.map(|(id, _)| id);
+        if id != before {
+            self.reverted += u64::from(id < before);
+            process.held = id.map(|id| (id, now));
+        }
+        if let Some(next) = next
+            && process.due.is_none_or(|due| next < due)
+        {
+            process.due = Some(next);
+            self.push(next.max(now), Event::Tick(i, epoch));
+        }
+        for output in outputs {
+            self.send(i, epoch, output);
+        }
+    }
+
+    fn send(&mut self, i: usize, epoch: u64, output: Output) {
+        let to = match &output {
+            Output::Gossip(_, addr) | Output::AskSet(_, addr) | Output::AskHead(_, addr, _) => addr,
+            Output::AskPart(Source::Peer(_, addr), _) => addr,
+            Output::AskPart(Source::Platform, _) | Output::ReadHead(_) => {
+                return self.push(self.now + NEAR, Event::Platform(i, epoch, output));
+            }
+            _ => return,
+        };
+        if let Some(to) = self.index.get(to).copied() {
+            let latency = self.latency(i, to);
+            self.push(self.now + latency, Event::Call(i, to, epoch, output));
+        }
+    }
+
+    fn call_of(&self, from: usize, output: &Output) -> Option<ConfigCall> {
+        Some(match output {
+            Output::Gossip(_, _) => {
+                ConfigCall::Gossip(Box::new(self.processes[from].node.as_ref()?.gossip(self.now)))
+            }
+            Output::AskSet(_, _) => ConfigCall::Set,
+            Output::AskHead(_, _, base) => ConfigCall::Head(*base),
+            Output::AskPart(_, digest) => ConfigCall::Part(*digest),
+            _ => return None,
+        })
+    }
+
+    fn reachable(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (&self.processes[from].vm.zone, &self.processes[to].vm.zone);
+        from == to || !(self.cut.contains(from) || self.cut.contains(to))
+    }
+
+    fn latency(&self, from: usize, to: usize) -> Span {
+        let same = self.processes[from].vm.zone == self.processes[to].vm.zone;
+        if same { NEAR } else { FAR }
+    }
+}
+
+/// Returns the bytes that a message takes on the network, acknowledgements included.
+fn cost(length: usize) -> u64 {
+    let length = length as u64 + 4;
+    let packets = length.div_ceil(PACKET);
+    length + packets * PACKET_OVERHEAD + packets.div_ceil(2) * ACK
+}
--- a/crates/standins/tests/keys.rs
+++ b/crates/standins/tests/keys.rs
@@ -10,7 +10,8 @@
     settings::{self, Keys},
 };
 use sequoiahold_core::{
-    ids::{Generation, VmId},
+    config::{ConfigCall, ConfigReply},
+    ids::VmId,
     proto::{Call, Reply},
 };
 use sequoiahold_standins::keys::Authority;
@@ -23,7 +24,7 @@
 
 impl Serve for Answering {
     async fn serve(&self, _: Call, mut send: SendStream, _: RecvStream) {
-        let _ = write(&mut send, &Reply::Set(None)).await;
+        let _ = write(&mut send, &Reply::Config(ConfigReply::Set(None))).await;
         let _ = send.finish();
     }
 }
@@ -55,10 +56,10 @@
     let server: VmId = "server".parse().expect("a name");
     let asked = async {
         let connection = links(keys).get(&server, addr).await?;
-        call(&connection, &Call::Set(Generation(0))).await
+        call(&connection, &Call::Config(ConfigCall::Set)).await
     };
     let reply = actix_rt::time::timeout(Duration::from_secs(3), asked).await;
-    matches!(reply, Ok(Ok(Reply::Set(None))))
+    matches!(reply, Ok(Ok(Reply::Config(ConfigReply::Set(None)))))
 }
 
 fn serve(keys: &Keys, addr: SocketAddr) -> (Rc<RefCell<Tls>>, Metrics) {
