--- a/crates/core/src/declare/publish.rs
+++ b/crates/core/src/declare/publish.rs
@@ -9,12 +9,13 @@
 use crate::{
     ids::{Digest, Generation},
     peers::weight,
+    proto::encode,
 };
 
 /// Largest value that the configuration service holds, in bytes.
 pub const MAX_VALUE: usize = 1_000_000;
 /// Mean number of objects in a part; a change of one object moves one part.
-const PART_OBJECTS: u64 = 32;
+const PART_OBJECTS: u64 = 16;
 /// Size at which a part is closed, in bytes.
 const PART_SIZE: usize = 16_000;
 
@@ -56,8 +57,7 @@
 impl Head {
     /// Returns the identity of the set.
     pub fn id(&self) -> SetId {
-        let text = serde_json::to_vec(self).unwrap_or_default();
-        SetId { generation: self.generation, digest: Digest::of(&text) }
+        SetId { generation: self.generation, digest: Digest::of(&encode(self)) }
     }
 }
 
--- a/crates/sequoiahold/src/settings/config.rs
+++ b/crates/sequoiahold/src/settings/config.rs
@@ -33,7 +33,7 @@
     fn default() -> Self {
         Self {
             seeds: vec![],
-            interval: Span::secs(1),
+            interval: Span::secs(2),
             fanout: 4,
             readers: 3,
             wait: Span::secs(2),
--- a/crates/standins/src/experiment/config/mod.rs
+++ b/crates/standins/src/experiment/config/mod.rs
@@ -24,7 +24,7 @@
 pub const DESIGN: Size = Size { zones: 8, entries: 810, endpoints: 4_500, clients: 300 };
 /// The numbers that processes use by default.
 pub const TIMING: Timing = Timing {
-    interval: Span::secs(1),
+    interval: Span::secs(2),
     fanout: 4,
     readers: 3,
     wait: Span::secs(2),
