--- a/crates/sequoiahold/src/settings/mod.rs
+++ b/crates/sequoiahold/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! Settings of the processes, read from JSON and checked at load.
 
 mod callers;
+mod config;
 mod endpoint;
 mod entry;
 mod keys;
@@ -15,6 +16,7 @@
 
 pub use self::{
     callers::Limits,
+    config::Config,
     endpoint::{Endpoint, Engine, Weights},
     entry::Entry,
     keys::Keys,
--- a/crates/standins/src/deployment/settings.rs
+++ b/crates/standins/src/deployment/settings.rs
@@ -4,6 +4,7 @@
 
 use sequoiahold::settings::{self, Limits, Log, Metrics};
 use sequoiahold_core::{
+    config::Seed,
     declare::Vm,
     units::{ByteRate, Bytes, Span},
 };
@@ -19,6 +20,7 @@
     pub(super) platform: SocketAddr,
     pub(super) origin: SocketAddr,
     pub(super) rate: ByteRate,
+    pub(super) seeds: Vec<Vm>,
 }
 
 /// The addresses of one VM.
@@ -49,6 +51,7 @@
             admin: admin_addr(vm),
             platform: self.platform(),
             keys,
+            config: self.config(vm),
             log: Log::default(),
             metrics: Metrics::default(),
             heartbeat: Span::millis(300),
@@ -69,6 +72,7 @@
             admin: admin_addr(vm),
             platform: self.platform(),
             keys,
+            config: self.config(vm),
             log: Log::default(),
             metrics: Metrics::default(),
             engine: settings::Engine { url: format!("http://{}", addrs.engine), fences: true },
@@ -82,6 +86,15 @@
         }
     }
 
+    /// Returns settings that name the seeds, those of the VM's zone first.
+    fn config(&self, vm: &Vm) -> settings::Config {
+        let mut seeds: Vec<&Vm> = self.seeds.iter().collect();
+        seeds.sort_by_key(|seed| seed.zone != vm.zone);
+        let seed = |vm: &Vm| Seed { vm: vm.name.clone(), addr: vm.addr };
+        let seeds = seeds.into_iter().map(seed).collect();
+        settings::Config { seeds, ..settings::Config::default() }
+    }
+
     fn platform(&self) -> settings::Platform {
         let url = format!("http://{}", self.platform);
         settings::Platform { config: url.clone(), vms: url }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 pub mod driver;
 pub mod engine;
+pub mod experiment;
 pub mod fixture;
 pub mod keys;
 pub mod load;
