--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -6,7 +6,7 @@
 use pico_args::Arguments;
 use sequoiahold_core::{ids::VersionId, units::Bytes};
 
-use crate::{content::Content, demo};
+use crate::{content::Content, demo, experiment::weights};
 
 const HELP: &str = "\
 Stand-ins, load and experiments for sequoiahold.
@@ -16,6 +16,8 @@
 Commands:
   demo [glasmarke|tannverket] [--seed N] [--program FILE] [--examples DIR]
       run a deployment on loopback; the last line of output is one JSON object
+  experiment weights [--seed N] [--vms MOST] [--out DIR]
+      measure ways to draw weights in virtual time; DIR takes JSON lines and charts
   manifest VERSION --size SIZE --chunk SIZE
       print the digest of the manifest of generated weights
 ";
@@ -51,6 +53,7 @@
             };
             actix_rt::System::new().block_on(demo::run(options))
         }
+        Some("experiment") => experiment(args),
         Some("manifest") => {
             let size: Bytes = args.value_from_str("--size")?;
             let chunk: Bytes = args.value_from_str("--chunk")?;
@@ -61,3 +64,14 @@
         other => bail!("unknown command {other:?}; try --help"),
     }
 }
+
+fn experiment(mut args: Arguments) -> anyhow::Result<u8> {
+    match args.subcommand()?.as_deref() {
+        Some("weights") => weights::run(&weights::Options {
+            seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+            most: args.opt_value_from_str("--vms")?.unwrap_or(950),
+            out: args.opt_value_from_str("--out")?,
+        }),
+        other => bail!("unknown experiment {other:?}; try --help"),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/experiment/mod.rs
@@ -0,0 +1,3 @@
+//! Experiments that measure decisions of the core in virtual time.
+
+pub mod weights;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod content;
 pub mod demo;
 pub mod engine;
+pub mod experiment;
 pub mod keys;
 pub mod origin;
 pub mod plain;
