--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -5,24 +5,25 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-pub use self::life::{LifeEvent, LifeState};
 use self::{life::chart, wanted::Wanted};
+pub use self::{
+    life::{LifeEvent, LifeState},
+    wanted::Drawing,
+};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
     chart::Machine,
-    declare::{Fleet, Published, Vm},
+    declare::{Fleet, Published},
     gate::{Gate, Seen, Ticket},
     ids::{Digest, Fence, Generation, Incarnation, ServiceId, VersionId, VmId},
     member::VmState,
     proto::{Beat, Load},
     refuse::{Reason, Refusal},
-    time::{Time, Timers},
-    units::Span,
-    weights::{Manifest, Supplier, TransferOutcome},
+    time::{Time, TimerId, Timers},
+    units::{Bytes, Span},
+    weights::{DrawError, Manifest, Supplier, Topology, TransferOutcome},
 };
 
-/// Time between two questions to a peer about its chunks.
-const HAVE: Span = Span::millis(200);
 /// Pause before a manifest is asked for again.
 const MANIFEST: Span = Span::millis(500);
 /// Pause before an order that failed is given again.
@@ -65,8 +66,10 @@
     ReadManifest(VersionId, Digest, Vec<Place>),
     /// Ask a peer which chunks of a manifest it holds.
     AskHave(Digest, VmId, SocketAddr),
-    /// Draw a chunk.
-    Draw(Digest, Place),
+    /// Draw a chunk within a time.
+    Draw(Digest, Place, Span),
+    /// Drop the chunks that this manifest does not name.
+    Retain(Arc<Manifest>),
     /// Give the engine the chunks of a version and the order to load it.
     Load(VersionId, Arc<Manifest>, Fence),
 }
@@ -88,8 +91,8 @@
     pub incarnation: Incarnation,
     /// The time between two looks at the engine.
     pub look: Span,
-    /// The chunks that are drawn at the same time.
-    pub draws: u32,
+    /// How weights are drawn.
+    pub drawing: Drawing,
 }
 
 /// The state and the decisions of an endpoint process.
@@ -105,6 +108,7 @@
     leaving: bool,
     draining: bool,
     timers: Timers<Timer>,
+    round: Option<TimerId>,
     outputs: Vec<Output>,
 }
 
@@ -124,6 +128,7 @@
             leaving: false,
             draining: false,
             timers,
+            round: None,
             outputs: vec![],
         }
     }
@@ -188,23 +193,29 @@
             self.timers.at(now + MANIFEST, Timer::Manifest);
             return;
         };
-        let names: Vec<VmId> = self.peers().into_iter().map(|(vm, _)| vm).collect();
+        let Some(topology) = self.topology() else { return };
         let Some(wanted) = self.wanted.as_mut().filter(|w| w.version.name == *version) else {
             return;
         };
-        wanted.start(self.own.vm.clone(), manifest, held, &names, now);
-        self.timers.at(now, Timer::Draw);
+        wanted.start(manifest, held, topology, &self.own.drawing, now);
+        self.outputs.extend(wanted.manifest.clone().map(Output::Retain));
+        self.ask_peers(now);
         self.follow(now);
     }
 
-    /// Takes a drawn chunk, `None` where the draw failed.
-    pub fn drawn(&mut self, now: Time, digest: Digest, data: Option<&[u8]>) -> TransferOutcome {
+    /// Takes a drawn chunk, or why the draw failed.
+    pub fn drawn(
+        &mut self,
+        now: Time,
+        digest: Digest,
+        data: Result<&[u8], DrawError>,
+    ) -> TransferOutcome {
         self.drawing = self.drawing.saturating_sub(1);
         let transfer = self.wanted.as_mut().and_then(|wanted| wanted.transfer.as_mut());
         let outcome = match (transfer, data) {
-            (Some(transfer), Some(data)) => transfer.arrived(digest, data),
-            (Some(transfer), None) => {
-                transfer.failed(&digest);
+            (Some(transfer), Ok(data)) => transfer.arrived(now, digest, data),
+            (Some(transfer), Err(error)) => {
+                transfer.failed(now, &digest, error);
                 TransferOutcome::Unwanted
             }
             (None, _) => TransferOutcome::Unwanted,
@@ -214,10 +225,13 @@
         outcome
     }
 
-    /// Takes note of the chunks that a peer holds, as bits in the order of the manifest.
-    pub fn have(&mut self, now: Time, peer: &VmId, bits: &[u8]) {
-        if let Some(wanted) = &mut self.wanted {
-            wanted.holds(peer, bits);
+    /// Takes the chunks that a peer holds, as bits in the order of the manifest, or its silence.
+    pub fn have(&mut self, now: Time, peer: &VmId, bits: Option<&[u8]>) {
+        let transfer = self.wanted.as_mut().and_then(|wanted| wanted.transfer.as_mut());
+        match (transfer, bits) {
+            (Some(transfer), Some(bits)) => transfer.have(now, peer, bits),
+            (Some(transfer), None) => transfer.silent(peer),
+            (None, _) => {}
         }
         self.draw(now);
     }
@@ -284,6 +298,11 @@
         wanted.manifest.clone()
     }
 
+    /// Returns the size of the chunks that are drawn.
+    pub fn chunk_size(&self) -> Option<Bytes> {
+        Some(self.wanted.as_ref()?.manifest.as_ref()?.chunk)
+    }
+
     /// Returns the gate.
     pub fn gate(&self) -> &Gate {
         &self.gate
@@ -337,6 +356,9 @@
         let version = pool.and_then(|pool| fleet.pool_version(&pool.name)).cloned();
         self.gate.want(version.as_ref().map(|version| version.name.clone()));
         if self.wanted.as_ref().map(|wanted| &wanted.version) == version.as_ref() {
+            let topology = self.topology();
+            let transfer = self.wanted.as_mut().and_then(|wanted| wanted.transfer.as_mut());
+            transfer.zip(topology).map(|(transfer, topology)| transfer.set_topology(topology));
             return;
         }
         self.wanted = version.map(Wanted::new);
@@ -346,43 +368,51 @@
     }
 
     fn read_manifest(&mut self) {
-        let Some(wanted) = self.wanted.as_ref().filter(|w| w.manifest.is_none()) else { return };
-        let others = self.peers().into_iter().filter(|(vm, _)| *vm != self.own.vm);
-        let mut places: Vec<Place> =
-            others.map(|(vm, addr)| Place::Peer(vm, addr)).take(1).collect();
-        places.push(Place::Origin);
+        let (Some(fleet), Some(topology)) = (self.fleet(), self.topology()) else { return };
+        let Some(wanted) = self.wanted.as_mut().filter(|w| w.manifest.is_none()) else { return };
+        let (from, origin) = wanted.manifest_from(&topology);
+        let places = from.into_iter().filter_map(|vm| place(&fleet, &vm));
+        let places = places.chain(origin.then_some(Place::Origin)).collect();
         let version = &wanted.version;
         self.outputs.push(Output::ReadManifest(version.name.clone(), version.manifest, places));
     }
 
     fn ask_peers(&mut self, now: Time) {
-        let Some(wanted) = self.wanted.as_ref().filter(|w| !w.is_whole()) else { return };
+        let Some(fleet) = self.fleet() else { return };
+        let Some(wanted) = self.wanted.as_mut() else { return };
         let manifest = wanted.version.manifest;
-        for (vm, addr) in self.peers().into_iter().filter(|(vm, _)| *vm != self.own.vm) {
-            self.outputs.push(Output::AskHave(manifest, vm, addr));
+        let Some(transfer) = wanted.transfer.as_mut() else { return };
+        for vm in transfer.asks(now) {
+            match place(&fleet, &vm) {
+                Some(Place::Peer(vm, addr)) => {
+                    self.outputs.push(Output::AskHave(manifest, vm, addr));
+                }
+                _ => transfer.silent(&vm),
+            }
+        }
+        let next = transfer.wake().map(|wake| self.timers.at(wake, Timer::Draw));
+        if let Some(old) = std::mem::replace(&mut self.round, next) {
+            self.timers.cancel(old);
         }
         self.draw(now);
-        self.timers.at(now + HAVE, Timer::Draw);
     }
 
     fn draw(&mut self, now: Time) {
-        let peers: BTreeMap<VmId, SocketAddr> = self.peers().into_iter().collect();
+        let Some(fleet) = self.fleet() else { return };
         let transfer = self.wanted.as_mut().and_then(|wanted| wanted.transfer.as_mut());
         let Some(transfer) = transfer else { return };
-        while self.drawing < self.own.draws {
-            let Some((digest, supplier)) = transfer.next(now) else { return };
-            let place = match supplier {
-                Supplier::Origin => Place::Origin,
-                Supplier::Peer(vm) => match peers.get(&vm) {
-                    Some(addr) => Place::Peer(vm, *addr),
-                    None => {
-                        transfer.failed(&digest);
-                        continue;
-                    }
-                },
+        while self.drawing < self.own.drawing.draws {
+            let Some(draw) = transfer.next(now) else { return };
+            let place = match draw.supplier {
+                Supplier::Origin => Some(Place::Origin),
+                Supplier::Peer(vm) => place(&fleet, &vm),
+            };
+            let Some(place) = place else {
+                transfer.failed(now, &draw.digest, DrawError::Silent);
+                continue;
             };
             self.drawing += 1;
-            self.outputs.push(Output::Draw(digest, place));
+            self.outputs.push(Output::Draw(draw.digest, place, draw.timeout));
         }
     }
 
@@ -409,11 +439,13 @@
         self.outputs.push(Output::Load(wanted.version.name.clone(), manifest, fence));
     }
 
-    /// Returns the endpoint VMs of this VM's zone and pool, with their addresses.
-    fn peers(&self) -> Vec<(VmId, SocketAddr)> {
-        let Some(fleet) = self.fleet() else { return vec![] };
-        let Some(own) = fleet.vms.get(&self.own.vm) else { return vec![] };
-        let near = |vm: &&Vm| vm.zone == own.zone && vm.role == own.role;
-        fleet.vms.values().filter(near).map(|vm| (vm.name.clone(), vm.addr)).collect()
+    /// Returns the VMs that share the weights of the wanted version.
+    fn topology(&self) -> Option<Topology> {
+        let fleet = self.fleet()?;
+        Some(self.wanted.as_ref()?.topology(&fleet, &self.own.vm, &self.own.drawing))
     }
 }
+
+fn place(fleet: &Fleet, vm: &VmId) -> Option<Place> {
+    fleet.vms.get(vm).map(|vm| Place::Peer(vm.name.clone(), vm.addr))
+}
--- a/crates/core/src/endpoint/wanted.rs
+++ b/crates/core/src/endpoint/wanted.rs
@@ -3,12 +3,31 @@
 use std::sync::Arc;
 
 use crate::{
-    declare::Version,
-    ids::{Digest, VmId},
+    declare::{Fleet, Role, Version, Vm},
+    ids::{Digest, RegionId, VmId},
     time::Time,
-    weights::{Manifest, Transfer},
+    units::ByteRate,
+    weights::{Limits, Manifest, Owners, Topology, Transfer},
 };
 
+/// Peers that draw the manifest from one VM.
+const FAN_OUT: usize = 4;
+/// Failures to read the manifest after which the origin is asked by any VM.
+const MANIFEST_TRIES: u32 = 8;
+/// Rate of the origin's link in rates of a VM's link.
+const ORIGIN_RATE: u64 = 2;
+
+/// How an endpoint draws weights.
+#[derive(Clone, Debug)]
+pub struct Drawing {
+    /// The rate of the VM's link that weights may use.
+    pub rate: ByteRate,
+    /// The chunks that are drawn at the same time.
+    pub draws: u32,
+    /// The region where the origin lies, if known.
+    pub region: Option<RegionId>,
+}
+
 /// A version on its way to the engine.
 #[derive(Clone, Debug)]
 pub(super) struct Wanted {
@@ -16,22 +35,25 @@
     pub(super) manifest: Option<Arc<Manifest>>,
     pub(super) transfer: Option<Transfer>,
     pub(super) loading: bool,
+    tries: u32,
 }
 
 impl Wanted {
     pub(super) fn new(version: Version) -> Self {
-        Self { version, manifest: None, transfer: None, loading: false }
+        Self { version, manifest: None, transfer: None, loading: false, tries: 0 }
     }
 
     pub(super) fn start(
         &mut self,
-        vm: VmId,
         manifest: Manifest,
         held: impl Fn(&Digest) -> bool,
-        peers: &[VmId],
+        topology: Topology,
+        own: &Drawing,
         now: Time,
     ) {
-        self.transfer = Some(Transfer::new(vm, &manifest, held, peers, now));
+        let owners = Owners { origin: ByteRate(own.rate.0.saturating_mul(ORIGIN_RATE)) };
+        let limits = Limits { rate: own.rate, draws: own.draws };
+        self.transfer = Some(Transfer::new(&manifest, held, topology, owners, limits, now));
         self.manifest = Some(Arc::new(manifest));
     }
 
@@ -43,13 +65,26 @@
         self.transfer.as_ref().map_or(0, Transfer::missing)
     }
 
-    /// Takes note of the chunks that a peer holds, as bits in the order of the manifest.
-    pub(super) fn holds(&mut self, peer: &VmId, bits: &[u8]) {
-        let (Some(manifest), Some(transfer)) = (&self.manifest, &mut self.transfer) else {
-            return;
+    /// Returns the VMs that share the version's weights.
+    pub(super) fn topology(&self, fleet: &Fleet, vm: &VmId, own: &Drawing) -> Topology {
+        let shares = |other: &&Vm| match &other.role {
+            Role::Endpoint(pool) => {
+                fleet.pool_version(pool).is_some_and(|v| v.manifest == self.version.manifest)
+            }
+            Role::Entry => false,
         };
-        let held = |i: usize| bits.get(i / 8).is_some_and(|byte| byte & (1 << (i % 8)) != 0);
-        let chunks = manifest.chunks.iter().enumerate();
-        transfer.holds(peer, chunks.filter(|(i, _)| held(*i)).map(|(_, digest)| *digest));
+        Topology::new(vm, fleet.vms.values().filter(shares), fleet, own.region.as_ref())
+    }
+
+    /// Returns the VMs to read the manifest from, and whether the origin may be asked after them.
+    pub(super) fn manifest_from(&mut self, topology: &Topology) -> (Vec<VmId>, bool) {
+        let digest = &self.version.manifest;
+        let ahead = topology.ahead(digest);
+        let parent = ahead.len().saturating_sub(1) / FAN_OUT;
+        let far = topology.upstream(digest, 1);
+        let from = if ahead.is_empty() { far } else { vec![ahead[parent]] };
+        self.tries += 1;
+        let origin = ahead.is_empty() || self.tries > MANIFEST_TRIES;
+        (from.into_iter().map(|key| topology.vm(key).clone()).collect(), origin)
     }
 }
--- a/crates/core/src/proto.rs
+++ b/crates/core/src/proto.rs
@@ -104,6 +104,8 @@
     Set(Option<Arc<Published>>),
     /// The chunk, or `None` where the peer does not hold it.
     Chunk(Option<Bytes>),
+    /// The peer's uploads are full; the chunk may be asked for again after this time.
+    Later(Span),
     /// The bits of the chunks that the peer holds, first chunk lowest.
     Have(Vec<u8>),
 }
--- /dev/null
+++ b/crates/core/src/weights/bits.rs
@@ -0,0 +1,85 @@
+//! Sets of chunks, by their place in a manifest.
+
+/// Chunks in one word.
+const WORD: usize = 64;
+
+/// A set of chunks of one manifest.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Bits {
+    words: Vec<u64>,
+    len: usize,
+}
+
+impl Bits {
+    /// Returns the empty set for a manifest of `len` chunks.
+    pub fn new(len: usize) -> Self {
+        Self { words: vec![0; len.div_ceil(WORD)], len }
+    }
+
+    /// Reads bits, first chunk lowest; bits beyond `len` are dropped and missing ones are clear.
+    pub fn read(bytes: &[u8], len: usize) -> Self {
+        let mut bits = Self::new(len);
+        for (i, byte) in bytes.iter().take(len.div_ceil(8)).enumerate() {
+            bits.words[i / 8] |= u64::from(*byte) << (i % 8 * 8);
+        }
+        if let Some(last) = bits.words.last_mut().filter(|_| !len.is_multiple_of(WORD)) {
+            *last &= (1 << (len % WORD)) - 1;
+        }
+        bits
+    }
+
+    /// Returns the bits as bytes, first chunk lowest.
+    pub fn bytes(&self) -> Vec<u8> {
+        let bytes = self.words.iter().flat_map(|word| word.to_le_bytes());
+        bytes.take(self.len.div_ceil(8)).collect()
+    }
+
+    /// Adds a chunk.
+    pub fn insert(&mut self, chunk: usize) {
+        self.words[chunk / WORD] |= 1 << (chunk % WORD);
+    }
+
+    /// Removes a chunk.
+    pub fn remove(&mut self, chunk: usize) {
+        self.words[chunk / WORD] &= !(1 << (chunk % WORD));
+    }
+
+    /// Returns whether the set has a chunk.
+    pub fn contains(&self, chunk: usize) -> bool {
+        chunk < self.len && self.words[chunk / WORD] & (1 << (chunk % WORD)) != 0
+    }
+
+    /// Returns the number of chunks in the set.
+    pub fn count(&self) -> usize {
+        self.words.iter().map(|word| word.count_ones() as usize).sum()
+    }
+
+    /// Returns whether the set has no chunk.
+    pub fn is_empty(&self) -> bool {
+        self.words.iter().all(|word| *word == 0)
+    }
+
+    /// Adds the chunks of another set.
+    pub fn add(&mut self, other: &Self) {
+        self.words.iter_mut().zip(&other.words).for_each(|(a, b)| *a |= b);
+    }
+
+    /// Removes the chunks that another set lacks.
+    pub fn keep(&mut self, other: &Self) {
+        self.words.iter_mut().zip(&other.words).for_each(|(a, b)| *a &= b);
+    }
+
+    /// Removes the chunks of another set.
+    pub fn subtract(&mut self, other: &Self) {
+        self.words.iter_mut().zip(&other.words).for_each(|(a, b)| *a &= !b);
+    }
+
+    /// Returns the chunks of the set in order.
+    pub fn iter(&self) -> impl Iterator<Item = usize> + '_ {
+        self.words.iter().enumerate().flat_map(|(i, word)| {
+            let rest = std::iter::successors(Some(*word), |rest| Some(rest & (rest - 1)));
+            let set = rest.take_while(|rest| *rest != 0);
+            set.map(move |rest| i * WORD + rest.trailing_zeros() as usize)
+        })
+    }
+}
--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -1,9 +1,22 @@
 //! Weights: manifests, chunks and the plan of a transfer.
 
+pub mod bits;
 pub mod manifest;
+pub mod outside;
+pub mod pace;
+mod peer;
+pub mod state;
+pub mod topology;
 pub mod transfer;
+pub mod upload;
 
 pub use self::{
+    bits::Bits,
     manifest::{Manifest, ManifestError},
-    transfer::{Supplier, Transfer, TransferOutcome},
+    outside::{Duty, Outside, Owners},
+    pace::Pacer,
+    state::{TransferEvent, TransferState},
+    topology::{PeerKey, Topology},
+    transfer::{Draw, DrawError, Limits, Supplier, Transfer, TransferOutcome},
+    upload::Uploads,
 };
--- /dev/null
+++ b/crates/core/src/weights/state.rs
@@ -0,0 +1,37 @@
+//! The state of a transfer.
+
+use serde::{Deserialize, Serialize};
+
+use crate::chart::Chart;
+
+/// The chart of a transfer.
+const CHART: &str = include_str!("../../charts/transfer.json");
+
+/// The state of a transfer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TransferState {
+    /// Chunks arrive, or are seen at peers.
+    Drawing,
+    /// Nothing has arrived or been seen for some time.
+    Stalled,
+    /// All chunks are held.
+    Whole,
+}
+
+/// What happens to a transfer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TransferEvent {
+    /// A chunk arrived, or was seen at a peer for the first time.
+    Progress,
+    /// The time allowed without progress has passed.
+    Timeout,
+    /// The last missing chunk is held.
+    Complete,
+}
+
+/// Reads the chart of a transfer.
+pub(super) fn chart() -> Chart<TransferState, TransferEvent> {
+    Chart::parse(CHART).expect("the committed chart is sound")
+}
--- /dev/null
+++ b/crates/core/src/weights/topology.rs
@@ -0,0 +1,239 @@
+//! The VMs that share weights, by availability zone and region, and their order for a chunk.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    declare::{Fleet, Vm},
+    ids::{Digest, RegionId, VmId, ZoneId},
+    units::ByteRate,
+};
+
+/// A VM of a topology.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct PeerKey(u32);
+
+#[derive(Clone, Debug)]
+struct Member {
+    vm: VmId,
+    seed: u64,
+    zone: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Zone {
+    seed: u64,
+    region: usize,
+    members: Vec<PeerKey>,
+}
+
+#[derive(Clone, Debug)]
+struct Region {
+    seed: u64,
+    link: ByteRate,
+    origin: bool,
+}
+
+/// The VMs that share weights, as one of them sees them.
+#[derive(Clone, Debug)]
+pub struct Topology {
+    own: PeerKey,
+    members: Vec<Member>,
+    zones: Vec<Zone>,
+    regions: Vec<Region>,
+}
+
+impl Topology {
+    /// Sorts the VMs by zone and region; `origin` is the region where the origin lies, if known.
+    pub fn new<'a>(
+        own: &VmId,
+        vms: impl IntoIterator<Item = &'a Vm>,
+        fleet: &Fleet,
+        origin: Option<&RegionId>,
+    ) -> Self {
+        let mut members: Vec<&Vm> = vms.into_iter().collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut topology =
+            Self { own: PeerKey(0), members: vec![], zones: vec![], regions: vec![] };
+        let (mut zones, mut regions) = (BTreeMap::new(), BTreeMap::new());
+        for (i, vm) in members.into_iter().enumerate() {
+            let key = PeerKey(i as u32);
+            let zone = *zones.entry(&vm.zone).or_insert_with(|| {
+                topology.add_zone(&vm.zone, fleet, origin, &mut regions);
+                topology.zones.len() - 1
+            });
+            topology.zones[zone].members.push(key);
+            let seed = name_seed(vm.name.as_str());
+            topology.members.push(Member { vm: vm.name.clone(), seed, zone });
+        }
+        topology.own = topology.key(own).unwrap_or(PeerKey(0));
+        topology
+    }
+
+    fn add_zone(
+        &mut self,
+        zone: &ZoneId,
+        fleet: &Fleet,
+        origin: Option<&RegionId>,
+        regions: &mut BTreeMap<String, usize>,
+    ) {
+        let declared = fleet.zones.get(zone);
+        let name = declared.map_or(zone.as_str(), |zone| zone.region.as_str());
+        let region = *regions.entry(name.to_owned()).or_insert_with(|| {
+            self.regions.push(Region {
+                seed: name_seed(name),
+                link: declared.map_or(ByteRate(u64::MAX), |zone| zone.link),
+                origin: origin.is_some_and(|origin| origin.as_str() == name),
+            });
+            self.regions.len() - 1
+        });
+        self.zones.push(Zone { seed: name_seed(zone.as_str()), region, members: vec![] });
+    }
+
+    /// Returns the VM whose view this is.
+    pub fn own(&self) -> PeerKey {
+        self.own
+    }
+
+    /// Returns the VM with a name.
+    pub fn key(&self, vm: &VmId) -> Option<PeerKey> {
+        let place = self.members.binary_search_by(|member| member.vm.cmp(vm));
+        place.ok().map(|i| PeerKey(i as u32))
+    }
+
+    /// Returns the name of a VM.
+    pub fn vm(&self, key: PeerKey) -> &VmId {
+        &self.members[key.0 as usize].vm
+    }
+
+    /// Returns the VMs of the own zone.
+    pub fn near(&self) -> &[PeerKey] {
+        &self.zones[self.zone(self.own)].members
+    }
+
+    /// Returns whether a VM lies in the own zone.
+    pub fn is_near(&self, key: PeerKey) -> bool {
+        self.zone(key) == self.zone(self.own)
+    }
+
+    /// Returns whether a VM lies in the own region.
+    pub fn in_region(&self, key: PeerKey) -> bool {
+        self.region(self.zone(key)) == self.region(self.zone(self.own))
+    }
+
+    /// Returns the rate of the own region's link if draws from the origin pass it.
+    pub fn link(&self) -> Option<ByteRate> {
+        let region = &self.regions[self.region(self.zone(self.own))];
+        let known = self.regions.iter().any(|region| region.origin);
+        let passes = if known { !region.origin } else { self.regions.len() > 1 };
+        passes.then_some(region.link)
+    }
+
+    /// Returns peers of the own zone: both neighbours at each power of two on a ring of all VMs.
+    pub fn ring(&self, salt: u64) -> Vec<PeerKey> {
+        let mut ring = self.near().to_vec();
+        ring.sort_by_key(|key| mix(self.members[key.0 as usize].seed, salt));
+        let len = ring.len();
+        let own = ring.iter().position(|key| *key == self.own).unwrap_or(0);
+        let steps = std::iter::successors(Some(1), |step| Some(step * 2));
+        let near = steps.take_while(|step| *step <= len / 2);
+        let both = near.flat_map(|step| [(own + step) % len, (own + len - step) % len]);
+        let mut keys: Vec<PeerKey> = both.map(|i| ring[i]).collect();
+        keys.sort();
+        keys.dedup();
+        keys
+    }
+
+    /// Returns the VMs of the own zone that go before this one for a chunk, first first.
+    pub fn ahead(&self, chunk: &Digest) -> Vec<PeerKey> {
+        let seed = chunk_seed(chunk);
+        let weight = |key: PeerKey| mix(self.members[key.0 as usize].seed, seed);
+        let own = weight(self.own);
+        let mut ahead: Vec<(u64, PeerKey)> =
+            self.near().iter().map(|key| (weight(*key), *key)).filter(|(w, _)| *w > own).collect();
+        ahead.sort_by(|a, b| b.cmp(a));
+        ahead.into_iter().map(|(_, key)| key).collect()
+    }
+
+    /// Returns how many VMs of the own zone go before this one for a chunk, and which if at most `most`.
+    pub fn rank(&self, chunk: &Digest, most: usize) -> (usize, Vec<PeerKey>) {
+        let seed = chunk_seed(chunk);
+        let weight = |key: &PeerKey| mix(self.members[key.0 as usize].seed, seed);
+        let own = weight(&self.own);
+        let before = || self.near().iter().filter(|key| weight(key) > own);
+        let rank = before().count();
+        (rank, if rank <= most { before().copied().collect() } else { vec![] })
+    }
+
+    /// Returns the zones in the order in which a chunk passes through them.
+    fn zone_order(&self, seed: u64) -> Vec<usize> {
+        let mut zones: Vec<usize> = (0..self.zones.len()).collect();
+        zones.sort_by_key(|zone| {
+            let (zone, region) = (&self.zones[*zone], &self.regions[self.zones[*zone].region]);
+            let first = std::cmp::Reverse((region.origin, mix(region.seed, seed)));
+            (first, std::cmp::Reverse(mix(zone.seed, seed)))
+        });
+        zones
+    }
+
+    /// Returns how many regions go before the own one for a chunk.
+    pub fn region_rank(&self, chunk: &Digest) -> usize {
+        let order = self.zone_order(chunk_seed(chunk));
+        let own = self.region(self.zone(self.own));
+        let mut before: Vec<usize> =
+            order.iter().map(|zone| self.region(*zone)).take_while(|r| *r != own).collect();
+        before.dedup();
+        before.len()
+    }
+
+    /// Returns the VMs of other zones that may give a chunk, the best first, `per_zone` of each.
+    pub fn upstream(&self, chunk: &Digest, per_zone: usize) -> Vec<PeerKey> {
+        let seed = chunk_seed(chunk);
+        let order = self.zone_order(seed);
+        let own = self.zone(self.own);
+        let place = order.iter().position(|zone| *zone == own).unwrap_or(0);
+        let same = |zone: &&usize| self.region(**zone) == self.region(own);
+        let before = &order[..place];
+        let first = |zone: &&usize| {
+            let head = before.iter().find(|z| self.region(**z) == self.region(**zone));
+            head == Some(*zone)
+        };
+        let near = before.iter().rev().filter(same);
+        let far = before.iter().rev().filter(|zone| !same(zone)).filter(first);
+        near.chain(far).flat_map(|zone| self.owners(*zone, seed, per_zone)).collect()
+    }
+
+    fn owners(&self, zone: usize, seed: u64, count: usize) -> Vec<PeerKey> {
+        let weight = |key: PeerKey| mix(self.members[key.0 as usize].seed, seed);
+        let mut owners = self.zones[zone].members.clone();
+        owners.sort_by_key(|key| std::cmp::Reverse(weight(*key)));
+        owners.truncate(count);
+        owners
+    }
+
+    fn zone(&self, key: PeerKey) -> usize {
+        self.members[key.0 as usize].zone
+    }
+
+    fn region(&self, zone: usize) -> usize {
+        self.zones[zone].region
+    }
+}
+
+/// Returns the weight of a name for a seed; all VMs compute the same.
+fn mix(name: u64, seed: u64) -> u64 {
+    let mut x = name ^ seed.rotate_left(32).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+fn name_seed(name: &str) -> u64 {
+    chunk_seed(&Digest::of(name.as_bytes()))
+}
+
+/// Returns the seed of a chunk's order.
+pub(super) fn chunk_seed(chunk: &Digest) -> u64 {
+    let mut first = [0; 8];
+    first.copy_from_slice(&chunk.bytes()[..8]);
+    u64::from_le_bytes(first)
+}
--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -2,18 +2,47 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::Manifest;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+
+use super::{
+    Manifest,
+    bits::Bits,
+    outside::{Duty, Outside, Owners},
+    peer::Peer,
+    state::{TransferEvent, TransferState, chart},
+    topology::{PeerKey, Topology, chunk_seed},
+};
 use crate::{
+    chart::Machine,
     ids::{Digest, VmId},
-    peers::ranked,
     time::Time,
-    units::Span,
+    units::{ByteRate, Bytes, Span},
 };
 
-/// The time after which the next in rank may draw a chunk from outside.
-const RANK_STEP: Span = Span::secs(2);
-/// The time that one draw may take.
-const DRAW_TIMEOUT: Span = Span::secs(10);
+/// Time between two rounds of questions to peers.
+const ASK: Span = Span::millis(250);
+/// Peers that are asked in a round while there is too little to draw.
+const HUNGRY: usize = 4;
+/// Peers that are asked in a round while there is enough to draw.
+const FED: usize = 1;
+/// Owners that are looked after in a round.
+const WATCHED: usize = 2;
+/// Time between two questions to an owner that is looked after.
+const WATCH: Span = Span::secs(2);
+/// Draws from one peer at the same time.
+const PER_PEER: u32 = 2;
+/// Draws that a peer is assumed to serve at the same time.
+const SLOTS: u64 = 4;
+/// Times by which a draw may exceed the time that its rate suggests.
+const SLACK: u64 = 2;
+/// Shortest timeout of a draw.
+const MIN_TIMEOUT: Span = Span::secs(1);
+/// Longest timeout of a draw, and longest pause of the origin.
+const MAX_TIMEOUT: Span = Span::secs(120);
+/// Answers without the chunk after which the next source is tried.
+const MAX_ABSENT: u32 = 6;
+/// Chunks that are compared for the rarest.
+const SAMPLE: usize = 512;
 
 /// Where a chunk is drawn from.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -24,6 +53,28 @@
     Peer(VmId),
 }
 
+/// A draw that is to start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Draw {
+    /// The chunk.
+    pub digest: Digest,
+    /// Where it is drawn from.
+    pub supplier: Supplier,
+    /// The time that the draw may take.
+    pub timeout: Span,
+}
+
+/// Why a draw ended without a chunk.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum DrawError {
+    /// The supplier does not hold the chunk.
+    Absent,
+    /// The supplier takes the draw after this time.
+    Later(Span),
+    /// The supplier gave no answer in time.
+    Silent,
+}
+
 /// What became of a chunk that arrived.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TransferOutcome {
@@ -37,36 +88,126 @@
     Unwanted,
 }
 
+/// What a transfer may use of its VM.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// The rate at which the VM draws.
+    pub rate: ByteRate,
+    /// The chunks that are drawn at the same time.
+    pub draws: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Flight {
+    source: Option<PeerKey>,
+    outside: bool,
+    timeout: Span,
+}
+
+#[derive(Clone, Debug)]
+struct Task {
+    duty: Duty,
+    sources: Option<Vec<PeerKey>>,
+    attempt: usize,
+    absent: u32,
+    pause: Time,
+}
+
 /// Decides what one VM draws to make a version whole.
 #[derive(Clone, Debug)]
-pub struct Transfer {
-    vm: VmId,
+pub struct Transfer<O = Owners> {
+    outside: O,
+    topology: Topology,
+    limits: Limits,
+    digests: Vec<Digest>,
+    index: BTreeMap<Digest, usize>,
+    chunk: Bytes,
     start: Time,
-    missing: BTreeSet<Digest>,
-    drawing: BTreeMap<Digest, (Supplier, Time)>,
-    holders: BTreeMap<Digest, BTreeSet<VmId>>,
-    ranks: BTreeMap<Digest, usize>,
+    missing: Bits,
+    flying: Bits,
+    flights: BTreeMap<usize, Flight>,
+    failures: BTreeMap<usize, u32>,
+    tasks: BTreeMap<usize, Task>,
+    peers: BTreeMap<PeerKey, Peer>,
+    ring: Vec<PeerKey>,
+    cursor: usize,
+    seen: Vec<u16>,
+    round: Time,
+    progress: Time,
+    origin: Time,
+    refused: u32,
+    rng: SmallRng,
+    life: Machine<TransferState, TransferEvent>,
 }
 
-impl Transfer {
-    /// Starts a transfer of the chunks that `held` does not hold, among `peers` of the zone.
+impl<O: Outside> Transfer<O> {
+    /// Starts a transfer of the chunks that `held` does not hold.
     pub fn new(
-        vm: VmId,
         manifest: &Manifest,
         held: impl Fn(&Digest) -> bool,
-        peers: &[VmId],
+        topology: Topology,
+        outside: O,
+        limits: Limits,
         now: Time,
     ) -> Self {
-        let missing: BTreeSet<Digest> =
-            manifest.chunks.iter().filter(|digest| !held(digest)).copied().collect();
-        let names: Vec<&str> = peers.iter().map(VmId::as_str).collect();
-        let rank = |digest: &Digest| {
-            let order = ranked(names.iter().copied(), digest.bytes());
-            order.iter().position(|name| *name == vm.as_str()).unwrap_or(0)
+        let len = manifest.chunks.len();
+        let mut missing = Bits::new(len);
+        let mut index = BTreeMap::new();
+        for (i, digest) in manifest.chunks.iter().enumerate() {
+            if *index.entry(*digest).or_insert(i) == i && !held(digest) {
+                missing.insert(i);
+            }
+        }
+        let own = topology.vm(topology.own()).as_str();
+        let seed = chunk_seed(&Digest::of(own.as_bytes())) ^ now.0;
+        let mut transfer = Self {
+            outside,
+            topology,
+            limits,
+            digests: manifest.chunks.clone(),
+            index,
+            chunk: manifest.chunk,
+            start: now,
+            missing,
+            flying: Bits::new(len),
+            flights: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            tasks: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            ring: vec![],
+            cursor: 0,
+            seen: vec![0; len],
+            round: now,
+            progress: now,
+            origin: now,
+            refused: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            life: Machine::new(std::sync::Arc::new(chart())),
         };
-        let ranks = missing.iter().map(|digest| (*digest, rank(digest))).collect();
-        let (drawing, holders) = Default::default();
-        Self { vm, start: now, missing, drawing, holders, ranks }
+        transfer.assign();
+        if transfer.is_whole() {
+            transfer.life.apply(TransferEvent::Complete);
+        }
+        transfer
+    }
+
+    /// Takes the VMs that share the weights now; what is known of VMs that stay is kept.
+    pub fn set_topology(&mut self, topology: Topology) {
+        let old = std::mem::replace(&mut self.topology, topology);
+        let key = |key: &PeerKey| self.topology.key(old.vm(*key));
+        self.peers = std::mem::take(&mut self.peers)
+            .into_iter()
+            .filter_map(|(k, peer)| Some((key(&k)?, peer)))
+            .collect();
+        for flight in self.flights.values_mut() {
+            flight.source = flight.source.as_ref().and_then(key);
+        }
+        self.assign();
+    }
+
+    /// Sets the rate at which the VM draws, as live traffic leaves it.
+    pub fn set_rate(&mut self, rate: ByteRate) {
+        self.limits.rate = rate;
     }
 
     /// Returns whether all chunks are held.
@@ -76,58 +217,341 @@
 
     /// Returns how many chunks are missing.
     pub fn missing(&self) -> usize {
-        self.missing.len()
+        self.missing.count()
     }
 
-    /// Takes note that a peer holds chunks.
-    pub fn holds(&mut self, peer: &VmId, digests: impl IntoIterator<Item = Digest>) {
-        for digest in digests.into_iter().filter(|d| self.missing.contains(d)) {
-            self.holders.entry(digest).or_default().insert(peer.clone());
-        }
+    /// Returns the state of the transfer.
+    pub fn state(&self) -> TransferState {
+        self.life.state()
     }
 
     /// Returns the next draw, or `None` while there is nothing to draw.
-    pub fn next(&mut self, now: Time) -> Option<(Digest, Supplier)> {
-        self.drawing.retain(|_, (_, since)| now - *since < DRAW_TIMEOUT);
-        let idle = self.missing.iter().filter(|digest| !self.drawing.contains_key(digest));
-        let choice = idle.filter_map(|digest| Some((*digest, self.source(digest, now)?))).next()?;
-        self.drawing.insert(choice.0, (choice.1.clone(), now));
-        Some(choice)
+    pub fn next(&mut self, now: Time) -> Option<Draw> {
+        if now - self.progress >= self.patience() {
+            self.life.apply(TransferEvent::Timeout);
+        }
+        let draw = self.next_outside(now);
+        draw.or_else(|| self.next_near(now))
+    }
+
+    /// Returns the peers to ask now for the chunks that they hold.
+    pub fn asks(&mut self, now: Time) -> Vec<VmId> {
+        if now < self.round || self.is_whole() {
+            return vec![];
+        }
+        self.round = now + ASK;
+        let hungry = self.usable(now).count() < self.limits.draws as usize;
+        let mut asked: BTreeSet<PeerKey> = self.watched(now).into_iter().take(WATCHED).collect();
+        for _ in 0..if hungry { HUNGRY } else { FED }.min(self.ring.len()) {
+            self.cursor = (self.cursor + 1) % self.ring.len();
+            asked.insert(self.ring[self.cursor]);
+        }
+        if self.state() == TransferState::Stalled {
+            let near = self.topology.near();
+            asked.insert(near[self.rng.random_range(0..near.len())]);
+        }
+        asked.remove(&self.topology.own());
+        asked.into_iter().filter_map(|key| self.ask(now, key)).collect()
+    }
+
+    /// Takes the chunks that a peer holds, as bits in the order of the manifest.
+    pub fn have(&mut self, now: Time, vm: &VmId, bits: &[u8]) {
+        let Some(key) = self.topology.key(vm) else { return };
+        let len = self.digests.len();
+        let held = Bits::read(bits, len);
+        let peer = self.peers.entry(key).or_insert_with(|| Peer::new(len));
+        let new = peer.tells(now, held);
+        for chunk in new.iter() {
+            self.seen[chunk] += 1;
+            if self.seen[chunk] == 1 && self.missing.contains(chunk) {
+                self.progress = now;
+                self.life.apply(TransferEvent::Progress);
+            }
+        }
+    }
+
+    /// Takes note that a peer gave no answer about its chunks.
+    pub fn silent(&mut self, vm: &VmId) {
+        if let Some(peer) = self.topology.key(vm).and_then(|key| self.peers.get_mut(&key)) {
+            peer.silent();
+        }
     }
 
     /// Takes a chunk that arrived.
-    pub fn arrived(&mut self, digest: Digest, data: &[u8]) -> TransferOutcome {
-        if !self.missing.contains(&digest) {
+    pub fn arrived(&mut self, now: Time, digest: Digest, data: &[u8]) -> TransferOutcome {
+        let Some(chunk) = self.index.get(&digest).copied() else {
+            return TransferOutcome::Unwanted;
+        };
+        let flight = self.land(chunk);
+        if !self.missing.contains(chunk) {
             return TransferOutcome::Unwanted;
         }
+        let peer = flight.as_ref().and_then(|flight| self.peers.get_mut(&flight.source?));
         if Digest::of(data) != digest {
-            self.failed(&digest);
+            peer.map(Peer::charge);
+            self.tasks.entry(chunk).and_modify(|task| task.attempt += 1);
             return TransferOutcome::Corrupt;
         }
-        self.drawing.remove(&digest);
-        self.missing.remove(&digest);
-        self.holders.remove(&digest);
-        if self.is_whole() { TransferOutcome::Whole } else { TransferOutcome::Kept }
+        peer.map(Peer::gave);
+        if flight.is_some_and(|flight| flight.source.is_none()) {
+            self.refused = 0;
+        }
+        self.missing.remove(chunk);
+        self.tasks.remove(&chunk);
+        self.failures.remove(&chunk);
+        self.progress = now;
+        self.life.apply(TransferEvent::Progress);
+        if self.is_whole() {
+            self.life.apply(TransferEvent::Complete);
+            return TransferOutcome::Whole;
+        }
+        TransferOutcome::Kept
+    }
+
+    /// Takes note that a draw ended without a chunk.
+    pub fn failed(&mut self, now: Time, digest: &Digest, error: DrawError) {
+        let Some(chunk) = self.index.get(digest).copied() else { return };
+        let Some(flight) = self.land(chunk) else { return };
+        if error == DrawError::Silent {
+            *self.failures.entry(chunk).or_default() += 1;
+        }
+        match flight.source {
+            None => self.origin_failed(now, chunk, error, flight.timeout),
+            Some(key) => self.peer_failed(now, chunk, key, error, &flight),
+        }
+    }
+
+    /// Returns when to ask and draw again without an event.
+    pub fn wake(&self) -> Option<Time> {
+        (!self.is_whole()).then_some(self.round)
+    }
+
+    /// Works out the duties of this VM for the missing chunks.
+    fn assign(&mut self) {
+        let salt = self.digests.first().map_or(0, chunk_seed);
+        self.ring = self.topology.ring(salt);
+        let old = std::mem::take(&mut self.tasks);
+        for (place, chunk) in self.missing.iter().enumerate() {
+            let digest = &self.digests[chunk];
+            let duty = self.outside.duty(&self.topology, digest, place, self.chunk);
+            let pause = old.get(&chunk).map_or(self.start, |task| task.pause);
+            let task = Task { duty, sources: None, attempt: 0, absent: 0, pause };
+            self.tasks.insert(chunk, task);
+        }
+    }
+
+    fn ask(&mut self, now: Time, key: PeerKey) -> Option<VmId> {
+        let len = self.digests.len();
+        let peer = self.peers.entry(key).or_insert_with(|| Peer::new(len));
+        if peer.waiting {
+            return None;
+        }
+        peer.waiting = true;
+        peer.asked = Some(now);
+        Some(self.topology.vm(key).clone())
+    }
+
+    /// Returns the owners whose turn has come and whose chunks nobody is known to hold.
+    fn watched(&self, now: Time) -> BTreeSet<PeerKey> {
+        let known = self.known();
+        let due = |task: &&Task| now >= self.start + task.duty.turn;
+        let tasks = self.tasks.iter().filter(|(chunk, _)| !known.contains(**chunk));
+        let ahead = tasks.map(|(_, task)| task).filter(due).flat_map(|task| &task.duty.ahead);
+        let asked = |key: &PeerKey| self.peers.get(key).and_then(|peer| peer.asked);
+        ahead.copied().filter(|key| asked(key).is_none_or(|asked| now - asked >= WATCH)).collect()
+    }
+
+    /// Returns the chunks that peers of the zone are known to hold.
+    fn known(&self) -> Bits {
+        self.held_by(|peer| !peer.down())
+    }
+
+    /// Returns the missing chunks that can be drawn now from peers of the zone.
+    fn usable(&self, now: Time) -> Bits {
+        let mut usable =
+            self.held_by(|peer| !peer.avoided() && peer.pause <= now && peer.draws < PER_PEER);
+        usable.keep(&self.missing);
+        usable.subtract(&self.flying);
+        usable
+    }
+
+    fn held_by(&self, filter: impl Fn(&Peer) -> bool) -> Bits {
+        let mut held = Bits::new(self.digests.len());
+        let near = self.peers.iter().filter(|(key, _)| self.topology.is_near(**key));
+        near.filter(|(_, peer)| filter(peer)).for_each(|(_, peer)| held.add(&peer.held));
+        held
+    }
+
+    fn next_near(&mut self, now: Time) -> Option<Draw> {
+        let usable = self.usable(now);
+        let count = usable.count();
+        if count == 0 {
+            return None;
+        }
+        let skip = self.rng.random_range(0..count);
+        let turned = usable.iter().skip(skip).chain(usable.iter().take(skip));
+        let chunk = turned.take(SAMPLE).min_by_key(|chunk| self.seen[*chunk])?;
+        let holds = |(key, peer): &(&PeerKey, &Peer)| {
+            self.topology.is_near(**key)
+                && peer.held.contains(chunk)
+                && !peer.avoided()
+                && peer.pause <= now
+                && peer.draws < PER_PEER
+        };
+        let holders: Vec<(u32, PeerKey)> =
+            self.peers.iter().filter(holds).map(|(key, peer)| (peer.draws, *key)).collect();
+        let least = holders.iter().map(|(draws, _)| *draws).min()?;
+        let idle: Vec<PeerKey> =
+            holders.into_iter().filter(|(draws, _)| *draws == least).map(|(_, k)| k).collect();
+        let source = idle[self.rng.random_range(0..idle.len())];
+        let slots = u64::from(self.limits.draws) + SLOTS;
+        let timeout = self.timeout(chunk, self.limits.rate, slots);
+        Some(self.fly(chunk, Some(source), false, timeout))
     }
 
-    /// Takes note that a draw failed; its source is not asked for this chunk again until it tells anew.
-    pub fn failed(&mut self, digest: &Digest) {
-        let Some((Supplier::Peer(peer), _)) = self.drawing.remove(digest) else { return };
-        if let Some(holders) = self.holders.get_mut(digest) {
-            holders.remove(&peer);
+    fn next_outside(&mut self, now: Time) -> Option<Draw> {
+        let most = (self.limits.draws as usize / 2).max(1);
+        if self.flights.values().filter(|flight| flight.outside).count() >= most {
+            return None;
         }
+        let known = self.known();
+        let due = |(chunk, task): &(&usize, &Task)| {
+            !self.flying.contains(**chunk)
+                && !known.contains(**chunk)
+                && task.pause <= now
+                && self.acts(task, now)
+        };
+        let chunk = *self.tasks.iter().find(due)?.0;
+        let source = self.source(chunk, now)?;
+        let slots = u64::from(self.limits.draws) + SLOTS;
+        let far = source.is_none_or(|key| !self.topology.in_region(key));
+        let link = self.topology.link().filter(|_| far);
+        let rate = link.map_or(self.limits.rate, |link| link.min(self.limits.rate));
+        let timeout = self.timeout(chunk, rate, slots);
+        Some(self.fly(chunk, source, true, timeout))
     }
 
-    fn source(&self, digest: &Digest, now: Time) -> Option<Supplier> {
-        let holders = self.holders.get(digest).filter(|holders| !holders.is_empty());
-        if let Some(holders) = holders {
-            let names: Vec<&str> = holders.iter().map(VmId::as_str).collect();
-            let seed = [digest.bytes().as_slice(), self.vm.as_str().as_bytes()].concat();
-            let first = ranked(names, &seed).first().and_then(|name| name.parse().ok());
-            return first.map(Supplier::Peer);
+    /// Returns whether this VM draws a chunk from outside: its turn has come and those ahead are out.
+    fn acts(&self, task: &Task, now: Time) -> bool {
+        let turn = self.start + task.duty.turn;
+        if now < turn {
+            return false;
         }
-        let rank = self.ranks.get(digest).copied().unwrap_or(0) as u64;
-        let turn = self.start + Span(RANK_STEP.0 * rank);
-        (now >= turn).then_some(Supplier::Origin)
+        let patience = self.patience();
+        let out = |key: &PeerKey| {
+            self.peers
+                .get(key)
+                .is_some_and(|p| p.down() || (now - turn >= patience && p.stuck(now, patience)))
+        };
+        let first = task.duty.ahead.iter().all(out);
+        let watched = task.duty.rank == task.duty.ahead.len();
+        let late = Span(patience.0.saturating_mul(1 + task.duty.rank as u64));
+        let stalled = self.state() == TransferState::Stalled;
+        (watched && first) || (stalled && now - self.progress >= late)
+    }
+
+    /// Returns the source outside the zone that is tried next, `Some(None)` for the origin.
+    #[allow(clippy::option_option)]
+    fn source(&mut self, chunk: usize, now: Time) -> Option<Option<PeerKey>> {
+        let task = self.tasks.get_mut(&chunk)?;
+        let digest = &self.digests[chunk];
+        let sources =
+            task.sources.get_or_insert_with(|| self.outside.sources(&self.topology, digest));
+        for step in 0..=sources.len() {
+            let place = (task.attempt + step) % (sources.len() + 1);
+            let Some(key) = sources.get(place) else {
+                return if now >= self.origin {
+                    Some(None)
+                } else {
+                    task.pause = self.origin;
+                    None
+                };
+            };
+            let open = self.peers.get(key).is_none_or(|p| !p.avoided() && p.pause <= now);
+            if open {
+                return Some(Some(*key));
+            }
+        }
+        None
+    }
+
+    fn fly(&mut self, chunk: usize, source: Option<PeerKey>, outside: bool, timeout: Span) -> Draw {
+        let len = self.digests.len();
+        if let Some(key) = source {
+            self.peers.entry(key).or_insert_with(|| Peer::new(len)).draws += 1;
+        }
+        self.flying.insert(chunk);
+        self.flights.insert(chunk, Flight { source, outside, timeout });
+        let supplier =
+            source.map_or(Supplier::Origin, |key| Supplier::Peer(self.topology.vm(key).clone()));
+        Draw { digest: self.digests[chunk], supplier, timeout }
+    }
+
+    fn land(&mut self, chunk: usize) -> Option<Flight> {
+        self.flying.remove(chunk);
+        let flight = self.flights.remove(&chunk)?;
+        if let Some(peer) = flight.source.and_then(|key| self.peers.get_mut(&key)) {
+            peer.draws = peer.draws.saturating_sub(1);
+        }
+        Some(flight)
+    }
+
+    fn peer_failed(
+        &mut self,
+        now: Time,
+        chunk: usize,
+        key: PeerKey,
+        error: DrawError,
+        flight: &Flight,
+    ) {
+        let Some(peer) = self.peers.get_mut(&key) else { return };
+        match error {
+            DrawError::Silent => peer.failed(now, flight.timeout),
+            DrawError::Later(pause) if !flight.outside => peer.pause = now + pause,
+            DrawError::Absent if !flight.outside => peer.held.remove(chunk),
+            _ => {}
+        }
+        let wait = self.limits.rate.time_of(self.chunk);
+        let Some(task) = self.tasks.get_mut(&chunk).filter(|_| flight.outside) else { return };
+        match error {
+            DrawError::Absent => {
+                task.absent += 1;
+                task.pause = now + Span(wait.0 << task.absent.min(4));
+                if task.absent >= MAX_ABSENT {
+                    task.absent = 0;
+                    task.attempt += 1;
+                }
+            }
+            DrawError::Later(pause) => task.pause = now + pause,
+            DrawError::Silent => task.attempt += 1,
+        }
+    }
+
+    fn origin_failed(&mut self, now: Time, chunk: usize, error: DrawError, timeout: Span) {
+        let pause = match error {
+            DrawError::Later(pause) => pause,
+            DrawError::Absent | DrawError::Silent => {
+                self.refused += 1;
+                Span(timeout.0.saturating_mul(1 << self.refused.min(6)).min(MAX_TIMEOUT.0))
+            }
+        };
+        self.origin = self.origin.max(now + pause);
+        if let Some(task) = self.tasks.get_mut(&chunk).filter(|_| error == DrawError::Silent) {
+            task.attempt += 1;
+        }
+    }
+
+    /// Returns the time that a draw may take: what the rate suggests, doubled by each failure.
+    fn timeout(&self, chunk: usize, rate: ByteRate, slots: u64) -> Span {
+        let failures = self.failures.get(&chunk).copied().unwrap_or(0).min(6);
+        let usual = rate.time_of(self.chunk).0.saturating_mul(slots * SLACK) << failures;
+        Span(usual.clamp(MIN_TIMEOUT.0, MAX_TIMEOUT.0))
+    }
+
+    /// Returns the time without progress after which others step in.
+    fn patience(&self) -> Span {
+        let slots = u64::from(self.limits.draws) + SLOTS;
+        let usual = self.limits.rate.time_of(self.chunk).0.saturating_mul(slots * SLACK * 2);
+        Span(usual.max(5 * MIN_TIMEOUT.0))
     }
 }
--- a/crates/sequoiahold/src/endpoint/draw.rs
+++ b/crates/sequoiahold/src/endpoint/draw.rs
@@ -1,20 +1,30 @@
 //! Drawing manifests and chunks from the origin and from peers.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
-use awc::Client;
+use awc::{Client, http::header::RETRY_AFTER};
 use bytes::Bytes;
 use sequoiahold_core::{
     endpoint::Place,
     ids::{Digest, VmId},
     proto::{Call, MAX_MESSAGE, Reply},
-    weights::Manifest,
+    units::{Bytes as Size, Span},
+    weights::{DrawError, Manifest, Pacer},
 };
 
-use crate::net::{Links, call};
+use crate::{
+    clock::Clock,
+    net::{Links, call},
+};
 
-/// Time that one draw may take.
-const DRAW: Duration = Duration::from_secs(10);
+/// Time that a manifest or an answer about chunks may take.
+const DRAW: Span = Span::secs(10);
+/// Pause of a place that refuses without saying how long.
+const PAUSE: Span = Span::secs(1);
+/// HTTP status of a place whose rate limit is reached.
+const TOO_MANY: u16 = 429;
+/// HTTP status of a place that is out of service for now.
+const UNAVAILABLE: u16 = 503;
 
 /// Draws blobs by digest.
 #[derive(Clone)]
@@ -22,31 +32,46 @@
     client: Client,
     links: Links,
     origin: String,
+    clock: Clock,
+    pacer: Rc<RefCell<Pacer>>,
 }
 
 impl Drawer {
-    /// Returns a drawer for the origin at this base address.
-    pub fn new(links: Links, origin: &str) -> Self {
-        let client = Client::builder().timeout(DRAW).finish();
-        Self { client, links, origin: origin.trim_end_matches('/').to_owned() }
+    /// Returns a drawer for the origin at this base address, paced by `pacer`.
+    pub fn new(links: Links, origin: &str, clock: Clock, pacer: Rc<RefCell<Pacer>>) -> Self {
+        let client = Client::builder().disable_timeout().finish();
+        Self { client, links, origin: origin.trim_end_matches('/').to_owned(), clock, pacer }
+    }
+
+    /// Draws one chunk of `size` bytes within a time, once the pace allows it.
+    pub async fn chunk(
+        &self,
+        digest: Digest,
+        size: Size,
+        place: &Place,
+        timeout: Span,
+    ) -> Result<Bytes, DrawError> {
+        let start = self.pacer.borrow_mut().reserve(self.clock.now(), size);
+        self.clock.until(Some(start)).await;
+        self.draw(digest, place, timeout).await
     }
 
-    /// Draws one blob; `None` where the place did not give it in time.
-    pub async fn draw(&self, digest: Digest, place: &Place) -> Option<Bytes> {
+    async fn draw(&self, digest: Digest, place: &Place, timeout: Span) -> Result<Bytes, DrawError> {
         let drawn = async {
             match place {
                 Place::Origin => self.origin_blob(digest).await,
                 Place::Peer(vm, addr) => self.peer_blob(digest, vm, *addr).await,
             }
         };
-        actix_rt::time::timeout(DRAW, drawn).await.ok().flatten()
+        let drawn = actix_rt::time::timeout(Duration::from(timeout), drawn).await;
+        drawn.unwrap_or(Err(DrawError::Silent))
     }
 
     /// Draws and checks a manifest, from the first place that gives it.
     pub async fn manifest(&self, digest: Digest, places: &[Place]) -> Option<Manifest> {
         for place in places {
-            let text = self.draw(digest, place).await;
-            let manifest = text.and_then(|text| Manifest::read(&text, digest).ok());
+            let text = self.draw(digest, place, DRAW).await;
+            let manifest = text.ok().and_then(|text| Manifest::read(&text, digest).ok());
             if manifest.is_some() {
                 return manifest;
             }
@@ -63,25 +88,37 @@
                 _ => None,
             }
         };
-        actix_rt::time::timeout(DRAW, asked).await.ok().flatten()
+        actix_rt::time::timeout(Duration::from(DRAW), asked).await.ok().flatten()
     }
 
-    async fn origin_blob(&self, digest: Digest) -> Option<Bytes> {
+    async fn origin_blob(&self, digest: Digest) -> Result<Bytes, DrawError> {
         let url = format!("{}/v1/blobs/{digest}", self.origin);
-        let mut response = self.client.get(url).send().await.ok()?;
-        if !response.status().is_success() {
-            return None;
+        let mut response = self.client.get(url).send().await.map_err(|_| DrawError::Silent)?;
+        match response.status().as_u16() {
+            200..300 => response.body().limit(MAX_MESSAGE).await.map_err(|_| DrawError::Silent),
+            TOO_MANY | UNAVAILABLE => {
+                let header = response.headers().get(RETRY_AFTER);
+                let pause = header.and_then(|value| value.to_str().ok()?.parse().ok());
+                Err(DrawError::Later(pause.map_or(PAUSE, Span::secs)))
+            }
+            _ => Err(DrawError::Absent),
         }
-        response.body().limit(MAX_MESSAGE).await.ok()
     }
 
-    async fn peer_blob(&self, digest: Digest, vm: &VmId, addr: SocketAddr) -> Option<Bytes> {
-        let connection = self.links.get(vm, addr).await.ok()?;
+    async fn peer_blob(
+        &self,
+        digest: Digest,
+        vm: &VmId,
+        addr: SocketAddr,
+    ) -> Result<Bytes, DrawError> {
+        let connection = self.links.get(vm, addr).await.map_err(|_| DrawError::Silent)?;
         match call(&connection, &Call::Chunk(digest)).await {
-            Ok(Reply::Chunk(chunk)) => chunk,
+            Ok(Reply::Chunk(Some(chunk))) => Ok(chunk),
+            Ok(Reply::Chunk(None)) => Err(DrawError::Absent),
+            Ok(Reply::Later(pause)) => Err(DrawError::Later(pause)),
             _ => {
                 self.links.close(vm);
-                None
+                Err(DrawError::Silent)
             }
         }
     }
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -11,7 +11,7 @@
     member::VmState,
     proto::Beat,
     refuse::Refusal,
-    weights::Manifest,
+    weights::{DrawError, Manifest},
 };
 use tokio::sync::oneshot;
 
@@ -33,9 +33,9 @@
     /// The manifest of a version was read, or could not be.
     Manifest(VersionId, Option<Manifest>),
     /// A draw has ended with a chunk, or without.
-    Drawn(Digest, Option<Bytes>),
-    /// A peer told which chunks of a manifest it holds.
-    Have(VmId, Vec<u8>),
+    Drawn(Digest, Result<Bytes, DrawError>),
+    /// A peer told which chunks of a manifest it holds, or gave no answer.
+    Have(VmId, Option<Vec<u8>>),
     /// The engine took the weights of a version and an order to load it, or did not.
     Loaded(VersionId, bool),
     /// A peer asks which chunks of a manifest are held.
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -1,14 +1,15 @@
 //! The endpoint's event loop: owns the state and does what the decisions ask for.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use sequoiahold_core::{
     adopt::{Adoption, InForce},
     declare::Published,
-    endpoint::{Endpoint, Identity, Output, Place},
+    endpoint::{Drawing, Endpoint, Identity, Output, Place},
     ids::{Digest, Fence, VersionId},
-    weights::{Manifest, TransferOutcome},
+    units::{Bytes as Size, Span},
+    weights::{DrawError, Manifest, Pacer, TransferOutcome, pace::share},
 };
 use tokio::sync::{mpsc, watch};
 
@@ -28,6 +29,8 @@
     pub links: Links,
     /// The chunks that are held.
     pub store: Store,
+    /// The pace of the VM's link outward and inward.
+    pub pacers: [Rc<RefCell<Pacer>>; 2],
     /// The engine.
     pub engine: Engine,
     /// Shows the configuration in force to the tasks.
@@ -48,12 +51,18 @@
 impl EventLoop {
     /// Returns the event loop of a process that knows nothing yet.
     pub fn new(settings: settings::Endpoint, parts: Parts) -> Self {
-        let drawer = Drawer::new(parts.links.clone(), &settings.weights.origin);
+        let [_, inward] = &parts.pacers;
+        let links = parts.links.clone();
+        let drawer = Drawer::new(links, &settings.weights.origin, parts.clock, inward.clone());
         let own = Identity {
             vm: settings.vm.clone(),
             incarnation: parts.clock.incarnation(),
             look: settings.look,
-            draws: settings.weights.draws,
+            drawing: Drawing {
+                rate: settings.weights.rate,
+                draws: settings.weights.draws,
+                region: settings.weights.region.clone(),
+            },
         };
         let endpoint = Endpoint::new(own, parts.clock.now());
         Self { settings, parts, drawer, endpoint, counters: BTreeMap::new() }
@@ -80,12 +89,15 @@
         match event {
             Event::Offer(published) => self.on_offer(published),
             Event::Vms(list) => self.endpoint.list(&list),
-            Event::Engine(state) => self.endpoint.engine(now, state),
+            Event::Engine(state) => {
+                self.endpoint.engine(now, state);
+                self.give_way();
+            }
             Event::Admit(admit) => self.on_admit(admit),
             Event::Finish(ticket) => self.endpoint.finished(&ticket),
             Event::Manifest(version, manifest) => self.on_manifest(&version, manifest),
             Event::Drawn(digest, data) => self.on_drawn(digest, data),
-            Event::Have(peer, bits) => self.endpoint.have(now, &peer, &bits),
+            Event::Have(peer, bits) => self.endpoint.have(now, &peer, bits.as_deref()),
             Event::Loaded(version, taken) => {
                 self.endpoint.loaded(now, &version, taken);
                 self.count(if taken { "loads.taken" } else { "loads.failed" });
@@ -125,17 +137,27 @@
         self.endpoint.manifest(now, version, manifest, |digest| store.holds(digest));
     }
 
-    fn on_drawn(&mut self, digest: Digest, data: Option<Bytes>) {
-        let outcome = self.endpoint.drawn(self.parts.clock.now(), digest, data.as_deref());
+    fn on_drawn(&mut self, digest: Digest, data: Result<Bytes, DrawError>) {
+        let drawn = data.as_deref().map_err(|error| *error);
+        let outcome = self.endpoint.drawn(self.parts.clock.now(), digest, drawn);
         match (outcome, data) {
-            (TransferOutcome::Kept | TransferOutcome::Whole, Some(data)) => {
+            (TransferOutcome::Kept | TransferOutcome::Whole, Ok(data)) => {
                 self.parts.store.keep(digest, data);
             }
             (TransferOutcome::Corrupt, _) => self.count("chunks.corrupt"),
+            (_, Err(DrawError::Later(_))) => self.count("chunks.later"),
+            (_, Err(_)) => self.count("chunks.failed"),
             _ => {}
         }
     }
 
+    /// Leaves the link to live traffic by the share of the endpoint that requests take.
+    fn give_way(&self) {
+        let gate = self.endpoint.gate();
+        let share = share(gate.running(), gate.limit());
+        self.parts.pacers.iter().for_each(|pacer| pacer.borrow_mut().set_share(share));
+    }
+
     fn perform(&mut self) {
         for output in self.endpoint.outputs() {
             match output {
@@ -146,12 +168,12 @@
                 Output::AskHave(manifest, vm, addr) => {
                     let (drawer, events) = (self.drawer.clone(), self.parts.events.clone());
                     actix_rt::spawn(async move {
-                        if let Some(bits) = drawer.have(manifest, &vm, addr).await {
-                            let _ = events.send(Event::Have(vm, bits));
-                        }
+                        let bits = drawer.have(manifest, &vm, addr).await;
+                        let _ = events.send(Event::Have(vm, bits));
                     });
                 }
-                Output::Draw(digest, place) => self.draw(digest, place),
+                Output::Draw(digest, place, timeout) => self.draw(digest, place, timeout),
+                Output::Retain(manifest) => self.parts.store.retain(&manifest),
                 Output::Load(version, manifest, fence) => self.load(version, manifest, fence),
             }
         }
@@ -173,10 +195,11 @@
         });
     }
 
-    fn draw(&self, digest: Digest, place: Place) {
+    fn draw(&self, digest: Digest, place: Place, timeout: Span) {
         let (drawer, events) = (self.drawer.clone(), self.parts.events.clone());
+        let size = self.endpoint.chunk_size().unwrap_or(Size(0));
         actix_rt::spawn(async move {
-            let data = drawer.draw(digest, &place).await;
+            let data = drawer.chunk(digest, size, &place, timeout).await;
             let _ = events.send(Event::Drawn(digest, data));
         });
     }
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -7,14 +7,23 @@
 mod event_loop;
 mod peers;
 mod store;
+mod upload;
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use actix_rt::signal::unix::{SignalKind, signal};
+use sequoiahold_core::weights::Pacer;
 use tokio::sync::{mpsc, oneshot, watch};
 
 pub use self::event::Event;
-use self::{ask::Asks, engine::Engine, event_loop::EventLoop, peers::PeerService, store::Store};
+use self::{
+    ask::Asks, engine::Engine, event_loop::EventLoop, peers::PeerService, store::Store,
+    upload::Uploader,
+};
 use crate::{
     clock::Clock,
     net::{Links, Tls, listen},
@@ -42,13 +51,22 @@
 
     let asks =
         Asks { events: events.clone(), engine: engine.clone(), incarnation: clock.incarnation() };
-    let peers = PeerService { events: events.clone(), store: store.clone(), asks };
+    let pacers = [(); 2].map(|()| Rc::new(RefCell::new(Pacer::new(settings.weights.rate))));
+    let uploader = Uploader {
+        clock,
+        store: store.clone(),
+        slots: settings.weights.uploads,
+        pacer: pacers[0].clone(),
+        busy: Rc::new(Cell::new(0)),
+    };
+    let peers = PeerService { events: events.clone(), uploader, asks };
     let listening = listen(settings.peers, &tls, peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
     reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
     log::info!("endpoint {} listens on {}", settings.vm, settings.peers);
 
-    let parts = event_loop::Parts { clock, links, store, engine, in_force, events: events.clone() };
+    let parts =
+        event_loop::Parts { clock, links, store, pacers, engine, in_force, events: events.clone() };
     actix_rt::spawn(EventLoop::new(settings, parts).run(receiver));
     signal(SignalKind::terminate())?.recv().await;
     log::info!("told to stop");
--- a/crates/sequoiahold/src/endpoint/peers.rs
+++ b/crates/sequoiahold/src/endpoint/peers.rs
@@ -4,7 +4,7 @@
 use sequoiahold_core::proto::{Call, Reply};
 use tokio::sync::{mpsc, oneshot};
 
-use super::{ask::Asks, event::Event, store::Store};
+use super::{ask::Asks, event::Event, upload::Uploader};
 use crate::net::{serve::Serve, write};
 
 /// Answers the calls of other processes.
@@ -12,8 +12,8 @@
 pub struct PeerService {
     /// The event loop.
     pub events: mpsc::UnboundedSender<Event>,
-    /// The chunks that are held.
-    pub store: Store,
+    /// Gives chunks.
+    pub uploader: Uploader,
     /// Runs requests.
     pub asks: Asks,
 }
@@ -24,7 +24,13 @@
             Call::Ask(ask) => return self.asks.run(*ask, send, recv).await,
             Call::Beat(_) => self.query(Event::Tell).await.map(|beat| Reply::Beat(Box::new(beat))),
             Call::Set(above) => self.query(|reply| Event::Set(above, reply)).await.map(Reply::Set),
-            Call::Chunk(digest) => Some(Reply::Chunk(self.store.get(&digest))),
+            Call::Chunk(digest) => {
+                if let Err(error) = self.uploader.answer(digest, &mut send).await {
+                    log::debug!("chunk {}: {error:#}", digest.short());
+                }
+                let _ = send.finish();
+                return;
+            }
             Call::Have(manifest) => {
                 self.query(|reply| Event::TellHave(manifest, reply)).await.map(Reply::Have)
             }
--- a/crates/sequoiahold/src/settings/endpoint.rs
+++ b/crates/sequoiahold/src/settings/endpoint.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use sequoiahold_core::{
-    ids::{VmId, ZoneId},
+    ids::{RegionId, VmId, ZoneId},
     units::{ByteRate, Bytes, Span},
 };
 use serde::{Deserialize, Serialize};
@@ -55,11 +55,17 @@
 pub struct Weights {
     /// The base address of the origin.
     pub origin: String,
-    /// The rate at which this VM draws.
+    /// The region where the origin lies; its zones draw from the origin first.
+    #[serde(default)]
+    pub region: Option<RegionId>,
+    /// The rate of this VM's link that weights may use, each way.
     pub rate: ByteRate,
     /// The chunks that are drawn at the same time.
     #[serde(default = "Weights::default_draws")]
     pub draws: u32,
+    /// The chunks that are given to peers at the same time.
+    #[serde(default = "Weights::default_uploads")]
+    pub uploads: u32,
     /// The memory for chunks.
     #[serde(default = "Weights::default_memory")]
     pub memory: Bytes,
@@ -76,6 +82,10 @@
         4
     }
 
+    fn default_uploads() -> u32 {
+        4
+    }
+
     fn default_memory() -> Bytes {
         Bytes(64_000_000_000)
     }
@@ -92,6 +102,9 @@
         if !(1..=64).contains(&self.weights.draws) {
             return Err(("weights.draws".to_owned(), "must be between 1 and 64".to_owned()));
         }
+        if !(1..=64).contains(&self.weights.uploads) {
+            return Err(("weights.uploads".to_owned(), "must be between 1 and 64".to_owned()));
+        }
         Ok(())
     }
 }
--- a/crates/standins/src/demo/deployment.rs
+++ b/crates/standins/src/demo/deployment.rs
@@ -357,8 +357,10 @@
             },
             weights: settings::Weights {
                 origin: format!("http://{origin}"),
+                region: None,
                 rate,
                 draws: 4,
+                uploads: 4,
                 memory: Bytes(1_000_000_000),
             },
             look: Span::millis(100),
--- a/crates/standins/src/experiment/weights/node.rs
+++ b/crates/standins/src/experiment/weights/node.rs
@@ -3,32 +3,13 @@
 use sequoiahold_core::{
     ids::{Digest, VmId},
     time::Time,
-    units::Span,
-    weights::{Manifest, Supplier, Transfer, TransferOutcome},
+    units::{Bytes, Span},
+    weights::{
+        Bits, Draw, DrawError, Duty, Manifest, Outside, PeerKey, Supplier, Topology, Transfer,
+        TransferOutcome, Uploads,
+    },
 };
 
-/// A draw that is to start.
-#[derive(Clone, Debug)]
-pub struct Draw {
-    /// The chunk.
-    pub digest: Digest,
-    /// Where it is drawn from.
-    pub supplier: Supplier,
-    /// The time that the draw may take.
-    pub timeout: Span,
-}
-
-/// Why a draw ended without a chunk.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum DrawError {
-    /// The supplier does not hold the chunk.
-    Absent,
-    /// The supplier takes the draw after this time.
-    Later(Span),
-    /// The supplier gave no answer in time.
-    Silent,
-}
-
 /// One VM's side of a transfer.
 pub trait Node {
     /// Starts the transfer.
@@ -40,85 +21,171 @@
     /// Takes the chunks that a peer holds.
     fn have(&mut self, now: Time, peer: &VmId, bits: &[u8]);
     /// Takes note that a peer gave no answer.
-    fn silent(&mut self, now: Time, peer: &VmId);
+    fn silent(&mut self, peer: &VmId);
     /// Takes a chunk.
     fn arrived(&mut self, now: Time, digest: Digest, data: &[u8]) -> TransferOutcome;
     /// Takes note that a draw failed.
     fn failed(&mut self, now: Time, digest: Digest, error: DrawError);
     /// Returns when to call again without an event.
-    fn wake(&self, now: Time) -> Time;
+    fn wake(&self) -> Option<Time>;
     /// Returns the pause that a peer must make before its draw, `None` to give it the chunk.
-    fn give(&mut self, now: Time, uploads: u32) -> Option<Span>;
+    fn give(&mut self, uploads: u32, chunk: Bytes) -> Option<Span>;
 }
 
-/// Time between two questions to a peer about its chunks.
-const HAVE: Span = Span::millis(200);
-
-/// The transfer as it stands: peers of the zone only, all asked at a fixed pace.
-pub struct Present {
-    vm: VmId,
-    manifest: Manifest,
-    held: Vec<bool>,
-    peers: Vec<VmId>,
-    asked: Time,
-    transfer: Option<Transfer>,
+/// Time between two questions of a line to its parent.
+const ROUND: Span = Span::millis(250);
+
+/// The core's transfer, with the plan `O` of who draws from outside.
+pub struct Swarm<O> {
+    make: Box<dyn Fn(Time) -> Transfer<O>>,
+    uploads: Uploads,
+    transfer: Option<Transfer<O>>,
 }
 
-impl Present {
-    /// Returns the side of a VM among the VMs of its zone.
-    pub fn new(vm: VmId, manifest: Manifest, held: Vec<bool>, peers: Vec<VmId>) -> Self {
-        Self { vm, manifest, held, peers, asked: Time::default(), transfer: None }
+impl<O: Outside> Swarm<O> {
+    /// Returns a side whose transfer is made when it starts.
+    pub fn new(uploads: Uploads, make: impl Fn(Time) -> Transfer<O> + 'static) -> Self {
+        Self { make: Box::new(make), uploads, transfer: None }
     }
 }
 
-impl Node for Present {
+impl<O: Outside> Node for Swarm<O> {
     fn start(&mut self, now: Time) {
-        let held = |digest: &Digest| {
-            self.manifest.chunks.iter().zip(&self.held).any(|(d, held)| *held && d == digest)
-        };
-        let transfer = Transfer::new(self.vm.clone(), &self.manifest, held, &self.peers, now);
-        self.transfer = Some(transfer);
+        self.transfer = Some((self.make)(now));
     }
 
     fn next(&mut self, now: Time) -> Option<Draw> {
-        let (digest, supplier) = self.transfer.as_mut()?.next(now)?;
-        Some(Draw { digest, supplier, timeout: Span::secs(10) })
+        self.transfer.as_mut()?.next(now)
     }
 
     fn asks(&mut self, now: Time) -> Vec<VmId> {
-        if now < self.asked + HAVE {
-            return vec![];
+        self.transfer.as_mut().map(|transfer| transfer.asks(now)).unwrap_or_default()
+    }
+
+    fn have(&mut self, now: Time, peer: &VmId, bits: &[u8]) {
+        if let Some(transfer) = &mut self.transfer {
+            transfer.have(now, peer, bits);
         }
-        self.asked = now;
-        self.peers.iter().filter(|peer| **peer != self.vm).cloned().collect()
     }
 
-    fn have(&mut self, _now: Time, peer: &VmId, bits: &[u8]) {
-        let held = |i: usize| bits.get(i / 8).is_some_and(|byte| byte & (1 << (i % 8)) != 0);
-        let chunks = self.manifest.chunks.iter().enumerate();
-        let digests = chunks.filter(|(i, _)| held(*i)).map(|(_, digest)| *digest);
+    fn silent(&mut self, peer: &VmId) {
         if let Some(transfer) = &mut self.transfer {
-            transfer.holds(peer, digests);
+            transfer.silent(peer);
+        }
+    }
+
+    fn arrived(&mut self, now: Time, digest: Digest, data: &[u8]) -> TransferOutcome {
+        let transfer = self.transfer.as_mut();
+        transfer.map_or(TransferOutcome::Unwanted, |t| t.arrived(now, digest, data))
+    }
+
+    fn failed(&mut self, now: Time, digest: Digest, error: DrawError) {
+        if let Some(transfer) = &mut self.transfer {
+            transfer.failed(now, &digest, error);
+        }
+    }
+
+    fn wake(&self) -> Option<Time> {
+        self.transfer.as_ref()?.wake()
+    }
+
+    fn give(&mut self, uploads: u32, chunk: Bytes) -> Option<Span> {
+        self.uploads.give(uploads, chunk)
+    }
+}
+
+/// Draws all chunks from one place in the order of the manifest.
+pub struct Line {
+    parent: Option<VmId>,
+    chunks: Vec<Digest>,
+    timeout: Span,
+    known: Bits,
+    missing: Bits,
+    flying: Bits,
+    round: Time,
+}
+
+impl Line {
+    /// Returns the side of a VM that draws from `parent`, or from the origin.
+    pub fn new(parent: Option<VmId>, manifest: &Manifest, held: &[bool], timeout: Span) -> Self {
+        let len = held.len();
+        let mut missing = Bits::new(len);
+        (0..len).filter(|i| !held[*i]).for_each(|i| missing.insert(i));
+        let mut known = Bits::new(len);
+        if parent.is_none() {
+            known = missing.clone();
         }
+        let chunks = manifest.chunks.clone();
+        let (flying, round) = (Bits::new(len), Time::default());
+        Self { parent, chunks, timeout, known, missing, flying, round }
+    }
+
+    fn place(&self, digest: &Digest) -> Option<usize> {
+        self.chunks.iter().position(|chunk| chunk == digest)
+    }
+}
+
+impl Node for Line {
+    fn start(&mut self, _now: Time) {}
+
+    fn next(&mut self, _now: Time) -> Option<Draw> {
+        let mut idle = self.known.clone();
+        idle.keep(&self.missing);
+        idle.subtract(&self.flying);
+        let chunk = idle.iter().next()?;
+        self.flying.insert(chunk);
+        let supplier = self.parent.clone().map_or(Supplier::Origin, Supplier::Peer);
+        Some(Draw { digest: self.chunks[chunk], supplier, timeout: self.timeout })
     }
 
-    fn silent(&mut self, _now: Time, _peer: &VmId) {}
+    fn asks(&mut self, now: Time) -> Vec<VmId> {
+        if now < self.round {
+            return vec![];
+        }
+        self.round = now + ROUND;
+        self.parent.clone().into_iter().collect()
+    }
+
+    fn have(&mut self, _now: Time, _peer: &VmId, bits: &[u8]) {
+        self.known = Bits::read(bits, self.chunks.len());
+    }
+
+    fn silent(&mut self, _peer: &VmId) {}
 
     fn arrived(&mut self, _now: Time, digest: Digest, data: &[u8]) -> TransferOutcome {
-        self.transfer.as_mut().map_or(TransferOutcome::Unwanted, |t| t.arrived(digest, data))
+        let Some(chunk) = self.place(&digest) else { return TransferOutcome::Unwanted };
+        self.flying.remove(chunk);
+        if Digest::of(data) != digest {
+            return TransferOutcome::Corrupt;
+        }
+        self.missing.remove(chunk);
+        if self.missing.is_empty() { TransferOutcome::Whole } else { TransferOutcome::Kept }
     }
 
     fn failed(&mut self, _now: Time, digest: Digest, _error: DrawError) {
-        if let Some(transfer) = &mut self.transfer {
-            transfer.failed(&digest);
-        }
+        self.place(&digest).into_iter().for_each(|chunk| self.flying.remove(chunk));
     }
 
-    fn wake(&self, now: Time) -> Time {
-        (self.asked + HAVE).max(now + Span::millis(1))
+    fn wake(&self) -> Option<Time> {
+        Some(self.round)
     }
 
-    fn give(&mut self, _now: Time, _uploads: u32) -> Option<Span> {
+    fn give(&mut self, _uploads: u32, _chunk: Bytes) -> Option<Span> {
         None
     }
 }
+
+/// Each VM that knows no peer with a chunk draws it from the origin.
+#[derive(Clone, Copy, Debug)]
+pub struct Anyone;
+
+impl Outside for Anyone {
+    fn duty(&self, topology: &Topology, chunk: &Digest, _place: usize, _size: Bytes) -> Duty {
+        let (rank, _) = topology.rank(chunk, 0);
+        Duty { rank: 0, ahead: vec![], turn: Span(rank as u64) }
+    }
+
+    fn sources(&self, _topology: &Topology, _chunk: &Digest) -> Vec<PeerKey> {
+        vec![]
+    }
+}
--- a/crates/standins/src/experiment/weights/sim.rs
+++ b/crates/standins/src/experiment/weights/sim.rs
@@ -10,12 +10,12 @@
     ids::{Digest, VmId},
     time::Time,
     units::{Bytes, Span},
-    weights::{Supplier, TransferOutcome},
+    weights::{Draw, DrawError, Supplier, TransferOutcome},
 };
 
 use super::{
     link::Link,
-    node::{Draw, DrawError, Node},
+    node::Node,
     plan::{END, FAR, Figures, NEAR, ORIGIN_RATE, Plan, REGION_RATE, SIZE, VM_RATE, data, name},
 };
 
@@ -179,7 +179,7 @@
             Event::Have(vm, peer) => self.on_have(now, vm, peer),
             Event::Silent(vm, peer) => {
                 let peer = name("vm", peer);
-                self.vms[vm].node.silent(now, &peer);
+                self.vms[vm].node.silent(&peer);
                 self.act(now, vm);
             }
             Event::Request(flow) => self.on_request(now, flow),
@@ -215,8 +215,7 @@
             let Some(draw) = self.vms[vm].node.next(now) else { break };
             self.draw(now, vm, draw);
         }
-        let wake = self.vms[vm].node.wake(now);
-        if wake < self.vms[vm].wake {
+        if let Some(wake) = self.vms[vm].node.wake().filter(|wake| *wake < self.vms[vm].wake) {
             self.vms[vm].wake = wake;
             self.push(wake, Event::Wake(vm));
         }
@@ -270,7 +269,8 @@
             self.push(now + latency, Event::Fail(flow, DrawError::Absent));
         } else {
             let busy = self.vms[from].uploads;
-            match self.vms[from].node.give(now, busy) {
+            let chunk = self.chunk();
+            match self.vms[from].node.give(busy, chunk) {
                 Some(pause) => self.push(now + latency, Event::Fail(flow, DrawError::Later(pause))),
                 None => {
                     self.vms[from].uploads += 1;
@@ -281,6 +281,10 @@
         }
     }
 
+    fn chunk(&self) -> Bytes {
+        Bytes(SIZE.0 / self.digests.len() as u64)
+    }
+
     /// Passes a flow to its next link once the one before lets its first byte through.
     fn on_enter(&mut self, now: Time, flow: usize, hop: usize, end: Time) {
         let Flow { from, to, open, .. } = self.flows[flow];
@@ -288,7 +292,7 @@
         if !open || !passes(to) || from.is_some_and(|from| !passes(from)) {
             return;
         }
-        let size = Bytes(SIZE.0 / self.digests.len() as u64);
+        let size = self.chunk();
         let link = self.flows[flow].path[hop];
         let (start, last) = self.links[link].enter(now, size);
         let last = last.max(end);
