Draws over a region's link: paced, windowed, longer timeouts

Turns used the whole link, so its queue grew without end. Now turns use 90% of the link, timeouts follow the link's rate, and a VM halves its draws from outside after a timeout.

--- a/crates/core/src/weights/outside.rs
+++ b/crates/core/src/weights/outside.rs
@@ -13,6 +13,9 @@
 /// Draws by which a region starts after the one before it.
 const LAG: u64 = 3;
 
+/// Share of the region's link that draws are planned for, in hundredths.
+const LOAD: u64 = 90;
+
 /// What one VM owes its zone for one chunk.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Duty {
@@ -42,7 +45,9 @@
 impl Outside for Owners {
     fn duty(&self, topology: &Topology, chunk: &Digest, place: usize, size: Bytes) -> Duty {
         let (rank, ahead) = topology.rank(chunk, WATCHERS);
-        let rate = topology.link().map_or(self.origin, |link| link.min(self.origin));
+        let rate = topology
+            .link()
+            .map_or(self.origin, |link| ByteRate(link.0 / 100 * LOAD).min(self.origin));
         let lag = LAG * topology.region_rank(chunk) as u64;
         let turn = Span(rate.time_of(size).0 * (place as u64 + lag));
         Duty { rank, ahead, turn }
--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -38,7 +38,9 @@
 /// Shortest timeout of a draw.
 const MIN_TIMEOUT: Span = Span::secs(1);
 /// Longest timeout of a draw, and longest pause of the origin.
-const MAX_TIMEOUT: Span = Span::secs(120);
+const MAX_TIMEOUT: Span = Span::secs(300);
+/// Times by which a draw over a region's link may exceed the time that its rate suggests.
+const FAR_SLACK: u64 = 4;
 /// Answers without the chunk after which the next source is tried.
 const MAX_ABSENT: u32 = 6;
 /// Chunks that are compared for the rarest.
@@ -97,6 +99,13 @@
     pub draws: u32,
 }
 
+impl Limits {
+    /// Returns the most draws from outside the zone at the same time.
+    fn window(&self) -> usize {
+        (self.draws as usize / 2).max(1)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Flight {
     source: Option<PeerKey>,
@@ -127,13 +136,14 @@
     flying: Bits,
     flights: BTreeMap<usize, Flight>,
     failures: BTreeMap<usize, u32>,
-    tasks: BTreeMap<usize, Task>,
+    tasks: Vec<Option<Task>>,
     peers: BTreeMap<PeerKey, Peer>,
     ring: Vec<PeerKey>,
     cursor: usize,
     seen: Vec<u16>,
     round: Time,
     progress: Time,
+    window: usize,
     origin: Time,
     refused: u32,
     rng: SmallRng,
@@ -172,13 +182,14 @@
             flying: Bits::new(len),
             flights: BTreeMap::new(),
             failures: BTreeMap::new(),
-            tasks: BTreeMap::new(),
+            tasks: vec![None; len],
             peers: BTreeMap::new(),
             ring: vec![],
             cursor: 0,
             seen: vec![0; len],
             round: now,
             progress: now,
+            window: limits.window(),
             origin: now,
             refused: 0,
             rng: SmallRng::seed_from_u64(seed),
@@ -289,15 +300,16 @@
         let peer = flight.as_ref().and_then(|flight| self.peers.get_mut(&flight.source?));
         if Digest::of(data) != digest {
             peer.map(Peer::charge);
-            self.tasks.entry(chunk).and_modify(|task| task.attempt += 1);
+            self.tasks[chunk].iter_mut().for_each(|task| task.attempt += 1);
             return TransferOutcome::Corrupt;
         }
         peer.map(Peer::gave);
-        if flight.is_some_and(|flight| flight.source.is_none()) {
-            self.refused = 0;
+        if let Some(flight) = flight.filter(|flight| flight.outside) {
+            self.window = (self.window + 1).min(self.limits.window());
+            self.refused = if flight.source.is_none() { 0 } else { self.refused };
         }
         self.missing.remove(chunk);
-        self.tasks.remove(&chunk);
+        self.tasks[chunk] = None;
         self.failures.remove(&chunk);
         self.progress = now;
         self.life.apply(TransferEvent::Progress);
@@ -314,6 +326,7 @@
         let Some(flight) = self.land(chunk) else { return };
         if error == DrawError::Silent {
             *self.failures.entry(chunk).or_default() += 1;
+            self.window = if flight.outside { (self.window / 2).max(1) } else { self.window };
         }
         match flight.source {
             None => self.origin_failed(now, chunk, error, flight.timeout),
@@ -330,13 +343,12 @@
     fn assign(&mut self) {
         let salt = self.digests.first().map_or(0, chunk_seed);
         self.ring = self.topology.ring(salt);
-        let old = std::mem::take(&mut self.tasks);
+        let old = std::mem::replace(&mut self.tasks, vec![None; self.digests.len()]);
         for (place, chunk) in self.missing.iter().enumerate() {
             let digest = &self.digests[chunk];
             let duty = self.outside.duty(&self.topology, digest, place, self.chunk);
-            let pause = old.get(&chunk).map_or(self.start, |task| task.pause);
-            let task = Task { duty, sources: None, attempt: 0, absent: 0, pause };
-            self.tasks.insert(chunk, task);
+            let pause = old[chunk].as_ref().map_or(self.start, |task| task.pause);
+            self.tasks[chunk] = Some(Task { duty, sources: None, attempt: 0, absent: 0, pause });
         }
     }
 
@@ -353,17 +365,19 @@
 
     /// Returns the owners whose turn has come and whose chunks nobody is known to hold.
     fn watched(&self, now: Time) -> BTreeSet<PeerKey> {
-        let known = self.known();
+        let unknown = self.unknown();
         let due = |task: &&Task| now >= self.start + task.duty.turn;
-        let tasks = self.tasks.iter().filter(|(chunk, _)| !known.contains(**chunk));
-        let ahead = tasks.map(|(_, task)| task).filter(due).flat_map(|task| &task.duty.ahead);
+        let tasks = unknown.iter().filter_map(|chunk| self.tasks[chunk].as_ref());
+        let ahead = tasks.filter(due).flat_map(|task| &task.duty.ahead);
         let asked = |key: &PeerKey| self.peers.get(key).and_then(|peer| peer.asked);
         ahead.copied().filter(|key| asked(key).is_none_or(|asked| now - asked >= WATCH)).collect()
     }
 
-    /// Returns the chunks that peers of the zone are known to hold.
-    fn known(&self) -> Bits {
-        self.held_by(|peer| !peer.down())
+    /// Returns the missing chunks that no peer of the zone is known to hold.
+    fn unknown(&self) -> Bits {
+        let mut unknown = self.missing.clone();
+        unknown.subtract(&self.held_by(|peer| !peer.down()));
+        unknown
     }
 
     /// Returns the missing chunks that can be drawn now from peers of the zone.
@@ -404,30 +418,21 @@
         let idle: Vec<PeerKey> =
             holders.into_iter().filter(|(draws, _)| *draws == least).map(|(_, k)| k).collect();
         let source = idle[self.rng.random_range(0..idle.len())];
-        let slots = u64::from(self.limits.draws) + SLOTS;
-        let timeout = self.timeout(chunk, self.limits.rate, slots);
+        let timeout = self.timeout(chunk, false);
         Some(self.fly(chunk, Some(source), false, timeout))
     }
 
     fn next_outside(&mut self, now: Time) -> Option<Draw> {
-        let most = (self.limits.draws as usize / 2).max(1);
-        if self.flights.values().filter(|flight| flight.outside).count() >= most {
+        if self.flights.values().filter(|flight| flight.outside).count() >= self.window {
             return None;
         }
-        let known = self.known();
-        let due = |(chunk, task): &(&usize, &Task)| {
-            !self.flying.contains(**chunk)
-                && !known.contains(**chunk)
-                && task.pause <= now
-                && self.acts(task, now)
-        };
-        let chunk = *self.tasks.iter().find(due)?.0;
+        let mut idle = self.unknown();
+        idle.subtract(&self.flying);
+        let due = |task: &Task| task.pause <= now && self.acts(task, now);
+        let chunk = idle.iter().find(|chunk| self.tasks[*chunk].as_ref().is_some_and(due))?;
         let source = self.source(chunk, now)?;
-        let slots = u64::from(self.limits.draws) + SLOTS;
-        let far = source.is_none_or(|key| !self.topology.in_region(key));
-        let link = self.topology.link().filter(|_| far);
-        let rate = link.map_or(self.limits.rate, |link| link.min(self.limits.rate));
-        let timeout = self.timeout(chunk, rate, slots);
+        let near = source.is_some_and(|key| self.topology.in_region(key));
+        let timeout = self.timeout(chunk, !near);
         Some(self.fly(chunk, source, true, timeout))
     }
 
@@ -437,23 +442,27 @@
         if now < turn {
             return false;
         }
+        if task.duty.rank == 0 {
+            return true;
+        }
+        let stalled = self.state() == TransferState::Stalled;
+        let watched = task.duty.rank == task.duty.ahead.len();
+        if !watched && !stalled {
+            return false;
+        }
         let patience = self.patience();
         let out = |key: &PeerKey| {
-            self.peers
-                .get(key)
-                .is_some_and(|p| p.down() || (now - turn >= patience && p.stuck(now, patience)))
+            let stuck = |peer: &Peer| now - turn >= patience && peer.stuck(now, patience);
+            self.peers.get(key).is_some_and(|peer| peer.down() || stuck(peer))
         };
-        let first = task.duty.ahead.iter().all(out);
-        let watched = task.duty.rank == task.duty.ahead.len();
         let late = Span(patience.0.saturating_mul(1 + task.duty.rank as u64));
-        let stalled = self.state() == TransferState::Stalled;
-        (watched && first) || (stalled && now - self.progress >= late)
+        (watched && task.duty.ahead.iter().all(out)) || (stalled && now - self.progress >= late)
     }
 
     /// Returns the source outside the zone that is tried next, `Some(None)` for the origin.
     #[allow(clippy::option_option)]
     fn source(&mut self, chunk: usize, now: Time) -> Option<Option<PeerKey>> {
-        let task = self.tasks.get_mut(&chunk)?;
+        let task = self.tasks[chunk].as_mut()?;
         let digest = &self.digests[chunk];
         let sources =
             task.sources.get_or_insert_with(|| self.outside.sources(&self.topology, digest));
@@ -512,7 +521,7 @@
             _ => {}
         }
         let wait = self.limits.rate.time_of(self.chunk);
-        let Some(task) = self.tasks.get_mut(&chunk).filter(|_| flight.outside) else { return };
+        let Some(task) = self.tasks[chunk].as_mut().filter(|_| flight.outside) else { return };
         match error {
             DrawError::Absent => {
                 task.absent += 1;
@@ -536,22 +545,29 @@
             }
         };
         self.origin = self.origin.max(now + pause);
-        if let Some(task) = self.tasks.get_mut(&chunk).filter(|_| error == DrawError::Silent) {
+        if let Some(task) = self.tasks[chunk].as_mut().filter(|_| error == DrawError::Silent) {
             task.attempt += 1;
         }
     }
 
-    /// Returns the time that a draw may take: what the rate suggests, doubled by each failure.
-    fn timeout(&self, chunk: usize, rate: ByteRate, slots: u64) -> Span {
+    /// Returns the time that a draw may take: what the rates suggest, doubled by each failure.
+    fn timeout(&self, chunk: usize, far: bool) -> Span {
         let failures = self.failures.get(&chunk).copied().unwrap_or(0).min(6);
-        let usual = rate.time_of(self.chunk).0.saturating_mul(slots * SLACK) << failures;
+        let usual = self.usual(far).0 << failures;
         Span(usual.clamp(MIN_TIMEOUT.0, MAX_TIMEOUT.0))
     }
 
+    /// Returns the time that a draw may take before any failure.
+    fn usual(&self, far: bool) -> Span {
+        let slots = u64::from(self.limits.draws) + SLOTS;
+        let near = self.limits.rate.time_of(self.chunk).0.saturating_mul(slots * SLACK);
+        let link = self.topology.link().filter(|_| far);
+        let over = link.map_or(0, |link| link.time_of(self.chunk).0);
+        Span(near.max(over.saturating_mul(slots * FAR_SLACK)))
+    }
+
     /// Returns the time without progress after which others step in.
     fn patience(&self) -> Span {
-        let slots = u64::from(self.limits.draws) + SLOTS;
-        let usual = self.limits.rate.time_of(self.chunk).0.saturating_mul(slots * SLACK * 2);
-        Span(usual.max(5 * MIN_TIMEOUT.0))
+        Span(self.usual(true).0.saturating_mul(2).max(5 * MIN_TIMEOUT.0))
     }
 }
--- a/crates/standins/src/experiment/weights/link.rs
+++ b/crates/standins/src/experiment/weights/link.rs
@@ -1,15 +1,22 @@
 //! Links as byte rates, each with one queue.
 
+use std::collections::VecDeque;
+
 use sequoiahold_core::{
     time::Time,
     units::{ByteRate, Bytes},
 };
 
+/// A flow that waits for a link: its number, the hop, and when its last byte can be there.
+pub type Waiting = (usize, usize, Time);
+
 /// One direction of a link.
 #[derive(Clone, Debug)]
 pub struct Link {
-    /// The bytes that have entered the link.
+    /// The bytes that have passed.
     pub bytes: u64,
+    /// The flows that wait.
+    pub queue: VecDeque<Waiting>,
     rate: ByteRate,
     free: Time,
 }
@@ -17,14 +24,18 @@
 impl Link {
     /// Returns an idle link.
     pub fn new(rate: ByteRate) -> Self {
-        Self { bytes: 0, rate, free: Time::default() }
+        Self { bytes: 0, queue: VecDeque::new(), rate, free: Time::default() }
+    }
+
+    /// Returns whether a flow can pass at `now`.
+    pub fn is_free(&self, now: Time) -> bool {
+        self.free <= now
     }
 
-    /// Queues `size` bytes at `now`; returns when their first and last bytes pass.
-    pub fn enter(&mut self, now: Time, size: Bytes) -> (Time, Time) {
-        let start = now.max(self.free);
-        self.free = start + self.rate.time_of(size);
+    /// Lets `size` bytes pass from `now` on; returns when the last has passed.
+    pub fn pass(&mut self, now: Time, size: Bytes) -> Time {
+        self.free = now + self.rate.time_of(size);
         self.bytes += size.0;
-        (start, self.free)
+        self.free
     }
 }
--- a/crates/standins/src/experiment/weights/sim.rs
+++ b/crates/standins/src/experiment/weights/sim.rs
@@ -36,6 +36,7 @@
     Silent(usize, usize),
     Request(usize),
     Enter(usize, usize, Time),
+    Free(usize),
     Arrive(usize),
     Fail(usize, DrawError),
     Kill(usize),
@@ -68,7 +69,8 @@
     plan: Plan,
     draws: usize,
     vms: Vec<Vm<N>>,
-    names: BTreeMap<VmId, usize>,
+    names: Vec<VmId>,
+    places: BTreeMap<VmId, usize>,
     chunks: BTreeMap<Digest, usize>,
     digests: Vec<Digest>,
     links: Vec<Link>,
@@ -107,7 +109,8 @@
             plan,
             draws,
             vms: nodes.into_iter().map(vm).collect(),
-            names: (0..plan.vms).map(|i| (name("vm", i), i)).collect(),
+            names: (0..plan.vms).map(|i| name("vm", i)).collect(),
+            places: (0..plan.vms).map(|i| (name("vm", i), i)).collect(),
             chunks: digests.iter().enumerate().map(|(i, digest)| (*digest, i)).collect(),
             digests,
             links,
@@ -178,12 +181,16 @@
             }
             Event::Have(vm, peer) => self.on_have(now, vm, peer),
             Event::Silent(vm, peer) => {
-                let peer = name("vm", peer);
-                self.vms[vm].node.silent(&peer);
+                self.vms[vm].node.silent(&self.names[peer]);
                 self.act(now, vm);
             }
             Event::Request(flow) => self.on_request(now, flow),
-            Event::Enter(flow, hop, end) => self.on_enter(now, flow, hop, end),
+            Event::Enter(flow, hop, end) => {
+                let link = self.flows[flow].path[hop];
+                self.links[link].queue.push_back((flow, hop, end));
+                self.serve(now, link);
+            }
+            Event::Free(link) => self.serve(now, link),
             Event::Arrive(flow) => self.on_arrive(now, flow),
             Event::Fail(flow, error) => self.on_fail(now, flow, error),
             Event::Kill(vm) => self.vms[vm].alive = false,
@@ -202,7 +209,7 @@
             return;
         }
         for peer in self.vms[vm].node.asks(now) {
-            let peer = self.names[&peer];
+            let peer = self.places[&peer];
             let back = self.latency(vm, peer);
             self.questions += QUESTION + self.vms[peer].held.len() as u64;
             if self.vms[peer].alive {
@@ -224,7 +231,7 @@
     fn draw(&mut self, now: Time, vm: usize, draw: Draw) {
         let from = match &draw.supplier {
             Supplier::Origin => None,
-            Supplier::Peer(peer) => Some(self.names[peer]),
+            Supplier::Peer(peer) => Some(self.places[peer]),
         };
         let path = self.path(from, vm);
         let chunk = self.chunks[&draw.digest];
@@ -250,8 +257,7 @@
 
     fn on_have(&mut self, now: Time, vm: usize, peer: usize) {
         let bits = if self.vms[peer].started { self.vms[peer].held.clone() } else { vec![] };
-        let peer = name("vm", peer);
-        self.vms[vm].node.have(now, &peer, &bits);
+        self.vms[vm].node.have(now, &self.names[peer], &bits);
         self.act(now, vm);
     }
 
@@ -285,28 +291,34 @@
         Bytes(SIZE.0 / self.digests.len() as u64)
     }
 
-    /// Passes a flow to its next link once the one before lets its first byte through.
-    fn on_enter(&mut self, now: Time, flow: usize, hop: usize, end: Time) {
+    /// Lets the next flow pass a link if it is free; flows that were given up leave the queue.
+    fn serve(&mut self, now: Time, link: usize) {
+        while self.links[link].is_free(now) {
+            let Some((flow, hop, end)) = self.links[link].queue.pop_front() else { return };
+            if !self.passes(flow) {
+                continue;
+            }
+            let size = self.chunk();
+            let free = self.links[link].pass(now, size);
+            self.push(free, Event::Free(link));
+            let last = free.max(end);
+            if hop + 1 == self.flows[flow].path.len() {
+                self.push(last, Event::Arrive(flow));
+            } else {
+                self.push(now, Event::Enter(flow, hop + 1, last));
+            }
+        }
+    }
+
+    fn passes(&self, flow: usize) -> bool {
         let Flow { from, to, open, .. } = self.flows[flow];
         let passes = |vm: usize| self.vms[vm].alive && !self.vms[vm].stalled;
-        if !open || !passes(to) || from.is_some_and(|from| !passes(from)) {
-            return;
-        }
-        let size = self.chunk();
-        let link = self.flows[flow].path[hop];
-        let (start, last) = self.links[link].enter(now, size);
-        let last = last.max(end);
-        if hop + 1 == self.flows[flow].path.len() {
-            self.push(last, Event::Arrive(flow));
-        } else {
-            self.push(start, Event::Enter(flow, hop + 1, last));
-        }
+        open && passes(to) && from.is_none_or(passes)
     }
 
     fn on_arrive(&mut self, now: Time, flow: usize) {
-        let Flow { from, to, chunk, .. } = self.flows[flow];
-        let passes = |vm: usize| self.vms[vm].alive && !self.vms[vm].stalled;
-        if !passes(to) || from.is_some_and(|from| !passes(from)) || !self.close(flow) {
+        let Flow { to, chunk, .. } = self.flows[flow];
+        if !self.passes(flow) || !self.close(flow) {
             return;
         }
         let corrupt = self.rng.random_range(0..1_000) < self.plan.faults.corrupt;
