--- a/crates/standins/src/experiment/weights/mod.rs
+++ b/crates/standins/src/experiment/weights/mod.rs
@@ -6,9 +6,17 @@
 pub mod report;
 pub mod sim;
 
-use std::{collections::BTreeMap, path::PathBuf, rc::Rc};
+use std::{
+    collections::BTreeMap,
+    path::PathBuf,
+    rc::Rc,
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        mpsc,
+    },
+    thread,
+};
 
-use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use sequoiahold_core::{
     ids::{Digest, RegionId},
     units::Span,
@@ -17,7 +25,7 @@
 
 use self::{
     node::{Anyone, Line, Swarm},
-    plan::{CHUNKS, Faults, Figures, ORIGIN_RATE, Plan, VM_RATE},
+    plan::{Faults, Figures, ORIGIN_RATE, Plan, VM_RATE},
     sim::Sim,
 };
 
@@ -27,6 +35,8 @@
 const SLOTS: u32 = 4;
 /// Time that a draw may take in a chain or tree.
 const LINE_TIMEOUT: Span = Span::secs(3_600);
+/// Runs at the same time.
+const THREADS: usize = 4;
 /// Numbers of VMs.
 const SIZES: [usize; 6] = [10, 50, 100, 200, 400, 950];
 
@@ -65,22 +75,73 @@
     }
 }
 
-/// Runs the experiment and prints its table.
+/// Runs the experiment, prints its table and writes raw figures and charts.
 pub fn run(options: &Options) -> anyhow::Result<u8> {
+    let runs = runs(options);
     report::head();
-    for zones in [1, 3, 8] {
-        for vms in SIZES.into_iter().filter(|vms| *vms <= options.most) {
-            let plan = Plan { vms, zones, seed: options.seed, held: 0, faults: Faults::default() };
-            report::row(&measure(Scheme::Owned, plan, "cold"));
-        }
+    let figures = in_threads(&runs, |figures| report::row(figures));
+    if let Some(out) = &options.out {
+        report::write(out, &figures)?;
     }
     Ok(0)
 }
 
+fn runs(options: &Options) -> Vec<(Scheme, Plan, &'static str)> {
+    let faults = Faults { killed: 50, corrupt: 10, stalled: true };
+    let cases =
+        [("cold", 0, Faults::default()), ("faults", 0, faults), ("change", 950, Faults::default())];
+    let mut runs = vec![];
+    for (case, held, faults) in cases {
+        for zones in [1, 3, 8] {
+            for vms in SIZES.into_iter().filter(|vms| *vms <= options.most) {
+                let plan = Plan { vms, zones, seed: options.seed, held, faults };
+                let others = [Scheme::Chain, Scheme::Tree, Scheme::Swarm];
+                let others = others.into_iter().filter(|_| case == "cold");
+                runs.extend(others.chain([Scheme::Owned]).map(|scheme| (scheme, plan, case)));
+            }
+        }
+    }
+    runs
+}
+
+/// Measures runs in threads and returns the figures in the order of the runs.
+fn in_threads(
+    runs: &[(Scheme, Plan, &'static str)],
+    mut show: impl FnMut(&Figures),
+) -> Vec<Figures> {
+    let next = AtomicUsize::new(0);
+    let (sender, receiver) = mpsc::channel();
+    let mut done = BTreeMap::new();
+    let mut figures = vec![];
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            let (sender, next) = (sender.clone(), &next);
+            scope.spawn(move || {
+                while let Some((i, run)) = take(runs, next) {
+                    let _ = sender.send((i, measure(run.0, run.1, run.2)));
+                }
+            });
+        }
+        drop(sender);
+        for (i, one) in receiver {
+            done.insert(i, one);
+            while let Some(one) = done.remove(&figures.len()) {
+                show(&one);
+                figures.push(one);
+            }
+        }
+    });
+    figures
+}
+
+fn take<'a, T>(runs: &'a [T], next: &AtomicUsize) -> Option<(usize, &'a T)> {
+    let i = next.fetch_add(1, Ordering::Relaxed);
+    runs.get(i).map(|run| (i, run))
+}
+
 /// Runs one way to draw weights under a plan.
 pub fn measure(scheme: Scheme, plan: Plan, case: &'static str) -> Figures {
-    let mut rng = SmallRng::seed_from_u64(plan.seed);
-    let held: Vec<bool> = (0..CHUNKS).map(|_| rng.random_range(0..1_000) < plan.held).collect();
+    let held = plan.held();
     let name = scheme.name();
     match scheme {
         Scheme::Chain => Sim::new(plan, DRAWS, lines(plan, &held, 1), &held).run(name, case),
--- a/crates/standins/src/experiment/weights/plan.rs
+++ b/crates/standins/src/experiment/weights/plan.rs
@@ -1,5 +1,6 @@
 //! The sizes, rates and faults of one run.
 
+use rand::{SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 use sequoiahold_core::{
     declare::{Fleet, Object, Role, Vm, Zone},
     ids::{Digest, RegionId, VmId, ZoneId},
@@ -58,6 +59,17 @@
         Manifest { chunk: Bytes(SIZE.0 / CHUNKS), size: SIZE, chunks }
     }
 
+    /// Returns which chunks every VM holds at the start.
+    pub fn held(&self) -> Vec<bool> {
+        let mut rng = SmallRng::seed_from_u64(self.seed);
+        let mut order: Vec<usize> = (0..CHUNKS as usize).collect();
+        order.shuffle(&mut rng);
+        let mut held = vec![false; order.len()];
+        let count = order.len() as u64 * self.held / 1_000;
+        order.iter().take(count as usize).for_each(|chunk| held[*chunk] = true);
+        held
+    }
+
     /// Returns the regions of the zones.
     pub fn regions(&self) -> usize {
         self.zones.min(REGIONS)
--- a/crates/standins/src/experiment/weights/report.rs
+++ b/crates/standins/src/experiment/weights/report.rs
@@ -1,7 +1,19 @@
 //! The table, the raw figures and the charts.
 
+use std::{collections::BTreeMap, fs, path::Path};
+
+use plotters::prelude::{
+    ChartBuilder, Circle, IntoDrawingArea as _, IntoLogRange as _, LineSeries, Palette as _,
+    Palette99, SVGBackend, WHITE,
+};
+
 use super::plan::Figures;
 
+/// Size of a chart in pixels.
+const CHART: (u32, u32) = (800, 500);
+/// Largest multiple of the bound that a chart shows.
+const TOP: f64 = 10.0;
+
 /// Prints the head of the table.
 pub fn head() {
     println!(
@@ -30,3 +42,48 @@
         f.wrong
     );
 }
+
+/// Writes the raw figures as JSON lines, and a chart of the time over the VMs for each case.
+pub fn write(out: &Path, figures: &[Figures]) -> anyhow::Result<()> {
+    fs::create_dir_all(out)?;
+    let lines: Result<Vec<String>, _> = figures.iter().map(serde_json::to_string).collect();
+    fs::write(out.join("weights.jsonl"), lines?.join("\n") + "\n")?;
+    let mut charts: BTreeMap<(&str, usize), Vec<&Figures>> = BTreeMap::new();
+    for one in figures {
+        charts.entry((one.case, one.zones)).or_default().push(one);
+    }
+    for ((case, zones), figures) in charts {
+        chart(&out.join(format!("weights-{case}-{zones}.svg")), case, zones, &figures)?;
+    }
+    Ok(())
+}
+
+fn chart(file: &Path, case: &str, zones: usize, figures: &[&Figures]) -> anyhow::Result<()> {
+    let mut series: BTreeMap<&str, Vec<(f64, f64)>> = BTreeMap::new();
+    for one in figures {
+        let point = (one.vms as f64, one.bounds.min(TOP));
+        series.entry(one.scheme).or_default().push(point);
+    }
+    let area = SVGBackend::new(file, CHART).into_drawing_area();
+    area.fill(&WHITE)?;
+    let title = format!("{case}, {zones} zones: time in bounds over VMs");
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 20))
+        .margin(10)
+        .x_label_area_size(35)
+        .y_label_area_size(45)
+        .build_cartesian_2d((10.0..1_000.0).log_scale(), 0.0..TOP)?;
+    chart.configure_mesh().x_desc("VMs").y_desc("time / bound").draw()?;
+    for (i, (scheme, points)) in series.into_iter().enumerate() {
+        let color = Palette99::pick(i);
+        let dots = points.iter().map(|point| Circle::new(*point, 3, &color));
+        chart.draw_series(dots)?;
+        chart
+            .draw_series(LineSeries::new(points, &color))?
+            .label(scheme)
+            .legend(move |(x, y)| Circle::new((x, y), 4, Palette99::pick(i)));
+    }
+    chart.configure_series_labels().draw()?;
+    area.present()?;
+    Ok(())
+}
--- a/crates/standins/src/experiment/weights/sim.rs
+++ b/crates/standins/src/experiment/weights/sim.rs
@@ -5,7 +5,7 @@
     collections::{BTreeMap, BinaryHeap},
 };
 
-use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _};
 use sequoiahold_core::{
     ids::{Digest, VmId},
     time::Time,
@@ -144,9 +144,7 @@
         let window = self.plan.bound().0;
         let killed = self.plan.vms as u64 * self.plan.faults.killed / 1_000;
         let mut order: Vec<usize> = (0..self.plan.vms).collect();
-        for i in 0..order.len() {
-            order.swap(i, self.rng.random_range(0..=i));
-        }
+        order.shuffle(&mut self.rng);
         for vm in order.iter().take(killed as usize) {
             let at = Time(self.rng.random_range(0..window));
             self.push(at, Event::Kill(*vm));
