--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -1,17 +1,18 @@
 //! The endpoint's event loop: owns the state and does what the decisions ask for.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use sequoiahold_core::{
     adopt::{Adoption, InForce},
     declare::Published,
-    endpoint::{Decision, Endpoint, Identity, Output, Place},
+    endpoint::{Decision, Drawing, Endpoint, Identity, Output, Place},
     ids::{Digest, Fence, VersionId, VmId},
     once::RunEnd,
     proto::{Call, KeysAsk, Reply},
     time::Time,
-    weights::{Manifest, TransferOutcome},
+    units::{Bytes as Size, Span},
+    weights::{DrawError, Manifest, Pacer, TransferOutcome, pace::share},
 };
 use tokio::sync::{mpsc, watch};
 
@@ -40,6 +41,8 @@
     pub links: Links,
     /// The chunks that are held.
     pub store: Store,
+    /// The pace of the VM's link outward and inward.
+    pub pacers: [Rc<RefCell<Pacer>>; 2],
     /// The engine.
     pub engine: Engine,
     /// Shows the configuration in force to the tasks.
@@ -63,13 +66,19 @@
 impl EventLoop {
     /// Returns the event loop of a process that knows nothing yet.
     pub fn new(settings: settings::Endpoint, parts: Parts) -> Self {
-        let drawer = Drawer::new(parts.links.clone(), &settings.weights.origin);
+        let [_, inward] = &parts.pacers;
+        let links = parts.links.clone();
+        let drawer = Drawer::new(links, &settings.weights.origin, parts.clock, inward.clone());
         let own = Identity {
             vm: settings.vm.clone(),
             incarnation: parts.clock.incarnation(),
             epoch: Time(parts.clock.incarnation().0),
             look: settings.look,
-            draws: settings.weights.draws,
+            drawing: Drawing {
+                rate: settings.weights.rate,
+                draws: settings.weights.draws,
+                region: settings.weights.region.clone(),
+            },
         };
         let endpoint = Endpoint::new(own, parts.clock.now());
         Self { settings, parts, drawer, endpoint }
@@ -96,7 +105,10 @@
         match event {
             Event::Offer(published) => self.on_offer(published),
             Event::Vms(list) => self.endpoint.list(now, &list),
-            Event::Engine(state) => self.endpoint.engine(now, state),
+            Event::Engine(state) => {
+                self.endpoint.engine(now, state);
+                self.give_way();
+            }
             Event::Admit(admit) => self.on_admit(admit),
             Event::Ended(call, end) => self.endpoint.ended(now, &call, end),
             Event::Fell(call, engine, reply) => {
@@ -110,7 +122,7 @@
             }
             Event::Manifest(version, manifest) => self.on_manifest(&version, manifest),
             Event::Drawn(digest, data) => self.on_drawn(digest, data),
-            Event::Have(peer, bits) => self.endpoint.have(now, &peer, &bits),
+            Event::Have(peer, bits) => self.endpoint.have(now, &peer, bits.as_deref()),
             Event::Loaded(version, taken) => {
                 self.endpoint.loaded(now, &version, taken);
                 self.parts.metrics.count(if taken { "loads.taken" } else { "loads.failed" });
@@ -150,17 +162,27 @@
         self.endpoint.manifest(now, version, manifest, |digest| store.holds(digest));
     }
 
-    fn on_drawn(&mut self, digest: Digest, data: Option<Bytes>) {
-        let outcome = self.endpoint.drawn(self.parts.clock.now(), digest, data.as_deref());
+    fn on_drawn(&mut self, digest: Digest, data: Result<Bytes, DrawError>) {
+        let drawn = data.as_deref().map_err(|error| *error);
+        let outcome = self.endpoint.drawn(self.parts.clock.now(), digest, drawn);
         match (outcome, data) {
-            (TransferOutcome::Kept | TransferOutcome::Whole, Some(data)) => {
+            (TransferOutcome::Kept | TransferOutcome::Whole, Ok(data)) => {
                 self.parts.store.keep(digest, data);
             }
             (TransferOutcome::Corrupt, _) => self.parts.metrics.count("chunks.corrupt"),
+            (_, Err(DrawError::Later(_))) => self.parts.metrics.count("chunks.later"),
+            (_, Err(_)) => self.parts.metrics.count("chunks.failed"),
             _ => {}
         }
     }
 
+    /// Leaves the link to live traffic by the share of the endpoint that requests take.
+    fn give_way(&self) {
+        let gate = self.endpoint.gate();
+        let share = share(gate.running(), gate.limit());
+        self.parts.pacers.iter().for_each(|pacer| pacer.borrow_mut().set_share(share));
+    }
+
     fn perform(&mut self) {
         for output in self.endpoint.outputs() {
             match output {
@@ -171,13 +193,13 @@
                 Output::AskHave(manifest, vm, addr) => {
                     let (drawer, events) = (self.drawer.clone(), self.parts.events.clone());
                     actix_rt::spawn(async move {
-                        if let Some(bits) = drawer.have(manifest, &vm, addr).await {
-                            let _ = events.send(Event::Have(vm, bits));
-                        }
+                        let bits = drawer.have(manifest, &vm, addr).await;
+                        let _ = events.send(Event::Have(vm, bits));
                     });
                 }
                 Output::AskKeys(vm, addr, ask) => self.ask_keys(vm, addr, ask),
-                Output::Draw(digest, place) => self.draw(digest, place),
+                Output::Draw(digest, place, timeout) => self.draw(digest, place, timeout),
+                Output::Retain(manifest) => self.parts.store.retain(&manifest),
                 Output::Load(version, manifest, fence) => self.load(version, manifest, fence),
             }
         }
@@ -213,10 +235,11 @@
         });
     }
 
-    fn draw(&self, digest: Digest, place: Place) {
+    fn draw(&self, digest: Digest, place: Place, timeout: Span) {
         let (drawer, events) = (self.drawer.clone(), self.parts.events.clone());
+        let size = self.endpoint.chunk_size().unwrap_or(Size(0));
         actix_rt::spawn(async move {
-            let data = drawer.draw(digest, &place).await;
+            let data = drawer.chunk(digest, size, &place, timeout).await;
             let _ = events.send(Event::Drawn(digest, data));
         });
     }
--- a/crates/standins/src/driver/world.rs
+++ b/crates/standins/src/driver/world.rs
@@ -7,14 +7,14 @@
 
 use sequoiahold_core::{
     declare::{Declared, Fleet, Object, Published, Role, Vm},
-    endpoint::{self, Endpoint, Offered},
+    endpoint::{self, Drawing, Endpoint, Offered},
     entry::{self, Arrival, Entry, RequestKey},
     gate::Ticket,
     ids::{Digest, Fence, Generation, Incarnation, VersionId, VmId, ZoneId},
     member::VmState,
     refuse::{Failure, Reason},
     time::Time,
-    units::Span,
+    units::{ByteRate, Span},
     weights::Manifest,
 };
 
@@ -174,7 +174,8 @@
         } else {
             let look = Span::millis(100);
             let epoch = Time::default();
-            let own = endpoint::Identity { vm: vm.clone(), incarnation, epoch, look, draws: 4 };
+            let drawing = Drawing { rate: ByteRate(1_000_000), draws: 4, region: None };
+            let own = endpoint::Identity { vm: vm.clone(), incarnation, epoch, look, drawing };
             let core = Endpoint::new(own, self.now);
             let (open, held) = Default::default();
             self.endpoints.insert(vm.clone(), EndpointNode { core, open, held });
