gate: an engine's state counts only as far as a look has shown it

Cause: the gate learned of a cold engine at its next look (100 to 200 ms). After an order to load it went on admitting up to the warm limit.

Ruled out: a faster look (narrows the window, leaves it open), and trust in the shown limit alone (it is old by a look interval).

Now: an order to load closes the gate until a look that began after the order's end shows the wanted version; a changed incarnation or version starts at Pool.cold and grows by one with each whole answer, never above the shown limit; a broken request, an engine that does not answer and a process that slept close the gate until the next look; a process that starts takes the engine's own count as an upper bound of what an earlier one handed over; above the cold limit each admission needs a permit, which only the head of its own answer (x-engine-limit) or a later look gives back. An order is confirmed by the decision just before it is given, and none is given to an engine that shows a fence above ours.

--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -1,17 +1,19 @@
 //! Decisions of an endpoint process.
 
+mod command;
+mod guard;
 mod life;
 mod wanted;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 pub use self::life::{LifeEvent, LifeState};
-use self::{life::chart, wanted::Wanted};
+use self::{command::Command, life::chart, wanted::Wanted};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
     chart::Machine,
     declare::{Fleet, Published, Vm},
-    gate::{Gate, Seen, Ticket},
+    gate::{Bounds, Ended, Gate, LookId, Seen, Ticket},
     ids::{Digest, Fence, Generation, Incarnation, ServiceId, VersionId, VmId},
     member::VmState,
     proto::{Beat, Load},
@@ -60,7 +62,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Look at the engine.
-    Look,
+    Look(LookId),
     /// Read the manifest of a version from the first place that gives it.
     ReadManifest(VersionId, Digest, Vec<Place>),
     /// Ask a peer which chunks of a manifest it holds.
@@ -77,6 +79,7 @@
     Load,
     Look,
     Manifest,
+    Orphans,
 }
 
 /// Who an endpoint is.
@@ -104,6 +107,8 @@
     drawing: u32,
     leaving: bool,
     draining: bool,
+    command: Command,
+    last: Time,
     timers: Timers<Timer>,
     outputs: Vec<Output>,
 }
@@ -113,6 +118,7 @@
     pub fn new(own: Identity, now: Time) -> Self {
         let mut timers = Timers::default();
         timers.at(now, Timer::Look);
+        let command = Command::new(own.incarnation);
         Self {
             own,
             adopter: Adopter::default(),
@@ -123,6 +129,8 @@
             drawing: 0,
             leaving: false,
             draining: false,
+            command,
+            last: now,
             timers,
             outputs: vec![],
         }
@@ -144,24 +152,36 @@
         self.set_closed();
     }
 
-    /// Takes the state that the engine shows, `None` where it did not answer.
-    pub fn engine(&mut self, now: Time, state: Option<EngineState>) {
+    /// Takes the state that the engine showed at a look, `None` where it did not answer.
+    pub fn engine(&mut self, now: Time, look: LookId, state: Option<EngineState>) {
+        self.wake(now);
         let seen = state.as_ref().map(|state| Seen {
+            incarnation: state.incarnation,
             version: self.verified(state),
             limit: state.limit,
             running: state.running,
         });
-        self.gate.observe(seen.unwrap_or_default());
+        let first = self.engine.is_none() && state.is_some();
+        if let Some(state) = &state {
+            self.command.show(state.fence);
+        }
+        self.gate.observe(look, seen);
         self.engine = state;
+        self.set_closed();
+        if first {
+            self.timers.at(now + self.patience(), Timer::Orphans);
+        }
         self.follow(now);
     }
 
     /// Lets a request pass, with the version that answers it, or refuses it.
     pub fn ask(
         &mut self,
+        now: Time,
         ticket: Ticket,
         service: &ServiceId,
     ) -> Result<Option<VersionId>, Refusal> {
+        self.wake(now);
         let fleet = self.fleet().ok_or(Refusal::after(Reason::Unconfigured, RETRY))?;
         let pool = fleet.pool_of(&self.own.vm);
         if pool.is_none_or(|pool| pool.service != *service) {
@@ -172,8 +192,15 @@
     }
 
     /// Takes note that a request that passed has ended.
-    pub fn finished(&mut self, ticket: &Ticket) {
-        self.gate.finish(ticket);
+    pub fn finished(&mut self, ticket: &Ticket, ended: Ended) {
+        let shown = self.gate.open();
+        self.gate.finish(ticket, ended);
+        if shown && !self.gate.open() {
+            self.look();
+        }
+        if self.draining && self.gate.in_progress() == 0 {
+            self.life.apply(LifeEvent::Idle);
+        }
     }
 
     /// Takes the manifest of a version, `None` where it could not be read.
@@ -227,6 +254,8 @@
         if let Some(wanted) = self.wanted.as_mut().filter(|w| w.version.name == *version) {
             wanted.loading = false;
         }
+        self.gate.load_ended();
+        self.look();
         if !taken {
             self.timers.at(now + LOAD, Timer::Load);
         }
@@ -245,15 +274,17 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time) {
+        self.wake(now);
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Draw => self.ask_peers(now),
                 Timer::Load => self.follow(now),
                 Timer::Look => {
                     self.timers.at(now + self.own.look, Timer::Look);
-                    self.outputs.push(Output::Look);
+                    self.look();
                 }
                 Timer::Manifest => self.read_manifest(),
+                Timer::Orphans => self.gate.forget_orphans(),
             }
         }
     }
@@ -328,14 +359,17 @@
 
     fn set_closed(&mut self) {
         let in_service = self.fleet().is_some_and(|fleet| fleet.in_service(&self.own.vm));
-        self.gate.close(self.leaving || self.draining || !in_service);
+        let superseded = self.command.superseded();
+        self.gate.close(self.leaving || self.draining || superseded || !in_service);
     }
 
     fn set_wanted(&mut self, now: Time) {
         let Some(fleet) = self.fleet() else { return };
         let pool = fleet.pool_of(&self.own.vm);
         let version = pool.and_then(|pool| fleet.pool_version(&pool.name)).cloned();
-        self.gate.want(version.as_ref().map(|version| version.name.clone()));
+        let bounds = pool.map(|pool| Bounds { cold: pool.cold, slots: pool.slots });
+        let name = version.as_ref().map(|version| version.name.clone());
+        self.gate.want(name, bounds.unwrap_or_default());
         if self.wanted.as_ref().map(|wanted| &wanted.version) == version.as_ref() {
             return;
         }
@@ -398,14 +432,14 @@
             self.life.apply(LifeEvent::Serve);
             return;
         }
-        if wanted.loading || !wanted.is_whole() {
+        if wanted.loading || !wanted.is_whole() || !self.command.may_order() {
             return;
         }
         let Some(manifest) = wanted.manifest.clone() else { return };
         self.life.apply(LifeEvent::Whole);
         self.life.apply(LifeEvent::Lost);
         wanted.loading = true;
-        let fence = Fence(self.own.incarnation.0);
+        let fence = self.command.fence();
         self.outputs.push(Output::Load(wanted.version.name.clone(), manifest, fence));
     }
 
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -6,7 +6,7 @@
 use sequoiahold_core::{
     declare::Published,
     endpoint::EngineState,
-    gate::Ticket,
+    gate::{Ended, LookId, Ticket},
     ids::{Digest, Generation, ServiceId, VersionId, VmId},
     member::VmState,
     proto::Beat,
@@ -24,18 +24,22 @@
     Offer(Arc<Published>),
     /// The platform's list of VMs was read.
     Vms(BTreeMap<VmId, VmState>),
-    /// The engine showed its state, or did not answer.
-    Engine(Option<EngineState>),
+    /// The engine showed its state at a look, or did not answer.
+    Engine(LookId, Option<EngineState>),
     /// A request asks to pass the gate.
     Admit(Admit),
+    /// The head of an answer shows what the engine bears.
+    Head(Ticket, u32),
     /// A request that passed has ended.
-    Finish(Ticket),
+    Finish(Ticket, Ended),
     /// The manifest of a version was read, or could not be.
     Manifest(VersionId, Option<Manifest>),
     /// A draw has ended with a chunk, or without.
     Drawn(Digest, Option<Bytes>),
     /// A peer told which chunks of a manifest it holds.
     Have(VmId, Vec<u8>),
+    /// An order to load a version is about to be given; whether it still may is asked for.
+    Confirm(VersionId, oneshot::Sender<bool>),
     /// The engine took the weights of a version and an order to load it, or did not.
     Loaded(VersionId, bool),
     /// A peer asks which chunks of a manifest are held.
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -7,10 +7,11 @@
     adopt::{Adoption, InForce},
     declare::Published,
     endpoint::{Endpoint, Identity, Output, Place},
+    gate::{Ended, LookId},
     ids::{Digest, Fence, VersionId},
     weights::{Manifest, TransferOutcome},
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{
     draw::Drawer,
@@ -80,12 +81,16 @@
         match event {
             Event::Offer(published) => self.on_offer(published),
             Event::Vms(list) => self.endpoint.list(&list),
-            Event::Engine(state) => self.endpoint.engine(now, state),
+            Event::Engine(look, state) => self.endpoint.engine(now, look, state),
             Event::Admit(admit) => self.on_admit(admit),
-            Event::Finish(ticket) => self.endpoint.finished(&ticket),
+            Event::Head(ticket, limit) => self.endpoint.head(&ticket, limit),
+            Event::Finish(ticket, ended) => self.endpoint.finished(&ticket, ended),
             Event::Manifest(version, manifest) => self.on_manifest(&version, manifest),
             Event::Drawn(digest, data) => self.on_drawn(digest, data),
             Event::Have(peer, bits) => self.endpoint.have(now, &peer, &bits),
+            Event::Confirm(version, reply) => {
+                let _ = reply.send(self.endpoint.confirm(now, &version));
+            }
             Event::Loaded(version, taken) => {
                 self.endpoint.loaded(now, &version, taken);
                 self.count(if taken { "loads.taken" } else { "loads.failed" });
@@ -109,10 +114,11 @@
     }
 
     fn on_admit(&mut self, admit: Admit) {
-        let decision = self.endpoint.ask(admit.ticket.clone(), &admit.service);
+        let now = self.parts.clock.now();
+        let decision = self.endpoint.ask(now, admit.ticket.clone(), &admit.service);
         let passed = decision.is_ok();
         if admit.reply.send(decision).is_err() && passed {
-            self.endpoint.finished(&admit.ticket);
+            self.endpoint.finished(&admit.ticket, Ended::Cancelled);
         }
     }
 
@@ -139,7 +145,7 @@
     fn perform(&mut self) {
         for output in self.endpoint.outputs() {
             match output {
-                Output::Look => self.look(),
+                Output::Look(look) => self.look(look),
                 Output::ReadManifest(version, digest, places) => {
                     self.read_manifest(version, digest, places);
                 }
@@ -157,11 +163,11 @@
         }
     }
 
-    fn look(&self) {
+    fn look(&self, look: LookId) {
         let (engine, events) = (self.parts.engine.clone(), self.parts.events.clone());
         actix_rt::spawn(async move {
             let state = engine.state().await.ok();
-            let _ = events.send(Event::Engine(state));
+            let _ = events.send(Event::Engine(look, state));
         });
     }
 
@@ -186,7 +192,8 @@
         let (engine, store) = (self.parts.engine.clone(), self.parts.store.clone());
         let events = self.parts.events.clone();
         actix_rt::spawn(async move {
-            let taken = give(&engine, &store, &version, &manifest, fence).await;
+            let order = Order { version: &version, manifest: &manifest, fence };
+            let taken = give(&engine, &store, order, &events).await;
             if let Err(error) = &taken {
                 log::warn!("version {version} was not loaded: {error:#}");
             }
@@ -218,6 +225,7 @@
             limit: gate.limit(),
             running: gate.running(),
             open: gate.open(),
+            superseded: self.endpoint.superseded(),
             endpoints: BTreeMap::new(),
             counters: self.counters.clone(),
         }
@@ -228,16 +236,27 @@
     }
 }
 
+struct Order<'a> {
+    version: &'a VersionId,
+    manifest: &'a Manifest,
+    fence: Fence,
+}
+
+/// Hands the engine the chunks of a version, then the order to load it if it may still be given.
 async fn give(
     engine: &Engine,
     store: &Store,
-    version: &VersionId,
-    manifest: &Manifest,
-    fence: Fence,
+    order: Order<'_>,
+    events: &mpsc::UnboundedSender<Event>,
 ) -> anyhow::Result<()> {
-    for digest in &manifest.chunks {
+    for digest in &order.manifest.chunks {
         let chunk = store.get(digest).ok_or_else(|| anyhow::anyhow!("chunk {digest} is gone"))?;
         engine.put(digest, chunk).await?;
     }
-    engine.load(version, manifest, fence).await
+    let (reply, confirmed) = oneshot::channel();
+    let _ = events.send(Event::Confirm(order.version.clone(), reply));
+    if !confirmed.await.unwrap_or(false) {
+        anyhow::bail!("the order is no longer this process's to give");
+    }
+    engine.load(order.version, order.manifest, order.fence).await
 }
--- a/crates/sequoiahold/src/status.rs
+++ b/crates/sequoiahold/src/status.rs
@@ -32,6 +32,8 @@
     pub running: u32,
     /// Whether new work is taken.
     pub open: bool,
+    /// Whether the engine has taken orders of a later process.
+    pub superseded: bool,
     /// The endpoints that an entry knows.
     pub endpoints: BTreeMap<VmId, EndpointStatus>,
     /// Counters by name.
@@ -62,6 +64,9 @@
         writeln!(f, "missing      {}", self.missing)?;
         writeln!(f, "running      {} of {}", self.running, self.limit)?;
         writeln!(f, "open         {}", self.open)?;
+        if self.superseded {
+            writeln!(f, "superseded   the engine has taken orders of a later process")?;
+        }
         for (vm, endpoint) in &self.endpoints {
             let version = endpoint.version.as_ref().map_or("-", |v| v.as_str());
             let (running, limit) = (endpoint.running, endpoint.limit);
--- a/crates/standins/src/driver/deliver.rs
+++ b/crates/standins/src/driver/deliver.rs
@@ -4,7 +4,7 @@
 
 use sequoiahold_core::{
     entry::RequestKey,
-    gate::Ticket,
+    gate::{Ended, Ticket},
     ids::{Digest, Fence, VersionId, VmId},
     refuse::Failure,
     time::Time,
@@ -18,6 +18,10 @@
     world::{Event, World},
 };
 
+/// Time from a request's hand-over to the head of its answer.
+const HEAD: Span = Span::millis(2);
+/// Time that the engine takes to load.
+const LOAD: Span = Span::millis(300);
 /// Time from a request's hand-over to its first token.
 const FIRST: Span = Span::millis(50);
 /// Time from a request's first token to its end.
@@ -65,7 +69,7 @@
     fn asked(&mut self, from: &VmId, to: &VmId, ask: Ask) {
         let Ask { call, request, ticket, service, .. } = ask;
         let Some(node) = self.endpoints.get_mut(to) else { return };
-        if let Err(refusal) = node.core.ask(ticket.clone(), &service) {
+        if let Err(refusal) = node.core.ask(self.now, ticket.clone(), &service) {
             return self.send(to, from, Message::Refused(request, refusal));
         }
         self.calls[call.0].runs += 1;
@@ -76,8 +80,12 @@
         }
         let incarnation = self.engines[to].incarnation;
         let vm = to.clone();
+        if let Some(limit) = self.engines[to].head() {
+            let (vm, epoch, ticket) = (vm.clone(), self.epochs[to], ticket.clone());
+            self.push(HEAD, Event::Head { vm, epoch, ticket, limit });
+        }
         if !began || poison {
-            return self.push(FIRST, Event::Done { vm, ticket, request, incarnation: 0 });
+            return self.push(HEAD, Event::Done { vm, ticket, request, incarnation: 0 });
         }
         self.push(FIRST, Event::First { vm, ticket, request, incarnation });
     }
@@ -98,7 +106,8 @@
             engine.finished += 1;
         }
         let Some(node) = self.endpoints.get_mut(vm) else { return };
-        node.core.finished(ticket);
+        let ended = if run.is_some() { Ended::Whole } else { Ended::Broken };
+        node.core.finished(ticket, ended);
         let message = match run {
             Some((_, version)) => Message::Ended(key, version),
             None => Message::Failed(key, Failure::Unknown),
@@ -152,6 +161,23 @@
         self.perform(vm);
     }
 
+    /// Gives the engine an order to load, if the process still may.
+    pub(super) fn order(
+        &mut self,
+        vm: &VmId,
+        version: VersionId,
+        manifest: Arc<Manifest>,
+        fence: Fence,
+    ) {
+        let (now, epoch, vm) = (self.now, self.epochs[vm], vm.clone());
+        let Some(node) = self.endpoints.get_mut(&vm) else { return };
+        if node.core.confirm(now, &version) {
+            return self.push(LOAD, Event::Loaded { vm, epoch, version, manifest, fence });
+        }
+        node.core.loaded(now, &version, false);
+        self.perform(&vm);
+    }
+
     pub(super) fn load(
         &mut self,
         vm: &VmId,
@@ -161,15 +187,9 @@
         fence: Fence,
     ) {
         let Some(engine) = self.engines.get_mut(vm) else { return };
-        let taken = fence >= engine.fence;
-        if taken {
-            engine.fence = fence;
-            engine.version = Some((version.clone(), manifest.digest()));
-            engine.finished = 0;
-        }
-        if self.epochs[vm] == epoch {
-            self.on_endpoint(vm, |core, now| core.loaded(now, version, taken));
-        }
+        let taken = engine.load(version, manifest, fence);
+        let (vm, version) = (vm.clone(), version.clone());
+        self.push(HEAD, Event::Taken { vm, epoch, version, taken });
     }
 
     fn have(&self, vm: &VmId, manifest: Digest) -> Vec<u8> {
--- a/crates/standins/src/driver/engine.rs
+++ b/crates/standins/src/driver/engine.rs
@@ -6,6 +6,7 @@
     endpoint::EngineState,
     gate::Ticket,
     ids::{Digest, Fence, VersionId},
+    weights::Manifest,
 };
 
 use super::CallId;
@@ -32,6 +33,10 @@
     pub poison: BTreeSet<CallId>,
     /// The highest fencing number seen.
     pub fence: Fence,
+    /// Whether orders with an old fencing number are refused.
+    pub fences: bool,
+    /// Whether the head of an answer shows the limit.
+    pub heads: bool,
     slots: u32,
     cold: u32,
 }
@@ -48,6 +53,8 @@
             crashes: 0,
             poison: BTreeSet::new(),
             fence: Fence::default(),
+            fences: true,
+            heads: true,
             slots,
             cold,
         }
@@ -70,6 +77,22 @@
         }
     }
 
+    /// Returns the limit that it shows with the head of an answer.
+    pub fn head(&self) -> Option<u32> {
+        self.heads.then(|| self.bears())
+    }
+
+    /// Takes an order to load, or refuses it by its fencing number, and returns which.
+    pub fn load(&mut self, version: &VersionId, manifest: &Manifest, fence: Fence) -> bool {
+        if self.fences && fence < self.fence {
+            return false;
+        }
+        self.fence = self.fence.max(fence);
+        self.version = Some((version.clone(), manifest.digest()));
+        self.finished = 0;
+        true
+    }
+
     /// Begins a request; more than it bears makes it fall over, and returns false.
     pub fn begin(&mut self, ticket: Ticket, call: CallId) -> bool {
         if self.running.len() as u32 >= self.bears() {
--- a/crates/standins/src/driver/perform.rs
+++ b/crates/standins/src/driver/perform.rs
@@ -15,8 +15,6 @@
     world::{Event, World},
 };
 
-/// Time that the engine takes to load.
-const LOAD: Span = Span::millis(300);
 /// Time that the origin takes for a chunk.
 const CHUNK: Span = Span::millis(20);
 /// Time after which an unanswered heartbeat is given up.
@@ -68,8 +66,8 @@
     fn perform_endpoint(&mut self, vm: &VmId, output: endpoint::Output) {
         let epoch = self.epochs[vm];
         match output {
-            endpoint::Output::Look => {
-                self.push(LOOK, Event::Look { vm: vm.clone(), epoch });
+            endpoint::Output::Look(look) => {
+                self.push(LOOK, Event::Look { vm: vm.clone(), epoch, look });
             }
             endpoint::Output::ReadManifest(version, digest, _) => {
                 let found = (1..=9).map(|n| weights(n).0).find(|m| m.digest() == digest);
@@ -87,8 +85,7 @@
                 self.push(CHUNK, Event::Drawn { vm: vm.clone(), epoch, digest, data });
             }
             endpoint::Output::Load(version, manifest, fence) => {
-                let vm = vm.clone();
-                self.push(LOAD, Event::Loaded { vm, epoch, version, manifest, fence });
+                self.order(vm, version, manifest, fence);
             }
         }
     }
--- a/crates/standins/src/driver/world.rs
+++ b/crates/standins/src/driver/world.rs
@@ -7,9 +7,9 @@
 
 use sequoiahold_core::{
     declare::{Declared, Fleet, Object, Published, Role, Vm},
-    endpoint::{self, Endpoint},
+    endpoint::{self, Endpoint, EngineState},
     entry::{self, Arrival, Entry, RequestKey},
-    gate::Ticket,
+    gate::{LookId, Ticket},
     ids::{Digest, Fence, Generation, Incarnation, OnceKey, VersionId, VmId, ZoneId},
     member::VmState,
     refuse::{Failure, Reason},
@@ -26,6 +26,8 @@
 const FAR: Span = Span::millis(4);
 /// Time between two reads of the platform.
 const READ: Span = Span::millis(500);
+/// Time that an engine's state takes to its endpoint process.
+const SHOW: Span = Span::millis(1);
 /// Time between two heartbeats.
 const BEAT: Span = Span::millis(300);
 
@@ -33,10 +35,13 @@
 pub(super) enum Event {
     Deliver { from: VmId, to: VmId, epoch: u64, message: Message },
     Silent { entry: VmId, vm: VmId, epoch: u64, sent: Time },
-    Look { vm: VmId, epoch: u64 },
+    Look { vm: VmId, epoch: u64, look: LookId },
+    Seen { vm: VmId, epoch: u64, look: LookId, state: Option<EngineState> },
+    Head { vm: VmId, epoch: u64, ticket: Ticket, limit: u32 },
     First { vm: VmId, ticket: Ticket, request: RequestKey, incarnation: u64 },
     Done { vm: VmId, ticket: Ticket, request: RequestKey, incarnation: u64 },
     Loaded { vm: VmId, epoch: u64, version: VersionId, manifest: Arc<Manifest>, fence: Fence },
+    Taken { vm: VmId, epoch: u64, version: VersionId, taken: bool },
     Manifest { vm: VmId, epoch: u64, version: VersionId, manifest: Option<Manifest> },
     Drawn { vm: VmId, epoch: u64, digest: Digest, data: Option<Vec<u8>> },
     Read,
@@ -327,9 +332,15 @@
             Event::Silent { entry, vm, epoch, sent } if self.epochs[&entry] == epoch => {
                 self.check_silence(&entry, &vm, sent);
             }
-            Event::Look { vm, epoch } if self.epochs[&vm] == epoch => {
+            Event::Look { vm, epoch, look } if self.epochs[&vm] == epoch => {
                 let state = self.engines.get(&vm).map(FakeEngine::state);
-                self.on_endpoint(&vm, |core, now| core.engine(now, state));
+                self.push(SHOW, Event::Seen { vm, epoch, look, state });
+            }
+            Event::Seen { vm, epoch, look, state } if self.epochs[&vm] == epoch => {
+                self.on_endpoint(&vm, |core, now| core.engine(now, look, state));
+            }
+            Event::Head { vm, epoch, ticket, limit } if self.epochs[&vm] == epoch => {
+                self.on_endpoint(&vm, |core, _| core.head(&ticket, limit));
             }
             Event::First { vm, ticket, request, incarnation } => {
                 self.first(&vm, &ticket, request, incarnation);
@@ -337,6 +348,9 @@
             Event::Done { vm, ticket, request, incarnation } => {
                 self.done(&vm, &ticket, request, incarnation);
             }
+            Event::Taken { vm, epoch, version, taken } if self.epochs[&vm] == epoch => {
+                self.on_endpoint(&vm, |core, now| core.loaded(now, &version, taken));
+            }
             Event::Loaded { vm, epoch, version, manifest, fence } => {
                 self.load(&vm, epoch, &version, &manifest, fence);
             }
@@ -364,13 +378,16 @@
         let vm = match event {
             Event::Deliver { to, .. } => to,
             Event::Silent { entry, .. } => entry,
-            Event::Look { vm, .. }
+            Event::Seen { vm, .. }
+            | Event::Head { vm, .. }
+            | Event::Taken { vm, .. }
             | Event::Manifest { vm, .. }
             | Event::Drawn { vm, .. }
-            | Event::Loaded { vm, .. }
             | Event::First { vm, .. }
             | Event::Done { vm, .. } => vm,
-            Event::Read | Event::Wake(_) => return None,
+            Event::Look { .. } | Event::Loaded { .. } | Event::Read | Event::Wake(_) => {
+                return None;
+            }
         };
         self.paused.get(vm).copied().filter(|until| *until > self.now)
     }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -233,6 +233,8 @@
         let mut response = Response::with_body(StatusCode::OK, Body::Pieces(receiver));
         let kind = header::HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        let limit = header::HeaderName::from_static("x-engine-limit");
+        response.headers_mut().insert(limit, header::HeaderValue::from(bears));
         response
     }
 }
