Entries wait in fair queues for leased credits; the rest is refused at once

Cause: an entry refused as soon as its last reports showed no room, with a fixed Retry-After of one second, so that a burst came back as one wave.

Now: each heartbeat leases an entry a credit, worked out by the endpoint from the wants of all entries; a request without a credit waits in a bounded queue that is fair between client accounts by weight (start-time fair queueing), urgency within the account; what would not be served in time is refused at once, with a Retry-After booked account by account at the rate that the credits give.

Not measured yet: the burst over many entries.

--- a/crates/core/src/endpoint/guard.rs
+++ b/crates/core/src/endpoint/guard.rs
@@ -1,7 +1,7 @@
 //! What keeps an endpoint process from acting on an old view of its engine.
 
 use super::{Endpoint, Output};
-use crate::{gate::Ticket, ids::VersionId, time::Time, units::Span};
+use crate::{gate::Ticket, ids::VersionId, proto::Beat, time::Time, units::Span};
 
 /// Look intervals without any event after which the process has slept.
 const LATE_LOOKS: u64 = 3;
@@ -40,6 +40,18 @@
         }
     }
 
+    /// Returns the state that this process tells an entry, with the credit that it leases to it.
+    pub fn answer(&mut self, now: Time, told: &Beat) -> Beat {
+        self.wake(now);
+        let bears = if self.gate.open() { self.gate.limit() } else { 0 };
+        let credit = self.leases.renew(now, &self.own.vm, &told.vm, (told.want, bears));
+        let mut beat = self.beat();
+        if let Some(load) = &mut beat.load {
+            load.credit = credit;
+        }
+        beat
+    }
+
     pub(super) fn look(&mut self) {
         let look = self.gate.begin_look();
         self.outputs.push(Output::Look(look));
--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -15,6 +15,7 @@
     declare::{Fleet, Published, Vm},
     gate::{Bounds, Ended, Gate, LookId, Seen, Ticket},
     ids::{Digest, Fence, Generation, Incarnation, ServiceId, VersionId, VmId},
+    lease::Leases,
     member::VmState,
     proto::{Beat, Load},
     refuse::{Reason, Refusal},
@@ -108,6 +109,7 @@
     leaving: bool,
     draining: bool,
     command: Command,
+    leases: Leases,
     last: Time,
     timers: Timers<Timer>,
     outputs: Vec<Output>,
@@ -130,6 +132,7 @@
             leaving: false,
             draining: false,
             command,
+            leases: Leases::default(),
             last: now,
             timers,
             outputs: vec![],
@@ -337,12 +340,14 @@
             limit: self.gate.limit(),
             running: self.gate.running(),
             open: self.gate.open(),
+            credit: 0,
         };
         Beat {
             vm: self.own.vm.clone(),
             incarnation: self.own.incarnation,
             generation: self.adopter.generation(),
             load: Some(load),
+            want: 0,
         }
     }
 
--- /dev/null
+++ b/crates/core/src/entry/line.rs
@@ -0,0 +1,204 @@
+//! Requests that wait at an entry, and what is told to those that will not be served in time.
+
+use std::collections::BTreeMap;
+
+use super::{Arrival, Entry, RequestKey, Timer};
+use crate::{
+    declare::{Fleet, Role},
+    ids::{ClientId, ServiceId, VmId},
+    peers::weight,
+    queue::{Bounds, FairQueue, Item, Returns},
+    refuse::{Reason, Refusal},
+    time::Time,
+    units::{Bytes, Span},
+};
+
+/// Longest time that a request waits at an entry.
+const MAX_WAIT: Span = Span::secs(5);
+/// Pause between two passes over the requests that wait.
+const PASS: Span = Span::millis(50);
+/// The time of a request where none has ended yet.
+const FIRST_TIME: Span = Span::secs(1);
+/// The weight of the past in the mean time of a request, against 1 of the present.
+const PAST: u64 = 7;
+/// What the requests that wait for one service may hold.
+const BOUNDS: Bounds = Bounds { count: 1_024, size: Bytes(8_000_000) };
+/// The credits that an entry wants for each request, so that it has a choice of endpoints.
+const CHOICE: u32 = 2;
+
+/// The requests of one service at an entry.
+#[derive(Clone, Debug)]
+pub(super) struct Line {
+    pub(super) queue: FairQueue<RequestKey>,
+    returns: Returns,
+    mean: Span,
+    running: u32,
+    armed: bool,
+}
+
+impl Default for Line {
+    fn default() -> Self {
+        let (queue, returns) = (FairQueue::new(BOUNDS), Returns::default());
+        Self { queue, returns, mean: FIRST_TIME, running: 0, armed: false }
+    }
+}
+
+impl Line {
+    /// Takes note of the time that a request ran.
+    fn took(&mut self, span: Span) {
+        self.mean = Span((self.mean.0 * PAST + span.0) / (PAST + 1));
+    }
+}
+
+impl Entry {
+    /// Lets a request wait where it will be served in time, else refuses it at once.
+    pub(super) fn wait(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
+        let waits = matches!(refusal.reason, Reason::Overload | Reason::NoEndpoint);
+        let request = self.requests.get(key).filter(|r| waits && r.arrival.key.is_none());
+        let Some(request) = request else { return self.refuse(key, refusal) };
+        let arrival = request.arrival.clone();
+        let gap = self.gap(now, &arrival.service);
+        let weight = self.weight_of(&arrival.client);
+        let line = self.lines.entry(arrival.service.clone()).or_default();
+        let left = request.left(now).unwrap_or_default();
+        let patience = Span(left.0.saturating_sub(line.mean.0)).min(MAX_WAIT);
+        let ahead = line.queue.ahead(&arrival.client, weight, arrival.urgency);
+        let served = gap.map(|gap| Span(gap.0.saturating_mul(ahead as u64)));
+        if served.is_none_or(|span| span > patience) {
+            return self.give_up(now, key, refusal.reason);
+        }
+        if let Some(request) = self.requests.get_mut(key) {
+            request.tried.clear();
+        }
+        let item = Item {
+            key,
+            client: arrival.client,
+            weight,
+            urgency: arrival.urgency,
+            size: arrival.size,
+            until: now + patience,
+        };
+        match line.queue.push(item) {
+            Ok(evicted) => {
+                evicted.into_iter().for_each(|key| self.give_up(now, key, Reason::Share));
+                self.arm(now + PASS, &arrival.service);
+            }
+            Err(_) => self.give_up(now, key, Reason::Share),
+        }
+    }
+
+    /// Returns whether others wait for the service of a request that may wait too.
+    pub(super) fn others_wait(&self, arrival: &Arrival) -> bool {
+        let line = self.lines.get(&arrival.service).filter(|_| arrival.key.is_none());
+        line.is_some_and(|line| !line.queue.is_empty())
+    }
+
+    /// Serves the requests that wait while there is room, and refuses those that are too late.
+    pub(super) fn pass(&mut self, now: Time, service: &ServiceId) {
+        if let Some(line) = self.lines.get_mut(service) {
+            line.armed = false;
+        }
+        while let Some(key) = self.lines.get(service).and_then(|line| line.queue.first()) {
+            match self.choose(now, key) {
+                Ok(output) => {
+                    self.lines.entry(service.clone()).or_default().queue.pop();
+                    self.sent(now, key, output);
+                }
+                Err(_) => break,
+            }
+        }
+        let gap = self.gap(now, service).unwrap_or(FIRST_TIME);
+        let Some(line) = self.lines.get_mut(service) else { return };
+        let overdue = line.queue.overdue(now, gap);
+        for key in &overdue {
+            line.queue.remove(*key);
+        }
+        let waiting = !line.queue.is_empty();
+        overdue.into_iter().for_each(|key| self.give_up(now, key, Reason::Overload));
+        if waiting {
+            self.arm(now + PASS, service);
+        }
+    }
+
+    /// Takes note that a request no longer runs at the endpoint that it was sent to.
+    pub(super) fn freed(&mut self, now: Time, key: RequestKey, whole: bool) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let service = request.arrival.service.clone();
+        let sent = request.sent.take();
+        let line = self.lines.entry(service.clone()).or_default();
+        line.queue.remove(key);
+        let Some((at, vm)) = sent else { return };
+        line.running = line.running.saturating_sub(1);
+        if whole {
+            line.took(now - at);
+        }
+        self.router.ended(&vm);
+        if !self.lines[&service].queue.is_empty() {
+            self.arm(now, &service);
+        }
+    }
+
+    /// Takes note that a request goes to an endpoint.
+    pub(super) fn sent(&mut self, now: Time, key: RequestKey, output: super::Output) {
+        if let (Some(request), super::Output::Send { vm, .. }) =
+            (self.requests.get_mut(key), &output)
+        {
+            request.state.apply(super::RequestEvent::Send);
+            request.sent = Some((now, vm.clone()));
+            self.lines.entry(request.arrival.service.clone()).or_default().running += 1;
+        }
+        self.outputs.push(output);
+    }
+
+    /// Returns the requests that this entry wants to have in progress at an endpoint.
+    pub(super) fn want(&self, fleet: &Fleet, vm: &VmId) -> u32 {
+        let Some(pool) = fleet.pool_of(vm) else { return 0 };
+        let count = fleet.endpoints(&pool.service).filter(|vm| fleet.in_service(&vm.name)).count();
+        let line = self.lines.get(&pool.service);
+        let demand = line.map_or(0, |line| line.queue.len() as u32 + line.running) * CHOICE;
+        let (whole, rest) = (demand / count.max(1) as u32, demand % count.max(1) as u32);
+        let turn = weight(self.own.vm.as_str(), vm.as_str().as_bytes()) % count.max(1) as u64;
+        whole + u32::from(turn < u64::from(rest))
+    }
+
+    /// Refuses a request at once, with the time at which it fits in.
+    pub(super) fn give_up(&mut self, now: Time, key: RequestKey, reason: Reason) {
+        let Some(arrival) = self.requests.get(key).map(|r| r.arrival.clone()) else { return };
+        let gap = self.gap(now, &arrival.service);
+        let weight = self.weight_of(&arrival.client);
+        let line = self.lines.entry(arrival.service.clone()).or_default();
+        let gap = gap.unwrap_or(line.mean);
+        let free = now + Span(gap.0.saturating_mul(line.queue.len() as u64));
+        let retry = line.returns.book(now, (&arrival.client, weight), free, gap);
+        self.refuse(key, Refusal::after(reason, retry));
+    }
+
+    /// Returns the time in which one request of a service is served, `None` where none can be.
+    fn gap(&self, now: Time, service: &ServiceId) -> Option<Span> {
+        let fleet = self.fleet()?;
+        let ready = || self.router.ready(now, &fleet, service).map(|(_, known)| known);
+        let credit: u32 = ready().map(|known| known.load.credit).sum();
+        let limit: u32 = ready().map(|known| known.load.limit).sum();
+        let entries = fleet.vms.values().filter(|vm| vm.role == Role::Entry);
+        let entries = entries.filter(|vm| fleet.in_service(&vm.name)).count().max(1) as u32;
+        let mean = self.lines.get(service).map_or(FIRST_TIME, |line| line.mean);
+        let slots = credit.max(limit / entries);
+        (limit > 0).then(|| Span(mean.0 / u64::from(slots.max(1))))
+    }
+
+    fn weight_of(&self, client: &ClientId) -> u32 {
+        let fleet = self.fleet();
+        fleet.and_then(|fleet| Some(fleet.clients.get(client)?.weight)).unwrap_or(1)
+    }
+
+    fn arm(&mut self, at: Time, service: &ServiceId) {
+        let line = self.lines.entry(service.clone()).or_default();
+        if !line.armed {
+            line.armed = true;
+            self.timers.at(at, Timer::Pass(service.clone()));
+        }
+    }
+}
+
+/// The requests that wait, by service.
+pub(super) type Lines = BTreeMap<ServiceId, Line>;
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of an entry process.
 
+mod line;
 mod request;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
@@ -7,8 +8,11 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
-pub use self::request::{Arrival, RequestEvent, RequestState};
-use self::request::{Request, chart};
+pub use self::request::{Arrival, RequestEvent, RequestState, URGENCY};
+use self::{
+    line::Lines,
+    request::{Request, chart},
+};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
     chart::Chart,
@@ -17,7 +21,7 @@
     member::VmState,
     proto::Beat,
     refuse::{Failure, Reason, Refusal},
-    route::Router,
+    route::{Policy, Query, Router},
     time::{Time, Timers},
     units::Span,
 };
@@ -61,6 +65,7 @@
 #[derive(Clone, Debug)]
 enum Timer {
     Beat(VmId),
+    Pass(ServiceId),
 }
 
 /// Who an entry is.
@@ -74,6 +79,8 @@
     pub incarnation: Incarnation,
     /// The time between two heartbeats on a connection.
     pub heartbeat: Span,
+    /// How endpoints are chosen.
+    pub policy: Policy,
 }
 
 /// The state and the decisions of an entry process.
@@ -82,6 +89,7 @@
     own: Identity,
     adopter: Adopter,
     router: Router,
+    lines: Lines,
     requests: SlotMap<RequestKey, Request>,
     chart: Arc<Chart<RequestState, RequestEvent>>,
     timers: Timers<Timer>,
@@ -94,11 +102,12 @@
 impl Entry {
     /// Returns an entry that knows nothing yet.
     pub fn new(own: Identity, seed: u64) -> Self {
-        let router = Router::new(own.zone.clone());
+        let router = Router::new(own.zone.clone(), own.policy);
         Self {
             own,
             adopter: Adopter::default(),
             router,
+            lines: Lines::new(),
             requests: SlotMap::with_key(),
             chart: Arc::new(chart()),
             timers: Timers::default(),
@@ -126,9 +135,10 @@
     }
 
     /// Takes the state that a peer told.
-    pub fn heard(&mut self, beat: Beat) {
+    pub fn heard(&mut self, now: Time, beat: Beat) {
         if let Some(load) = beat.load {
-            self.router.report(&beat.vm, load);
+            self.router.report(now, &beat.vm, load);
+            self.pass_all(now);
         }
     }
 
@@ -148,6 +158,7 @@
 
     /// Takes note that an endpoint refused a request.
     pub fn refused(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
+        self.freed(now, key, false);
         self.send(now, key, refusal);
     }
 
@@ -159,26 +170,32 @@
     }
 
     /// Takes note that a request was handed over and failed.
-    pub fn failed(&mut self, key: RequestKey, failure: Failure) {
+    pub fn failed(&mut self, now: Time, key: RequestKey, failure: Failure) {
+        self.freed(now, key, false);
         if self.end(key, RequestEvent::Fail) {
             self.outputs.push(Output::Fail(key, failure));
         }
     }
 
     /// Takes note that a request has its whole answer.
-    pub fn ended(&mut self, key: RequestKey) {
+    pub fn ended(&mut self, now: Time, key: RequestKey) {
+        self.freed(now, key, true);
         self.end(key, RequestEvent::End);
     }
 
     /// Takes note that the caller of a request has gone.
-    pub fn left(&mut self, key: RequestKey) {
+    pub fn left(&mut self, now: Time, key: RequestKey) {
+        self.freed(now, key, false);
         self.end(key, RequestEvent::Leave);
     }
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time) {
-        while let Some(Timer::Beat(vm)) = self.timers.pop(now) {
-            self.send_beat(now, vm);
+        while let Some(timer) = self.timers.pop(now) {
+            match timer {
+                Timer::Beat(vm) => self.send_beat(now, vm),
+                Timer::Pass(service) => self.pass(now, &service),
+            }
         }
     }
 
@@ -209,9 +226,21 @@
             incarnation: self.own.incarnation,
             generation: self.adopter.generation(),
             load: None,
+            want: 0,
         }
     }
 
+    /// Returns the state that this process tells an endpoint.
+    pub fn beat_to(&self, vm: &VmId) -> Beat {
+        let want = self.fleet().map_or(0, |fleet| self.want(&fleet, vm));
+        Beat { want, ..self.beat() }
+    }
+
+    /// Returns the requests that wait for an endpoint.
+    pub fn waiting(&self) -> usize {
+        self.lines.values().map(|line| line.queue.len()).sum()
+    }
+
     /// Returns the service that a request in progress asks for.
     pub fn service(&self, key: RequestKey) -> Option<&ServiceId> {
         self.requests.get(key).map(|request| &request.arrival.service)
@@ -234,18 +263,15 @@
     /// Offers a request to the next endpoint, or refuses it with the last refusal.
     fn send(&mut self, now: Time, key: RequestKey, last: Refusal) {
         let Some(request) = self.requests.get(key) else { return };
-        let first = request.tried.is_empty();
-        if request.tried.len() >= MAX_OFFERS {
-            return self.refuse(key, last);
+        if request.offers >= MAX_OFFERS {
+            return self.give_up(now, key, last.reason);
+        }
+        if self.others_wait(&request.arrival) {
+            return self.wait(now, key, Refusal::new(Reason::Overload));
         }
         match self.choose(now, key) {
-            Ok(output) => {
-                if let Some(request) = self.requests.get_mut(key) {
-                    request.state.apply(RequestEvent::Send);
-                }
-                self.outputs.push(output);
-            }
-            Err(refusal) => self.refuse(key, if first { refusal } else { last }),
+            Ok(output) => self.sent(now, key, output),
+            Err(refusal) => self.wait(now, key, refusal),
         }
     }
 
@@ -253,10 +279,13 @@
         let fleet = self.fleet().ok_or(Refusal::after(Reason::Unconfigured, RETRY))?;
         let request = self.requests.get_mut(key).ok_or(Refusal::new(Reason::Leaving))?;
         let left = request.left(now).ok_or(Refusal::new(Reason::Deadline))?;
-        let service = &request.arrival.service;
-        let vm = self.router.choose(&fleet, service, &request.tried, &mut self.rng)?;
+        let arrival = &request.arrival;
+        let (service, client, tried) = (&arrival.service, &arrival.client, &request.tried[..]);
+        let query = Query { now, service, client, tried };
+        let vm = self.router.choose(&fleet, query, &mut self.rng)?;
         let addr = fleet.vms.get(&vm).map(|vm| vm.addr).ok_or(Refusal::new(Reason::NoEndpoint))?;
         request.tried.push(vm.clone());
+        request.offers += 1;
         self.last = self.last.next();
         Ok(Output::Send { request: key, id: self.last, vm, addr, left })
     }
@@ -276,6 +305,11 @@
         ended
     }
 
+    fn pass_all(&mut self, now: Time) {
+        let services: Vec<ServiceId> = self.lines.keys().cloned().collect();
+        services.iter().for_each(|service| self.pass(now, service));
+    }
+
     fn start_beats(&mut self, now: Time) {
         let Some(fleet) = self.fleet() else { return };
         let endpoints = fleet.vms.values().filter(|vm| matches!(vm.role, Role::Endpoint(_)));
--- a/crates/core/src/entry/request.rs
+++ b/crates/core/src/entry/request.rs
@@ -8,7 +8,7 @@
     chart::{Chart, Machine},
     ids::{ClientId, Digest, OnceKey, ServiceId, VmId},
     time::Time,
-    units::Span,
+    units::{Bytes, Span},
 };
 
 /// The chart of a request's life.
@@ -27,8 +27,15 @@
     pub print: Digest,
     /// The time that the call may take.
     pub timeout: Span,
+    /// The urgency within the client account, 0 first and 7 last.
+    pub urgency: u8,
+    /// The size of the body.
+    pub size: Bytes,
 }
 
+/// The urgency of a request that names none.
+pub const URGENCY: u8 = 3;
+
 /// The state of a request at an entry.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -72,6 +79,8 @@
 pub(super) struct Request {
     pub(super) arrival: Arrival,
     pub(super) tried: Vec<VmId>,
+    pub(super) offers: usize,
+    pub(super) sent: Option<(Time, VmId)>,
     pub(super) state: Machine<RequestState, RequestEvent>,
     deadline: Time,
 }
@@ -83,7 +92,8 @@
         chart: Arc<Chart<RequestState, RequestEvent>>,
     ) -> Self {
         let deadline = now + arrival.timeout;
-        Self { arrival, tried: vec![], state: Machine::new(chart), deadline }
+        let state = Machine::new(chart);
+        Self { arrival, tried: vec![], offers: 0, sent: None, state, deadline }
     }
 
     /// Returns the time left until the deadline, `None` where it has passed.
--- a/crates/core/src/proto.rs
+++ b/crates/core/src/proto.rs
@@ -70,6 +70,8 @@
     pub generation: Generation,
     /// What an endpoint bears, or `None` from an entry.
     pub load: Option<Load>,
+    /// The requests that an entry wants to have in progress at the endpoint that it tells.
+    pub want: u32,
 }
 
 /// The load that an endpoint reports.
@@ -83,6 +85,8 @@
     pub running: u32,
     /// Whether the endpoint takes new work.
     pub open: bool,
+    /// The requests that the entry which is told may have in progress here.
+    pub credit: u32,
 }
 
 /// An answer on a stream.
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -46,8 +46,8 @@
     TellHave(Digest, oneshot::Sender<Vec<u8>>),
     /// A peer asks for the published set above a generation.
     Set(Generation, oneshot::Sender<Option<Arc<Published>>>),
-    /// A peer asks for this process's state.
-    Tell(oneshot::Sender<Beat>),
+    /// An entry tells its state and asks for this process's.
+    Tell(Box<Beat>, oneshot::Sender<Beat>),
     /// The status is asked for.
     Status(oneshot::Sender<Status>),
     /// The process was told to stop; the number of requests in progress is asked for.
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -97,7 +97,7 @@
             }
             Event::TellHave(manifest, reply) => drop(reply.send(self.have(manifest))),
             Event::Set(above, reply) => drop(reply.send(self.endpoint.newer(above))),
-            Event::Tell(reply) => drop(reply.send(self.endpoint.beat())),
+            Event::Tell(told, reply) => drop(reply.send(self.endpoint.answer(now, &told))),
             Event::Status(reply) => drop(reply.send(self.status())),
             Event::Drain(reply) => drop(reply.send(self.endpoint.drain())),
         }
--- a/crates/sequoiahold/src/endpoint/peers.rs
+++ b/crates/sequoiahold/src/endpoint/peers.rs
@@ -22,7 +22,10 @@
     async fn serve(&self, call: Call, mut send: SendStream, recv: RecvStream) {
         let reply = match call {
             Call::Ask(ask) => return self.asks.run(*ask, send, recv).await,
-            Call::Beat(_) => self.query(Event::Tell).await.map(|beat| Reply::Beat(Box::new(beat))),
+            Call::Beat(told) => {
+                let beat = self.query(|reply| Event::Tell(told, reply)).await;
+                beat.map(|beat| Reply::Beat(Box::new(beat)))
+            }
             Call::Set(above) => self.query(|reply| Event::Set(above, reply)).await.map(Reply::Set),
             Call::Chunk(digest) => Some(Reply::Chunk(self.store.get(&digest))),
             Call::Have(manifest) => {
--- a/crates/sequoiahold/src/entry/event_loop.rs
+++ b/crates/sequoiahold/src/entry/event_loop.rs
@@ -8,7 +8,7 @@
     entry::{Entry, Identity, Output, RequestKey},
     ids::VmId,
     proto::{Call, Reply},
-    route::Known,
+    route::{Known, Policy},
     units::Span,
 };
 use slotmap::SecondaryMap;
@@ -51,6 +51,7 @@
             zone: settings.zone.clone(),
             incarnation: clock.incarnation(),
             heartbeat: settings.heartbeat,
+            policy: Policy::Credits,
         };
         let entry = Entry::new(own, clock.incarnation().0);
         let (waiting, counters) = Default::default();
@@ -78,7 +79,7 @@
         match event {
             Event::Offer(published) => self.on_offer(published),
             Event::Vms(list) => self.entry.list(&list),
-            Event::Beat(beat) => self.entry.heard(*beat),
+            Event::Beat(beat) => self.entry.heard(now, *beat),
             Event::Silent(vm) => self.entry.silent(&vm),
             Event::Arrive(arrival, steps) => {
                 let key = self.entry.arrive(now, arrival);
@@ -86,13 +87,13 @@
             }
             Event::Refused(key, refusal) => self.entry.refused(now, key, refusal),
             Event::Started(key) => self.entry.started(key),
-            Event::Failed(key, failure) => self.entry.failed(key, failure),
+            Event::Failed(key, failure) => self.entry.failed(now, key, failure),
             Event::Ended(key) => {
-                self.entry.ended(key);
+                self.entry.ended(now, key);
                 self.count("requests.answered");
             }
             Event::Left(key) => {
-                self.entry.left(key);
+                self.entry.left(now, key);
                 self.count("requests.left");
             }
             Event::Set(above, reply) => drop(reply.send(self.entry.newer(above))),
@@ -139,7 +140,7 @@
 
     fn send_beat(&self, vm: VmId, addr: SocketAddr) {
         let (links, events) = (self.links.clone(), self.events.clone());
-        let beat = Call::Beat(Box::new(self.entry.beat()));
+        let beat = Call::Beat(Box::new(self.entry.beat_to(&vm)));
         let patience = Span(self.settings.heartbeat.0 * SILENT_BEATS);
         actix_rt::spawn(async move {
             let exchange = async {
--- a/crates/sequoiahold/src/entry/server.rs
+++ b/crates/sequoiahold/src/entry/server.rs
@@ -8,10 +8,10 @@
 use sequoiahold_core::{
     adopt::InForce,
     declare::Fleet,
-    entry::Arrival,
+    entry::{Arrival, URGENCY},
     ids::{Digest, OnceKey, ServiceId},
     refuse::{Reason, Refusal},
-    units::Span,
+    units::{self, Span},
 };
 use tokio::sync::{mpsc, watch};
 
@@ -30,6 +30,9 @@
 /// Header that carries the idempotency key.
 const KEY: &str = "idempotency-key";
 
+/// Header that carries the urgency within the client account.
+const PRIORITY: &str = "priority";
+
 /// Takes callers.
 #[derive(Clone)]
 pub struct Server {
@@ -106,6 +109,8 @@
             key: key(&request)?,
             print: Digest::of(&[path.as_bytes(), b"\n", &body].concat()),
             timeout: declared.timeout,
+            urgency: urgency(&request),
+            size: units::Bytes(body.len() as u64),
         };
         Ok(Incoming { arrival, method: request.method().to_string(), path, body })
     }
@@ -176,6 +181,16 @@
     Ok((service, path))
 }
 
+/// Returns the urgency that the header of RFC 9218 names, such as `u=1`.
+fn urgency(request: &Request) -> u8 {
+    let value = request.headers().get(PRIORITY).and_then(|value| value.to_str().ok());
+    let named = value.and_then(|text| {
+        let part = text.split(',').find_map(|part| part.trim().strip_prefix("u="));
+        part.and_then(|number| number.parse().ok())
+    });
+    named.filter(|urgency| *urgency < 8).unwrap_or(URGENCY)
+}
+
 fn key(request: &Request) -> Result<Option<OnceKey>, Refusal> {
     let Some(value) = request.headers().get(KEY) else { return Ok(None) };
     let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
--- a/crates/standins/src/driver/deliver.rs
+++ b/crates/standins/src/driver/deliver.rs
@@ -30,21 +30,25 @@
 impl World {
     pub(super) fn deliver(&mut self, from: &VmId, to: &VmId, message: Message) {
         match message {
-            Message::Beat(_) => {
-                let answer = self.endpoints.get(to).map(|node| Message::Answer(node.core.beat()));
+            Message::Beat(beat) => {
+                let now = self.now;
+                let node = self.endpoints.get_mut(to);
+                let answer = node.map(|node| Message::Answer(node.core.answer(now, &beat)));
                 answer.into_iter().for_each(|answer| self.send(to, from, answer));
+                self.perform(to);
             }
             Message::Answer(beat) => {
                 let now = self.now;
                 if let Some(node) = self.entries.get_mut(to) {
                     node.heard.insert(from.clone(), now);
-                    node.core.heard(beat);
+                    node.core.heard(now, beat);
                 }
                 self.perform(to);
             }
             Message::Ask(ask) => self.asked(from, to, ask),
             Message::Refused(key, refusal) => {
                 let now = self.now;
+                self.refusals += 1;
                 if let Some(node) = self.entries.get_mut(to) {
                     node.core.refused(now, key, refusal);
                 }
@@ -126,8 +130,9 @@
     }
 
     fn ended(&mut self, entry: &VmId, key: RequestKey, version: Option<VersionId>) {
+        let now = self.now;
         let Some(node) = self.entries.get_mut(entry) else { return };
-        node.core.ended(key);
+        node.core.ended(now, key);
         if let Some((call, _)) = node.calls.remove(&key) {
             self.end_call(call, Outcome::Answered(version));
         }
@@ -135,8 +140,9 @@
     }
 
     pub(super) fn failed(&mut self, entry: &VmId, key: RequestKey, failure: Failure) {
+        let now = self.now;
         if let Some(node) = self.entries.get_mut(entry) {
-            node.core.failed(key, failure);
+            node.core.failed(now, key, failure);
         }
         self.perform(entry);
     }
--- a/crates/standins/src/driver/fleet.rs
+++ b/crates/standins/src/driver/fleet.rs
@@ -5,6 +5,7 @@
         Backend, Client, Declared, Model, Object, Pool, Role, Service, Source, Version, Vm, Zone,
     },
     ids::Digest,
+    route::Policy,
     units::{ByteRate, Bytes, Share, Span},
     weights::Manifest,
 };
@@ -33,6 +34,8 @@
     pub clients: u8,
     /// The seed of all random choices.
     pub seed: u64,
+    /// How entries choose endpoints.
+    pub policy: Policy,
 }
 
 impl Default for Shape {
@@ -46,6 +49,7 @@
             cold: 1,
             clients: 2,
             seed: 1,
+            policy: Policy::Credits,
         }
     }
 }
--- a/crates/standins/src/driver/perform.rs
+++ b/crates/standins/src/driver/perform.rs
@@ -54,7 +54,7 @@
             entry::Output::Fail(key, failure) => self.finish(vm, key, Outcome::Failed(failure)),
             entry::Output::Beat(to, _) => {
                 let Some(node) = self.entries.get(vm) else { return };
-                let beat = node.core.beat();
+                let beat = node.core.beat_to(&to);
                 let (entry, epoch, sent) = (vm.clone(), self.epochs[vm], self.now);
                 self.push(SILENT, Event::Silent { entry, vm: to.clone(), epoch, sent });
                 self.send(vm, &to, Message::Beat(beat));
--- a/crates/standins/src/driver/world.rs
+++ b/crates/standins/src/driver/world.rs
@@ -14,7 +14,7 @@
     member::VmState,
     refuse::{Failure, Reason},
     time::Time,
-    units::Span,
+    units::{Bytes, Span},
     weights::Manifest,
 };
 
@@ -73,6 +73,8 @@
     pub down: bool,
     /// The set that the platform shows.
     pub shown: Option<Arc<Published>>,
+    /// The refusals of gates that reached entries.
+    pub refusals: u64,
     shape: Shape,
     fleet: Fleet,
     declared: Vec<Declared>,
@@ -99,6 +101,7 @@
             list,
             down: false,
             shown: None,
+            refusals: 0,
             shape,
             fleet,
             declared,
@@ -166,7 +169,9 @@
         let declared = &self.fleet.vms[vm];
         if declared.role == Role::Entry {
             let (vm, zone) = (vm.clone(), declared.zone.clone());
-            let own = entry::Identity { vm: vm.clone(), zone, incarnation, heartbeat: BEAT };
+            let policy = self.shape.policy;
+            let vm_name = vm.clone();
+            let own = entry::Identity { vm: vm_name, zone, incarnation, heartbeat: BEAT, policy };
             let seed = self.shape.seed ^ epoch ^ sequoiahold_core::peers::weight(vm.as_str(), b"");
             let core = Entry::new(own, seed);
             let node = EntryNode { core, calls: BTreeMap::new(), heard: BTreeMap::new() };
@@ -225,6 +230,8 @@
             key,
             print: Digest::of(&call.0.to_le_bytes()),
             timeout: Span::secs(30),
+            urgency: entry::URGENCY,
+            size: Bytes(1_000),
         };
         let now = self.now;
         match self.entries.get_mut(at) {
--- a/crates/standins/tests/scenarios.rs
+++ b/crates/standins/tests/scenarios.rs
@@ -131,6 +131,7 @@
                     cold: parsed(&mut args, "cold")?.unwrap_or(base.cold),
                     clients: parsed(&mut args, "clients")?.unwrap_or(base.clients),
                     seed: parsed(&mut args, "seed")?.unwrap_or(base.seed),
+                    ..base
                 };
                 args.reject_next()?;
                 self.set_up(shape);
