Experiments burst, routing and zones in virtual time; queues forecast the warming

Now the forecast lets the slots double in each mean time up to the declared warm limit, and a freed slot is used at once.

--- a/crates/core/src/entry/line.rs
+++ b/crates/core/src/entry/line.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{Arrival, Entry, RequestKey, Timer};
+use super::{Arrival, Entry, RequestKey, Timer, forecast::Forecast};
 use crate::{
     declare::{Fleet, Role},
     ids::{ClientId, ServiceId, VmId},
@@ -33,13 +33,13 @@
     returns: Returns,
     mean: Span,
     running: u32,
-    armed: bool,
+    armed: Option<Time>,
 }
 
 impl Default for Line {
     fn default() -> Self {
         let (queue, returns) = (FairQueue::new(BOUNDS), Returns::default());
-        Self { queue, returns, mean: FIRST_TIME, running: 0, armed: false }
+        Self { queue, returns, mean: FIRST_TIME, running: 0, armed: None }
     }
 }
 
@@ -57,13 +57,13 @@
         let request = self.requests.get(key).filter(|r| waits && r.arrival.key.is_none());
         let Some(request) = request else { return self.refuse(key, refusal) };
         let arrival = request.arrival.clone();
-        let gap = self.gap(now, &arrival.service);
+        let forecast = self.forecast(now, &arrival.service);
         let weight = self.weight_of(&arrival.client);
         let line = self.lines.entry(arrival.service.clone()).or_default();
         let left = request.left(now).unwrap_or_default();
         let patience = Span(left.0.saturating_sub(line.mean.0)).min(MAX_WAIT);
         let ahead = line.queue.ahead(&arrival.client, weight, arrival.urgency);
-        let served = gap.map(|gap| Span(gap.0.saturating_mul(ahead as u64)));
+        let served = forecast.map(|forecast| forecast.time_for(ahead));
         if served.is_none_or(|span| span > patience) {
             return self.give_up(now, key, refusal.reason);
         }
@@ -96,7 +96,7 @@
     /// Serves the requests that wait while there is room, and refuses those that are too late.
     pub(super) fn pass(&mut self, now: Time, service: &ServiceId) {
         if let Some(line) = self.lines.get_mut(service) {
-            line.armed = false;
+            line.armed = line.armed.filter(|at| *at > now);
         }
         while let Some(key) = self.lines.get(service).and_then(|line| line.queue.first()) {
             match self.choose(now, key) {
@@ -107,9 +107,12 @@
                 Err(_) => break,
             }
         }
-        let gap = self.gap(now, service).unwrap_or(FIRST_TIME);
+        let forecast = self.forecast(now, service);
         let Some(line) = self.lines.get_mut(service) else { return };
-        let overdue = line.queue.overdue(now, gap);
+        let overdue = match forecast {
+            Some(forecast) => line.queue.overdue(|ahead| now + forecast.time_for(ahead)),
+            None => line.queue.overdue(|_| Time(u64::MAX)),
+        };
         for key in &overdue {
             line.queue.remove(*key);
         }
@@ -164,26 +167,28 @@
     /// Refuses a request at once, with the time at which it fits in.
     pub(super) fn give_up(&mut self, now: Time, key: RequestKey, reason: Reason) {
         let Some(arrival) = self.requests.get(key).map(|r| r.arrival.clone()) else { return };
-        let gap = self.gap(now, &arrival.service);
+        let forecast = self.forecast(now, &arrival.service);
         let weight = self.weight_of(&arrival.client);
         let line = self.lines.entry(arrival.service.clone()).or_default();
-        let gap = gap.unwrap_or(line.mean);
-        let free = now + Span(gap.0.saturating_mul(line.queue.len() as u64));
-        let retry = line.returns.book(now, (&arrival.client, weight), free, gap);
+        let forecast = forecast.unwrap_or(Forecast { slots: 1, warm: 1, mean: line.mean });
+        let free = now + forecast.time_for(line.queue.len());
+        let account = (&arrival.client, weight);
+        let retry = line.returns.book(now, account, free, forecast.gap());
         self.refuse(key, Refusal::after(reason, retry));
     }
 
-    /// Returns the time in which one request of a service is served, `None` where none can be.
-    fn gap(&self, now: Time, service: &ServiceId) -> Option<Span> {
+    /// Returns what this entry may have in progress, `None` where no endpoint takes work.
+    fn forecast(&self, now: Time, service: &ServiceId) -> Option<Forecast> {
         let fleet = self.fleet()?;
-        let ready = || self.router.ready(now, &fleet, service).map(|(_, known)| known);
-        let credit: u32 = ready().map(|known| known.load.credit).sum();
-        let limit: u32 = ready().map(|known| known.load.limit).sum();
+        let ready = || self.router.ready(now, &fleet, service);
+        let credit: u32 = ready().map(|(_, known)| known.load.credit).sum();
+        let limit: u32 = ready().map(|(_, known)| known.load.limit).sum();
+        let warm: u32 = ready().filter_map(|(vm, _)| Some(fleet.pool_of(vm)?.slots)).sum();
         let entries = fleet.vms.values().filter(|vm| vm.role == Role::Entry);
         let entries = entries.filter(|vm| fleet.in_service(&vm.name)).count().max(1) as u32;
         let mean = self.lines.get(service).map_or(FIRST_TIME, |line| line.mean);
         let slots = credit.max(limit / entries);
-        (limit > 0).then(|| Span(mean.0 / u64::from(slots.max(1))))
+        (limit > 0).then_some(Forecast { slots, warm: warm / entries, mean })
     }
 
     fn weight_of(&self, client: &ClientId) -> u32 {
@@ -193,8 +198,8 @@
 
     fn arm(&mut self, at: Time, service: &ServiceId) {
         let line = self.lines.entry(service.clone()).or_default();
-        if !line.armed {
-            line.armed = true;
+        if line.armed.is_none_or(|armed| at < armed) {
+            line.armed = Some(at);
             self.timers.at(at, Timer::Pass(service.clone()));
         }
     }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of an entry process.
 
+mod forecast;
 mod line;
 mod request;
 
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -142,17 +142,17 @@
         Some(item)
     }
 
-    /// Returns the requests that will not be served in time, where one is served each `gap`.
-    pub fn overdue(&self, now: Time, gap: Span) -> Vec<K> {
+    /// Returns the requests that will not be served in time, where one with so many ahead is at a time.
+    pub fn overdue(&self, served: impl Fn(usize) -> Time) -> Vec<K> {
         let mut order: Vec<(u64, &Item<K>)> = self.flows.values().flat_map(Flow::tagged).collect();
         order.sort_by_key(|(tag, _)| *tag);
-        let mut served = 0;
+        let mut ahead = 0;
         let mut overdue = vec![];
         for (_, item) in order {
-            if now + Span(gap.0.saturating_mul(served)) > item.until {
+            if served(ahead) > item.until {
                 overdue.push(item.key);
             } else {
-                served += 1;
+                ahead += 1;
             }
         }
         overdue
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -6,7 +6,12 @@
 use pico_args::Arguments;
 use sequoiahold_core::{ids::VersionId, units::Bytes};
 
-use crate::{bench, content::Content, demo};
+use crate::{
+    bench,
+    content::Content,
+    demo,
+    experiment::{burst, routing, traffic, zones},
+};
 
 const HELP: &str = "\
 Stand-ins, load and experiments for sequoiahold.
@@ -18,6 +23,8 @@
       run a deployment on loopback; the last line of output is one JSON object
   bench SERIES [--program FILE]
       measure one real process against a growing number and fit the slope
+  experiment zones|burst|routing [--deployment NAME] [--load PERCENT] [--seed N] [--out DIR]
+      measure decisions in virtual time; DIR takes JSON lines and charts
   manifest VERSION --size SIZE --chunk SIZE
       print the digest of the manifest of generated weights
 ";
@@ -62,6 +69,7 @@
             };
             actix_rt::System::new().block_on(bench::run(options))
         }
+        Some("experiment") => experiment(args),
         Some("manifest") => {
             let size: Bytes = args.value_from_str("--size")?;
             let chunk: Bytes = args.value_from_str("--chunk")?;
@@ -72,3 +80,23 @@
         other => bail!("unknown command {other:?}; try --help"),
     }
 }
+
+fn experiment(mut args: Arguments) -> anyhow::Result<u8> {
+    match args.subcommand()?.as_deref() {
+        Some("burst") => burst::run(&traffic_options(args)?),
+        Some("routing") => routing::run(&traffic_options(args)?),
+        Some("zones") => zones::run(&traffic_options(args)?),
+        other => bail!("unknown experiment {other:?}; try --help"),
+    }
+}
+
+fn traffic_options(mut args: Arguments) -> anyhow::Result<traffic::Options> {
+    Ok(traffic::Options {
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+        deployment: args
+            .opt_value_from_str("--deployment")?
+            .unwrap_or_else(|| "glasmarke".to_owned()),
+        load: args.opt_value_from_str("--load")?.unwrap_or(90),
+        out: args.opt_value_from_str("--out")?,
+    })
+}
--- a/crates/standins/src/driver/calls.rs
+++ b/crates/standins/src/driver/calls.rs
@@ -27,6 +27,8 @@
 pub struct CallRecord {
     /// When it was made.
     pub at: Time,
+    /// The client account.
+    pub client: String,
     /// When its answer began.
     pub first: Option<Time>,
     /// When it ended, and how.
--- a/crates/standins/src/driver/deliver.rs
+++ b/crates/standins/src/driver/deliver.rs
@@ -24,8 +24,6 @@
 const LOAD: Span = Span::millis(300);
 /// Time from a request's hand-over to its first token.
 const FIRST: Span = Span::millis(50);
-/// Time from a request's first token to its end.
-const RUN: Span = Span::millis(150);
 
 impl World {
     pub(super) fn deliver(&mut self, from: &VmId, to: &VmId, message: Message) {
@@ -77,6 +75,7 @@
             return self.send(to, from, Message::Refused(request, refusal));
         }
         self.calls[call.0].runs += 1;
+        self.began.push((from.clone(), self.calls[call.0].client.clone(), to.clone()));
         let poison = self.engines[to].poison.contains(&call);
         let began = self.engines.get_mut(to).is_some_and(|e| e.begin(ticket.clone(), call));
         if poison && let Some(engine) = self.engines.get_mut(to) {
@@ -99,7 +98,7 @@
             self.send(vm, &ticket.0, Message::Started(key));
         }
         let (vm, ticket) = (vm.clone(), ticket.clone());
-        self.push(RUN, Event::Done { vm, ticket, request: key, incarnation });
+        self.push(self.shape.run, Event::Done { vm, ticket, request: key, incarnation });
     }
 
     pub(super) fn done(&mut self, vm: &VmId, ticket: &Ticket, key: RequestKey, incarnation: u64) {
--- a/crates/standins/src/driver/fleet.rs
+++ b/crates/standins/src/driver/fleet.rs
@@ -12,6 +12,8 @@
 
 /// Size of a chunk of the generated weights.
 const CHUNK: Bytes = Bytes(64);
+/// The weight of a large client account.
+const LARGE: u32 = 4;
 /// Chunks of a version.
 const CHUNKS: u64 = 4;
 
@@ -36,6 +38,12 @@
     pub seed: u64,
     /// How entries choose endpoints.
     pub policy: Policy,
+    /// Endpoint VMs of `llm` that the first zone has besides.
+    pub extra: u8,
+    /// Client accounts of weight 4, the first ones.
+    pub large: u8,
+    /// Time that an engine runs a request after its first token.
+    pub run: Span,
 }
 
 impl Default for Shape {
@@ -50,6 +58,9 @@
             clients: 2,
             seed: 1,
             policy: Policy::Credits,
+            extra: 0,
+            large: 0,
+            run: Span::millis(150),
         }
     }
 }
@@ -66,7 +77,8 @@
             version(1),
             version(2),
         ];
-        objects.extend((1..=self.clients).map(client));
+        objects
+            .extend((1..=self.clients).map(|n| client(n, if n <= self.large { LARGE } else { 1 })));
         for zone in 1..=self.zones {
             objects.push(Object::Zone(Zone {
                 name: name(&format!("z{zone}")),
@@ -76,7 +88,8 @@
             }));
             objects.extend((1..=self.entries).map(|n| vm(zone, "entry", n, Role::Entry)));
             let llm = Role::Endpoint(name("llm"));
-            objects.extend((1..=self.endpoints).map(|n| vm(zone, "llm", n, llm.clone())));
+            let count = self.endpoints + if zone == 1 { self.extra } else { 0 };
+            objects.extend((1..=count).map(|n| vm(zone, "llm", n, llm.clone())));
             let orders = Role::Endpoint(name("orders"));
             objects.extend((1..=self.plain).map(|n| vm(zone, "orders", n, orders.clone())));
         }
@@ -116,11 +129,11 @@
     })
 }
 
-fn client(number: u8) -> Object {
+fn client(number: u8, weight: u32) -> Object {
     Object::Client(Client {
         name: name(&format!("c{number}")),
         key: Digest::of(&[number]),
-        weight: 1,
+        weight,
         services: vec![name("llm"), name("orders")],
     })
 }
--- a/crates/standins/src/driver/world.rs
+++ b/crates/standins/src/driver/world.rs
@@ -75,7 +75,9 @@
     pub shown: Option<Arc<Published>>,
     /// The refusals of gates that reached entries.
     pub refusals: u64,
-    shape: Shape,
+    /// The requests that engines began: entry, client account, endpoint.
+    pub began: Vec<(VmId, String, VmId)>,
+    pub(super) shape: Shape,
     fleet: Fleet,
     declared: Vec<Declared>,
     generation: Generation,
@@ -102,6 +104,7 @@
             down: false,
             shown: None,
             refusals: 0,
+            began: vec![],
             shape,
             fleet,
             declared,
@@ -223,7 +226,13 @@
     /// Makes a call at an entry.
     pub fn ask(&mut self, at: &VmId, service: &str, client: &str, key: Option<OnceKey>) -> CallId {
         let call = CallId(self.calls.len());
-        self.calls.push(CallRecord { at: self.now, first: None, end: None, runs: 0 });
+        self.calls.push(CallRecord {
+            at: self.now,
+            client: client.to_owned(),
+            first: None,
+            end: None,
+            runs: 0,
+        });
         let arrival = Arrival {
             client: client.parse().expect("a client account"),
             service: service.parse().expect("a service"),
--- /dev/null
+++ b/crates/standins/src/experiment/burst.rs
@@ -0,0 +1,154 @@
+//! All callers wake in one second while all engines are cold.
+
+use std::{fs::File, io::Write as _};
+
+use sequoiahold_core::{route::Policy, time::Time, units::Span};
+use serde::Serialize;
+
+use super::{
+    chart::{Series, draw},
+    traffic::{Options, Traffic, Wish, capacity, quantile, shape},
+};
+
+/// The time in which all callers wake.
+const WAKE: Span = Span::secs(1);
+/// The time that is measured.
+const LENGTH: Span = Span::secs(60);
+/// The callers, as the time that warm endpoints need for them.
+const BACKLOG: Span = Span::secs(10);
+
+/// The figures of one second.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Second {
+    /// The second since the callers woke.
+    pub second: u64,
+    /// Calls made.
+    pub offered: usize,
+    /// Answers begun.
+    pub answered: usize,
+    /// Calls refused.
+    pub refused: usize,
+}
+
+/// The figures of a run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Report {
+    /// The deployment.
+    pub deployment: String,
+    /// The seed.
+    pub seed: u64,
+    /// The way in which entries choose endpoints.
+    pub policy: String,
+    /// Callers that woke.
+    pub callers: usize,
+    /// Callers answered in the end.
+    pub answered: usize,
+    /// Callers answered in the first ten seconds.
+    pub early: usize,
+    /// Callers that failed after the hand-over.
+    pub failed: usize,
+    /// Refusals that callers got.
+    pub refused: usize,
+    /// Refusals of gates that entries got.
+    pub gate: u64,
+    /// Requests given to engines above what they bear.
+    pub overloads: u32,
+    /// Time from waking to the first token of those answered in the first ten seconds, median.
+    pub p50_ms: f64,
+    /// The same, 95th percentile.
+    pub p95_ms: f64,
+    /// The same, 99th percentile.
+    pub p99_ms: f64,
+    /// Time until the last caller had its answer, in seconds.
+    pub last_s: f64,
+    /// Share of the small accounts' callers answered in the first ten seconds.
+    pub small: f64,
+    /// Share of the large accounts' callers answered in the first ten seconds.
+    pub large: f64,
+}
+
+/// Runs the experiment, prints its figures as JSON lines and returns the exit code.
+pub fn run(options: &Options) -> anyhow::Result<u8> {
+    let mut overloads = 0;
+    for policy in [Policy::Credits, Policy::TwoChoices] {
+        let (report, seconds) = measure(options, policy);
+        println!("{}", serde_json::to_string(&report)?);
+        overloads += report.overloads;
+        let Some(dir) = &options.out else { continue };
+        std::fs::create_dir_all(dir)?;
+        let name = format!("burst-{}-{policy:?}", options.deployment).to_lowercase();
+        let mut file = File::create(dir.join(format!("{name}.jsonl")))?;
+        for second in &seconds {
+            writeln!(file, "{}", serde_json::to_string(second)?)?;
+        }
+        let series = |name, of: fn(&Second) -> usize| Series {
+            name,
+            points: seconds.iter().map(|s| (s.second as f64, of(s) as f64)).collect(),
+        };
+        let lines = [
+            series("offered", |s| s.offered),
+            series("answered", |s| s.answered),
+            series("refused", |s| s.refused),
+        ];
+        draw(&dir.join(format!("{name}.svg")), &lines)?;
+    }
+    Ok(u8::from(overloads > 0))
+}
+
+/// Measures one way of choosing endpoints.
+pub fn measure(options: &Options, policy: Policy) -> (Report, Vec<Second>) {
+    let shape = shape(&options.deployment, options.seed, policy);
+    let callers = (capacity(&shape) * BACKLOG.as_secs_f64()) as usize;
+    let mut traffic = Traffic::new(shape);
+    let start = traffic.world.now;
+    traffic.add(start, WAKE, callers);
+    traffic.run(LENGTH);
+    let early_end = start + Span::secs(10);
+    let early = |wish: &&Wish| wish.answered.is_some_and(|(first, _)| first < early_end);
+    let wishes = &traffic.wishes;
+    let spans: Vec<Span> =
+        wishes.iter().filter(early).filter_map(|wish| Some(wish.answered?.0 - wish.at)).collect();
+    let share = |large: bool| {
+        let of = |wish: &&Wish| matches!(wish.client.as_str(), "c1" | "c2") == large;
+        let all = wishes.iter().filter(of).count().max(1);
+        wishes.iter().filter(of).filter(early).count() as f64 / all as f64
+    };
+    let last = wishes.iter().filter_map(|wish| wish.answered).map(|(first, _)| first).max();
+    let report = Report {
+        deployment: options.deployment.clone(),
+        seed: options.seed,
+        policy: format!("{policy:?}"),
+        callers,
+        answered: wishes.iter().filter(|wish| wish.answered.is_some()).count(),
+        early: spans.len(),
+        failed: wishes.iter().filter(|wish| wish.failed).count(),
+        refused: wishes.iter().map(|wish| wish.refused.len()).sum(),
+        gate: traffic.world.refusals,
+        overloads: traffic.overloads(),
+        p50_ms: quantile(&spans, 50),
+        p95_ms: quantile(&spans, 95),
+        p99_ms: quantile(&spans, 99),
+        last_s: last.map_or(0.0, |last| (last - start).as_secs_f64()),
+        small: share(false),
+        large: share(true),
+    };
+    (report, seconds(start, &traffic))
+}
+
+fn seconds(start: Time, traffic: &Traffic) -> Vec<Second> {
+    let mut seconds: Vec<Second> =
+        (0..LENGTH.0 / 1_000_000).map(|second| Second { second, ..Second::default() }).collect();
+    let slot = |at: Time| ((at - start).0 / 1_000_000) as usize;
+    for call in &traffic.world.calls {
+        seconds.get_mut(slot(call.at)).into_iter().for_each(|s| s.offered += 1);
+    }
+    for wish in &traffic.wishes {
+        if let Some((first, _)) = wish.answered {
+            seconds.get_mut(slot(first)).into_iter().for_each(|s| s.answered += 1);
+        }
+        for at in &wish.refused {
+            seconds.get_mut(slot(*at)).into_iter().for_each(|s| s.refused += 1);
+        }
+    }
+    seconds
+}
--- /dev/null
+++ b/crates/standins/src/experiment/zones.rs
@@ -0,0 +1,163 @@
+//! Service while an availability zone is taken out and comes back.
+
+use std::{fs::File, io::Write as _};
+
+use sequoiahold_core::{route::Policy, time::Time, units::Span};
+use serde::Serialize;
+
+use super::{
+    chart::{Series, draw},
+    traffic::{Options, Traffic, capacity, quantile, shape},
+};
+
+/// The time in which the engines turn warm; it is not measured.
+const WARM: Span = Span::secs(10);
+/// The time of each phase: all zones, one out, all again.
+const PHASE: Span = Span::secs(10);
+/// The width of a slice.
+const SLICE: Span = Span::millis(100);
+/// The slices of a phase.
+const SLICES: usize = 100;
+
+/// The figures of a slice of time, by the time at which callers first called.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Slice {
+    /// Its start since the measurement began, in milliseconds.
+    pub at_ms: u64,
+    /// Callers that first called.
+    pub offered: usize,
+    /// Those answered on their first call.
+    pub answered: usize,
+    /// Those refused on their first call.
+    pub refused: usize,
+    /// Time to the whole answer of those answered at once, median.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+}
+
+/// The figures of a phase.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Phase {
+    /// The deployment.
+    pub deployment: String,
+    /// The seed.
+    pub seed: u64,
+    /// The offered load in percent of the warm capacity of all zones.
+    pub load: u32,
+    /// The phase.
+    pub phase: &'static str,
+    /// Callers that first called.
+    pub offered: usize,
+    /// Those answered on their first call.
+    pub answered: usize,
+    /// Those refused on their first call.
+    pub refused: usize,
+    /// Those that failed after the hand-over.
+    pub failed: usize,
+    /// The slice with the smallest share answered on the first call, in percent.
+    pub worst: f64,
+    /// Time to the whole answer of those answered at once, median.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+    /// Requests given to engines above what they bear, since the start.
+    pub overloads: u32,
+}
+
+/// Runs the experiment, prints its figures as JSON lines and returns the exit code.
+pub fn run(options: &Options) -> anyhow::Result<u8> {
+    let (phases, slices) = measure(options);
+    for phase in &phases {
+        println!("{}", serde_json::to_string(phase)?);
+    }
+    if let Some(dir) = &options.out {
+        std::fs::create_dir_all(dir)?;
+        let name = format!("zones-{}-{}", options.deployment, options.load);
+        let mut file = File::create(dir.join(format!("{name}.jsonl")))?;
+        for slice in &slices {
+            writeln!(file, "{}", serde_json::to_string(slice)?)?;
+        }
+        let series = |name, of: fn(&Slice) -> f64| Series {
+            name,
+            points: slices.iter().map(|s| (s.at_ms as f64 / 1e3, of(s))).collect(),
+        };
+        let counts = [
+            series("offered", |s| s.offered as f64),
+            series("answered", |s| s.answered as f64),
+            series("refused", |s| s.refused as f64),
+        ];
+        draw(&dir.join(format!("{name}-counts.svg")), &counts)?;
+        let times = [
+            series("p50 ms", |s| s.p50_ms),
+            series("p95 ms", |s| s.p95_ms),
+            series("p99 ms", |s| s.p99_ms),
+        ];
+        draw(&dir.join(format!("{name}-times.svg")), &times)?;
+    }
+    Ok(u8::from(phases.iter().any(|phase| phase.overloads > 0)))
+}
+
+/// Measures a run, by phases and by slices.
+pub fn measure(options: &Options) -> (Vec<Phase>, Vec<Slice>) {
+    let shape = shape(&options.deployment, options.seed, Policy::Credits);
+    let rate = capacity(&shape) * f64::from(options.load) / 100.0;
+    let mut traffic = Traffic::new(shape);
+    let start = traffic.world.now + WARM;
+    let length = Span(PHASE.0 * 3);
+    traffic.add(traffic.world.now, WARM, (rate * WARM.as_secs_f64()) as usize);
+    traffic.add(start, length, (rate * length.as_secs_f64()) as usize);
+    traffic.run(Span(WARM.0 + PHASE.0));
+    let zone = "z1".parse().expect("a zone");
+    traffic.world.set_out(&zone, true);
+    traffic.run(PHASE);
+    traffic.world.set_out(&zone, false);
+    traffic.run(Span(PHASE.0 * 2));
+    let slices: Vec<Slice> = (0..3 * SLICES as u64)
+        .map(|n| slice(&traffic, start + Span(n * SLICE.0), SLICE, n * SLICE.0 / 1_000))
+        .collect();
+    let names = ["before", "out", "back"].into_iter().zip(0..);
+    let phases = names.map(|(phase, n): (_, u64)| {
+        let from = start + Span(n * PHASE.0);
+        let all = slice(&traffic, from, PHASE, 0);
+        let part = &slices[n as usize * SLICES..(n as usize + 1) * SLICES];
+        let share = |s: &Slice| 100.0 * s.answered as f64 / s.offered.max(1) as f64;
+        let in_phase = |at: Time| at >= from && at < from + PHASE;
+        Phase {
+            deployment: options.deployment.clone(),
+            seed: options.seed,
+            load: options.load,
+            phase,
+            offered: all.offered,
+            answered: all.answered,
+            refused: all.refused,
+            failed: traffic.wishes.iter().filter(|w| w.failed && in_phase(w.at)).count(),
+            worst: part.iter().filter(|s| s.offered > 0).map(share).fold(100.0, f64::min),
+            p50_ms: all.p50_ms,
+            p95_ms: all.p95_ms,
+            p99_ms: all.p99_ms,
+            overloads: traffic.overloads(),
+        }
+    });
+    (phases.collect(), slices)
+}
+
+fn slice(traffic: &Traffic, from: Time, width: Span, at_ms: u64) -> Slice {
+    let within = traffic.wishes.iter().filter(|w| w.at >= from && w.at < from + width);
+    let wishes: Vec<_> = within.collect();
+    let at_once = wishes.iter().filter(|wish| wish.refused.is_empty());
+    let spans: Vec<Span> = at_once.filter_map(|wish| Some(wish.answered?.1 - wish.at)).collect();
+    Slice {
+        at_ms,
+        offered: wishes.len(),
+        answered: spans.len(),
+        refused: wishes.iter().filter(|wish| !wish.refused.is_empty()).count(),
+        p50_ms: quantile(&spans, 50),
+        p95_ms: quantile(&spans, 95),
+        p99_ms: quantile(&spans, 99),
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod demo;
 pub mod driver;
 pub mod engine;
+pub mod experiment;
 pub mod keys;
 pub mod origin;
 pub mod plain;
