--- a/crates/core/src/entry/line.rs
+++ b/crates/core/src/entry/line.rs
@@ -6,7 +6,6 @@
 use crate::{
     declare::{Fleet, Role},
     ids::{ClientId, ServiceId, VmId},
-    peers::weight,
     queue::{Bounds, FairQueue, Item, Returns},
     refuse::{Reason, Refusal},
     time::Time,
@@ -23,8 +22,6 @@
 const PAST: u64 = 7;
 /// What the requests that wait for one service may hold.
 const BOUNDS: Bounds = Bounds { count: 1_024, size: Bytes(8_000_000) };
-/// The credits that an entry wants for each request, so that it has a choice of endpoints.
-const CHOICE: u32 = 2;
 
 /// The requests of one service at an entry.
 #[derive(Clone, Debug)]
@@ -60,8 +57,9 @@
         let forecast = self.forecast(now, &arrival.service);
         let weight = self.weight_of(&arrival.client);
         let line = self.lines.entry(arrival.service.clone()).or_default();
-        let left = request.left(now).unwrap_or_default();
-        let patience = Span(left.0.saturating_sub(line.mean.0)).min(MAX_WAIT);
+        let (at, left) = (request.at, request.left(now).unwrap_or_default());
+        let until = (at + MAX_WAIT).min(now + Span(left.0.saturating_sub(line.mean.0)));
+        let patience = until - now;
         let ahead = line.queue.ahead(&arrival.client, weight, arrival.urgency);
         let served = forecast.map(|forecast| forecast.time_for(ahead));
         if served.is_none_or(|span| span > patience) {
@@ -76,7 +74,8 @@
             weight,
             urgency: arrival.urgency,
             size: arrival.size,
-            until: now + patience,
+            at,
+            until,
         };
         match line.queue.push(item) {
             Ok(evicted) => {
@@ -99,7 +98,7 @@
             line.armed = line.armed.filter(|at| *at > now);
         }
         while let Some(key) = self.lines.get(service).and_then(|line| line.queue.first()) {
-            match self.choose(now, key) {
+            match self.choose(now, key, false) {
                 Ok(output) => {
                     self.lines.entry(service.clone()).or_default().queue.pop();
                     self.sent(now, key, output);
@@ -124,13 +123,13 @@
     }
 
     /// Takes note that a request no longer runs at the endpoint that it was sent to.
-    pub(super) fn freed(&mut self, now: Time, key: RequestKey, whole: bool) {
-        let Some(request) = self.requests.get_mut(key) else { return };
+    pub(super) fn freed(&mut self, now: Time, key: RequestKey, whole: bool) -> Option<VmId> {
+        let request = self.requests.get_mut(key)?;
         let service = request.arrival.service.clone();
         let sent = request.sent.take();
         let line = self.lines.entry(service.clone()).or_default();
         line.queue.remove(key);
-        let Some((at, vm)) = sent else { return };
+        let (at, vm) = sent?;
         line.running = line.running.saturating_sub(1);
         if whole {
             line.took(now - at);
@@ -139,6 +138,7 @@
         if !self.lines[&service].queue.is_empty() {
             self.arm(now, &service);
         }
+        Some(vm)
     }
 
     /// Takes note that a request goes to an endpoint.
@@ -153,15 +153,11 @@
         self.outputs.push(output);
     }
 
-    /// Returns the requests that this entry wants to have in progress at an endpoint.
+    /// Returns the requests that this entry has for the service of an endpoint.
     pub(super) fn want(&self, fleet: &Fleet, vm: &VmId) -> u32 {
         let Some(pool) = fleet.pool_of(vm) else { return 0 };
-        let count = fleet.endpoints(&pool.service).filter(|vm| fleet.in_service(&vm.name)).count();
         let line = self.lines.get(&pool.service);
-        let demand = line.map_or(0, |line| line.queue.len() as u32 + line.running) * CHOICE;
-        let (whole, rest) = (demand / count.max(1) as u32, demand % count.max(1) as u32);
-        let turn = weight(self.own.vm.as_str(), vm.as_str().as_bytes()) % count.max(1) as u64;
-        whole + u32::from(turn < u64::from(rest))
+        line.map_or(0, |line| line.queue.len() as u32 + line.running)
     }
 
     /// Refuses a request at once, with the time at which it fits in.
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -159,7 +159,10 @@
 
     /// Takes note that an endpoint refused a request.
     pub fn refused(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
-        self.freed(now, key, false);
+        if let Some(vm) = self.freed(now, key, false).filter(|_| refusal.reason == Reason::Overload)
+        {
+            self.router.full(&vm);
+        }
         self.send(now, key, refusal);
     }
 
@@ -264,29 +267,28 @@
     /// Offers a request to the next endpoint, or refuses it with the last refusal.
     fn send(&mut self, now: Time, key: RequestKey, last: Refusal) {
         let Some(request) = self.requests.get(key) else { return };
-        if request.offers >= MAX_OFFERS {
-            return self.give_up(now, key, last.reason);
+        if request.tried.len() >= MAX_OFFERS {
+            return self.wait(now, key, last);
         }
         if self.others_wait(&request.arrival) {
             return self.wait(now, key, Refusal::new(Reason::Overload));
         }
-        match self.choose(now, key) {
+        match self.choose(now, key, true) {
             Ok(output) => self.sent(now, key, output),
             Err(refusal) => self.wait(now, key, refusal),
         }
     }
 
-    fn choose(&mut self, now: Time, key: RequestKey) -> Result<Output, Refusal> {
+    fn choose(&mut self, now: Time, key: RequestKey, borrow: bool) -> Result<Output, Refusal> {
         let fleet = self.fleet().ok_or(Refusal::after(Reason::Unconfigured, RETRY))?;
         let request = self.requests.get_mut(key).ok_or(Refusal::new(Reason::Leaving))?;
         let left = request.left(now).ok_or(Refusal::new(Reason::Deadline))?;
         let arrival = &request.arrival;
         let (service, client, tried) = (&arrival.service, &arrival.client, &request.tried[..]);
-        let query = Query { now, service, client, tried };
+        let query = Query { now, service, client, tried, borrow };
         let vm = self.router.choose(&fleet, query, &mut self.rng)?;
         let addr = fleet.vms.get(&vm).map(|vm| vm.addr).ok_or(Refusal::new(Reason::NoEndpoint))?;
         request.tried.push(vm.clone());
-        request.offers += 1;
         self.last = self.last.next();
         Ok(Output::Send { request: key, id: self.last, vm, addr, left })
     }
--- a/crates/core/src/entry/request.rs
+++ b/crates/core/src/entry/request.rs
@@ -79,7 +79,7 @@
 pub(super) struct Request {
     pub(super) arrival: Arrival,
     pub(super) tried: Vec<VmId>,
-    pub(super) offers: usize,
+    pub(super) at: Time,
     pub(super) sent: Option<(Time, VmId)>,
     pub(super) state: Machine<RequestState, RequestEvent>,
     deadline: Time,
@@ -93,7 +93,7 @@
     ) -> Self {
         let deadline = now + arrival.timeout;
         let state = Machine::new(chart);
-        Self { arrival, tried: vec![], offers: 0, sent: None, state, deadline }
+        Self { arrival, tried: vec![], at: now, sent: None, state, deadline }
     }
 
     /// Returns the time left until the deadline, `None` where it has passed.
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -41,24 +41,18 @@
         self.held.values().filter(|lease| lease.until > now).map(|lease| lease.credit).sum()
     }
 
-    /// Returns an entry's share: wants are met evenly, what is left is spread over all.
+    /// Returns an entry's share in proportion to the wants, by largest remainder.
     fn fair(&self, own: &VmId, entry: &VmId, bears: u32) -> u32 {
-        let mut shares: Vec<(u64, &VmId, u32, u32)> = self
-            .held
-            .iter()
-            .map(|(vm, lease)| (weight(vm.as_str(), own.as_str().as_bytes()), vm, lease.want, 0))
-            .collect();
-        shares.sort();
-        let mut left = bears;
-        while left > 0 {
-            let needy = shares.iter().any(|(_, _, want, share)| share < want);
-            for (_, _, want, share) in &mut shares {
-                if left > 0 && (!needy || *share < *want) {
-                    *share += 1;
-                    left -= 1;
-                }
-            }
-        }
-        shares.iter().find(|(_, vm, _, _)| *vm == entry).map_or(0, |(_, _, _, share)| *share)
+        let portion = |lease: &Lease| u64::from(lease.want) + 1;
+        let all: u64 = self.held.values().map(portion).sum();
+        let quota = |lease: &Lease| portion(lease) * u64::from(bears);
+        let whole = |lease: &Lease| quota(lease) / all;
+        let rank = |(vm, lease): (&VmId, &Lease)| {
+            (quota(lease) % all, weight(vm.as_str(), own.as_str().as_bytes()))
+        };
+        let Some(mine) = self.held.get_key_value(entry) else { return 0 };
+        let left = u64::from(bears) - self.held.values().map(whole).sum::<u64>();
+        let before = self.held.iter().filter(|other| rank(*other) > rank(mine)).count() as u64;
+        (whole(mine.1) + u64::from(before < left)) as u32
     }
 }
--- a/crates/core/src/proto.rs
+++ b/crates/core/src/proto.rs
@@ -70,7 +70,7 @@
     pub generation: Generation,
     /// What an endpoint bears, or `None` from an entry.
     pub load: Option<Load>,
-    /// The requests that an entry wants to have in progress at the endpoint that it tells.
+    /// The requests that an entry has, waiting or in progress, for the service of the endpoint.
     pub want: u32,
 }
 
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -33,10 +33,15 @@
     pub urgency: u8,
     /// The size of the body.
     pub size: Bytes,
+    /// When it arrived.
+    pub at: Time,
     /// The time by which it must leave the queue.
     pub until: Time,
 }
 
+/// The place of a request within its account: urgency, time of arrival, number.
+type Place = (u8, Time, u64);
+
 /// The queue has no room for a request, not even in place of another.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Full;
@@ -45,7 +50,7 @@
 struct Flow<K> {
     start: u64,
     cost: u64,
-    items: BTreeMap<(u8, u64), Item<K>>,
+    items: BTreeMap<Place, Item<K>>,
 }
 
 /// Start-time fair queueing over client accounts.
@@ -53,7 +58,7 @@
 pub struct FairQueue<K> {
     bounds: Bounds,
     flows: BTreeMap<ClientId, Flow<K>>,
-    places: BTreeMap<K, (ClientId, (u8, u64))>,
+    places: BTreeMap<K, (ClientId, Place)>,
     size: Bytes,
     clock: u64,
     count: u64,
@@ -79,7 +84,8 @@
     /// Returns the requests that would be served before a new one.
     pub fn ahead(&self, client: &ClientId, weight: u32, urgency: u8) -> usize {
         let flow = self.flows.get(client);
-        let own = flow.map_or(0, |flow| flow.items.range(..=(urgency, u64::MAX)).count());
+        let own =
+            flow.map_or(0, |flow| flow.items.range(..=(urgency, Time(u64::MAX), u64::MAX)).count());
         let start = flow.map_or(self.clock, |flow| flow.start.max(self.clock));
         let tag = start + own as u64 * cost(weight);
         let others = self.flows.iter().filter(|(name, _)| *name != client);
@@ -93,7 +99,7 @@
         let evicted = if fits { None } else { Some(self.evict_for(&item)?) };
         self.count += 1;
         self.size.0 += item.size.0;
-        let place = (item.urgency, self.count);
+        let place = (item.urgency, item.at, self.count);
         self.places.insert(item.key, (item.client.clone(), place));
         let clock = self.clock;
         let flow = self.flows.entry(item.client.clone()).or_insert_with(|| Flow {
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -20,6 +20,9 @@
 /// The part of an endpoint's limit that stays free before its load gives way to another's.
 const SPARE: u32 = 4;
 
+/// The requests beyond its credit that an entry may have at an endpoint with spare room.
+const BORROWED: u32 = 1;
+
 /// How an entry chooses among the endpoints that it knows.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Policy {
@@ -55,9 +58,10 @@
         self.load.limit.saturating_sub(self.load.running + self.sent)
     }
 
-    /// Returns the room by the credit that this entry holds.
-    pub fn credit(&self) -> u32 {
-        self.load.credit.saturating_sub(self.own)
+    /// Returns the room by the credit that this entry holds, and where it may borrow, beyond it.
+    pub fn credit(&self, borrow: bool) -> u32 {
+        let borrowed = if borrow && self.spare() { BORROWED } else { 0 };
+        (self.load.credit + borrowed).saturating_sub(self.own)
     }
 
     fn spare(&self) -> bool {
@@ -76,6 +80,8 @@
     pub client: &'a ClientId,
     /// The endpoints that have refused it.
     pub tried: &'a [VmId],
+    /// Whether it may go to an endpoint with spare room beyond the credit.
+    pub borrow: bool,
 }
 
 /// Chooses endpoints for requests.
@@ -112,6 +118,14 @@
         }
     }
 
+    /// Takes note that an endpoint is full: nothing more is sent there before a report or an end.
+    pub fn full(&mut self, vm: &VmId) {
+        if let Some(known) = self.known.get_mut(vm) {
+            known.load.running = known.load.limit;
+            known.load.credit = known.load.credit.min(known.own);
+        }
+    }
+
     /// Takes note that a request that was sent to an endpoint has ended there.
     pub fn ended(&mut self, vm: &VmId) {
         if let Some(known) = self.known.get_mut(vm) {
@@ -152,8 +166,7 @@
         }
         let near = |vm: &VmId| fleet.vms.get(vm).is_some_and(|vm| vm.zone == self.zone);
         let (own, far): (Vec<_>, Vec<_>) = ready.into_iter().partition(|(vm, _)| near(vm));
-        let best =
-            self.pick(&own, query.client, rng).or_else(|| self.pick(&far, query.client, rng));
+        let best = self.pick(&own, query, rng).or_else(|| self.pick(&far, query, rng));
         let best = best.ok_or(Refusal::after(Reason::Overload, RETRY))?.clone();
         let known = self.known.entry(best.clone()).or_default();
         known.sent += 1;
@@ -164,12 +177,13 @@
     fn pick<'a>(
         &self,
         from: &[(&'a VmId, &Known)],
-        client: &ClientId,
+        query: Query<'_>,
         rng: &mut impl Rng,
     ) -> Option<&'a VmId> {
         let home = |known: &[(&'a VmId, &Known)]| {
-            let rank =
-                |(vm, _): &&(&'a VmId, &Known)| weight(vm.as_str(), client.as_str().as_bytes());
+            let rank = |(vm, _): &&(&'a VmId, &Known)| {
+                weight(vm.as_str(), query.client.as_str().as_bytes())
+            };
             known.iter().max_by_key(rank).map(|(vm, _)| *vm)
         };
         let freer = |known: &[(&'a VmId, &Known)], rng: &mut _| {
@@ -184,7 +198,7 @@
             }
             Policy::TwoChoices => freer(&room, rng),
             Policy::Credits => {
-                let credit = |(_, known): &&(&'a VmId, &Known)| known.credit() > 0;
+                let credit = |(_, known): &&(&'a VmId, &Known)| known.credit(query.borrow) > 0;
                 let credited: Vec<_> = from.iter().filter(credit).copied().collect();
                 let spare = |(_, known): &&(&'a VmId, &Known)| known.spare();
                 let spared: Vec<_> = credited.iter().filter(spare).copied().collect();
--- a/crates/standins/src/experiment/routing.rs
+++ b/crates/standins/src/experiment/routing.rs
@@ -8,7 +8,7 @@
 use super::traffic::{Options, Traffic, capacity, quantile, shape};
 
 /// The time in which the engines turn warm; it is not measured.
-const WARM: Span = Span::secs(10);
+const WARM: Span = Span::secs(30);
 /// The time that is measured.
 const LENGTH: Span = Span::secs(20);
 /// The time that callers who came back are waited for.
--- a/crates/standins/src/experiment/zones.rs
+++ b/crates/standins/src/experiment/zones.rs
@@ -11,9 +11,11 @@
 };
 
 /// The time in which the engines turn warm; it is not measured.
-const WARM: Span = Span::secs(10);
+const WARM: Span = Span::secs(30);
 /// The time of each phase: all zones, one out, all again.
 const PHASE: Span = Span::secs(10);
+/// The time that callers who came back are waited for.
+const DRAIN: Span = Span::secs(20);
 /// The width of a slice.
 const SLICE: Span = Span::millis(100);
 /// The slices of a phase.
@@ -116,7 +118,7 @@
     traffic.world.set_out(&zone, true);
     traffic.run(PHASE);
     traffic.world.set_out(&zone, false);
-    traffic.run(Span(PHASE.0 * 2));
+    traffic.run(Span(PHASE.0 + DRAIN.0));
     let slices: Vec<Slice> = (0..3 * SLICES as u64)
         .map(|n| slice(&traffic, start + Span(n * SLICE.0), SLICE, n * SLICE.0 / 1_000))
         .collect();
