--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -87,6 +87,7 @@
     epoch: u64,
     orphans: Option<u32>,
     passed: BTreeMap<Ticket, Passed>,
+    spent: Vec<LookId>,
 }
 
 impl Default for Gate {
@@ -103,6 +104,7 @@
             epoch: 0,
             orphans: None,
             passed: BTreeMap::new(),
+            spent: vec![],
         }
     }
 }
@@ -146,6 +148,7 @@
         for passed in self.passed.values_mut().filter(|passed| passed.look < look) {
             passed.unproved = false;
         }
+        self.spent.retain(|spent| *spent >= look);
         let shown = match self.trust {
             Trust::After(doubted) => look > doubted,
             Trust::Loaded(doubted) => look > doubted && seen.version == self.wanted,
@@ -251,6 +254,9 @@
         if passed.look < self.taken {
             self.seen.running = self.seen.running.saturating_sub(1);
         }
+        if passed.unproved {
+            self.spent.push(passed.look);
+        }
         match ended {
             Ended::Whole if passed.epoch == self.epoch => {
                 self.estimate = (self.estimate + 1).min(self.bounds.slots);
@@ -266,7 +272,8 @@
     }
 
     fn unproved(&self) -> u32 {
-        self.passed.values().filter(|passed| passed.unproved).count() as u32
+        let running = self.passed.values().filter(|passed| passed.unproved).count();
+        (running + self.spent.len()) as u32
     }
 
     fn shown(&self) -> bool {
