gate: a look that began before a head arrived can't raise what the head showed

Cause, found by Spin (spec/admission.pml, trail of 118 steps): an engine turns cold, the head of the next answer shows it, then a look that was sampled before the turn arrives late and raises the limit again: two requests above what it bears, the window being one.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -88,6 +88,7 @@
     orphans: Option<u32>,
     passed: BTreeMap<Ticket, Passed>,
     spent: Vec<LookId>,
+    low: Option<(LookId, u32)>,
 }
 
 impl Default for Gate {
@@ -105,6 +106,7 @@
             orphans: None,
             passed: BTreeMap::new(),
             spent: vec![],
+            low: None,
         }
     }
 }
@@ -134,7 +136,9 @@
             return;
         }
         self.taken = look;
-        let Some(seen) = seen else { return self.doubt() };
+        let Some(mut seen) = seen else { return self.doubt() };
+        self.low = self.low.filter(|(head, _)| look <= *head);
+        seen.limit = self.low.map_or(seen.limit, |(_, limit)| limit.min(seen.limit));
         let same = self.seen.incarnation == seen.incarnation && self.seen.version == seen.version;
         if !same || self.orphans.is_none() {
             self.turn_cold();
@@ -181,10 +185,13 @@
         self.trust = Trust::Loaded(self.begun);
     }
 
-    /// Takes the limit that the engine showed with the head of an answer.
+    /// Takes the limit that the engine showed with the head of an answer; no look that has begun before
+    /// may raise it.
     pub fn head(&mut self, ticket: &Ticket, limit: u32) {
         let Some(passed) = self.passed.get_mut(ticket) else { return };
         passed.unproved = false;
+        let low = self.low.filter(|(head, _)| *head == self.begun);
+        self.low = Some((self.begun, low.map_or(limit, |(_, low)| low.min(limit))));
         self.seen.limit = self.seen.limit.min(limit);
         self.estimate = self.estimate.min(limit).max(self.bounds.cold);
     }
--- a/spec/admission.pml
+++ b/spec/admission.pml
@@ -1,4 +1,4 @@
-/* mutants: STALE_LOOK NO_PERMIT NO_ORPHANS SPENT_FREE */
+/* mutants: STALE_LOOK NO_PERMIT NO_ORPHANS SPENT_FREE LOOK_OVER_HEAD */
 /*
  * Admission: one engine and its endpoint process; an ask may arrive at any time, as
  * often as it likes: this covers entries with any credits, and lost and copied asks.
@@ -48,6 +48,7 @@
 bool own[N], unproved[N];
 byte plook[N];
 byte spent, spentlook;
+byte lowlook, lowlim = NONE;
 /* What of the bounds is used up. */
 byte turns, starts, loads, passes;
 
@@ -168,6 +169,7 @@
 		shownver = false; spent = 0;
 		lookn[0] = 0; lookn[1] = 0; looklim[0] = 0; looklim[1] = 0;
 		lookrun[0] = 0; lookrun[1] = 0; lookver[0] = false; lookver[1] = false; spentlook = 0;
+		lowlook = 0; lowlim = NONE;
 #ifdef NO_ORPHANS
 		orphans = 0;
 #else
@@ -187,6 +189,11 @@
 		if
 		:: lookn[i] > taken ->
 			taken = lookn[i];
+			if
+			:: lookn[i] > lowlook -> lowlim = NONE; lowlook = 0
+			:: else -> skip
+			fi;
+			looklim[i] = (lowlim < looklim[i] -> lowlim : looklim[i]);
 			/* Another version or a first look: Gate::turn_cold */
 			if
 			:: lookver[i] != shownver || orphans == NONE -> est = COLD
@@ -246,6 +253,10 @@
 		if
 		:: own[i] ->
 			unproved[i] = false;
+#ifndef LOOK_OVER_HEAD
+			lowlim = ((lowlook == begun && lowlim < head[i] - 1) -> lowlim : head[i] - 1);
+			lowlook = begun;
+#endif
 			limit = (head[i] - 1 < limit -> head[i] - 1 : limit);
 			est = (limit < est -> limit : est);
 			est = (est < COLD -> COLD : est)
