--- a/crates/standins/src/driver/deliver.rs
+++ b/crates/standins/src/driver/deliver.rs
@@ -14,6 +14,7 @@
 
 use super::{
     Message, Outcome,
+    fleet::weights,
     message::Ask,
     world::{Event, World},
 };
@@ -166,6 +167,17 @@
         self.perform(vm);
     }
 
+    /// Lets another process give an engine an order to load, with an old fencing number.
+    pub fn swap(&mut self, vm: &VmId, version: &VersionId) {
+        let manifest = (1..=9).map(|n| weights(n).0).zip(1..);
+        let named = manifest.filter(|(_, n): &(_, u64)| format!("llm-{n}") == version.as_str());
+        for (manifest, _) in named {
+            if let Some(engine) = self.engines.get_mut(vm) {
+                engine.load(version, &manifest, Fence::default());
+            }
+        }
+    }
+
     /// Gives the engine an order to load, if the process still may.
     pub(super) fn order(
         &mut self,
--- a/crates/standins/tests/scenarios.rs
+++ b/crates/standins/tests/scenarios.rs
@@ -103,6 +103,15 @@
                 let vm: VmId = next()?.parse()?;
                 world.engines.get_mut(&vm).ok_or("no such engine")?.crash();
             }
+            "fence" => {
+                let vm: VmId = next()?.parse()?;
+                let engine = world.engines.get_mut(&vm).ok_or("no such engine")?;
+                match next()? {
+                    "above" => engine.fence = engine.fence.next(),
+                    _ => engine.fences = false,
+                }
+            }
+            "swap" => world.swap(&next()?.parse()?, &next()?.parse()?),
             "cool" => {
                 let vm: VmId = next()?.parse()?;
                 world.engines.get_mut(&vm).ok_or("no such engine")?.finished = 0;
