Returns of refused callers fill each second before the next

Now each second of the future takes as many returns as are served in it, an account at most half of it or its share by weight where others book too.

--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -196,16 +196,21 @@
     COST / u64::from(weight.max(1))
 }
 
-/// Spreads the times at which refused callers come back, so that they fit what is served.
-#[derive(Clone, Debug, Default)]
-pub struct Returns {
-    next: BTreeMap<ClientId, (Time, u32)>,
-}
-
 /// Shortest time after which a refused caller is asked back.
 const SOONEST: Span = Span::secs(1);
 /// Longest time after which a refused caller is asked back.
 const LATEST: Span = Span::secs(120);
+/// The width of a slice of time in which returns are counted, the unit of `Retry-After`.
+const SLICE: Span = Span::secs(1);
+/// The part of a slice that one account may book where others book too, by weight or at least this.
+const PART: u64 = 2;
+
+/// Spreads the times at which refused callers come back, so that they fit what is served.
+#[derive(Clone, Debug, Default)]
+pub struct Returns {
+    slices: BTreeMap<u64, BTreeMap<ClientId, u64>>,
+    weights: BTreeMap<ClientId, u64>,
+}
 
 impl Returns {
     /// Returns when a caller may come back, where one request is served each `gap` from `free` on.
@@ -216,15 +221,28 @@
         free: Time,
         gap: Span,
     ) -> Span {
-        self.next.retain(|_, (next, _)| *next > now);
-        let others = self.next.iter().filter(|(name, _)| *name != client);
-        let all: u64 = others.map(|(_, (_, weight))| u64::from(*weight)).sum();
-        let weight = weight.max(1);
-        let step = Span(gap.0.saturating_mul(all + u64::from(weight)) / u64::from(weight));
-        let soonest = free.max(now + SOONEST);
-        let (next, _) = self.next.get(client).copied().unwrap_or((soonest, weight));
-        let next = (next.max(soonest) + step).min(now + LATEST);
-        self.next.insert(client.clone(), (next, weight));
-        next - now
+        let present = now.0 / SLICE.0;
+        self.slices = self.slices.split_off(&present);
+        if self.slices.is_empty() {
+            self.weights.clear();
+        }
+        self.weights.insert(client.clone(), u64::from(weight.max(1)));
+        let room = (SLICE.0 / gap.0.max(1)).max(1);
+        let all: u64 = self.weights.values().sum();
+        let others = self.weights.len() > 1;
+        let share = (room * u64::from(weight.max(1)) / all).max(room / PART).max(1);
+        let own = if others { share } else { room };
+        let first = free.max(now + SOONEST).0 / SLICE.0;
+        let last = (now + LATEST).0 / SLICE.0;
+        let fits = |slice: &u64| {
+            let booked = self.slices.get(slice);
+            let taken = booked.and_then(|booked| booked.get(client)).copied().unwrap_or(0);
+            booked.map_or(0, |booked| booked.values().sum()) < room && taken < own
+        };
+        let slice = (first..last).find(fits).unwrap_or(last);
+        let booked = self.slices.entry(slice).or_default();
+        let place = booked.values().sum::<u64>().min(room);
+        *booked.entry(client.clone()).or_default() += 1;
+        Time(slice * SLICE.0 + place * gap.0).max(now + SOONEST) - now
     }
 }
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -137,6 +137,9 @@
     let mut all: Vec<Span> =
         (0..200).map(|n| returns.book(Time(0), (&clients[n % 2], 1), Time(0), gap)).collect();
     all.sort();
-    let within = all.iter().filter(|span| **span <= Span::secs(2)).count();
-    assert!((95..=105).contains(&within), "{within} come back in the first second after the first");
+    for second in 1..3 {
+        let due = |span: &&Span| span.0 / 1_000_000 == second;
+        let count = all.iter().filter(due).count();
+        assert!((95..=105).contains(&count), "{count} come back in second {second}");
+    }
 }
