--- a/crates/core/src/entry/keyed.rs
+++ b/crates/core/src/entry/keyed.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use rand::seq::IndexedRandom as _;
+
 use super::Entry;
 use crate::{
     declare::Fleet,
@@ -9,6 +11,7 @@
     ids::{ServiceId, VmId},
     once::{CallKey, owner},
     refuse::{Reason, Refusal},
+    time::Time,
     units::Span,
 };
 
@@ -17,9 +20,15 @@
 
 impl Entry {
     /// Returns an endpoint that may issue a ticket for a service.
-    pub fn issuer(&mut self, service: &ServiceId) -> Result<(VmId, SocketAddr), Refusal> {
+    pub fn issuer(
+        &mut self,
+        now: Time,
+        service: &ServiceId,
+    ) -> Result<(VmId, SocketAddr), Refusal> {
         let fleet = self.fleet().ok_or(Refusal::after(Reason::Unconfigured, RETRY))?;
-        let vm = self.router.choose(&fleet, service, &[], &mut self.rng)?;
+        let ready: Vec<&VmId> = self.router.ready(now, &fleet, service).map(|(vm, _)| vm).collect();
+        let chosen = ready.choose(&mut self.rng).map(|vm| (*vm).clone());
+        let vm = chosen.ok_or(Refusal::after(Reason::NoEndpoint, RETRY))?;
         let addr = fleet.vms.get(&vm).map(|vm| vm.addr).ok_or(Refusal::new(Reason::NoEndpoint))?;
         Ok((vm, addr))
     }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -1,6 +1,8 @@
 //! Decisions of an entry process.
 
+mod forecast;
 mod keyed;
+mod line;
 mod outcome;
 mod request;
 
@@ -13,8 +15,11 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
-pub use self::request::{Arrival, RequestEvent, RequestState};
-use self::request::{Request, chart};
+pub use self::request::{Arrival, RequestEvent, RequestState, URGENCY};
+use self::{
+    line::Lines,
+    request::{Request, chart},
+};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
     budget::Budget,
@@ -24,7 +29,7 @@
     member::VmState,
     proto::Beat,
     refuse::{Failure, Reason, Refusal},
-    route::Router,
+    route::{Policy, Query, Router},
     suspect::Suspects,
     time::{Time, Timers},
     units::Span,
@@ -72,6 +77,7 @@
 enum Timer {
     Beat(VmId),
     Deadline(RequestKey),
+    Pass(ServiceId),
 }
 
 /// Who an entry is.
@@ -85,6 +91,8 @@
     pub incarnation: Incarnation,
     /// The time between two heartbeats on a connection.
     pub heartbeat: Span,
+    /// How endpoints are chosen.
+    pub policy: Policy,
 }
 
 /// The state and the decisions of an entry process.
@@ -93,6 +101,7 @@
     own: Identity,
     adopter: Adopter,
     router: Router,
+    lines: Lines,
     requests: SlotMap<RequestKey, Request>,
     chart: Arc<Chart<RequestState, RequestEvent>>,
     timers: Timers<Timer>,
@@ -109,11 +118,12 @@
 impl Entry {
     /// Returns an entry that knows nothing yet.
     pub fn new(own: Identity, seed: u64) -> Self {
-        let router = Router::new(own.zone.clone());
+        let router = Router::new(own.zone.clone(), own.policy);
         Self {
             own,
             adopter: Adopter::default(),
             router,
+            lines: Lines::new(),
             requests: SlotMap::with_key(),
             chart: Arc::new(chart()),
             timers: Timers::default(),
@@ -158,8 +168,9 @@
         }
         self.incarnations.insert(beat.vm.clone(), beat.incarnation);
         if let Some(load) = beat.load {
-            self.router.report(&beat.vm, load);
+            self.router.report(now, &beat.vm, load);
             self.router.leaving(&beat.vm, self.leaving.contains(&beat.vm));
+            self.pass_all(now);
         }
     }
 
@@ -187,12 +198,16 @@
 
     /// Takes note that an endpoint refused a request.
     pub fn refused(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
+        let freed = self.freed(now, key, false);
         if refusal.reason == Reason::Leaving {
             self.shun(key);
         }
         if refusal == Refusal::new(Reason::Suspect) {
             return self.refuse(key, refusal);
         }
+        if let Some(vm) = freed.filter(|_| refusal.reason == Reason::Overload) {
+            self.router.full(&vm);
+        }
         self.send(now, key, refusal);
     }
 
@@ -204,13 +219,15 @@
     }
 
     /// Takes note that a request has its whole answer.
-    pub fn ended(&mut self, key: RequestKey) {
+    pub fn ended(&mut self, now: Time, key: RequestKey) {
         self.acquit(key);
+        self.freed(now, key, true);
         self.end(key, RequestEvent::End);
     }
 
     /// Takes note that the caller of a request has gone.
-    pub fn left(&mut self, key: RequestKey) {
+    pub fn left(&mut self, now: Time, key: RequestKey) {
+        self.freed(now, key, false);
         self.end(key, RequestEvent::Leave);
     }
 
@@ -220,7 +237,8 @@
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Beat(vm) => self.send_beat(now, vm),
-                Timer::Deadline(key) => self.out_of_time(key),
+                Timer::Deadline(key) => self.out_of_time(now, key),
+                Timer::Pass(service) => self.pass(now, &service),
             }
         }
     }
@@ -248,9 +266,21 @@
             generation: self.adopter.generation(),
             load: None,
             crashes: self.suspects.told(),
+            want: 0,
         }
     }
 
+    /// Returns the state that this process tells an endpoint.
+    pub fn beat_to(&self, vm: &VmId) -> Beat {
+        let want = self.fleet().map_or(0, |fleet| self.want(&fleet, vm));
+        Beat { want, ..self.beat() }
+    }
+
+    /// Returns the requests that wait for an endpoint.
+    pub fn waiting(&self) -> usize {
+        self.lines.values().map(|line| line.queue.len()).sum()
+    }
+
     /// Returns the service that a request in progress asks for.
     pub fn service(&self, key: RequestKey) -> Option<&ServiceId> {
         self.arrival(key).map(|arrival| &arrival.service)
@@ -278,31 +308,36 @@
     /// Offers a request to the next endpoint, or refuses it with the last refusal.
     fn send(&mut self, now: Time, key: RequestKey, last: Refusal) {
         let Some(request) = self.requests.get(key) else { return };
-        let first = request.tried.is_empty();
         if request.tried.len() >= MAX_OFFERS {
-            return self.refuse(key, last);
+            return self.wait(now, key, last);
         }
-        match self.choose(now, key) {
-            Ok(output) => {
-                if let Some(request) = self.requests.get_mut(key) {
-                    request.state.apply(RequestEvent::Send);
-                }
-                self.outputs.push(output);
-            }
-            Err(refusal) => self.refuse(key, if first { refusal } else { last }),
+        if self.others_wait(&request.arrival) {
+            return self.wait(now, key, Refusal::new(Reason::Overload));
+        }
+        let owner_refused = request.arrival.key.is_some() && !request.tried.is_empty();
+        match self.choose(now, key, true) {
+            Ok(output) => self.sent(now, key, output),
+            Err(_) if owner_refused => self.refuse(key, last),
+            Err(refusal) => self.wait(now, key, refusal),
         }
     }
 
-    fn choose(&mut self, now: Time, key: RequestKey) -> Result<Output, Refusal> {
+    fn choose(&mut self, now: Time, key: RequestKey, borrow: bool) -> Result<Output, Refusal> {
         let fleet = self.fleet().ok_or(Refusal::after(Reason::Unconfigured, RETRY))?;
         let request = self.requests.get(key).ok_or(Refusal::new(Reason::Leaving))?;
         let left = request.left(now).ok_or(Refusal::new(Reason::Deadline))?;
-        let service = &request.arrival.service;
         let vm = match &request.arrival.key {
-            Some(key) => self.choose_keyed(&fleet, service, key, &request.tried)?,
+            Some(key) => {
+                let service = &request.arrival.service;
+                let vm = self.choose_keyed(&fleet, service, key, &request.tried)?;
+                self.router.taken(&vm);
+                vm
+            }
             None => {
-                let avoided = self.avoided(key);
-                self.router.choose(&fleet, service, &avoided, &mut self.rng)?
+                let tried = self.avoided(key);
+                let (service, client) = (&request.arrival.service, &request.arrival.client);
+                let query = Query { now, service, client, tried: &tried, borrow };
+                self.router.choose(&fleet, query, &mut self.rng)?
             }
         };
         let addr = fleet.vms.get(&vm).map(|vm| vm.addr).ok_or(Refusal::new(Reason::NoEndpoint))?;
@@ -323,6 +358,11 @@
         ended
     }
 
+    fn pass_all(&mut self, now: Time) {
+        let services: Vec<ServiceId> = self.lines.keys().cloned().collect();
+        services.iter().for_each(|service| self.pass(now, service));
+    }
+
     fn start_beats(&mut self, now: Time) {
         let Some(fleet) = self.fleet() else { return };
         let endpoints = fleet.vms.values().filter(|vm| matches!(vm.role, Role::Endpoint(_)));
--- a/crates/core/src/entry/request.rs
+++ b/crates/core/src/entry/request.rs
@@ -10,7 +10,7 @@
     once::CallKey,
     refuse::Failure,
     time::{Time, TimerId},
-    units::Span,
+    units::{Bytes, Span},
 };
 
 /// The chart of a request's life.
@@ -29,8 +29,15 @@
     pub print: Digest,
     /// The time that the call may take.
     pub timeout: Span,
+    /// The urgency within the client account, 0 first and 7 last.
+    pub urgency: u8,
+    /// The size of the body.
+    pub size: Bytes,
 }
 
+/// The urgency of a request that names none.
+pub const URGENCY: u8 = 3;
+
 /// The state of a request at an entry.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -74,6 +81,8 @@
 pub(super) struct Request {
     pub(super) arrival: Arrival,
     pub(super) tried: Vec<VmId>,
+    pub(super) at: Time,
+    pub(super) sent: Option<(Time, VmId)>,
     pub(super) state: Machine<RequestState, RequestEvent>,
     pub(super) failure: Option<Failure>,
     pub(super) timer: TimerId,
@@ -89,7 +98,8 @@
     ) -> Self {
         let deadline = now + arrival.timeout;
         let state = Machine::new(chart);
-        Self { arrival, tried: vec![], state, failure: None, timer, deadline }
+        let tried = vec![];
+        Self { arrival, tried, at: now, sent: None, state, failure: None, timer, deadline }
     }
 
     /// Returns the time left until the deadline, `None` where it has passed.
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -6,6 +6,7 @@
 use sequoiahold_core::{
     declare::Published,
     endpoint::{Decision, EngineState, Offered},
+    gate::{Ended, LookId, Ticket},
     ids::{ClientId, Digest, ServiceId, VersionId, VmId},
     member::VmState,
     once::{HandOver, OnceTicket, RunEnd},
@@ -24,16 +25,16 @@
     Offer(Arc<Published>),
     /// The platform's list of VMs was read.
     Vms(BTreeMap<VmId, VmState>),
-    /// The engine showed its state, or did not answer.
-    Engine(Option<EngineState>),
+    /// The engine showed its state at a look, or did not answer.
+    Engine(LookId, Option<EngineState>),
     /// A request asks to pass the gate.
     Admit(Admit),
+    /// The head of an answer shows what the engine bears.
+    Head(Ticket, u32),
     /// A request that passed has ended.
-    Ended(Offered, RunEnd),
+    Ended(Offered, RunEnd, Ended),
     /// The engine, which now shows this start, crashed under a request.
     Fell(Offered, u64, oneshot::Sender<Failure>),
-    /// An entry told its state.
-    Heard(Box<Beat>),
     /// Another endpoint handed over keys.
     Keys(VmId, HandOver),
     /// Another endpoint asks for its keys.
@@ -46,12 +47,14 @@
     Drawn(Digest, Result<Bytes, DrawError>),
     /// A peer told which chunks of a manifest it holds, or gave no answer.
     Have(VmId, Option<Vec<u8>>),
+    /// An order to load a version is about to be given; whether it still may is asked for.
+    Confirm(VersionId, oneshot::Sender<bool>),
     /// The engine took the weights of a version and an order to load it, or did not.
     Loaded(VersionId, bool),
     /// A peer asks which chunks of a manifest are held.
     TellHave(Digest, oneshot::Sender<Vec<u8>>),
-    /// A peer asks for this process's state.
-    Tell(oneshot::Sender<Beat>),
+    /// An entry tells its state and asks for this process's.
+    Tell(Box<Beat>, oneshot::Sender<Beat>),
     /// The status is asked for.
     Status(oneshot::Sender<Status>),
     /// The process was told to stop; the number of requests in progress is asked for.
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -7,6 +7,7 @@
     adopt::{Adoption, InForce},
     declare::Published,
     endpoint::{Decision, Drawing, Endpoint, Identity, Output, Place},
+    gate::{Ended, LookId},
     ids::{Digest, Fence, VersionId, VmId},
     once::RunEnd,
     proto::{Call, KeysAsk, Reply},
@@ -14,7 +15,7 @@
     units::{Bytes as Size, Span},
     weights::{DrawError, Manifest, Pacer, TransferOutcome, pace::share},
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{
     draw::Drawer,
@@ -105,16 +106,16 @@
         match event {
             Event::Offer(published) => self.on_offer(published),
             Event::Vms(list) => self.endpoint.list(now, &list),
-            Event::Engine(state) => {
-                self.endpoint.engine(now, state);
+            Event::Engine(look, state) => {
+                self.endpoint.engine(now, look, state);
                 self.give_way();
             }
             Event::Admit(admit) => self.on_admit(admit),
-            Event::Ended(call, end) => self.endpoint.ended(now, &call, end),
+            Event::Head(ticket, limit) => self.endpoint.head(&ticket, limit),
+            Event::Ended(call, end, engine) => self.endpoint.ended(now, &call, end, engine),
             Event::Fell(call, engine, reply) => {
                 let _ = reply.send(self.endpoint.fell(now, &call, engine));
             }
-            Event::Heard(beat) => self.endpoint.heard(now, &beat),
             Event::Keys(vm, given) => self.endpoint.take_over(now, &vm, given),
             Event::TellKeys(ask, reply) => drop(reply.send(self.endpoint.hand_over(now, &ask))),
             Event::Ticket(client, service, reply) => {
@@ -123,12 +124,18 @@
             Event::Manifest(version, manifest) => self.on_manifest(&version, manifest),
             Event::Drawn(digest, data) => self.on_drawn(digest, data),
             Event::Have(peer, bits) => self.endpoint.have(now, &peer, bits.as_deref()),
+            Event::Confirm(version, reply) => {
+                let _ = reply.send(self.endpoint.confirm(now, &version));
+            }
             Event::Loaded(version, taken) => {
                 self.endpoint.loaded(now, &version, taken);
                 self.parts.metrics.count(if taken { "loads.taken" } else { "loads.failed" });
             }
             Event::TellHave(manifest, reply) => drop(reply.send(self.have(manifest))),
-            Event::Tell(reply) => drop(reply.send(self.endpoint.beat())),
+            Event::Tell(told, reply) => {
+                self.endpoint.heard(now, &told);
+                let _ = reply.send(self.endpoint.answer(now, &told));
+            }
             Event::Status(reply) => drop(reply.send(self.status())),
             Event::Drain(reply) => drop(reply.send(self.endpoint.drain())),
         }
@@ -149,7 +156,7 @@
         let decision = self.endpoint.decide(now, &admit.offered);
         let passed = matches!(decision, Decision::Run(_));
         if admit.reply.send(decision).is_err() && passed {
-            self.endpoint.ended(now, &admit.offered, RunEnd::NotRun);
+            self.endpoint.ended(now, &admit.offered, RunEnd::NotRun, Ended::Cancelled);
         }
     }
 
@@ -186,7 +193,7 @@
     fn perform(&mut self) {
         for output in self.endpoint.outputs() {
             match output {
-                Output::Look => self.look(),
+                Output::Look(look) => self.look(look),
                 Output::ReadManifest(version, digest, places) => {
                     self.read_manifest(version, digest, places);
                 }
@@ -219,11 +226,11 @@
         });
     }
 
-    fn look(&self) {
+    fn look(&self, look: LookId) {
         let (engine, events) = (self.parts.engine.clone(), self.parts.events.clone());
         actix_rt::spawn(async move {
             let state = engine.state().await.ok();
-            let _ = events.send(Event::Engine(state));
+            let _ = events.send(Event::Engine(look, state));
         });
     }
 
@@ -249,7 +256,8 @@
         let (engine, store) = (self.parts.engine.clone(), self.parts.store.clone());
         let events = self.parts.events.clone();
         actix_rt::spawn(async move {
-            let taken = give(&engine, &store, &version, &manifest, fence).await;
+            let order = Order { version: &version, manifest: &manifest, fence };
+            let taken = give(&engine, &store, order, &events).await;
             if let Err(error) = &taken {
                 log::warn!("version {version} was not loaded: {error:#}");
             }
@@ -281,6 +289,7 @@
             limit: gate.limit(),
             running: gate.running(),
             open: gate.open(),
+            superseded: self.endpoint.superseded(),
             counters: self.parts.metrics.counters(),
             wire: self.parts.traffic.total(),
             ..Status::default()
@@ -288,16 +297,27 @@
     }
 }
 
+struct Order<'a> {
+    version: &'a VersionId,
+    manifest: &'a Manifest,
+    fence: Fence,
+}
+
+/// Hands the engine the chunks of a version, then the order to load it if it may still be given.
 async fn give(
     engine: &Engine,
     store: &Store,
-    version: &VersionId,
-    manifest: &Manifest,
-    fence: Fence,
+    order: Order<'_>,
+    events: &mpsc::UnboundedSender<Event>,
 ) -> anyhow::Result<()> {
-    for digest in &manifest.chunks {
+    for digest in &order.manifest.chunks {
         let chunk = store.get(digest).ok_or_else(|| anyhow::anyhow!("chunk {digest} is gone"))?;
         engine.put(digest, chunk).await?;
     }
-    engine.load(version, manifest, fence).await
+    let (reply, confirmed) = oneshot::channel();
+    let _ = events.send(Event::Confirm(order.version.clone(), reply));
+    if !confirmed.await.unwrap_or(false) {
+        anyhow::bail!("the order is no longer this process's to give");
+    }
+    engine.load(order.version, order.manifest, order.fence).await
 }
--- a/crates/sequoiahold/src/endpoint/peers.rs
+++ b/crates/sequoiahold/src/endpoint/peers.rs
@@ -27,9 +27,9 @@
     async fn serve(&self, call: Call, mut send: SendStream, recv: RecvStream) {
         let reply = match call {
             Call::Ask(ask) => return self.asks.run(*ask, send, recv).await,
-            Call::Beat(beat) => {
-                let _ = self.events.send(Event::Heard(beat));
-                self.query(Event::Tell).await.map(|beat| Reply::Beat(Box::new(beat)))
+            Call::Beat(told) => {
+                let beat = self.query(|reply| Event::Tell(told, reply)).await;
+                beat.map(|beat| Reply::Beat(Box::new(beat)))
             }
             Call::Config(call) => self.config.answer(call).await,
             Call::Keys(ask) => {
--- a/crates/standins/src/bench/fake_endpoint.rs
+++ b/crates/standins/src/bench/fake_endpoint.rs
@@ -29,13 +29,15 @@
     }
 
     fn beat(&self) -> Beat {
-        let load = Load { version: "llm-1".parse().ok(), limit: 1_000, running: 0, open: true };
+        let version = "llm-1".parse().ok();
+        let load = Load { version, limit: 1_000, running: 0, open: true, credit: 1_000 };
         Beat {
             vm: self.vm.clone(),
             incarnation: Incarnation(1),
             generation: Generation(1),
             crashes: vec![],
             load: Some(load),
+            want: 0,
         }
     }
 
--- a/crates/standins/src/bench/series.rs
+++ b/crates/standins/src/bench/series.rs
@@ -239,6 +239,7 @@
             generation: Generation(1),
             crashes: vec![],
             load: None,
+            want: 0,
         };
         let endpoint: VmId = "near-1".parse().expect("a sound name");
         if let Ok(connection) = links.get(&endpoint, net.address(1, 7400)).await {
--- a/crates/standins/src/driver/deliver.rs
+++ b/crates/standins/src/driver/deliver.rs
@@ -5,7 +5,7 @@
 use sequoiahold_core::{
     endpoint::Decision,
     entry::RequestKey,
-    gate::Ticket,
+    gate::{Ended, Ticket},
     ids::{Digest, Fence, VersionId, VmId},
     once::{Answer, RunEnd},
     refuse::Failure,
@@ -16,22 +16,29 @@
 
 use super::{
     Message, Outcome,
+    fleet::weights,
     message::Ask,
     world::{Event, World},
 };
 
+/// Time from a request's hand-over to the head of its answer.
+const HEAD: Span = Span::millis(2);
+/// Time that the engine takes to load.
+const LOAD: Span = Span::millis(300);
 /// Time from a request's hand-over to its first token.
 const FIRST: Span = Span::millis(50);
-/// Time from a request's first token to its end.
-const RUN: Span = Span::millis(150);
 
 impl World {
     pub(super) fn deliver(&mut self, from: &VmId, to: &VmId, message: Message) {
         match message {
             Message::Beat(beat) => {
-                self.on_endpoint(to, |core, now| core.heard(now, &beat));
-                let answer = self.endpoints.get(to).map(|node| Message::Answer(node.core.beat()));
+                let now = self.now;
+                let answer = self.endpoints.get_mut(to).map(|node| {
+                    node.core.heard(now, &beat);
+                    Message::Answer(node.core.answer(now, &beat))
+                });
                 answer.into_iter().for_each(|answer| self.send(to, from, answer));
+                self.perform(to);
             }
             Message::Answer(beat) => {
                 let now = self.now;
@@ -44,6 +51,7 @@
             Message::Ask(ask) => self.asked(from, to, ask),
             Message::Refused(key, refusal) => {
                 let now = self.now;
+                self.refusals += 1;
                 if let Some(node) = self.entries.get_mut(to) {
                     node.core.refused(now, key, refusal);
                 }
@@ -94,6 +102,7 @@
         let (ticket, print) = (offered.ticket.clone(), offered.print);
         node.open.insert(ticket.clone(), offered);
         self.count_run(call);
+        self.began.push((from.clone(), self.calls[call.0].client.clone(), to.clone()));
         let poison = self.keys.poison.contains(&print);
         let began = self.engines.get_mut(to).is_some_and(|e| e.begin(ticket.clone(), call));
         if poison && let Some(engine) = self.engines.get_mut(to) {
@@ -101,8 +110,12 @@
         }
         let incarnation = self.engines[to].incarnation;
         let vm = to.clone();
+        if let Some(limit) = self.engines[to].head() {
+            let (vm, epoch, ticket) = (vm.clone(), self.epochs[to], ticket.clone());
+            self.push(HEAD, Event::Head { vm, epoch, ticket, limit });
+        }
         if !began || poison {
-            return self.push(FIRST, Event::Done { vm, ticket, request, incarnation: 0 });
+            return self.push(HEAD, Event::Done { vm, ticket, request, incarnation: 0 });
         }
         self.push(FIRST, Event::First { vm, ticket, request, incarnation });
     }
@@ -112,7 +125,7 @@
             self.send(vm, &ticket.0, Message::Started(key));
         }
         let (vm, ticket) = (vm.clone(), ticket.clone());
-        self.push(RUN, Event::Done { vm, ticket, request: key, incarnation });
+        self.push(self.shape.run, Event::Done { vm, ticket, request: key, incarnation });
     }
 
     pub(super) fn done(&mut self, vm: &VmId, ticket: &Ticket, key: RequestKey, incarnation: u64) {
@@ -127,6 +140,7 @@
         let Some(node) = self.endpoints.get_mut(vm) else { return };
         let Some(offered) = node.open.remove(ticket) else { return };
         let body = Some(vec![].into());
+        let ended = if run.is_some() { Ended::Whole } else { Ended::Broken };
         let (end, message) = match run {
             Some((_, version)) => {
                 let answer = Answer { status: 200, content: String::new(), body };
@@ -138,7 +152,7 @@
                 (RunEnd::Unknown, Message::Failed(key, failure))
             }
         };
-        node.core.ended(now, &offered, end);
+        node.core.ended(now, &offered, end, ended);
         self.send(vm, &ticket.0, message);
         self.perform(vm);
     }
@@ -153,8 +167,9 @@
     }
 
     fn ended(&mut self, entry: &VmId, key: RequestKey, version: Option<VersionId>) {
+        let now = self.now;
         let Some(node) = self.entries.get_mut(entry) else { return };
-        node.core.ended(key);
+        node.core.ended(now, key);
         if let Some((call, _)) = node.calls.remove(&key) {
             self.end_call(call, Outcome::Answered(version));
         }
@@ -189,6 +204,34 @@
         self.perform(vm);
     }
 
+    /// Lets another process give an engine an order to load, with an old fencing number.
+    pub fn swap(&mut self, vm: &VmId, version: &VersionId) {
+        let manifest = (1..=9).map(|n| weights(n).0).zip(1..);
+        let named = manifest.filter(|(_, n): &(_, u64)| format!("llm-{n}") == version.as_str());
+        for (manifest, _) in named {
+            if let Some(engine) = self.engines.get_mut(vm) {
+                engine.load(version, &manifest, Fence::default());
+            }
+        }
+    }
+
+    /// Gives the engine an order to load, if the process still may.
+    pub(super) fn order(
+        &mut self,
+        vm: &VmId,
+        version: VersionId,
+        manifest: Arc<Manifest>,
+        fence: Fence,
+    ) {
+        let (now, epoch, vm) = (self.now, self.epochs[vm], vm.clone());
+        let Some(node) = self.endpoints.get_mut(&vm) else { return };
+        if node.core.confirm(now, &version) {
+            return self.push(LOAD, Event::Loaded { vm, epoch, version, manifest, fence });
+        }
+        node.core.loaded(now, &version, false);
+        self.perform(&vm);
+    }
+
     pub(super) fn load(
         &mut self,
         vm: &VmId,
@@ -198,15 +241,9 @@
         fence: Fence,
     ) {
         let Some(engine) = self.engines.get_mut(vm) else { return };
-        let taken = fence >= engine.fence;
-        if taken {
-            engine.fence = fence;
-            engine.version = Some((version.clone(), manifest.digest()));
-            engine.finished = 0;
-        }
-        if self.epochs[vm] == epoch {
-            self.on_endpoint(vm, |core, now| core.loaded(now, version, taken));
-        }
+        let taken = engine.load(version, manifest, fence);
+        let (vm, version) = (vm.clone(), version.clone());
+        self.push(HEAD, Event::Taken { vm, epoch, version, taken });
     }
 
     fn have(&self, vm: &VmId, manifest: Digest) -> Vec<u8> {
--- a/crates/standins/tests/scenarios.rs
+++ b/crates/standins/tests/scenarios.rs
@@ -125,6 +125,15 @@
                 let vm: VmId = next()?.parse()?;
                 world.engines.get_mut(&vm).ok_or("no such engine")?.crash();
             }
+            "fence" => {
+                let vm: VmId = next()?.parse()?;
+                let engine = world.engines.get_mut(&vm).ok_or("no such engine")?;
+                match next()? {
+                    "above" => engine.fence = engine.fence.next(),
+                    _ => engine.fences = false,
+                }
+            }
+            "swap" => world.swap(&next()?.parse()?, &next()?.parse()?),
             "cool" => {
                 let vm: VmId = next()?.parse()?;
                 world.engines.get_mut(&vm).ok_or("no such engine")?.finished = 0;
@@ -153,6 +162,7 @@
                     cold: parsed(&mut args, "cold")?.unwrap_or(base.cold),
                     clients: parsed(&mut args, "clients")?.unwrap_or(base.clients),
                     seed: parsed(&mut args, "seed")?.unwrap_or(base.seed),
+                    ..base
                 };
                 args.reject_next()?;
                 self.set_up(shape);
