--- a/crates/standins/tests/scenarios.rs
+++ b/crates/standins/tests/scenarios.rs
@@ -88,16 +88,37 @@
             key => key.map(str::parse).transpose()?,
         };
         let body = args.take_key("body").map(ToOwned::to_owned);
+        let keys = args.take_key("keys").map(ToOwned::to_owned);
         args.reject_next()?;
         let body = body.as_deref();
         for _ in 0..count {
-            let (service, client, key) = (&*service, &*client, key.clone());
+            let fresh = keys.as_deref().map(|kind| self.fresh_key(kind)).transpose()?;
+            let (service, client, key) = (&*service, &*client, fresh.or_else(|| key.clone()));
             self.marked.push(self.world.ask(&at, Asked { service, client, key, body }));
             every.into_iter().for_each(|span| self.world.advance(span));
         }
         Ok(())
     }
 
+    /// Returns a key that was not used before: a plain one, one with its time, or a ticket.
+    fn fresh_key(&mut self, kind: &str) -> Result<CallKey, Box<dyn Error>> {
+        let number = self.world.calls.len();
+        match kind {
+            "plain" => Ok(format!("key-{number}").parse()?),
+            "timed" => {
+                let millis = format!("{:012x}", self.world.now.0 / 1_000);
+                let (high, low) = millis.split_at(8);
+                Ok(format!("{high}-{low}-7000-8000-{number:012x}").parse()?)
+            }
+            "ticket" => {
+                let vms: Vec<VmId> = self.world.engines.keys().cloned().collect();
+                let mut issued = vms.iter().filter_map(|vm| self.world.issue(vm, "c1", "orders"));
+                Ok(CallKey::Ticket(issued.next().ok_or("no endpoint issues a ticket")?))
+            }
+            other => Err(format!("unknown kind of key {other}").into()),
+        }
+    }
+
     fn fault(&mut self, command: &Command) -> Result<String, Box<dyn Error>> {
         let mut args = command.consume_args();
         let mut next = || args.next_pos().ok_or("an argument is missing");
