--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -133,7 +133,7 @@
         let outcome = self.adopter.offer(published);
         if matches!(outcome, Adoption::Adopted(_)) {
             self.start_beats(now);
-            self.keep_budgets();
+            self.forget_withdrawn();
         }
         outcome
     }
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -117,10 +117,12 @@
             && self.budget.spend(&arrival.client)
     }
 
-    /// Forgets the retry budgets of client accounts that are no longer declared.
-    pub(super) fn keep_budgets(&mut self) {
+    /// Forgets client accounts and VMs that are no longer declared.
+    pub(super) fn forget_withdrawn(&mut self) {
         if let Some(fleet) = self.fleet() {
             self.budget.keep(|client| fleet.clients.contains_key(client));
+            self.incarnations.retain(|vm, _| fleet.vms.contains_key(vm));
+            self.leaving.retain(|vm| fleet.vms.contains_key(vm));
         }
     }
 
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -16,6 +16,8 @@
 const TOLD: Span = Span::secs(10);
 /// Crashes that are told to peers at the same time.
 const MAX_CRASHES: usize = 8;
+/// Crashes that are remembered, so that each counts once.
+const MAX_KNOWN: usize = 4_096;
 /// Requests in flight that a crash names; a crash with more accuses none.
 const MAX_PRINTS: usize = 64;
 /// Requests that are suspected at the same time.
@@ -77,7 +79,8 @@
     /// Takes a crash that this process saw or was told of; a known one changes nothing.
     pub fn accuse(&mut self, now: Time, crash: Crash) {
         let id = (crash.vm.clone(), crash.engine);
-        if self.crashes.insert(id, now).is_some() {
+        let full = self.crashes.len() >= MAX_KNOWN && !self.crashes.contains_key(&id);
+        if full || self.crashes.insert(id, now).is_some() {
             return;
         }
         let prints: BTreeSet<Print> = crash.prints.iter().copied().collect();
