--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -6,7 +6,7 @@
 use sequoiahold_core::{
     declare::Published,
     endpoint::{Decision, EngineState, Offered},
-    ids::{ClientId, Digest, Generation, ServiceId, VersionId, VmId},
+    ids::{ClientId, Digest, ServiceId, VersionId, VmId},
     member::VmState,
     once::{HandOver, OnceTicket, RunEnd},
     proto::{Beat, KeysAsk},
@@ -50,8 +50,6 @@
     Loaded(VersionId, bool),
     /// A peer asks which chunks of a manifest are held.
     TellHave(Digest, oneshot::Sender<Vec<u8>>),
-    /// A peer asks for the published set above a generation.
-    Set(Generation, oneshot::Sender<Option<Arc<Published>>>),
     /// A peer asks for this process's state.
     Tell(oneshot::Sender<Beat>),
     /// The status is asked for.
