Keys from the future run nowhere; bounded hand-overs; one connect at a time

Cause: - a settled owner ran a key whose time lay in the future; after its restart the same key would have counted as young and run again (a_key_from_the_future_runs_nowhere: failed before, passes now). KEY_SKEW is 2 s now, which also shortens the wait of a fresh owner; - a hand-over with many kept answers could outgrow a message and never arrive: answers beyond 1 MB go without their body; - each heartbeat opened a connection of its own to a VM that did not answer; one attempt is made at a time and shared; - settings allowed a time between looks at which an endpoint would have taken itself for paused: 20 ms to 1 s now.

--- a/crates/core/src/once/memory.rs
+++ b/crates/core/src/once/memory.rs
@@ -16,6 +16,8 @@
 const MAX_RECORDS: usize = 20_000;
 /// Bytes of answers that are kept for repeats.
 const MAX_BYTES: usize = 8_000_000;
+/// Bytes of answers that are handed over to another owner.
+const MAX_HANDED: usize = 1_000_000;
 /// Bytes of the longest answer that is kept for repeats.
 pub const MAX_ANSWER: usize = 64_000;
 
@@ -172,12 +174,16 @@
             CallKey::Chosen(key) => owners::owner(members, key) == Some(owner),
             CallKey::Ticket(_) => false,
         };
+        let mut left = MAX_HANDED;
         let records = self.kept.iter().filter(|((_, key), _)| owned(key));
-        let record = |((client, key), kept): (&Name, &Kept)| Record {
-            client: client.clone(),
-            key: key.clone(),
-            state: kept.state.clone(),
-            print: kept.print,
+        let record = |((client, key), kept): (&Name, &Kept)| {
+            let (mut state, print) = (kept.state.clone(), kept.print);
+            let fits = left.checked_sub(size(&state));
+            if let (RunState::Ended(answer), None) = (&mut state, fits) {
+                answer.body = None;
+            }
+            left = fits.unwrap_or(left);
+            Record { client: client.clone(), key: key.clone(), state, print }
         };
         records.map(record).collect()
     }
--- a/crates/core/src/once/mod.rs
+++ b/crates/core/src/once/mod.rs
@@ -21,7 +21,7 @@
 /// Time after its first use in which a caller may repeat a key; copies and answers are kept as long.
 pub const KEY_LIFE: Span = Span::secs(60);
 /// Largest difference between the wall clocks of callers and of VMs for keys that carry a time.
-pub const KEY_SKEW: Span = Span::secs(5);
+pub const KEY_SKEW: Span = Span::secs(2);
 /// The time after which a caller may come back with its key.
 const RETRY: Span = Span::secs(1);
 
--- a/crates/core/src/once/owners.rs
+++ b/crates/core/src/once/owners.rs
@@ -119,11 +119,13 @@
     /// Returns whether this endpoint may run a key that it does not remember.
     pub fn may_run(&mut self, now: Time, key: &OnceKey) -> bool {
         let mine = |members: &[VmId]| owner(members, key) == Some(&self.own);
-        if self.newest > self.generation || !mine(&self.members) {
+        let made = created(key, self.epoch);
+        let future = made.is_some_and(|at| at > now + KEY_SKEW);
+        if future || self.newest > self.generation || !mine(&self.members) {
             return false;
         }
         let always = !self.blank && self.past.iter().all(|members| mine(members));
-        always || self.settle(now) || self.is_young(now, key)
+        always || self.settle(now) || made.is_some_and(|at| self.is_young(at))
     }
 
     /// Returns whether no earlier owner can have run a key that may still be repeated.
@@ -139,11 +141,8 @@
         settled && !self.blank
     }
 
-    /// Returns whether a key carries a time at which no earlier owner ran keys any more.
-    fn is_young(&self, now: Time, key: &OnceKey) -> bool {
-        let Some(created) = created(key, self.epoch).filter(|at| *at <= now + KEY_SKEW) else {
-            return false;
-        };
+    /// Returns whether a key was made at a time at which no earlier owner ran keys any more.
+    fn is_young(&self, created: Time) -> bool {
         let after = |stopped: Time| created > stopped + KEY_SKEW;
         let stopped = |earlier: &Earlier| match earlier {
             Earlier::Silent => false,
--- a/crates/core/tests/once.rs
+++ b/crates/core/tests/once.rs
@@ -6,6 +6,7 @@
     once::{
         Answer, CallKey, KEY_LIFE, KEY_SKEW, KeyedCall, MAX_ANSWER, Once, RunEnd, Verdict, owner,
     },
+    proto::{MAX_MESSAGE, encode},
     refuse::{Failure, Reason},
     suspect::Print,
     time::Time,
@@ -67,6 +68,18 @@
     assert_eq!(verdict == Verdict::Run, runs);
 }
 
+#[test]
+fn a_key_from_the_future_runs_nowhere() {
+    let now = Time::default() + KEY_LIFE;
+    let made = now + KEY_SKEW + Span::millis(1);
+    let millis = format!("{:012x}", made.0 / 1_000);
+    let key = key(&format!("{}-{}-7abc-8def-0123456789ab", &millis[..8], &millis[8..]));
+    let mut once = alone();
+    assert!(once.settled(now));
+    assert_eq!(reason(once.decide(now, call(&client(), &key))), Some(Reason::Key));
+    assert_eq!(once.decide(now + Span::secs(1), call(&client(), &key)), Verdict::Run);
+}
+
 #[test]
 fn a_repeat_gets_the_same_answer() {
     let (mut once, now) = (alone(), Time::default() + KEY_LIFE);
@@ -149,3 +162,17 @@
     let other = KeyedCall { print: Print(2), ..call(&client, &key) };
     assert_eq!(reason(once.decide(now, other)), Some(Reason::KeyReused));
 }
+
+#[test]
+fn a_hand_over_fits_into_one_message() {
+    let (mut once, now) = (alone(), Time::default() + KEY_LIFE);
+    let client = client();
+    for number in 0..40 {
+        let key = key(&format!("order-{number}"));
+        once.begin(now, call(&client, &key));
+        once.end(now, call(&client, &key), RunEnd::Answered(answer(MAX_ANSWER)));
+    }
+    let given = once.hand_over(now, &vm("a"), &[vm("a")], Generation(1));
+    assert_eq!(given.records.len(), 40);
+    assert!(encode(&given).len() < MAX_MESSAGE / 2);
+}
--- a/crates/sequoiahold/src/net/link.rs
+++ b/crates/sequoiahold/src/net/link.rs
@@ -14,6 +14,7 @@
     ids::VmId,
     proto::{Call, Reply},
 };
+use tokio::sync::Mutex;
 
 use super::{Tls, Traffic, read, write};
 
@@ -27,12 +28,13 @@
     traffic: Traffic,
     local: Option<IpAddr>,
     open: Rc<RefCell<BTreeMap<VmId, Connection>>>,
+    opening: Rc<RefCell<BTreeMap<VmId, Rc<Mutex<()>>>>>,
 }
 
 impl Links {
     /// Returns an empty set of connections.
     pub fn new(tls: Rc<RefCell<Tls>>, traffic: Traffic) -> Self {
-        Self { tls, traffic, local: None, open: Rc::default() }
+        Self { tls, traffic, local: None, open: Rc::default(), opening: Rc::default() }
     }
 
     /// Returns the connections with `local` as the address that new ones start at.
@@ -41,13 +43,26 @@
     }
 
     /// Returns the open connection to a VM, or opens one from a new local port.
+    ///
+    /// One attempt is made at a time; who comes meanwhile shares its end.
     pub async fn get(&self, vm: &VmId, addr: SocketAddr) -> anyhow::Result<Connection> {
-        let open = self.open.borrow().get(vm).cloned();
-        if let Some(open) =
-            open.filter(|c| c.close_reason().is_none() && c.remote_address() == addr)
-        {
+        if let Some(open) = self.open_to(vm, addr) {
             return Ok(open);
         }
+        let opening = self.opening.borrow_mut().entry(vm.clone()).or_default().clone();
+        let Ok(_attempt) = opening.try_lock() else {
+            drop(opening.lock().await);
+            return self.open_to(vm, addr).with_context(|| format!("no answer from {vm}"));
+        };
+        self.connect(vm, addr).await
+    }
+
+    fn open_to(&self, vm: &VmId, addr: SocketAddr) -> Option<Connection> {
+        let open = self.open.borrow().get(vm).cloned();
+        open.filter(|c| c.close_reason().is_none() && c.remote_address() == addr)
+    }
+
+    async fn connect(&self, vm: &VmId, addr: SocketAddr) -> anyhow::Result<Connection> {
         let any: IpAddr = if addr.is_ipv4() { [0; 4].into() } else { [0u16; 8].into() };
         let local = self.local.unwrap_or(any);
         let mut endpoint = Endpoint::client((local, 0).into())?;
--- a/crates/sequoiahold/src/settings/endpoint.rs
+++ b/crates/sequoiahold/src/settings/endpoint.rs
@@ -96,6 +96,9 @@
         if self.weights.rate.0 == 0 {
             return Err(("weights.rate".to_owned(), "must be above 0B/s".to_owned()));
         }
+        if self.look < Span::millis(20) || self.look > Span::secs(1) {
+            return Err(("look".to_owned(), "must be between 20ms and 1s".to_owned()));
+        }
         if !(1..=64).contains(&self.weights.draws) {
             return Err(("weights.draws".to_owned(), "must be between 1 and 64".to_owned()));
         }
--- a/crates/standins/src/fixture.rs
+++ b/crates/standins/src/fixture.rs
@@ -3,6 +3,7 @@
 use std::{path::Path, time::Duration};
 
 use anyhow::Context as _;
+use sequoiahold_core::once::KEY_SKEW;
 
 use crate::{
     callers::{Call, Received},
@@ -23,11 +24,12 @@
     start_plan(Plan::small(&examples)?, setup).await
 }
 
-/// Starts a deployment and waits until all its endpoints take work.
+/// Starts a deployment and waits until all its endpoints take work, calls with keys included.
 pub async fn start_plan(plan: Plan, setup: Setup) -> anyhow::Result<Deployment> {
     let deployment = Deployment::start(plan, setup).await?;
     deployment.wait_ready(&deployment.plan.version(1), PATIENCE).await?;
     deployment.wait_open(PATIENCE).await?;
+    pass(KEY_SKEW.into()).await;
     Ok(deployment)
 }
 
