--- a/crates/standins/src/bench/role.rs
+++ b/crates/standins/src/bench/role.rs
@@ -111,6 +111,8 @@
                 origin: format!("http://{}", net.address(0, 7910)),
                 rate: ByteRate(1_000_000_000),
                 draws: 4,
+                region: None,
+                uploads: 4,
                 memory: Bytes(1_000_000_000),
             },
             look: Span::millis(200),
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -20,6 +20,8 @@
       measure one real process against a growing number and fit the slope
   experiment config [--seed N] [--json]
       adopt configurations in a fleet of 5,310 processes in virtual time
+  experiment weights [--seed N] [--vms MOST] [--out DIR]
+      measure ways to draw weights in virtual time; DIR takes JSON lines and charts
   manifest VERSION --size SIZE --chunk SIZE
       print the digest of the manifest of generated weights
 ";
@@ -77,12 +79,17 @@
 }
 
 fn experiment(mut args: Arguments) -> anyhow::Result<u8> {
-    let name: Option<String> = args.opt_free_from_str()?;
+    let name = args.subcommand()?;
     match name.as_deref() {
         Some("config") => experiment::config::run(
             args.opt_value_from_str("--seed")?.unwrap_or(1),
             args.contains("--json"),
         ),
+        Some("weights") => experiment::weights::run(&experiment::weights::Options {
+            seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+            most: args.opt_value_from_str("--vms")?.unwrap_or(950),
+            out: args.opt_value_from_str("--out")?,
+        }),
         other => bail!("unknown experiment {other:?}; try --help"),
     }
 }
--- a/crates/standins/src/driver/deliver.rs
+++ b/crates/standins/src/driver/deliver.rs
@@ -11,7 +11,7 @@
     refuse::Failure,
     time::Time,
     units::Span,
-    weights::{Manifest, TransferOutcome},
+    weights::{DrawError, Manifest, TransferOutcome},
 };
 
 use super::{
@@ -65,7 +65,9 @@
                 let bits = self.have(to, manifest);
                 self.send(to, from, Message::Have(bits));
             }
-            Message::Have(bits) => self.on_endpoint(to, |core, now| core.have(now, from, &bits)),
+            Message::Have(bits) => {
+                self.on_endpoint(to, |core, now| core.have(now, from, Some(&bits)))
+            }
             Message::AskChunk(digest) => {
                 let data = self.endpoints.get(to).and_then(|node| node.held.get(&digest).cloned());
                 self.send(to, from, Message::Chunk(digest, data));
@@ -178,7 +180,7 @@
     pub(super) fn drawn(&mut self, vm: &VmId, digest: Digest, data: Option<Vec<u8>>) {
         let now = self.now;
         if let Some(node) = self.endpoints.get_mut(vm) {
-            let outcome = node.core.drawn(now, digest, data.as_deref());
+            let outcome = node.core.drawn(now, digest, data.as_deref().ok_or(DrawError::Absent));
             let kept = matches!(outcome, TransferOutcome::Kept | TransferOutcome::Whole);
             if let Some(data) = data.filter(|_| kept) {
                 node.held.insert(digest, data);
--- a/crates/standins/src/driver/perform.rs
+++ b/crates/standins/src/driver/perform.rs
@@ -101,13 +101,18 @@
             endpoint::Output::AskHave(manifest, to, _) => {
                 self.send(vm, &to, Message::AskHave(manifest));
             }
-            endpoint::Output::Draw(digest, Place::Peer(to, _)) => {
+            endpoint::Output::Draw(digest, Place::Peer(to, _), _) => {
                 self.send(vm, &to, Message::AskChunk(digest));
             }
-            endpoint::Output::Draw(digest, Place::Origin) => {
+            endpoint::Output::Draw(digest, Place::Origin, _) => {
                 let data = origin_chunk(&digest);
                 self.push(CHUNK, Event::Drawn { vm: vm.clone(), epoch, digest, data });
             }
+            endpoint::Output::Retain(manifest) => {
+                if let Some(node) = self.endpoints.get_mut(vm) {
+                    node.held.retain(|digest, _| manifest.chunks.contains(digest));
+                }
+            }
             endpoint::Output::Load(version, manifest, fence) => {
                 let vm = vm.clone();
                 self.push(LOAD, Event::Loaded { vm, epoch, version, manifest, fence });
--- a/crates/standins/src/experiment/mod.rs
+++ b/crates/standins/src/experiment/mod.rs
@@ -1,3 +1,4 @@
 //! Experiments that measure decisions of the core in virtual time.
 
 pub mod config;
+pub mod weights;
