An entry that was told to stop waits 2 s for its closed connections, not longer

Cause: ten entries whose endpoints had gone logged "told to stop, 0 requests in progress" and were still there 17 s later; the wait for their peers' connections had no bound. Which connection held them was not looked into.

--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -30,6 +30,9 @@
 /// Time that a graceful shutdown may take at the most.
 const DRAIN: Duration = Duration::from_secs(120);
 
+/// Time that closed connections to other processes have to deliver their last bytes.
+const LAST_BYTES: Duration = Duration::from_secs(2);
+
 /// Runs an entry process until it is told to stop and its requests are done.
 pub async fn run(settings: settings::Entry) -> anyhow::Result<()> {
     let tls = Rc::new(RefCell::new(Tls::load(&settings.keys)?));
@@ -81,6 +84,6 @@
     log::info!("told to stop, {} requests in progress", server.in_progress());
     server.drain(DRAIN, &open).await;
     listening.close(0u32.into(), b"stopped");
-    listening.wait_idle().await;
+    let _ = actix_rt::time::timeout(LAST_BYTES, listening.wait_idle()).await;
     Ok(())
 }
