--- /dev/null
+++ b/crates/core/src/declare/diff.rs
@@ -0,0 +1,157 @@
+//! What publishing a set would change in a fleet.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
+
+use serde::Serialize;
+
+use super::{Fleet, Version};
+use crate::{
+    ids::{ClientId, Digest, ModelId, VersionId, VmId, ZoneId},
+    units::Bytes,
+    weights::Manifest,
+};
+
+/// A model that moves to another version.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Move {
+    /// The model.
+    pub model: ModelId,
+    /// The version before, `None` for a new model.
+    pub from: Option<VersionId>,
+    /// The version after.
+    pub to: VersionId,
+}
+
+/// What the endpoints of a zone would draw.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Draw {
+    /// The endpoints that load other weights.
+    pub endpoints: usize,
+    /// The bytes that they draw together, from the origin and from peers.
+    pub drawn: Bytes,
+    /// The bytes that must come into the zone at least, each chunk once.
+    pub least: Bytes,
+}
+
+/// What publishing a set would change.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Diff {
+    /// The models that move to another version.
+    pub moves: Vec<Move>,
+    /// What each zone would draw.
+    pub draws: BTreeMap<ZoneId, Draw>,
+    /// The endpoints that would load other weights.
+    pub loads: Vec<VmId>,
+    /// The VMs that are new, gone, or declared with another role, zone or address.
+    pub vms: Vec<VmId>,
+    /// The zones that are new, gone or declared otherwise, that draw, or whose VMs change.
+    pub zones: BTreeSet<ZoneId>,
+    /// The client accounts that are new, gone or declared otherwise.
+    pub clients: Vec<ClientId>,
+}
+
+impl Diff {
+    /// Compares two fleets; chunks that both versions share are not drawn where manifests are known.
+    pub fn between(old: &Fleet, new: &Fleet, manifests: &BTreeMap<Digest, Manifest>) -> Self {
+        let mut diff = Self {
+            moves: moves(old, new),
+            vms: changed(&old.vms, &new.vms),
+            zones: changed(&old.zones, &new.zones).into_iter().collect(),
+            clients: changed(&old.clients, &new.clients),
+            ..Self::default()
+        };
+        let mut counted = BTreeSet::new();
+        for vm in new.vms.values() {
+            let version = |fleet: &Fleet| -> Option<Version> {
+                fleet.pool_version(&fleet.pool_of(&vm.name)?.name).cloned()
+            };
+            let Some(to) = version(new) else { continue };
+            let from = version(old).filter(|_| !diff.vms.contains(&vm.name));
+            if from.as_ref().is_some_and(|from| from.manifest == to.manifest) {
+                continue;
+            }
+            let bytes = bytes(from.as_ref(), &to, manifests);
+            let draw = diff.draws.entry(vm.zone.clone()).or_default();
+            draw.endpoints += 1;
+            draw.drawn.0 += bytes.0;
+            if counted.insert((vm.zone.clone(), to.manifest)) {
+                draw.least.0 += bytes.0;
+            }
+            diff.loads.push(vm.name.clone());
+            diff.zones.insert(vm.zone.clone());
+        }
+        for vm in &diff.vms {
+            let zones = [old, new].into_iter().filter_map(|fleet| fleet.vms.get(vm));
+            diff.zones.extend(zones.map(|vm| vm.zone.clone()));
+        }
+        diff
+    }
+
+    /// Returns whether publishing would change nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+impl fmt::Display for Diff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.is_empty() {
+            return writeln!(f, "no change");
+        }
+        for Move { model, from, to } in &self.moves {
+            let from = from.as_ref().map_or("nothing", |from| from.as_str());
+            writeln!(f, "model {model} moves from {from} to {to}")?;
+        }
+        for (zone, Draw { endpoints, drawn, least }) in &self.draws {
+            let draws = format!("{endpoints} endpoints load, {drawn} drawn");
+            writeln!(f, "zone {zone}: {draws}, {least} of them into the zone at least")?;
+        }
+        writeln!(f, "zones affected: {}", names(&self.zones))?;
+        writeln!(f, "endpoints that load: {}", names(&self.loads))?;
+        writeln!(f, "VMs new, gone or changed: {}", names(&self.vms))?;
+        writeln!(f, "client accounts new, gone or changed: {}", names(&self.clients))
+    }
+}
+
+fn moves(old: &Fleet, new: &Fleet) -> Vec<Move> {
+    let before = |model: &ModelId| old.models.get(model).map(|model| model.version.clone());
+    let moved = new
+        .models
+        .values()
+        .filter(|model| before(&model.name).is_none_or(|version| version != model.version));
+    moved
+        .map(|model| Move {
+            model: model.name.clone(),
+            from: before(&model.name),
+            to: model.version.clone(),
+        })
+        .collect()
+}
+
+/// Returns the names of objects that are not the same in both maps.
+fn changed<K: Clone + Ord, O: PartialEq>(old: &BTreeMap<K, O>, new: &BTreeMap<K, O>) -> Vec<K> {
+    let names: BTreeSet<&K> = old.keys().chain(new.keys()).collect();
+    names.into_iter().filter(|name| old.get(name) != new.get(name)).cloned().collect()
+}
+
+/// Returns the bytes of `to` that a VM which holds `from` lacks.
+fn bytes(from: Option<&Version>, to: &Version, manifests: &BTreeMap<Digest, Manifest>) -> Bytes {
+    let Some(wanted) = manifests.get(&to.manifest) else { return to.size };
+    let held: BTreeSet<&Digest> = from
+        .and_then(|from| manifests.get(&from.manifest))
+        .map(|manifest| manifest.chunks.iter().collect())
+        .unwrap_or_default();
+    let mut seen = BTreeSet::new();
+    let lacks = |digest: &Digest| !held.contains(digest);
+    let chunks = wanted.chunks.iter().enumerate().filter(|(_, digest)| lacks(digest));
+    let first: Vec<_> = chunks.filter(|(_, digest)| seen.insert(**digest)).collect();
+    Bytes(first.into_iter().map(|(i, _)| wanted.chunk_size(i).0).sum())
+}
+
+fn names<'a, N: fmt::Display + 'a>(names: impl IntoIterator<Item = &'a N>) -> String {
+    let names: Vec<_> = names.into_iter().map(ToString::to_string).collect();
+    if names.is_empty() { "none".to_owned() } else { names.join(", ") }
+}
--- a/crates/core/src/declare/mod.rs
+++ b/crates/core/src/declare/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bounds;
 pub mod check;
+pub mod diff;
 pub mod fleet;
 pub mod load;
 pub mod object;
@@ -11,6 +12,7 @@
 
 pub use self::{
     check::check,
+    diff::{Diff, Draw, Move},
     fleet::Fleet,
     load::{Declared, Fault, ReadError, Source},
     object::*,
--- a/crates/sequoiahold/src/cli.rs
+++ b/crates/sequoiahold/src/cli.rs
@@ -24,6 +24,8 @@
   check DIR                 check a set of declarations
   render DIR --out DIR [--generation N] [--replace]
                             turn a sound set into the values to publish
+  diff OLD NEW [--manifests DIR] [--json]
+                            show what publishing the set in NEW would change
   status ADDR [--json]      show what a process holds and does
 
 Options:
@@ -71,6 +73,13 @@
             finish(args)?;
             command::render::run(&command::render::Options { dir, out, generation, replace })
         }
+        Some("diff") => {
+            let json = args.contains("--json");
+            let manifests: Option<PathBuf> = args.opt_value_from_os_str("--manifests", path)?;
+            let (old, new) = (directory(&mut args)?, directory(&mut args)?);
+            finish(args)?;
+            command::diff::run(&command::diff::Options { old, new, manifests, json })
+        }
         Some("status") => {
             let json = args.contains("--json");
             let addr = args.free_from_str().context("status needs the address of a process")?;
--- /dev/null
+++ b/crates/sequoiahold/src/command/diff.rs
@@ -0,0 +1,71 @@
+//! `sequoiahold diff`: shows what publishing a set would change.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    path::{Path, PathBuf},
+};
+
+use anyhow::Context as _;
+use sequoiahold_core::{
+    declare::{Diff, Fleet, load::read_set},
+    ids::Digest,
+    weights::Manifest,
+};
+
+use super::files;
+use crate::cli::EXIT_UNSOUND;
+
+/// What is compared.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The directory of the set in force.
+    pub old: PathBuf,
+    /// The directory of the set to publish.
+    pub new: PathBuf,
+    /// The directory of manifests, to tell chunks that versions share.
+    pub manifests: Option<PathBuf>,
+    /// Whether one JSON object is printed.
+    pub json: bool,
+}
+
+/// Prints the difference of two sound sets.
+pub fn run(options: &Options) -> anyhow::Result<u8> {
+    let (Some(old), Some(new)) = (read(&options.old)?, read(&options.new)?) else {
+        return Ok(EXIT_UNSOUND);
+    };
+    let manifests = options.manifests.as_deref().map(read_manifests).transpose()?;
+    let diff = Diff::between(&old, &new, &manifests.unwrap_or_default());
+    if options.json {
+        println!("{}", serde_json::to_string(&diff)?);
+    } else {
+        print!("{diff}");
+    }
+    Ok(0)
+}
+
+fn read(dir: &Path) -> anyhow::Result<Option<Fleet>> {
+    let files = files::read(dir)?;
+    match read_set(files.iter().map(|(name, text)| (name.as_str(), text.as_str()))) {
+        Ok((_, fleet)) => Ok(Some(fleet)),
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("{}: {fault}", dir.display()));
+            Ok(None)
+        }
+    }
+}
+
+/// Reads the manifests in a directory; each is known by the digest of its text.
+fn read_manifests(dir: &Path) -> anyhow::Result<BTreeMap<Digest, Manifest>> {
+    let entries = fs::read_dir(dir).with_context(|| format!("cannot read {}", dir.display()))?;
+    let mut manifests = BTreeMap::new();
+    for entry in entries {
+        let path = entry?.path();
+        let text = fs::read(&path).with_context(|| format!("cannot read {}", path.display()))?;
+        let digest = Digest::of(&text);
+        let manifest = Manifest::read(&text, digest)
+            .with_context(|| format!("{} is not a manifest", path.display()))?;
+        manifests.insert(digest, manifest);
+    }
+    Ok(manifests)
+}
--- a/crates/sequoiahold/src/command/mod.rs
+++ b/crates/sequoiahold/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The commands that people use.
 
 pub mod check;
+pub mod diff;
 pub mod files;
 pub mod render;
 pub mod status;
--- a/crates/sequoiahold/tests/declarations.rs
+++ b/crates/sequoiahold/tests/declarations.rs
@@ -95,3 +95,20 @@
     let output = run(&["render", &example("glasmarke"), "--out", out.to_str().expect("a path")]);
     assert_eq!(output.status.code(), Some(2), "the last generation is not known");
 }
+
+#[test]
+fn a_diff_tells_what_publishing_would_change() {
+    let text = ("\"version\": \"assist-llm-1\"", "\"version\": \"assist-llm-2\"");
+    let new = changed("moved", "glasmarke", "models.json", text.0, text.1);
+    let new = new.to_str().expect("a path");
+    let output = run(&["diff", &example("glasmarke"), new, "--json"]);
+    assert_eq!(output.status.code(), Some(0));
+    let diff: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(diff["moves"][0]["to"], "assist-llm-2");
+    assert_eq!(diff["loads"].as_array().expect("VMs").len(), 15);
+    assert_eq!(diff["draws"]["ch-ost-a"]["least"], "8MB");
+    assert_eq!(diff["draws"]["ch-ost-a"]["drawn"], "40MB");
+    assert_eq!(diff["clients"].as_array().expect("accounts").len(), 0);
+    let same = run(&["diff", &example("glasmarke"), &example("glasmarke")]);
+    assert_eq!(String::from_utf8_lossy(&same.stdout), "no change\n");
+}
