--- a/crates/core/src/declare/publish.rs
+++ b/crates/core/src/declare/publish.rs
@@ -33,7 +33,7 @@
 ///
 /// Generations decide. Where two different sets carry one generation, which is a fault, the
 /// greater digest of the head decides, so that all processes end with the same set.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct SetId {
     /// The generation.
     pub generation: Generation,
--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -1,12 +1,18 @@
 //! Decisions of an endpoint process.
 
+mod calls;
+mod flights;
 mod life;
+mod presence;
 mod wanted;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-pub use self::life::{LifeEvent, LifeState};
-use self::{life::chart, wanted::Wanted};
+pub use self::{
+    calls::{Decision, Offered, Pass, key_members},
+    life::{LifeEvent, LifeState},
+};
+use self::{flights::Flights, life::chart, presence::Presence, wanted::Wanted};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
     chart::Machine,
@@ -14,7 +20,8 @@
     gate::{Gate, Seen, Ticket},
     ids::{Digest, Fence, Incarnation, ServiceId, VersionId, VmId},
     member::VmState,
-    proto::{Beat, Load},
+    once::{Once, Seen as Copies},
+    proto::{Beat, KeysAsk, Load},
     refuse::{Reason, Refusal},
     time::{Time, Timers},
     units::Span,
@@ -65,6 +72,8 @@
     ReadManifest(VersionId, Digest, Vec<Place>),
     /// Ask a peer which chunks of a manifest it holds.
     AskHave(Digest, VmId, SocketAddr),
+    /// Ask another endpoint which keys of this one it has run.
+    AskKeys(VmId, SocketAddr, Box<KeysAsk>),
     /// Draw a chunk.
     Draw(Digest, Place),
     /// Give the engine the chunks of a version and the order to load it.
@@ -74,6 +83,7 @@
 #[derive(Clone, Debug)]
 enum Timer {
     Draw,
+    Keys,
     Load,
     Look,
     Manifest,
@@ -86,6 +96,8 @@
     pub vm: VmId,
     /// The incarnation of the process.
     pub incarnation: Incarnation,
+    /// The wall clock at time 0, in microseconds since the Unix epoch.
+    pub epoch: Time,
     /// The time between two looks at the engine.
     pub look: Span,
     /// The chunks that are drawn at the same time.
@@ -98,11 +110,15 @@
     own: Identity,
     adopter: Adopter,
     gate: Gate,
+    once: Once,
+    seen: Copies,
+    asking: bool,
+    flights: Flights,
     life: Machine<LifeState, LifeEvent>,
     engine: Option<EngineState>,
     wanted: Option<Wanted>,
     drawing: u32,
-    leaving: bool,
+    presence: Presence,
     draining: bool,
     timers: Timers<Timer>,
     outputs: Vec<Output>,
@@ -114,14 +130,18 @@
         let mut timers = Timers::default();
         timers.at(now, Timer::Look);
         Self {
+            once: Once::new(own.vm.clone(), own.incarnation, own.epoch),
             own,
             adopter: Adopter::default(),
             gate: Gate::default(),
+            seen: Copies::default(),
+            asking: false,
+            flights: Flights::default(),
             life: Machine::new(Arc::new(chart())),
             engine: None,
             wanted: None,
             drawing: 0,
-            leaving: false,
+            presence: Presence::default(),
             draining: false,
             timers,
             outputs: vec![],
@@ -134,13 +154,14 @@
         if matches!(outcome, Adoption::Adopted(_)) {
             self.set_closed();
             self.set_wanted(now);
+            self.adopt_keys(now);
         }
         outcome
     }
 
-    /// Takes the platform's list of VMs.
-    pub fn list(&mut self, list: &BTreeMap<VmId, VmState>) {
-        self.leaving = list.get(&self.own.vm) == Some(&VmState::Leaving);
+    /// Takes the platform's list of VMs; where it does not name this VM, nothing changes.
+    pub fn list(&mut self, now: Time, list: &BTreeMap<VmId, VmState>) {
+        self.presence.list(now, list.get(&self.own.vm).copied());
         self.set_closed();
     }
 
@@ -152,6 +173,9 @@
             running: state.running,
         });
         self.gate.observe(seen.unwrap_or_default());
+        if let Some(state) = &state {
+            self.flights.look(now, &self.own.vm, state.incarnation);
+        }
         self.engine = state;
         self.follow(now);
     }
@@ -245,9 +269,12 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time) {
+        self.flights.suspects.expire(now);
+        self.presence.note(now);
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Draw => self.ask_peers(now),
+                Timer::Keys => self.ask_keys(now),
                 Timer::Load => self.follow(now),
                 Timer::Look => {
                     self.timers.at(now + self.own.look, Timer::Look);
@@ -284,6 +311,11 @@
         &self.gate
     }
 
+    /// Returns the keys and tickets of this process.
+    pub fn once(&self) -> &Once {
+        &self.once
+    }
+
     /// Returns the state of this process.
     pub fn life(&self) -> LifeState {
         self.life.state()
@@ -307,6 +339,7 @@
             incarnation: self.own.incarnation,
             generation: self.adopter.generation(),
             load: Some(load),
+            crashes: self.flights.suspects.told(),
         }
     }
 
@@ -323,7 +356,7 @@
 
     fn set_closed(&mut self) {
         let in_service = self.fleet().is_some_and(|fleet| fleet.in_service(&self.own.vm));
-        self.gate.close(self.leaving || self.draining || !in_service);
+        self.gate.close(self.presence.is_leaving() || self.draining || !in_service);
     }
 
     fn set_wanted(&mut self, now: Time) {
--- a/crates/core/src/entry/request.rs
+++ b/crates/core/src/entry/request.rs
@@ -6,8 +6,10 @@
 
 use crate::{
     chart::{Chart, Machine},
-    ids::{ClientId, Digest, OnceKey, ServiceId, VmId},
-    time::Time,
+    ids::{ClientId, Digest, ServiceId, VmId},
+    once::CallKey,
+    refuse::Failure,
+    time::{Time, TimerId},
     units::Span,
 };
 
@@ -21,8 +23,8 @@
     pub client: ClientId,
     /// The service.
     pub service: ServiceId,
-    /// The idempotency key.
-    pub key: Option<OnceKey>,
+    /// The key of a call that may not be repeated.
+    pub key: Option<CallKey>,
     /// The digest of what is asked, the same for each copy of the request.
     pub print: Digest,
     /// The time that the call may take.
@@ -73,6 +75,8 @@
     pub(super) arrival: Arrival,
     pub(super) tried: Vec<VmId>,
     pub(super) state: Machine<RequestState, RequestEvent>,
+    pub(super) failure: Option<Failure>,
+    pub(super) timer: TimerId,
     deadline: Time,
 }
 
@@ -81,9 +85,11 @@
         arrival: Arrival,
         now: Time,
         chart: Arc<Chart<RequestState, RequestEvent>>,
+        timer: TimerId,
     ) -> Self {
         let deadline = now + arrival.timeout;
-        Self { arrival, tried: vec![], state: Machine::new(chart), deadline }
+        let state = Machine::new(chart);
+        Self { arrival, tried: vec![], state, failure: None, timer, deadline }
     }
 
     /// Returns the time left until the deadline, `None` where it has passed.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decision logic of sequoiahold: messages in, outcomes out, no sockets, clocks or threads.
 
 pub mod adopt;
+pub mod budget;
 pub mod chart;
 pub mod config;
 pub mod declare;
@@ -10,10 +11,12 @@
 pub mod histogram;
 pub mod ids;
 pub mod member;
+pub mod once;
 pub mod peers;
 pub mod proto;
 pub mod refuse;
 pub mod route;
+pub mod suspect;
 pub mod time;
 pub mod units;
 pub mod weights;
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -11,11 +11,14 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_rt::signal::unix::{SignalKind, signal};
-use sequoiahold_core::config::Identity;
+use sequoiahold_core::{config::Identity, units::Span};
 use tokio::sync::{mpsc, oneshot, watch};
 
-pub use self::event::Event;
-use self::{ask::Asks, engine::Engine, event_loop::EventLoop, peers::PeerService, store::Store};
+use self::{ask::Asks, event_loop::EventLoop, peers::PeerService, store::Store};
+pub use self::{
+    engine::{Engine, SendError},
+    event::Event,
+};
 use crate::{
     clock::Clock,
     config,
@@ -25,6 +28,8 @@
     reader, settings, status,
 };
 
+/// The time after which a refused caller may come back when no better figure is known.
+const RETRY: Span = Span::secs(1);
 /// Time that a graceful shutdown may take at the most.
 const DRAIN: Duration = Duration::from_secs(120);
 /// Pause between two looks at the requests in progress during a shutdown.
@@ -39,7 +44,7 @@
     let (events, receiver) = mpsc::unbounded_channel();
     let (in_force, _) = watch::channel(None);
     let traffic = Traffic::default();
-    let links = Links::new(tls.clone(), traffic.clone());
+    let links = Links::new(tls.clone(), traffic.clone()).bound_to(settings.peers.ip());
     let store = Store::default();
     let engine = Engine::new(&settings.engine);
     let platform = Platform::new(settings.platform.clone());
--- a/crates/sequoiahold/src/endpoint/peers.rs
+++ b/crates/sequoiahold/src/endpoint/peers.rs
@@ -27,9 +27,20 @@
     async fn serve(&self, call: Call, mut send: SendStream, recv: RecvStream) {
         let reply = match call {
             Call::Ask(ask) => return self.asks.run(*ask, send, recv).await,
-            Call::Beat(_) => self.query(Event::Tell).await.map(|beat| Reply::Beat(Box::new(beat))),
+            Call::Beat(beat) => {
+                let _ = self.events.send(Event::Heard(beat));
+                self.query(Event::Tell).await.map(|beat| Reply::Beat(Box::new(beat)))
+            }
             Call::Config(call) => self.config.answer(call).await,
             Call::Chunk(digest) => Some(Reply::Chunk(self.store.get(&digest))),
+            Call::Keys(ask) => {
+                let given = self.query(|reply| Event::TellKeys(ask, reply)).await;
+                given.map(|given| Reply::Keys(Box::new(given)))
+            }
+            Call::Ticket(client, service) => {
+                let issued = self.query(|reply| Event::Ticket(client, service, reply)).await;
+                issued.map(|issued| issued.map_or_else(Reply::Refused, Reply::Ticket))
+            }
             Call::Have(manifest) => {
                 self.query(|reply| Event::TellHave(manifest, reply)).await.map(Reply::Have)
             }
--- a/crates/sequoiahold/src/entry/event.rs
+++ b/crates/sequoiahold/src/entry/event.rs
@@ -5,7 +5,7 @@
 use sequoiahold_core::{
     declare::Published,
     entry::{Arrival, RequestKey},
-    ids::{RequestId, VmId},
+    ids::{Incarnation, RequestId, ServiceId, VmId},
     member::VmState,
     proto::Beat,
     refuse::{Failure, Refusal},
@@ -40,6 +40,8 @@
     Left(RequestKey),
     /// A peer asks for this process's state.
     Tell(oneshot::Sender<Beat>),
+    /// An endpoint that may issue a ticket for a service is asked for.
+    Issuer(ServiceId, oneshot::Sender<Result<(VmId, SocketAddr), Refusal>>),
     /// The status is asked for.
     Status(oneshot::Sender<Status>),
 }
@@ -66,6 +68,8 @@
     pub vm: VmId,
     /// Its address.
     pub addr: SocketAddr,
+    /// The incarnation of its process.
+    pub to: Incarnation,
     /// The time left until the deadline.
     pub left: Span,
 }
--- a/crates/sequoiahold/src/entry/event_loop.rs
+++ b/crates/sequoiahold/src/entry/event_loop.rs
@@ -83,7 +83,7 @@
         match event {
             Event::Offer(published) => self.on_offer(published),
             Event::Vms(list) => self.entry.list(&list),
-            Event::Beat(beat) => self.entry.heard(*beat),
+            Event::Beat(beat) => self.entry.heard(now, *beat),
             Event::Silent(vm) => self.entry.silent(&vm),
             Event::Arrive(arrival, steps) => {
                 let key = self.entry.arrive(now, arrival);
@@ -91,7 +91,7 @@
             }
             Event::Refused(key, refusal) => self.entry.refused(now, key, refusal),
             Event::Started(key) => self.entry.started(key),
-            Event::Failed(key, failure) => self.entry.failed(key, failure),
+            Event::Failed(key, failure) => self.entry.failed(now, key, failure),
             Event::Ended(key) => {
                 self.entry.ended(key);
                 self.metrics.count("requests.answered");
@@ -101,6 +101,7 @@
                 self.metrics.count("requests.left");
             }
             Event::Tell(reply) => drop(reply.send(self.entry.beat())),
+            Event::Issuer(service, reply) => drop(reply.send(self.entry.issuer(&service))),
             Event::Status(reply) => drop(reply.send(self.status())),
         }
     }
@@ -122,8 +123,8 @@
     fn perform(&mut self) {
         for output in self.entry.outputs() {
             match output {
-                Output::Send { request, id, vm, addr, left } => {
-                    self.step(request, Step::Send(Send { request, id, vm, addr, left }));
+                Output::Send { request, id, vm, addr, to, left } => {
+                    self.step(request, Step::Send(Send { request, id, vm, addr, to, left }));
                 }
                 Output::Refuse(key, refusal) => {
                     self.metrics.count("requests.refused");
@@ -150,15 +151,15 @@
         let beat = Call::Beat(Box::new(self.entry.beat()));
         let patience = Span(self.settings.heartbeat.0 * SILENT_BEATS);
         actix_rt::spawn(async move {
-            let exchange = async {
-                let connection = links.get(&vm, addr).await?;
-                call(&connection, &beat).await
+            let Ok(connection) = links.get(&vm, addr).await else {
+                return drop(events.send(Event::Silent(vm)));
             };
-            let event = match actix_rt::time::timeout(patience.into(), exchange).await {
-                Ok(Ok(Reply::Beat(beat))) => Event::Beat(beat),
-                _ => Event::Silent(vm),
-            };
-            let _ = events.send(event);
+            let exchange = call(&connection, &beat);
+            match actix_rt::time::timeout(patience.into(), exchange).await {
+                Ok(Ok(Reply::Beat(beat))) => drop(events.send(Event::Beat(beat))),
+                _ if links.is_open(&vm, &connection) => drop(events.send(Event::Silent(vm))),
+                _ => {}
+            }
         });
     }
 
--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry process: takes callers and routes their requests to endpoints.
 
+mod auth;
 mod body;
 mod event;
 mod event_loop;
@@ -36,7 +37,7 @@
     let (events, receiver) = mpsc::unbounded_channel();
     let (in_force, shown) = watch::channel(None);
     let traffic = Traffic::default();
-    let links = Links::new(tls.clone(), traffic.clone());
+    let links = Links::new(tls.clone(), traffic.clone()).bound_to(settings.peers.ip());
     let platform = Platform::new(settings.platform.clone());
 
     let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
@@ -71,14 +72,14 @@
     actix_rt::spawn(rotate(settings.keys.clone(), tls, listening.clone(), metrics.clone()));
     let parts = event_loop::Parts { clock, links, in_force, events, traffic };
     let server = Server::new(&settings, &parts, shown, metrics.clone());
-    server.listen(settings.callers).await?;
+    let open = server.listen(settings.callers).await?;
     log::info!("entry {} takes callers on {}", settings.vm, settings.callers);
 
     let event_loop = EventLoop::new(settings, parts, metrics);
     actix_rt::spawn(event_loop.run(receiver));
     signal(SignalKind::terminate())?.recv().await;
     log::info!("told to stop, {} requests in progress", server.in_progress());
-    server.drain(DRAIN).await;
+    server.drain(DRAIN, &open).await;
     listening.close(0u32.into(), b"stopped");
     listening.wait_idle().await;
     Ok(())
--- a/crates/sequoiahold/src/entry/peers.rs
+++ b/crates/sequoiahold/src/entry/peers.rs
@@ -29,7 +29,9 @@
                 rx.await.ok().map(|beat| Reply::Beat(Box::new(beat)))
             }
             Call::Config(call) => self.config.answer(call).await,
-            Call::Ask(_) | Call::Chunk(_) | Call::Have(_) => None,
+            Call::Ask(_) | Call::Chunk(_) | Call::Have(_) | Call::Keys(_) | Call::Ticket(..) => {
+                None
+            }
         };
         if let Some(reply) = reply {
             let _ = write(&mut send, &reply).await;
--- a/crates/sequoiahold/src/entry/server.rs
+++ b/crates/sequoiahold/src/entry/server.rs
@@ -2,40 +2,58 @@
 
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::{ConnectionType, HttpMessage as _, Request, Response, header};
+use actix_http::{ConnectionType, HttpMessage as _, Request, Response};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use sequoiahold_core::{
     adopt::InForce,
-    declare::Fleet,
     entry::Arrival,
-    ids::{Digest, OnceKey, ServiceId},
+    ids::{ClientId, Digest, ServiceId},
+    once::CallKey,
     refuse::{Reason, Refusal},
     units::Span,
 };
 use tokio::sync::watch;
 
 use super::{
+    auth,
     body::Body,
     event_loop::Parts,
     problem,
     request::{Incoming, Requests},
 };
-use crate::{http, metrics::Metrics, settings};
+use crate::{
+    http,
+    metrics::Metrics,
+    settings::{self, Limits},
+};
 
 /// Path of the chat completions of model services.
 const CHAT: &str = "/v1/chat/completions";
 /// Prefix of the paths of plain services.
 const SERVICES: &str = "/services/";
+/// Prefix of the paths at which tickets are issued.
+const TICKETS: &str = "/tickets/";
 /// Header that carries the idempotency key.
 const KEY: &str = "idempotency-key";
 
+/// Time that open connections have to deliver their last bytes.
+const LAST_BYTES: Duration = Duration::from_secs(2);
+/// Pause between two looks at what is still in progress.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// What a caller wishes.
+enum Wish {
+    Run(Incoming),
+    Ticket(ClientId, ServiceId),
+}
+
 /// Takes callers.
 #[derive(Clone)]
 pub struct Server {
     config: watch::Receiver<Option<InForce>>,
     requests: Requests,
-    limit: usize,
+    limits: Limits,
     active: Rc<Cell<usize>>,
     draining: Rc<Cell<bool>>,
 }
@@ -55,14 +73,15 @@
             events: parts.events.clone(),
             metrics,
         };
-        let limit = settings.body.0 as usize;
-        Self { config, requests, limit, active: Rc::default(), draining: Rc::default() }
+        let limits = settings.limits.clone();
+        Self { config, requests, limits, active: Rc::default(), draining: Rc::default() }
     }
 
-    /// Starts to take callers on `addr`.
-    pub async fn listen(&self, addr: SocketAddr) -> anyhow::Result<()> {
+    /// Starts to take callers on `addr`; the number of their open connections is returned.
+    pub async fn listen(&self, addr: SocketAddr) -> anyhow::Result<Rc<Cell<u32>>> {
         let server = self.clone();
-        http::serve(addr, move |request| server.clone().handle(request)).await
+        let limits = self.limits.clone();
+        http::serve_callers(addr, limits, move |request| server.clone().handle(request)).await
     }
 
     /// Returns the number of requests in progress.
@@ -70,23 +89,21 @@
         self.active.get()
     }
 
-    /// Lets the requests in progress finish, for at most `patience`.
-    pub async fn drain(&self, patience: Duration) {
+    /// Refuses new work and lets the requests in progress finish, for at most `patience`.
+    pub async fn drain(&self, patience: Duration, open: &Cell<u32>) {
         self.draining.set(true);
-        let done = async {
-            while self.active.get() > 0 {
-                actix_rt::time::sleep(Duration::from_millis(20)).await;
-            }
-        };
+        let done = until(|| self.active.get() == 0);
         let _ = actix_rt::time::timeout(patience, done).await;
-        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        let _ = actix_rt::time::timeout(LAST_BYTES, until(|| open.get() == 0)).await;
     }
 
     async fn handle(self, request: Request) -> Response<Body> {
         let guard = Active::new(&self.active);
-        let mut response = match self.incoming(request).await {
-            Ok(incoming) => self.requests.run(incoming, guard).await,
-            Err(refusal) => problem::refused(refusal),
+        let keyed = request.headers().contains_key(KEY);
+        let mut response = match self.wish(request).await {
+            Ok(Wish::Run(incoming)) => self.requests.run(incoming, guard).await,
+            Ok(Wish::Ticket(client, service)) => self.requests.ticket(client, service).await,
+            Err(refusal) => problem::refused(refusal, keyed),
         };
         if self.draining.get() {
             response.head_mut().set_connection_type(ConnectionType::Close);
@@ -94,11 +111,21 @@
         response
     }
 
-    async fn incoming(&self, mut request: Request) -> Result<Incoming, Refusal> {
+    async fn wish(&self, mut request: Request) -> Result<Wish, Refusal> {
+        if self.draining.get() {
+            return Err(Refusal::after(Reason::Leaving, Span::secs(1)));
+        }
         let fleet = self.config.borrow().as_ref().map(|now| now.fleet.clone());
         let fleet = fleet.ok_or(Refusal::after(Reason::Unconfigured, Span::secs(1)))?;
-        let client = client(&fleet, &request)?;
-        let body = self.body(&mut request).await?;
+        let client = auth::client(&fleet, &request)?;
+        if let Some(service) = request.path().strip_prefix(TICKETS) {
+            let service = service.parse().map_err(|_| Refusal::new(Reason::BadRequest))?;
+            let known = Some(&service).filter(|service| client.services.contains(service));
+            known.ok_or(Refusal::new(Reason::UnknownService))?;
+            return Ok(Wish::Ticket(client.name.clone(), service));
+        }
+        let upload = actix_rt::time::timeout(self.limits.upload.into(), self.body(&mut request));
+        let body = upload.await.map_err(|_| Refusal::new(Reason::BadRequest))??;
         let (service, path) = target(&request, &body)?;
         let declared = fleet.services.get(&service).ok_or(Refusal::new(Reason::UnknownService))?;
         if !client.services.contains(&service) {
@@ -107,11 +134,11 @@
         let arrival = Arrival {
             client: client.name.clone(),
             service,
-            key: key(&request)?,
+            key: key(&request)?.filter(|_| !declared.repeatable),
             print: Digest::of(&[path.as_bytes(), b"\n", &body].concat()),
             timeout: declared.timeout,
         };
-        Ok(Incoming { arrival, method: request.method().to_string(), path, body })
+        Ok(Wish::Run(Incoming { arrival, method: request.method().to_string(), path, body }))
     }
 
     async fn body(&self, request: &mut Request) -> Result<Bytes, Refusal> {
@@ -119,7 +146,7 @@
         let mut body = BytesMut::new();
         while let Some(part) = payload.next().await {
             let part = part.map_err(|_| Refusal::new(Reason::BadRequest))?;
-            if body.len() + part.len() > self.limit {
+            if body.len() + part.len() > self.limits.body.0 as usize {
                 return Err(Refusal::new(Reason::BadRequest));
             }
             body.extend_from_slice(&part);
@@ -128,6 +155,12 @@
     }
 }
 
+async fn until(done: impl Fn() -> bool) {
+    while !done() {
+        actix_rt::time::sleep(LOOK).await;
+    }
+}
+
 /// Counts a request as in progress while it lives.
 #[derive(Debug)]
 pub struct Active(Rc<Cell<usize>>);
@@ -145,19 +178,6 @@
     }
 }
 
-fn client<'a>(
-    fleet: &'a Fleet,
-    request: &Request,
-) -> Result<&'a sequoiahold_core::declare::Client, Refusal> {
-    let key = request
-        .headers()
-        .get(header::AUTHORIZATION)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.strip_prefix("Bearer "))
-        .map(|key| Digest::of(key.as_bytes()));
-    key.and_then(|key| fleet.client_by_key(&key)).ok_or(Refusal::new(Reason::BadKey))
-}
-
 fn target(request: &Request, body: &Bytes) -> Result<(ServiceId, String), Refusal> {
     #[derive(serde::Deserialize)]
     struct Named {
@@ -180,7 +200,7 @@
     Ok((service, path))
 }
 
-fn key(request: &Request) -> Result<Option<OnceKey>, Refusal> {
+fn key(request: &Request) -> Result<Option<CallKey>, Refusal> {
     let Some(value) = request.headers().get(KEY) else { return Ok(None) };
     let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
     parsed.map(Some).ok_or(Refusal::new(Reason::BadRequest))
--- a/crates/sequoiahold/src/settings/mod.rs
+++ b/crates/sequoiahold/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings of the processes, read from JSON and checked at load.
 
+mod callers;
 mod config;
 mod endpoint;
 mod entry;
@@ -14,6 +15,7 @@
 use serde::de::DeserializeOwned;
 
 pub use self::{
+    callers::Limits,
     config::Config,
     endpoint::{Endpoint, Engine, Weights},
     entry::Entry,
--- a/crates/standins/src/bench/series.rs
+++ b/crates/standins/src/bench/series.rs
@@ -17,7 +17,7 @@
     role::Role,
 };
 use crate::{
-    callers::Caller,
+    callers::{Caller, Question},
     content::Content,
     engine::{Behaviour, Engine},
     origin::Origin,
@@ -191,7 +191,8 @@
             let (entry, service): (_, ServiceId) = (role.callers, "llm".parse()?);
             actix_rt::spawn(async move {
                 let prompt = number.to_string();
-                caller.ask(entry, &service, &prompt, parts, &BTreeSet::new()).await;
+                let question = Question { service: &service, prompt: &prompt, tokens: parts };
+                caller.ask(entry, &question, &BTreeSet::new()).await;
             });
             actix_rt::time::sleep(Duration::from_secs(1) / rate).await;
         }
@@ -236,6 +237,7 @@
             vm: vm.clone(),
             incarnation: Incarnation(1),
             generation: Generation(1),
+            crashes: vec![],
             load: None,
         };
         let endpoint: VmId = "near-1".parse().expect("a sound name");
--- a/crates/standins/src/driver/calls.rs
+++ b/crates/standins/src/driver/calls.rs
@@ -2,6 +2,7 @@
 
 use sequoiahold_core::{
     ids::VersionId,
+    once::CallKey,
     refuse::{Failure, Reason},
     time::Time,
     units::Span,
@@ -11,6 +12,19 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct CallId(pub usize);
 
+/// What a caller asks.
+#[derive(Clone, Debug)]
+pub struct Asked<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The client account.
+    pub client: &'a str,
+    /// The key of a call that may not be repeated.
+    pub key: Option<CallKey>,
+    /// The body, another one for each call where there is none.
+    pub body: Option<&'a str>,
+}
+
 /// What a caller received.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Outcome {
@@ -18,6 +32,8 @@
     Answered(Option<VersionId>),
     /// A refusal that says the call did not run.
     Refused(Reason, Option<Span>),
+    /// A refusal of a call with a key that does not say whether the key ran.
+    Unsaid(Reason),
     /// An answer that says the call was handed over and failed.
     Failed(Failure),
 }
@@ -25,6 +41,8 @@
 /// A call and what became of it.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
+    /// The key of a call that may not be repeated.
+    pub key: Option<CallKey>,
     /// When it was made.
     pub at: Time,
     /// When its answer began.
--- a/crates/standins/src/driver/deliver.rs
+++ b/crates/standins/src/driver/deliver.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use sequoiahold_core::{
+    endpoint::Decision,
     entry::RequestKey,
     gate::Ticket,
     ids::{Digest, Fence, VersionId, VmId},
+    once::{Answer, RunEnd},
     refuse::Failure,
     time::Time,
     units::Span,
@@ -26,7 +28,8 @@
 impl World {
     pub(super) fn deliver(&mut self, from: &VmId, to: &VmId, message: Message) {
         match message {
-            Message::Beat(_) => {
+            Message::Beat(beat) => {
+                self.on_endpoint(to, |core, now| core.heard(now, &beat));
                 let answer = self.endpoints.get(to).map(|node| Message::Answer(node.core.beat()));
                 answer.into_iter().for_each(|answer| self.send(to, from, answer));
             }
@@ -34,7 +37,7 @@
                 let now = self.now;
                 if let Some(node) = self.entries.get_mut(to) {
                     node.heard.insert(from.clone(), now);
-                    node.core.heard(beat);
+                    node.core.heard(now, beat);
                 }
                 self.perform(to);
             }
@@ -49,6 +52,15 @@
             Message::Started(key) => self.started(to, key),
             Message::Ended(key, version) => self.ended(to, key, version),
             Message::Failed(key, failure) => self.failed(to, key, failure),
+            Message::AskKeys(ask) => {
+                let now = self.now;
+                let Some(node) = self.endpoints.get_mut(to) else { return };
+                let given = node.core.hand_over(now, &ask);
+                self.send(to, from, Message::Keys(given));
+            }
+            Message::Keys(given) => {
+                self.on_endpoint(to, |core, now| core.take_over(now, from, given));
+            }
             Message::AskHave(manifest) => {
                 let bits = self.have(to, manifest);
                 self.send(to, from, Message::Have(bits));
@@ -63,13 +75,24 @@
     }
 
     fn asked(&mut self, from: &VmId, to: &VmId, ask: Ask) {
-        let Ask { call, request, ticket, service, .. } = ask;
+        let Ask { call, request, offered, .. } = ask;
+        let now = self.now;
         let Some(node) = self.endpoints.get_mut(to) else { return };
-        if let Err(refusal) = node.core.ask(ticket.clone(), &service) {
-            return self.send(to, from, Message::Refused(request, refusal));
+        match node.core.decide(now, &offered) {
+            Decision::Run(_) => {}
+            Decision::Replay(_) => return self.send(to, from, Message::Ended(request, None)),
+            Decision::Refuse(refusal) => {
+                return self.send(to, from, Message::Refused(request, refusal));
+            }
+            Decision::Fail(failure) => {
+                return self.send(to, from, Message::Failed(request, failure));
+            }
+            Decision::Drop => return,
         }
-        self.calls[call.0].runs += 1;
-        let poison = self.engines[to].poison.contains(&call);
+        let (ticket, print) = (offered.ticket.clone(), offered.print);
+        node.open.insert(ticket.clone(), offered);
+        self.count_run(call);
+        let poison = self.keys.poison.contains(&print);
         let began = self.engines.get_mut(to).is_some_and(|e| e.begin(ticket.clone(), call));
         if poison && let Some(engine) = self.engines.get_mut(to) {
             engine.crash();
@@ -91,18 +114,29 @@
     }
 
     pub(super) fn done(&mut self, vm: &VmId, ticket: &Ticket, key: RequestKey, incarnation: u64) {
+        let now = self.now;
         let Some(engine) = self.engines.get_mut(vm) else { return };
         let whole = engine.incarnation == incarnation;
         let run = engine.running.remove(ticket).filter(|_| whole);
         if run.is_some() {
             engine.finished += 1;
         }
+        let engine = engine.incarnation;
         let Some(node) = self.endpoints.get_mut(vm) else { return };
-        node.core.finished(ticket);
-        let message = match run {
-            Some((_, version)) => Message::Ended(key, version),
-            None => Message::Failed(key, Failure::Unknown),
+        let Some(offered) = node.open.remove(ticket) else { return };
+        let body = Some(vec![].into());
+        let (end, message) = match run {
+            Some((_, version)) => {
+                let answer = Answer { status: 200, content: String::new(), body };
+                (RunEnd::Answered(answer), Message::Ended(key, version))
+            }
+            None if whole => (RunEnd::Unknown, Message::Failed(key, Failure::Unknown)),
+            None => {
+                let failure = node.core.fell(now, &offered, engine);
+                (RunEnd::Unknown, Message::Failed(key, failure))
+            }
         };
+        node.core.ended(now, &offered, end);
         self.send(vm, &ticket.0, message);
         self.perform(vm);
     }
@@ -126,8 +160,9 @@
     }
 
     pub(super) fn failed(&mut self, entry: &VmId, key: RequestKey, failure: Failure) {
+        let now = self.now;
         if let Some(node) = self.entries.get_mut(entry) {
-            node.core.failed(key, failure);
+            node.core.failed(now, key, failure);
         }
         self.perform(entry);
     }
--- a/crates/standins/src/driver/mod.rs
+++ b/crates/standins/src/driver/mod.rs
@@ -5,13 +5,15 @@
 mod engine;
 mod fleet;
 mod message;
+mod once;
 mod perform;
 mod world;
 
 pub use self::{
-    calls::{CallId, CallRecord, Outcome},
+    calls::{Asked, CallId, CallRecord, Outcome},
     engine::FakeEngine,
     fleet::Shape,
     message::Message,
+    once::Keys,
     world::World,
 };
--- a/crates/standins/tests/scenarios.rs
+++ b/crates/standins/tests/scenarios.rs
@@ -5,12 +5,14 @@
 use goldenscript::{ArgumentConsumer, Command, Context, Runner};
 use rstest::rstest;
 use sequoiahold_core::{
-    ids::{VersionId, VmId, ZoneId},
+    ids::{Digest, VersionId, VmId, ZoneId},
     member::VmState,
+    once::CallKey,
     refuse::Failure,
+    suspect::Print,
     units::Span,
 };
-use sequoiahold_standins::driver::{CallId, Outcome, Shape, World};
+use sequoiahold_standins::driver::{Asked, CallId, Outcome, Shape, World};
 
 /// Time for all processes to adopt the first set and load the first version.
 const WARM_UP: Span = Span::secs(5);
@@ -18,11 +20,12 @@
 struct Script {
     world: World,
     marked: Vec<CallId>,
+    ticket: Option<CallKey>,
 }
 
 impl Script {
     fn new() -> Self {
-        Self { world: World::new(Shape::default()), marked: vec![] }
+        Self { world: World::new(Shape::default()), marked: vec![], ticket: None }
     }
 
     fn set_up(&mut self, shape: Shape) {
@@ -39,6 +42,9 @@
                 None => "open".to_owned(),
                 Some((_, Outcome::Answered(_))) => "answered".to_owned(),
                 Some((_, Outcome::Refused(reason, _))) => format!("refused {reason:?}"),
+                Some((_, Outcome::Unsaid(reason))) => {
+                    format!("refused {reason:?}, key may have run")
+                }
                 Some((_, Outcome::Failed(Failure::Unknown))) => "unknown".to_owned(),
                 Some((_, Outcome::Failed(failure))) => format!("failed {failure:?}"),
             };
@@ -77,10 +83,16 @@
         let every: Option<Span> = parsed(&mut args, "every")?;
         let client = args.take_key("client").unwrap_or("c1").to_owned();
         let service = args.take_key("service").unwrap_or("llm").to_owned();
-        let key = parsed(&mut args, "key")?;
+        let key = match args.take_key("key") {
+            Some("ticket") => self.ticket.clone(),
+            key => key.map(str::parse).transpose()?,
+        };
+        let body = args.take_key("body").map(ToOwned::to_owned);
         args.reject_next()?;
+        let body = body.as_deref();
         for _ in 0..count {
-            self.marked.push(self.world.ask(&at, &service, &client, key.clone()));
+            let (service, client, key) = (&*service, &*client, key.clone());
+            self.marked.push(self.world.ask(&at, Asked { service, client, key, body }));
             every.into_iter().for_each(|span| self.world.advance(span));
         }
         Ok(())
@@ -98,6 +110,16 @@
             "cut" => world.cut(&next()?.parse()?, &next()?.parse()?),
             "heal" => world.heal(),
             "platform" => world.down = next()? == "down",
+            "copies" => world.keys.copies = Some(next()?.parse()?),
+            "poison" => {
+                let print = Print::from(&Digest::of(next()?.as_bytes()));
+                world.keys.poison.insert(print);
+            }
+            "silence" => drop(world.keys.silent.insert((next()?.parse()?, next()?.parse()?))),
+            "mute" => world.keys.mute.push(next()?.parse()?),
+            "unmute" => world.keys.mute.clear(),
+            "vanish" => drop(world.list.remove(&next()?.parse()?)),
+            "live" => drop(world.list.insert(next()?.parse()?, VmState::Live)),
             "leaving" => drop(world.list.insert(next()?.parse()?, VmState::Leaving)),
             "crash" => {
                 let vm: VmId = next()?.parse()?;
@@ -157,6 +179,13 @@
                     self.marked.iter().map(|c| self.world.calls[c.0].runs).collect();
                 return Ok(format!("most runs of a call: {}", runs.iter().max().unwrap_or(&0)));
             }
+            "key-runs" => return Ok(format!("most runs of a key: {}", self.world.most_runs())),
+            "ticket" => {
+                let vm: VmId = args.next_pos().ok_or("which endpoint?")?.parse()?;
+                args.reject_next()?;
+                self.ticket = self.world.issue(&vm, "c1", "orders").map(CallKey::Ticket);
+                return Ok(format!("issued: {}", self.ticket.is_some()));
+            }
             _ => return self.fault(command),
         }
         Ok(String::new())
