--- a/crates/sequoiahold/src/settings/endpoint.rs
+++ b/crates/sequoiahold/src/settings/endpoint.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Check, Config, Keys, Log, Metrics, Platform, platform::check_url};
+use super::{Check, Config, Keys, Log, Metrics, Platform, addr, platform::check_url};
 
 /// Settings of an endpoint process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -89,6 +89,7 @@
 
 impl Check for Endpoint {
     fn check(&self) -> Result<(), (String, String)> {
+        addr::check(&[("peers", self.peers), ("admin", self.admin)])?;
         self.platform.check()?;
         self.config.check()?;
         check_url("engine.url", &self.engine.url)?;
@@ -99,6 +100,12 @@
         if !(1..=64).contains(&self.weights.draws) {
             return Err(("weights.draws".to_owned(), "must be between 1 and 64".to_owned()));
         }
+        if self.weights.memory < Bytes(1_000_000) {
+            return Err(("weights.memory".to_owned(), "must be at least 1MB".to_owned()));
+        }
+        if self.look < Span::millis(10) || self.look > Span::secs(5) {
+            return Err(("look".to_owned(), "must be between 10ms and 5s".to_owned()));
+        }
         Ok(())
     }
 }
--- a/crates/sequoiahold/src/settings/entry.rs
+++ b/crates/sequoiahold/src/settings/entry.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Check, Config, Keys, Limits, Log, Metrics, Platform};
+use super::{Check, Config, Keys, Limits, Log, Metrics, Platform, addr};
 
 /// Settings of an entry process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -53,6 +53,8 @@
 
 impl Check for Entry {
     fn check(&self) -> Result<(), (String, String)> {
+        let listens = [("callers", self.callers), ("peers", self.peers), ("admin", self.admin)];
+        addr::check(&listens)?;
         self.platform.check()?;
         self.config.check()?;
         if self.heartbeat < Span::millis(50) || self.heartbeat > Span::secs(5) {
--- a/crates/sequoiahold/src/settings/mod.rs
+++ b/crates/sequoiahold/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings of the processes, read from JSON and checked at load.
 
+mod addr;
 mod callers;
 mod config;
 mod endpoint;
--- /dev/null
+++ b/crates/sequoiahold/tests/settings.rs
@@ -0,0 +1,170 @@
+//! Settings are checked at load, and the page of keys is equal to the code.
+
+use std::collections::BTreeMap;
+
+use rstest::rstest;
+use sequoiahold::settings::{Check, Endpoint, Entry, parse};
+use sequoiahold_core::declare::load::read_set;
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::{Value, json};
+
+const PAGE: &str = include_str!("../../../docs/CONFIGURATION.md");
+
+fn entry() -> Value {
+    json!({
+        "vm": "e1", "zone": "z1", "callers": "10.0.0.1:8080", "peers": "10.0.0.1:7400",
+        "admin": "127.0.0.1:7401",
+        "platform": {"config": "http://10.0.0.9:7000", "vms": "http://10.0.0.9:7000"},
+        "keys": {"ca": "ca.pem", "cert": "vm.pem", "key": "vm.key"},
+    })
+}
+
+fn endpoint() -> Value {
+    let mut value = entry();
+    let map = value.as_object_mut().expect("an object");
+    map.remove("callers");
+    map.insert("engine".to_owned(), json!({"url": "http://127.0.0.1:8000"}));
+    map.insert("weights".to_owned(), json!({"origin": "http://10.0.0.8", "rate": "2500KB/s"}));
+    value
+}
+
+/// Sets the value at a path such as `config/wait`; `null` removes it.
+fn change(mut settings: Value, path: &str, to: Value) -> Value {
+    let mut place = &mut settings;
+    for key in path.split('/') {
+        place = &mut place[key];
+    }
+    *place = to;
+    if settings[path].is_null() {
+        settings.as_object_mut().expect("an object").remove(path);
+    }
+    settings
+}
+
+fn fault<T: Check + DeserializeOwned>(settings: &Value) -> String {
+    parse::<T>(&settings.to_string()).err().map_or(String::new(), |error| format!("{error:#}"))
+}
+
+#[test]
+fn the_smallest_settings_are_taken() {
+    assert_eq!(fault::<Entry>(&entry()), "");
+    assert_eq!(fault::<Endpoint>(&endpoint()), "");
+}
+
+#[rstest]
+#[case::unknown("colour", json!("red"), "unknown field `colour`")]
+#[case::unknown_in_part("config/colour", json!(1), "unknown field `colour`")]
+#[case::missing("vm", json!(null), "missing field `vm`")]
+#[case::bad_name("vm", json!("E 1"), "key vm: \"E 1\" is not a name")]
+#[case::no_port("callers", json!("10.0.0.1:0"), "key callers: must have a port above 0")]
+#[case::host_name("callers", json!("host:80"), "key callers: invalid socket address")]
+#[case::any_address("peers", json!("0.0.0.0:7400"), "key peers: must be the IP number")]
+#[case::one_address("admin", json!("10.0.0.1:7400"), "key admin: must be another address than peers")]
+#[case::platform("platform/config", json!("10.0.0.9"), "key platform.config: \"10.0.0.9\" is not an address that starts with")]
+#[case::platform_list("platform/vms", json!("ftp://x"), "key platform.vms: ")]
+#[case::keys("keys/ca", json!(3), "key keys.ca: invalid type")]
+#[case::level("log/level", json!("loud"), "key log.level: \"loud\" is not one of off, error")]
+#[case::format("log/format", json!("xml"), "key log.format: unknown variant `xml`")]
+#[case::statsd("metrics/statsd", json!("host"), "key metrics.statsd: invalid socket address")]
+#[case::heartbeat("heartbeat", json!("1ms"), "key heartbeat: must be between 50ms and 5s")]
+#[case::no_unit("heartbeat", json!("500"), "key heartbeat: \"500\" is not a time such as")]
+#[case::body("limits/body", json!("5MB"), "key limits.body: must be between 1B and 4MB")]
+#[case::head("limits/head", json!("1ms"), "key limits.head: must be between 100ms and 600s")]
+#[case::upload("limits/upload", json!("601s"), "key limits.upload: must be between")]
+#[case::idle("limits/idle", json!("0s"), "key limits.idle: must be between")]
+#[case::connections("limits/connections", json!(0), "key limits.connections: must be at least 1")]
+#[case::interval("config/interval", json!("6s"), "key config.interval: must be between 100ms and 5s")]
+#[case::fanout("config/fanout", json!(0), "key config.fanout: must be between 1 and 16")]
+#[case::readers("config/readers", json!(9), "key config.readers: must be between 1 and 8")]
+#[case::wait("config/wait", json!("20s"), "key config.wait: must be between 100ms and 10s")]
+#[case::stale("config/stale", json!("1s"), "key config.stale: must be between 3s and 30s")]
+#[case::list("config/list", json!("1ms"), "key config.list: must be between 500ms and 10s")]
+#[case::seeds("config/seeds", json!([{"vm": "e2", "addr": "x"}]), "key config.seeds[0].addr: invalid socket address")]
+#[case::many_seeds("config/seeds", json!(vec![json!({"vm": "e2", "addr": "10.0.0.2:1"}); 9]), "key config.seeds: must have at most 8")]
+fn entry_settings_are_refused(#[case] path: &str, #[case] to: Value, #[case] text: &str) {
+    let found = fault::<Entry>(&change(entry(), path, to));
+    assert!(found.contains(text), "{text:?} is not in {found:?}");
+}
+
+#[rstest]
+#[case::engine("engine/url", json!("127.0.0.1"), "key engine.url: ")]
+#[case::fences("engine/fences", json!("yes"), "key engine.fences: invalid type")]
+#[case::origin("weights/origin", json!("x"), "key weights.origin: ")]
+#[case::rate("weights/rate", json!("0B/s"), "key weights.rate: must be above 0B/s")]
+#[case::draws("weights/draws", json!(65), "key weights.draws: must be between 1 and 64")]
+#[case::memory("weights/memory", json!("1KB"), "key weights.memory: must be at least 1MB")]
+#[case::look("look", json!("6s"), "key look: must be between 10ms and 5s")]
+#[case::callers("callers", json!("10.0.0.1:80"), "unknown field `callers`")]
+fn endpoint_settings_are_refused(#[case] path: &str, #[case] to: Value, #[case] text: &str) {
+    let found = fault::<Endpoint>(&change(endpoint(), path, to));
+    assert!(found.contains(text), "{text:?} is not in {found:?}");
+}
+
+/// Returns the keys and defaults of a section of the page.
+fn page(section: &str) -> BTreeMap<String, String> {
+    let heading = format!("## {section}\n");
+    let (_, rest) = PAGE.split_once(&heading).unwrap_or_else(|| panic!("no section {section:?}"));
+    let rows = rest.lines().take_while(|line| !line.starts_with("## "));
+    let cells = rows.filter_map(|line| line.strip_prefix("| `")?.split_once("` | "));
+    let default =
+        |cells: &str| cells.split(" | ").nth(1).unwrap_or("").trim_matches('`').to_owned();
+    cells.map(|(key, rest)| (key.to_owned(), default(rest))).collect()
+}
+
+/// Returns the paths of all values below a JSON value.
+fn leaves(value: &Value, path: &str, found: &mut BTreeMap<String, String>) {
+    match value {
+        Value::Object(map) => {
+            for (key, value) in map {
+                let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+                leaves(value, &path, found);
+            }
+        }
+        Value::String(text) => drop(found.insert(path.to_owned(), text.clone())),
+        other => drop(found.insert(path.to_owned(), other.to_string())),
+    }
+}
+
+fn all<T: Check + DeserializeOwned + Serialize>(given: &Value) -> BTreeMap<String, String> {
+    let settings: T = parse(&given.to_string()).expect("the smallest settings");
+    let (mut found, mut set) = (BTreeMap::new(), BTreeMap::new());
+    leaves(&serde_json::to_value(&settings).expect("JSON"), "", &mut found);
+    leaves(given, "", &mut set);
+    set.into_keys().for_each(|key| drop(found.insert(key, "required".to_owned())));
+    found
+}
+
+#[test]
+fn the_page_has_the_settings_of_the_code() {
+    assert_eq!(page("Settings of an entry"), all::<Entry>(&entry()));
+    assert_eq!(page("Settings of an endpoint"), all::<Endpoint>(&endpoint()));
+}
+
+#[test]
+fn the_page_has_the_keys_of_declarations() {
+    let digest = "0".repeat(64);
+    let text = json!([
+        {"kind": "zone", "name": "z", "region": "r", "link": "1MB/s"},
+        {"kind": "service", "name": "s", "backend": {"model": "m"}, "repeatable": true, "timeout": "1s"},
+        {"kind": "pool", "name": "p", "service": "s", "slots": 1, "cold": 1},
+        {"kind": "model", "name": "m", "version": "v"},
+        {"kind": "version", "name": "v", "model": "m", "manifest": digest, "size": "1MB"},
+        {"kind": "adapter", "name": "a", "version": "v", "digest": digest, "size": "1MB"},
+        {"kind": "client", "name": "c", "key": digest, "weight": 1, "services": ["s"]},
+        {"kind": "vm", "name": "e", "zone": "z", "role": "entry", "addr": "10.0.0.1:1"},
+        {"kind": "vm", "name": "w", "zone": "z", "role": {"endpoint": "p"}, "addr": "10.0.0.2:1"},
+    ]);
+    let (declared, _) = read_set([("set.json", text.to_string().as_str())]).expect("a sound set");
+    for (given, one) in text.as_array().expect("objects").iter().zip(&declared) {
+        let whole = serde_json::to_value(&one.object).expect("JSON");
+        let keys = whole.as_object().expect("an object").iter().filter(|(key, _)| *key != "kind");
+        let rows: BTreeMap<String, String> = keys
+            .map(|(key, value)| {
+                let text = value.as_str().map_or(value.to_string(), str::to_owned);
+                let default = if given.get(key).is_some() { "required".to_owned() } else { text };
+                (key.clone(), default)
+            })
+            .collect();
+        assert_eq!(page(one.object.kind()), rows, "section {}", one.object.kind());
+    }
+}
