--- a/crates/sequoiahold/tests/settings.rs
+++ b/crates/sequoiahold/tests/settings.rs
@@ -168,3 +168,31 @@
         assert_eq!(page(one.object.kind()), rows, "section {}", one.object.kind());
     }
 }
+
+#[test]
+fn mutated_settings_are_read_or_refused() {
+    let valid = endpoint().to_string().into_bytes();
+    let mut state = 1u64;
+    let mut random = move |below: usize| {
+        state =
+            state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 33) as usize % below.max(1)
+    };
+    for _ in 0..3_000 {
+        let mut text = valid.clone();
+        for _ in 0..=random(3) {
+            if text.is_empty() {
+                break;
+            }
+            let at = random(text.len());
+            match random(3) {
+                0 => text[at] = b"\"{}[],:0x\xff"[random(10)],
+                1 => drop(text.remove(at)),
+                _ => text.truncate(at),
+            }
+        }
+        let text = String::from_utf8_lossy(&text);
+        let _ = parse::<Endpoint>(&text);
+        let _ = parse::<Entry>(&text);
+    }
+}
