--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -49,7 +49,7 @@
         },
         settings: settings.config.clone(),
         clock,
-        links: Links::new(tls.clone(), traffic.clone()),
+        links: Links::new(tls.clone(), traffic.clone()).bound_to(settings.peers.ip()),
         platform: platform.clone(),
         metrics: metrics.clone(),
         events: events.clone(),
