--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -16,11 +16,12 @@
 impl Entry {
     /// Takes note that a request was handed over and failed.
     pub fn failed(&mut self, now: Time, key: RequestKey, failure: Failure) {
+        self.freed(now, key, false);
         self.suspect(now, key, failure);
-        if self.may_rerun(now, key, failure) && self.rerun(now, key, failure) {
-            return;
+        match self.may_rerun(now, key, failure) {
+            true => self.rerun(now, key, failure),
+            false => self.fail(key, failure),
         }
-        self.fail(key, failure);
     }
 
     /// Gives a request that has not run its final answer; one that ran before has failed.
@@ -66,12 +67,11 @@
     }
 
     /// Gives a request whose deadline has passed its final answer.
-    pub(super) fn out_of_time(&mut self, key: RequestKey) {
-        let Some(request) = self.requests.get(key) else { return };
-        if request.state.state() == RequestState::Arrived {
-            return self.refuse(key, Refusal::new(Reason::Deadline));
+    pub(super) fn out_of_time(&mut self, now: Time, key: RequestKey) {
+        match self.freed(now, key, false) {
+            Some(_) => self.fail(key, Failure::Unknown),
+            None => self.refuse(key, Refusal::new(Reason::Deadline)),
         }
-        self.fail(key, Failure::Unknown);
     }
 
     /// Returns why a request is refused on arrival for the crashes that it is suspected of.
@@ -124,13 +124,15 @@
         }
     }
 
-    fn rerun(&mut self, now: Time, key: RequestKey, failure: Failure) -> bool {
-        let Ok(output) = self.choose(now, key) else { return false };
+    /// Runs a request once more, or lets it wait; where it does neither, its first failure is told.
+    fn rerun(&mut self, now: Time, key: RequestKey, failure: Failure) {
         if let Some(request) = self.requests.get_mut(key) {
             request.failure = Some(failure);
         }
-        self.outputs.push(output);
-        true
+        match self.choose(now, key, true) {
+            Ok(output) => self.sent(now, key, output),
+            Err(refusal) => self.wait(now, key, refusal),
+        }
     }
 }
 
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -1,19 +1,21 @@
 //! The endpoint's event loop: owns the state and does what the decisions ask for.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use sequoiahold_core::{
     adopt::{Adoption, InForce},
     declare::Published,
-    endpoint::{Decision, Endpoint, Identity, Output, Place},
+    endpoint::{Decision, Drawing, Endpoint, Identity, Output, Place},
+    gate::{Ended, LookId},
     ids::{Digest, Fence, VersionId, VmId},
     once::RunEnd,
     proto::{Call, KeysAsk, Reply},
     time::Time,
-    weights::{Manifest, TransferOutcome},
+    units::{Bytes as Size, Span},
+    weights::{DrawError, Manifest, Pacer, TransferOutcome, pace::share},
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{
     draw::Drawer,
@@ -40,6 +42,8 @@
     pub links: Links,
     /// The chunks that are held.
     pub store: Store,
+    /// The pace of the VM's link outward and inward.
+    pub pacers: [Rc<RefCell<Pacer>>; 2],
     /// The engine.
     pub engine: Engine,
     /// Shows the configuration in force to the tasks.
@@ -63,13 +67,19 @@
 impl EventLoop {
     /// Returns the event loop of a process that knows nothing yet.
     pub fn new(settings: settings::Endpoint, parts: Parts) -> Self {
-        let drawer = Drawer::new(parts.links.clone(), &settings.weights.origin);
+        let [_, inward] = &parts.pacers;
+        let links = parts.links.clone();
+        let drawer = Drawer::new(links, &settings.weights.origin, parts.clock, inward.clone());
         let own = Identity {
             vm: settings.vm.clone(),
             incarnation: parts.clock.incarnation(),
             epoch: Time(parts.clock.incarnation().0),
             look: settings.look,
-            draws: settings.weights.draws,
+            drawing: Drawing {
+                rate: settings.weights.rate,
+                draws: settings.weights.draws,
+                region: settings.weights.region.clone(),
+            },
         };
         let endpoint = Endpoint::new(own, parts.clock.now());
         Self { settings, parts, drawer, endpoint }
@@ -96,13 +106,16 @@
         match event {
             Event::Offer(published) => self.on_offer(published),
             Event::Vms(list) => self.endpoint.list(now, &list),
-            Event::Engine(state) => self.endpoint.engine(now, state),
+            Event::Engine(look, state) => {
+                self.endpoint.engine(now, look, state);
+                self.give_way();
+            }
             Event::Admit(admit) => self.on_admit(admit),
-            Event::Ended(call, end) => self.endpoint.ended(now, &call, end),
+            Event::Head(ticket, limit) => self.endpoint.head(&ticket, limit),
+            Event::Ended(call, end, engine) => self.endpoint.ended(now, &call, end, engine),
             Event::Fell(call, engine, reply) => {
                 let _ = reply.send(self.endpoint.fell(now, &call, engine));
             }
-            Event::Heard(beat) => self.endpoint.heard(now, &beat),
             Event::Keys(vm, given) => self.endpoint.take_over(now, &vm, given),
             Event::TellKeys(ask, reply) => drop(reply.send(self.endpoint.hand_over(now, &ask))),
             Event::Ticket(client, service, reply) => {
@@ -110,13 +123,19 @@
             }
             Event::Manifest(version, manifest) => self.on_manifest(&version, manifest),
             Event::Drawn(digest, data) => self.on_drawn(digest, data),
-            Event::Have(peer, bits) => self.endpoint.have(now, &peer, &bits),
+            Event::Have(peer, bits) => self.endpoint.have(now, &peer, bits.as_deref()),
+            Event::Confirm(version, reply) => {
+                let _ = reply.send(self.endpoint.confirm(now, &version));
+            }
             Event::Loaded(version, taken) => {
                 self.endpoint.loaded(now, &version, taken);
                 self.parts.metrics.count(if taken { "loads.taken" } else { "loads.failed" });
             }
             Event::TellHave(manifest, reply) => drop(reply.send(self.have(manifest))),
-            Event::Tell(reply) => drop(reply.send(self.endpoint.beat())),
+            Event::Tell(told, reply) => {
+                self.endpoint.heard(now, &told);
+                let _ = reply.send(self.endpoint.answer(now, &told));
+            }
             Event::Status(reply) => drop(reply.send(self.status())),
             Event::Drain(reply) => drop(reply.send(self.endpoint.drain())),
         }
@@ -137,7 +156,7 @@
         let decision = self.endpoint.decide(now, &admit.offered);
         let passed = matches!(decision, Decision::Run(_));
         if admit.reply.send(decision).is_err() && passed {
-            self.endpoint.ended(now, &admit.offered, RunEnd::NotRun);
+            self.endpoint.ended(now, &admit.offered, RunEnd::NotRun, Ended::Cancelled);
         }
     }
 
@@ -150,34 +169,44 @@
         self.endpoint.manifest(now, version, manifest, |digest| store.holds(digest));
     }
 
-    fn on_drawn(&mut self, digest: Digest, data: Option<Bytes>) {
-        let outcome = self.endpoint.drawn(self.parts.clock.now(), digest, data.as_deref());
+    fn on_drawn(&mut self, digest: Digest, data: Result<Bytes, DrawError>) {
+        let drawn = data.as_deref().map_err(|error| *error);
+        let outcome = self.endpoint.drawn(self.parts.clock.now(), digest, drawn);
         match (outcome, data) {
-            (TransferOutcome::Kept | TransferOutcome::Whole, Some(data)) => {
+            (TransferOutcome::Kept | TransferOutcome::Whole, Ok(data)) => {
                 self.parts.store.keep(digest, data);
             }
             (TransferOutcome::Corrupt, _) => self.parts.metrics.count("chunks.corrupt"),
+            (_, Err(DrawError::Later(_))) => self.parts.metrics.count("chunks.later"),
+            (_, Err(_)) => self.parts.metrics.count("chunks.failed"),
             _ => {}
         }
     }
 
+    /// Leaves the link to live traffic by the share of the endpoint that requests take.
+    fn give_way(&self) {
+        let gate = self.endpoint.gate();
+        let share = share(gate.running(), gate.limit());
+        self.parts.pacers.iter().for_each(|pacer| pacer.borrow_mut().set_share(share));
+    }
+
     fn perform(&mut self) {
         for output in self.endpoint.outputs() {
             match output {
-                Output::Look => self.look(),
+                Output::Look(look) => self.look(look),
                 Output::ReadManifest(version, digest, places) => {
                     self.read_manifest(version, digest, places);
                 }
                 Output::AskHave(manifest, vm, addr) => {
                     let (drawer, events) = (self.drawer.clone(), self.parts.events.clone());
                     actix_rt::spawn(async move {
-                        if let Some(bits) = drawer.have(manifest, &vm, addr).await {
-                            let _ = events.send(Event::Have(vm, bits));
-                        }
+                        let bits = drawer.have(manifest, &vm, addr).await;
+                        let _ = events.send(Event::Have(vm, bits));
                     });
                 }
                 Output::AskKeys(vm, addr, ask) => self.ask_keys(vm, addr, ask),
-                Output::Draw(digest, place) => self.draw(digest, place),
+                Output::Draw(digest, place, timeout) => self.draw(digest, place, timeout),
+                Output::Retain(manifest) => self.parts.store.retain(&manifest),
                 Output::Load(version, manifest, fence) => self.load(version, manifest, fence),
             }
         }
@@ -197,11 +226,11 @@
         });
     }
 
-    fn look(&self) {
+    fn look(&self, look: LookId) {
         let (engine, events) = (self.parts.engine.clone(), self.parts.events.clone());
         actix_rt::spawn(async move {
             let state = engine.state().await.ok();
-            let _ = events.send(Event::Engine(state));
+            let _ = events.send(Event::Engine(look, state));
         });
     }
 
@@ -213,10 +242,11 @@
         });
     }
 
-    fn draw(&self, digest: Digest, place: Place) {
+    fn draw(&self, digest: Digest, place: Place, timeout: Span) {
         let (drawer, events) = (self.drawer.clone(), self.parts.events.clone());
+        let size = self.endpoint.chunk_size().unwrap_or(Size(0));
         actix_rt::spawn(async move {
-            let data = drawer.draw(digest, &place).await;
+            let data = drawer.chunk(digest, size, &place, timeout).await;
             let _ = events.send(Event::Drawn(digest, data));
         });
     }
@@ -226,7 +256,8 @@
         let (engine, store) = (self.parts.engine.clone(), self.parts.store.clone());
         let events = self.parts.events.clone();
         actix_rt::spawn(async move {
-            let taken = give(&engine, &store, &version, &manifest, fence).await;
+            let order = Order { version: &version, manifest: &manifest, fence };
+            let taken = give(&engine, &store, order, &events).await;
             if let Err(error) = &taken {
                 log::warn!("version {version} was not loaded: {error:#}");
             }
@@ -258,6 +289,7 @@
             limit: gate.limit(),
             running: gate.running(),
             open: gate.open(),
+            superseded: self.endpoint.superseded(),
             counters: self.parts.metrics.counters(),
             wire: self.parts.traffic.total(),
             ..Status::default()
@@ -265,16 +297,27 @@
     }
 }
 
+struct Order<'a> {
+    version: &'a VersionId,
+    manifest: &'a Manifest,
+    fence: Fence,
+}
+
+/// Hands the engine the chunks of a version, then the order to load it if it may still be given.
 async fn give(
     engine: &Engine,
     store: &Store,
-    version: &VersionId,
-    manifest: &Manifest,
-    fence: Fence,
+    order: Order<'_>,
+    events: &mpsc::UnboundedSender<Event>,
 ) -> anyhow::Result<()> {
-    for digest in &manifest.chunks {
+    for digest in &order.manifest.chunks {
         let chunk = store.get(digest).ok_or_else(|| anyhow::anyhow!("chunk {digest} is gone"))?;
         engine.put(digest, chunk).await?;
     }
-    engine.load(version, manifest, fence).await
+    let (reply, confirmed) = oneshot::channel();
+    let _ = events.send(Event::Confirm(order.version.clone(), reply));
+    if !confirmed.await.unwrap_or(false) {
+        anyhow::bail!("the order is no longer this process's to give");
+    }
+    engine.load(order.version, order.manifest, order.fence).await
 }
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -7,14 +7,19 @@
 mod event_loop;
 mod peers;
 mod store;
+mod upload;
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use actix_rt::signal::unix::{SignalKind, signal};
-use sequoiahold_core::{config::Identity, units::Span};
+use sequoiahold_core::{config::Identity, units::Span, weights::Pacer};
 use tokio::sync::{mpsc, oneshot, watch};
 
-use self::{ask::Asks, event_loop::EventLoop, peers::PeerService, store::Store};
+use self::{ask::Asks, event_loop::EventLoop, peers::PeerService, store::Store, upload::Uploader};
 pub use self::{
     engine::{Engine, SendError},
     event::Event,
@@ -52,22 +57,19 @@
     let asks =
         Asks { events: events.clone(), engine: engine.clone(), incarnation: clock.incarnation() };
     let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
-    let handle = config::start(config::Parts {
-        own: Identity {
-            vm: settings.vm.clone(),
-            zone: settings.zone.clone(),
-            addr: settings.peers,
-        },
-        settings: settings.config.clone(),
-        clock,
-        links: Links::new(tls.clone(), traffic.clone()).bound_to(settings.peers.ip()),
-        platform: platform.clone(),
-        metrics: metrics.clone(),
-        events: events.clone(),
-        offer: Event::Offer,
-    });
+    let own_links = Links::new(tls.clone(), traffic.clone()).bound_to(settings.peers.ip());
+    let reads = (platform.clone(), metrics.clone());
+    let handle = config::start(config_parts(&settings, clock, own_links, reads, &events));
     let config = handle.clone();
-    let peers = PeerService { events: events.clone(), store: store.clone(), config, asks };
+    let pacers = [(); 2].map(|()| Rc::new(RefCell::new(Pacer::new(settings.weights.rate))));
+    let uploader = Uploader {
+        clock,
+        store: store.clone(),
+        slots: settings.weights.uploads,
+        pacer: pacers[0].clone(),
+        busy: Rc::new(Cell::new(0)),
+    };
+    let peers = PeerService { events: events.clone(), uploader, config, asks };
     let listening = listen(settings.peers, &tls.borrow(), traffic.clone(), peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
     let listed = events.clone();
@@ -87,6 +89,7 @@
         clock,
         links,
         store,
+        pacers,
         engine,
         in_force,
         events: events.clone(),
@@ -102,6 +105,29 @@
     Ok(())
 }
 
+fn config_parts(
+    settings: &settings::Endpoint,
+    clock: Clock,
+    links: Links,
+    (platform, metrics): (Platform, Metrics),
+    events: &mpsc::UnboundedSender<Event>,
+) -> config::Parts<Event> {
+    config::Parts {
+        own: Identity {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            addr: settings.peers,
+        },
+        settings: settings.config.clone(),
+        clock,
+        links,
+        platform,
+        metrics,
+        events: events.clone(),
+        offer: Event::Offer,
+    }
+}
+
 async fn drain(events: &mpsc::UnboundedSender<Event>) {
     let done = async {
         loop {
--- a/crates/sequoiahold/src/endpoint/peers.rs
+++ b/crates/sequoiahold/src/endpoint/peers.rs
@@ -4,7 +4,7 @@
 use sequoiahold_core::proto::{Call, Reply};
 use tokio::sync::{mpsc, oneshot};
 
-use super::{ask::Asks, event::Event, store::Store};
+use super::{ask::Asks, event::Event, upload::Uploader};
 use crate::{
     config::Handle,
     net::{serve::Serve, write},
@@ -15,8 +15,8 @@
 pub struct PeerService {
     /// The event loop.
     pub events: mpsc::UnboundedSender<Event>,
-    /// The chunks that are held.
-    pub store: Store,
+    /// Gives chunks.
+    pub uploader: Uploader,
     /// The configuration task.
     pub config: Handle,
     /// Runs requests.
@@ -27,12 +27,11 @@
     async fn serve(&self, call: Call, mut send: SendStream, recv: RecvStream) {
         let reply = match call {
             Call::Ask(ask) => return self.asks.run(*ask, send, recv).await,
-            Call::Beat(beat) => {
-                let _ = self.events.send(Event::Heard(beat));
-                self.query(Event::Tell).await.map(|beat| Reply::Beat(Box::new(beat)))
+            Call::Beat(told) => {
+                let beat = self.query(|reply| Event::Tell(told, reply)).await;
+                beat.map(|beat| Reply::Beat(Box::new(beat)))
             }
             Call::Config(call) => self.config.answer(call).await,
-            Call::Chunk(digest) => Some(Reply::Chunk(self.store.get(&digest))),
             Call::Keys(ask) => {
                 let given = self.query(|reply| Event::TellKeys(ask, reply)).await;
                 given.map(|given| Reply::Keys(Box::new(given)))
@@ -41,6 +40,13 @@
                 let issued = self.query(|reply| Event::Ticket(client, service, reply)).await;
                 issued.map(|issued| issued.map_or_else(Reply::Refused, Reply::Ticket))
             }
+            Call::Chunk(digest) => {
+                if let Err(error) = self.uploader.answer(digest, &mut send).await {
+                    log::debug!("chunk {}: {error:#}", digest.short());
+                }
+                let _ = send.finish();
+                return;
+            }
             Call::Have(manifest) => {
                 self.query(|reply| Event::TellHave(manifest, reply)).await.map(Reply::Have)
             }
--- a/crates/sequoiahold/src/settings/endpoint.rs
+++ b/crates/sequoiahold/src/settings/endpoint.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use sequoiahold_core::{
-    ids::{VmId, ZoneId},
+    ids::{RegionId, VmId, ZoneId},
     units::{ByteRate, Bytes, Span},
 };
 use serde::{Deserialize, Serialize};
@@ -61,11 +61,17 @@
 pub struct Weights {
     /// The base address of the origin.
     pub origin: String,
-    /// The rate at which this VM draws.
+    /// The region where the origin lies; its zones draw from the origin first.
+    #[serde(default)]
+    pub region: Option<RegionId>,
+    /// The rate of this VM's link that weights may use, each way.
     pub rate: ByteRate,
     /// The chunks that are drawn at the same time.
     #[serde(default = "Weights::default_draws")]
     pub draws: u32,
+    /// The chunks that are given to peers at the same time.
+    #[serde(default = "Weights::default_uploads")]
+    pub uploads: u32,
     /// The memory for chunks.
     #[serde(default = "Weights::default_memory")]
     pub memory: Bytes,
@@ -82,6 +88,10 @@
         4
     }
 
+    fn default_uploads() -> u32 {
+        4
+    }
+
     fn default_memory() -> Bytes {
         Bytes(64_000_000_000)
     }
@@ -106,6 +116,9 @@
         if self.look < Span::millis(10) || self.look > Span::secs(5) {
             return Err(("look".to_owned(), "must be between 10ms and 5s".to_owned()));
         }
+        if !(1..=64).contains(&self.weights.uploads) {
+            return Err(("weights.uploads".to_owned(), "must be between 1 and 64".to_owned()));
+        }
         Ok(())
     }
 }
--- a/crates/standins/src/deployment/settings.rs
+++ b/crates/standins/src/deployment/settings.rs
@@ -80,6 +80,8 @@
                 origin: format!("http://{}", self.origin),
                 rate: self.rate,
                 draws: 4,
+                region: None,
+                uploads: 4,
                 memory: MEMORY,
             },
             look: Span::millis(100),
--- a/crates/standins/src/driver/perform.rs
+++ b/crates/standins/src/driver/perform.rs
@@ -16,8 +16,6 @@
     world::{Event, World},
 };
 
-/// Time that the engine takes to load.
-const LOAD: Span = Span::millis(300);
 /// Time that the origin takes for a chunk.
 const CHUNK: Span = Span::millis(20);
 /// Time after which an unanswered heartbeat is given up.
@@ -72,7 +70,7 @@
             entry::Output::Fail(key, failure) => self.finish(vm, key, Outcome::Failed(failure)),
             entry::Output::Beat(to, _) => {
                 let Some(node) = self.entries.get(vm) else { return };
-                let beat = node.core.beat();
+                let beat = node.core.beat_to(&to);
                 let (entry, epoch, sent) = (vm.clone(), self.epochs[vm], self.now);
                 self.push(SILENT, Event::Silent { entry, vm: to.clone(), epoch, sent });
                 self.send(vm, &to, Message::Beat(beat));
@@ -87,8 +85,8 @@
     fn perform_endpoint(&mut self, vm: &VmId, output: endpoint::Output) {
         let epoch = self.epochs[vm];
         match output {
-            endpoint::Output::Look => {
-                self.push(LOOK, Event::Look { vm: vm.clone(), epoch });
+            endpoint::Output::Look(look) => {
+                self.push(LOOK, Event::Look { vm: vm.clone(), epoch, look });
             }
             endpoint::Output::ReadManifest(version, digest, _) => {
                 let found = (1..=9).map(|n| weights(n).0).find(|m| m.digest() == digest);
@@ -101,16 +99,20 @@
             endpoint::Output::AskHave(manifest, to, _) => {
                 self.send(vm, &to, Message::AskHave(manifest));
             }
-            endpoint::Output::Draw(digest, Place::Peer(to, _)) => {
+            endpoint::Output::Draw(digest, Place::Peer(to, _), _) => {
                 self.send(vm, &to, Message::AskChunk(digest));
             }
-            endpoint::Output::Draw(digest, Place::Origin) => {
+            endpoint::Output::Draw(digest, Place::Origin, _) => {
                 let data = origin_chunk(&digest);
                 self.push(CHUNK, Event::Drawn { vm: vm.clone(), epoch, digest, data });
             }
+            endpoint::Output::Retain(manifest) => {
+                if let Some(node) = self.endpoints.get_mut(vm) {
+                    node.held.retain(|digest, _| manifest.chunks.contains(digest));
+                }
+            }
             endpoint::Output::Load(version, manifest, fence) => {
-                let vm = vm.clone();
-                self.push(LOAD, Event::Loaded { vm, epoch, version, manifest, fence });
+                self.order(vm, version, manifest, fence);
             }
         }
     }
--- a/crates/standins/src/driver/world.rs
+++ b/crates/standins/src/driver/world.rs
@@ -7,14 +7,14 @@
 
 use sequoiahold_core::{
     declare::{Declared, Fleet, Object, Published, Role, Vm},
-    endpoint::{self, Endpoint, Offered},
+    endpoint::{self, Drawing, Endpoint, EngineState, Offered},
     entry::{self, Arrival, Entry, RequestKey},
-    gate::Ticket,
+    gate::{LookId, Ticket},
     ids::{Digest, Fence, Generation, Incarnation, VersionId, VmId, ZoneId},
     member::VmState,
     refuse::{Failure, Reason},
     time::Time,
-    units::Span,
+    units::{ByteRate, Bytes, Span},
     weights::Manifest,
 };
 
@@ -26,6 +26,8 @@
 const FAR: Span = Span::millis(4);
 /// Time between two reads of the platform.
 const READ: Span = Span::millis(500);
+/// Time that an engine's state takes to its endpoint process.
+const SHOW: Span = Span::millis(1);
 /// Time between two heartbeats.
 const BEAT: Span = Span::millis(300);
 
@@ -34,10 +36,13 @@
     Deliver { from: VmId, to: VmId, epoch: u64, message: Message },
     Copy { from: VmId, to: VmId, message: Message },
     Silent { entry: VmId, vm: VmId, epoch: u64, sent: Time },
-    Look { vm: VmId, epoch: u64 },
+    Look { vm: VmId, epoch: u64, look: LookId },
+    Seen { vm: VmId, epoch: u64, look: LookId, state: Option<EngineState> },
+    Head { vm: VmId, epoch: u64, ticket: Ticket, limit: u32 },
     First { vm: VmId, ticket: Ticket, request: RequestKey, incarnation: u64 },
     Done { vm: VmId, ticket: Ticket, request: RequestKey, incarnation: u64 },
     Loaded { vm: VmId, epoch: u64, version: VersionId, manifest: Arc<Manifest>, fence: Fence },
+    Taken { vm: VmId, epoch: u64, version: VersionId, taken: bool },
     Manifest { vm: VmId, epoch: u64, version: VersionId, manifest: Option<Manifest> },
     Drawn { vm: VmId, epoch: u64, digest: Digest, data: Option<Vec<u8>> },
     Read,
@@ -72,7 +77,11 @@
     pub shown: Option<Arc<Published>>,
     /// The runs of keys and the faults of messages.
     pub keys: Keys,
-    shape: Shape,
+    /// The refusals of gates that reached entries.
+    pub refusals: u64,
+    /// The requests that engines began: entry, client account, endpoint.
+    pub began: Vec<(VmId, String, VmId)>,
+    pub(super) shape: Shape,
     fleet: Fleet,
     declared: Vec<Declared>,
     generation: Generation,
@@ -99,6 +108,8 @@
             down: false,
             shown: None,
             keys: Keys::default(),
+            refusals: 0,
+            began: vec![],
             shape,
             fleet,
             declared,
@@ -166,7 +177,9 @@
         let declared = &self.fleet.vms[vm];
         if declared.role == Role::Entry {
             let (vm, zone) = (vm.clone(), declared.zone.clone());
-            let own = entry::Identity { vm: vm.clone(), zone, incarnation, heartbeat: BEAT };
+            let policy = self.shape.policy;
+            let vm_name = vm.clone();
+            let own = entry::Identity { vm: vm_name, zone, incarnation, heartbeat: BEAT, policy };
             let seed = self.shape.seed ^ epoch ^ sequoiahold_core::peers::weight(vm.as_str(), b"");
             let core = Entry::new(own, seed);
             let node = EntryNode { core, calls: BTreeMap::new(), heard: BTreeMap::new() };
@@ -174,7 +187,8 @@
         } else {
             let look = Span::millis(100);
             let epoch = Time::default();
-            let own = endpoint::Identity { vm: vm.clone(), incarnation, epoch, look, draws: 4 };
+            let drawing = Drawing { rate: ByteRate(1_000_000), draws: 4, region: None };
+            let own = endpoint::Identity { vm: vm.clone(), incarnation, epoch, look, drawing };
             let core = Endpoint::new(own, self.now);
             let (open, held) = Default::default();
             self.endpoints.insert(vm.clone(), EndpointNode { core, open, held });
@@ -221,15 +235,18 @@
     pub fn ask(&mut self, at: &VmId, asked: Asked) -> CallId {
         let call = CallId(self.calls.len());
         let body = asked.body.map_or_else(|| call.0.to_string(), ToOwned::to_owned);
+        let client = asked.client.to_owned();
         let arrival = Arrival {
             client: asked.client.parse().expect("a client account"),
             service: asked.service.parse().expect("a service"),
             key: asked.key.clone(),
             print: Digest::of(body.as_bytes()),
             timeout: Span::secs(30),
+            urgency: entry::URGENCY,
+            size: Bytes(1_000),
         };
         let (at_time, key) = (self.now, asked.key);
-        let record = CallRecord { key, at: at_time, first: None, end: None, runs: 0 };
+        let record = CallRecord { key, client, at: at_time, first: None, end: None, runs: 0 };
         self.calls.push(record);
         let now = self.now;
         match self.entries.get_mut(at) {
@@ -338,9 +355,15 @@
             Event::Silent { entry, vm, epoch, sent } if self.epochs[&entry] == epoch => {
                 self.check_silence(&entry, &vm, sent);
             }
-            Event::Look { vm, epoch } if self.epochs[&vm] == epoch => {
+            Event::Look { vm, epoch, look } if self.epochs[&vm] == epoch => {
                 let state = self.engines.get(&vm).map(FakeEngine::state);
-                self.on_endpoint(&vm, |core, now| core.engine(now, state));
+                self.push(SHOW, Event::Seen { vm, epoch, look, state });
+            }
+            Event::Seen { vm, epoch, look, state } if self.epochs[&vm] == epoch => {
+                self.on_endpoint(&vm, |core, now| core.engine(now, look, state));
+            }
+            Event::Head { vm, epoch, ticket, limit } if self.epochs[&vm] == epoch => {
+                self.on_endpoint(&vm, |core, _| core.head(&ticket, limit));
             }
             Event::First { vm, ticket, request, incarnation } => {
                 self.first(&vm, &ticket, request, incarnation);
@@ -348,6 +371,9 @@
             Event::Done { vm, ticket, request, incarnation } => {
                 self.done(&vm, &ticket, request, incarnation);
             }
+            Event::Taken { vm, epoch, version, taken } if self.epochs[&vm] == epoch => {
+                self.on_endpoint(&vm, |core, now| core.loaded(now, &version, taken));
+            }
             Event::Loaded { vm, epoch, version, manifest, fence } => {
                 self.load(&vm, epoch, &version, &manifest, fence);
             }
@@ -375,13 +401,16 @@
         let vm = match event {
             Event::Copy { to, .. } | Event::Deliver { to, .. } => to,
             Event::Silent { entry, .. } => entry,
-            Event::Look { vm, .. }
+            Event::Seen { vm, .. }
+            | Event::Head { vm, .. }
+            | Event::Taken { vm, .. }
             | Event::Manifest { vm, .. }
             | Event::Drawn { vm, .. }
-            | Event::Loaded { vm, .. }
             | Event::First { vm, .. }
             | Event::Done { vm, .. } => vm,
-            Event::Read | Event::Wake(_) => return None,
+            Event::Look { .. } | Event::Loaded { .. } | Event::Read | Event::Wake(_) => {
+                return None;
+            }
         };
         self.paused.get(vm).copied().filter(|until| *until > self.now)
     }
