--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -57,20 +57,9 @@
     let asks =
         Asks { events: events.clone(), engine: engine.clone(), incarnation: clock.incarnation() };
     let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
-    let handle = config::start(config::Parts {
-        own: Identity {
-            vm: settings.vm.clone(),
-            zone: settings.zone.clone(),
-            addr: settings.peers,
-        },
-        settings: settings.config.clone(),
-        clock,
-        links: Links::new(tls.clone(), traffic.clone()),
-        platform: platform.clone(),
-        metrics: metrics.clone(),
-        events: events.clone(),
-        offer: Event::Offer,
-    });
+    let own_links = Links::new(tls.clone(), traffic.clone()).bound_to(settings.peers.ip());
+    let reads = (platform.clone(), metrics.clone());
+    let handle = config::start(config_parts(&settings, clock, own_links, reads, &events));
     let config = handle.clone();
     let pacers = [(); 2].map(|()| Rc::new(RefCell::new(Pacer::new(settings.weights.rate))));
     let uploader = Uploader {
@@ -116,6 +105,29 @@
     Ok(())
 }
 
+fn config_parts(
+    settings: &settings::Endpoint,
+    clock: Clock,
+    links: Links,
+    (platform, metrics): (Platform, Metrics),
+    events: &mpsc::UnboundedSender<Event>,
+) -> config::Parts<Event> {
+    config::Parts {
+        own: Identity {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            addr: settings.peers,
+        },
+        settings: settings.config.clone(),
+        clock,
+        links,
+        platform,
+        metrics,
+        events: events.clone(),
+        offer: Event::Offer,
+    }
+}
+
 async fn drain(events: &mpsc::UnboundedSender<Event>) {
     let done = async {
         loop {
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -23,7 +23,7 @@
       run a deployment on loopback; the last line of output is one JSON object
   bench SERIES [--program FILE]
       measure one real process against a growing number and fit the slope
-  experiment config [--seed N] [--json]
+  experiment config [--seed N] [--only TEXT] [--json]
       adopt configurations in a fleet of 5,310 processes in virtual time
   experiment weights [--seed N] [--vms MOST] [--out DIR]
       measure ways to draw weights in virtual time; DIR takes JSON lines and charts
@@ -88,10 +88,11 @@
 fn experiment(mut args: Arguments) -> anyhow::Result<u8> {
     let name = args.subcommand()?;
     match name.as_deref() {
-        Some("config") => experiment::config::run(
-            args.opt_value_from_str("--seed")?.unwrap_or(1),
-            args.contains("--json"),
-        ),
+        Some("config") => {
+            let seed = args.opt_value_from_str("--seed")?.unwrap_or(1);
+            let only: Option<String> = args.opt_value_from_str("--only")?;
+            experiment::config::run(seed, args.contains("--json"), only.as_deref())
+        }
         Some("weights") => experiment::weights::run(&experiment::weights::Options {
             seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
             most: args.opt_value_from_str("--vms")?.unwrap_or(950),
