An answer that breaks off is never taken for the whole

Seen by engine_crashes_under_load_and_comes_back: 4 callers got a part of an answer that ended as if it were whole (trial on the client as it was). Cause: awc ends the body without an error when the connection closes before the last chunk, so that the endpoint wrote the end mark, and kept the part as the answer of a key. Ruled out: the stand-in (actix-http closes without the last chunk), the entry (it forwards the end mark it gets). Now the connections of our HTTP clients report their end as an error; an answer without length and chunks fails too.

--- /dev/null
+++ b/crates/sequoiahold/src/client.rs
@@ -0,0 +1,72 @@
+//! HTTP clients for which a connection that ends before the answer is whole is an error.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_service::ServiceExt as _;
+use actix_tls::connect::{Connection, Connector as TcpConnector, Resolver};
+use awc::{Client, Connector, http::Uri};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// A connection whose end is an error, since answers are framed by a length or by chunks.
+#[derive(Debug)]
+struct Framed(TcpStream);
+
+/// Returns a client whose calls take at most `timeout`.
+///
+/// An answer without a length and without chunks ends with its connection, so that nobody can
+/// tell whether it is whole; it fails too.
+pub fn client(timeout: Duration) -> Client {
+    let connect = TcpConnector::new(Resolver::default()).service();
+    let framed = connect.map(|connection: Connection<Uri, TcpStream>| {
+        let (stream, request) = connection.into_parts();
+        Connection::new(request, Framed(stream))
+    });
+    Client::builder().connector(Connector::new().connector(framed)).timeout(timeout).finish()
+}
+
+impl AsyncRead for Framed {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let (filled, room) = (buffer.filled().len(), buffer.remaining());
+        ready!(Pin::new(&mut self.get_mut().0).poll_read(context, buffer))?;
+        let ended = room > 0 && buffer.filled().len() == filled;
+        Poll::Ready(if ended { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) })
+    }
+}
+
+impl AsyncWrite for Framed {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().0).poll_write(context, data)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().0).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().0).poll_shutdown(context)
+    }
+}
+
+impl ActixStream for Framed {
+    fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.0, context)
+    }
+
+    fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.0, context)
+    }
+}
--- a/crates/sequoiahold/src/endpoint/draw.rs
+++ b/crates/sequoiahold/src/endpoint/draw.rs
@@ -11,7 +11,10 @@
     weights::Manifest,
 };
 
-use crate::net::{Links, call};
+use crate::{
+    client::client,
+    net::{Links, call},
+};
 
 /// Time that one draw may take.
 const DRAW: Duration = Duration::from_secs(10);
@@ -27,7 +30,7 @@
 impl Drawer {
     /// Returns a drawer for the origin at this base address.
     pub fn new(links: Links, origin: &str) -> Self {
-        let client = Client::builder().timeout(DRAW).finish();
+        let client = client(DRAW);
         Self { client, links, origin: origin.trim_end_matches('/').to_owned() }
     }
 
--- a/crates/sequoiahold/src/endpoint/engine.rs
+++ b/crates/sequoiahold/src/endpoint/engine.rs
@@ -15,7 +15,7 @@
 };
 use serde::Serialize;
 
-use crate::settings;
+use crate::{client::client, settings};
 
 /// Time that a look at the engine may take.
 const LOOK: Duration = Duration::from_secs(2);
@@ -65,7 +65,7 @@
 impl Engine {
     /// Returns a client of the engine in the settings.
     pub fn new(settings: &settings::Engine) -> Self {
-        let client = Client::builder().timeout(Duration::from_secs(300)).finish();
+        let client = client(Duration::from_secs(300));
         Self { client, url: settings.url.trim_end_matches('/').to_owned() }
     }
 
--- a/crates/sequoiahold/src/lib.rs
+++ b/crates/sequoiahold/src/lib.rs
@@ -1,6 +1,7 @@
 //! The processes of sequoiahold: I/O around the decisions of `sequoiahold-core`.
 
 pub mod cli;
+pub mod client;
 pub mod clock;
 pub mod command;
 pub mod endpoint;
--- a/crates/sequoiahold/src/platform.rs
+++ b/crates/sequoiahold/src/platform.rs
@@ -11,7 +11,7 @@
     member::VmState,
 };
 
-use crate::settings;
+use crate::{client::client, settings};
 
 /// Time that a watch may wait at the configuration service.
 const WATCH: Duration = Duration::from_secs(5);
@@ -30,7 +30,7 @@
 impl Platform {
     /// Returns a reader of the services in the settings.
     pub fn new(settings: settings::Platform) -> Self {
-        let client = Client::builder().timeout(WATCH + TIMEOUT).finish();
+        let client = client(WATCH + TIMEOUT);
         Self { client, settings }
     }
 
--- a/crates/standins/src/bench/series.rs
+++ b/crates/standins/src/bench/series.rs
@@ -213,7 +213,7 @@
         warm: 1,
         step: Duration::from_millis(5),
         load: Duration::from_millis(10),
-        fences: true,
+        ..Behaviour::default()
     };
     let backend = net.address(1, 8000);
     Engine::start(backend, behaviour).await?;
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -12,6 +12,7 @@
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt as _};
+use sequoiahold::client::client;
 use sequoiahold_core::ids::{Digest, ServiceId};
 use serde_json::{Value, json};
 
@@ -31,6 +32,8 @@
     Unknown,
     /// An answer that broke off, or none.
     Broken,
+    /// An answer that ended as if it were whole, before its end.
+    Truncated,
     /// No connection to the entry.
     Unreached,
     /// An answer that is not the one to its request.
@@ -96,7 +99,7 @@
 impl Caller {
     /// Returns a caller with this API key.
     pub fn new(key: &str) -> Self {
-        let client = Client::builder().timeout(PATIENCE).finish();
+        let client = client(PATIENCE);
         Self { client, key: key.to_owned() }
     }
 
@@ -153,6 +156,7 @@
         let own = serde_json::from_slice::<Value>(&text).is_ok_and(|v| v["done"] == *order.name);
         let received = match status {
             200 if own => Received::Answered,
+            200 if serde_json::from_slice::<Value>(&text).is_err() => Received::Truncated,
             200 => Received::Wrong,
             _ => refusal(&text),
         };
@@ -223,9 +227,9 @@
 fn judge(text: &str, question: &Question<'_>, allowed: &BTreeSet<Digest>) -> Received {
     let Question { prompt, tokens, .. } = *question;
     let events: Vec<&str> = text.split("\n\n").filter_map(|e| e.strip_prefix("data: ")).collect();
-    let Some((last, parts)) = events.split_last() else { return Received::Broken };
+    let Some((last, parts)) = events.split_last() else { return Received::Truncated };
     if *last != "[DONE]" || parts.len() != tokens as usize {
-        return Received::Broken;
+        return Received::Truncated;
     }
     let content = |part: &&str| {
         let event: Value = serde_json::from_str(part).unwrap_or_default();
--- a/crates/standins/src/demo/report.rs
+++ b/crates/standins/src/demo/report.rs
@@ -98,7 +98,7 @@
         self.unreached = of(Received::Unreached);
         self.wrong = of(Received::Wrong);
         self.partial_weights = of(Received::Partial);
-        self.cut = of(Received::Broken);
+        self.cut = of(Received::Broken) + of(Received::Truncated);
     }
 
     /// Fills in what the stand-ins' records say.
--- a/crates/standins/src/deployment/mod.rs
+++ b/crates/standins/src/deployment/mod.rs
@@ -7,7 +7,7 @@
 mod start;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     fs,
     net::SocketAddr,
@@ -44,6 +44,8 @@
 const STOP: Duration = Duration::from_secs(20);
 /// Time that the status of a process may take.
 const STATUS: Duration = Duration::from_secs(2);
+/// Orders in a row after which all endpoints that share the keys have run some.
+const PROBES: u32 = 40;
 /// Lines of each log that a failed test shows.
 const LOG_TAIL: usize = 8;
 
@@ -72,6 +74,7 @@
     authority: Authority,
     declared: Vec<Declared>,
     generation: Generation,
+    probes: Cell<u32>,
     dir: PathBuf,
     _network: Option<network::Network>,
 }
@@ -165,26 +168,27 @@
         }
     }
 
-    /// Waits until an order through each entry is answered; endpoints that just started run none.
+    /// Waits until orders are answered in a row; endpoints that just started run none.
     pub async fn wait_orders(&self, patience: Duration) -> anyhow::Result<()> {
-        let (caller, service) = (self.caller(), self.plan.orders());
+        let (caller, service, entries) = (self.caller(), self.plan.orders(), self.entries());
         let end = Instant::now() + patience;
-        let mut number = 0;
-        for entry in self.entries() {
-            loop {
-                number += 1;
-                let order = Order::now(&format!("probe-{number}"));
-                let call = caller.order(entry, &service, &order).await;
-                if call.received == Received::Answered {
-                    break;
-                }
-                if Instant::now() > end {
-                    bail!("an order through {entry} ended as {:?}", call.received);
-                }
+        let mut answered = 0;
+        for entry in entries.iter().cycle() {
+            self.probes.set(self.probes.get() + 1);
+            let order = Order::now(&format!("probe-{}", self.probes.get()));
+            let call = caller.order(*entry, &service, &order).await;
+            answered = if call.received == Received::Answered { answered + 1 } else { 0 };
+            if answered == PROBES {
+                return Ok(());
+            }
+            if answered == 0 {
                 actix_rt::time::sleep(LOOK).await;
             }
+            if Instant::now() > end {
+                bail!("an order through {entry} ended as {:?}", call.received);
+            }
         }
-        Ok(())
+        bail!("the deployment has no entry")
     }
 
     /// Returns a caller of the first client account.
--- a/crates/standins/src/deployment/start.rs
+++ b/crates/standins/src/deployment/start.rs
@@ -130,6 +130,7 @@
             authority: Authority::mint(&dir)?,
             declared: plan.declared.clone(),
             generation: Generation::default(),
+            probes: Default::default(),
             engines: Default::default(),
             plains: Default::default(),
             plain: Default::default(),
--- /dev/null
+++ b/crates/standins/src/engine/mod.rs
@@ -0,0 +1,286 @@
+//! Stand-in of a model engine with continuous batching, cold starts and versions.
+
+mod behaviour;
+mod cache;
+mod generation;
+mod state;
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Instant};
+
+use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode, header};
+use bytes::Bytes;
+use sequoiahold::http;
+use sequoiahold_core::{
+    endpoint::EngineState,
+    ids::{Digest, Fence, VersionId},
+    weights::Manifest,
+};
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use self::generation::Generation;
+pub use self::{
+    behaviour::Behaviour,
+    cache::{Cache, CacheEvent, Change},
+    generation::POISON,
+    state::{Began, Run, State},
+};
+use crate::{
+    content::fingerprint,
+    reply::{self, Body},
+};
+
+/// Tokens of an answer where the request names no number.
+const TOKENS: u32 = 16;
+
+/// A running stand-in.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// The state, shared with the server.
+    pub state: Rc<RefCell<State>>,
+    behaviour: Behaviour,
+}
+
+/// What an engine shows: the fields that the system reads, and others.
+#[derive(Debug, Serialize)]
+struct Shown {
+    #[serde(flatten)]
+    state: EngineState,
+    role: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(tag = "order", rename_all = "snake_case")]
+enum Order {
+    Load { version: VersionId, manifest: Manifest, fence: Fence },
+    Role { role: String, fence: Fence },
+    Unload { fence: Fence },
+}
+
+#[derive(Debug, Deserialize)]
+struct Chat {
+    messages: Vec<Message>,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    priority: u32,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    content: String,
+}
+
+impl Order {
+    fn fence(&self) -> Fence {
+        match self {
+            Self::Load { fence, .. } | Self::Role { fence, .. } | Self::Unload { fence } => *fence,
+        }
+    }
+}
+
+impl Engine {
+    /// Starts an engine that holds nothing on `addr`.
+    pub async fn start(addr: SocketAddr, behaviour: Behaviour) -> anyhow::Result<Self> {
+        let state = Rc::new(RefCell::new(State::new(behaviour.cache)));
+        let engine = Self { state, behaviour };
+        let server = engine.clone();
+        http::serve(addr, move |request| server.clone().answer(request)).await?;
+        Ok(engine)
+    }
+
+    /// Ends all requests in progress and starts anew, holding nothing.
+    pub fn crash(&self) {
+        self.state.borrow_mut().crash();
+    }
+
+    /// Makes the engine cold again without warning.
+    pub fn turn_cold(&self) {
+        self.state.borrow_mut().tokens = 0;
+    }
+
+    /// Returns the version that the engine holds.
+    pub fn version(&self) -> Option<VersionId> {
+        self.state.borrow().version.as_ref().map(|(version, _, _)| version.clone())
+    }
+
+    /// Returns the requests that the engine bears now.
+    pub fn bears(&self) -> u32 {
+        let tokens = self.state.borrow().tokens.min(self.behaviour.warm);
+        let room = u64::from(self.behaviour.slots - self.behaviour.cold);
+        self.behaviour.cold + (room * tokens / self.behaviour.warm.max(1)) as u32
+    }
+
+    async fn answer(self, mut request: Request) -> Response<Body> {
+        let path = request.path().to_owned();
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (request.method().clone(), parts.as_slice()) {
+            (Method::GET, ["state"]) => reply::json(&self.show()),
+            (Method::GET, ["events"]) => self.events(&request),
+            (Method::GET, ["v1", "kv", digest]) => self.export(digest),
+            (Method::GET, ["v1", "requests", id]) => self.resume(id, &request),
+            (Method::DELETE, ["v1", "requests", id]) => self.cancel(id),
+            (Method::POST, ["orders"]) => {
+                let body = reply::read_body(&mut request).await;
+                self.order(&body).await
+            }
+            (Method::POST, ["v1", "chat", "completions"]) => {
+                let id = request.headers().get("x-request-id").and_then(|id| id.to_str().ok());
+                let id = id.unwrap_or_default().to_owned();
+                let body = reply::read_body(&mut request).await;
+                self.chat(id, &body)
+            }
+            (Method::PUT, ["v1", "kv"]) => {
+                let body = reply::read_body(&mut request).await;
+                self.state.borrow_mut().cache.touch(&String::from_utf8_lossy(&body));
+                reply::status(204)
+            }
+            (Method::PUT, ["weights", digest]) => {
+                let body = reply::read_body(&mut request).await;
+                let Ok(digest) = digest.parse() else { return reply::status(404) };
+                self.state.borrow_mut().chunks.insert(digest, body);
+                reply::status(204)
+            }
+            _ => reply::status(404),
+        }
+    }
+
+    fn show(&self) -> Shown {
+        let bears = self.bears();
+        let mut state = self.state.borrow_mut();
+        let (limit, running) = state.lagging_load(bears, self.behaviour.lag);
+        let shown = EngineState {
+            incarnation: state.incarnation,
+            version: state.version.as_ref().map(|(version, _, _)| version.clone()),
+            manifest: state.version.as_ref().map(|(_, manifest, _)| *manifest),
+            limit,
+            running,
+            fence: state.fence,
+        };
+        Shown { state: shown, role: state.role.clone() }
+    }
+
+    fn events(&self, request: &Request) -> Response<Body> {
+        let from = reply::query(request, "from").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let state = self.state.borrow();
+        reply::json(&state.cache.events(from).collect::<Vec<_>>())
+    }
+
+    fn export(&self, digest: &str) -> Response<Body> {
+        let state = self.state.borrow();
+        let text = digest.parse().ok().and_then(|digest: Digest| state.cache.get(&digest));
+        let text = text.map(|text| Bytes::from(text.to_owned()));
+        text.map_or_else(|| reply::status(404), reply::data)
+    }
+
+    fn cancel(&self, id: &str) -> Response<Body> {
+        let mut state = self.state.borrow_mut();
+        if state.running.remove(id).is_some_and(|run| !run.whole) {
+            state.cancelled += 1;
+        }
+        reply::status(204)
+    }
+
+    async fn order(&self, body: &[u8]) -> Response<Body> {
+        let Ok(order) = serde_json::from_slice::<Order>(body) else { return reply::status(400) };
+        if self.behaviour.fences && order.fence() < self.state.borrow().fence {
+            self.state.borrow_mut().fenced += 1;
+            return reply::status(409);
+        }
+        let fence = order.fence();
+        let taken = match order {
+            Order::Load { version, manifest, .. } => self.load(version, &manifest).await,
+            Order::Role { role, .. } => {
+                self.state.borrow_mut().role = Some(role);
+                true
+            }
+            Order::Unload { .. } => {
+                self.state.borrow_mut().version = None;
+                true
+            }
+        };
+        let mut state = self.state.borrow_mut();
+        state.fence = state.fence.max(fence);
+        reply::status(if taken { 200 } else { 503 })
+    }
+
+    async fn load(&self, version: VersionId, manifest: &Manifest) -> bool {
+        let incarnation = self.state.borrow().incarnation;
+        actix_rt::time::sleep(self.behaviour.load).await;
+        let mut state = self.state.borrow_mut();
+        if state.incarnation != incarnation {
+            return false;
+        }
+        let chunk = |digest| state.chunks.get(digest).map(|data| Digest::of(data));
+        let held: Vec<Digest> = manifest.chunks.iter().filter_map(chunk).collect();
+        state.version = Some((version, manifest.digest(), fingerprint(&held)));
+        state.tokens = 0;
+        true
+    }
+
+    fn chat(&self, id: String, body: &[u8]) -> Response<Body> {
+        let Ok(chat) = serde_json::from_slice::<Chat>(body) else { return reply::status(400) };
+        let bears = self.bears();
+        let mut state = self.state.borrow_mut();
+        let Some((version, _, weights)) = state.version.clone() else {
+            return reply::status(503);
+        };
+        let (prefix, prompt) = split(&chat.messages);
+        let number = state.began.len();
+        state.began.push(Began { at: Instant::now(), id: id.clone(), prompt: prompt.clone() });
+        if state.active() >= bears {
+            state.overloads += 1;
+            if self.behaviour.falls {
+                state.crash();
+                return Response::with_body(StatusCode::OK, Body::broken());
+            }
+        }
+        let cached = !prefix.is_empty() && state.cache.touch(&prefix);
+        let (reader, receiver) = mpsc::unbounded_channel();
+        let (priority, events) = (chat.priority, vec![]);
+        let run = Run { priority, number, events, whole: false, reader: Some((reader, 0)) };
+        state.running.insert(id.clone(), run);
+        let generation = Generation {
+            engine: self.clone(),
+            incarnation: state.incarnation,
+            id,
+            version,
+            weights,
+            prompt,
+            tokens: chat.max_tokens.unwrap_or(TOKENS),
+            cached,
+        };
+        actix_rt::spawn(generation.run());
+        stream(receiver)
+    }
+
+    /// Gives the events of an answer again from a number on, and those that follow.
+    fn resume(&self, id: &str, request: &Request) -> Response<Body> {
+        let from = reply::query(request, "from").and_then(|n| n.parse().ok()).unwrap_or(0);
+        let mut state = self.state.borrow_mut();
+        let Some(run) = state.running.get_mut(id) else { return reply::status(404) };
+        let (reader, receiver) = mpsc::unbounded_channel();
+        for event in run.events.iter().skip(from) {
+            let _ = reader.send(event.clone());
+        }
+        if run.whole {
+            generation::end(Some(reader));
+        } else {
+            run.reader = Some((reader, from));
+        }
+        stream(receiver)
+    }
+}
+
+/// Returns the prefix that is cached, all messages but the last, and the whole prompt.
+fn split(messages: &[Message]) -> (String, String) {
+    let texts: Vec<&str> = messages.iter().map(|message| message.content.as_str()).collect();
+    let prefix = texts.split_last().map_or(String::new(), |(_, first)| first.concat());
+    (prefix, texts.concat())
+}
+
+fn stream(receiver: mpsc::UnboundedReceiver<Bytes>) -> Response<Body> {
+    let mut response = Response::with_body(StatusCode::OK, Body::Pieces(receiver));
+    let kind = header::HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- a/crates/standins/src/fixture.rs
+++ b/crates/standins/src/fixture.rs
@@ -45,6 +45,7 @@
 pub fn assert_sound(deployment: &Deployment, calls: &[Call]) {
     let records = deployment.records();
     assert_eq!(count(calls, Received::Wrong), 0, "each caller gets its own answer");
+    assert_eq!(count(calls, Received::Truncated), 0, "no part of an answer passes for the whole");
     assert_eq!(count(calls, Received::Partial), 0, "no answer is from partial weights");
     assert_eq!(records.not_run_but_began(calls), 0, "what was told \"not run\" did not begin");
     assert_eq!(records.run_twice(), 0, "no order runs twice");
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod processes;
 pub mod relay;
 pub mod reply;
+pub mod store;
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
+use bytes::Bytes;
 use sequoiahold::http;
 use sequoiahold_core::endpoint::EngineState;
 use serde_json::json;
@@ -17,8 +18,10 @@
     Prompt,
     /// After this time; the call has run before.
     Slow(Duration),
-    /// Never: the service runs the call, then breaks the answer off.
+    /// Never: the service runs the call, then ends without an answer.
     Crash,
+    /// In part: the service runs the call, then breaks the answer off.
+    BreakOff,
 }
 
 /// What a test sets and reads.
@@ -73,6 +76,10 @@
             Mode::Prompt => {}
             Mode::Slow(time) => actix_rt::time::sleep(time).await,
             Mode::Crash => return Response::with_body(StatusCode::OK, Body::broken()),
+            Mode::BreakOff => {
+                let part = Body::broken_after(Bytes::from_static(b"{ \"done\": "));
+                return Response::with_body(StatusCode::OK, part);
+            }
         }
         reply::json(&json!({ "done": name }))
     }
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -8,6 +8,7 @@
 use actix_http::{
     Request, Response, StatusCode,
     body::{BodySize, MessageBody},
+    header,
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
@@ -28,6 +29,13 @@
     pub fn broken() -> Self {
         Self::Pieces(mpsc::unbounded_channel().1)
     }
+
+    /// Returns a body that breaks off after a part.
+    pub fn broken_after(part: Bytes) -> Self {
+        let (pieces, receiver) = mpsc::unbounded_channel();
+        let _ = pieces.send(part);
+        Self::Pieces(receiver)
+    }
 }
 
 /// A body that broke off.
@@ -85,6 +93,13 @@
     Response::with_body(code, Body::Whole(Bytes::new()))
 }
 
+/// Returns a refusal that asks the caller to come back after whole seconds.
+pub fn come_back(code: u16, seconds: u64) -> Response<Body> {
+    let mut response = status(code);
+    response.headers_mut().insert(header::RETRY_AFTER, header::HeaderValue::from(seconds));
+    response
+}
+
 /// Reads the body of a request.
 pub async fn read_body(request: &mut Request) -> Bytes {
     let mut payload = request.take_payload();
--- /dev/null
+++ b/crates/standins/src/store.rs
@@ -0,0 +1,85 @@
+//! Stand-in of a weight store that refuses calls above its rate.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix_http::{Request, Response};
+use bytes::Bytes;
+use sequoiahold::http;
+use sequoiahold_core::ids::Digest;
+
+use crate::{
+    content::Content,
+    reply::{self, Body},
+};
+
+/// The time over which calls are counted.
+const SECOND: Duration = Duration::from_secs(1);
+
+/// What a test sets and reads.
+#[derive(Debug)]
+pub struct State {
+    /// The blobs by digest: chunks and manifests.
+    pub blobs: BTreeMap<Digest, Bytes>,
+    /// The bytes that were given.
+    pub given: u64,
+    /// The calls that were refused above the rate.
+    pub refused: u64,
+    start: Instant,
+    calls: u32,
+}
+
+/// A running stand-in, with the same paths as the origin.
+#[derive(Clone, Debug)]
+pub struct Store {
+    /// The state, shared with the server.
+    pub state: Rc<RefCell<State>>,
+    rate: u32,
+}
+
+impl Store {
+    /// Starts the store on `addr`; it answers `rate` calls a second.
+    pub async fn start(addr: SocketAddr, rate: u32) -> anyhow::Result<Self> {
+        let (blobs, start) = (BTreeMap::new(), Instant::now());
+        let state = State { blobs, given: 0, refused: 0, start, calls: 0 };
+        let store = Self { state: Rc::new(RefCell::new(state)), rate };
+        let server = store.clone();
+        http::serve(addr, move |request| {
+            let answer = server.answer(&request);
+            async move { answer }
+        })
+        .await?;
+        Ok(store)
+    }
+
+    /// Adds the weights of a version.
+    pub fn add(&self, content: &Content) {
+        let mut state = self.state.borrow_mut();
+        let manifest = content.manifest.text();
+        state.blobs.insert(Digest::of(&manifest), Bytes::from(manifest));
+        let chunks = content.chunks.iter().map(|(digest, data)| (*digest, data.clone()));
+        state.blobs.extend(chunks);
+    }
+
+    fn answer(&self, request: &Request) -> Response<Body> {
+        let mut state = self.state.borrow_mut();
+        if state.start.elapsed() >= SECOND {
+            (state.start, state.calls) = (Instant::now(), 0);
+        }
+        state.calls += 1;
+        if state.calls > self.rate {
+            state.refused += 1;
+            return reply::come_back(429, SECOND.as_secs());
+        }
+        let digest = request.path().strip_prefix("/v1/blobs/").and_then(|d| d.parse().ok());
+        let blob = digest.and_then(|digest: Digest| state.blobs.get(&digest).cloned());
+        let Some(blob) = blob else { return reply::status(404) };
+        state.given += blob.len() as u64;
+        reply::data(blob)
+    }
+}
--- a/crates/standins/tests/process_orders.rs
+++ b/crates/standins/tests/process_orders.rs
@@ -63,12 +63,14 @@
 }
 
 #[rstest]
+#[case::before_the_answer(Mode::Crash)]
+#[case::within_the_answer(Mode::BreakOff)]
 #[actix_rt::test]
-async fn order_whose_service_crashes_after_running_it() {
+async fn order_whose_service_crashes_after_running_it(#[case] mode: Mode) {
     let deployment = start_orders().await;
     let (caller, service) = (deployment.caller(), deployment.plan.orders());
     let (entries, order) = (deployment.entries(), Order::now("plate"));
-    deployment.plain.borrow_mut().mode = Mode::Crash;
+    deployment.plain.borrow_mut().mode = mode;
     let first = caller.order(entries[0], &service, &order).await;
     deployment.plain.borrow_mut().mode = Mode::Prompt;
     let second = caller.order(entries[1], &service, &order).await;
