--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -1,16 +1,18 @@
 //! Decisions of an endpoint process.
 
 mod calls;
+mod flights;
 mod life;
+mod presence;
 mod wanted;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 pub use self::{
-    calls::{Decision, Offered, key_members},
+    calls::{Decision, Offered, Pass, key_members},
     life::{LifeEvent, LifeState},
 };
-use self::{life::chart, wanted::Wanted};
+use self::{flights::Flights, life::chart, presence::Presence, wanted::Wanted};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
     chart::Machine,
@@ -111,11 +113,12 @@
     once: Once,
     seen: Copies,
     asking: bool,
+    flights: Flights,
     life: Machine<LifeState, LifeEvent>,
     engine: Option<EngineState>,
     wanted: Option<Wanted>,
     drawing: u32,
-    leaving: bool,
+    presence: Presence,
     draining: bool,
     timers: Timers<Timer>,
     outputs: Vec<Output>,
@@ -133,11 +136,12 @@
             gate: Gate::default(),
             seen: Copies::default(),
             asking: false,
+            flights: Flights::default(),
             life: Machine::new(Arc::new(chart())),
             engine: None,
             wanted: None,
             drawing: 0,
-            leaving: false,
+            presence: Presence::default(),
             draining: false,
             timers,
             outputs: vec![],
@@ -155,9 +159,9 @@
         outcome
     }
 
-    /// Takes the platform's list of VMs.
-    pub fn list(&mut self, list: &BTreeMap<VmId, VmState>) {
-        self.leaving = list.get(&self.own.vm) == Some(&VmState::Leaving);
+    /// Takes the platform's list of VMs; where it does not name this VM, nothing changes.
+    pub fn list(&mut self, now: Time, list: &BTreeMap<VmId, VmState>) {
+        self.presence.list(now, list.get(&self.own.vm).copied());
         self.set_closed();
     }
 
@@ -169,6 +173,9 @@
             running: state.running,
         });
         self.gate.observe(seen.unwrap_or_default());
+        if let Some(state) = &state {
+            self.flights.look(now, &self.own.vm, state.incarnation);
+        }
         self.engine = state;
         self.follow(now);
     }
@@ -262,6 +269,8 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time) {
+        self.flights.suspects.expire(now);
+        self.presence.note(now);
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Draw => self.ask_peers(now),
@@ -335,6 +344,7 @@
             incarnation: self.own.incarnation,
             generation: self.adopter.generation(),
             load: Some(load),
+            crashes: self.flights.suspects.told(),
         }
     }
 
@@ -351,7 +361,7 @@
 
     fn set_closed(&mut self) {
         let in_service = self.fleet().is_some_and(|fleet| fleet.in_service(&self.own.vm));
-        self.gate.close(self.leaving || self.draining || !in_service);
+        self.gate.close(self.presence.is_leaving() || self.draining || !in_service);
     }
 
     fn set_wanted(&mut self, now: Time) {
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -77,7 +77,8 @@
     /// Returns the events that are published by now, from a number on.
     pub fn events(&self, from: u64) -> impl Iterator<Item = &CacheEvent> {
         let now = Instant::now();
-        let published = move |event: &&CacheEvent| now - event.at >= LATE && event.number % GAP > 0;
+        let published =
+            move |event: &&CacheEvent| now - event.at >= LATE && !event.number.is_multiple_of(GAP);
         self.events.iter().filter(move |event| event.number >= from).filter(published)
     }
 
