--- a/crates/standins/src/deployment/mod.rs
+++ b/crates/standins/src/deployment/mod.rs
@@ -35,7 +35,7 @@
     plain::{self, Plain},
     platform::Platform,
     processes::{Process, Signal},
-    relay::UdpRelay,
+    relay::{TcpRelay, UdpRelay},
 };
 
 /// Pause between two looks.
@@ -63,6 +63,8 @@
     pub plain: Rc<RefCell<plain::State>>,
     /// The relays before the processes, by VM.
     pub relays: BTreeMap<VmId, UdpRelay>,
+    /// The relays between endpoint processes and their engines, by VM.
+    pub engine_relays: BTreeMap<VmId, TcpRelay>,
     /// The processes by VM.
     pub processes: BTreeMap<VmId, Process>,
     /// The fingerprints of whole weights.
--- a/crates/standins/src/deployment/settings.rs
+++ b/crates/standins/src/deployment/settings.rs
@@ -10,6 +10,8 @@
 
 /// Port of the peers of a VM that stands behind a relay.
 const BEHIND: u16 = 7500;
+/// Port of the relay before an engine or plain service.
+const BEFORE_ENGINE: u16 = 8100;
 /// Memory for chunks.
 const MEMORY: Bytes = Bytes(1_000_000_000);
 
@@ -33,8 +35,10 @@
         Self { peers: vm.addr, engine: engine_addr(vm) }
     }
 
+    /// Returns the addresses where relays stand before the process and before its engine.
     pub(super) fn behind_relay(mut self) -> Self {
         self.peers.set_port(BEHIND);
+        self.engine.set_port(BEFORE_ENGINE);
         self
     }
 }
--- a/crates/standins/src/deployment/start.rs
+++ b/crates/standins/src/deployment/start.rs
@@ -28,7 +28,7 @@
     plain::Plain,
     platform::Platform,
     processes::{self, Process},
-    relay::UdpRelay,
+    relay::{TcpRelay, UdpRelay},
 };
 
 /// Number of deployments that this process has started.
@@ -43,7 +43,7 @@
     pub window: Span,
     /// How engines behave; the slots and the cold limit come from the declared pools.
     pub behaviour: Behaviour,
-    /// Whether each process stands behind a relay.
+    /// Whether each process, engine and plain service stands behind a relay.
     pub relays: bool,
     /// Whether the deployment gets a loopback network of its own.
     pub apart: bool,
@@ -135,6 +135,7 @@
             plains: Default::default(),
             plain: Default::default(),
             relays: Default::default(),
+            engine_relays: Default::default(),
             processes: Default::default(),
             whole: Default::default(),
             plan,
@@ -174,9 +175,14 @@
     }
 
     async fn start_relay(&mut self, vm: &Vm) -> anyhow::Result<()> {
-        if self.setup.relays {
-            let behind = Addrs::of(vm).behind_relay().peers;
-            self.relays.insert(vm.name.clone(), UdpRelay::start(vm.addr, behind).await?);
+        if !self.setup.relays {
+            return Ok(());
+        }
+        let addrs = Addrs::of(vm).behind_relay();
+        self.relays.insert(vm.name.clone(), UdpRelay::start(vm.addr, addrs.peers).await?);
+        if matches!(vm.role, Role::Endpoint(_)) {
+            let relay = TcpRelay::start(addrs.engine, engine_addr(vm)).await?;
+            self.engine_relays.insert(vm.name.clone(), relay);
         }
         Ok(())
     }
--- a/crates/standins/src/fixture.rs
+++ b/crates/standins/src/fixture.rs
@@ -14,6 +14,13 @@
 /// Time that the deployment may take to become ready, and that a stop may take.
 pub const PATIENCE: Duration = Duration::from_secs(40);
 
+/// Starts a small deployment and waits until it answers questions and orders.
+pub async fn start_all(setup: Setup) -> anyhow::Result<Deployment> {
+    let deployment = start(setup).await?;
+    deployment.wait_orders(PATIENCE).await?;
+    Ok(deployment)
+}
+
 /// Starts a small deployment and waits until all its endpoints take work.
 pub async fn start(setup: Setup) -> anyhow::Result<Deployment> {
     let own = std::env::current_exe()?;
@@ -41,6 +48,17 @@
     calls.iter().filter(|call| call.received == received).count()
 }
 
+/// Returns how many calls were lost: broken off, or with an outcome that is not known.
+pub fn lost(calls: &[Call]) -> usize {
+    count(calls, Received::Broken) + count(calls, Received::Unknown)
+}
+
+/// Returns how many questions were lost; an order may end as unknown while its key moves.
+pub fn lost_questions(calls: &[Call]) -> usize {
+    let questions: Vec<Call> = calls.iter().filter(|call| !call.order).cloned().collect();
+    lost(&questions)
+}
+
 /// Panics where what callers received does not fit the records of the stand-ins.
 pub fn assert_sound(deployment: &Deployment, calls: &[Call]) {
     let records = deployment.records();
