--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -18,7 +18,7 @@
     chart::Machine,
     declare::{Fleet, Published, Vm},
     gate::{Gate, Seen, Ticket},
-    ids::{Digest, Fence, Generation, Incarnation, ServiceId, VersionId, VmId},
+    ids::{Digest, Fence, Incarnation, ServiceId, VersionId, VmId},
     member::VmState,
     once::{Once, Seen as Copies},
     proto::{Beat, KeysAsk, Load},
@@ -300,11 +300,6 @@
         self.adopter.in_force()
     }
 
-    /// Returns the published set in force if it is above a generation.
-    pub fn newer(&self, above: Generation) -> Option<Arc<Published>> {
-        self.adopter.newer(above)
-    }
-
     /// Returns the manifest of the wanted version, if it is the one asked for.
     pub fn known_manifest(&self, digest: Digest) -> Option<Arc<Manifest>> {
         let wanted = self.wanted.as_ref().filter(|w| w.version.manifest == digest)?;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod adopt;
 pub mod budget;
 pub mod chart;
+pub mod config;
 pub mod declare;
 pub mod endpoint;
 pub mod entry;
--- a/crates/sequoiahold/src/lib.rs
+++ b/crates/sequoiahold/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod clock;
 pub mod command;
+pub mod config;
 pub mod endpoint;
 pub mod entry;
 pub mod http;
--- a/crates/standins/src/deployment/plan.rs
+++ b/crates/standins/src/deployment/plan.rs
@@ -1,6 +1,9 @@
 //! A declared deployment, and changes of its declarations.
 
-use std::{collections::BTreeSet, path::Path};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    path::Path,
+};
 
 use sequoiahold::command::files;
 use sequoiahold_core::{
@@ -46,6 +49,15 @@
         plan.keep(kept).resize(Bytes(1_000_000), Bytes(8_000))
     }
 
+    /// Returns the first entry of each zone, which a process asks before it knows others.
+    pub fn seeds(&self) -> Vec<Vm> {
+        let mut first: BTreeMap<&ZoneId, &Vm> = BTreeMap::new();
+        for vm in self.fleet.vms.values().filter(|vm| vm.role == Role::Entry) {
+            first.entry(&vm.zone).or_insert(vm);
+        }
+        first.into_values().cloned().collect()
+    }
+
     /// Keeps only some VMs, and the zones, pools and services that they need.
     pub fn keep(mut self, keep: impl Fn(&Vm) -> bool) -> Self {
         let fleet = &self.fleet;
--- a/crates/standins/src/deployment/settings.rs
+++ b/crates/standins/src/deployment/settings.rs
@@ -4,6 +4,7 @@
 
 use sequoiahold::settings::{self, Limits, Log, Metrics};
 use sequoiahold_core::{
+    config::Seed,
     declare::Vm,
     units::{ByteRate, Bytes, Span},
 };
@@ -21,6 +22,7 @@
     pub(super) platform: SocketAddr,
     pub(super) origin: SocketAddr,
     pub(super) rate: ByteRate,
+    pub(super) seeds: Vec<Vm>,
 }
 
 /// The addresses of one VM.
@@ -53,6 +55,7 @@
             admin: admin_addr(vm),
             platform: self.platform(),
             keys,
+            config: self.config(vm),
             log: Log::default(),
             metrics: Metrics::default(),
             heartbeat: Span::millis(300),
@@ -73,6 +76,7 @@
             admin: admin_addr(vm),
             platform: self.platform(),
             keys,
+            config: self.config(vm),
             log: Log::default(),
             metrics: Metrics::default(),
             engine: settings::Engine { url: format!("http://{}", addrs.engine), fences: true },
@@ -86,6 +90,15 @@
         }
     }
 
+    /// Returns settings that name the seeds, those of the VM's zone first.
+    fn config(&self, vm: &Vm) -> settings::Config {
+        let mut seeds: Vec<&Vm> = self.seeds.iter().collect();
+        seeds.sort_by_key(|seed| seed.zone != vm.zone);
+        let seed = |vm: &Vm| Seed { vm: vm.name.clone(), addr: vm.addr };
+        let seeds = seeds.into_iter().map(seed).collect();
+        settings::Config { seeds, ..settings::Config::default() }
+    }
+
     fn platform(&self) -> settings::Platform {
         let url = format!("http://{}", self.platform);
         settings::Platform { config: url.clone(), vms: url }
