--- a/crates/standins/src/demo/mod.rs
+++ b/crates/standins/src/demo/mod.rs
@@ -42,7 +42,7 @@
 /// Runs the demo and prints its report; the exit code is 0 if all must-hold counts are 0.
 pub async fn run(options: Options) -> anyhow::Result<u8> {
     let plan = Plan::read(&options.examples, &options.deployment)?;
-    let setup = Setup { program: options.program, ..Setup::default() };
+    let setup = Setup { program: options.program, apart: true, ..Setup::default() };
     let mut deployment = Deployment::start(plan, setup).await?;
     let mut report = Report::new(&options.deployment, options.seed);
     progress("the deployment is started, its VMs draw the first version");
--- a/crates/standins/tests/process_crash.rs
+++ b/crates/standins/tests/process_crash.rs
@@ -33,7 +33,6 @@
 }
 
 #[rstest]
-#[ignore = "KNOWN-RED: no process suspects a request of crashing engines yet"]
 #[actix_rt::test]
 async fn request_that_crashes_engines_takes_down_no_more_than_two() {
     let deployment = start(Setup::for_test()).await.unwrap();
--- a/crates/standins/tests/process_orders.rs
+++ b/crates/standins/tests/process_orders.rs
@@ -7,7 +7,7 @@
 use sequoiahold_standins::{
     callers::{Order, Received},
     deployment::{Deployment, Setup},
-    fixture::{PATIENCE, assert_sound, count, pass, start, start_all},
+    fixture::{PATIENCE, assert_sound, count, pass, start_all},
     load::{Load, Shape},
     plain::Mode,
 };
--- a/crates/standins/tests/process_platform.rs
+++ b/crates/standins/tests/process_platform.rs
@@ -64,7 +64,6 @@
 }
 
 #[rstest]
-#[ignore = "KNOWN-RED: a restarted process does not ask its peers"]
 #[actix_rt::test]
 async fn restarted_processes_take_no_old_set_from_a_rolled_back_platform() {
     let mut deployment = start(Setup::for_test()).await.unwrap();
--- a/crates/standins/tests/process_shutdown.rs
+++ b/crates/standins/tests/process_shutdown.rs
@@ -7,7 +7,7 @@
 use sequoiahold_standins::{
     callers::{Order, Received},
     deployment::Setup,
-    fixture::{PATIENCE, count, lost, pass, start, start_all},
+    fixture::{PATIENCE, count, lost, pass, start_all},
     load::{Load, Shape},
     plain::Mode,
 };
