--- a/crates/core/src/endpoint/calls.rs
+++ b/crates/core/src/endpoint/calls.rs
@@ -5,7 +5,7 @@
 use super::{Endpoint, Output, Timer};
 use crate::{
     declare::{Fleet, Service},
-    gate::Ticket,
+    gate::{Ended, Ticket},
     ids::{ClientId, Generation, Incarnation, ServiceId, VersionId, VmId},
     once::{Answer, CallKey, HandOver, OnceTicket, RunEnd, Verdict},
     proto::{Beat, KeysAsk},
@@ -80,7 +80,7 @@
         if let Err(refusal) = admitted {
             return Decision::Refuse(refusal);
         }
-        match self.ask(call.ticket.clone(), &call.service) {
+        match self.ask(now, call.ticket.clone(), &call.service) {
             Ok(version) => {
                 self.flights.start(call.ticket.clone(), call.print);
                 if let Some(key) = &call.key {
@@ -102,12 +102,12 @@
     }
 
     /// Takes note of how a call that was handed over ended.
-    pub fn ended(&mut self, now: Time, call: &Offered, end: RunEnd) {
+    pub fn ended(&mut self, now: Time, call: &Offered, end: RunEnd, engine: Ended) {
         self.flights.end(&call.ticket, &end);
         if let Some(key) = &call.key {
             self.once.end(now, &call.client, key, end);
         }
-        self.finished(&call.ticket);
+        self.finished(&call.ticket, engine);
     }
 
     /// Issues a ticket for a call that may not be repeated.
--- a/crates/core/src/proto.rs
+++ b/crates/core/src/proto.rs
@@ -89,6 +89,8 @@
     pub load: Option<Load>,
     /// The crashes that the sender saw or was told of lately.
     pub crashes: Vec<Crash>,
+    /// The requests that an entry has, waiting or in progress, for the service of the endpoint.
+    pub want: u32,
 }
 
 /// The load that an endpoint reports.
@@ -102,6 +104,8 @@
     pub running: u32,
     /// Whether the endpoint takes new work.
     pub open: bool,
+    /// The requests that the entry which is told may have in progress here.
+    pub credit: u32,
 }
 
 /// An answer on a stream.
@@ -123,6 +127,8 @@
     Config(ConfigReply),
     /// The chunk, or `None` where the peer does not hold it.
     Chunk(Option<Bytes>),
+    /// The peer's uploads are full; the chunk may be asked for again after this time.
+    Later(Span),
     /// The bits of the chunks that the peer holds, first chunk lowest.
     Have(Vec<u8>),
     /// The keys that the peer has run.
--- a/crates/sequoiahold/src/endpoint/ask.rs
+++ b/crates/sequoiahold/src/endpoint/ask.rs
@@ -7,6 +7,7 @@
 use quinn::{RecvStream, SendStream};
 use sequoiahold_core::{
     endpoint::{Decision, Offered, Pass},
+    gate::Ended,
     ids::Incarnation,
     once::{Answer, MAX_ANSWER, RunEnd},
     proto::{Ask, Reply, Started},
@@ -26,6 +27,8 @@
 const LOOKS: u32 = 10;
 /// Pause between two such looks.
 const LOOK_PAUSE: Duration = Duration::from_millis(200);
+/// Header in which an engine shows the requests that it bears.
+const LIMIT: &str = "x-engine-limit";
 /// The content type of an answer that names none.
 const BYTES: &str = "application/octet-stream";
 
@@ -118,6 +121,7 @@
                 return drop(write(send, &Reply::Failed(failure)).await);
             }
         };
+        self.running.head(response.headers().get(LIMIT).and_then(|v| v.to_str().ok()));
         let content = response.headers().get("content-type").and_then(|v| v.to_str().ok());
         let started = Started {
             status: response.status().as_u16(),
@@ -165,6 +169,7 @@
                     let body = whole.then(|| kept.split().freeze());
                     let content = content.clone();
                     self.running.end = RunEnd::Answered(Answer { status, content, body });
+                    self.running.engine = Ended::Whole;
                     Reply::End(count)
                 }
             };
@@ -195,14 +200,15 @@
         }
     }
 
-    async fn cancel(&self) {
-        if self.pass.version.is_some() {
-            self.asks.engine.cancel(&self.id()).await;
+    /// Cancels a request; one whose end the engine did not confirm may still run.
+    async fn cancel(&mut self) {
+        if self.pass.version.is_some() && self.asks.engine.cancel(&self.id()).await {
+            self.running.engine = Ended::Cancelled;
         }
     }
 
     /// Returns how a request ended whose answer broke off.
-    async fn failure(&self) -> Failure {
+    async fn failure(&mut self) -> Failure {
         if self.pass.version.is_none() {
             return Failure::Unknown;
         }
@@ -211,7 +217,10 @@
                 Ok(state) if state.incarnation != self.pass.engine => {
                     return self.fell(state.incarnation).await;
                 }
-                Ok(_) if self.asks.engine.cancel(&self.id()).await => return Failure::Cancelled,
+                Ok(_) if self.asks.engine.cancel(&self.id()).await => {
+                    self.running.engine = Ended::Cancelled;
+                    return Failure::Cancelled;
+                }
                 _ => actix_rt::time::sleep(LOOK_PAUSE).await,
             }
         }
@@ -230,17 +239,25 @@
 struct Running {
     offered: Offered,
     end: RunEnd,
+    engine: Ended,
     events: mpsc::UnboundedSender<Event>,
 }
 
 impl Running {
     fn new(offered: Offered, events: mpsc::UnboundedSender<Event>) -> Self {
-        Self { offered, end: RunEnd::Unknown, events }
+        Self { offered, end: RunEnd::Unknown, engine: Ended::Broken, events }
+    }
+
+    /// Tells the event loop the limit that the head of an answer shows.
+    fn head(&self, limit: Option<&str>) {
+        if let Some(limit) = limit.and_then(|text| text.parse().ok()) {
+            let _ = self.events.send(Event::Head(self.offered.ticket.clone(), limit));
+        }
     }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
-        let _ = self.events.send(Event::Ended(self.offered.clone(), self.end.clone()));
+        let _ = self.events.send(Event::Ended(self.offered.clone(), self.end.clone(), self.engine));
     }
 }
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -7,14 +7,19 @@
 mod event_loop;
 mod peers;
 mod store;
+mod upload;
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use actix_rt::signal::unix::{SignalKind, signal};
-use sequoiahold_core::{config::Identity, units::Span};
+use sequoiahold_core::{config::Identity, units::Span, weights::Pacer};
 use tokio::sync::{mpsc, oneshot, watch};
 
-use self::{ask::Asks, event_loop::EventLoop, peers::PeerService, store::Store};
+use self::{ask::Asks, event_loop::EventLoop, peers::PeerService, store::Store, upload::Uploader};
 pub use self::{
     engine::{Engine, SendError},
     event::Event,
@@ -67,7 +72,15 @@
         offer: Event::Offer,
     });
     let config = handle.clone();
-    let peers = PeerService { events: events.clone(), store: store.clone(), config, asks };
+    let pacers = [(); 2].map(|()| Rc::new(RefCell::new(Pacer::new(settings.weights.rate))));
+    let uploader = Uploader {
+        clock,
+        store: store.clone(),
+        slots: settings.weights.uploads,
+        pacer: pacers[0].clone(),
+        busy: Rc::new(Cell::new(0)),
+    };
+    let peers = PeerService { events: events.clone(), uploader, config, asks };
     let listening = listen(settings.peers, &tls.borrow(), traffic.clone(), peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
     let listed = events.clone();
@@ -87,6 +100,7 @@
         clock,
         links,
         store,
+        pacers,
         engine,
         in_force,
         events: events.clone(),
--- a/crates/sequoiahold/src/entry/event_loop.rs
+++ b/crates/sequoiahold/src/entry/event_loop.rs
@@ -8,7 +8,7 @@
     entry::{Entry, Identity, Output, RequestKey},
     ids::VmId,
     proto::{Call, Reply},
-    route::Known,
+    route::{Known, Policy},
     units::Span,
 };
 use slotmap::SecondaryMap;
@@ -57,6 +57,7 @@
             zone: settings.zone.clone(),
             incarnation: parts.clock.incarnation(),
             heartbeat: settings.heartbeat,
+            policy: Policy::Credits,
         };
         let entry = Entry::new(own, parts.clock.incarnation().0);
         Self { settings, parts, entry, waiting: SecondaryMap::new(), metrics }
@@ -93,15 +94,15 @@
             Event::Started(key) => self.entry.started(key),
             Event::Failed(key, failure) => self.entry.failed(now, key, failure),
             Event::Ended(key) => {
-                self.entry.ended(key);
+                self.entry.ended(now, key);
                 self.metrics.count("requests.answered");
             }
             Event::Left(key) => {
-                self.entry.left(key);
+                self.entry.left(now, key);
                 self.metrics.count("requests.left");
             }
             Event::Tell(reply) => drop(reply.send(self.entry.beat())),
-            Event::Issuer(service, reply) => drop(reply.send(self.entry.issuer(&service))),
+            Event::Issuer(service, reply) => drop(reply.send(self.entry.issuer(now, &service))),
             Event::Status(reply) => drop(reply.send(self.status())),
         }
     }
@@ -148,7 +149,7 @@
 
     fn send_beat(&self, vm: VmId, addr: SocketAddr) {
         let (links, events) = (self.parts.links.clone(), self.parts.events.clone());
-        let beat = Call::Beat(Box::new(self.entry.beat()));
+        let beat = Call::Beat(Box::new(self.entry.beat_to(&vm)));
         let patience = Span(self.settings.heartbeat.0 * SILENT_BEATS);
         actix_rt::spawn(async move {
             let Ok(connection) = links.get(&vm, addr).await else {
--- a/crates/sequoiahold/src/entry/server.rs
+++ b/crates/sequoiahold/src/entry/server.rs
@@ -7,11 +7,11 @@
 use futures_util::StreamExt as _;
 use sequoiahold_core::{
     adopt::InForce,
-    entry::Arrival,
+    entry::{Arrival, URGENCY},
     ids::{ClientId, Digest, ServiceId},
     once::CallKey,
     refuse::{Reason, Refusal},
-    units::Span,
+    units::{self, Span},
 };
 use tokio::sync::watch;
 
@@ -37,6 +37,8 @@
 /// Header that carries the idempotency key.
 const KEY: &str = "idempotency-key";
 
+/// Header that carries the urgency within the client account.
+const PRIORITY: &str = "priority";
 /// Time that open connections have to deliver their last bytes.
 const LAST_BYTES: Duration = Duration::from_secs(2);
 /// Pause between two looks at what is still in progress.
@@ -137,6 +139,8 @@
             key: key(&request)?.filter(|_| !declared.repeatable),
             print: Digest::of(&[path.as_bytes(), b"\n", &body].concat()),
             timeout: declared.timeout,
+            urgency: urgency(&request),
+            size: units::Bytes(body.len() as u64),
         };
         Ok(Wish::Run(Incoming { arrival, method: request.method().to_string(), path, body }))
     }
@@ -200,6 +204,16 @@
     Ok((service, path))
 }
 
+/// Returns the urgency that the header of RFC 9218 names, such as `u=1`.
+fn urgency(request: &Request) -> u8 {
+    let value = request.headers().get(PRIORITY).and_then(|value| value.to_str().ok());
+    let named = value.and_then(|text| {
+        let part = text.split(',').find_map(|part| part.trim().strip_prefix("u="));
+        part.and_then(|number| number.parse().ok())
+    });
+    named.filter(|urgency| *urgency < 8).unwrap_or(URGENCY)
+}
+
 fn key(request: &Request) -> Result<Option<CallKey>, Refusal> {
     let Some(value) = request.headers().get(KEY) else { return Ok(None) };
     let parsed = value.to_str().ok().and_then(|text| text.parse().ok());
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -6,7 +6,12 @@
 use pico_args::Arguments;
 use sequoiahold_core::{ids::VersionId, units::Bytes};
 
-use crate::{bench, content::Content, demo, experiment};
+use crate::{
+    bench,
+    content::Content,
+    demo,
+    experiment::{self, burst, routing, traffic, zones},
+};
 
 const HELP: &str = "\
 Stand-ins, load and experiments for sequoiahold.
@@ -20,6 +25,10 @@
       measure one real process against a growing number and fit the slope
   experiment config [--seed N] [--json]
       adopt configurations in a fleet of 5,310 processes in virtual time
+  experiment weights [--seed N] [--vms MOST] [--out DIR]
+      measure ways to draw weights in virtual time; DIR takes JSON lines and charts
+  experiment zones|burst|routing [--deployment NAME] [--load PERCENT] [--seed N] [--out DIR]
+      measure decisions in virtual time; DIR takes JSON lines and charts
   manifest VERSION --size SIZE --chunk SIZE
       print the digest of the manifest of generated weights
 ";
@@ -77,12 +86,31 @@
 }
 
 fn experiment(mut args: Arguments) -> anyhow::Result<u8> {
-    let name: Option<String> = args.opt_free_from_str()?;
+    let name = args.subcommand()?;
     match name.as_deref() {
         Some("config") => experiment::config::run(
             args.opt_value_from_str("--seed")?.unwrap_or(1),
             args.contains("--json"),
         ),
+        Some("weights") => experiment::weights::run(&experiment::weights::Options {
+            seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+            most: args.opt_value_from_str("--vms")?.unwrap_or(950),
+            out: args.opt_value_from_str("--out")?,
+        }),
+        Some("burst") => burst::run(&traffic_options(args)?),
+        Some("routing") => routing::run(&traffic_options(args)?),
+        Some("zones") => zones::run(&traffic_options(args)?),
         other => bail!("unknown experiment {other:?}; try --help"),
     }
 }
+
+fn traffic_options(mut args: Arguments) -> anyhow::Result<traffic::Options> {
+    Ok(traffic::Options {
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+        deployment: args
+            .opt_value_from_str("--deployment")?
+            .unwrap_or_else(|| "glasmarke".to_owned()),
+        load: args.opt_value_from_str("--load")?.unwrap_or(90),
+        out: args.opt_value_from_str("--out")?,
+    })
+}
--- a/crates/standins/src/driver/calls.rs
+++ b/crates/standins/src/driver/calls.rs
@@ -45,6 +45,8 @@
     pub key: Option<CallKey>,
     /// When it was made.
     pub at: Time,
+    /// The client account.
+    pub client: String,
     /// When its answer began.
     pub first: Option<Time>,
     /// When it ended, and how.
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -250,7 +250,10 @@
             cached,
         };
         actix_rt::spawn(generation.run());
-        stream(receiver)
+        let mut response = stream(receiver);
+        let limit = header::HeaderName::from_static("x-engine-limit");
+        response.headers_mut().insert(limit, header::HeaderValue::from(bears));
+        response
     }
 
     /// Gives the events of an answer again from a number on, and those that follow.
