--- a/crates/sequoiahold/src/endpoint/engine.rs
+++ b/crates/sequoiahold/src/endpoint/engine.rs
@@ -15,7 +15,7 @@
 };
 use serde::Serialize;
 
-use crate::settings;
+use crate::{client::client, settings};
 
 /// Time that a request may take at the most.
 const REQUEST: Duration = Duration::from_secs(300);
@@ -53,7 +53,7 @@
 impl Engine {
     /// Returns a client of the engine in the settings.
     pub fn new(settings: &settings::Engine) -> Self {
-        let client = Rc::new(RefCell::new(client()));
+        let client = Rc::new(RefCell::new(client(REQUEST)));
         Self { client, url: settings.url.trim_end_matches('/').to_owned() }
     }
 
@@ -61,7 +61,7 @@
     pub async fn state(&self) -> anyhow::Result<EngineState> {
         let state = self.read_state().await;
         if state.is_err() {
-            self.client.replace(client());
+            self.client.replace(client(REQUEST));
         }
         state
     }
@@ -134,10 +134,6 @@
     }
 }
 
-fn client() -> Client {
-    Client::builder().timeout(REQUEST).finish()
-}
-
 /// Returns whether no connection was had; the library also tells of one that closed unanswered.
 fn is_before_sending(error: &ConnectError) -> bool {
     matches!(
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -12,6 +12,7 @@
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt as _};
+use sequoiahold::client::client;
 use sequoiahold_core::ids::{Digest, ServiceId};
 use serde_json::{Value, json};
 
@@ -31,6 +32,8 @@
     Unknown,
     /// An answer that broke off, or none.
     Broken,
+    /// An answer that ended as if it were whole, before its end.
+    Truncated,
     /// No connection to the entry.
     Unreached,
     /// An answer that is not the one to its request.
@@ -44,6 +47,8 @@
 pub struct Call {
     /// The prompt of a question, or the name of an order.
     pub name: String,
+    /// Whether it is an order.
+    pub order: bool,
     /// When it was made.
     pub at: Instant,
     /// The time until its end.
@@ -96,7 +101,7 @@
 impl Caller {
     /// Returns a caller with this API key.
     pub fn new(key: &str) -> Self {
-        let client = Client::builder().timeout(PATIENCE).finish();
+        let client = client(PATIENCE);
         Self { client, key: key.to_owned() }
     }
 
@@ -107,7 +112,7 @@
         question: &Question<'_>,
         allowed: &BTreeSet<Digest>,
     ) -> Call {
-        let started = Started::new(question.prompt);
+        let started = Started::new(question.prompt, false);
         let mut response = match self.send(entry, question).await {
             Ok(response) => response,
             Err(error) => return started.end(None, failure(&error)),
@@ -136,7 +141,7 @@
 
     /// Places an order at a plain service.
     pub async fn order(&self, entry: SocketAddr, service: &ServiceId, order: &Order) -> Call {
-        let started = Started::new(&order.name);
+        let started = Started::new(&order.name, true);
         let url = format!("http://{entry}/services/{service}/orders");
         let request = self
             .client
@@ -153,6 +158,7 @@
         let own = serde_json::from_slice::<Value>(&text).is_ok_and(|v| v["done"] == *order.name);
         let received = match status {
             200 if own => Received::Answered,
+            200 if serde_json::from_slice::<Value>(&text).is_err() => Received::Truncated,
             200 => Received::Wrong,
             _ => refusal(&text),
         };
@@ -190,17 +196,18 @@
 /// A call that has been made.
 struct Started {
     name: String,
+    order: bool,
     at: Instant,
 }
 
 impl Started {
-    fn new(name: &str) -> Self {
-        Self { name: name.to_owned(), at: Instant::now() }
+    fn new(name: &str, order: bool) -> Self {
+        Self { name: name.to_owned(), order, at: Instant::now() }
     }
 
     fn end(self, first: Option<Duration>, received: Received) -> Call {
         let took = self.at.elapsed();
-        Call { name: self.name, at: self.at, took, first, received }
+        Call { name: self.name, order: self.order, at: self.at, took, first, received }
     }
 }
 
@@ -223,9 +230,9 @@
 fn judge(text: &str, question: &Question<'_>, allowed: &BTreeSet<Digest>) -> Received {
     let Question { prompt, tokens, .. } = *question;
     let events: Vec<&str> = text.split("\n\n").filter_map(|e| e.strip_prefix("data: ")).collect();
-    let Some((last, parts)) = events.split_last() else { return Received::Broken };
+    let Some((last, parts)) = events.split_last() else { return Received::Truncated };
     if *last != "[DONE]" || parts.len() != tokens as usize {
-        return Received::Broken;
+        return Received::Truncated;
     }
     let content = |part: &&str| {
         let event: Value = serde_json::from_str(part).unwrap_or_default();
--- a/crates/standins/src/deployment/settings.rs
+++ b/crates/standins/src/deployment/settings.rs
@@ -11,6 +11,8 @@
 
 /// Port of the peers of a VM that stands behind a relay.
 const BEHIND: u16 = 7500;
+/// Port of the relay before an engine or plain service.
+const BEFORE_ENGINE: u16 = 8100;
 /// Memory for chunks.
 const MEMORY: Bytes = Bytes(1_000_000_000);
 
@@ -20,6 +22,7 @@
     pub(super) platform: SocketAddr,
     pub(super) origin: SocketAddr,
     pub(super) rate: ByteRate,
+    pub(super) fences: bool,
     pub(super) seeds: Vec<Vm>,
 }
 
@@ -35,8 +38,10 @@
         Self { peers: vm.addr, engine: engine_addr(vm) }
     }
 
+    /// Returns the addresses where relays stand before the process and before its engine.
     pub(super) fn behind_relay(mut self) -> Self {
         self.peers.set_port(BEHIND);
+        self.engine.set_port(BEFORE_ENGINE);
         self
     }
 }
@@ -75,7 +80,10 @@
             config: self.config(vm),
             log: Log::default(),
             metrics: Metrics::default(),
-            engine: settings::Engine { url: format!("http://{}", addrs.engine), fences: true },
+            engine: settings::Engine {
+                url: format!("http://{}", addrs.engine),
+                fences: self.fences,
+            },
             weights: settings::Weights {
                 origin: format!("http://{}", self.origin),
                 rate: self.rate,
--- a/crates/standins/tests/process_orders.rs
+++ b/crates/standins/tests/process_orders.rs
@@ -7,7 +7,7 @@
 use sequoiahold_standins::{
     callers::{Order, Received},
     deployment::{Deployment, Setup},
-    fixture::{PATIENCE, assert_sound, count, pass, start},
+    fixture::{PATIENCE, assert_sound, count, pass, start_all},
     load::{Load, Shape},
     plain::Mode,
 };
@@ -17,9 +17,7 @@
     Shape { seed: 1, pause: Duration::from_millis(30), orders: 1, repeats: 1, tokens: 1 };
 
 async fn start_orders() -> Deployment {
-    let deployment = start(Setup::for_test()).await.unwrap();
-    deployment.wait_orders(PATIENCE).await.unwrap();
-    deployment
+    start_all(Setup::for_test()).await.unwrap()
 }
 
 #[rstest]
@@ -63,12 +61,14 @@
 }
 
 #[rstest]
+#[case::before_the_answer(Mode::Crash)]
+#[case::within_the_answer(Mode::BreakOff)]
 #[actix_rt::test]
-async fn order_whose_service_crashes_after_running_it() {
+async fn order_whose_service_crashes_after_running_it(#[case] mode: Mode) {
     let deployment = start_orders().await;
     let (caller, service) = (deployment.caller(), deployment.plan.orders());
     let (entries, order) = (deployment.entries(), Order::now("plate"));
-    deployment.plain.borrow_mut().mode = Mode::Crash;
+    deployment.plain.borrow_mut().mode = mode;
     let first = caller.order(entries[0], &service, &order).await;
     deployment.plain.borrow_mut().mode = Mode::Prompt;
     let second = caller.order(entries[1], &service, &order).await;
