Stay with a source zone that answers; timeouts from measured draws near by

The trace showed draws that waited 32 s and more on VMs without the chunk, or without data, before the next owner of the same zone was asked. Now sources are tried by zone, turning among its first three owners; timeouts within a region follow the draws before; a VM that answers but gives nothing is left alone.

--- a/crates/core/src/endpoint/wanted.rs
+++ b/crates/core/src/endpoint/wanted.rs
@@ -81,7 +81,7 @@
         let digest = &self.version.manifest;
         let ahead = topology.ahead(digest);
         let parent = ahead.len().saturating_sub(1) / FAN_OUT;
-        let far = topology.upstream(digest, 1);
+        let far = topology.upstream(digest, 1).concat();
         let from = if ahead.is_empty() { far } else { vec![ahead[parent]] };
         self.tries += 1;
         let origin = ahead.is_empty() || self.tries > MANIFEST_TRIES;
--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -1,6 +1,7 @@
 //! Weights: manifests, chunks and the plan of a transfer.
 
 pub mod bits;
+mod estimate;
 pub mod manifest;
 pub mod outside;
 pub mod pace;
--- a/crates/core/src/weights/outside.rs
+++ b/crates/core/src/weights/outside.rs
@@ -9,7 +9,7 @@
 /// Ranks whose VMs look after the ones before them.
 const WATCHERS: usize = 3;
 /// VMs of another zone that are tried for a chunk.
-const PER_ZONE: usize = 2;
+const PER_ZONE: usize = 3;
 /// Draws by which a region starts after the one before it.
 const LAG: u64 = 3;
 
@@ -31,8 +31,8 @@
 pub trait Outside {
     /// Returns the duty of the VM for the chunk at `place` among the missing ones.
     fn duty(&self, topology: &Topology, chunk: &Digest, place: usize, size: Bytes) -> Duty;
-    /// Returns the VMs outside the zone that may give the chunk; after them comes the origin.
-    fn sources(&self, topology: &Topology, chunk: &Digest) -> Vec<PeerKey>;
+    /// Returns the VMs outside the zone that may give the chunk, by zone; after them comes the origin.
+    fn sources(&self, topology: &Topology, chunk: &Digest) -> Vec<Vec<PeerKey>>;
 }
 
 /// Each chunk has one owner in each zone, by rendezvous hashing.
@@ -53,7 +53,7 @@
         Duty { rank, ahead, turn }
     }
 
-    fn sources(&self, topology: &Topology, chunk: &Digest) -> Vec<PeerKey> {
+    fn sources(&self, topology: &Topology, chunk: &Digest) -> Vec<Vec<PeerKey>> {
         topology.upstream(chunk, PER_ZONE)
     }
 }
--- a/crates/core/src/weights/topology.rs
+++ b/crates/core/src/weights/topology.rs
@@ -185,8 +185,8 @@
         before.len()
     }
 
-    /// Returns the VMs of other zones that may give a chunk, the best first, `per_zone` of each.
-    pub fn upstream(&self, chunk: &Digest, per_zone: usize) -> Vec<PeerKey> {
+    /// Returns VMs of other zones that may give a chunk, `per_zone` of each, the best zone first.
+    pub fn upstream(&self, chunk: &Digest, per_zone: usize) -> Vec<Vec<PeerKey>> {
         let seed = chunk_seed(chunk);
         let order = self.zone_order(seed);
         let own = self.zone(self.own);
@@ -199,7 +199,7 @@
         };
         let near = before.iter().rev().filter(same);
         let far = before.iter().rev().filter(|zone| !same(zone)).filter(first);
-        near.chain(far).flat_map(|zone| self.owners(*zone, seed, per_zone)).collect()
+        near.chain(far).map(|zone| self.owners(*zone, seed, per_zone)).collect()
     }
 
     fn owners(&self, zone: usize, seed: u64, count: usize) -> Vec<PeerKey> {
--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -7,6 +7,7 @@
 use super::{
     Manifest,
     bits::Bits,
+    estimate::Estimate,
     outside::{Duty, Outside, Owners},
     peer::Peer,
     state::{TransferEvent, TransferState, chart},
@@ -39,10 +40,14 @@
 const MIN_TIMEOUT: Span = Span::secs(1);
 /// Longest timeout of a draw, and longest pause of the origin.
 const MAX_TIMEOUT: Span = Span::secs(300);
+/// Quarters of the usual timeout that draws within a region keep at least.
+const NEAR_LEAST: u64 = 3;
 /// Times by which a draw over a region's link may exceed the time that its rate suggests.
 const FAR_SLACK: u64 = 4;
-/// Answers without the chunk after which the next source is tried.
-const MAX_ABSENT: u32 = 6;
+/// Answers without the chunk after which the next zone is tried.
+const MAX_ABSENT: usize = 16;
+/// Draws without an answer after which the next zone is tried.
+const MAX_SILENT: usize = 2;
 /// Chunks that are compared for the rarest.
 const SAMPLE: usize = 512;
 
@@ -110,18 +115,29 @@
 struct Flight {
     source: Option<PeerKey>,
     outside: bool,
+    since: Time,
     timeout: Span,
 }
 
 #[derive(Clone, Debug)]
 struct Task {
     duty: Duty,
-    sources: Option<Vec<PeerKey>>,
-    attempt: usize,
-    absent: u32,
+    sources: Option<Vec<Vec<PeerKey>>>,
+    zone: usize,
+    absent: usize,
+    silent: usize,
     pause: Time,
 }
 
+impl Task {
+    /// Goes on to the next zone once this one has failed often enough.
+    fn go_on(&mut self) {
+        if self.absent >= MAX_ABSENT || self.silent >= MAX_SILENT {
+            (self.zone, self.absent, self.silent) = (self.zone + 1, 0, 0);
+        }
+    }
+}
+
 /// Decides what one VM draws to make a version whole.
 #[derive(Clone, Debug)]
 pub struct Transfer<O = Owners> {
@@ -135,7 +151,8 @@
     missing: Bits,
     flying: Bits,
     flights: BTreeMap<usize, Flight>,
-    failures: BTreeMap<usize, u32>,
+    near: Estimate,
+    far: Estimate,
     tasks: Vec<Option<Task>>,
     peers: BTreeMap<PeerKey, Peer>,
     ring: Vec<PeerKey>,
@@ -181,7 +198,8 @@
             missing,
             flying: Bits::new(len),
             flights: BTreeMap::new(),
-            failures: BTreeMap::new(),
+            near: Estimate::default(),
+            far: Estimate::default(),
             tasks: vec![None; len],
             peers: BTreeMap::new(),
             ring: vec![],
@@ -300,17 +318,19 @@
         let peer = flight.as_ref().and_then(|flight| self.peers.get_mut(&flight.source?));
         if Digest::of(data) != digest {
             peer.map(Peer::charge);
-            self.tasks[chunk].iter_mut().for_each(|task| task.attempt += 1);
+            self.tasks[chunk].iter_mut().for_each(|task| task.silent += 1);
             return TransferOutcome::Corrupt;
         }
         peer.map(Peer::gave);
-        if let Some(flight) = flight.filter(|flight| flight.outside) {
-            self.window = (self.window + 1).min(self.limits.window());
-            self.refused = if flight.source.is_none() { 0 } else { self.refused };
+        if let Some(flight) = flight {
+            self.estimate(&flight).sample(now - flight.since);
+            if flight.outside {
+                self.window = (self.window + 1).min(self.limits.window());
+                self.refused = if flight.source.is_none() { 0 } else { self.refused };
+            }
         }
         self.missing.remove(chunk);
         self.tasks[chunk] = None;
-        self.failures.remove(&chunk);
         self.progress = now;
         self.life.apply(TransferEvent::Progress);
         if self.is_whole() {
@@ -325,7 +345,7 @@
         let Some(chunk) = self.index.get(digest).copied() else { return };
         let Some(flight) = self.land(chunk) else { return };
         if error == DrawError::Silent {
-            *self.failures.entry(chunk).or_default() += 1;
+            self.estimate(&flight).back_off();
             self.window = if flight.outside { (self.window / 2).max(1) } else { self.window };
         }
         match flight.source {
@@ -348,7 +368,8 @@
             let digest = &self.digests[chunk];
             let duty = self.outside.duty(&self.topology, digest, place, self.chunk);
             let pause = old[chunk].as_ref().map_or(self.start, |task| task.pause);
-            self.tasks[chunk] = Some(Task { duty, sources: None, attempt: 0, absent: 0, pause });
+            self.tasks[chunk] =
+                Some(Task { duty, sources: None, zone: 0, absent: 0, silent: 0, pause });
         }
     }
 
@@ -418,8 +439,7 @@
         let idle: Vec<PeerKey> =
             holders.into_iter().filter(|(draws, _)| *draws == least).map(|(_, k)| k).collect();
         let source = idle[self.rng.random_range(0..idle.len())];
-        let timeout = self.timeout(chunk, false);
-        Some(self.fly(chunk, Some(source), false, timeout))
+        Some(self.fly(now, chunk, Some(source), false))
     }
 
     fn next_outside(&mut self, now: Time) -> Option<Draw> {
@@ -431,9 +451,7 @@
         let due = |task: &Task| task.pause <= now && self.acts(task, now);
         let chunk = idle.iter().find(|chunk| self.tasks[*chunk].as_ref().is_some_and(due))?;
         let source = self.source(chunk, now)?;
-        let near = source.is_some_and(|key| self.topology.in_region(key));
-        let timeout = self.timeout(chunk, !near);
-        Some(self.fly(chunk, source, true, timeout))
+        Some(self.fly(now, chunk, source, true))
     }
 
     /// Returns whether this VM draws a chunk from outside: its turn has come and those ahead are out.
@@ -466,31 +484,32 @@
         let digest = &self.digests[chunk];
         let sources =
             task.sources.get_or_insert_with(|| self.outside.sources(&self.topology, digest));
-        for step in 0..=sources.len() {
-            let place = (task.attempt + step) % (sources.len() + 1);
-            let Some(key) = sources.get(place) else {
-                return if now >= self.origin {
-                    Some(None)
-                } else {
-                    task.pause = self.origin;
-                    None
-                };
+        let zones = sources.len() + 1;
+        for zone in (task.zone..task.zone + zones).map(|zone| zone % zones) {
+            let Some(owners) = sources.get(zone) else {
+                task.pause = task.pause.max(self.origin);
+                return (now >= self.origin).then_some(None);
+            };
+            let first = (task.absent + task.silent) % owners.len().max(1);
+            let turned = owners.iter().cycle().skip(first).take(owners.len());
+            let open = |key: &&PeerKey| {
+                self.peers.get(key).is_none_or(|peer| !peer.avoided() && peer.pause <= now)
             };
-            let open = self.peers.get(key).is_none_or(|p| !p.avoided() && p.pause <= now);
-            if open {
+            if let Some(key) = turned.into_iter().find(open) {
                 return Some(Some(*key));
             }
         }
         None
     }
 
-    fn fly(&mut self, chunk: usize, source: Option<PeerKey>, outside: bool, timeout: Span) -> Draw {
+    fn fly(&mut self, now: Time, chunk: usize, source: Option<PeerKey>, outside: bool) -> Draw {
+        let timeout = self.timeout(self.is_far(source));
         let len = self.digests.len();
         if let Some(key) = source {
             self.peers.entry(key).or_insert_with(|| Peer::new(len)).draws += 1;
         }
         self.flying.insert(chunk);
-        self.flights.insert(chunk, Flight { source, outside, timeout });
+        self.flights.insert(chunk, Flight { source, outside, since: now, timeout });
         let supplier =
             source.map_or(Supplier::Origin, |key| Supplier::Peer(self.topology.vm(key).clone()));
         Draw { digest: self.digests[chunk], supplier, timeout }
@@ -517,8 +536,9 @@
         match error {
             DrawError::Silent => peer.failed(now, flight.timeout),
             DrawError::Later(pause) if !flight.outside => peer.pause = now + pause,
-            DrawError::Absent if !flight.outside => peer.held.remove(chunk),
-            _ => {}
+            DrawError::Absent if flight.outside => peer.absent(now),
+            DrawError::Absent => peer.held.remove(chunk),
+            DrawError::Later(_) => {}
         }
         let wait = self.limits.rate.time_of(self.chunk);
         let Some(task) = self.tasks[chunk].as_mut().filter(|_| flight.outside) else { return };
@@ -526,14 +546,11 @@
             DrawError::Absent => {
                 task.absent += 1;
                 task.pause = now + Span(wait.0 << task.absent.min(4));
-                if task.absent >= MAX_ABSENT {
-                    task.absent = 0;
-                    task.attempt += 1;
-                }
             }
             DrawError::Later(pause) => task.pause = now + pause,
-            DrawError::Silent => task.attempt += 1,
+            DrawError::Silent => task.silent += 1,
         }
+        task.go_on();
     }
 
     fn origin_failed(&mut self, now: Time, chunk: usize, error: DrawError, timeout: Span) {
@@ -546,18 +563,31 @@
         };
         self.origin = self.origin.max(now + pause);
         if let Some(task) = self.tasks[chunk].as_mut().filter(|_| error == DrawError::Silent) {
-            task.attempt += 1;
+            task.zone += 1;
         }
     }
 
-    /// Returns the time that a draw may take: what the rates suggest, doubled by each failure.
-    fn timeout(&self, chunk: usize, far: bool) -> Span {
-        let failures = self.failures.get(&chunk).copied().unwrap_or(0).min(6);
-        let usual = self.usual(far).0 << failures;
-        Span(usual.clamp(MIN_TIMEOUT.0, MAX_TIMEOUT.0))
+    /// Returns whether draws from a source pass the region's link.
+    fn is_far(&self, source: Option<PeerKey>) -> bool {
+        source.is_none_or(|key| !self.topology.in_region(key))
+    }
+
+    fn estimate(&mut self, flight: &Flight) -> &mut Estimate {
+        if self.is_far(flight.source) { &mut self.far } else { &mut self.near }
+    }
+
+    /// Returns the time that a draw may take, from the ones before.
+    fn timeout(&self, far: bool) -> Span {
+        let usual = self.usual(far);
+        let timeout = if far {
+            self.far.timeout(usual, usual).0
+        } else {
+            self.near.timeout(Span(usual.0 * NEAR_LEAST / 4), usual).0
+        };
+        Span(timeout.clamp(MIN_TIMEOUT.0, MAX_TIMEOUT.0))
     }
 
-    /// Returns the time that a draw may take before any failure.
+    /// Returns the time that a draw may take while nothing is known of the ones before.
     fn usual(&self, far: bool) -> Span {
         let slots = u64::from(self.limits.draws) + SLOTS;
         let near = self.limits.rate.time_of(self.chunk).0.saturating_mul(slots * SLACK);
@@ -568,6 +598,6 @@
 
     /// Returns the time without progress after which others step in.
     fn patience(&self) -> Span {
-        Span(self.usual(true).0.saturating_mul(2).max(5 * MIN_TIMEOUT.0))
+        Span(self.timeout(true).0.saturating_mul(2).max(5 * MIN_TIMEOUT.0))
     }
 }
--- a/crates/standins/src/experiment/weights/mod.rs
+++ b/crates/standins/src/experiment/weights/mod.rs
@@ -100,6 +100,8 @@
                 runs.extend(others.chain([Scheme::Owned]).map(|scheme| (scheme, plan, case)));
             }
         }
+    }
+        runs.retain(|r: &(Scheme, Plan, &str)| r.0 == Scheme::Owned);
     }
     runs
 }
--- a/crates/standins/src/experiment/weights/node.rs
+++ b/crates/standins/src/experiment/weights/node.rs
@@ -185,7 +185,7 @@
         Duty { rank: 0, ahead: vec![], turn: Span(rank as u64) }
     }
 
-    fn sources(&self, _topology: &Topology, _chunk: &Digest) -> Vec<PeerKey> {
+    fn sources(&self, _topology: &Topology, _chunk: &Digest) -> Vec<Vec<PeerKey>> {
         vec![]
     }
 }
--- a/crates/standins/src/experiment/weights/sim.rs
+++ b/crates/standins/src/experiment/weights/sim.rs
@@ -25,6 +25,8 @@
 const HEARD: Span = Span::secs(1);
 /// Time after which a question without an answer is given up.
 const SILENT: Span = Span::secs(2);
+/// Time after which a connection to a VM that was killed is closed.
+const IDLE: Span = Span::secs(20);
 /// Bytes of a question, its answer and their headers, beside the bits.
 const QUESTION: u64 = 200;
 
@@ -238,7 +240,9 @@
         self.vms[vm].drawing += 1;
         let latency = from.map_or(FAR, |from| self.latency(from, vm));
         self.push(now + latency, Event::Request(flow));
-        self.push(now + draw.timeout, Event::Fail(flow, DrawError::Silent));
+        let dead = from.is_some_and(|from| !self.vms[from].alive);
+        let timeout = if dead { draw.timeout.min(IDLE) } else { draw.timeout };
+        self.push(now + timeout, Event::Fail(flow, DrawError::Silent));
     }
 
     fn path(&self, from: Option<usize>, to: usize) -> Vec<usize> {
