--- a/crates/core/src/weights/peer.rs
+++ b/crates/core/src/weights/peer.rs
@@ -7,10 +7,6 @@
 const MAX_CHARGES: u32 = 3;
 /// Failures in a row after which a peer counts as down.
 const MAX_FAILURES: u32 = 2;
-/// Answers without the chunk, and no chunk between them, after which a peer is left alone for a time.
-const MAX_ABSENT: u32 = 8;
-/// Time for which a peer without chunks is left alone.
-const ABSENT_PAUSE: Span = Span::secs(30);
 /// Longest pause of a peer that fails.
 const MAX_PAUSE: Span = Span::secs(60);
 
@@ -31,7 +27,6 @@
     charges: u32,
     failures: u32,
     silences: u32,
-    absences: u32,
 }
 
 impl Peer {
@@ -46,7 +41,6 @@
             charges: 0,
             failures: 0,
             silences: 0,
-            absences: 0,
         }
     }
 
@@ -72,16 +66,6 @@
     /// Takes note that the peer gave a sound chunk.
     pub(super) fn gave(&mut self) {
         self.failures = 0;
-        self.absences = 0;
-    }
-
-    /// Takes note that the peer did not hold a chunk that its zone should have.
-    pub(super) fn absent(&mut self, now: Time) {
-        self.absences += 1;
-        if self.absences >= MAX_ABSENT {
-            self.absences = 0;
-            self.pause = now + ABSENT_PAUSE;
-        }
     }
 
     /// Takes note that a draw ended without a chunk; the pause doubles with each in a row.
--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -536,9 +536,8 @@
         match error {
             DrawError::Silent => peer.failed(now, flight.timeout),
             DrawError::Later(pause) if !flight.outside => peer.pause = now + pause,
-            DrawError::Absent if flight.outside => peer.absent(now),
-            DrawError::Absent => peer.held.remove(chunk),
-            DrawError::Later(_) => {}
+            DrawError::Absent if !flight.outside => peer.held.remove(chunk),
+            _ => {}
         }
         let wait = self.limits.rate.time_of(self.chunk);
         let Some(task) = self.tasks[chunk].as_mut().filter(|_| flight.outside) else { return };
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -16,7 +16,7 @@
 Commands:
   demo [glasmarke|tannverket] [--seed N] [--program FILE] [--examples DIR]
       run a deployment on loopback; the last line of output is one JSON object
-  experiment weights [--seed N] [--vms MOST] [--out DIR]
+  experiment weights [--seed N] [--vms MOST] [--scheme NAME] [--out DIR]
       measure ways to draw weights in virtual time; DIR takes JSON lines and charts
   manifest VERSION --size SIZE --chunk SIZE
       print the digest of the manifest of generated weights
@@ -70,6 +70,7 @@
         Some("weights") => weights::run(&weights::Options {
             seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
             most: args.opt_value_from_str("--vms")?.unwrap_or(950),
+            scheme: args.opt_value_from_str("--scheme")?,
             out: args.opt_value_from_str("--out")?,
         }),
         other => bail!("unknown experiment {other:?}; try --help"),
--- a/crates/standins/src/experiment/weights/mod.rs
+++ b/crates/standins/src/experiment/weights/mod.rs
@@ -47,6 +47,8 @@
     pub seed: u64,
     /// The largest number of VMs.
     pub most: usize,
+    /// The only way to measure, or all.
+    pub scheme: Option<String>,
     /// The folder for raw figures and charts.
     pub out: Option<PathBuf>,
 }
@@ -101,8 +103,8 @@
             }
         }
     }
-        runs.retain(|r: &(Scheme, Plan, &str)| r.0 == Scheme::Owned);
-    }
+    let wanted = |scheme: Scheme| options.scheme.as_ref().is_none_or(|s| s == scheme.name());
+    runs.retain(|(scheme, ..)| wanted(*scheme));
     runs
 }
 
