--- a/crates/core/src/weights/bits.rs
+++ b/crates/core/src/weights/bits.rs
@@ -77,7 +77,7 @@
     /// Returns the chunks of the set in order.
     pub fn iter(&self) -> impl Iterator<Item = usize> + '_ {
         self.words.iter().enumerate().flat_map(|(i, word)| {
-            let rest = std::iter::successors(Some(*word), |rest| Some(rest & (rest - 1)));
+            let rest = std::iter::successors(Some(*word), |rest| Some(rest & rest.wrapping_sub(1)));
             let set = rest.take_while(|rest| *rest != 0);
             set.map(move |rest| i * WORD + rest.trailing_zeros() as usize)
         })
--- /dev/null
+++ b/crates/core/tests/weights_transfer.rs
@@ -0,0 +1,238 @@
+//! Tests of the plan of a transfer: owners, wrong chunks, refusals, changes of version.
+
+use std::collections::BTreeSet;
+
+use rstest::rstest;
+use sequoiahold_core::{
+    declare::{Fleet, Object, Role, Vm, Zone},
+    ids::{Digest, VmId},
+    time::Time,
+    units::{ByteRate, Bytes, Span},
+    weights::{
+        DrawError, Limits, Manifest, Owners, Supplier, Topology, Transfer, TransferOutcome,
+        TransferState, Uploads,
+    },
+};
+
+const RATE: ByteRate = ByteRate(1_000_000);
+
+fn fleet(vms: usize, zones: usize) -> Fleet {
+    let zone = |zone: usize| {
+        Object::Zone(Zone {
+            name: format!("zone-{zone}").parse().expect("a name"),
+            region: format!("region-{zone}").parse().expect("a name"),
+            out: false,
+            link: RATE,
+        })
+    };
+    let vm = |vm: usize| {
+        Object::Vm(Vm {
+            name: name(vm),
+            zone: format!("zone-{}", vm % zones).parse().expect("a name"),
+            role: Role::Endpoint("pool".parse().expect("a name")),
+            addr: ([10, 0, 0, 1], 7400).into(),
+        })
+    };
+    Fleet::new((0..zones).map(zone).chain((0..vms).map(vm)))
+}
+
+fn name(vm: usize) -> VmId {
+    format!("vm-{vm:03}").parse().expect("a name")
+}
+
+fn data(chunk: u64) -> [u8; 8] {
+    chunk.to_le_bytes()
+}
+
+fn manifest(chunks: impl IntoIterator<Item = u64>) -> Manifest {
+    let chunks: Vec<Digest> = chunks.into_iter().map(|chunk| Digest::of(&data(chunk))).collect();
+    Manifest { chunk: Bytes(100_000), size: Bytes(100_000 * chunks.len() as u64), chunks }
+}
+
+fn transfer(vm: usize, vms: usize, zones: usize, manifest: &Manifest) -> Transfer {
+    let fleet = fleet(vms, zones);
+    let region = "region-0".parse().expect("a name");
+    let topology = Topology::new(&name(vm), fleet.vms.values(), &fleet, Some(&region));
+    let limits = Limits { rate: RATE, draws: 4 };
+    let owners = Owners { origin: ByteRate(2 * RATE.0) };
+    Transfer::new(manifest, |_| false, topology, owners, limits, Time::default())
+}
+
+/// Draws of a VM that hears nothing from its peers until `end`; each fails at once as `error`.
+fn draws(transfer: &mut Transfer, end: Span, error: DrawError) -> Vec<(Time, Digest, Supplier)> {
+    let mut draws = vec![];
+    for now in (0..=end.0 / 100_000).map(|step| Time(step * 100_000)) {
+        while let Some(draw) = transfer.next(now) {
+            draws.push((now, draw.digest, draw.supplier));
+            transfer.failed(now, &draw.digest, error);
+        }
+    }
+    draws
+}
+
+#[rstest]
+#[case(1)]
+#[case(7)]
+#[case(60)]
+fn each_chunk_has_one_owner_that_draws_it_from_the_origin(#[case] vms: usize) {
+    let manifest = manifest(0..120);
+    let mut drawn = vec![];
+    for vm in 0..vms {
+        let mut transfer = transfer(vm, vms, 1, &manifest);
+        let mut now = Time::default();
+        while now < Time(8_000_000) {
+            while let Some(draw) = transfer.next(now) {
+                assert_eq!(draw.supplier, Supplier::Origin);
+                drawn.push(draw.digest);
+                let chunk = manifest.chunks.iter().position(|d| *d == draw.digest);
+                transfer.arrived(now, draw.digest, &data(chunk.expect("a chunk") as u64));
+            }
+            now = now + Span::millis(50);
+        }
+    }
+    let set: BTreeSet<Digest> = drawn.iter().copied().collect();
+    assert_eq!(set.len(), 120, "every chunk is drawn");
+    assert_eq!(drawn.len(), 120, "and only once");
+}
+
+#[test]
+fn other_regions_draw_from_peers_and_not_from_the_origin() {
+    let manifest = manifest(0..60);
+    let mut suppliers = BTreeSet::new();
+    for vm in (0..9).filter(|vm| vm % 3 != 0) {
+        let mut transfer = transfer(vm, 9, 3, &manifest);
+        let drawn = draws(&mut transfer, Span::secs(8), DrawError::Later(Span::secs(30)));
+        suppliers.extend(drawn.into_iter().map(|(.., supplier)| supplier));
+    }
+    assert!(!suppliers.is_empty());
+    assert!(!suppliers.contains(&Supplier::Origin), "{suppliers:?}");
+}
+
+#[test]
+fn a_zone_whose_sources_are_all_silent_falls_back_to_the_origin() {
+    let manifest = manifest(0..30);
+    let mut transfer = transfer(1, 6, 3, &manifest);
+    let drawn = draws(&mut transfer, Span::secs(600), DrawError::Silent);
+    assert!(drawn.iter().any(|(.., supplier)| *supplier == Supplier::Origin));
+}
+
+#[test]
+fn the_origin_is_left_alone_for_as_long_as_it_says() {
+    let manifest = manifest(0..30);
+    let mut transfer = transfer(0, 1, 1, &manifest);
+    let pause = Span::secs(20);
+    let drawn = draws(&mut transfer, Span::secs(100), DrawError::Later(pause));
+    let times: Vec<Time> = drawn.iter().map(|(now, ..)| *now).collect();
+    assert!(times.len() >= 4, "it comes back: {times:?}");
+    assert!(times.windows(2).all(|pair| pair[1] - pair[0] >= pause), "{times:?}");
+}
+
+#[test]
+fn the_next_rank_steps_in_only_once_the_owner_is_silent() {
+    let manifest = manifest(0..40);
+    let mut transfer = transfer(0, 2, 1, &manifest);
+    let owned = draws(&mut transfer, Span::secs(4), DrawError::Absent).len();
+    let own: BTreeSet<Digest> = draws(&mut transfer, Span::secs(4), DrawError::Absent)
+        .into_iter()
+        .map(|(_, digest, _)| digest)
+        .collect();
+    assert!(owned > 0 && own.len() < 40);
+    transfer.have(Time(4_000_000), &name(1), &[0; 5]);
+    transfer.silent(&name(1));
+    transfer.silent(&name(1));
+    let mut seen = BTreeSet::new();
+    for now in (4..60).map(|second| Time(second * 1_000_000)) {
+        while let Some(draw) = transfer.next(now) {
+            seen.insert(draw.digest);
+            let chunk = manifest.chunks.iter().position(|d| *d == draw.digest);
+            transfer.arrived(now, draw.digest, &data(chunk.expect("a chunk") as u64));
+        }
+    }
+    assert_eq!(seen.len(), 40, "the other VM's chunks are drawn too");
+    assert_eq!(transfer.state(), TransferState::Whole);
+}
+
+#[test]
+fn wrong_chunks_are_dropped_and_their_sender_is_avoided_in_the_end() {
+    let manifest = manifest(0..40);
+    let mut transfer = transfer(0, 3, 1, &manifest);
+    let now = Time(1_000);
+    transfer.have(now, &name(1), &[0xff; 5]);
+    transfer.have(now, &name(2), &[0xff; 5]);
+    let mut wrong = 0;
+    let mut kept = 0;
+    while let Some(draw) = transfer.next(now) {
+        let chunk = manifest.chunks.iter().position(|d| *d == draw.digest).expect("a chunk");
+        if draw.supplier == Supplier::Peer(name(1)) {
+            wrong += 1;
+            let outcome = transfer.arrived(now, draw.digest, b"wrong");
+            assert_eq!(outcome, TransferOutcome::Corrupt);
+        } else {
+            kept += 1;
+            transfer.arrived(now, draw.digest, &data(chunk as u64));
+        }
+    }
+    assert_eq!((wrong, kept), (3, 40), "three charges, then the sender is avoided");
+    assert!(transfer.is_whole());
+}
+
+#[test]
+fn a_chunk_of_another_version_is_not_taken() {
+    let mut transfer = transfer(0, 1, 1, &manifest(0..4));
+    let other = Digest::of(&data(9));
+    assert_eq!(transfer.arrived(Time(1), other, &data(9)), TransferOutcome::Unwanted);
+    assert_eq!(transfer.missing(), 4);
+}
+
+#[test]
+fn chunks_that_two_versions_share_are_not_drawn_again() {
+    let fleet = fleet(1, 1);
+    let (old, new) = (manifest(0..100), manifest((0..95).chain(200..205)));
+    let topology = Topology::new(&name(0), fleet.vms.values(), &fleet, None);
+    let owners = Owners { origin: RATE };
+    let limits = Limits { rate: RATE, draws: 4 };
+    let held = |digest: &Digest| old.chunks.contains(digest);
+    let transfer = Transfer::new(&new, held, topology, owners, limits, Time::default());
+    assert_eq!(transfer.missing(), 5);
+}
+
+#[test]
+fn a_vm_that_joins_takes_part_and_what_is_known_stays() {
+    let manifest = manifest(0..16);
+    let mut transfer = transfer(0, 2, 1, &manifest);
+    transfer.have(Time(1), &name(1), &[0xff, 0xff]);
+    let larger = fleet(3, 1);
+    transfer.set_topology(Topology::new(&name(0), larger.vms.values(), &larger, None));
+    let mut suppliers = BTreeSet::new();
+    transfer.have(Time(2), &name(2), &[0xff, 0xff]);
+    while let Some(draw) = transfer.next(Time(3)) {
+        suppliers.insert(draw.supplier);
+    }
+    assert_eq!(suppliers, BTreeSet::from([1, 2].map(|vm| Supplier::Peer(name(vm)))));
+}
+
+#[rstest]
+#[case(0, None)]
+#[case(3, None)]
+#[case(4, Some(Span::millis(100)))]
+fn uploads_are_bounded(#[case] busy: u32, #[case] pause: Option<Span>) {
+    let uploads = Uploads { slots: 4, rate: RATE };
+    assert_eq!(uploads.give(busy, Bytes(100_000)), pause);
+}
+
+#[rstest]
+#[case(2)]
+#[case(60)]
+#[case(950)]
+fn questions_to_peers_are_bounded_by_the_logarithm_of_the_zone(#[case] vms: usize) {
+    let manifest = manifest(0..16);
+    let mut transfer = transfer(0, vms, 1, &manifest);
+    let mut asked = BTreeSet::new();
+    for now in (0..10).map(|round| Time(round * 250_000)) {
+        let asks = transfer.asks(now);
+        assert!(asks.len() <= 6, "{} questions in a round", asks.len());
+        asked.extend(asks);
+    }
+    assert!(asked.len() <= 2 * (vms.ilog2() as usize + 1) + 6);
+    assert!(!asked.contains(&name(0)));
+}
