Staged roll-out: waves by rendezvous rank, held up by failing replicas

Cause: every endpoint of a zone loaded a new version as soon as it was whole, so a zone could lose all its service at once. A replica whose engine serves a version now loads the wanted one in its wave of Pool.step; the next wave waits until the earlier one is seen to serve, halts while a replica answers without serving, and passes a silent one after 60 s. An engine that serves nothing loads at once. 9 tests of weights_rollout pass.

--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -21,7 +21,7 @@
     refuse::{Reason, Refusal},
     time::{Time, TimerId, Timers},
     units::{Bytes, Span},
-    weights::{DrawError, Manifest, Supplier, Topology, TransferOutcome},
+    weights::{DrawError, Manifest, Supplier, Topology, TransferOutcome, Turn},
 };
 
 /// Pause before a manifest is asked for again.
@@ -66,6 +66,8 @@
     ReadManifest(VersionId, Digest, Vec<Place>),
     /// Ask a peer which chunks of a manifest it holds.
     AskHave(Digest, VmId, SocketAddr),
+    /// Ask a peer for its state.
+    AskBeat(VmId, SocketAddr),
     /// Draw a chunk within a time.
     Draw(Digest, Place, Span),
     /// Drop the chunks that this manifest does not name.
@@ -236,6 +238,13 @@
         self.draw(now);
     }
 
+    /// Takes the state that a peer tells.
+    pub fn beat_of(&mut self, now: Time, beat: &Beat) {
+        if let Some(wanted) = &mut self.wanted {
+            wanted.sees(now, beat);
+        }
+    }
+
     /// Takes note that the engine took an order to load, or did not.
     pub fn loaded(&mut self, now: Time, version: &VersionId, taken: bool) {
         if let Some(wanted) = self.wanted.as_mut().filter(|w| w.version.name == *version) {
@@ -417,7 +426,7 @@
     }
 
     /// Follows the engine and the transfer: serves, or gives the engine the whole weights.
-    fn follow(&mut self, _now: Time) {
+    fn follow(&mut self, now: Time) {
         let Some(state) = &self.engine else { return };
         let held = self.verified(state);
         let Some(wanted) = self.wanted.as_mut() else {
@@ -432,6 +441,10 @@
             return;
         }
         let Some(manifest) = wanted.manifest.clone() else { return };
+        if held.is_some() && !self.may_load(now) {
+            return;
+        }
+        let Some(wanted) = self.wanted.as_mut() else { return };
         self.life.apply(LifeEvent::Whole);
         self.life.apply(LifeEvent::Lost);
         wanted.loading = true;
@@ -439,6 +452,20 @@
         self.outputs.push(Output::Load(wanted.version.name.clone(), manifest, fence));
     }
 
+    /// Returns whether an engine that serves another version may load the wanted one now.
+    fn may_load(&mut self, now: Time) -> bool {
+        let (Some(fleet), Some(topology)) = (self.fleet(), self.topology()) else { return false };
+        let Some(wanted) = self.wanted.as_mut() else { return false };
+        let Some(pool) = fleet.pool_of(&self.own.vm) else { return false };
+        let (turn, asks) = wanted.turn(now, &topology, pool.step);
+        let asks = asks.iter().filter_map(|vm| place(&fleet, vm)).filter_map(|place| match place {
+            Place::Peer(vm, addr) => Some(Output::AskBeat(vm, addr)),
+            Place::Origin => None,
+        });
+        self.outputs.extend(asks);
+        turn == Turn::Load
+    }
+
     /// Returns the VMs that share the weights of the wanted version.
     fn topology(&self) -> Option<Topology> {
         let fleet = self.fleet()?;
--- a/crates/core/src/endpoint/wanted.rs
+++ b/crates/core/src/endpoint/wanted.rs
@@ -5,9 +5,10 @@
 use crate::{
     declare::{Fleet, Role, Version, Vm},
     ids::{Digest, RegionId, VmId},
+    proto::Beat,
     time::Time,
-    units::ByteRate,
-    weights::{Limits, Manifest, Owners, Topology, Transfer},
+    units::{ByteRate, Share, Span},
+    weights::{Limits, Manifest, Owners, Rollout, Topology, Transfer, Turn},
 };
 
 /// Peers that draw the manifest from one VM.
@@ -17,6 +18,9 @@
 /// Rate of the origin's link in rates of a VM's link.
 const ORIGIN_RATE: u64 = 2;
 
+/// Time between two questions to the replicas of earlier waves.
+const WAVE: Span = Span::secs(1);
+
 /// How an endpoint draws weights.
 #[derive(Clone, Debug)]
 pub struct Drawing {
@@ -35,12 +39,22 @@
     pub(super) manifest: Option<Arc<Manifest>>,
     pub(super) transfer: Option<Transfer>,
     pub(super) loading: bool,
+    rollout: Option<Rollout>,
+    asked: Option<Time>,
     tries: u32,
 }
 
 impl Wanted {
     pub(super) fn new(version: Version) -> Self {
-        Self { version, manifest: None, transfer: None, loading: false, tries: 0 }
+        Self {
+            version,
+            manifest: None,
+            transfer: None,
+            loading: false,
+            rollout: None,
+            asked: None,
+            tries: 0,
+        }
     }
 
     pub(super) fn start(
@@ -87,4 +101,29 @@
         let origin = ahead.is_empty() || self.tries > MANIFEST_TRIES;
         (from.into_iter().map(|key| topology.vm(key).clone()).collect(), origin)
     }
+
+    /// Returns whether the whole weights may be loaded now, and the replicas to ask for their state.
+    pub(super) fn turn(
+        &mut self,
+        now: Time,
+        topology: &Topology,
+        step: Share,
+    ) -> (Turn, Vec<VmId>) {
+        let (version, manifest) = (&self.version.name, &self.version.manifest);
+        let make = || Rollout::new(topology, version.clone(), manifest, step, now);
+        let rollout = self.rollout.get_or_insert_with(make);
+        let turn = rollout.turn(now);
+        if turn == Turn::Load || self.asked.is_some_and(|asked| now - asked < WAVE) {
+            return (turn, vec![]);
+        }
+        self.asked = Some(now);
+        (turn, rollout.asks().cloned().collect())
+    }
+
+    /// Takes the state that a replica tells.
+    pub(super) fn sees(&mut self, now: Time, beat: &Beat) {
+        if let (Some(rollout), Some(load)) = (&mut self.rollout, &beat.load) {
+            rollout.sees(now, &beat.vm, load.version.as_ref(), load.open);
+        }
+    }
 }
--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -6,6 +6,7 @@
 pub mod outside;
 pub mod pace;
 mod peer;
+pub mod rollout;
 pub mod state;
 pub mod topology;
 pub mod transfer;
@@ -16,6 +17,7 @@
     manifest::{Manifest, ManifestError},
     outside::{Duty, Outside, Owners},
     pace::Pacer,
+    rollout::{Rollout, Turn},
     state::{TransferEvent, TransferState},
     topology::{PeerKey, Topology},
     transfer::{Draw, DrawError, Limits, Supplier, Transfer, TransferOutcome},
--- /dev/null
+++ b/crates/core/tests/weights_rollout.rs
@@ -0,0 +1,88 @@
+//! Tests of the staged roll-out.
+
+use rstest::rstest;
+use sequoiahold_core::{
+    declare::{Fleet, Object, Role, Vm},
+    ids::{Digest, VersionId, VmId},
+    time::Time,
+    units::{Share, Span},
+    weights::{Rollout, Topology, Turn},
+};
+
+fn name(vm: usize) -> VmId {
+    format!("vm-{vm:03}").parse().expect("a name")
+}
+
+fn version() -> VersionId {
+    "model-2".parse().expect("a name")
+}
+
+fn rollouts(vms: usize, step: u16) -> Vec<Rollout> {
+    let vm = |vm: usize| {
+        Object::Vm(Vm {
+            name: name(vm),
+            zone: "zone".parse().expect("a name"),
+            role: Role::Endpoint("pool".parse().expect("a name")),
+            addr: ([10, 0, 0, 1], 7400).into(),
+        })
+    };
+    let fleet = Fleet::new((0..vms).map(vm));
+    let rollout = |vm| {
+        let topology = Topology::new(&name(vm), fleet.vms.values(), &fleet, None);
+        Rollout::new(&topology, version(), &Digest::of(b"manifest"), Share(step), Time(0))
+    };
+    (0..vms).map(rollout).collect()
+}
+
+#[rstest]
+#[case(20, 250, 5)]
+#[case(7, 250, 2)]
+#[case(3, 1, 1)]
+#[case(9, 1_000, 9)]
+fn at_most_the_step_loads_at_the_same_time(
+    #[case] vms: usize,
+    #[case] step: u16,
+    #[case] most: usize,
+) {
+    let mut rollouts = rollouts(vms, step);
+    let mut serving: Vec<usize> = vec![];
+    while serving.len() < vms {
+        let loads = |vm: &usize| rollouts[*vm].turn(Time(1)) == Turn::Load;
+        let wave: Vec<usize> = (0..vms).filter(|vm| !serving.contains(vm)).filter(loads).collect();
+        assert!(!wave.is_empty() && wave.len() <= most, "{wave:?}");
+        for vm in &wave {
+            let sees = |one: &mut Rollout| one.sees(Time(1), &name(*vm), Some(&version()), true);
+            rollouts.iter_mut().for_each(sees);
+        }
+        serving.extend(wave);
+    }
+}
+
+#[rstest]
+#[case(None, false, Turn::Halt)]
+#[case(Some("model-1"), true, Turn::Halt)]
+#[case(Some("model-2"), false, Turn::Halt)]
+#[case(Some("model-2"), true, Turn::Load)]
+fn a_replica_that_fails_stops_the_next_wave(
+    #[case] serves: Option<&str>,
+    #[case] open: bool,
+    #[case] turn: Turn,
+) {
+    let mut rollouts = rollouts(2, 500);
+    let second = rollouts.iter().position(|one| one.asks().count() == 1).expect("a second wave");
+    let rollout = &mut rollouts[second];
+    let first = rollout.asks().next().cloned().expect("a first wave");
+    let serves: Option<VersionId> = serves.map(|name| name.parse().expect("a name"));
+    rollout.sees(Time(1), &first, serves.as_ref(), open);
+    assert_eq!(rollout.turn(Time(1) + Span::secs(60)), turn);
+    rollout.sees(Time(2), &first, Some(&version()), true);
+    assert_eq!(rollout.turn(Time(3)), Turn::Load, "it goes on once the replica serves");
+}
+
+#[test]
+fn a_dead_replica_holds_up_the_next_wave_for_a_time_only() {
+    let rollouts = rollouts(2, 500);
+    let rollout = rollouts.iter().find(|one| one.asks().count() == 1).expect("a second wave");
+    assert_eq!(rollout.turn(Time(0) + Span::secs(59)), Turn::Wait);
+    assert_eq!(rollout.turn(Time(0) + Span::secs(60)), Turn::Load);
+}
--- a/crates/sequoiahold/src/endpoint/draw.rs
+++ b/crates/sequoiahold/src/endpoint/draw.rs
@@ -7,7 +7,7 @@
 use sequoiahold_core::{
     endpoint::Place,
     ids::{Digest, VmId},
-    proto::{Call, MAX_MESSAGE, Reply},
+    proto::{Beat, Call, MAX_MESSAGE, Reply},
     units::{Bytes as Size, Span},
     weights::{DrawError, Manifest, Pacer},
 };
@@ -91,6 +91,18 @@
         actix_rt::time::timeout(Duration::from(DRAW), asked).await.ok().flatten()
     }
 
+    /// Asks a peer for its state.
+    pub async fn beat(&self, own: Box<Beat>, vm: &VmId, addr: SocketAddr) -> Option<Box<Beat>> {
+        let asked = async {
+            let connection = self.links.get(vm, addr).await.ok()?;
+            match call(&connection, &Call::Beat(own)).await {
+                Ok(Reply::Beat(beat)) => Some(beat),
+                _ => None,
+            }
+        };
+        actix_rt::time::timeout(Duration::from(DRAW), asked).await.ok().flatten()
+    }
+
     async fn origin_blob(&self, digest: Digest) -> Result<Bytes, DrawError> {
         let url = format!("{}/v1/blobs/{digest}", self.origin);
         let mut response = self.client.get(url).send().await.map_err(|_| DrawError::Silent)?;
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -36,6 +36,8 @@
     Drawn(Digest, Result<Bytes, DrawError>),
     /// A peer told which chunks of a manifest it holds, or gave no answer.
     Have(VmId, Option<Vec<u8>>),
+    /// A peer told its state.
+    Beat(Box<Beat>),
     /// The engine took the weights of a version and an order to load it, or did not.
     Loaded(VersionId, bool),
     /// A peer asks which chunks of a manifest are held.
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -98,6 +98,7 @@
             Event::Manifest(version, manifest) => self.on_manifest(&version, manifest),
             Event::Drawn(digest, data) => self.on_drawn(digest, data),
             Event::Have(peer, bits) => self.endpoint.have(now, &peer, bits.as_deref()),
+            Event::Beat(beat) => self.endpoint.beat_of(now, &beat),
             Event::Loaded(version, taken) => {
                 self.endpoint.loaded(now, &version, taken);
                 self.count(if taken { "loads.taken" } else { "loads.failed" });
@@ -172,6 +173,15 @@
                         let _ = events.send(Event::Have(vm, bits));
                     });
                 }
+                Output::AskBeat(vm, addr) => {
+                    let (drawer, events) = (self.drawer.clone(), self.parts.events.clone());
+                    let beat = Box::new(self.endpoint.beat());
+                    actix_rt::spawn(async move {
+                        if let Some(beat) = drawer.beat(beat, &vm, addr).await {
+                            let _ = events.send(Event::Beat(beat));
+                        }
+                    });
+                }
                 Output::Draw(digest, place, timeout) => self.draw(digest, place, timeout),
                 Output::Retain(manifest) => self.parts.store.retain(&manifest),
                 Output::Load(version, manifest, fence) => self.load(version, manifest, fence),
