--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -367,7 +367,9 @@
         if self.wanted.as_ref().map(|wanted| &wanted.version) == version.as_ref() {
             let topology = self.topology();
             let transfer = self.wanted.as_mut().and_then(|wanted| wanted.transfer.as_mut());
-            transfer.zip(topology).map(|(transfer, topology)| transfer.set_topology(topology));
+            if let Some((transfer, topology)) = transfer.zip(topology) {
+                transfer.set_topology(topology);
+            }
             return;
         }
         self.wanted = version.map(Wanted::new);
--- a/crates/core/src/weights/bits.rs
+++ b/crates/core/src/weights/bits.rs
@@ -74,6 +74,13 @@
         self.words.iter_mut().zip(&other.words).for_each(|(a, b)| *a &= !b);
     }
 
+    /// Returns the chunks of this set that another set lacks.
+    pub fn without(&self, other: &Self) -> Self {
+        let mut rest = self.clone();
+        rest.subtract(other);
+        rest
+    }
+
     /// Returns the chunks of the set in order.
     pub fn iter(&self) -> impl Iterator<Item = usize> + '_ {
         self.words.iter().enumerate().flat_map(|(i, word)| {
--- a/crates/core/src/weights/peer.rs
+++ b/crates/core/src/weights/peer.rs
@@ -48,8 +48,7 @@
     pub(super) fn tells(&mut self, now: Time, held: Bits) -> Bits {
         self.waiting = false;
         self.silences = 0;
-        let mut new = held.clone();
-        new.subtract(&self.held);
+        let new = held.without(&self.held);
         if self.grown.is_none() || !new.is_empty() {
             self.grown = Some(now);
         }
@@ -85,6 +84,11 @@
         self.charges >= MAX_CHARGES
     }
 
+    /// Returns whether chunks may be drawn from the peer now.
+    pub(super) fn open(&self, now: Time) -> bool {
+        !self.avoided() && self.pause <= now
+    }
+
     /// Returns whether nothing may be expected of the peer.
     pub(super) fn down(&self) -> bool {
         self.avoided() || self.failures >= MAX_FAILURES || self.silences >= MAX_FAILURES
--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -7,10 +7,12 @@
 use super::{
     Manifest,
     bits::Bits,
+    draw::{Draw, DrawError, Limits, Supplier, TransferOutcome},
     estimate::Estimate,
-    outside::{Duty, Outside, Owners},
+    outside::{Outside, Owners},
     peer::Peer,
     state::{TransferEvent, TransferState, chart},
+    task::{Flight, Task},
     topology::{PeerKey, Topology, chunk_seed},
 };
 use crate::{
@@ -32,112 +34,15 @@
 const WATCH: Span = Span::secs(2);
 /// Draws from one peer at the same time.
 const PER_PEER: u32 = 2;
-/// Draws that a peer is assumed to serve at the same time.
-const SLOTS: u64 = 4;
-/// Times by which a draw may exceed the time that its rate suggests.
-const SLACK: u64 = 2;
 /// Shortest timeout of a draw.
 const MIN_TIMEOUT: Span = Span::secs(1);
 /// Longest timeout of a draw, and longest pause of the origin.
 const MAX_TIMEOUT: Span = Span::secs(300);
 /// Quarters of the usual timeout that draws within a region keep at least.
 const NEAR_LEAST: u64 = 3;
-/// Times by which a draw over a region's link may exceed the time that its rate suggests.
-const FAR_SLACK: u64 = 4;
-/// Answers without the chunk after which the next zone is tried.
-const MAX_ABSENT: usize = 16;
-/// Draws without an answer after which the next zone is tried.
-const MAX_SILENT: usize = 2;
 /// Chunks that are compared for the rarest.
 const SAMPLE: usize = 512;
 
-/// Where a chunk is drawn from.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Supplier {
-    /// The origin of weights.
-    Origin,
-    /// Another VM.
-    Peer(VmId),
-}
-
-/// A draw that is to start.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Draw {
-    /// The chunk.
-    pub digest: Digest,
-    /// Where it is drawn from.
-    pub supplier: Supplier,
-    /// The time that the draw may take.
-    pub timeout: Span,
-}
-
-/// Why a draw ended without a chunk.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum DrawError {
-    /// The supplier does not hold the chunk.
-    Absent,
-    /// The supplier takes the draw after this time.
-    Later(Span),
-    /// The supplier gave no answer in time.
-    Silent,
-}
-
-/// What became of a chunk that arrived.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum TransferOutcome {
-    /// The chunk is kept.
-    Kept,
-    /// All chunks are held now.
-    Whole,
-    /// The chunk has another digest and was dropped.
-    Corrupt,
-    /// The chunk is not wanted.
-    Unwanted,
-}
-
-/// What a transfer may use of its VM.
-#[derive(Clone, Copy, Debug)]
-pub struct Limits {
-    /// The rate at which the VM draws.
-    pub rate: ByteRate,
-    /// The chunks that are drawn at the same time.
-    pub draws: u32,
-}
-
-impl Limits {
-    /// Returns the most draws from outside the zone at the same time.
-    fn window(&self) -> usize {
-        (self.draws as usize / 2).max(1)
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Flight {
-    source: Option<PeerKey>,
-    outside: bool,
-    since: Time,
-    timeout: Span,
-}
-
-#[derive(Clone, Debug)]
-struct Task {
-    duty: Duty,
-    sources: Option<Vec<Vec<PeerKey>>>,
-    zone: usize,
-    absent: usize,
-    silent: usize,
-    pause: Time,
-}
-
-impl Task {
-    /// Goes on to the next zone once this one has failed often enough.
-    fn go_on(&mut self) {
-        if self.absent >= MAX_ABSENT || self.silent >= MAX_SILENT {
-            (self.zone, self.absent, self.silent) = (self.zone + 1, 0, 0);
-        }
-    }
-}
-
 /// Decides what one VM draws to make a version whole.
 #[derive(Clone, Debug)]
 pub struct Transfer<O = Owners> {
@@ -396,18 +301,14 @@
 
     /// Returns the missing chunks that no peer of the zone is known to hold.
     fn unknown(&self) -> Bits {
-        let mut unknown = self.missing.clone();
-        unknown.subtract(&self.held_by(|peer| !peer.down()));
-        unknown
+        self.missing.without(&self.held_by(|peer| !peer.down()))
     }
 
     /// Returns the missing chunks that can be drawn now from peers of the zone.
     fn usable(&self, now: Time) -> Bits {
-        let mut usable =
-            self.held_by(|peer| !peer.avoided() && peer.pause <= now && peer.draws < PER_PEER);
+        let mut usable = self.held_by(|peer| peer.open(now) && peer.draws < PER_PEER);
         usable.keep(&self.missing);
-        usable.subtract(&self.flying);
-        usable
+        usable.without(&self.flying)
     }
 
     fn held_by(&self, filter: impl Fn(&Peer) -> bool) -> Bits {
@@ -429,8 +330,7 @@
         let holds = |(key, peer): &(&PeerKey, &Peer)| {
             self.topology.is_near(**key)
                 && peer.held.contains(chunk)
-                && !peer.avoided()
-                && peer.pause <= now
+                && peer.open(now)
                 && peer.draws < PER_PEER
         };
         let holders: Vec<(u32, PeerKey)> =
@@ -446,8 +346,7 @@
         if self.flights.values().filter(|flight| flight.outside).count() >= self.window {
             return None;
         }
-        let mut idle = self.unknown();
-        idle.subtract(&self.flying);
+        let idle = self.unknown().without(&self.flying);
         let due = |task: &Task| task.pause <= now && self.acts(task, now);
         let chunk = idle.iter().find(|chunk| self.tasks[*chunk].as_ref().is_some_and(due))?;
         let source = self.source(chunk, now)?;
@@ -492,9 +391,7 @@
             };
             let first = (task.absent + task.silent) % owners.len().max(1);
             let turned = owners.iter().cycle().skip(first).take(owners.len());
-            let open = |key: &&PeerKey| {
-                self.peers.get(key).is_none_or(|peer| !peer.avoided() && peer.pause <= now)
-            };
+            let open = |key: &&PeerKey| self.peers.get(key).is_none_or(|peer| peer.open(now));
             if let Some(key) = turned.into_iter().find(open) {
                 return Some(Some(*key));
             }
@@ -588,11 +485,7 @@
 
     /// Returns the time that a draw may take while nothing is known of the ones before.
     fn usual(&self, far: bool) -> Span {
-        let slots = u64::from(self.limits.draws) + SLOTS;
-        let near = self.limits.rate.time_of(self.chunk).0.saturating_mul(slots * SLACK);
-        let link = self.topology.link().filter(|_| far);
-        let over = link.map_or(0, |link| link.time_of(self.chunk).0);
-        Span(near.max(over.saturating_mul(slots * FAR_SLACK)))
+        self.limits.usual(self.chunk, self.topology.link().filter(|_| far))
     }
 
     /// Returns the time without progress after which others step in.
--- a/crates/standins/src/experiment/weights/mod.rs
+++ b/crates/standins/src/experiment/weights/mod.rs
@@ -19,6 +19,7 @@
 
 use sequoiahold_core::{
     ids::{Digest, RegionId},
+    time::Time,
     units::Span,
     weights::{Limits, Outside, Owners, Topology, Transfer, Uploads},
 };
@@ -81,7 +82,7 @@
 pub fn run(options: &Options) -> anyhow::Result<u8> {
     let runs = runs(options);
     report::head();
-    let figures = in_threads(&runs, |figures| report::row(figures));
+    let figures = in_threads(&runs, report::row);
     if let Some(out) = &options.out {
         report::write(out, &figures)?;
     }
@@ -171,7 +172,11 @@
     (0..plan.vms).map(line).collect()
 }
 
-fn swarm<O: Copy + Outside + 'static>(plan: Plan, held: &[bool], outside: O) -> Vec<Swarm<O>> {
+fn swarm<O: Copy + Outside>(
+    plan: Plan,
+    held: &[bool],
+    outside: O,
+) -> Vec<Swarm<O, impl Fn(Time) -> Transfer<O>>> {
     let fleet = Rc::new(plan.fleet());
     let manifest = Rc::new(plan.manifest());
     let known: Rc<BTreeMap<Digest, bool>> =
--- a/crates/standins/src/experiment/weights/node.rs
+++ b/crates/standins/src/experiment/weights/node.rs
@@ -36,20 +36,20 @@
 const ROUND: Span = Span::millis(250);
 
 /// The core's transfer, with the plan `O` of who draws from outside.
-pub struct Swarm<O> {
-    make: Box<dyn Fn(Time) -> Transfer<O>>,
+pub struct Swarm<O, F> {
+    make: F,
     uploads: Uploads,
     transfer: Option<Transfer<O>>,
 }
 
-impl<O: Outside> Swarm<O> {
+impl<O: Outside, F: Fn(Time) -> Transfer<O>> Swarm<O, F> {
     /// Returns a side whose transfer is made when it starts.
-    pub fn new(uploads: Uploads, make: impl Fn(Time) -> Transfer<O> + 'static) -> Self {
-        Self { make: Box::new(make), uploads, transfer: None }
+    pub fn new(uploads: Uploads, make: F) -> Self {
+        Self { make, uploads, transfer: None }
     }
 }
 
-impl<O: Outside> Node for Swarm<O> {
+impl<O: Outside, F: Fn(Time) -> Transfer<O>> Node for Swarm<O, F> {
     fn start(&mut self, now: Time) {
         self.transfer = Some((self.make)(now));
     }
--- a/crates/standins/src/experiment/weights/sim.rs
+++ b/crates/standins/src/experiment/weights/sim.rs
@@ -362,7 +362,6 @@
     fn figures(&self, scheme: &'static str, case: &'static str) -> Figures {
         let plan = &self.plan;
         let copies = |bytes: u64| bytes as f64 / SIZE.0 as f64;
-        let most = |values: &mut dyn Iterator<Item = f64>| values.fold(0.0, f64::max);
         let machines = 1 + plan.regions() * 2;
         let link = |i: usize| copies(self.links[i].bytes);
         let last = self.vms.iter().filter_map(|vm| vm.done).max().unwrap_or(END);
@@ -379,10 +378,10 @@
             seconds: end.0 as f64 / 1e6,
             bounds: end.0 as f64 / plan.bound().0 as f64,
             origin: link(ORIGIN),
-            region_in: most(&mut (0..plan.regions()).map(|r| link(2 + r * 2) / zones(r))),
-            region_out: most(&mut (0..plan.regions()).map(|r| link(1 + r * 2))),
-            upload: most(&mut (0..plan.vms).map(|vm| link(machines + vm * 2))),
-            download: most(&mut downloads.clone()),
+            region_in: most((0..plan.regions()).map(|r| link(2 + r * 2) / zones(r))),
+            region_out: most((0..plan.regions()).map(|r| link(1 + r * 2))),
+            upload: most((0..plan.vms).map(|vm| link(machines + vm * 2))),
+            download: most(downloads.clone()),
             moved: downloads.sum::<f64>() / plan.vms as f64,
             unfinished: open,
             wrong: self.wrong,
@@ -390,3 +389,7 @@
         }
     }
 }
+
+fn most(values: impl Iterator<Item = f64>) -> f64 {
+    values.fold(0.0, f64::max)
+}
