--- /dev/null
+++ b/crates/standins/tests/weights_experiment.rs
@@ -0,0 +1,52 @@
+//! The stated limits of a transfer at small sizes, in virtual time with fixed seeds.
+
+use rstest::rstest;
+use sequoiahold_standins::experiment::weights::{
+    Scheme, measure,
+    plan::{Faults, Figures, Plan},
+};
+
+fn owned(vms: usize, zones: usize, held: u64, faults: Faults) -> Figures {
+    measure(Scheme::Owned, Plan { vms, zones, seed: 7, held, faults }, "test")
+}
+
+#[rstest]
+#[case(10, 1)]
+#[case(50, 1)]
+#[case(10, 3)]
+#[case(50, 3)]
+#[case(50, 8)]
+fn a_cold_model_stays_within_the_limits(#[case] vms: usize, #[case] zones: usize) {
+    let figures = owned(vms, zones, 0, Faults::default());
+    assert_eq!((figures.unfinished, figures.wrong), (0, 0));
+    assert!(figures.bounds <= 1.6, "{figures:?}");
+    assert!(figures.origin <= 1.2, "{figures:?}");
+    assert!(figures.region_in <= 1.2, "{figures:?}");
+    assert!(figures.upload <= 2.0 && figures.download <= 2.0, "{figures:?}");
+    assert!(figures.control <= 5.0, "{figures:?}");
+}
+
+#[rstest]
+#[case(50, 1)]
+#[case(50, 3)]
+fn faults_cost_at_most_three_tenths_of_the_time(#[case] vms: usize, #[case] zones: usize) {
+    let faults = Faults { killed: 50, corrupt: 10, stalled: true };
+    let (free, faulty) = (owned(vms, zones, 0, Faults::default()), owned(vms, zones, 0, faults));
+    assert_eq!((faulty.unfinished, faulty.wrong), (0, 0));
+    assert!(faulty.seconds <= 1.3 * free.seconds, "{faulty:?} {free:?}");
+    assert!(faulty.origin <= 1.2, "{faulty:?}");
+}
+
+#[test]
+fn a_small_change_moves_little_more_than_itself() {
+    let figures = owned(50, 3, 950, Faults::default());
+    assert_eq!(figures.unfinished, 0);
+    assert!(figures.moved <= 0.07 && figures.origin <= 0.07, "{figures:?}");
+}
+
+#[test]
+fn the_same_seed_gives_the_same_figures() {
+    let faults = Faults { killed: 50, corrupt: 10, stalled: true };
+    let run = || format!("{:?}", owned(20, 3, 0, faults));
+    assert_eq!(run(), run());
+}
