--- a/crates/core/src/endpoint/guard.rs
+++ b/crates/core/src/endpoint/guard.rs
@@ -40,11 +40,14 @@
         }
     }
 
-    /// Returns the state that this process tells an entry, with the credit that it leases to it.
+    /// Returns the state that this process tells a peer, with the credit that it leases to an entry.
     pub fn answer(&mut self, now: Time, told: &Beat) -> Beat {
         self.wake(now);
         let bears = if self.gate.open() { self.gate.limit() } else { 0 };
-        let credit = self.leases.renew(now, &self.own.vm, &told.vm, (told.want, bears));
+        let credit = match told.load {
+            None => self.leases.renew(now, &self.own.vm, &told.vm, (told.want, bears)),
+            Some(_) => 0,
+        };
         let mut beat = self.beat();
         if let Some(load) = &mut beat.load {
             load.credit = credit;
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -49,6 +49,8 @@
     Have(VmId, Option<Vec<u8>>),
     /// An order to load a version is about to be given; whether it still may is asked for.
     Confirm(VersionId, oneshot::Sender<bool>),
+    /// A peer told its state.
+    Beat(Box<Beat>),
     /// The engine took the weights of a version and an order to load it, or did not.
     Loaded(VersionId, bool),
     /// A peer asks which chunks of a manifest are held.
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -127,6 +127,7 @@
             Event::Confirm(version, reply) => {
                 let _ = reply.send(self.endpoint.confirm(now, &version));
             }
+            Event::Beat(beat) => self.endpoint.beat_of(now, &beat),
             Event::Loaded(version, taken) => {
                 self.endpoint.loaded(now, &version, taken);
                 self.parts.metrics.count(if taken { "loads.taken" } else { "loads.failed" });
@@ -205,6 +206,15 @@
                     });
                 }
                 Output::AskKeys(vm, addr, ask) => self.ask_keys(vm, addr, ask),
+                Output::AskBeat(vm, addr) => {
+                    let (drawer, events) = (self.drawer.clone(), self.parts.events.clone());
+                    let beat = Box::new(self.endpoint.beat());
+                    actix_rt::spawn(async move {
+                        if let Some(beat) = drawer.beat(beat, &vm, addr).await {
+                            let _ = events.send(Event::Beat(beat));
+                        }
+                    });
+                }
                 Output::Draw(digest, place, timeout) => self.draw(digest, place, timeout),
                 Output::Retain(manifest) => self.parts.store.retain(&manifest),
                 Output::Load(version, manifest, fence) => self.load(version, manifest, fence),
--- a/crates/sequoiahold/src/settings/endpoint.rs
+++ b/crates/sequoiahold/src/settings/endpoint.rs
@@ -116,9 +116,6 @@
         if self.weights.memory < Bytes(1_000_000) {
             return Err(("weights.memory".to_owned(), "must be at least 1MB".to_owned()));
         }
-        if self.look < Span::millis(10) || self.look > Span::secs(5) {
-            return Err(("look".to_owned(), "must be between 10ms and 5s".to_owned()));
-        }
         if !(1..=64).contains(&self.weights.uploads) {
             return Err(("weights.uploads".to_owned(), "must be between 1 and 64".to_owned()));
         }
--- a/crates/sequoiahold/tests/settings.rs
+++ b/crates/sequoiahold/tests/settings.rs
@@ -93,7 +93,7 @@
 #[case::rate("weights/rate", json!("0B/s"), "key weights.rate: must be above 0B/s")]
 #[case::draws("weights/draws", json!(65), "key weights.draws: must be between 1 and 64")]
 #[case::memory("weights/memory", json!("1KB"), "key weights.memory: must be at least 1MB")]
-#[case::look("look", json!("6s"), "key look: must be between 10ms and 5s")]
+#[case::look("look", json!("6s"), "key look: must be between 20ms and 1s")]
 #[case::callers("callers", json!("10.0.0.1:80"), "unknown field `callers`")]
 fn endpoint_settings_are_refused(#[case] path: &str, #[case] to: Value, #[case] text: &str) {
     let found = fault::<Endpoint>(&change(endpoint(), path, to));
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -25,7 +25,7 @@
       measure one real process against a growing number and fit the slope
   experiment config [--seed N] [--only TEXT] [--json]
       adopt configurations in a fleet of 5,310 processes in virtual time
-  experiment weights [--seed N] [--vms MOST] [--out DIR]
+  experiment weights [--seed N] [--vms MOST] [--scheme NAME] [--out DIR]
       measure ways to draw weights in virtual time; DIR takes JSON lines and charts
   experiment zones|burst|routing [--deployment NAME] [--load PERCENT] [--seed N] [--out DIR]
       measure decisions in virtual time; DIR takes JSON lines and charts
@@ -96,6 +96,7 @@
         Some("weights") => experiment::weights::run(&experiment::weights::Options {
             seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
             most: args.opt_value_from_str("--vms")?.unwrap_or(950),
+            scheme: args.opt_value_from_str("--scheme")?,
             out: args.opt_value_from_str("--out")?,
         }),
         Some("burst") => burst::run(&traffic_options(args)?),
--- a/crates/standins/src/driver/deliver.rs
+++ b/crates/standins/src/driver/deliver.rs
@@ -45,6 +45,8 @@
                 if let Some(node) = self.entries.get_mut(to) {
                     node.heard.insert(from.clone(), now);
                     node.core.heard(now, beat);
+                } else if let Some(node) = self.endpoints.get_mut(to) {
+                    node.core.beat_of(now, &beat);
                 }
                 self.perform(to);
             }
--- a/crates/standins/src/driver/perform.rs
+++ b/crates/standins/src/driver/perform.rs
@@ -106,6 +106,10 @@
                 let data = origin_chunk(&digest);
                 self.push(CHUNK, Event::Drawn { vm: vm.clone(), epoch, digest, data });
             }
+            endpoint::Output::AskBeat(to, _) => {
+                let beat = self.endpoints.get(vm).map(|node| node.core.beat());
+                beat.into_iter().for_each(|beat| self.send(vm, &to, Message::Beat(beat)));
+            }
             endpoint::Output::Retain(manifest) => {
                 if let Some(node) = self.endpoints.get_mut(vm) {
                     node.held.retain(|digest, _| manifest.chunks.contains(digest));
--- a/crates/standins/src/experiment/weights/mod.rs
+++ b/crates/standins/src/experiment/weights/mod.rs
@@ -19,6 +19,7 @@
 
 use sequoiahold_core::{
     ids::{Digest, RegionId},
+    time::Time,
     units::Span,
     weights::{Limits, Outside, Owners, Topology, Transfer, Uploads},
 };
@@ -47,6 +48,8 @@
     pub seed: u64,
     /// The largest number of VMs.
     pub most: usize,
+    /// The only way to measure, or all.
+    pub scheme: Option<String>,
     /// The folder for raw figures and charts.
     pub out: Option<PathBuf>,
 }
@@ -101,6 +104,8 @@
             }
         }
     }
+    let wanted = |scheme: Scheme| options.scheme.as_ref().is_none_or(|s| s == scheme.name());
+    runs.retain(|(scheme, ..)| wanted(*scheme));
     runs
 }
 
@@ -167,7 +172,11 @@
     (0..plan.vms).map(line).collect()
 }
 
-fn swarm<O: Copy + Outside + 'static>(plan: Plan, held: &[bool], outside: O) -> Vec<Swarm<O>> {
+fn swarm<O: Copy + Outside>(
+    plan: Plan,
+    held: &[bool],
+    outside: O,
+) -> Vec<Swarm<O, impl Fn(Time) -> Transfer<O>>> {
     let fleet = Rc::new(plan.fleet());
     let manifest = Rc::new(plan.manifest());
     let known: Rc<BTreeMap<Digest, bool>> =
--- a/crates/standins/src/experiment/weights/sim.rs
+++ b/crates/standins/src/experiment/weights/sim.rs
@@ -25,6 +25,8 @@
 const HEARD: Span = Span::secs(1);
 /// Time after which a question without an answer is given up.
 const SILENT: Span = Span::secs(2);
+/// Time after which a connection to a VM that was killed is closed.
+const IDLE: Span = Span::secs(20);
 /// Bytes of a question, its answer and their headers, beside the bits.
 const QUESTION: u64 = 200;
 
@@ -238,7 +240,9 @@
         self.vms[vm].drawing += 1;
         let latency = from.map_or(FAR, |from| self.latency(from, vm));
         self.push(now + latency, Event::Request(flow));
-        self.push(now + draw.timeout, Event::Fail(flow, DrawError::Silent));
+        let dead = from.is_some_and(|from| !self.vms[from].alive);
+        let timeout = if dead { draw.timeout.min(IDLE) } else { draw.timeout };
+        self.push(now + timeout, Event::Fail(flow, DrawError::Silent));
     }
 
     fn path(&self, from: Option<usize>, to: usize) -> Vec<usize> {
@@ -358,7 +362,6 @@
     fn figures(&self, scheme: &'static str, case: &'static str) -> Figures {
         let plan = &self.plan;
         let copies = |bytes: u64| bytes as f64 / SIZE.0 as f64;
-        let most = |values: &mut dyn Iterator<Item = f64>| values.fold(0.0, f64::max);
         let machines = 1 + plan.regions() * 2;
         let link = |i: usize| copies(self.links[i].bytes);
         let last = self.vms.iter().filter_map(|vm| vm.done).max().unwrap_or(END);
@@ -375,10 +378,10 @@
             seconds: end.0 as f64 / 1e6,
             bounds: end.0 as f64 / plan.bound().0 as f64,
             origin: link(ORIGIN),
-            region_in: most(&mut (0..plan.regions()).map(|r| link(2 + r * 2) / zones(r))),
-            region_out: most(&mut (0..plan.regions()).map(|r| link(1 + r * 2))),
-            upload: most(&mut (0..plan.vms).map(|vm| link(machines + vm * 2))),
-            download: most(&mut downloads.clone()),
+            region_in: most((0..plan.regions()).map(|r| link(2 + r * 2) / zones(r))),
+            region_out: most((0..plan.regions()).map(|r| link(1 + r * 2))),
+            upload: most((0..plan.vms).map(|vm| link(machines + vm * 2))),
+            download: most(downloads.clone()),
             moved: downloads.sum::<f64>() / plan.vms as f64,
             unfinished: open,
             wrong: self.wrong,
@@ -386,3 +389,7 @@
         }
     }
 }
+
+fn most(values: impl Iterator<Item = f64>) -> f64 {
+    values.fold(0.0, f64::max)
+}
