--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -1,23 +1,31 @@
 //! Decisions of an endpoint process.
 
+mod calls;
+mod command;
+mod flights;
+mod guard;
 mod life;
+mod presence;
 mod wanted;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use self::{life::chart, wanted::Wanted};
 pub use self::{
+    calls::{Decision, Offered, Pass, key_members},
     life::{LifeEvent, LifeState},
     wanted::Drawing,
 };
+use self::{command::Command, flights::Flights, life::chart, presence::Presence, wanted::Wanted};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
     chart::Machine,
     declare::{Fleet, Published},
-    gate::{Gate, Seen, Ticket},
-    ids::{Digest, Fence, Generation, Incarnation, ServiceId, VersionId, VmId},
+    gate::{Bounds, Ended, Gate, LookId, Seen, Ticket},
+    ids::{Digest, Fence, Incarnation, ServiceId, VersionId, VmId},
+    lease::Leases,
     member::VmState,
-    proto::{Beat, Load},
+    once::{Once, Seen as Copies},
+    proto::{Beat, KeysAsk, Load},
     refuse::{Reason, Refusal},
     time::{Time, TimerId, Timers},
     units::{Bytes, Span},
@@ -61,13 +69,15 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Look at the engine.
-    Look,
+    Look(LookId),
     /// Read the manifest of a version from the first place that gives it.
     ReadManifest(VersionId, Digest, Vec<Place>),
     /// Ask a peer which chunks of a manifest it holds.
     AskHave(Digest, VmId, SocketAddr),
     /// Ask a peer for its state.
     AskBeat(VmId, SocketAddr),
+    /// Ask another endpoint which keys of this one it has run.
+    AskKeys(VmId, SocketAddr, Box<KeysAsk>),
     /// Draw a chunk within a time.
     Draw(Digest, Place, Span),
     /// Drop the chunks that this manifest does not name.
@@ -79,9 +89,11 @@
 #[derive(Clone, Debug)]
 enum Timer {
     Draw,
+    Keys,
     Load,
     Look,
     Manifest,
+    Orphans,
 }
 
 /// Who an endpoint is.
@@ -91,6 +103,8 @@
     pub vm: VmId,
     /// The incarnation of the process.
     pub incarnation: Incarnation,
+    /// The wall clock at time 0, in microseconds since the Unix epoch.
+    pub epoch: Time,
     /// The time between two looks at the engine.
     pub look: Span,
     /// How weights are drawn.
@@ -103,12 +117,19 @@
     own: Identity,
     adopter: Adopter,
     gate: Gate,
+    once: Once,
+    seen: Copies,
+    asking: bool,
+    flights: Flights,
     life: Machine<LifeState, LifeEvent>,
     engine: Option<EngineState>,
     wanted: Option<Wanted>,
     drawing: u32,
-    leaving: bool,
+    presence: Presence,
     draining: bool,
+    command: Command,
+    leases: Leases,
+    last: Time,
     timers: Timers<Timer>,
     round: Option<TimerId>,
     outputs: Vec<Output>,
@@ -119,16 +140,24 @@
     pub fn new(own: Identity, now: Time) -> Self {
         let mut timers = Timers::default();
         timers.at(now, Timer::Look);
+        let command = Command::new(own.incarnation);
         Self {
+            once: Once::new(own.vm.clone(), own.incarnation, own.epoch),
             own,
             adopter: Adopter::default(),
             gate: Gate::default(),
+            seen: Copies::default(),
+            asking: false,
+            flights: Flights::default(),
             life: Machine::new(Arc::new(chart())),
             engine: None,
             wanted: None,
             drawing: 0,
-            leaving: false,
+            presence: Presence::default(),
             draining: false,
+            command,
+            leases: Leases::default(),
+            last: now,
             timers,
             round: None,
             outputs: vec![],
@@ -141,34 +170,48 @@
         if matches!(outcome, Adoption::Adopted(_)) {
             self.set_closed();
             self.set_wanted(now);
+            self.adopt_keys(now);
         }
         outcome
     }
 
-    /// Takes the platform's list of VMs.
-    pub fn list(&mut self, list: &BTreeMap<VmId, VmState>) {
-        self.leaving = list.get(&self.own.vm) == Some(&VmState::Leaving);
+    /// Takes the platform's list of VMs; where it does not name this VM, nothing changes.
+    pub fn list(&mut self, now: Time, list: &BTreeMap<VmId, VmState>) {
+        self.presence.list(now, list.get(&self.own.vm).copied());
         self.set_closed();
     }
 
-    /// Takes the state that the engine shows, `None` where it did not answer.
-    pub fn engine(&mut self, now: Time, state: Option<EngineState>) {
+    /// Takes the state that the engine showed at a look, `None` where it did not answer.
+    pub fn engine(&mut self, now: Time, look: LookId, state: Option<EngineState>) {
+        self.wake(now);
         let seen = state.as_ref().map(|state| Seen {
+            incarnation: state.incarnation,
             version: self.verified(state),
             limit: state.limit,
             running: state.running,
         });
-        self.gate.observe(seen.unwrap_or_default());
+        let first = self.engine.is_none() && state.is_some();
+        if let Some(state) = &state {
+            self.command.show(state.fence);
+            self.flights.look(now, &self.own.vm, state.incarnation);
+        }
+        self.gate.observe(look, seen);
         self.engine = state;
+        self.set_closed();
+        if first {
+            self.timers.at(now + self.patience(), Timer::Orphans);
+        }
         self.follow(now);
     }
 
     /// Lets a request pass, with the version that answers it, or refuses it.
     pub fn ask(
         &mut self,
+        now: Time,
         ticket: Ticket,
         service: &ServiceId,
     ) -> Result<Option<VersionId>, Refusal> {
+        self.wake(now);
         let fleet = self.fleet().ok_or(Refusal::after(Reason::Unconfigured, RETRY))?;
         let pool = fleet.pool_of(&self.own.vm);
         if pool.is_none_or(|pool| pool.service != *service) {
@@ -179,8 +222,15 @@
     }
 
     /// Takes note that a request that passed has ended.
-    pub fn finished(&mut self, ticket: &Ticket) {
-        self.gate.finish(ticket);
+    pub fn finished(&mut self, ticket: &Ticket, ended: Ended) {
+        let shown = self.gate.open();
+        self.gate.finish(ticket, ended);
+        if shown && !self.gate.open() {
+            self.look();
+        }
+        if self.draining && self.gate.in_progress() == 0 {
+            self.life.apply(LifeEvent::Idle);
+        }
     }
 
     /// Takes the manifest of a version, `None` where it could not be read.
@@ -250,6 +300,8 @@
         if let Some(wanted) = self.wanted.as_mut().filter(|w| w.version.name == *version) {
             wanted.loading = false;
         }
+        self.gate.load_ended();
+        self.look();
         if !taken {
             self.timers.at(now + LOAD, Timer::Load);
         }
@@ -268,15 +320,20 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time) {
+        self.flights.suspects.expire(now);
+        self.presence.note(now);
+        self.wake(now);
         while let Some(timer) = self.timers.pop(now) {
             match timer {
                 Timer::Draw => self.ask_peers(now),
+                Timer::Keys => self.ask_keys(now),
                 Timer::Load => self.follow(now),
                 Timer::Look => {
                     self.timers.at(now + self.own.look, Timer::Look);
-                    self.outputs.push(Output::Look);
+                    self.look();
                 }
                 Timer::Manifest => self.read_manifest(),
+                Timer::Orphans => self.gate.forget_orphans(),
             }
         }
     }
@@ -296,11 +353,6 @@
         self.adopter.in_force()
     }
 
-    /// Returns the published set in force if it is above a generation.
-    pub fn newer(&self, above: Generation) -> Option<Arc<Published>> {
-        self.adopter.newer(above)
-    }
-
     /// Returns the manifest of the wanted version, if it is the one asked for.
     pub fn known_manifest(&self, digest: Digest) -> Option<Arc<Manifest>> {
         let wanted = self.wanted.as_ref().filter(|w| w.version.manifest == digest)?;
@@ -317,6 +369,11 @@
         &self.gate
     }
 
+    /// Returns the keys and tickets of this process.
+    pub fn once(&self) -> &Once {
+        &self.once
+    }
+
     /// Returns the state of this process.
     pub fn life(&self) -> LifeState {
         self.life.state()
@@ -334,12 +391,15 @@
             limit: self.gate.limit(),
             running: self.gate.running(),
             open: self.gate.open(),
+            credit: 0,
         };
         Beat {
             vm: self.own.vm.clone(),
             incarnation: self.own.incarnation,
             generation: self.adopter.generation(),
             load: Some(load),
+            crashes: self.flights.suspects.told(),
+            want: 0,
         }
     }
 
@@ -356,14 +416,18 @@
 
     fn set_closed(&mut self) {
         let in_service = self.fleet().is_some_and(|fleet| fleet.in_service(&self.own.vm));
-        self.gate.close(self.leaving || self.draining || !in_service);
+        let superseded = self.command.superseded();
+        let leaving = self.presence.is_leaving() || self.draining;
+        self.gate.close(leaving || superseded || !in_service);
     }
 
     fn set_wanted(&mut self, now: Time) {
         let Some(fleet) = self.fleet() else { return };
         let pool = fleet.pool_of(&self.own.vm);
         let version = pool.and_then(|pool| fleet.pool_version(&pool.name)).cloned();
-        self.gate.want(version.as_ref().map(|version| version.name.clone()));
+        let bounds = pool.map(|pool| Bounds { cold: pool.cold, slots: pool.slots });
+        let name = version.as_ref().map(|version| version.name.clone());
+        self.gate.want(name, bounds.unwrap_or_default());
         if self.wanted.as_ref().map(|wanted| &wanted.version) == version.as_ref() {
             let topology = self.topology();
             let transfer = self.wanted.as_mut().and_then(|wanted| wanted.transfer.as_mut());
@@ -439,7 +503,7 @@
             self.life.apply(LifeEvent::Serve);
             return;
         }
-        if wanted.loading || !wanted.is_whole() {
+        if wanted.loading || !wanted.is_whole() || !self.command.may_order() {
             return;
         }
         let Some(manifest) = wanted.manifest.clone() else { return };
@@ -450,7 +514,7 @@
         self.life.apply(LifeEvent::Whole);
         self.life.apply(LifeEvent::Lost);
         wanted.loading = true;
-        let fence = Fence(self.own.incarnation.0);
+        let fence = self.command.fence();
         self.outputs.push(Output::Load(wanted.version.name.clone(), manifest, fence));
     }
 
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -1,23 +1,36 @@
 //! Decisions of an entry process.
 
+mod forecast;
+mod keyed;
+mod line;
+mod outcome;
 mod request;
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
-pub use self::request::{Arrival, RequestEvent, RequestState};
-use self::request::{Request, chart};
+pub use self::request::{Arrival, RequestEvent, RequestState, URGENCY};
+use self::{
+    line::Lines,
+    request::{Request, chart},
+};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
+    budget::Budget,
     chart::Chart,
     declare::{Fleet, Published, Role},
-    ids::{Incarnation, RequestId, VmId, ZoneId},
+    ids::{Incarnation, RequestId, ServiceId, VmId, ZoneId},
     member::VmState,
     proto::Beat,
     refuse::{Failure, Reason, Refusal},
-    route::Router,
+    route::{Policy, Query, Router},
+    suspect::Suspects,
     time::{Time, Timers},
     units::Span,
 };
@@ -45,6 +58,8 @@
         vm: VmId,
         /// Its address.
         addr: SocketAddr,
+        /// The incarnation of its process.
+        to: Incarnation,
         /// The time left until the deadline.
         left: Span,
     },
@@ -61,6 +76,8 @@
 #[derive(Clone, Debug)]
 enum Timer {
     Beat(VmId),
+    Deadline(RequestKey),
+    Pass(ServiceId),
 }
 
 /// Who an entry is.
@@ -74,6 +91,8 @@
     pub incarnation: Incarnation,
     /// The time between two heartbeats on a connection.
     pub heartbeat: Span,
+    /// How endpoints are chosen.
+    pub policy: Policy,
 }
 
 /// The state and the decisions of an entry process.
@@ -82,10 +101,15 @@
     own: Identity,
     adopter: Adopter,
     router: Router,
+    lines: Lines,
     requests: SlotMap<RequestKey, Request>,
     chart: Arc<Chart<RequestState, RequestEvent>>,
     timers: Timers<Timer>,
     beating: BTreeMap<VmId, Time>,
+    incarnations: BTreeMap<VmId, Incarnation>,
+    leaving: BTreeSet<VmId>,
+    suspects: Suspects,
+    budget: Budget,
     outputs: Vec<Output>,
     last: RequestId,
     rng: SmallRng,
@@ -94,15 +118,20 @@
 impl Entry {
     /// Returns an entry that knows nothing yet.
     pub fn new(own: Identity, seed: u64) -> Self {
-        let router = Router::new(own.zone.clone());
+        let router = Router::new(own.zone.clone(), own.policy);
         Self {
             own,
             adopter: Adopter::default(),
             router,
+            lines: Lines::new(),
             requests: SlotMap::with_key(),
             chart: Arc::new(chart()),
             timers: Timers::default(),
             beating: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            suspects: Suspects::default(),
+            budget: Budget::default(),
             outputs: vec![],
             last: RequestId::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -114,21 +143,34 @@
         let outcome = self.adopter.offer(published);
         if matches!(outcome, Adoption::Adopted(_)) {
             self.start_beats(now);
+            self.keep_budgets();
         }
         outcome
     }
 
-    /// Takes the platform's list of VMs.
+    /// Takes the platform's list of VMs; one that it no longer names stays as it was.
     pub fn list(&mut self, list: &BTreeMap<VmId, VmState>) {
         for (vm, state) in list {
-            self.router.leaving(vm, *state == VmState::Leaving);
+            let leaving = *state == VmState::Leaving;
+            if leaving {
+                self.leaving.insert(vm.clone())
+            } else {
+                self.leaving.remove(vm)
+            };
+            self.router.leaving(vm, leaving);
         }
     }
 
     /// Takes the state that a peer told.
-    pub fn heard(&mut self, beat: Beat) {
+    pub fn heard(&mut self, now: Time, beat: Beat) {
+        for crash in beat.crashes {
+            self.suspects.accuse(now, crash);
+        }
+        self.incarnations.insert(beat.vm.clone(), beat.incarnation);
         if let Some(load) = beat.load {
-            self.router.report(&beat.vm, load);
+            self.router.report(now, &beat.vm, load);
+            self.router.leaving(&beat.vm, self.leaving.contains(&beat.vm));
+            self.pass_all(now);
         }
     }
 
@@ -140,14 +182,32 @@
 
     /// Takes a request; its first output follows.
     pub fn arrive(&mut self, now: Time, arrival: Arrival) -> RequestKey {
-        let request = Request::new(arrival, now, self.chart.clone());
-        let key = self.requests.insert(request);
-        self.send(now, key, Refusal::after(Reason::NoEndpoint, RETRY));
+        let deadline = now + arrival.timeout;
+        self.budget.earn(&arrival.client);
+        let held = self.held_against(&arrival);
+        let key = self.requests.insert_with_key(|key| {
+            let timer = self.timers.at(deadline, Timer::Deadline(key));
+            Request::new(arrival, now, self.chart.clone(), timer)
+        });
+        match held {
+            Some(refusal) => self.refuse(key, refusal),
+            None => self.send(now, key, Refusal::after(Reason::NoEndpoint, RETRY)),
+        }
         key
     }
 
     /// Takes note that an endpoint refused a request.
     pub fn refused(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
+        let freed = self.freed(now, key, false);
+        if refusal.reason == Reason::Leaving {
+            self.shun(key);
+        }
+        if refusal == Refusal::new(Reason::Suspect) {
+            return self.refuse(key, refusal);
+        }
+        if let Some(vm) = freed.filter(|_| refusal.reason == Reason::Overload) {
+            self.router.full(&vm);
+        }
         self.send(now, key, refusal);
     }
 
@@ -158,27 +218,28 @@
         }
     }
 
-    /// Takes note that a request was handed over and failed.
-    pub fn failed(&mut self, key: RequestKey, failure: Failure) {
-        if self.end(key, RequestEvent::Fail) {
-            self.outputs.push(Output::Fail(key, failure));
-        }
-    }
-
     /// Takes note that a request has its whole answer.
-    pub fn ended(&mut self, key: RequestKey) {
+    pub fn ended(&mut self, now: Time, key: RequestKey) {
+        self.acquit(key);
+        self.freed(now, key, true);
         self.end(key, RequestEvent::End);
     }
 
     /// Takes note that the caller of a request has gone.
-    pub fn left(&mut self, key: RequestKey) {
+    pub fn left(&mut self, now: Time, key: RequestKey) {
+        self.freed(now, key, false);
         self.end(key, RequestEvent::Leave);
     }
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time) {
-        while let Some(Timer::Beat(vm)) = self.timers.pop(now) {
-            self.send_beat(now, vm);
+        self.suspects.expire(now);
+        while let Some(timer) = self.timers.pop(now) {
+            match timer {
+                Timer::Beat(vm) => self.send_beat(now, vm),
+                Timer::Deadline(key) => self.out_of_time(now, key),
+                Timer::Pass(service) => self.pass(now, &service),
+            }
         }
     }
 
@@ -197,11 +258,6 @@
         self.adopter.in_force()
     }
 
-    /// Returns the published set in force if it is above a generation.
-    pub fn newer(&self, above: crate::ids::Generation) -> Option<Arc<Published>> {
-        self.adopter.newer(above)
-    }
-
     /// Returns the state that this process tells its peers.
     pub fn beat(&self) -> Beat {
         Beat {
@@ -209,9 +265,32 @@
             incarnation: self.own.incarnation,
             generation: self.adopter.generation(),
             load: None,
+            crashes: self.suspects.told(),
+            want: 0,
         }
     }
 
+    /// Returns the state that this process tells an endpoint.
+    pub fn beat_to(&self, vm: &VmId) -> Beat {
+        let want = self.fleet().map_or(0, |fleet| self.want(&fleet, vm));
+        Beat { want, ..self.beat() }
+    }
+
+    /// Returns the requests that wait for an endpoint.
+    pub fn waiting(&self) -> usize {
+        self.lines.values().map(|line| line.queue.len()).sum()
+    }
+
+    /// Returns the service that a request in progress asks for.
+    pub fn service(&self, key: RequestKey) -> Option<&ServiceId> {
+        self.arrival(key).map(|arrival| &arrival.service)
+    }
+
+    /// Returns a request in progress as it came.
+    pub fn arrival(&self, key: RequestKey) -> Option<&Arrival> {
+        self.requests.get(key).map(|request| &request.arrival)
+    }
+
     /// Returns what is known of the endpoints.
     pub fn router(&self) -> &Router {
         &self.router
@@ -229,48 +308,61 @@
     /// Offers a request to the next endpoint, or refuses it with the last refusal.
     fn send(&mut self, now: Time, key: RequestKey, last: Refusal) {
         let Some(request) = self.requests.get(key) else { return };
-        let first = request.tried.is_empty();
         if request.tried.len() >= MAX_OFFERS {
-            return self.refuse(key, last);
+            return self.wait(now, key, last);
         }
-        match self.choose(now, key) {
-            Ok(output) => {
-                if let Some(request) = self.requests.get_mut(key) {
-                    request.state.apply(RequestEvent::Send);
-                }
-                self.outputs.push(output);
-            }
-            Err(refusal) => self.refuse(key, if first { refusal } else { last }),
+        if self.others_wait(&request.arrival) {
+            return self.wait(now, key, Refusal::new(Reason::Overload));
+        }
+        let owner_refused = request.arrival.key.is_some() && !request.tried.is_empty();
+        match self.choose(now, key, true) {
+            Ok(output) => self.sent(now, key, output),
+            Err(_) if owner_refused => self.refuse(key, last),
+            Err(refusal) => self.wait(now, key, refusal),
         }
     }
 
-    fn choose(&mut self, now: Time, key: RequestKey) -> Result<Output, Refusal> {
+    fn choose(&mut self, now: Time, key: RequestKey, borrow: bool) -> Result<Output, Refusal> {
         let fleet = self.fleet().ok_or(Refusal::after(Reason::Unconfigured, RETRY))?;
-        let request = self.requests.get_mut(key).ok_or(Refusal::new(Reason::Leaving))?;
+        let request = self.requests.get(key).ok_or(Refusal::new(Reason::Leaving))?;
         let left = request.left(now).ok_or(Refusal::new(Reason::Deadline))?;
-        let service = &request.arrival.service;
-        let vm = self.router.choose(&fleet, service, &request.tried, &mut self.rng)?;
+        let vm = match &request.arrival.key {
+            Some(key) => {
+                let service = &request.arrival.service;
+                let vm = self.choose_keyed(&fleet, service, key, &request.tried)?;
+                self.router.taken(&vm);
+                vm
+            }
+            None => {
+                let tried = self.avoided(key);
+                let (service, client) = (&request.arrival.service, &request.arrival.client);
+                let query = Query { now, service, client, tried: &tried, borrow };
+                self.router.choose(&fleet, query, &mut self.rng)?
+            }
+        };
         let addr = fleet.vms.get(&vm).map(|vm| vm.addr).ok_or(Refusal::new(Reason::NoEndpoint))?;
-        request.tried.push(vm.clone());
-        self.last = self.last.next();
-        Ok(Output::Send { request: key, id: self.last, vm, addr, left })
-    }
-
-    fn refuse(&mut self, key: RequestKey, refusal: Refusal) {
-        if self.end(key, RequestEvent::Refuse) {
-            self.outputs.push(Output::Refuse(key, refusal));
+        let to = self.incarnations.get(&vm).copied().unwrap_or_default();
+        if let Some(request) = self.requests.get_mut(key) {
+            request.tried.push(vm.clone());
         }
+        self.last = self.last.next();
+        Ok(Output::Send { request: key, id: self.last, vm, addr, to, left })
     }
 
     fn end(&mut self, key: RequestKey, event: RequestEvent) -> bool {
         let Some(request) = self.requests.get_mut(key) else { return false };
         let ended = request.state.apply(event);
-        if ended {
-            self.requests.remove(key);
+        if ended && let Some(request) = self.requests.remove(key) {
+            self.timers.cancel(request.timer);
         }
         ended
     }
 
+    fn pass_all(&mut self, now: Time) {
+        let services: Vec<ServiceId> = self.lines.keys().cloned().collect();
+        services.iter().for_each(|service| self.pass(now, service));
+    }
+
     fn start_beats(&mut self, now: Time) {
         let Some(fleet) = self.fleet() else { return };
         let endpoints = fleet.vms.values().filter(|vm| matches!(vm.role, Role::Endpoint(_)));
--- a/crates/core/src/entry/request.rs
+++ b/crates/core/src/entry/request.rs
@@ -6,9 +6,11 @@
 
 use crate::{
     chart::{Chart, Machine},
-    ids::{ClientId, Digest, OnceKey, ServiceId, VmId},
-    time::Time,
-    units::Span,
+    ids::{ClientId, Digest, ServiceId, VmId},
+    once::CallKey,
+    refuse::Failure,
+    time::{Time, TimerId},
+    units::{Bytes, Span},
 };
 
 /// The chart of a request's life.
@@ -21,14 +23,21 @@
     pub client: ClientId,
     /// The service.
     pub service: ServiceId,
-    /// The idempotency key.
-    pub key: Option<OnceKey>,
+    /// The key of a call that may not be repeated.
+    pub key: Option<CallKey>,
     /// The digest of what is asked, the same for each copy of the request.
     pub print: Digest,
     /// The time that the call may take.
     pub timeout: Span,
+    /// The urgency within the client account, 0 first and 7 last.
+    pub urgency: u8,
+    /// The size of the body.
+    pub size: Bytes,
 }
 
+/// The urgency of a request that names none.
+pub const URGENCY: u8 = 3;
+
 /// The state of a request at an entry.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -72,7 +81,11 @@
 pub(super) struct Request {
     pub(super) arrival: Arrival,
     pub(super) tried: Vec<VmId>,
+    pub(super) at: Time,
+    pub(super) sent: Option<(Time, VmId)>,
     pub(super) state: Machine<RequestState, RequestEvent>,
+    pub(super) failure: Option<Failure>,
+    pub(super) timer: TimerId,
     deadline: Time,
 }
 
@@ -81,9 +94,12 @@
         arrival: Arrival,
         now: Time,
         chart: Arc<Chart<RequestState, RequestEvent>>,
+        timer: TimerId,
     ) -> Self {
         let deadline = now + arrival.timeout;
-        Self { arrival, tried: vec![], state: Machine::new(chart), deadline }
+        let state = Machine::new(chart);
+        let tried = vec![];
+        Self { arrival, tried, at: now, sent: None, state, failure: None, timer, deadline }
     }
 
     /// Returns the time left until the deadline, `None` where it has passed.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,17 +1,24 @@
 //! Decision logic of sequoiahold: messages in, outcomes out, no sockets, clocks or threads.
 
 pub mod adopt;
+pub mod budget;
 pub mod chart;
+pub mod config;
 pub mod declare;
 pub mod endpoint;
 pub mod entry;
 pub mod gate;
+pub mod histogram;
 pub mod ids;
+pub mod lease;
 pub mod member;
+pub mod once;
 pub mod peers;
 pub mod proto;
+pub mod queue;
 pub mod refuse;
 pub mod route;
+pub mod suspect;
 pub mod time;
 pub mod units;
 pub mod weights;
--- a/crates/core/src/proto.rs
+++ b/crates/core/src/proto.rs
@@ -1,16 +1,14 @@
 //! Typed messages between the system's processes.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    declare::Published,
-    ids::{
-        ClientId, Digest, Generation, Incarnation, OnceKey, RequestId, ServiceId, VersionId, VmId,
-    },
+    config::{ConfigCall, ConfigReply},
+    ids::{ClientId, Digest, Generation, Incarnation, RequestId, ServiceId, VersionId, VmId},
+    once::{CallKey, HandOver, OnceTicket},
     refuse::{Failure, Refusal},
+    suspect::{Crash, Print},
     units::Span,
 };
 
@@ -26,12 +24,27 @@
     Ask(Box<Ask>),
     /// Tell and learn the present state; also the heartbeat of the connection.
     Beat(Box<Beat>),
-    /// Send the published set if it is above this generation.
-    Set(Generation),
+    /// Exchange or ask for the configuration.
+    Config(ConfigCall),
     /// Send the chunk with this digest.
     Chunk(Digest),
     /// Tell which chunks of this manifest are held.
     Have(Digest),
+    /// Tell which keys of the asking endpoint have run.
+    Keys(Box<KeysAsk>),
+    /// Issue a ticket for a call of this client account at this service.
+    Ticket(ClientId, ServiceId),
+}
+
+/// A question of the new owner of keys to an endpoint that may have run some of them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct KeysAsk {
+    /// The endpoint that asks.
+    pub vm: VmId,
+    /// The generation that it follows.
+    pub generation: Generation,
+    /// The endpoints that share the keys under that generation.
+    pub members: Vec<VmId>,
 }
 
 /// A request on its way to an endpoint.
@@ -41,6 +54,8 @@
     pub entry: VmId,
     /// The incarnation of the entry.
     pub incarnation: Incarnation,
+    /// The incarnation of the endpoint that the entry means.
+    pub to: Incarnation,
     /// The number of the request at the entry.
     pub id: RequestId,
     /// The client account.
@@ -51,8 +66,10 @@
     pub method: String,
     /// The path and query of a plain call.
     pub path: String,
-    /// The idempotency key.
-    pub key: Option<OnceKey>,
+    /// The key of a call that may not be repeated.
+    pub key: Option<CallKey>,
+    /// The fingerprint, the same for each copy of the request.
+    pub print: Print,
     /// The time left until the deadline.
     pub left: Span,
     /// The body.
@@ -70,6 +87,10 @@
     pub generation: Generation,
     /// What an endpoint bears, or `None` from an entry.
     pub load: Option<Load>,
+    /// The crashes that the sender saw or was told of lately.
+    pub crashes: Vec<Crash>,
+    /// The requests that an entry has, waiting or in progress, for the service of the endpoint.
+    pub want: u32,
 }
 
 /// The load that an endpoint reports.
@@ -83,6 +104,8 @@
     pub running: u32,
     /// Whether the endpoint takes new work.
     pub open: bool,
+    /// The requests that the entry which is told may have in progress here.
+    pub credit: u32,
 }
 
 /// An answer on a stream.
@@ -100,14 +123,18 @@
     Failed(Failure),
     /// The state of the peer.
     Beat(Box<Beat>),
-    /// The published set, or `None` where the peer has nothing newer.
-    Set(Option<Arc<Published>>),
+    /// What was asked for about the configuration.
+    Config(ConfigReply),
     /// The chunk, or `None` where the peer does not hold it.
     Chunk(Option<Bytes>),
     /// The peer's uploads are full; the chunk may be asked for again after this time.
     Later(Span),
     /// The bits of the chunks that the peer holds, first chunk lowest.
     Have(Vec<u8>),
+    /// The keys that the peer has run.
+    Keys(Box<HandOver>),
+    /// A ticket.
+    Ticket(OnceTicket),
 }
 
 /// The first part of an answer.
--- /dev/null
+++ b/crates/core/tests/bits.rs
@@ -0,0 +1,17 @@
+//! Sets of chunks list what they hold, whatever the words look like.
+
+use rstest::rstest;
+use sequoiahold_core::weights::bits::Bits;
+
+#[rstest]
+#[case::empty(70, &[])]
+#[case::first(1, &[0])]
+#[case::ends_of_words(130, &[0, 63, 64, 127, 128, 129])]
+#[case::one_word_empty(200, &[3, 199])]
+fn chunks_come_back_in_order(#[case] len: usize, #[case] chunks: &[usize]) {
+    let mut bits = Bits::new(len);
+    chunks.iter().for_each(|chunk| bits.insert(*chunk));
+    assert_eq!(bits.iter().collect::<Vec<_>>(), chunks);
+    assert_eq!(Bits::read(&bits.bytes(), len), bits);
+    assert_eq!(bits.count(), chunks.len());
+}
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -5,12 +5,13 @@
 use bytes::Bytes;
 use sequoiahold_core::{
     declare::Published,
-    endpoint::EngineState,
-    gate::Ticket,
-    ids::{Digest, Generation, ServiceId, VersionId, VmId},
+    endpoint::{Decision, EngineState, Offered},
+    gate::{Ended, LookId, Ticket},
+    ids::{ClientId, Digest, ServiceId, VersionId, VmId},
     member::VmState,
-    proto::Beat,
-    refuse::Refusal,
+    once::{HandOver, OnceTicket, RunEnd},
+    proto::{Beat, KeysAsk},
+    refuse::{Failure, Refusal},
     weights::{DrawError, Manifest},
 };
 use tokio::sync::oneshot;
@@ -24,12 +25,22 @@
     Offer(Arc<Published>),
     /// The platform's list of VMs was read.
     Vms(BTreeMap<VmId, VmState>),
-    /// The engine showed its state, or did not answer.
-    Engine(Option<EngineState>),
+    /// The engine showed its state at a look, or did not answer.
+    Engine(LookId, Option<EngineState>),
     /// A request asks to pass the gate.
     Admit(Admit),
+    /// The head of an answer shows what the engine bears.
+    Head(Ticket, u32),
     /// A request that passed has ended.
-    Finish(Ticket),
+    Ended(Offered, RunEnd, Ended),
+    /// The engine, which now shows this start, crashed under a request.
+    Fell(Offered, u64, oneshot::Sender<Failure>),
+    /// Another endpoint handed over keys.
+    Keys(VmId, HandOver),
+    /// Another endpoint asks for its keys.
+    TellKeys(Box<KeysAsk>, oneshot::Sender<HandOver>),
+    /// A ticket is asked for.
+    Ticket(ClientId, ServiceId, oneshot::Sender<Result<OnceTicket, Refusal>>),
     /// The manifest of a version was read, or could not be.
     Manifest(VersionId, Option<Manifest>),
     /// A draw has ended with a chunk, or without.
@@ -38,14 +49,14 @@
     Have(VmId, Option<Vec<u8>>),
     /// A peer told its state.
     Beat(Box<Beat>),
+    /// An order to load a version is about to be given; whether it still may is asked for.
+    Confirm(VersionId, oneshot::Sender<bool>),
     /// The engine took the weights of a version and an order to load it, or did not.
     Loaded(VersionId, bool),
     /// A peer asks which chunks of a manifest are held.
     TellHave(Digest, oneshot::Sender<Vec<u8>>),
-    /// A peer asks for the published set above a generation.
-    Set(Generation, oneshot::Sender<Option<Arc<Published>>>),
-    /// A peer asks for this process's state.
-    Tell(oneshot::Sender<Beat>),
+    /// An entry tells its state and asks for this process's.
+    Tell(Box<Beat>, oneshot::Sender<Beat>),
     /// The status is asked for.
     Status(oneshot::Sender<Status>),
     /// The process was told to stop; the number of requests in progress is asked for.
@@ -56,9 +67,7 @@
 #[derive(Debug)]
 pub struct Admit {
     /// The request.
-    pub ticket: Ticket,
-    /// The service that it asks for.
-    pub service: ServiceId,
-    /// Takes the decision: the version that answers, or a refusal.
-    pub reply: oneshot::Sender<Result<Option<VersionId>, Refusal>>,
+    pub offered: Offered,
+    /// Takes the decision.
+    pub reply: oneshot::Sender<Decision>,
 }
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -1,17 +1,21 @@
 //! The endpoint's event loop: owns the state and does what the decisions ask for.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use sequoiahold_core::{
     adopt::{Adoption, InForce},
     declare::Published,
-    endpoint::{Drawing, Endpoint, Identity, Output, Place},
-    ids::{Digest, Fence, VersionId},
+    endpoint::{Decision, Drawing, Endpoint, Identity, Output, Place},
+    gate::{Ended, LookId},
+    ids::{Digest, Fence, VersionId, VmId},
+    once::RunEnd,
+    proto::{Call, KeysAsk, Reply},
+    time::Time,
     units::{Bytes as Size, Span},
     weights::{DrawError, Manifest, Pacer, TransferOutcome, pace::share},
 };
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{
     draw::Drawer,
@@ -19,7 +23,16 @@
     event::{Admit, Event},
     store::Store,
 };
-use crate::{clock::Clock, net::Links, settings, status::Status};
+use crate::{
+    clock::Clock,
+    metrics::Metrics,
+    net::{Links, Traffic, call},
+    settings,
+    status::Status,
+};
+
+/// Time that a question for keys may take.
+const KEYS: Duration = Duration::from_secs(2);
 
 /// What the event loop works with.
 pub struct Parts {
@@ -37,6 +50,10 @@
     pub in_force: watch::Sender<Option<InForce>>,
     /// The sender of this loop's own events.
     pub events: mpsc::UnboundedSender<Event>,
+    /// Counts the bytes between processes.
+    pub traffic: Traffic,
+    /// The counters.
+    pub metrics: Metrics,
 }
 
 /// The state of an endpoint process.
@@ -45,7 +62,6 @@
     parts: Parts,
     drawer: Drawer,
     endpoint: Endpoint,
-    counters: BTreeMap<String, u64>,
 }
 
 impl EventLoop {
@@ -57,6 +73,7 @@
         let own = Identity {
             vm: settings.vm.clone(),
             incarnation: parts.clock.incarnation(),
+            epoch: Time(parts.clock.incarnation().0),
             look: settings.look,
             drawing: Drawing {
                 rate: settings.weights.rate,
@@ -65,7 +82,7 @@
             },
         };
         let endpoint = Endpoint::new(own, parts.clock.now());
-        Self { settings, parts, drawer, endpoint, counters: BTreeMap::new() }
+        Self { settings, parts, drawer, endpoint }
     }
 
     /// Handles events and timers until all senders are gone.
@@ -88,24 +105,40 @@
         let now = self.parts.clock.now();
         match event {
             Event::Offer(published) => self.on_offer(published),
-            Event::Vms(list) => self.endpoint.list(&list),
-            Event::Engine(state) => {
-                self.endpoint.engine(now, state);
+            Event::Vms(list) => self.endpoint.list(now, &list),
+            Event::Engine(look, state) => {
+                self.endpoint.engine(now, look, state);
                 self.give_way();
             }
             Event::Admit(admit) => self.on_admit(admit),
-            Event::Finish(ticket) => self.endpoint.finished(&ticket),
+            Event::Head(ticket, limit) => self.endpoint.head(&ticket, limit),
+            Event::Ended(call, end, engine) => self.endpoint.ended(now, &call, end, engine),
+            Event::Fell(call, engine, reply) => {
+                let _ = reply.send(self.endpoint.fell(now, &call, engine));
+            }
+            Event::Keys(vm, given) => self.endpoint.take_over(now, &vm, given),
+            Event::TellKeys(ask, reply) => drop(reply.send(self.endpoint.hand_over(now, &ask))),
+            Event::Ticket(client, service, reply) => {
+                drop(reply.send(self.endpoint.issue(now, &client, &service)));
+            }
             Event::Manifest(version, manifest) => self.on_manifest(&version, manifest),
             Event::Drawn(digest, data) => self.on_drawn(digest, data),
             Event::Have(peer, bits) => self.endpoint.have(now, &peer, bits.as_deref()),
             Event::Beat(beat) => self.endpoint.beat_of(now, &beat),
+            Event::Confirm(version, reply) => {
+                let _ = reply.send(self.endpoint.confirm(now, &version));
+            }
             Event::Loaded(version, taken) => {
                 self.endpoint.loaded(now, &version, taken);
-                self.count(if taken { "loads.taken" } else { "loads.failed" });
+                self.parts.metrics.count(if taken { "loads.taken" } else { "loads.failed" });
             }
             Event::TellHave(manifest, reply) => drop(reply.send(self.have(manifest))),
-            Event::Set(above, reply) => drop(reply.send(self.endpoint.newer(above))),
-            Event::Tell(reply) => drop(reply.send(self.endpoint.beat())),
+            Event::Tell(told, reply) => {
+                if told.load.is_none() {
+                    self.endpoint.heard(now, &told);
+                }
+                let _ = reply.send(self.endpoint.answer(now, &told));
+            }
             Event::Status(reply) => drop(reply.send(self.status())),
             Event::Drain(reply) => drop(reply.send(self.endpoint.drain())),
         }
@@ -122,10 +155,11 @@
     }
 
     fn on_admit(&mut self, admit: Admit) {
-        let decision = self.endpoint.ask(admit.ticket.clone(), &admit.service);
-        let passed = decision.is_ok();
+        let now = self.parts.clock.now();
+        let decision = self.endpoint.decide(now, &admit.offered);
+        let passed = matches!(decision, Decision::Run(_));
         if admit.reply.send(decision).is_err() && passed {
-            self.endpoint.finished(&admit.ticket);
+            self.endpoint.ended(now, &admit.offered, RunEnd::NotRun, Ended::Cancelled);
         }
     }
 
@@ -145,9 +179,9 @@
             (TransferOutcome::Kept | TransferOutcome::Whole, Ok(data)) => {
                 self.parts.store.keep(digest, data);
             }
-            (TransferOutcome::Corrupt, _) => self.count("chunks.corrupt"),
-            (_, Err(DrawError::Later(_))) => self.count("chunks.later"),
-            (_, Err(_)) => self.count("chunks.failed"),
+            (TransferOutcome::Corrupt, _) => self.parts.metrics.count("chunks.corrupt"),
+            (_, Err(DrawError::Later(_))) => self.parts.metrics.count("chunks.later"),
+            (_, Err(_)) => self.parts.metrics.count("chunks.failed"),
             _ => {}
         }
     }
@@ -162,7 +196,7 @@
     fn perform(&mut self) {
         for output in self.endpoint.outputs() {
             match output {
-                Output::Look => self.look(),
+                Output::Look(look) => self.look(look),
                 Output::ReadManifest(version, digest, places) => {
                     self.read_manifest(version, digest, places);
                 }
@@ -182,6 +216,7 @@
                         }
                     });
                 }
+                Output::AskKeys(vm, addr, ask) => self.ask_keys(vm, addr, ask),
                 Output::Draw(digest, place, timeout) => self.draw(digest, place, timeout),
                 Output::Retain(manifest) => self.parts.store.retain(&manifest),
                 Output::Load(version, manifest, fence) => self.load(version, manifest, fence),
@@ -189,11 +224,25 @@
         }
     }
 
-    fn look(&self) {
+    fn ask_keys(&self, vm: VmId, addr: SocketAddr, ask: Box<KeysAsk>) {
+        let (links, events) = (self.parts.links.clone(), self.parts.events.clone());
+        actix_rt::spawn(async move {
+            let asked = async {
+                let connection = links.get(&vm, addr).await?;
+                call(&connection, &Call::Keys(ask)).await
+            };
+            match actix_rt::time::timeout(KEYS, asked).await {
+                Ok(Ok(Reply::Keys(given))) => drop(events.send(Event::Keys(vm, *given))),
+                _ => links.close(&vm),
+            }
+        });
+    }
+
+    fn look(&self, look: LookId) {
         let (engine, events) = (self.parts.engine.clone(), self.parts.events.clone());
         actix_rt::spawn(async move {
             let state = engine.state().await.ok();
-            let _ = events.send(Event::Engine(state));
+            let _ = events.send(Event::Engine(look, state));
         });
     }
 
@@ -219,7 +268,8 @@
         let (engine, store) = (self.parts.engine.clone(), self.parts.store.clone());
         let events = self.parts.events.clone();
         actix_rt::spawn(async move {
-            let taken = give(&engine, &store, &version, &manifest, fence).await;
+            let order = Order { version: &version, manifest: &manifest, fence };
+            let taken = give(&engine, &store, order, &events).await;
             if let Err(error) = &taken {
                 log::warn!("version {version} was not loaded: {error:#}");
             }
@@ -251,26 +301,35 @@
             limit: gate.limit(),
             running: gate.running(),
             open: gate.open(),
-            endpoints: BTreeMap::new(),
-            counters: self.counters.clone(),
+            superseded: self.endpoint.superseded(),
+            counters: self.parts.metrics.counters(),
+            wire: self.parts.traffic.total(),
+            ..Status::default()
         }
     }
+}
 
-    fn count(&mut self, name: &str) {
-        *self.counters.entry(name.to_owned()).or_default() += 1;
-    }
+struct Order<'a> {
+    version: &'a VersionId,
+    manifest: &'a Manifest,
+    fence: Fence,
 }
 
+/// Hands the engine the chunks of a version, then the order to load it if it may still be given.
 async fn give(
     engine: &Engine,
     store: &Store,
-    version: &VersionId,
-    manifest: &Manifest,
-    fence: Fence,
+    order: Order<'_>,
+    events: &mpsc::UnboundedSender<Event>,
 ) -> anyhow::Result<()> {
-    for digest in &manifest.chunks {
+    for digest in &order.manifest.chunks {
         let chunk = store.get(digest).ok_or_else(|| anyhow::anyhow!("chunk {digest} is gone"))?;
         engine.put(digest, chunk).await?;
     }
-    engine.load(version, manifest, fence).await
+    let (reply, confirmed) = oneshot::channel();
+    let _ = events.send(Event::Confirm(order.version.clone(), reply));
+    if !confirmed.await.unwrap_or(false) {
+        anyhow::bail!("the order is no longer this process's to give");
+    }
+    engine.load(order.version, order.manifest, order.fence).await
 }
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -16,21 +16,25 @@
 };
 
 use actix_rt::signal::unix::{SignalKind, signal};
-use sequoiahold_core::weights::Pacer;
+use sequoiahold_core::{config::Identity, units::Span, weights::Pacer};
 use tokio::sync::{mpsc, oneshot, watch};
 
-pub use self::event::Event;
-use self::{
-    ask::Asks, engine::Engine, event_loop::EventLoop, peers::PeerService, store::Store,
-    upload::Uploader,
+use self::{ask::Asks, event_loop::EventLoop, peers::PeerService, store::Store, upload::Uploader};
+pub use self::{
+    engine::{Engine, SendError},
+    event::Event,
 };
 use crate::{
     clock::Clock,
-    net::{Links, Tls, listen},
+    config,
+    metrics::Metrics,
+    net::{Links, Tls, Traffic, listen, rotate},
     platform::Platform,
     reader, settings, status,
 };
 
+/// The time after which a refused caller may come back when no better figure is known.
+const RETRY: Span = Span::secs(1);
 /// Time that a graceful shutdown may take at the most.
 const DRAIN: Duration = Duration::from_secs(120);
 /// Pause between two looks at the requests in progress during a shutdown.
@@ -40,17 +44,34 @@
 
 /// Runs an endpoint process until it is told to stop and its requests are done.
 pub async fn run(settings: settings::Endpoint) -> anyhow::Result<()> {
-    let tls = Rc::new(Tls::load(&settings.keys)?);
+    let tls = Rc::new(RefCell::new(Tls::load(&settings.keys)?));
     let clock = Clock::default();
     let (events, receiver) = mpsc::unbounded_channel();
-    let (in_force, config) = watch::channel(None);
-    let links = Links::new(tls.clone());
+    let (in_force, _) = watch::channel(None);
+    let traffic = Traffic::default();
+    let links = Links::new(tls.clone(), traffic.clone()).bound_to(settings.peers.ip());
     let store = Store::default();
     let engine = Engine::new(&settings.engine);
     let platform = Platform::new(settings.platform.clone());
 
     let asks =
         Asks { events: events.clone(), engine: engine.clone(), incarnation: clock.incarnation() };
+    let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
+    let handle = config::start(config::Parts {
+        own: Identity {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            addr: settings.peers,
+        },
+        settings: settings.config.clone(),
+        clock,
+        links: Links::new(tls.clone(), traffic.clone()),
+        platform: platform.clone(),
+        metrics: metrics.clone(),
+        events: events.clone(),
+        offer: Event::Offer,
+    });
+    let config = handle.clone();
     let pacers = [(); 2].map(|()| Rc::new(RefCell::new(Pacer::new(settings.weights.rate))));
     let uploader = Uploader {
         clock,
@@ -59,14 +80,33 @@
         pacer: pacers[0].clone(),
         busy: Rc::new(Cell::new(0)),
     };
-    let peers = PeerService { events: events.clone(), uploader, asks };
-    let listening = listen(settings.peers, &tls, peers)?;
+    let peers = PeerService { events: events.clone(), uploader, config, asks };
+    let listening = listen(settings.peers, &tls.borrow(), traffic.clone(), peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
-    reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
+    let listed = events.clone();
+    actix_rt::spawn(reader::list_vms(
+        platform,
+        settings.config.list,
+        clock.incarnation().0,
+        move |list| {
+            handle.list(list.clone());
+            listed.send(Event::Vms(list)).is_ok()
+        },
+    ));
     log::info!("endpoint {} listens on {}", settings.vm, settings.peers);
 
-    let parts =
-        event_loop::Parts { clock, links, store, pacers, engine, in_force, events: events.clone() };
+    actix_rt::spawn(rotate(settings.keys.clone(), tls, listening.clone(), metrics.clone()));
+    let parts = event_loop::Parts {
+        clock,
+        links,
+        store,
+        pacers,
+        engine,
+        in_force,
+        events: events.clone(),
+        traffic,
+        metrics,
+    };
     actix_rt::spawn(EventLoop::new(settings, parts).run(receiver));
     signal(SignalKind::terminate())?.recv().await;
     log::info!("told to stop");
--- a/crates/sequoiahold/src/endpoint/peers.rs
+++ b/crates/sequoiahold/src/endpoint/peers.rs
@@ -5,7 +5,10 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{ask::Asks, event::Event, upload::Uploader};
-use crate::net::{serve::Serve, write};
+use crate::{
+    config::Handle,
+    net::{serve::Serve, write},
+};
 
 /// Answers the calls of other processes.
 #[derive(Clone)]
@@ -14,6 +17,8 @@
     pub events: mpsc::UnboundedSender<Event>,
     /// Gives chunks.
     pub uploader: Uploader,
+    /// The configuration task.
+    pub config: Handle,
     /// Runs requests.
     pub asks: Asks,
 }
@@ -22,8 +27,19 @@
     async fn serve(&self, call: Call, mut send: SendStream, recv: RecvStream) {
         let reply = match call {
             Call::Ask(ask) => return self.asks.run(*ask, send, recv).await,
-            Call::Beat(_) => self.query(Event::Tell).await.map(|beat| Reply::Beat(Box::new(beat))),
-            Call::Set(above) => self.query(|reply| Event::Set(above, reply)).await.map(Reply::Set),
+            Call::Beat(told) => {
+                let beat = self.query(|reply| Event::Tell(told, reply)).await;
+                beat.map(|beat| Reply::Beat(Box::new(beat)))
+            }
+            Call::Config(call) => self.config.answer(call).await,
+            Call::Keys(ask) => {
+                let given = self.query(|reply| Event::TellKeys(ask, reply)).await;
+                given.map(|given| Reply::Keys(Box::new(given)))
+            }
+            Call::Ticket(client, service) => {
+                let issued = self.query(|reply| Event::Ticket(client, service, reply)).await;
+                issued.map(|issued| issued.map_or_else(Reply::Refused, Reply::Ticket))
+            }
             Call::Chunk(digest) => {
                 if let Err(error) = self.uploader.answer(digest, &mut send).await {
                     log::debug!("chunk {}: {error:#}", digest.short());
--- a/crates/sequoiahold/src/entry/mod.rs
+++ b/crates/sequoiahold/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry process: takes callers and routes their requests to endpoints.
 
+mod auth;
 mod body;
 mod event;
 mod event_loop;
@@ -7,17 +8,21 @@
 mod problem;
 mod request;
 mod server;
+mod stopwatch;
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_rt::signal::unix::{SignalKind, signal};
+use sequoiahold_core::config::Identity;
 use tokio::sync::{mpsc, watch};
 
 pub use self::event::Event;
 use self::{event_loop::EventLoop, peers::PeerService, server::Server};
 use crate::{
     clock::Clock,
-    net::{Links, Tls, listen},
+    config,
+    metrics::Metrics,
+    net::{Links, Tls, Traffic, listen, rotate},
     platform::Platform,
     reader, settings, status,
 };
@@ -27,27 +32,54 @@
 
 /// Runs an entry process until it is told to stop and its requests are done.
 pub async fn run(settings: settings::Entry) -> anyhow::Result<()> {
-    let tls = Rc::new(Tls::load(&settings.keys)?);
+    let tls = Rc::new(RefCell::new(Tls::load(&settings.keys)?));
     let clock = Clock::default();
     let (events, receiver) = mpsc::unbounded_channel();
-    let (in_force, config) = watch::channel(None);
-    let links = Links::new(tls.clone());
+    let (in_force, shown) = watch::channel(None);
+    let traffic = Traffic::default();
+    let links = Links::new(tls.clone(), traffic.clone()).bound_to(settings.peers.ip());
     let platform = Platform::new(settings.platform.clone());
 
-    let peers = PeerService { events: events.clone() };
-    let listening = listen(settings.peers, &tls, peers)?;
+    let metrics = Metrics::new(&settings.metrics, settings.vm.as_str())?;
+    let handle = config::start(config::Parts {
+        own: Identity {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            addr: settings.peers,
+        },
+        settings: settings.config.clone(),
+        clock,
+        links: Links::new(tls.clone(), traffic.clone()),
+        platform: platform.clone(),
+        metrics: metrics.clone(),
+        events: events.clone(),
+        offer: Event::Offer,
+    });
+    let peers = PeerService { events: events.clone(), config: handle.clone() };
+    let listening = listen(settings.peers, &tls.borrow(), traffic.clone(), peers)?;
     status::serve(settings.admin, events.clone(), Event::Status).await?;
-    reader::start(platform, config.clone(), events.clone(), Event::Offer, Event::Vms);
+    let listed = events.clone();
+    actix_rt::spawn(reader::list_vms(
+        platform,
+        settings.config.list,
+        clock.incarnation().0,
+        move |list| {
+            handle.list(list.clone());
+            listed.send(Event::Vms(list)).is_ok()
+        },
+    ));
 
-    let server = Server::new(&settings, clock, links.clone(), config, events.clone());
-    server.listen(settings.callers).await?;
+    actix_rt::spawn(rotate(settings.keys.clone(), tls, listening.clone(), metrics.clone()));
+    let parts = event_loop::Parts { clock, links, in_force, events, traffic };
+    let server = Server::new(&settings, &parts, shown, metrics.clone());
+    let open = server.listen(settings.callers).await?;
     log::info!("entry {} takes callers on {}", settings.vm, settings.callers);
 
-    let event_loop = EventLoop::new(settings, clock, links, in_force, events);
+    let event_loop = EventLoop::new(settings, parts, metrics);
     actix_rt::spawn(event_loop.run(receiver));
     signal(SignalKind::terminate())?.recv().await;
     log::info!("told to stop, {} requests in progress", server.in_progress());
-    server.drain(DRAIN).await;
+    server.drain(DRAIN, &open).await;
     listening.close(0u32.into(), b"stopped");
     listening.wait_idle().await;
     Ok(())
--- a/crates/sequoiahold/src/lib.rs
+++ b/crates/sequoiahold/src/lib.rs
@@ -3,10 +3,12 @@
 pub mod cli;
 pub mod clock;
 pub mod command;
+pub mod config;
 pub mod endpoint;
 pub mod entry;
 pub mod http;
 pub mod logging;
+pub mod metrics;
 pub mod net;
 pub mod platform;
 pub mod reader;
--- a/crates/sequoiahold/src/settings/mod.rs
+++ b/crates/sequoiahold/src/settings/mod.rs
@@ -1,9 +1,12 @@
 //! Settings of the processes, read from JSON and checked at load.
 
+mod callers;
+mod config;
 mod endpoint;
 mod entry;
 mod keys;
 mod log;
+mod metrics;
 mod platform;
 
 use std::{fs, path::Path};
@@ -12,10 +15,13 @@
 use serde::de::DeserializeOwned;
 
 pub use self::{
+    callers::Limits,
+    config::Config,
     endpoint::{Endpoint, Engine, Weights},
     entry::Entry,
     keys::Keys,
     log::{Format, Log},
+    metrics::Metrics,
     platform::Platform,
 };
 
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -6,7 +6,12 @@
 use pico_args::Arguments;
 use sequoiahold_core::{ids::VersionId, units::Bytes};
 
-use crate::{content::Content, demo, experiment::weights};
+use crate::{
+    bench,
+    content::Content,
+    demo,
+    experiment::{self, burst, routing, traffic, zones},
+};
 
 const HELP: &str = "\
 Stand-ins, load and experiments for sequoiahold.
@@ -16,8 +21,14 @@
 Commands:
   demo [glasmarke|tannverket] [--seed N] [--program FILE] [--examples DIR]
       run a deployment on loopback; the last line of output is one JSON object
+  bench SERIES [--program FILE]
+      measure one real process against a growing number and fit the slope
+  experiment config [--seed N] [--json]
+      adopt configurations in a fleet of 5,310 processes in virtual time
   experiment weights [--seed N] [--vms MOST] [--scheme NAME] [--out DIR]
       measure ways to draw weights in virtual time; DIR takes JSON lines and charts
+  experiment zones|burst|routing [--deployment NAME] [--load PERCENT] [--seed N] [--out DIR]
+      measure decisions in virtual time; DIR takes JSON lines and charts
   manifest VERSION --size SIZE --chunk SIZE
       print the digest of the manifest of generated weights
 ";
@@ -53,6 +64,15 @@
             };
             actix_rt::System::new().block_on(demo::run(options))
         }
+        Some("bench") => {
+            let options = bench::Options {
+                program: args
+                    .opt_value_from_str("--program")?
+                    .unwrap_or_else(|| PathBuf::from("target/release/sequoiahold")),
+                series: args.free_from_str()?,
+            };
+            actix_rt::System::new().block_on(bench::run(options))
+        }
         Some("experiment") => experiment(args),
         Some("manifest") => {
             let size: Bytes = args.value_from_str("--size")?;
@@ -66,13 +86,32 @@
 }
 
 fn experiment(mut args: Arguments) -> anyhow::Result<u8> {
-    match args.subcommand()?.as_deref() {
-        Some("weights") => weights::run(&weights::Options {
+    let name = args.subcommand()?;
+    match name.as_deref() {
+        Some("config") => experiment::config::run(
+            args.opt_value_from_str("--seed")?.unwrap_or(1),
+            args.contains("--json"),
+        ),
+        Some("weights") => experiment::weights::run(&experiment::weights::Options {
             seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
             most: args.opt_value_from_str("--vms")?.unwrap_or(950),
             scheme: args.opt_value_from_str("--scheme")?,
             out: args.opt_value_from_str("--out")?,
         }),
+        Some("burst") => burst::run(&traffic_options(args)?),
+        Some("routing") => routing::run(&traffic_options(args)?),
+        Some("zones") => zones::run(&traffic_options(args)?),
         other => bail!("unknown experiment {other:?}; try --help"),
     }
 }
+
+fn traffic_options(mut args: Arguments) -> anyhow::Result<traffic::Options> {
+    Ok(traffic::Options {
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+        deployment: args
+            .opt_value_from_str("--deployment")?
+            .unwrap_or_else(|| "glasmarke".to_owned()),
+        load: args.opt_value_from_str("--load")?.unwrap_or(90),
+        out: args.opt_value_from_str("--out")?,
+    })
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,14 +1,20 @@
 //! Stand-ins of the served systems, and the load and experiment tool over them.
 
+pub mod bench;
 pub mod callers;
 pub mod cli;
 pub mod content;
 pub mod demo;
+pub mod deployment;
+pub mod driver;
 pub mod engine;
 pub mod experiment;
+pub mod fixture;
 pub mod keys;
+pub mod load;
 pub mod origin;
 pub mod plain;
 pub mod platform;
 pub mod processes;
+pub mod relay;
 pub mod reply;
