--- a/crates/sequoiahold/src/command/status.rs
+++ b/crates/sequoiahold/src/command/status.rs
@@ -4,9 +4,12 @@
 
 use anyhow::Context as _;
 
-use crate::status::Status;
+use crate::{cli::EXIT_UNSOUND, status::Status};
 
-/// Prints the status of the process at `addr`.
+/// Largest status that is read, in bytes.
+const MAX_STATUS: usize = 16_000_000;
+
+/// Prints the status of the process at `addr`; the exit code tells whether there are alarms.
 pub fn run(addr: SocketAddr, json: bool) -> anyhow::Result<u8> {
     let status = actix_rt::System::new().block_on(fetch(addr))?;
     if json {
@@ -14,12 +17,12 @@
     } else {
         print!("{status}");
     }
-    Ok(0)
+    Ok(if status.alarms.is_empty() { 0 } else { EXIT_UNSOUND })
 }
 
 async fn fetch(addr: SocketAddr) -> anyhow::Result<Status> {
     let sent = awc::Client::default().get(format!("http://{addr}/status")).send().await;
     let mut response = sent.map_err(|e| anyhow::anyhow!("no answer from {addr}: {e}"))?;
-    let body = response.body().await.context("the answer broke off")?;
+    let body = response.body().limit(MAX_STATUS).await.context("the answer broke off")?;
     serde_json::from_slice(&body).context("the answer is not a status")
 }
--- a/crates/sequoiahold/src/lib.rs
+++ b/crates/sequoiahold/src/lib.rs
@@ -1,5 +1,6 @@
 //! The processes of sequoiahold: I/O around the decisions of `sequoiahold-core`.
 
+pub mod alarm;
 pub mod cli;
 pub mod client;
 pub mod clock;
--- a/crates/sequoiahold/src/status.rs
+++ b/crates/sequoiahold/src/status.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{http, net::Wire};
+use crate::{alarm::Alarm, http, net::Wire};
 
 /// What a process holds and does.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -47,6 +47,9 @@
     /// Times by client account and measure.
     #[serde(default)]
     pub times: BTreeMap<String, BTreeMap<Measure, Summary>>,
+    /// What an operator should look at.
+    #[serde(default)]
+    pub alarms: Vec<Alarm>,
 }
 
 /// What an entry knows of an endpoint.
@@ -67,15 +70,15 @@
 impl fmt::Display for Status {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{} {} in {}", self.role, self.vm, self.zone)?;
+        for alarm in &self.alarms {
+            writeln!(f, "ALARM        {alarm}")?;
+        }
         writeln!(f, "generation   {}", self.generation)?;
         let version = self.version.as_ref().map_or("-", |v| v.as_str());
         writeln!(f, "version      {version}")?;
         writeln!(f, "missing      {}", self.missing)?;
         writeln!(f, "running      {} of {}", self.running, self.limit)?;
         writeln!(f, "open         {}", self.open)?;
-        if self.superseded {
-            writeln!(f, "superseded   the engine has taken orders of a later process")?;
-        }
         writeln!(f, "wire         {} sent, {} received", self.wire.sent, self.wire.received)?;
         for (vm, endpoint) in &self.endpoints {
             let version = endpoint.version.as_ref().map_or("-", |v| v.as_str());
@@ -108,7 +111,8 @@
             let (tx, rx) = oneshot::channel();
             let _ = events.send(event(tx));
             match rx.await {
-                Ok(status) => {
+                Ok(mut status) => {
+                    status.alarms = Alarm::of(&status);
                     let body = serde_json::to_vec(&status).unwrap_or_default();
                     Response::build(StatusCode::OK).body(body).map_into_boxed_body()
                 }
