--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -42,7 +42,14 @@
 elif [ $# -eq 1 ]; then
   check_all "$1"
 else
+  jobs=()
   for file in spec/*.pml; do
-    check_all "$(basename "$file" .pml)"
+    check_all "$(basename "$file" .pml)" &
+    jobs+=($!)
   done
+  failed=0
+  for job in "${jobs[@]}"; do
+    wait "$job" || failed=1
+  done
+  exit "$failed"
 fi
