--- a/crates/core/src/endpoint/calls.rs
+++ b/crates/core/src/endpoint/calls.rs
@@ -83,26 +83,26 @@
                 Verdict::Fail(failure) => return Decision::Fail(failure),
             }
         }
-        let admitted = self.presence.admit(now).and_then(|()| self.flights.admit(call.print));
+        let admitted = self.presence.admit(now).and_then(|()| self.in_flight.admit(call.print));
         if let Err(refusal) = admitted {
             return Decision::Refuse(refusal);
         }
         match self.ask(now, call.ticket.clone(), &call.service) {
             Ok(version) => {
-                self.flights.start(call.ticket.clone(), call.print);
+                self.in_flight.start(call.ticket.clone(), call.print);
                 if let Some(keyed) = call.keyed() {
                     self.once.begin(now, keyed);
                 }
-                Decision::Run(Pass { version, engine: self.flights.engine() })
+                Decision::Run(Pass { version, engine: self.in_flight.engine() })
             }
             Err(refusal) => Decision::Refuse(refusal),
         }
     }
 
     /// Takes note that the engine crashed under a call, and returns how the call failed.
-    pub fn fell(&mut self, now: Time, call: &Offered, engine: u64) -> Failure {
-        self.flights.look(now, &self.own.vm, engine);
-        match self.flights.suspects.is_sole(call.print) {
+    pub fn engine_crashed(&mut self, now: Time, call: &Offered, engine: u64) -> Failure {
+        self.in_flight.look(now, &self.own.vm, engine);
+        match self.in_flight.suspects.is_sole(call.print) {
             true => Failure::CrashedAlone,
             false => Failure::Crashed,
         }
@@ -110,7 +110,7 @@
 
     /// Takes note of how a call that was handed over ended.
     pub fn ended(&mut self, now: Time, call: &Offered, end: RunEnd, engine: Ended) {
-        self.flights.end(&call.ticket, &end);
+        self.in_flight.end(&call.ticket, &end);
         if let Some(keyed) = call.keyed() {
             self.once.end(now, keyed, end);
         }
@@ -137,7 +137,7 @@
     /// Takes the state that an entry told.
     pub fn heard(&mut self, now: Time, beat: &Beat) {
         for crash in &beat.crashes {
-            self.flights.suspects.accuse(now, crash.clone());
+            self.in_flight.suspects.record_crash(now, crash.clone());
         }
     }
 
--- a/crates/core/src/endpoint/guard.rs
+++ b/crates/core/src/endpoint/guard.rs
@@ -35,7 +35,7 @@
         let idle = now - self.last;
         self.last = self.last.max(now);
         if idle.0 > self.own.look.0 * LATE_LOOKS {
-            self.gate.doubt();
+            self.gate.invalidate();
             self.look();
         }
     }
--- a/crates/core/src/endpoint/flights.rs
+++ b/crates/core/src/endpoint/in_flight.rs
@@ -1,4 +1,4 @@
-//! The requests in flight at an engine, and whom its crashes accuse.
+//! The requests in flight at an engine, and whom its crashes record_crash.
 
 use std::collections::BTreeMap;
 
@@ -17,14 +17,14 @@
 
 /// The requests in flight and the suspects.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Flights {
+pub(super) struct InFlight {
     pub(super) suspects: Suspects,
     engine: Option<u64>,
-    flying: BTreeMap<Ticket, Print>,
-    fallen: Vec<Print>,
+    running: BTreeMap<Ticket, Print>,
+    broken: Vec<Print>,
 }
 
-impl Flights {
+impl InFlight {
     /// Returns the start of the engine as it was seen last.
     pub(super) fn engine(&self) -> u64 {
         self.engine.unwrap_or_default()
@@ -37,7 +37,7 @@
             Standing::Condemned => Err(Refusal::new(Reason::Suspect)),
             Standing::Suspect => {
                 let suspected = |print: &Print| self.suspects.standing(*print) != Standing::Clear;
-                match self.flying.values().any(suspected) {
+                match self.running.values().any(suspected) {
                     true => Err(Refusal::after(Reason::Suspect, RETRY)),
                     false => Ok(()),
                 }
@@ -47,27 +47,27 @@
 
     /// Takes note that a request is handed over.
     pub(super) fn start(&mut self, ticket: Ticket, print: Print) {
-        self.flying.insert(ticket, print);
+        self.running.insert(ticket, print);
     }
 
     /// Takes note of how a request ended.
     pub(super) fn end(&mut self, ticket: &Ticket, end: &RunEnd) {
-        let Some(print) = self.flying.remove(ticket) else { return };
+        let Some(print) = self.running.remove(ticket) else { return };
         match end {
             RunEnd::Answered(_) => self.suspects.clear(print),
             RunEnd::NotRun => {}
-            RunEnd::Unknown => self.fallen.push(print),
+            RunEnd::Unknown => self.broken.push(print),
         }
     }
 
     /// Takes the start that the engine shows; another one than before means that it crashed.
     pub(super) fn look(&mut self, now: Time, vm: &VmId, engine: u64) {
-        let fallen = std::mem::take(&mut self.fallen);
+        let broken = std::mem::take(&mut self.broken);
         let before = self.engine.replace(engine).filter(|before| *before != engine);
         let Some(before) = before else { return };
-        let prints: Vec<Print> = self.flying.values().copied().chain(fallen).collect();
+        let prints: Vec<Print> = self.running.values().copied().chain(broken).collect();
         if !prints.is_empty() {
-            self.suspects.accuse(now, Crash { vm: vm.clone(), engine: before, prints });
+            self.suspects.record_crash(now, Crash { vm: vm.clone(), engine: before, prints });
         }
     }
 }
--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -2,8 +2,8 @@
 
 mod calls;
 mod command;
-mod flights;
 mod guard;
+mod in_flight;
 mod life;
 mod presence;
 mod supply;
@@ -16,7 +16,9 @@
     life::{LifeEvent, LifeState},
     wanted::Drawing,
 };
-use self::{command::Command, flights::Flights, life::chart, presence::Presence, wanted::Wanted};
+use self::{
+    command::Command, in_flight::InFlight, life::chart, presence::Presence, wanted::Wanted,
+};
 use crate::{
     adopt::{Adopter, Adoption, InForce},
     chart::Machine,
@@ -117,7 +119,7 @@
     once: Once,
     seen: Copies,
     asking: bool,
-    flights: Flights,
+    in_flight: InFlight,
     life: Machine<LifeState, LifeEvent>,
     engine: Option<EngineState>,
     wanted: Option<Wanted>,
@@ -145,7 +147,7 @@
             gate: Gate::default(),
             seen: Copies::default(),
             asking: false,
-            flights: Flights::default(),
+            in_flight: InFlight::default(),
             life: Machine::new(Arc::new(chart())),
             engine: None,
             wanted: None,
@@ -190,7 +192,7 @@
         let first = self.engine.is_none() && state.is_some();
         if let Some(state) = &state {
             self.command.show(state.fence);
-            self.flights.look(now, &self.own.vm, state.incarnation);
+            self.in_flight.look(now, &self.own.vm, state.incarnation);
         }
         self.gate.observe(look, seen);
         self.engine = state;
@@ -243,7 +245,7 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time) {
-        self.flights.suspects.expire(now);
+        self.in_flight.suspects.expire(now);
         self.presence.note(now);
         self.wake(now);
         while let Some(timer) = self.timers.pop(now) {
@@ -305,7 +307,7 @@
             incarnation: self.own.incarnation,
             generation: self.adopter.generation(),
             load: Some(load),
-            crashes: self.flights.suspects.told(),
+            crashes: self.in_flight.suspects.told(),
             want: 0,
         }
     }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -164,7 +164,7 @@
     /// Takes the state that a peer told.
     pub fn heard(&mut self, now: Time, beat: Beat) {
         for crash in beat.crashes {
-            self.suspects.accuse(now, crash);
+            self.suspects.record_crash(now, crash);
         }
         self.incarnations.insert(beat.vm.clone(), beat.incarnation);
         if let Some(load) = beat.load {
@@ -184,7 +184,7 @@
     pub fn arrive(&mut self, now: Time, arrival: Arrival) -> RequestKey {
         let deadline = now + arrival.timeout;
         self.budget.earn(&arrival.client);
-        let held = self.held_against(&arrival);
+        let held = self.refusal_on_arrival(&arrival);
         let key = self.requests.insert_with_key(|key| {
             let timer = self.timers.at(deadline, Timer::Deadline(key));
             Request::new(arrival, now, self.chart.clone(), timer)
@@ -200,7 +200,7 @@
     pub fn refused(&mut self, now: Time, key: RequestKey, refusal: Refusal) {
         let freed = self.freed(now, key, false);
         if refusal.reason == Reason::Leaving {
-            self.shun(key);
+            self.mark_leaving(key);
         }
         if refusal == Refusal::new(Reason::Suspect) {
             return self.refuse(key, refusal);
@@ -220,7 +220,7 @@
 
     /// Takes note that a request has its whole answer.
     pub fn ended(&mut self, now: Time, key: RequestKey) {
-        self.acquit(key);
+        self.clear_suspicion(key);
         self.freed(now, key, true);
         self.end(key, RequestEvent::End);
     }
--- a/crates/core/src/entry/outcome.rs
+++ b/crates/core/src/entry/outcome.rs
@@ -75,7 +75,7 @@
     }
 
     /// Returns why a request is refused on arrival for the crashes that it is suspected of.
-    pub(super) fn held_against(&self, arrival: &Arrival) -> Option<Refusal> {
+    pub(super) fn refusal_on_arrival(&self, arrival: &Arrival) -> Option<Refusal> {
         match self.suspects.standing(Print::from(&arrival.print)) {
             Standing::Clear => None,
             Standing::Condemned => Some(Refusal::new(Reason::Suspect)),
@@ -88,14 +88,14 @@
     }
 
     /// Offers nothing more to the endpoint that refused a request until it tells its state again.
-    pub(super) fn shun(&mut self, key: RequestKey) {
+    pub(super) fn mark_leaving(&mut self, key: RequestKey) {
         if let Some(vm) = self.requests.get(key).and_then(|request| request.tried.last()) {
             self.router.leaving(vm, true);
         }
     }
 
     /// Takes back what is held against a request that ran to its end.
-    pub(super) fn acquit(&mut self, key: RequestKey) {
+    pub(super) fn clear_suspicion(&mut self, key: RequestKey) {
         if let Some(request) = self.requests.get(key) {
             self.suspects.clear(Print::from(&request.arrival.print));
         }
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -136,7 +136,7 @@
             return;
         }
         self.taken = look;
-        let Some(mut seen) = seen else { return self.doubt() };
+        let Some(mut seen) = seen else { return self.invalidate() };
         self.low = self.low.filter(|(head, _)| look <= *head);
         seen.limit = self.low.map_or(seen.limit, |(_, limit)| limit.min(seen.limit));
         let same = self.seen.incarnation == seen.incarnation && self.seen.version == seen.version;
@@ -154,8 +154,8 @@
         }
         self.spent.retain(|spent| *spent >= look);
         let shown = match self.trust {
-            Trust::After(doubted) => look > doubted,
-            Trust::Loaded(doubted) => look > doubted && seen.version == self.wanted,
+            Trust::After(stale) => look > stale,
+            Trust::Loaded(stale) => look > stale && seen.version == self.wanted,
             Trust::Loading => false,
             Trust::Shown => true,
         };
@@ -166,7 +166,7 @@
     }
 
     /// Closes the gate until a look that begins later shows the engine's state.
-    pub fn doubt(&mut self) {
+    pub fn invalidate(&mut self) {
         self.trust = match self.trust {
             Trust::Loading => Trust::Loading,
             Trust::Loaded(_) => Trust::Loaded(self.begun),
@@ -231,7 +231,7 @@
 
     /// Returns whether the last look shows the engine's present state.
     pub fn fresh(&self) -> bool {
-        !matches!(self.trust, Trust::After(doubted) if doubted >= self.taken)
+        !matches!(self.trust, Trust::After(stale) if stale >= self.taken)
     }
 
     /// Lets a request pass or refuses it.
@@ -268,7 +268,7 @@
             Ended::Whole if passed.epoch == self.epoch => {
                 self.estimate = (self.estimate + 1).min(self.bounds.slots);
             }
-            Ended::Broken => self.doubt(),
+            Ended::Broken => self.invalidate(),
             Ended::Cancelled | Ended::Whole => {}
         }
     }
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -67,7 +67,7 @@
     until: Time,
 }
 
-/// The requests that are suspected, and the crashes that accuse them.
+/// The requests that are suspected, and the crashes that record_crash them.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     crashes: BTreeMap<(VmId, u64), Time>,
@@ -77,7 +77,7 @@
 
 impl Suspects {
     /// Takes a crash that this process saw or was told of; a known one changes nothing.
-    pub fn accuse(&mut self, now: Time, crash: Crash) {
+    pub fn record_crash(&mut self, now: Time, crash: Crash) {
         let id = (crash.vm.clone(), crash.engine);
         let full = self.crashes.len() >= MAX_KNOWN && !self.crashes.contains_key(&id);
         if full || self.crashes.insert(id, now).is_some() {
--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -55,7 +55,7 @@
     start: Time,
     missing: Bits,
     flying: Bits,
-    flights: BTreeMap<usize, Flight>,
+    in_flight: BTreeMap<usize, Flight>,
     near: Estimate,
     far: Estimate,
     tasks: Vec<Option<Task>>,
@@ -102,7 +102,7 @@
             start: now,
             missing,
             flying: Bits::new(len),
-            flights: BTreeMap::new(),
+            in_flight: BTreeMap::new(),
             near: Estimate::default(),
             far: Estimate::default(),
             tasks: vec![None; len],
@@ -133,7 +133,7 @@
             .into_iter()
             .filter_map(|(k, peer)| Some((key(&k)?, peer)))
             .collect();
-        for flight in self.flights.values_mut() {
+        for flight in self.in_flight.values_mut() {
             flight.source = flight.source.as_ref().and_then(key);
         }
         self.assign();
@@ -343,7 +343,7 @@
     }
 
     fn next_outside(&mut self, now: Time) -> Option<Draw> {
-        if self.flights.values().filter(|flight| flight.outside).count() >= self.window {
+        if self.in_flight.values().filter(|flight| flight.outside).count() >= self.window {
             return None;
         }
         let idle = self.unknown().without(&self.flying);
@@ -406,7 +406,7 @@
             self.peers.entry(key).or_insert_with(|| Peer::new(len)).draws += 1;
         }
         self.flying.insert(chunk);
-        self.flights.insert(chunk, Flight { source, outside, since: now, timeout });
+        self.in_flight.insert(chunk, Flight { source, outside, since: now, timeout });
         let supplier =
             source.map_or(Supplier::Origin, |key| Supplier::Peer(self.topology.vm(key).clone()));
         Draw { digest: self.digests[chunk], supplier, timeout }
@@ -414,7 +414,7 @@
 
     fn land(&mut self, chunk: usize) -> Option<Flight> {
         self.flying.remove(chunk);
-        let flight = self.flights.remove(&chunk)?;
+        let flight = self.in_flight.remove(&chunk)?;
         if let Some(peer) = flight.source.and_then(|key| self.peers.get_mut(&key)) {
             peer.draws = peer.draws.saturating_sub(1);
         }
--- a/crates/core/tests/gate_machine.rs
+++ b/crates/core/tests/gate_machine.rs
@@ -178,7 +178,7 @@
                 self.turn(0);
                 self.gate.load_ended();
             }
-            Step::Sleep => self.gate.doubt(),
+            Step::Sleep => self.gate.invalidate(),
             Step::Restart if !self.engine.loading => self.restart(),
             _ => {}
         }
--- a/crates/core/tests/suspect.rs
+++ b/crates/core/tests/suspect.rs
@@ -14,9 +14,9 @@
 #[test]
 fn the_sole_suspect_of_two_crashes_is_refused() {
     let (mut suspects, now) = (Suspects::default(), Time::default());
-    suspects.accuse(now, crash("a", 1, &[7]));
+    suspects.record_crash(now, crash("a", 1, &[7]));
     assert_eq!(suspects.standing(Print(7)), Standing::Suspect);
-    suspects.accuse(now, crash("b", 1, &[7, 8]));
+    suspects.record_crash(now, crash("b", 1, &[7, 8]));
     assert_eq!(suspects.standing(Print(7)), Standing::Condemned);
     assert_eq!(suspects.standing(Print(8)), Standing::Clear);
 }
@@ -26,8 +26,8 @@
     let (mut suspects, now) = (Suspects::default(), Time::default());
     suspects.suspect(now, Print(7), true);
     assert!(suspects.is_sole(Print(7)));
-    suspects.accuse(now, crash("a", 1, &[7]));
-    suspects.accuse(now, crash("a", 1, &[7]));
+    suspects.record_crash(now, crash("a", 1, &[7]));
+    suspects.record_crash(now, crash("a", 1, &[7]));
     assert_eq!(suspects.standing(Print(7)), Standing::Suspect);
 }
 
@@ -35,7 +35,7 @@
 fn an_early_word_on_one_bystander_does_not_make_it_the_sole_suspect() {
     let (mut suspects, now) = (Suspects::default(), Time::default());
     suspects.suspect(now, Print(1), false);
-    suspects.accuse(now, crash("a", 1, &[1, 2, 3]));
+    suspects.record_crash(now, crash("a", 1, &[1, 2, 3]));
     assert!(!suspects.is_sole(Print(1)));
     suspects.clear(Print(1));
     assert_eq!(suspects.standing(Print(1)), Standing::Clear);
@@ -46,7 +46,7 @@
 fn what_is_told_and_kept_is_bounded() {
     let (mut suspects, now) = (Suspects::default(), Time::default());
     for engine in 0..100 {
-        suspects.accuse(now, crash("a", engine, &[engine, 1_000 + engine]));
+        suspects.record_crash(now, crash("a", engine, &[engine, 1_000 + engine]));
     }
     assert_eq!(suspects.told().len(), 8);
     suspects.expire(now + Span::secs(11));
--- a/crates/sequoiahold/src/endpoint/ask.rs
+++ b/crates/sequoiahold/src/endpoint/ask.rs
@@ -215,7 +215,7 @@
         for _ in 0..LOOKS {
             match self.asks.engine.state().await {
                 Ok(state) if state.incarnation != self.pass.engine => {
-                    return self.fell(state.incarnation).await;
+                    return self.engine_crashed(state.incarnation).await;
                 }
                 Ok(_) if self.asks.engine.cancel(&self.id()).await => {
                     self.running.engine = Ended::Cancelled;
@@ -227,10 +227,10 @@
         Failure::Unknown
     }
 
-    async fn fell(&self, engine: u64) -> Failure {
+    async fn engine_crashed(&self, engine: u64) -> Failure {
         let (reply, failure) = oneshot::channel();
         let offered = self.running.offered.clone();
-        let _ = self.asks.events.send(Event::Fell(offered, engine, reply));
+        let _ = self.asks.events.send(Event::EngineCrashed(offered, engine, reply));
         failure.await.unwrap_or(Failure::Crashed)
     }
 }
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -34,7 +34,7 @@
     /// A request that passed has ended.
     Ended(Offered, RunEnd, Ended),
     /// The engine, which now shows this start, crashed under a request.
-    Fell(Offered, u64, oneshot::Sender<Failure>),
+    EngineCrashed(Offered, u64, oneshot::Sender<Failure>),
     /// Another endpoint handed over keys.
     Keys(VmId, HandOver),
     /// Another endpoint asks for its keys.
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -108,13 +108,13 @@
             Event::Vms(list) => self.endpoint.list(now, &list),
             Event::Engine(look, state) => {
                 self.endpoint.engine(now, look, state);
-                self.give_way();
+                self.yield_link();
             }
             Event::Admit(admit) => self.on_admit(admit),
             Event::Head(ticket, limit) => self.endpoint.head(&ticket, limit),
             Event::Ended(call, end, engine) => self.endpoint.ended(now, &call, end, engine),
-            Event::Fell(call, engine, reply) => {
-                let _ = reply.send(self.endpoint.fell(now, &call, engine));
+            Event::EngineCrashed(call, engine, reply) => {
+                let _ = reply.send(self.endpoint.engine_crashed(now, &call, engine));
             }
             Event::Keys(vm, given) => self.endpoint.take_over(now, &vm, given),
             Event::TellKeys(ask, reply) => drop(reply.send(self.endpoint.hand_over(now, &ask))),
@@ -185,7 +185,7 @@
     }
 
     /// Leaves the link to live traffic by the share of the endpoint that requests take.
-    fn give_way(&self) {
+    fn yield_link(&self) {
         let gate = self.endpoint.gate();
         let share = share(gate.running(), gate.limit());
         self.parts.pacers.iter().for_each(|pacer| pacer.borrow_mut().set_share(share));
--- a/crates/sequoiahold/src/entry/server.rs
+++ b/crates/sequoiahold/src/entry/server.rs
@@ -44,8 +44,8 @@
 /// Pause between two looks at what is still in progress.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// What a caller wishes.
-enum Wish {
+/// What a caller plans.
+enum CallerRequest {
     Run(Incoming),
     Ticket(ClientId, ServiceId),
 }
@@ -102,9 +102,11 @@
     async fn handle(self, request: Request) -> Response<Body> {
         let guard = Active::new(&self.active);
         let keyed = request.headers().contains_key(KEY);
-        let mut response = match self.wish(request).await {
-            Ok(Wish::Run(incoming)) => self.requests.run(incoming, guard).await,
-            Ok(Wish::Ticket(client, service)) => self.requests.ticket(client, service).await,
+        let mut response = match self.plan(request).await {
+            Ok(CallerRequest::Run(incoming)) => self.requests.run(incoming, guard).await,
+            Ok(CallerRequest::Ticket(client, service)) => {
+                self.requests.ticket(client, service).await
+            }
             Err(refusal) => problem::refused(refusal, keyed),
         };
         if self.draining.get() {
@@ -113,7 +115,7 @@
         response
     }
 
-    async fn wish(&self, mut request: Request) -> Result<Wish, Refusal> {
+    async fn plan(&self, mut request: Request) -> Result<CallerRequest, Refusal> {
         if self.draining.get() {
             return Err(Refusal::after(Reason::Leaving, Span::secs(1)));
         }
@@ -124,7 +126,7 @@
             let service = service.parse().map_err(|_| Refusal::new(Reason::BadRequest))?;
             let known = Some(&service).filter(|service| client.services.contains(service));
             known.ok_or(Refusal::new(Reason::UnknownService))?;
-            return Ok(Wish::Ticket(client.name.clone(), service));
+            return Ok(CallerRequest::Ticket(client.name.clone(), service));
         }
         let upload = actix_rt::time::timeout(self.limits.upload.into(), self.body(&mut request));
         let body = upload.await.map_err(|_| Refusal::new(Reason::BadRequest))??;
@@ -142,7 +144,12 @@
             urgency: urgency(&request),
             size: units::Bytes(body.len() as u64),
         };
-        Ok(Wish::Run(Incoming { arrival, method: request.method().to_string(), path, body }))
+        Ok(CallerRequest::Run(Incoming {
+            arrival,
+            method: request.method().to_string(),
+            path,
+            body,
+        }))
     }
 
     async fn body(&self, request: &mut Request) -> Result<Bytes, Refusal> {
--- a/crates/standins/src/bench/fake_endpoint.rs
+++ b/crates/standins/src/bench/fake_endpoint.rs
@@ -6,6 +6,7 @@
 use quinn::{RecvStream, SendStream};
 use sequoiahold::net::{Tls, Traffic, listen, serve::Serve, write};
 use sequoiahold_core::{
+    config::{ConfigCall, ConfigReply, Gossip},
     ids::{Generation, Incarnation, VmId},
     proto::{Beat, Call, Load, Reply, Started},
 };
@@ -15,6 +16,8 @@
 pub struct FakeEndpoint {
     /// The VM.
     pub vm: VmId,
+    /// Its address.
+    pub addr: SocketAddr,
     /// The parts of an answer.
     pub parts: u32,
     /// The pause before each part.
@@ -22,9 +25,9 @@
 }
 
 impl FakeEndpoint {
-    /// Starts to answer on `addr`.
-    pub fn start(self, addr: SocketAddr, tls: &Tls) -> anyhow::Result<()> {
-        listen(addr, tls, Traffic::default(), self)?;
+    /// Starts to answer.
+    pub fn start(self, tls: &Tls) -> anyhow::Result<()> {
+        listen(self.addr, tls, Traffic::default(), self)?;
         Ok(())
     }
 
@@ -63,6 +66,10 @@
     async fn serve(&self, call: Call, mut send: SendStream, _: RecvStream) {
         let done = match call {
             Call::Beat(_) => write(&mut send, &Reply::Beat(Box::new(self.beat()))).await,
+            Call::Config(ConfigCall::Gossip(told)) => {
+                let gossip = Gossip { vm: self.vm.clone(), addr: self.addr, ..*told };
+                write(&mut send, &Reply::Config(ConfigReply::Gossip(Box::new(gossip)))).await
+            }
             Call::Ask(_) => self.answer(&mut send).await,
             _ => Ok(()),
         };
--- a/crates/standins/src/bench/series.rs
+++ b/crates/standins/src/bench/series.rs
@@ -226,7 +226,8 @@
     for number in 1..=count {
         let vm: VmId = format!("near-{number}").parse()?;
         let tls = role.tls(vm.as_str())?;
-        FakeEndpoint { vm, parts, pause }.start(role.net.address(number, 7400), &tls)?;
+        let addr = role.net.address(number, 7400);
+        FakeEndpoint { vm, addr, parts, pause }.start(&tls)?;
     }
     Ok(())
 }
--- a/crates/standins/src/driver/deliver.rs
+++ b/crates/standins/src/driver/deliver.rs
@@ -150,7 +150,7 @@
             }
             None if whole => (RunEnd::Unknown, Message::Failed(key, Failure::Unknown)),
             None => {
-                let failure = node.core.fell(now, &offered, engine);
+                let failure = node.core.engine_crashed(now, &offered, engine);
                 (RunEnd::Unknown, Message::Failed(key, failure))
             }
         };
--- a/crates/standins/src/experiment/burst.rs
+++ b/crates/standins/src/experiment/burst.rs
@@ -7,7 +7,7 @@
 
 use super::{
     chart::{Series, draw},
-    traffic::{Options, Traffic, Wish, capacity, quantile, shape},
+    traffic::{CallerRequest, Options, Traffic, capacity, quantile, shape},
 };
 
 /// The time in which all callers wake.
@@ -104,25 +104,25 @@
     traffic.add(start, WAKE, callers);
     traffic.run(LENGTH);
     let early_end = start + Span::secs(10);
-    let early = |wish: &&Wish| wish.answered.is_some_and(|(first, _)| first < early_end);
-    let wishes = &traffic.wishes;
+    let early = |plan: &&CallerRequest| plan.answered.is_some_and(|(first, _)| first < early_end);
+    let plans = &traffic.plans;
     let spans: Vec<Span> =
-        wishes.iter().filter(early).filter_map(|wish| Some(wish.answered?.0 - wish.at)).collect();
+        plans.iter().filter(early).filter_map(|plan| Some(plan.answered?.0 - plan.at)).collect();
     let share = |large: bool| {
-        let of = |wish: &&Wish| matches!(wish.client.as_str(), "c1" | "c2") == large;
-        let all = wishes.iter().filter(of).count().max(1);
-        wishes.iter().filter(of).filter(early).count() as f64 / all as f64
+        let of = |plan: &&CallerRequest| matches!(plan.client.as_str(), "c1" | "c2") == large;
+        let all = plans.iter().filter(of).count().max(1);
+        plans.iter().filter(of).filter(early).count() as f64 / all as f64
     };
-    let last = wishes.iter().filter_map(|wish| wish.answered).map(|(first, _)| first).max();
+    let last = plans.iter().filter_map(|plan| plan.answered).map(|(first, _)| first).max();
     let report = Report {
         deployment: options.deployment.clone(),
         seed: options.seed,
         policy: format!("{policy:?}"),
         callers,
-        answered: wishes.iter().filter(|wish| wish.answered.is_some()).count(),
+        answered: plans.iter().filter(|plan| plan.answered.is_some()).count(),
         early: spans.len(),
-        failed: wishes.iter().filter(|wish| wish.failed).count(),
-        refused: wishes.iter().map(|wish| wish.refused.len()).sum(),
+        failed: plans.iter().filter(|plan| plan.failed).count(),
+        refused: plans.iter().map(|plan| plan.refused.len()).sum(),
         gate: traffic.world.refusals,
         overloads: traffic.overloads(),
         p50_ms: quantile(&spans, 50),
@@ -142,11 +142,11 @@
     for call in &traffic.world.calls {
         seconds.get_mut(slot(call.at)).into_iter().for_each(|s| s.offered += 1);
     }
-    for wish in &traffic.wishes {
-        if let Some((first, _)) = wish.answered {
+    for plan in &traffic.plans {
+        if let Some((first, _)) = plan.answered {
             seconds.get_mut(slot(first)).into_iter().for_each(|s| s.answered += 1);
         }
-        for at in &wish.refused {
+        for at in &plan.refused {
             seconds.get_mut(slot(*at)).into_iter().for_each(|s| s.refused += 1);
         }
     }
--- a/crates/standins/src/experiment/routing.rs
+++ b/crates/standins/src/experiment/routing.rs
@@ -69,9 +69,9 @@
     traffic.run(WARM);
     let (gate, began) = (traffic.world.refusals, traffic.world.began.len());
     traffic.run(Span(LENGTH.0 + DRAIN.0));
-    let wishes: Vec<_> = traffic.wishes.iter().filter(|wish| wish.at >= start + WARM).collect();
+    let plans: Vec<_> = traffic.plans.iter().filter(|plan| plan.at >= start + WARM).collect();
     let spans: Vec<Span> =
-        wishes.iter().filter_map(|wish| Some(wish.answered?.0 - wish.at)).collect();
+        plans.iter().filter_map(|plan| Some(plan.answered?.0 - plan.at)).collect();
     let mut last = BTreeMap::new();
     let mut counts = BTreeMap::<_, usize>::new();
     let mut same = 0;
@@ -87,9 +87,9 @@
         policy: format!("{policy:?}"),
         seed: options.seed,
         load: options.load,
-        offered: wishes.len(),
+        offered: plans.len(),
         answered: spans.len(),
-        refused: wishes.iter().map(|wish| wish.refused.len()).sum(),
+        refused: plans.iter().map(|plan| plan.refused.len()).sum(),
         gate: traffic.world.refusals - gate,
         overloads: traffic.overloads(),
         p95_ms: quantile(&spans, 95),
--- a/crates/standins/src/experiment/traffic.rs
+++ b/crates/standins/src/experiment/traffic.rs
@@ -31,9 +31,9 @@
     pub out: Option<PathBuf>,
 }
 
-/// One caller's wish and what became of it.
+/// One caller's plan and what became of it.
 #[derive(Clone, Debug)]
-pub struct Wish {
+pub struct CallerRequest {
     /// When it first called.
     pub at: Time,
     /// The client account.
@@ -54,8 +54,8 @@
 pub struct Traffic {
     /// The world.
     pub world: World,
-    /// The wishes of all callers.
-    pub wishes: Vec<Wish>,
+    /// The plans of all callers.
+    pub plans: Vec<CallerRequest>,
     entries: Vec<VmId>,
     rng: SmallRng,
     live: Vec<usize>,
@@ -84,7 +84,7 @@
         let vms = world.fleet().vms.values().filter(|vm| vm.role == Role::Entry);
         let entries = vms.map(|vm| vm.name.clone()).collect();
         let rng = SmallRng::seed_from_u64(shape.seed);
-        Self { world, wishes: vec![], entries, rng, live: vec![] }
+        Self { world, plans: vec![], entries, rng, live: vec![] }
     }
 
     /// Adds callers that first call between two times, evenly at random.
@@ -94,8 +94,8 @@
             let large = self.rng.random_range(0..100) < LARGE;
             let client = if large { 1..=2 } else { 3..=10 };
             let client = format!("c{}", self.rng.random_range(client));
-            self.live.push(self.wishes.len());
-            self.wishes.push(Wish {
+            self.live.push(self.plans.len());
+            self.plans.push(CallerRequest {
                 at,
                 client,
                 calls: 0,
@@ -127,44 +127,44 @@
         self.world.engines.values().map(|engine| engine.overloads).sum()
     }
 
-    /// Returns the wishes of each account.
-    pub fn by_client(&self) -> BTreeMap<&str, Vec<&Wish>> {
-        let mut all: BTreeMap<&str, Vec<&Wish>> = BTreeMap::new();
-        for wish in &self.wishes {
-            all.entry(&wish.client).or_default().push(wish);
+    /// Returns the plans of each account.
+    pub fn by_client(&self) -> BTreeMap<&str, Vec<&CallerRequest>> {
+        let mut all: BTreeMap<&str, Vec<&CallerRequest>> = BTreeMap::new();
+        for plan in &self.plans {
+            all.entry(&plan.client).or_default().push(plan);
         }
         all
     }
 
-    /// Follows one wish and returns whether it goes on.
+    /// Follows one plan and returns whether it goes on.
     fn follow(&mut self, now: Time, index: usize) -> bool {
-        let wish = &mut self.wishes[index];
-        if let Some(call) = wish.open {
+        let plan = &mut self.plans[index];
+        if let Some(call) = plan.open {
             let record = &self.world.calls[call.0];
             let Some((end, outcome)) = &record.end else { return true };
-            wish.open = None;
+            plan.open = None;
             match outcome {
                 Outcome::Answered(_) => {
-                    wish.answered = Some((record.first.unwrap_or(*end), *end));
+                    plan.answered = Some((record.first.unwrap_or(*end), *end));
                     return false;
                 }
                 Outcome::Refused(_, retry) => {
-                    wish.refused.push(*end);
+                    plan.refused.push(*end);
                     let whole = retry.map(|span| Span::secs(span.0.div_ceil(1_000_000)));
-                    wish.due = whole.map(|span| *end + span);
+                    plan.due = whole.map(|span| *end + span);
                 }
-                _ => wish.failed = true,
+                _ => plan.failed = true,
             }
         }
-        let Some(due) = wish.due.filter(|_| wish.calls < MAX_CALLS) else { return false };
+        let Some(due) = plan.due.filter(|_| plan.calls < MAX_CALLS) else { return false };
         if due <= now {
-            wish.due = None;
-            wish.calls += 1;
+            plan.due = None;
+            plan.calls += 1;
             let entry = self.entries.choose(&mut self.rng).expect("a world has entries").clone();
-            let client = wish.client.clone();
+            let client = plan.client.clone();
             let asked = Asked { service: "llm", client: &client, key: None, body: None };
             let call = self.world.ask(&entry, asked);
-            self.wishes[index].open = Some(call);
+            self.plans[index].open = Some(call);
         }
         true
     }
--- a/crates/standins/src/experiment/zones.rs
+++ b/crates/standins/src/experiment/zones.rs
@@ -137,7 +137,7 @@
             offered: all.offered,
             answered: all.answered,
             refused: all.refused,
-            failed: traffic.wishes.iter().filter(|w| w.failed && in_phase(w.at)).count(),
+            failed: traffic.plans.iter().filter(|w| w.failed && in_phase(w.at)).count(),
             worst: part.iter().filter(|s| s.offered > 0).map(share).fold(100.0, f64::min),
             p50_ms: all.p50_ms,
             p95_ms: all.p95_ms,
@@ -149,15 +149,15 @@
 }
 
 fn slice(traffic: &Traffic, from: Time, width: Span, at_ms: u64) -> Slice {
-    let within = traffic.wishes.iter().filter(|w| w.at >= from && w.at < from + width);
-    let wishes: Vec<_> = within.collect();
-    let at_once = wishes.iter().filter(|wish| wish.refused.is_empty());
-    let spans: Vec<Span> = at_once.filter_map(|wish| Some(wish.answered?.1 - wish.at)).collect();
+    let within = traffic.plans.iter().filter(|w| w.at >= from && w.at < from + width);
+    let plans: Vec<_> = within.collect();
+    let at_once = plans.iter().filter(|plan| plan.refused.is_empty());
+    let spans: Vec<Span> = at_once.filter_map(|plan| Some(plan.answered?.1 - plan.at)).collect();
     Slice {
         at_ms,
-        offered: wishes.len(),
+        offered: plans.len(),
         answered: spans.len(),
-        refused: wishes.iter().filter(|wish| !wish.refused.is_empty()).count(),
+        refused: plans.iter().filter(|plan| !plan.refused.is_empty()).count(),
         p50_ms: quantile(&spans, 50),
         p95_ms: quantile(&spans, 95),
         p99_ms: quantile(&spans, 99),
--- a/spec/admission.pml
+++ b/spec/admission.pml
@@ -69,7 +69,7 @@
 	j = 0
 }
 
-/* Gate::doubt */
+/* Gate::invalidate */
 inline doubt() {
 	if
 	:: trust == LOADING -> skip
