--- /dev/null
+++ b/crates/core/tests/chart.rs
@@ -0,0 +1,48 @@
+//! State charts: the committed ones are sound, and faulty ones are refused with the fault.
+
+use std::{fs, path::PathBuf};
+
+use rstest::rstest;
+use sequoiahold_core::{
+    chart::{Chart, ChartError},
+    endpoint::{LifeEvent, LifeState},
+    entry::{RequestEvent, RequestState},
+};
+
+type RequestChart = Chart<RequestState, RequestEvent>;
+
+#[rstest]
+#[case::request("request.json")]
+#[case::endpoint("endpoint.json")]
+fn committed_charts_are_sound(#[case] name: &str) {
+    let file = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("charts").join(name);
+    let text = fs::read_to_string(file).unwrap();
+    let request = RequestChart::parse(&text).is_ok();
+    let endpoint = Chart::<LifeState, LifeEvent>::parse(&text).is_ok();
+    assert!(request ^ endpoint, "the chart is of just one machine");
+}
+
+#[rstest]
+#[case::unknown_state(r#"{"name":"x","initial":"arrived","states":{"arrived":{"send":"gone"}}}"#)]
+#[case::unknown_event(
+    r#"{"name":"x","initial":"arrived","states":{"arrived":{"jump":"arrived"}}}"#
+)]
+#[case::unknown_key(r#"{"name":"x","initial":"arrived","states":{"arrived":{}},"more":1}"#)]
+#[case::no_initial(r#"{"name":"x","states":{"arrived":{}}}"#)]
+fn unknown_names_are_refused(#[case] text: &str) {
+    assert!(matches!(RequestChart::parse(text), Err(ChartError::Parse(_))));
+}
+
+#[rstest]
+fn an_unreachable_state_is_refused() {
+    let text = r#"{"name":"x","initial":"arrived","states":{"arrived":{},"offered":{}}}"#;
+    let error = RequestChart::parse(text).unwrap_err();
+    assert_eq!(error, ChartError::Unreachable("Offered".to_owned()));
+}
+
+#[rstest]
+fn a_target_without_an_entry_is_refused() {
+    let text = r#"{"name":"x","initial":"arrived","states":{"arrived":{"send":"offered"}}}"#;
+    let error = RequestChart::parse(text).unwrap_err();
+    assert_eq!(error, ChartError::Missing("Offered".to_owned()));
+}
--- a/crates/sequoiahold/src/cli.rs
+++ b/crates/sequoiahold/src/cli.rs
@@ -6,7 +6,7 @@
 use pico_args::Arguments;
 use sequoiahold_core::ids::Generation;
 
-use crate::{command, endpoint, entry, logging, settings};
+use crate::{command, endpoint, entry, help, logging, settings};
 
 /// Exit code of a command that found a set unsound or a process unwell.
 pub const EXIT_UNSOUND: u8 = 1;
@@ -54,7 +54,7 @@
     }
     let command = args.subcommand()?;
     if command.is_none() || args.contains(["-h", "--help"]) {
-        print!("{HELP}");
+        print!("{}", command.and_then(|name| help::of(&name)).unwrap_or_else(|| HELP.to_owned()));
         return Ok(0);
     }
     match command.as_deref() {
--- a/crates/sequoiahold/src/lib.rs
+++ b/crates/sequoiahold/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod endpoint;
 pub mod entry;
+pub mod help;
 pub mod http;
 pub mod logging;
 pub mod metrics;
