--- a/crates/sequoiahold/src/cli.rs
+++ b/crates/sequoiahold/src/cli.rs
@@ -101,6 +101,7 @@
         return Ok(0);
     }
     logging::start(&settings.log)?;
+    logging::stop_on_panic();
     actix_rt::System::new().block_on(entry::run(settings))?;
     Ok(0)
 }
@@ -115,6 +116,7 @@
         return Ok(0);
     }
     logging::start(&settings.log)?;
+    logging::stop_on_panic();
     actix_rt::System::new().block_on(endpoint::run(settings))?;
     Ok(0)
 }
--- a/crates/sequoiahold/src/logging.rs
+++ b/crates/sequoiahold/src/logging.rs
@@ -1,6 +1,6 @@
 //! Log lines: plain or JSON, at the levels of the settings.
 
-use std::io;
+use std::{io, panic, process};
 
 use serde_json::json;
 
@@ -34,6 +34,16 @@
     Ok(())
 }
 
+/// Ends the process at a broken invariant, after its message and place are logged.
+///
+/// A panic in one task would otherwise leave a process that holds its ports and does nothing.
+pub fn stop_on_panic() {
+    panic::set_hook(Box::new(|info| {
+        log::error!("broken invariant: {info}");
+        process::abort();
+    }));
+}
+
 fn wall_seconds() -> String {
     let wall = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     format!("{:.3}", wall.unwrap_or_default().as_secs_f64())
