--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -2,9 +2,9 @@
 
 mod forecast;
 mod keyed;
-mod line;
 mod outcome;
 mod request;
+mod service_queue;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -17,8 +17,8 @@
 
 pub use self::request::{Arrival, RequestEvent, RequestState, URGENCY};
 use self::{
-    line::Lines,
     request::{Request, chart},
+    service_queue::ServiceQueues,
 };
 use crate::{
     adopt::{Adopter, Adoption, InForce},
@@ -101,7 +101,7 @@
     own: Identity,
     adopter: Adopter,
     router: Router,
-    lines: Lines,
+    queues: ServiceQueues,
     requests: SlotMap<RequestKey, Request>,
     chart: Arc<Chart<RequestState, RequestEvent>>,
     timers: Timers<Timer>,
@@ -123,7 +123,7 @@
             own,
             adopter: Adopter::default(),
             router,
-            lines: Lines::new(),
+            queues: ServiceQueues::new(),
             requests: SlotMap::with_key(),
             chart: Arc::new(chart()),
             timers: Timers::default(),
@@ -278,7 +278,7 @@
 
     /// Returns the requests that wait for an endpoint.
     pub fn waiting(&self) -> usize {
-        self.lines.values().map(|line| line.queue.len()).sum()
+        self.queues.values().map(|queue| queue.items.len()).sum()
     }
 
     /// Returns the service that a request in progress asks for.
@@ -359,7 +359,7 @@
     }
 
     fn pass_all(&mut self, now: Time) {
-        let services: Vec<ServiceId> = self.lines.keys().cloned().collect();
+        let services: Vec<ServiceId> = self.queues.keys().cloned().collect();
         services.iter().for_each(|service| self.pass(now, service));
     }
 
--- a/crates/core/src/entry/line.rs
+++ b/crates/core/src/entry/service_queue.rs
@@ -25,22 +25,22 @@
 
 /// The requests of one service at an entry.
 #[derive(Clone, Debug)]
-pub(super) struct Line {
-    pub(super) queue: FairQueue<RequestKey>,
+pub(super) struct ServiceQueue {
+    pub(super) items: FairQueue<RequestKey>,
     returns: Returns,
     mean: Span,
     running: u32,
     armed: Option<Time>,
 }
 
-impl Default for Line {
+impl Default for ServiceQueue {
     fn default() -> Self {
-        let (queue, returns) = (FairQueue::new(BOUNDS), Returns::default());
-        Self { queue, returns, mean: FIRST_TIME, running: 0, armed: None }
+        let (items, returns) = (FairQueue::new(BOUNDS), Returns::default());
+        Self { items, returns, mean: FIRST_TIME, running: 0, armed: None }
     }
 }
 
-impl Line {
+impl ServiceQueue {
     /// Takes note of the time that a request ran.
     fn took(&mut self, span: Span) {
         self.mean = Span((self.mean.0 * PAST + span.0) / (PAST + 1));
@@ -56,11 +56,11 @@
         let arrival = request.arrival.clone();
         let forecast = self.forecast(now, &arrival.service);
         let weight = self.weight_of(&arrival.client);
-        let line = self.lines.entry(arrival.service.clone()).or_default();
+        let queue = self.queues.entry(arrival.service.clone()).or_default();
         let (at, left) = (request.at, request.left(now).unwrap_or_default());
-        let until = (at + MAX_WAIT).min(now + Span(left.0.saturating_sub(line.mean.0)));
+        let until = (at + MAX_WAIT).min(now + Span(left.0.saturating_sub(queue.mean.0)));
         let patience = until - now;
-        let ahead = line.queue.ahead(&arrival.client, weight, arrival.urgency);
+        let ahead = queue.items.ahead(&arrival.client, weight, arrival.urgency);
         let served = forecast.map(|forecast| forecast.time_for(ahead));
         if served.is_none_or(|span| span > patience) {
             return self.give_up(now, key, refusal.reason);
@@ -77,7 +77,7 @@
             at,
             until,
         };
-        match line.queue.push(item) {
+        match queue.items.push(item) {
             Ok(evicted) => {
                 evicted.into_iter().for_each(|key| self.give_up(now, key, Reason::Share));
                 self.arm(now + PASS, &arrival.service);
@@ -88,34 +88,34 @@
 
     /// Returns whether others wait for the service of a request that may wait too.
     pub(super) fn others_wait(&self, arrival: &Arrival) -> bool {
-        let line = self.lines.get(&arrival.service).filter(|_| arrival.key.is_none());
-        line.is_some_and(|line| !line.queue.is_empty())
+        let queue = self.queues.get(&arrival.service).filter(|_| arrival.key.is_none());
+        queue.is_some_and(|queue| !queue.items.is_empty())
     }
 
     /// Serves the requests that wait while there is room, and refuses those that are too late.
     pub(super) fn pass(&mut self, now: Time, service: &ServiceId) {
-        if let Some(line) = self.lines.get_mut(service) {
-            line.armed = line.armed.filter(|at| *at > now);
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.armed = queue.armed.filter(|at| *at > now);
         }
-        while let Some(key) = self.lines.get(service).and_then(|line| line.queue.first()) {
+        while let Some(key) = self.queues.get(service).and_then(|queue| queue.items.first()) {
             match self.choose(now, key, false) {
                 Ok(output) => {
-                    self.lines.entry(service.clone()).or_default().queue.pop();
+                    self.queues.entry(service.clone()).or_default().items.pop();
                     self.sent(now, key, output);
                 }
                 Err(_) => break,
             }
         }
         let forecast = self.forecast(now, service);
-        let Some(line) = self.lines.get_mut(service) else { return };
+        let Some(queue) = self.queues.get_mut(service) else { return };
         let overdue = match forecast {
-            Some(forecast) => line.queue.overdue(|ahead| now + forecast.time_for(ahead)),
-            None => line.queue.overdue(|_| Time(u64::MAX)),
+            Some(forecast) => queue.items.overdue(|ahead| now + forecast.time_for(ahead)),
+            None => queue.items.overdue(|_| Time(u64::MAX)),
         };
         for key in &overdue {
-            line.queue.remove(*key);
+            queue.items.remove(*key);
         }
-        let waiting = !line.queue.is_empty();
+        let waiting = !queue.items.is_empty();
         overdue.into_iter().for_each(|key| self.give_up(now, key, Reason::Overload));
         if waiting {
             self.arm(now + PASS, service);
@@ -127,15 +127,15 @@
         let request = self.requests.get_mut(key)?;
         let service = request.arrival.service.clone();
         let sent = request.sent.take();
-        let line = self.lines.entry(service.clone()).or_default();
-        line.queue.remove(key);
+        let queue = self.queues.entry(service.clone()).or_default();
+        queue.items.remove(key);
         let (at, vm) = sent?;
-        line.running = line.running.saturating_sub(1);
+        queue.running = queue.running.saturating_sub(1);
         if whole {
-            line.took(now - at);
+            queue.took(now - at);
         }
         self.router.ended(&vm);
-        if !self.lines[&service].queue.is_empty() {
+        if !self.queues[&service].items.is_empty() {
             self.arm(now, &service);
         }
         Some(vm)
@@ -148,7 +148,7 @@
         {
             request.state.apply(super::RequestEvent::Send);
             request.sent = Some((now, vm.clone()));
-            self.lines.entry(request.arrival.service.clone()).or_default().running += 1;
+            self.queues.entry(request.arrival.service.clone()).or_default().running += 1;
         }
         self.outputs.push(output);
     }
@@ -156,8 +156,8 @@
     /// Returns the requests that this entry has for the service of an endpoint.
     pub(super) fn want(&self, fleet: &Fleet, vm: &VmId) -> u32 {
         let Some(pool) = fleet.pool_of(vm) else { return 0 };
-        let line = self.lines.get(&pool.service);
-        line.map_or(0, |line| line.queue.len() as u32 + line.running)
+        let queue = self.queues.get(&pool.service);
+        queue.map_or(0, |queue| queue.items.len() as u32 + queue.running)
     }
 
     /// Refuses a request at once, with the time at which it fits in.
@@ -165,11 +165,11 @@
         let Some(arrival) = self.requests.get(key).map(|r| r.arrival.clone()) else { return };
         let forecast = self.forecast(now, &arrival.service);
         let weight = self.weight_of(&arrival.client);
-        let line = self.lines.entry(arrival.service.clone()).or_default();
-        let forecast = forecast.unwrap_or(Forecast { slots: 1, warm: 1, mean: line.mean });
-        let free = now + forecast.time_for(line.queue.len());
+        let queue = self.queues.entry(arrival.service.clone()).or_default();
+        let forecast = forecast.unwrap_or(Forecast { slots: 1, warm: 1, mean: queue.mean });
+        let free = now + forecast.time_for(queue.items.len());
         let account = (&arrival.client, weight);
-        let retry = line.returns.book(now, account, free, forecast.gap());
+        let retry = queue.returns.book(now, account, free, forecast.gap());
         self.refuse(key, Refusal::after(reason, retry));
     }
 
@@ -182,7 +182,7 @@
         let warm: u32 = ready().filter_map(|(vm, _)| Some(fleet.pool_of(vm)?.slots)).sum();
         let entries = fleet.vms.values().filter(|vm| vm.role == Role::Entry);
         let entries = entries.filter(|vm| fleet.in_service(&vm.name)).count().max(1) as u32;
-        let mean = self.lines.get(service).map_or(FIRST_TIME, |line| line.mean);
+        let mean = self.queues.get(service).map_or(FIRST_TIME, |queue| queue.mean);
         let slots = credit.max(limit / entries);
         (limit > 0).then_some(Forecast { slots, warm: warm / entries, mean })
     }
@@ -193,13 +193,13 @@
     }
 
     fn arm(&mut self, at: Time, service: &ServiceId) {
-        let line = self.lines.entry(service.clone()).or_default();
-        if line.armed.is_none_or(|armed| at < armed) {
-            line.armed = Some(at);
+        let queue = self.queues.entry(service.clone()).or_default();
+        if queue.armed.is_none_or(|armed| at < armed) {
+            queue.armed = Some(at);
             self.timers.at(at, Timer::Pass(service.clone()));
         }
     }
 }
 
 /// The requests that wait, by service.
-pub(super) type Lines = BTreeMap<ServiceId, Line>;
+pub(super) type ServiceQueues = BTreeMap<ServiceId, ServiceQueue>;
