--- /dev/null
+++ b/crates/core/src/direct/desk.rs
@@ -0,0 +1,426 @@
+//! Places requests at endpoints, lets them wait, or turns them away.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::Rng;
+use slotmap::{SlotMap, new_key_type};
+
+use super::{
+    catalog::{Catalog, EngineSpec},
+    line::{Line, TicketKey, Waiting},
+    seat::{Ended, Seat, SeatLoad},
+    view::{View, Wanted},
+};
+use crate::{
+    ids::{ClientId, InstanceId, ModelId, RegionId, ServiceId, ZoneId},
+    refuse::{Reason, Refusal},
+    time::Time,
+    units::Span,
+};
+
+/// Part of the time within which a version must be in use after which nothing older is asked for.
+const VERSION_PART: f64 = 0.8;
+/// Work by which a farther endpoint must be less loaded, for each step of distance, in ms.
+const DISTANCE_WORK: u32 = 60;
+/// Part of the bound on cold endpoints that is used; the rest covers late arrivals.
+const COLD_PART: f64 = 0.9;
+/// Part of the objective that a request may wait for a place; the rest is for the first event.
+const WAIT_PART: f64 = 0.45;
+/// Part of the time left that a request which is late anyway may wait.
+const LATE_PART: f64 = 0.25;
+/// Shortest time after which a refused caller may come back.
+const MIN_RETRY: Span = Span::millis(700);
+/// Longest time after which a refused caller is asked to come back.
+const MAX_RETRY: Span = Span::secs(2);
+/// Time over which departures are counted to foretell how long a request would wait.
+const RATE_WINDOW: Span = Span::secs(2);
+/// Time between two looks at requests that wait for an endpoint whose rest ends.
+const LOOK: Span = Span::millis(25);
+
+new_key_type! {
+    /// An endpoint that requests can be sent to.
+    pub struct SeatKey;
+}
+
+/// Where this gateway stands, and what it must keep.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// The own zone.
+    pub zone: ZoneId,
+    /// The regions of the zones.
+    pub regions: BTreeMap<ZoneId, RegionId>,
+    /// Time within which a wanted version must be in use.
+    pub version_time: Span,
+    /// What is allowed of the rate that a cold endpoint bears.
+    pub cold_factor: f64,
+    /// Requests a second that are allowed beyond it.
+    pub cold_extra: f64,
+}
+
+/// A request that looks for a place.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The service.
+    pub service: ServiceId,
+    /// The client account.
+    pub account: Option<ClientId>,
+    /// The rank; 0 goes first.
+    pub priority: u8,
+    /// The regions that it may be served in; empty for all.
+    pub regions: BTreeSet<RegionId>,
+    /// The model.
+    pub model: Option<ModelId>,
+    /// Tokens of the prompt and expected tokens of the answer.
+    pub tokens: (u32, u32),
+    /// When the answer, or the first event, is late.
+    pub objective: Time,
+    /// When the caller gives up.
+    pub deadline: Time,
+    /// The endpoints that it was sent to before.
+    pub tried: Vec<SeatKey>,
+    /// Whether only an endpoint that answered its last requests will do.
+    pub careful: bool,
+}
+
+/// A place at an endpoint.
+#[derive(Clone, Debug)]
+pub struct Grant {
+    /// The endpoint.
+    pub seat: SeatKey,
+    /// The instance that is meant.
+    pub instance: InstanceId,
+    /// Its address.
+    pub addr: std::net::SocketAddr,
+    /// The version of the weights that alone may be used.
+    pub version: Option<u64>,
+    /// The work that the request is counted with, in ms.
+    pub work: u32,
+    /// The client account.
+    pub account: Option<ClientId>,
+    /// The service.
+    pub service: ServiceId,
+}
+
+/// What becomes of a request.
+#[derive(Debug)]
+pub enum Verdict {
+    /// It goes to an endpoint.
+    Go(Grant),
+    /// It waits.
+    Wait(TicketKey),
+    /// It is turned away.
+    Refuse(Refusal),
+}
+
+#[derive(Debug, Default)]
+struct ServiceDesk {
+    line: Line<Ask>,
+    ends: std::collections::VecDeque<Time>,
+    refused: u64,
+}
+
+/// The endpoints and the waiting requests.
+#[derive(Debug)]
+pub struct Desk {
+    place: Place,
+    seats: SlotMap<SeatKey, Seat>,
+    names: BTreeMap<InstanceId, SeatKey>,
+    services: BTreeMap<ServiceId, ServiceDesk>,
+    specs: BTreeMap<ServiceId, Spec>,
+    wanted: BTreeMap<ModelId, Wanted>,
+    gateways: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Spec {
+    cold_rate: Option<f64>,
+    engine: Option<EngineSpec>,
+}
+
+impl Desk {
+    /// Returns a desk without endpoints.
+    pub fn new(place: Place) -> Self {
+        Self {
+            place,
+            seats: SlotMap::with_key(),
+            names: BTreeMap::new(),
+            services: BTreeMap::new(),
+            specs: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+            gateways: 1,
+        }
+    }
+
+    /// Sets how many gateways may send to the same endpoints.
+    pub fn set_gateways(&mut self, gateways: usize) {
+        self.gateways = gateways.max(1);
+    }
+
+    /// Returns the seats.
+    pub fn seats(&self) -> impl Iterator<Item = (SeatKey, &Seat)> {
+        self.seats.iter()
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.services.values().map(|service| service.line.len()).sum()
+    }
+
+    /// Takes the published state.
+    pub fn follow(&mut self, view: &View) {
+        self.wanted = view.models().map(|(model, wanted)| (model.clone(), *wanted)).collect();
+        if let Some(catalog) = view.catalog() {
+            self.specs = specs(catalog);
+        }
+        let gone = |instance: &InstanceId| {
+            let endpoint = view.endpoints().get(instance);
+            endpoint.is_none_or(|endpoint| view.is_out(&endpoint.listed.zone))
+        };
+        let left: Vec<InstanceId> = self.names.keys().filter(|name| gone(name)).cloned().collect();
+        for instance in left {
+            self.names.remove(&instance).and_then(|seat| self.seats.remove(seat));
+        }
+        for (instance, endpoint) in view.endpoints() {
+            if view.is_out(&endpoint.listed.zone) {
+                continue;
+            }
+            match self.names.get(instance) {
+                Some(seat) => self.seats[*seat].refresh(endpoint.clone()),
+                None => {
+                    let region = self.place.regions.get(&endpoint.listed.zone).cloned();
+                    let distance = self.distance(&endpoint.listed.zone);
+                    let seat = self.seats.insert(Seat::new(endpoint.clone(), region, distance));
+                    self.names.insert(instance.clone(), seat);
+                }
+            }
+        }
+    }
+
+    /// Takes the load that other gateways cause at an endpoint.
+    pub fn tell(&mut self, now: Time, instance: &InstanceId, others: SeatLoad) {
+        if let Some(seat) = self.names.get(instance) {
+            self.seats[*seat].tell(now, others);
+        }
+    }
+
+    /// Places a request, lets it wait, or turns it away.
+    pub fn arrive(&mut self, now: Time, ask: Ask, rng: &mut impl Rng) -> Verdict {
+        let first = self.services.get(&ask.service).is_none_or(|desk| desk.line.is_empty());
+        if first && let Some(grant) = self.place(now, &ask, rng) {
+            return Verdict::Go(grant);
+        }
+        if !self.has_endpoint(&ask) {
+            return Verdict::Refuse(Refusal::after(Reason::NoEndpoint, MIN_RETRY));
+        }
+        let until = patience(now, &ask);
+        let late = ask.objective <= now;
+        let wait = self.foretell(now, &ask, late);
+        let desk = self.services.entry(ask.service.clone()).or_default();
+        if until <= now || now + wait > until {
+            desk.refused += 1;
+            return Verdict::Refuse(Refusal::after(Reason::Overload, retry(now, &ask, desk.refused)));
+        }
+        let waiting = Waiting {
+            priority: ask.priority,
+            account: ask.account.clone(),
+            since: now,
+            until,
+            late,
+        };
+        Verdict::Wait(desk.line.push(waiting, ask))
+    }
+
+    /// Places waiting requests where there is room now and turns away those that waited too long.
+    pub fn pump(
+        &mut self,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Vec<(ServiceId, TicketKey, Result<Grant, Refusal>)> {
+        let mut decided = vec![];
+        let names: Vec<ServiceId> = self.services.keys().cloned().collect();
+        for name in names {
+            self.pump_service(now, &name, rng, &mut decided);
+        }
+        decided
+    }
+
+    /// Returns when to look at the waiting requests again without an event.
+    pub fn wake(&self, now: Time) -> Option<Time> {
+        let waits = self.services.values().any(|service| !service.line.is_empty());
+        waits.then_some(now + LOOK)
+    }
+
+    /// Removes a waiting request whose caller left.
+    pub fn cancel(&mut self, service: &ServiceId, ticket: TicketKey) {
+        if let Some(desk) = self.services.get_mut(service) {
+            desk.line.remove(ticket);
+        }
+    }
+
+    /// Takes note of the end of a request at an endpoint.
+    pub fn end(&mut self, now: Time, grant: &Grant, ended: Ended) {
+        if let Some(seat) = self.seats.get_mut(grant.seat) {
+            seat.end(now, grant.work, ended);
+        }
+        let desk = self.services.entry(grant.service.clone()).or_default();
+        desk.line.end(&grant.account);
+        desk.ends.push_back(now);
+    }
+
+    fn pump_service(
+        &mut self,
+        now: Time,
+        name: &ServiceId,
+        rng: &mut impl Rng,
+        decided: &mut Vec<(ServiceId, TicketKey, Result<Grant, Refusal>)>,
+    ) {
+        let Some(desk) = self.services.get_mut(name) else { return };
+        if desk.line.is_empty() {
+            return;
+        }
+        for (ticket, ask) in desk.line.expire(now) {
+            desk.refused += 1;
+            let refusal = Refusal::after(Reason::Overload, retry(now, &ask, desk.refused));
+            decided.push((name.clone(), ticket, Err(refusal)));
+        }
+        for ticket in desk.line.order() {
+            let ask = self.services.get(name).and_then(|desk| desk.line.get(ticket)).cloned();
+            let Some(ask) = ask else { continue };
+            let Some(grant) = self.place(now, &ask, rng) else { continue };
+            if let Some(desk) = self.services.get_mut(name) {
+                desk.line.remove(ticket);
+            }
+            decided.push((name.clone(), ticket, Ok(grant)));
+        }
+    }
+
+    /// Takes a place at the least loaded endpoint that has room.
+    fn place(&mut self, now: Time, ask: &Ask, rng: &mut impl Rng) -> Option<Grant> {
+        let spec = self.specs.get(&ask.service).cloned().unwrap_or_default();
+        let most = self.most_a_second(&spec);
+        let version = self.version(now, ask);
+        let mut best: Option<(u64, SeatKey)> = None;
+        for (key, seat) in &mut self.seats {
+            let room = seat.load(now).count < seat.endpoint.listed.slots.max(1);
+            let fit = fits(seat, ask, version) && seat.is_fit(now) && seat.is_open(now, most);
+            if !room || !fit || (ask.careful && !seat.is_sound()) {
+                continue;
+            }
+            let score = score(seat, now, rng);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, key));
+            }
+        }
+        let (_, key) = best?;
+        let work = work(&spec, ask.tokens);
+        let seat = &mut self.seats[key];
+        seat.send(now, work);
+        let listed = &seat.endpoint.listed;
+        let grant = Grant {
+            seat: key,
+            instance: listed.instance.clone(),
+            addr: listed.addr,
+            version,
+            work,
+            account: ask.account.clone(),
+            service: ask.service.clone(),
+        };
+        let desk = self.services.entry(ask.service.clone()).or_default();
+        desk.line.start(&ask.account);
+        Some(grant)
+    }
+
+    /// Returns whether any endpoint may serve the request, now or when its load falls.
+    fn has_endpoint(&self, ask: &Ask) -> bool {
+        self.seats.values().any(|seat| fits(seat, ask, None) && !seat.endpoint.listed.leaving)
+    }
+
+    /// Returns the version that alone may be used, once an older one would come too late.
+    fn version(&self, now: Time, ask: &Ask) -> Option<u64> {
+        let wanted = self.wanted.get(ask.model.as_ref()?)?;
+        let last = Span((self.place.version_time.0 as f64 * VERSION_PART) as u64);
+        (wanted.since + last <= now).then_some(wanted.version)
+    }
+
+    /// Returns the requests that this gateway may send to one endpoint in any second, such that all
+    /// gateways together keep what a cold endpoint bears, whether or not it is known to be cold.
+    fn most_a_second(&self, spec: &Spec) -> usize {
+        let Some(rate) = spec.cold_rate else { return usize::MAX };
+        let all = (rate * self.place.cold_factor + self.place.cold_extra) * COLD_PART;
+        ((all / self.gateways as f64) as usize).max(1)
+    }
+
+    /// Returns how long a request would wait, by the places that were given back of late.
+    fn foretell(&mut self, now: Time, ask: &Ask, late: bool) -> Span {
+        let desk = self.services.entry(ask.service.clone()).or_default();
+        while desk.ends.front().is_some_and(|at| *at + RATE_WINDOW < now) {
+            desk.ends.pop_front();
+        }
+        let ahead = desk.line.ahead(ask.priority, late) as u64;
+        let ends = desk.ends.len() as u64;
+        if ends == 0 { Span(0) } else { Span(RATE_WINDOW.0 * ahead / ends) }
+    }
+
+    fn distance(&self, zone: &ZoneId) -> u32 {
+        let region = |zone| self.place.regions.get(zone);
+        match () {
+            () if *zone == self.place.zone => 0,
+            () if region(zone) == region(&self.place.zone) => 1,
+            () => 2,
+        }
+    }
+}
+
+fn specs(catalog: &Catalog) -> BTreeMap<ServiceId, Spec> {
+    let spec = |service: &super::catalog::Service| Spec {
+        cold_rate: service.cold_rate,
+        engine: service.engine.clone(),
+    };
+    catalog.services.iter().map(|(name, service)| (name.clone(), spec(service))).collect()
+}
+
+fn fits(seat: &Seat, ask: &Ask, version: Option<u64>) -> bool {
+    let listed = &seat.endpoint.listed;
+    let allowed = ask.regions.is_empty()
+        || seat.region.as_ref().is_some_and(|region| ask.regions.contains(region));
+    let serves = match (&ask.model, &listed.loaded) {
+        (Some(model), Some(_)) => {
+            let held = seat.endpoint.held(model).map(|loaded| loaded.version);
+            held.is_some_and(|held| version.is_none_or(|version| held == version))
+        }
+        _ => true,
+    };
+    listed.service == ask.service && allowed && serves
+}
+
+/// Returns the load of an endpoint, with a disadvantage for its distance; ties are broken at random.
+fn score(seat: &Seat, now: Time, rng: &mut impl Rng) -> u64 {
+    let load = seat.load(now);
+    let work = u64::from(load.work + seat.distance * DISTANCE_WORK);
+    (work << 16) | u64::from(rng.random::<u16>())
+}
+
+/// Returns the time that a request takes of an endpoint, in ms.
+fn work(spec: &Spec, (prompt, answer): (u32, u32)) -> u32 {
+    let Some(engine) = &spec.engine else { return 30 };
+    let read = f64::from(prompt) * 1_000.0 / engine.read_rate.max(1.0);
+    let write = f64::from(answer) * engine.step / f64::from(engine.slots.max(1));
+    (read + write).ceil() as u32
+}
+
+/// Returns until when a request may wait for a place.
+fn patience(now: Time, ask: &Ask) -> Time {
+    if ask.objective <= now {
+        return now + Span(((ask.deadline - now).0 as f64 * LATE_PART) as u64);
+    }
+    let until = now + Span(((ask.objective - now).0 as f64 * WAIT_PART) as u64);
+    until.min(ask.deadline)
+}
+
+/// Returns when a refused caller may come back; callers are spread over the allowed time.
+fn retry(now: Time, ask: &Ask, refused: u64) -> Span {
+    const STEPS: u64 = 8;
+    let most = Span((ask.deadline - now).0 / 3).min(MAX_RETRY);
+    let least = MIN_RETRY.min(most);
+    Span(least.0 + (most.0 - least.0) * (refused % STEPS) / STEPS)
+}
--- /dev/null
+++ b/crates/core/src/direct/mesh.rs
@@ -0,0 +1,191 @@
+//! Membership of the system's own processes by gossip of heartbeat counters.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+};
+
+use rand::{
+    Rng,
+    seq::{IndexedRandom as _, IteratorRandom as _},
+};
+use serde::{Deserialize, Serialize};
+
+use super::mirror::Revision;
+use crate::{
+    ids::{Incarnation, VmId, ZoneId},
+    time::Time,
+    units::Span,
+};
+
+/// Time between two rounds of gossip.
+pub const ROUND: Span = Span::millis(400);
+/// Members that a round tells.
+const FANOUT: usize = 3;
+/// Members that one message describes; with it a message fits one datagram.
+const DESCRIBED: usize = 8;
+/// Time without a new heartbeat after which a member counts as silent.
+const SILENT: Span = Span::millis(3_200);
+/// Time after which a silent member is forgotten; it may be alive behind a partition until then.
+const FORGET: Span = Span::secs(60);
+
+/// What a process of the system does.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Role {
+    /// It takes callers.
+    Gateway,
+    /// It brings weights to the engine on its VM.
+    Loader,
+}
+
+/// A process of the system.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// The VM.
+    pub vm: VmId,
+    /// What the process does.
+    pub role: Role,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Where it listens for peers, by UDP for gossip and by TCP for calls.
+    pub addr: SocketAddr,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Its heartbeat counter.
+    pub beat: u64,
+}
+
+/// One message of gossip.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Gossip {
+    /// The sender.
+    pub from: Member,
+    /// Members that the sender knows.
+    pub members: Vec<Member>,
+    /// The revision up to which the sender knows what is published.
+    pub at: Revision,
+    /// Whether the sender asks for an answer.
+    pub ask: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    member: Member,
+    heard: Time,
+}
+
+/// The members that one process knows.
+#[derive(Clone, Debug)]
+pub struct Mesh {
+    own: Member,
+    seeds: Vec<SocketAddr>,
+    peers: BTreeMap<VmId, Peer>,
+    told: bool,
+}
+
+impl Mesh {
+    /// Returns a mesh that knows only its seeds.
+    pub fn new(own: Member, seeds: impl IntoIterator<Item = SocketAddr>) -> Self {
+        let seeds = seeds.into_iter().filter(|seed| *seed != own.addr).collect();
+        Self { own, seeds, peers: BTreeMap::new(), told: false }
+    }
+
+    /// Returns this process.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Returns whether another process has been heard of.
+    pub fn is_joined(&self) -> bool {
+        self.told
+    }
+
+    /// Returns the members that are heard of regularly.
+    pub fn live(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let live = move |peer: &&Peer| peer.heard + SILENT > now;
+        self.peers.values().filter(live).map(|peer| &peer.member)
+    }
+
+    /// Returns how many processes of a role there may be, this one and silent ones included.
+    pub fn count(&self, role: Role) -> usize {
+        let peers = self.peers.values().filter(|peer| peer.member.role == role).count();
+        peers + usize::from(self.own.role == role)
+    }
+
+    /// Starts a round: returns the message and whom to send it to.
+    pub fn round(
+        &mut self,
+        now: Time,
+        at: Revision,
+        rng: &mut impl Rng,
+    ) -> (Gossip, Vec<SocketAddr>) {
+        self.own.beat += 1;
+        self.peers.retain(|_, peer| peer.heard + FORGET > now);
+        let live: Vec<&Member> = self.live(now).collect();
+        let mut to: Vec<SocketAddr> =
+            live.choose_multiple(rng, FANOUT).map(|member| member.addr).collect();
+        let silent = |peer: &&Peer| peer.heard + SILENT <= now;
+        if let Some(peer) = self.peers.values().filter(silent).choose(rng) {
+            to.push(peer.member.addr);
+        }
+        if to.len() < FANOUT {
+            to.extend(self.seeds.iter().filter(|seed| !self.knows(seed.ip())));
+        } else if let Some(seed) = self.seeds.choose(rng)
+            && rng.random_ratio(1, 8)
+        {
+            to.push(*seed);
+        }
+        to.sort();
+        to.dedup();
+        let ask = !self.told;
+        (self.message(now, at, ask, rng), to)
+    }
+
+    /// Returns the answer to a message that asks for one.
+    pub fn answer(&self, now: Time, at: Revision, rng: &mut impl Rng) -> Gossip {
+        self.message(now, at, false, rng)
+    }
+
+    /// Takes a message; returns whether a member was heard of for the first time.
+    pub fn hear(&mut self, now: Time, gossip: &Gossip) -> bool {
+        if gossip.from.vm == self.own.vm {
+            return false;
+        }
+        self.told = true;
+        let mut new = self.learn(now, &gossip.from, true);
+        for member in &gossip.members {
+            new |= self.learn(now, member, false);
+        }
+        new
+    }
+
+    fn learn(&mut self, now: Time, member: &Member, direct: bool) -> bool {
+        if member.vm == self.own.vm {
+            if member.incarnation > self.own.incarnation {
+                self.own.incarnation = member.incarnation.next();
+            }
+            return false;
+        }
+        let Some(known) = self.peers.get_mut(&member.vm) else {
+            self.peers.insert(member.vm.clone(), Peer { member: member.clone(), heard: now });
+            return true;
+        };
+        let order = |member: &Member| (member.incarnation, member.beat);
+        let newer = order(member) > order(&known.member);
+        let restarted = direct && member.incarnation != known.member.incarnation;
+        if newer || restarted {
+            *known = Peer { member: member.clone(), heard: now };
+        }
+        false
+    }
+
+    fn knows(&self, ip: IpAddr) -> bool {
+        self.peers.values().any(|peer| peer.member.addr.ip() == ip)
+    }
+
+    fn message(&self, now: Time, at: Revision, ask: bool, rng: &mut impl Rng) -> Gossip {
+        let described: Vec<&Member> = self.live(now).choose_multiple(rng, DESCRIBED);
+        let members = described.into_iter().cloned().collect();
+        Gossip { from: self.own.clone(), members, at, ask }
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/mirror.rs
@@ -0,0 +1,117 @@
+//! A copy of what the platform publishes, ordered by revision.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+/// Changes that are kept for peers that lag; one that lags further gets all items.
+const LOG: usize = 512;
+
+/// The platform's revision counter: it rises with each change.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Revision(pub u64);
+
+impl std::fmt::Display for Revision {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// One change: a value that was written, or a key that was removed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Change {
+    /// The key.
+    pub key: String,
+    /// The revision of the change.
+    pub revision: Revision,
+    /// The value, or `None` where the key was removed.
+    pub value: Option<Bytes>,
+}
+
+/// What a process passes on to a peer that lags.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sync {
+    /// The revision up to which the sender knows all changes.
+    pub at: Revision,
+    /// Whether `changes` are all items that exist at `at`.
+    pub whole: bool,
+    /// The changes.
+    pub changes: Vec<Change>,
+}
+
+/// The copy.
+#[derive(Clone, Debug, Default)]
+pub struct Mirror {
+    items: BTreeMap<String, (Revision, Option<Bytes>)>,
+    log: VecDeque<Change>,
+    from: Revision,
+    at: Revision,
+}
+
+impl Mirror {
+    /// Returns the revision up to which all changes are known; 0 where nothing is.
+    pub fn at(&self) -> Revision {
+        self.at
+    }
+
+    /// Takes changes up to `at` and returns those that were new.
+    pub fn apply(&mut self, at: Revision, changes: Vec<Change>) -> Vec<Change> {
+        let new: Vec<Change> = changes.into_iter().filter(|change| self.take(change)).collect();
+        self.at = self.at.max(at);
+        new
+    }
+
+    /// Takes all items that exist at `at`, and returns what changed; absent keys are removed.
+    pub fn replace(&mut self, at: Revision, items: Vec<Change>) -> Vec<Change> {
+        let present: BTreeSet<&String> = items.iter().map(|item| &item.key).collect();
+        let absent = |(key, (revision, value)): (&String, &(Revision, Option<Bytes>))| {
+            let gone = value.is_some() && *revision <= at && !present.contains(key);
+            gone.then(|| Change { key: key.clone(), revision: at, value: None })
+        };
+        let removed: Vec<Change> = self.items.iter().filter_map(absent).collect();
+        if self.at == Revision(0) {
+            self.from = at;
+        }
+        self.apply(at, removed.into_iter().chain(items).collect())
+    }
+
+    /// Returns what a peer that knows all changes up to `after` lacks.
+    pub fn since(&self, after: Revision) -> Sync {
+        if after >= self.from && after > Revision(0) {
+            let later = self.log.iter().filter(|change| change.revision > after);
+            return Sync { at: self.at, whole: false, changes: later.cloned().collect() };
+        }
+        let held = |(key, (revision, value)): (&String, &(Revision, Option<Bytes>))| {
+            let value = Some(value.clone()?);
+            Some(Change { key: key.clone(), revision: *revision, value })
+        };
+        Sync { at: self.at, whole: true, changes: self.items.iter().filter_map(held).collect() }
+    }
+
+    /// Takes what a peer passed on and returns what was new.
+    pub fn sync(&mut self, sync: Sync) -> Vec<Change> {
+        match sync {
+            Sync { at, .. } if at <= self.at => vec![],
+            Sync { at, whole: true, changes } => self.replace(at, changes),
+            Sync { at, whole: false, changes } => self.apply(at, changes),
+        }
+    }
+
+    fn take(&mut self, change: &Change) -> bool {
+        let known = self.items.get(&change.key);
+        if known.is_some_and(|(revision, _)| *revision >= change.revision) {
+            return false;
+        }
+        self.items.insert(change.key.clone(), (change.revision, change.value.clone()));
+        self.log.push_back(change.clone());
+        if self.log.len() > LOG
+            && let Some(first) = self.log.pop_front()
+        {
+            self.from = self.from.max(first.revision);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/mod.rs
@@ -0,0 +1,12 @@
+//! Decisions of a gateway, which sends requests straight to endpoints, and of a loader beside one.
+
+pub mod catalog;
+pub mod desk;
+pub mod line;
+pub mod mesh;
+pub mod mirror;
+pub mod repeats;
+pub mod seam;
+pub mod seat;
+pub mod stream;
+pub mod view;
--- /dev/null
+++ b/crates/core/src/direct/seam.rs
@@ -0,0 +1,162 @@
+//! The seam between the product and the platform that it runs on: paths, names and formats.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use bytes::Bytes;
+
+use super::{
+    catalog::{Catalog, Listed},
+    mirror::{Change, Revision},
+};
+use crate::ids::{InstanceId, ModelId, ZoneId};
+
+/// The names of the headers that gateways read and set, in lower case.
+#[derive(Clone, Copy, Debug)]
+pub struct Names {
+    /// The id of a caller's attempt, which the endpoint echoes.
+    pub attempt: &'static str,
+    /// Milliseconds that are left for the request.
+    pub deadline: &'static str,
+    /// The number of the last event that the caller holds.
+    pub last_event: &'static str,
+    /// The endpoint's signature of an answer.
+    pub signature: &'static str,
+    /// The client account, set by the gateway.
+    pub account: &'static str,
+    /// The instance that alone may run the request.
+    pub instance: &'static str,
+    /// Requests running and waiting at the endpoint, and its slots.
+    pub load: &'static str,
+    /// Says that the endpoint did not run the request.
+    pub not_run: &'static str,
+    /// Milliseconds that an endpoint stays cold.
+    pub cold: &'static str,
+    /// The model.
+    pub model: &'static str,
+    /// Prompt tokens, and the most tokens of the answer.
+    pub tokens: &'static str,
+    /// The caller's estimate of the tokens of the answer.
+    pub length: &'static str,
+    /// The rank at the engine.
+    pub priority: &'static str,
+    /// The version of the weights that alone may be used.
+    pub version: &'static str,
+}
+
+/// A value that the platform published, decoded.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Published {
+    /// The configuration.
+    Catalog(Box<Catalog>),
+    /// An entry of the list of endpoints, or `None` where it was removed.
+    Endpoint(InstanceId, Option<Listed>),
+    /// Whether operators have taken an availability zone out.
+    ZoneOut(ZoneId, bool),
+    /// The version of a model that operators want.
+    Wanted(ModelId, Option<u64>),
+    /// A key that means nothing to the system.
+    Other,
+}
+
+/// A published value that cannot be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DecodeError {
+    /// The key or path.
+    pub place: String,
+    /// What is wrong with the value.
+    pub fault: String,
+}
+
+impl std::fmt::Display for DecodeError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.place, self.fault)
+    }
+}
+
+impl std::error::Error for DecodeError {}
+
+/// One page of a list of items.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Page {
+    /// The platform's revision when it answered.
+    pub at: Revision,
+    /// The items.
+    pub items: Vec<Change>,
+    /// Whether more items follow.
+    pub more: bool,
+}
+
+/// What an engine says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// The version that it holds whole, by model.
+    pub held: BTreeMap<ModelId, u64>,
+    /// Whether an order is in progress.
+    pub busy: bool,
+    /// Orders that it has begun since its start.
+    pub orders: u64,
+    /// When it started, in ms of the wall clock.
+    pub born: Option<u64>,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
+}
+
+/// The chunks of one version.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ChunkList {
+    /// The version.
+    pub version: u64,
+    /// The SHA-256 digest of each chunk.
+    pub digests: Vec<[u8; 32]>,
+}
+
+/// An order to load what is staged at an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LoadOrder {
+    /// The model.
+    pub model: ModelId,
+    /// The version that is staged.
+    pub version: u64,
+    /// The number of orders that the engine must have begun so far.
+    pub after: u64,
+}
+
+/// The paths, names and formats of a platform. Implementations decide nothing.
+pub trait Dialect: Copy + 'static {
+    /// Returns the names of headers.
+    fn names(&self) -> &'static Names;
+    /// Returns the path of a gateway's readiness.
+    fn ready_path(&self) -> &'static str;
+    /// Returns the path of a page of all items, after a key.
+    fn page_path(&self, after: Option<&str>) -> String;
+    /// Reads a page.
+    fn page(&self, body: &[u8]) -> Result<Page, DecodeError>;
+    /// Returns the path of a watch for changes after a revision, for at most `wait_ms`.
+    fn watch_path(&self, after: Revision, wait_ms: u64) -> String;
+    /// Reads the changes that a watch returned.
+    fn changes(&self, body: &[u8]) -> Result<(Revision, Vec<Change>), DecodeError>;
+    /// Reads a published value.
+    fn published(&self, key: &str, value: Option<&[u8]>) -> Result<Published, DecodeError>;
+    /// Returns the path of an engine's report.
+    fn report_path(&self) -> &'static str;
+    /// Reads a report.
+    fn report(&self, body: &[u8]) -> Result<Report, DecodeError>;
+    /// Returns the path of the chunk list of a version.
+    fn list_path(&self, model: &ModelId, version: u64) -> String;
+    /// Reads a chunk list.
+    fn list(&self, body: &[u8]) -> Result<ChunkList, DecodeError>;
+    /// Returns the path of a chunk at the origin.
+    fn chunk_path(&self, model: &ModelId, version: u64, chunk: usize) -> String;
+    /// Returns the path at which an engine takes a chunk.
+    fn put_path(&self, model: &ModelId, chunk: usize) -> String;
+    /// Returns the path at which an engine gives a staged chunk back.
+    fn get_path(&self, model: &ModelId, chunk: usize) -> String;
+    /// Returns the path at which an engine takes orders.
+    fn order_path(&self) -> &'static str;
+    /// Writes an order to load what is staged.
+    fn order(&self, order: &LoadOrder) -> Bytes;
+    /// Reads the address of a peer that the platform named, with the port where peers listen.
+    fn peer(&self, text: &str, port: u16) -> Option<SocketAddr>;
+}
--- /dev/null
+++ b/crates/core/src/direct/seat.rs
@@ -0,0 +1,152 @@
+//! What a gateway knows of one endpoint: its load, its health and what was sent there.
+
+use std::collections::VecDeque;
+
+use super::view::Endpoint;
+use crate::{ids::RegionId, time::Time, units::Span};
+
+/// Window of the bound on a cold endpoint.
+const SECOND: Span = Span::secs(1);
+/// Failures in a row after which an endpoint rests.
+const FAILURES: u32 = 2;
+/// First rest of an endpoint that fails; each further failure doubles it.
+const REST: Span = Span::millis(600);
+/// Longest rest, so that an endpoint that is back serves within seconds.
+const MAX_REST: Span = Span::millis(4_800);
+/// Time after a refusal for want of room in which nothing more is sent there.
+const FULL: Span = Span::millis(120);
+/// Age at which the load that peers told is forgotten.
+const STALE: Span = Span::millis(1_500);
+
+/// How a request ended at an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// It was answered.
+    Answered,
+    /// The caller left or its time was over.
+    Dropped,
+    /// The endpoint had no room and did not run it.
+    Full,
+    /// Another instance is at the address, or other weights.
+    Misdirected,
+    /// The connection failed, or the endpoint gave no sound answer.
+    Failed,
+}
+
+/// The load of an endpoint that one gateway causes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SeatLoad {
+    /// Requests in progress.
+    pub count: u32,
+    /// Their work, in ms of the endpoint's time.
+    pub work: u32,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub struct Seat {
+    /// The endpoint as published.
+    pub endpoint: Endpoint,
+    /// The region of its zone.
+    pub region: Option<RegionId>,
+    /// How far it is: 0 in the own zone, 1 in the own region, 2 elsewhere.
+    pub distance: u32,
+    /// The requests of this gateway there.
+    pub own: SeatLoad,
+    others: SeatLoad,
+    told: Time,
+    sends: VecDeque<Time>,
+    failures: u32,
+    rest: Time,
+    unfit: bool,
+}
+
+impl Seat {
+    /// Returns an endpoint to which nothing was sent yet.
+    pub fn new(endpoint: Endpoint, region: Option<RegionId>, distance: u32) -> Self {
+        Self {
+            endpoint,
+            region,
+            distance,
+            own: SeatLoad::default(),
+            others: SeatLoad::default(),
+            told: Time::default(),
+            sends: VecDeque::new(),
+            failures: 0,
+            rest: Time::default(),
+            unfit: false,
+        }
+    }
+
+    /// Takes the published state of the same instance; a changed entry ends a misdirection.
+    pub fn refresh(&mut self, endpoint: Endpoint) {
+        let restarted = self.endpoint.listed.born != endpoint.listed.born
+            || self.endpoint.listed.addr != endpoint.listed.addr;
+        if self.endpoint.listed != endpoint.listed {
+            self.unfit = false;
+        }
+        if restarted {
+            self.failures = 0;
+            self.rest = Time::default();
+        }
+        self.endpoint = endpoint;
+    }
+
+    /// Returns whether the endpoint may be asked now, apart from its load.
+    pub fn is_fit(&self, now: Time) -> bool {
+        !self.unfit && !self.endpoint.listed.leaving && self.rest <= now
+    }
+
+    /// Returns whether the endpoint answered the last requests.
+    pub fn is_sound(&self) -> bool {
+        self.failures == 0
+    }
+
+    /// Returns whether the bound of `most` requests in any second allows one more.
+    pub fn is_open(&mut self, now: Time, most: usize) -> bool {
+        while self.sends.front().is_some_and(|at| *at + SECOND < now) {
+            self.sends.pop_front();
+        }
+        self.sends.len() < most
+    }
+
+    /// Returns the load that all gateways cause, as far as this one knows.
+    pub fn load(&self, now: Time) -> SeatLoad {
+        let others = if self.told + STALE > now { self.others } else { SeatLoad::default() };
+        SeatLoad { count: self.own.count + others.count, work: self.own.work + others.work }
+    }
+
+    /// Takes the load that other gateways cause.
+    pub fn tell(&mut self, now: Time, others: SeatLoad) {
+        self.others = others;
+        self.told = now;
+    }
+
+    /// Takes note of a request that is sent there.
+    pub fn send(&mut self, now: Time, work: u32) {
+        self.own.count += 1;
+        self.own.work += work;
+        self.sends.push_back(now);
+    }
+
+    /// Takes note of the end of a request that was sent there.
+    pub fn end(&mut self, now: Time, work: u32, ended: Ended) {
+        self.own.count = self.own.count.saturating_sub(1);
+        self.own.work = self.own.work.saturating_sub(work);
+        match ended {
+            Ended::Answered => self.failures = 0,
+            Ended::Dropped => {}
+            Ended::Full => self.rest = self.rest.max(now + FULL),
+            Ended::Misdirected => self.unfit = true,
+            Ended::Failed => self.fail(now),
+        }
+    }
+
+    fn fail(&mut self, now: Time) {
+        self.failures += 1;
+        if self.failures >= FAILURES {
+            let doublings = (self.failures - FAILURES).min(3);
+            self.rest = now + Span(REST.0 << doublings).min(MAX_REST);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/stream.rs
@@ -0,0 +1,80 @@
+//! Cuts a stream of events at their ends, so that only whole events are passed on.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest event that is taken; a longer one counts as broken.
+pub const MAX_EVENT: usize = 1_048_576;
+
+/// The events of one answer, over all endpoints that produced parts of it.
+#[derive(Clone, Debug, Default)]
+pub struct Events {
+    rest: BytesMut,
+    last: Option<u64>,
+}
+
+/// Why a stream cannot be passed on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StreamError {
+    /// The number of an event does not follow the last one.
+    Order,
+    /// An event is longer than any that is taken.
+    TooLong,
+}
+
+impl Events {
+    /// Returns a stream that goes on after the event that the caller holds.
+    pub fn after(last: Option<u64>) -> Self {
+        Self { rest: BytesMut::new(), last }
+    }
+
+    /// Returns the number of the last event that was passed on.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Drops the beginning of an event whose end did not arrive.
+    pub fn cut(&mut self) {
+        self.rest.clear();
+    }
+
+    /// Returns whether the bytes end with the end of an event.
+    pub fn is_whole(&self) -> bool {
+        self.rest.is_empty()
+    }
+
+    /// Takes bytes and returns the whole events among them.
+    pub fn take(&mut self, bytes: &[u8]) -> Result<Bytes, StreamError> {
+        let scanned = self.rest.len().saturating_sub(3);
+        self.rest.extend_from_slice(bytes);
+        let Some(end) = last_end(&self.rest, scanned) else {
+            let long = self.rest.len() > MAX_EVENT;
+            return if long { Err(StreamError::TooLong) } else { Ok(Bytes::new()) };
+        };
+        let whole = self.rest.split_to(end).freeze();
+        for number in numbers(&whole) {
+            if self.last.is_some_and(|last| number <= last) {
+                return Err(StreamError::Order);
+            }
+            self.last = Some(number);
+        }
+        Ok(whole)
+    }
+}
+
+/// Returns the place after the last blank line at or after `from`.
+fn last_end(bytes: &[u8], from: usize) -> Option<usize> {
+    let tail = &bytes[from..];
+    let end = |pattern: &[u8]| {
+        let place = tail.windows(pattern.len()).rposition(|window| window == pattern);
+        place.map(|place| from + place + pattern.len())
+    };
+    end(b"\n\n").max(end(b"\r\n\r\n"))
+}
+
+/// Returns the numbers of the events in order.
+fn numbers(bytes: &[u8]) -> impl Iterator<Item = u64> {
+    bytes.split(|byte| *byte == b'\n').filter_map(|line| {
+        let text = std::str::from_utf8(line.strip_prefix(b"id:")?).ok()?;
+        text.trim().parse().ok()
+    })
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -64,6 +64,10 @@
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct OnceKey(Arc<str>);
 
+/// One start of an endpoint's engine or service, as the platform names it.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct InstanceId(Arc<str>);
+
 macro_rules! name_id {
     ($($name:ident)*) => {$(
         impl $name {
@@ -103,7 +107,7 @@
     )*};
 }
 
-name_id!(VmId ZoneId RegionId PoolId ServiceId ModelId VersionId AdapterId ClientId OnceKey);
+name_id!(VmId ZoneId RegionId PoolId ServiceId ModelId VersionId AdapterId ClientId InstanceId OnceKey);
 
 /// A BLAKE3 digest.
 #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod chart;
 pub mod config;
 pub mod declare;
+pub mod direct;
 pub mod endpoint;
 pub mod entry;
 pub mod gate;
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -9,6 +9,7 @@
 const KB: u64 = 1_000;
 const MB: u64 = 1_000 * KB;
 const GB: u64 = 1_000 * MB;
+const BYTES_PER_MBIT: f64 = 125_000.0;
 
 /// A number of bytes.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -95,10 +96,12 @@
     type Err = BadId;
 
     fn from_str(text: &str) -> Result<Self, BadId> {
-        text.strip_suffix("/s")
-            .and_then(|size| size.parse::<Bytes>().ok())
-            .map(|size| Self(size.0))
-            .ok_or_else(|| BadId { text: text.to_owned(), allowed: "a rate such as 2500KB/s" })
+        let bits = text.strip_suffix("Mbit/s").and_then(|number| number.parse::<f64>().ok());
+        let bytes = || text.strip_suffix("/s")?.parse::<Bytes>().ok();
+        bits.filter(|mbit| *mbit >= 0.0)
+            .map(|mbit| Self((mbit * BYTES_PER_MBIT) as u64))
+            .or_else(|| bytes().map(|size| Self(size.0)))
+            .ok_or_else(|| BadId { text: text.to_owned(), allowed: "a rate such as 2500KB/s or 20Mbit/s" })
     }
 }
 
@@ -117,6 +120,7 @@
 
     fn from_str(text: &str) -> Result<Self, BadId> {
         scaled(text, &[("us", 1), ("ms", 1_000), ("s", 1_000_000)])
+            .or_else(|| fraction(text))
             .map(Self)
             .ok_or_else(|| BadId { text: text.to_owned(), allowed: "a time such as 250ms or 3s" })
     }
@@ -172,3 +176,14 @@
     let (_, scale) = units.iter().find(|(name, _)| *name == unit)?;
     number.parse::<u64>().ok()?.checked_mul(*scale)
 }
+
+/// Reads a time with a decimal point, such as 2.5s.
+fn fraction(text: &str) -> Option<u64> {
+    let (number, scale) = match text.strip_suffix("ms") {
+        Some(number) => (number, 1e3),
+        None => (text.strip_suffix('s')?, 1e6),
+    };
+    let value: f64 = number.parse().ok()?;
+    let plain = number.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    plain.then_some((value * scale) as u64)
+}
--- a/crates/sequoiahold/src/cli.rs
+++ b/crates/sequoiahold/src/cli.rs
@@ -5,14 +5,18 @@
 use anyhow::{Context as _, bail};
 use pico_args::Arguments;
 use sequoiahold_core::ids::Generation;
+use sequoiahold_platform::Hosted;
 
-use crate::{command, endpoint, entry, help, logging, settings};
+use crate::{command, endpoint, entry, gateway, help, loader, logging, settings};
 
 /// Exit code of a command that found a set unsound or a process unwell.
 pub const EXIT_UNSOUND: u8 = 1;
 /// Exit code of a command that could not do its work.
 pub const EXIT_FAILED: u8 = 2;
 
+/// Environment variable that names the settings file where the command line does not.
+const CONFIG_VARIABLE: &str = "SEQUOIAHOLD_CONFIG";
+
 const HELP: &str = "\
 Weight distribution and request routing for bursts.
 
@@ -21,6 +25,8 @@
 Commands:
   entry --config FILE       take callers and route to endpoints
   endpoint --config FILE    stand before one engine or plain service
+  gateway [--config FILE]   take callers and send straight to the endpoints of a platform
+  loader [--config FILE]    bring weights to the engine on the same VM
   check DIR                 check a set of declarations
   render DIR --out DIR [--generation N] [--replace]
                             turn a sound set into the values to publish
@@ -60,6 +66,8 @@
     match command.as_deref() {
         Some("entry") => run_entry(args),
         Some("endpoint") => run_endpoint(args),
+        Some("gateway") => run_gateway(args),
+        Some("loader") => run_loader(args),
         Some("check") => {
             let dir = directory(&mut args)?;
             finish(args)?;
@@ -121,6 +129,43 @@
     Ok(0)
 }
 
+fn run_gateway(mut args: Arguments) -> anyhow::Result<u8> {
+    let file = config_file(&mut args)?;
+    let print = args.contains("--print-config");
+    finish(args)?;
+    let settings: settings::Gateway = settings::load(&file)?;
+    if print {
+        println!("{}", serde_json::to_string_pretty(&settings)?);
+        return Ok(0);
+    }
+    logging::start(&settings.log)?;
+    logging::stop_on_panic();
+    actix_rt::System::new().block_on(gateway::run(Hosted, settings))?;
+    Ok(0)
+}
+
+fn run_loader(mut args: Arguments) -> anyhow::Result<u8> {
+    let file = config_file(&mut args)?;
+    let print = args.contains("--print-config");
+    finish(args)?;
+    let settings: settings::Loader = settings::load(&file)?;
+    if print {
+        println!("{}", serde_json::to_string_pretty(&settings)?);
+        return Ok(0);
+    }
+    logging::start(&settings.log)?;
+    logging::stop_on_panic();
+    actix_rt::System::new().block_on(loader::run(Hosted, settings))?;
+    Ok(0)
+}
+
+/// Returns the settings file of the command line, else the one that the environment names.
+fn config_file(args: &mut Arguments) -> anyhow::Result<PathBuf> {
+    let file: Option<PathBuf> = args.opt_value_from_os_str("--config", path)?;
+    let named = || std::env::var_os(CONFIG_VARIABLE).map(PathBuf::from);
+    file.or_else(named).with_context(|| format!("needs --config FILE or {CONFIG_VARIABLE}"))
+}
+
 fn directory(args: &mut Arguments) -> anyhow::Result<PathBuf> {
     args.free_from_os_str(path).context("the command needs the directory of a set")
 }
--- /dev/null
+++ b/crates/sequoiahold/src/gateway/answer.rs
@@ -0,0 +1,84 @@
+//! The gateway's own answers.
+
+use actix_http::{StatusCode, header::HeaderMap};
+use sequoiahold_core::{direct::catalog::Denial, refuse::Refusal, units::Span};
+
+use super::plan::NoPlan;
+use crate::h1::Writer;
+
+/// Time after which a caller may come back to a gateway that knows no configuration yet.
+const UNCONFIGURED_RETRY: Span = Span::millis(500);
+
+/// An answer of the gateway itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Own {
+    /// The configuration does not allow the request.
+    Denied(Denial),
+    /// The request did not run and never will.
+    Refused(Refusal),
+    /// No configuration is known yet; the request did not run and never will.
+    Unconfigured,
+    /// The outcome at an endpoint is not known.
+    Unknown,
+    /// The time is over; the request may have run.
+    TimedOut,
+}
+
+impl From<NoPlan> for Own {
+    fn from(none: NoPlan) -> Self {
+        match none {
+            NoPlan::Denied(denial) => Self::Denied(denial),
+            NoPlan::Unconfigured => Self::Unconfigured,
+        }
+    }
+}
+
+impl Own {
+    /// Returns the status code.
+    pub(super) fn status(self) -> StatusCode {
+        match self {
+            Self::Denied(Denial::NoRoute) => StatusCode::NOT_FOUND,
+            Self::Denied(Denial::BadKey) => StatusCode::UNAUTHORIZED,
+            Self::Refused(_) | Self::Unconfigured => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns when the caller may come back.
+    pub(super) fn retry(self) -> Option<Span> {
+        match self {
+            Self::Refused(refusal) => refusal.retry,
+            Self::Unconfigured => Some(UNCONFIGURED_RETRY),
+            _ => None,
+        }
+    }
+
+    /// Writes the answer; returns whether the caller's connection can be kept.
+    pub(super) async fn write(
+        self,
+        writer: &mut Writer,
+        attempt: Option<(&'static str, &str)>,
+        close: bool,
+    ) -> bool {
+        let mut headers = HeaderMap::new();
+        if let Some((name, id)) = attempt
+            && let (Ok(name), Ok(id)) = (name.parse(), id.parse())
+        {
+            let name: actix_http::header::HeaderName = name;
+            headers.insert(name, id);
+        }
+        if let Some(retry) = self.retry()
+            && let Ok(value) = format!("{:.3}", retry.as_secs_f64()).parse()
+        {
+            headers.insert(actix_http::header::RETRY_AFTER, value);
+        }
+        match writer.answer(self.status(), headers, b"", close).await {
+            Ok(()) => !close && writer.keeps(),
+            Err(error) => {
+                log::debug!("answer to a caller: {error}");
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/gateway/loads.rs
@@ -0,0 +1,107 @@
+//! Gateways tell each other the load that they cause.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use sequoiahold_core::{
+    direct::{mesh::Role, seam::Dialect, seat::SeatLoad},
+    ids::{Digest, InstanceId, VmId},
+    time::Time,
+    units::Span,
+};
+use tokio::sync::mpsc;
+
+use super::state::Gateway;
+use crate::node::{Datagram, EndpointLoad, LoadNote};
+
+/// Time between two notes.
+const ROUND: Duration = Duration::from_millis(120);
+/// Age at which a gateway's note is forgotten.
+const STALE: Span = Span::millis(1_200);
+/// Endpoints in one note; with them a note fits one datagram.
+const MOST: usize = 120;
+
+/// The notes of the other gateways.
+#[derive(Default)]
+struct Notes {
+    told: BTreeMap<VmId, (Time, Vec<EndpointLoad>)>,
+    hashes: HashMap<InstanceId, u32>,
+}
+
+/// Starts to tell and to hear.
+pub(super) fn start<D: Dialect>(
+    gateway: &Rc<Gateway<D>>,
+    mut inbox: mpsc::UnboundedReceiver<Datagram>,
+) {
+    let gateway = gateway.clone();
+    actix_rt::spawn(async move {
+        let mut notes = Notes::default();
+        let mut round = actix_rt::time::interval(ROUND);
+        loop {
+            tokio::select! {
+                datagram = inbox.recv() => match datagram {
+                    Some(Datagram::Load(note)) => {
+                        notes.told.insert(note.from, (gateway.node.now(), note.loads));
+                    }
+                    Some(Datagram::Gossip(_)) => {}
+                    None => return,
+                },
+                _ = round.tick() => {
+                    tell(&gateway, &mut notes);
+                    add_up(&gateway, &mut notes);
+                }
+            }
+        }
+    });
+}
+
+fn tell<D: Dialect>(gateway: &Gateway<D>, notes: &mut Notes) {
+    let desk = gateway.desk.borrow();
+    let busy = desk.seats().filter(|(_, seat)| seat.own.count > 0);
+    let loads: Vec<EndpointLoad> = busy
+        .map(|(_, seat)| EndpointLoad {
+            instance: notes.hash(&seat.endpoint.listed.instance),
+            count: seat.own.count.min(u32::from(u16::MAX)) as u16,
+            work: seat.own.work,
+        })
+        .take(MOST)
+        .collect();
+    let from = gateway.node.settings.vm.clone();
+    let datagram = Datagram::Load(LoadNote { from, loads });
+    for peer in gateway.node.peers(Role::Gateway) {
+        gateway.node.tell(peer, &datagram);
+    }
+}
+
+fn add_up<D: Dialect>(gateway: &Gateway<D>, notes: &mut Notes) {
+    let now = gateway.node.now();
+    notes.told.retain(|_, (at, _)| *at + STALE > now);
+    let mut sums: HashMap<u32, SeatLoad> = HashMap::new();
+    for load in notes.told.values().flat_map(|(_, loads)| loads) {
+        let sum = sums.entry(load.instance).or_default();
+        sum.count += u32::from(load.count);
+        sum.work += load.work;
+    }
+    let mut desk = gateway.desk.borrow_mut();
+    let names: Vec<InstanceId> =
+        desk.seats().map(|(_, seat)| seat.endpoint.listed.instance.clone()).collect();
+    notes.hashes.retain(|name, _| names.contains(name));
+    for name in names {
+        let others = sums.get(&notes.hash(&name)).copied().unwrap_or_default();
+        desk.tell(now, &name, others);
+    }
+}
+
+impl Notes {
+    fn hash(&mut self, instance: &InstanceId) -> u32 {
+        let compute = || {
+            let digest = Digest::of(instance.as_str().as_bytes());
+            let bytes = digest.bytes();
+            u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
+        };
+        *self.hashes.entry(instance.clone()).or_insert_with(compute)
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/gateway/relay.rs
@@ -0,0 +1,86 @@
+//! Passes the events of a stream on as they arrive.
+
+use std::time::Duration;
+
+use actix_http::header;
+use actix_rt::time::timeout;
+use sequoiahold_core::direct::stream::Events;
+
+use crate::h1::{Answer, Upstream, Writer, end_to_end};
+
+/// What the caller has got of a stream.
+pub(super) struct Relay<'a> {
+    writer: &'a mut Writer,
+    /// The events.
+    pub(super) events: Events,
+    /// Whether the head of the answer has gone out.
+    pub(super) begun: bool,
+    close: bool,
+}
+
+/// How a part of a stream from one endpoint ended.
+#[derive(Debug)]
+pub(super) enum Part {
+    /// With the end of the stream.
+    Done,
+    /// Before that.
+    Broken(String),
+    /// The caller takes no more.
+    CallerGone,
+}
+
+impl<'a> Relay<'a> {
+    /// Returns a relay that goes on after the event that the caller holds.
+    pub(super) fn new(writer: &'a mut Writer, last: Option<u64>, close: bool) -> Self {
+        Self { writer, events: Events::after(last), begun: false, close }
+    }
+
+    /// Returns the caller's side, to write another answer where nothing has gone out.
+    pub(super) fn writer(&mut self) -> &mut Writer {
+        self.writer
+    }
+
+    /// Passes on what one endpoint produces; a pause of `silence` ends it.
+    pub(super) async fn pass(
+        &mut self,
+        answer: &Answer,
+        upstream: &mut Upstream,
+        silence: Duration,
+    ) -> Part {
+        self.events.cut();
+        loop {
+            let part = match timeout(silence, upstream.part()).await {
+                Err(_) => return Part::Broken("no event in time".to_owned()),
+                Ok(Err(error)) => return Part::Broken(error.to_string()),
+                Ok(Ok(None)) if self.events.is_whole() => return self.end(answer).await,
+                Ok(Ok(None)) => return Part::Broken("ended within an event".to_owned()),
+                Ok(Ok(Some(part))) => part,
+            };
+            let whole = match self.events.take(&part) {
+                Ok(whole) if whole.is_empty() => continue,
+                Ok(whole) => whole,
+                Err(error) => return Part::Broken(format!("{error:?}")),
+            };
+            if self.begin(answer).is_err() || self.writer.part(whole).await.is_err() {
+                return Part::CallerGone;
+            }
+        }
+    }
+
+    async fn end(&mut self, answer: &Answer) -> Part {
+        match self.begin(answer).is_ok() && self.writer.end().await.is_ok() {
+            true => Part::Done,
+            false => Part::CallerGone,
+        }
+    }
+
+    fn begin(&mut self, answer: &Answer) -> std::io::Result<()> {
+        if self.begun {
+            return Ok(());
+        }
+        self.begun = true;
+        let mut headers = end_to_end(&answer.headers);
+        headers.remove(header::CONTENT_ENCODING);
+        self.writer.begin(answer.status, headers, self.close)
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -0,0 +1,282 @@
+//! One request from its arrival to its final answer.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_http::StatusCode;
+use actix_rt::time::timeout;
+use bytes::Bytes;
+use sequoiahold_core::{
+    direct::{catalog::Repeat, desk::Ask, seam::Dialect, seat::Ended},
+    refuse::{Reason, Refusal},
+    time::Time,
+    units::Span,
+};
+
+use super::{
+    answer::Own,
+    attempt::{self, Sent},
+    plan::{Plan, plan},
+    relay::{Part, Relay},
+    seat::{Held, find},
+    state::Gateway,
+};
+use crate::h1::{Answer, Incoming, Writer, end_to_end};
+
+/// Time without an answer after which what may be repeated is sent elsewhere, where time is left.
+const SILENCE: Duration = Duration::from_millis(450);
+/// Time without an event after which a stream goes on elsewhere.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
+/// Least time that must be left for another try.
+const LEAST_LEFT: Span = Span::millis(60);
+
+/// A request under way.
+struct Run<'a, D: Dialect> {
+    gateway: &'a Rc<Gateway<D>>,
+    request: &'a Incoming,
+    plan: Plan,
+    ask: Ask,
+    sends: u32,
+    ran: bool,
+    fallback: Option<(Answer, Bytes)>,
+}
+
+/// What comes after a send.
+enum Next {
+    /// The final answer has gone out; whether the connection can be kept.
+    Over(bool),
+    /// Another endpoint is asked, or the request fails.
+    Again,
+}
+
+/// Serves a request; returns whether the caller's connection can be kept.
+pub(super) async fn serve<D: Dialect>(
+    gateway: &Rc<Gateway<D>>,
+    request: Incoming,
+    writer: &mut Writer,
+) -> bool {
+    let plan = match plan(gateway, &request) {
+        Ok(plan) => plan,
+        Err(none) => return own(gateway, &request, writer, none.into()).await,
+    };
+    gateway.repeats.borrow_mut().request(gateway.node.now(), &plan.service);
+    let ask = plan.ask();
+    let left = plan.left(gateway.node.now());
+    let mut run = Run { gateway, request: &request, plan, ask, sends: 0, ran: false, fallback: None };
+    let last = request.text(gateway.node.dialect.names().last_event);
+    let last = last.and_then(|text| text.trim().parse().ok());
+    let mut relay = Relay::new(writer, last, gateway.is_draining());
+    let kept = match timeout(left, run.go(&mut relay)).await {
+        Ok(kept) => kept,
+        Err(_) if relay.begun => false,
+        Err(_) => run.fail(&mut relay, Own::TimedOut).await,
+    };
+    run.record(kept, relay.begun);
+    kept
+}
+
+impl<D: Dialect> Run<'_, D> {
+    async fn go(&mut self, relay: &mut Relay<'_>) -> bool {
+        loop {
+            let held = match find(self.gateway, self.ask.clone()).await {
+                Ok(held) => held,
+                Err(refusal) if relay.begun => {
+                    log::debug!("stream cannot go on: {}", refusal.reason);
+                    return false;
+                }
+                Err(refusal) => return self.fail(relay, Own::Refused(refusal)).await,
+            };
+            match self.send(relay, held).await {
+                Next::Over(kept) => return kept,
+                Next::Again if self.may_repeat() => {}
+                Next::Again if relay.begun => return false,
+                Next::Again => {
+                    let refusal = Refusal::after(Reason::Overload, Span::millis(700));
+                    return self.fail(relay, Own::Refused(refusal)).await;
+                }
+            }
+        }
+    }
+
+    /// Sends the request to an endpoint.
+    async fn send(&mut self, relay: &mut Relay<'_>, mut held: Held<D>) -> Next {
+        self.ask.tried.push(held.grant.seat);
+        self.ask.careful = true;
+        let silence = self.silence();
+        let last = relay.events.last();
+        let sent =
+            attempt::send(self.gateway, &self.plan, self.request, &held.grant, last, silence).await;
+        match sent {
+            Sent::Answered(answer, upstream) => {
+                self.sends += 1;
+                let events = self.plan.streaming && answer.status == StatusCode::OK;
+                if events {
+                    return self.relay(relay, held, answer, upstream).await;
+                }
+                self.answer(relay, held, answer, upstream).await
+            }
+            Sent::NotRun { misdirected } => {
+                self.sends += 1;
+                held.ended = if misdirected { Ended::Misdirected } else { Ended::Full };
+                Next::Again
+            }
+            Sent::Unsent(fault) => {
+                self.note(&held, &fault);
+                held.ended = Ended::Failed;
+                Next::Again
+            }
+            Sent::Lost(fault) => {
+                self.sends += 1;
+                self.note(&held, &fault);
+                held.ended = Ended::Failed;
+                self.ran = true;
+                Next::Again
+            }
+        }
+    }
+
+    /// Passes a stream on.
+    async fn relay(
+        &mut self,
+        relay: &mut Relay<'_>,
+        mut held: Held<D>,
+        answer: Answer,
+        mut upstream: crate::h1::Upstream,
+    ) -> Next {
+        let part = relay.pass(&answer, &mut upstream, self.silence()).await;
+        self.ran = true;
+        match part {
+            Part::Done => {
+                held.ended = Ended::Answered;
+                self.gateway.pool.put(upstream);
+                Next::Over(relay.writer().keeps())
+            }
+            Part::CallerGone => Next::Over(false),
+            Part::Broken(fault) => {
+                self.note(&held, &fault);
+                held.ended = Ended::Failed;
+                Next::Again
+            }
+        }
+    }
+
+    /// Passes an answer on that is no stream.
+    async fn answer(
+        &mut self,
+        relay: &mut Relay<'_>,
+        mut held: Held<D>,
+        answer: Answer,
+        upstream: crate::h1::Upstream,
+    ) -> Next {
+        let body = match attempt::body(self.gateway, upstream).await {
+            Ok(body) => body,
+            Err(error) => {
+                self.note(&held, &error.to_string());
+                held.ended = Ended::Failed;
+                self.ran = true;
+                return Next::Again;
+            }
+        };
+        held.ended = Ended::Answered;
+        drop(held);
+        if relay.begun {
+            return Next::Again;
+        }
+        let failed = answer.status.is_server_error();
+        if failed && self.plan.repeat != Repeat::Once && self.may_repeat() {
+            self.fallback = Some((answer, body));
+            return Next::Again;
+        }
+        Next::Over(self.write(relay, &answer, &body).await)
+    }
+
+    async fn write(&self, relay: &mut Relay<'_>, answer: &Answer, body: &Bytes) -> bool {
+        let close = self.gateway.is_draining();
+        let headers = end_to_end(&answer.headers);
+        let writer = relay.writer();
+        match writer.answer(answer.status, headers, body, close).await {
+            Ok(()) => !close && writer.keeps(),
+            Err(_) => false,
+        }
+    }
+
+    /// Gives the final answer where no endpoint's answer can be passed on.
+    async fn fail(&mut self, relay: &mut Relay<'_>, own_answer: Own) -> bool {
+        if let Some((answer, body)) = self.fallback.take() {
+            return self.write(relay, &answer, &body).await;
+        }
+        let answer = match own_answer {
+            Own::Refused(_) if self.ran => Own::Unknown,
+            Own::TimedOut if !self.ran && self.sends == 0 => {
+                Own::Refused(Refusal::new(Reason::Deadline))
+            }
+            other => other,
+        };
+        own(self.gateway, self.request, relay.writer(), answer).await
+    }
+
+    /// Returns whether the request may be sent once more, and takes the right to it.
+    fn may_repeat(&mut self) -> bool {
+        let now = self.gateway.node.now();
+        let allowed = self.sends < self.plan.attempts
+            && !(self.ran && self.plan.repeat == Repeat::Once)
+            && now + LEAST_LEFT < self.plan.deadline;
+        if !allowed {
+            return false;
+        }
+        if self.sends == 0 {
+            return true;
+        }
+        let gateways = self.gateway.gateways();
+        self.gateway.repeats.borrow_mut().spend(now, &self.plan.service, gateways)
+    }
+
+    /// Returns how long an endpoint may stay silent.
+    fn silence(&self) -> Duration {
+        let left = self.plan.left(self.gateway.node.now());
+        let last = self.sends + 1 >= self.plan.attempts || self.plan.repeat == Repeat::Once;
+        match self.plan.streaming {
+            _ if last => left,
+            true => STREAM_SILENCE.min(left),
+            false => SILENCE.min(left),
+        }
+    }
+
+    fn note(&self, held: &Held<D>, fault: &str) {
+        let id = self.request.text(self.gateway.node.dialect.names().attempt).unwrap_or("");
+        let instance = held.grant.instance.to_string();
+        let took = self.took();
+        log::info!(
+            target: "request",
+            id, instance = instance.as_str(), sends = self.sends, took_ms = took, fault;
+            "endpoint failed"
+        );
+    }
+
+    fn record(&self, kept: bool, begun: bool) {
+        log::debug!("request of {} kept {kept} begun {begun}", self.plan.route);
+    }
+
+    fn took(&self) -> u64 {
+        (self.gateway.node.now() - self.plan.arrived).0 / 1_000
+    }
+}
+
+/// Gives an answer of the gateway itself.
+async fn own<D: Dialect>(
+    gateway: &Gateway<D>,
+    request: &Incoming,
+    writer: &mut Writer,
+    answer: Own,
+) -> bool {
+    let name = gateway.node.dialect.names().attempt;
+    let id = request.text(name);
+    let now: Time = gateway.node.now();
+    let status = answer.status().as_u16();
+    let reason = format!("{answer:?}");
+    log::info!(
+        target: "request",
+        id = id.unwrap_or(""), status, reason = reason.as_str(), at = now.0;
+        "answered by the gateway"
+    );
+    answer.write(writer, id.map(|id| (name, id)), gateway.is_draining()).await
+}
--- /dev/null
+++ b/crates/sequoiahold/src/gateway/seat.rs
@@ -0,0 +1,76 @@
+//! A place at an endpoint, held while a request runs there.
+
+use std::rc::Rc;
+
+use sequoiahold_core::{
+    direct::{
+        desk::{Ask, Grant, Verdict},
+        line::TicketKey,
+        seam::Dialect,
+        seat::Ended,
+    },
+    ids::ServiceId,
+    refuse::{Reason, Refusal},
+};
+use tokio::sync::oneshot;
+
+use super::state::Gateway;
+
+/// A place at an endpoint; dropping it gives it back.
+pub(super) struct Held<D: Dialect> {
+    gateway: Rc<Gateway<D>>,
+    /// The place.
+    pub(super) grant: Grant,
+    /// How the request ended there.
+    pub(super) ended: Ended,
+}
+
+impl<D: Dialect> Held<D> {
+    /// Holds a place.
+    pub(super) fn new(gateway: Rc<Gateway<D>>, grant: Grant) -> Self {
+        Self { gateway, grant, ended: Ended::Dropped }
+    }
+}
+
+impl<D: Dialect> Drop for Held<D> {
+    fn drop(&mut self) {
+        let now = self.gateway.node.now();
+        self.gateway.desk.borrow_mut().end(now, &self.grant, self.ended);
+        if self.gateway.desk.borrow().waiting() > 0 {
+            self.gateway.pump();
+        }
+    }
+}
+
+/// A waiting request; dropping it takes it out of the line.
+struct Ticket<D: Dialect> {
+    gateway: Rc<Gateway<D>>,
+    service: ServiceId,
+    key: TicketKey,
+}
+
+impl<D: Dialect> Drop for Ticket<D> {
+    fn drop(&mut self) {
+        self.gateway.desk.borrow_mut().cancel(&self.service, self.key);
+        self.gateway.waiters.borrow_mut().remove(&(self.service.clone(), self.key));
+    }
+}
+
+/// Returns a place for a request, at once or after a wait.
+pub(super) async fn find<D: Dialect>(
+    gateway: &Rc<Gateway<D>>,
+    ask: Ask,
+) -> Result<Held<D>, Refusal> {
+    let now = gateway.node.now();
+    let service = ask.service.clone();
+    let verdict = gateway.desk.borrow_mut().arrive(now, ask, &mut *gateway.node.rng.borrow_mut());
+    let key = match verdict {
+        Verdict::Go(grant) => return Ok(Held::new(gateway.clone(), grant)),
+        Verdict::Refuse(refusal) => return Err(refusal),
+        Verdict::Wait(key) => key,
+    };
+    let (waiter, decided) = oneshot::channel();
+    gateway.waiters.borrow_mut().insert((service.clone(), key), waiter);
+    let _ticket = Ticket { gateway: gateway.clone(), service, key };
+    decided.await.unwrap_or(Err(Refusal::new(Reason::NoEndpoint)))
+}
--- /dev/null
+++ b/crates/sequoiahold/src/gateway/server.rs
@@ -0,0 +1,87 @@
+//! Takes callers' connections and the requests on them.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::header::HeaderMap;
+use anyhow::Context as _;
+use sequoiahold_core::direct::{catalog::CallerBounds, seam::Dialect};
+use tokio::net::TcpStream;
+
+use super::{request, state::Gateway};
+use crate::h1::{Caller, Received, listen, watch_peer};
+
+/// Starts to take callers; at most `most` connections are open at the same time.
+pub(super) fn start<D: Dialect>(
+    gateway: &Rc<Gateway<D>>,
+    addr: SocketAddr,
+    most: u32,
+) -> anyhow::Result<()> {
+    let listener = listen(addr).with_context(|| format!("cannot listen for callers on {addr}"))?;
+    let gateway = gateway.clone();
+    actix_rt::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) if gateway.open() < most as usize => {
+                    actix_rt::spawn(serve(gateway.clone(), stream));
+                }
+                Ok(_) => log::debug!("a caller's connection is over the limit of {most}"),
+                Err(error) => {
+                    log::warn!("accepting callers: {error}");
+                    actix_rt::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn serve<D: Dialect>(gateway: Rc<Gateway<D>>, stream: TcpStream) {
+    let _open = gateway.connect();
+    if let Err(error) = watch_peer(&stream) {
+        log::debug!("a caller's connection: {error}");
+        return;
+    }
+    let mut caller = Caller::new(stream, gateway.config.clone());
+    let mut closing = gateway.closing();
+    loop {
+        let bounds = bounds(&gateway);
+        let received = tokio::select! {
+            received = caller.receive(&bounds) => received,
+            _ = closing.wait_for(|closing| *closing) => {
+                if !caller.reader.has_more() {
+                    return;
+                }
+                caller.receive(&bounds).await
+            }
+        };
+        match received {
+            Received::Request(incoming) => {
+                let _active = gateway.enter();
+                let (reader, writer) = (&mut caller.reader, &mut caller.writer);
+                let kept = tokio::select! {
+                    kept = request::serve(&gateway, *incoming, writer) => kept,
+                    () = reader.closed() => false,
+                };
+                if !kept || gateway.is_draining() {
+                    break;
+                }
+            }
+            Received::Malformed(status) => {
+                let answer = caller.writer.answer(status, HeaderMap::new(), b"", true);
+                if let Err(error) = answer.await {
+                    log::debug!("a caller that sent no request: {error}");
+                }
+                break;
+            }
+            Received::Closed => return,
+        }
+    }
+    if let Err(error) = caller.writer.close().await {
+        log::debug!("closing a caller's connection: {error}");
+    }
+}
+
+fn bounds<D: Dialect>(gateway: &Gateway<D>) -> CallerBounds {
+    let view = gateway.node.view.borrow();
+    view.catalog().map_or(CallerBounds::default(), |catalog| catalog.bounds)
+}
--- /dev/null
+++ b/crates/sequoiahold/src/h1/connect.rs
@@ -0,0 +1,47 @@
+//! TCP connections that notice a peer which falls silent.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Idle time after which a connection is probed.
+const PROBE_IDLE: Duration = Duration::from_secs(1);
+/// Time between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection is closed.
+const PROBES: u32 = 2;
+/// Time that sent bytes may stay without an acknowledgement.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Opens a connection within `timeout`.
+pub async fn connect(addr: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+    let connecting = TcpStream::connect(addr);
+    let stream = actix_rt::time::timeout(timeout, connecting)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    watch_peer(&stream)?;
+    Ok(stream)
+}
+
+/// Makes the kernel close a connection whose peer falls silent, and send without delay.
+pub fn watch_peer(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_IDLE)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(PROBES);
+    let socket = SockRef::from(stream);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
+
+/// Listens on an address, also right after another process did.
+pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/crates/sequoiahold/src/h1/mod.rs
@@ -0,0 +1,53 @@
+//! HTTP/1.1 connections on the codecs of `actix-http`.
+//!
+//! `awc` and the dispatcher of `actix-http` hide when a caller leaves, which bytes of a request were
+//! sent, and whether an answer without a length ended or broke; a gateway decides by all three.
+
+mod caller;
+mod connect;
+mod pool;
+mod upstream;
+
+use actix_http::header::{self, HeaderMap};
+
+pub use self::{
+    caller::{Caller, Incoming, Reader, Received, Writer},
+    connect::{connect, listen, watch_peer},
+    pool::{Pool, PoolLimits},
+    upstream::{Answer, SendError, Upstream, UpstreamError},
+};
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [header::HeaderName; 9] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Returns the headers that are passed on: all but those that concern one connection only.
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named = |name: &str| {
+        let mut values = headers.get_all(header::CONNECTION);
+        values.any(|value| {
+            let text = value.to_str().unwrap_or_default();
+            text.split(',').any(|part| part.trim().eq_ignore_ascii_case(name))
+        })
+    };
+    let mut passed = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers.iter() {
+        let hop = HOP_BY_HOP.contains(name)
+            || name.as_str() == "keep-alive"
+            || name.as_str() == "proxy-connection"
+            || named(name.as_str());
+        if !hop {
+            passed.append(name.clone(), value.clone());
+        }
+    }
+    passed
+}
--- a/crates/sequoiahold/src/logging.rs
+++ b/crates/sequoiahold/src/logging.rs
@@ -2,14 +2,15 @@
 
 use std::{io, panic, process};
 
-use serde_json::json;
+use log::kv::{self, Key, VisitSource};
+use serde_json::{Map, Value};
 
-use crate::settings::{Format, Log};
+use crate::settings::{Format, Log, Output};
 
-/// Starts logging on standard error.
+/// Starts logging at the output of the settings.
 pub fn start(settings: &Log) -> anyhow::Result<()> {
     let format = settings.format;
-    fern::Dispatch::new()
+    let dispatch = fern::Dispatch::new()
         .level(settings.level)
         .level_for("quinn", log::LevelFilter::Warn)
         .format(move |out, message, record| match format {
@@ -19,21 +20,43 @@
                 record.level(),
                 record.target()
             )),
-            Format::Json => out.finish(format_args!(
-                "{}",
-                json!({
-                    "time": wall_seconds(),
-                    "level": record.level().as_str(),
-                    "target": record.target(),
-                    "message": message.to_string(),
-                })
-            )),
-        })
-        .chain(io::stderr())
-        .apply()?;
+            Format::Json => out.finish(format_args!("{}", line(message, record))),
+        });
+    match settings.output {
+        Output::Stderr => dispatch.chain(io::stderr()).apply()?,
+        Output::Stdout => dispatch.chain(io::stdout()).apply()?,
+    }
     Ok(())
 }
 
+/// Returns the JSON object of a line: the message, and the typed values that come with it.
+fn line(message: &std::fmt::Arguments<'_>, record: &log::Record<'_>) -> Value {
+    let mut fields = Fields(Map::new());
+    fields.0.insert("time".to_owned(), wall_seconds().into());
+    fields.0.insert("level".to_owned(), record.level().as_str().into());
+    fields.0.insert("target".to_owned(), record.target().into());
+    fields.0.insert("message".to_owned(), message.to_string().into());
+    if record.key_values().visit(&mut fields).is_err() {
+        fields.0.insert("incomplete".to_owned(), true.into());
+    }
+    Value::Object(fields.0)
+}
+
+struct Fields(Map<String, Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(number), _, _) => number.into(),
+            (_, Some(number), _) => number.into(),
+            (_, _, Some(flag)) => flag.into(),
+            _ => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
 /// Ends the process at a broken invariant, after its message and place are logged.
 ///
 /// A panic in one task would otherwise leave a process that holds its ports and does nothing.
--- /dev/null
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -0,0 +1,33 @@
+//! The datagrams between processes.
+
+use sequoiahold_core::{direct::mesh::Gossip, ids::VmId};
+use serde::{Deserialize, Serialize};
+
+/// The load that a gateway causes at one endpoint.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EndpointLoad {
+    /// The hash of the endpoint's instance.
+    pub instance: u32,
+    /// Requests in progress.
+    pub count: u16,
+    /// Their work, in ms of the endpoint's time.
+    pub work: u32,
+}
+
+/// The loads that a gateway causes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadNote {
+    /// The gateway.
+    pub from: VmId,
+    /// The endpoints with requests in progress.
+    pub loads: Vec<EndpointLoad>,
+}
+
+/// A datagram.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Datagram {
+    /// Membership.
+    Gossip(Gossip),
+    /// The loads that a gateway causes.
+    Load(LoadNote),
+}
--- /dev/null
+++ b/crates/sequoiahold/src/node/gossip.rs
@@ -0,0 +1,110 @@
+//! Gossip by datagrams: membership, and who knows newer published state.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use anyhow::Context as _;
+use sequoiahold_core::{
+    direct::{
+        mesh::{self, Gossip},
+        mirror::Revision,
+        seam::Dialect,
+    },
+    units::Span,
+};
+use tokio::net::UdpSocket;
+
+use super::{Datagram, Node, peers};
+
+/// Largest datagram.
+const MAX_DATAGRAM: usize = 1_400;
+/// Time that the own watch has to bring what a peer already knows.
+const PULL_AFTER: Span = Span::millis(150);
+
+/// Starts to send and to receive.
+pub(super) fn start<D: Dialect>(node: &Rc<Node<D>>) -> anyhow::Result<()> {
+    let addr = node.settings.peers;
+    let socket = std::net::UdpSocket::bind(addr)
+        .and_then(|socket| socket.set_nonblocking(true).map(|()| socket))
+        .and_then(UdpSocket::from_std)
+        .with_context(|| format!("cannot listen for peers on {addr}"))?;
+    let socket = Rc::new(socket);
+    node.socket.replace(Some(socket.clone()));
+    actix_rt::spawn(receive(node.clone(), socket.clone()));
+    actix_rt::spawn(rounds(node.clone()));
+    Ok(())
+}
+
+/// Sends a datagram; one that cannot be sent counts as lost on the way, as any other may be.
+pub(super) fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
+    match postcard::to_stdvec(datagram) {
+        Ok(bytes) if bytes.len() <= MAX_DATAGRAM => {
+            if let Err(error) = socket.try_send_to(&bytes, to) {
+                log::debug!("datagram to {to}: {error}");
+            }
+        }
+        Ok(bytes) => log::warn!("datagram of {} bytes to {to} is too long", bytes.len()),
+        Err(error) => log::error!("datagram cannot be written: {error}"),
+    }
+}
+
+async fn rounds<D: Dialect>(node: Rc<Node<D>>) {
+    loop {
+        let at = node.mirror.borrow().at();
+        let (gossip, to) =
+            node.mesh.borrow_mut().round(node.now(), at, &mut *node.rng.borrow_mut());
+        let datagram = Datagram::Gossip(gossip);
+        for peer in to {
+            node.tell(peer, &datagram);
+        }
+        if node.view.borrow_mut().expire(node.now()) {
+            node.signal();
+        }
+        node.pool.sweep();
+        actix_rt::time::sleep(Duration::from(mesh::ROUND)).await;
+    }
+}
+
+async fn receive<D: Dialect>(node: Rc<Node<D>>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let (len, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("receiving datagrams: {error}");
+                continue;
+            }
+        };
+        match postcard::from_bytes(&buffer[..len]) {
+            Ok(Datagram::Gossip(gossip)) => hear(&node, from, gossip),
+            Ok(datagram) => {
+                if node.notes.send(datagram).is_err() {
+                    log::debug!("datagram from {from}: nothing takes this kind");
+                }
+            }
+            Err(error) => log::debug!("datagram from {from}: {error}"),
+        }
+    }
+}
+
+fn hear<D: Dialect>(node: &Rc<Node<D>>, from: SocketAddr, gossip: Gossip) {
+    let now = node.now();
+    let new = node.mesh.borrow_mut().hear(now, &gossip);
+    let at = node.mirror.borrow().at();
+    if gossip.ask || new {
+        let answer = node.mesh.borrow().answer(now, at, &mut *node.rng.borrow_mut());
+        node.tell(from, &Datagram::Gossip(answer));
+    }
+    if gossip.at > at {
+        actix_rt::spawn(pull_later(node.clone(), gossip.from.addr, gossip.at));
+    }
+}
+
+/// Pulls what a peer knows unless it has come otherwise by then.
+async fn pull_later<D: Dialect>(node: Rc<Node<D>>, peer: SocketAddr, at: Revision) {
+    if node.mirror.borrow().at() > Revision(0) {
+        actix_rt::time::sleep(PULL_AFTER.into()).await;
+    }
+    if node.mirror.borrow().at() < at {
+        peers::pull(&node, peer).await;
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -0,0 +1,139 @@
+//! Calls between processes: published state and chunks.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use actix_http::{Method, ServiceConfig, StatusCode, header::HeaderMap};
+use anyhow::{Context as _, bail};
+use bytes::Bytes;
+use sequoiahold_core::direct::{
+    catalog::CallerBounds,
+    mirror::{Revision, Sync},
+    seam::Dialect,
+};
+
+use super::Node;
+use crate::h1::{Caller, Received, listen, watch_peer};
+
+/// Path of the published state.
+const SYNC: &str = "/sync";
+/// Prefix of what a loader holds.
+pub(crate) const CHUNKS: &str = "/chunks/";
+/// Time that a call to a peer may take.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest published state that is taken from a peer.
+const MAX_SYNC: usize = 16_000_000;
+
+/// Answers calls of peers beyond those for the published state.
+pub trait PeerCalls: Clone + 'static {
+    /// Returns the status and body for a path below the prefix of chunks.
+    fn answer(&self, target: &str) -> (StatusCode, Bytes);
+}
+
+/// Answers no further calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NoCalls;
+
+impl PeerCalls for NoCalls {
+    fn answer(&self, _: &str) -> (StatusCode, Bytes) {
+        (StatusCode::NOT_FOUND, Bytes::new())
+    }
+}
+
+/// Starts to answer peers.
+pub(super) fn start<D: Dialect>(node: &Rc<Node<D>>, calls: impl PeerCalls) -> anyhow::Result<()> {
+    let addr = node.settings.peers;
+    let listener = listen(addr).with_context(|| format!("cannot listen for peers on {addr}"))?;
+    let node = node.clone();
+    actix_rt::spawn(async move {
+        let config = ServiceConfig::default();
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    if let Err(error) = watch_peer(&stream) {
+                        log::debug!("connection of a peer: {error}");
+                    }
+                    let caller = Caller::new(stream, config.clone());
+                    actix_rt::spawn(serve(node.clone(), calls.clone(), caller));
+                }
+                Err(error) => {
+                    log::warn!("accepting peers: {error}");
+                    actix_rt::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        }
+    });
+    Ok(())
+}
+
+async fn serve<D: Dialect>(node: Rc<Node<D>>, calls: impl PeerCalls, mut caller: Caller) {
+    let bounds = CallerBounds::default();
+    while let Received::Request(request) = caller.receive(&bounds).await {
+        let (status, body) = answer(&node, &calls, &request.target);
+        let written = caller.writer.answer(status, HeaderMap::new(), &body, false).await;
+        if written.is_err() || !caller.writer.keeps() {
+            return;
+        }
+    }
+}
+
+fn answer<D: Dialect>(
+    node: &Node<D>,
+    calls: &impl PeerCalls,
+    target: &str,
+) -> (StatusCode, Bytes) {
+    if let Some(query) = target.strip_prefix(SYNC) {
+        let after = query.strip_prefix("?after=").and_then(|text| text.parse().ok());
+        let sync = node.mirror.borrow().since(Revision(after.unwrap_or(0)));
+        return match postcard::to_stdvec(&sync) {
+            Ok(body) => (StatusCode::OK, body.into()),
+            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
+        };
+    }
+    if target.starts_with(CHUNKS) {
+        return calls.answer(target);
+    }
+    (StatusCode::NOT_FOUND, Bytes::new())
+}
+
+/// Takes from a peer what this process lacks of the published state.
+pub(super) async fn pull<D: Dialect>(node: &Node<D>, peer: SocketAddr) {
+    let after = node.mirror.borrow().at();
+    let target = format!("{SYNC}?after={after}");
+    let call = get(node, peer, &target, MAX_SYNC);
+    let body = actix_rt::time::timeout(TIMEOUT, call).await;
+    let sync = body.context("no answer in time").flatten().and_then(|body| {
+        let sync: Sync = postcard::from_bytes(&body).context("published state of a peer")?;
+        Ok(sync)
+    });
+    match sync {
+        Ok(sync) => {
+            let changes = node.mirror.borrow_mut().sync(sync);
+            if !changes.is_empty() {
+                let revision = node.mirror.borrow().at().0;
+                let peer = peer.to_string();
+                log::info!(peer = peer.as_str(), revision, changes = changes.len(); "state from a peer");
+            }
+            node.take(changes);
+        }
+        Err(error) => log::debug!("published state of {peer}: {error:#}"),
+    }
+}
+
+/// Calls a peer and returns the body of its answer.
+pub(crate) async fn get<D>(
+    node: &Node<D>,
+    peer: SocketAddr,
+    target: &str,
+    most: usize,
+) -> anyhow::Result<Bytes> {
+    let mut upstream = node.pool.get(peer, TIMEOUT).await?;
+    let sent = upstream.send(Method::GET, target, HeaderMap::new(), &Bytes::new()).await;
+    sent.map_err(|error| error.error)?;
+    let answer = upstream.head().await?;
+    let body = upstream.body(most).await?;
+    node.pool.put(upstream);
+    if answer.status != StatusCode::OK {
+        bail!("status {}", answer.status);
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -0,0 +1,144 @@
+//! Follows what the platform publishes: all items once, then each change.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_http::{Method, header::HeaderMap};
+use actix_rt::time::timeout;
+use bytes::Bytes;
+use rand::Rng as _;
+use sequoiahold_core::direct::{
+    mirror::{Change, Revision},
+    seam::{DecodeError, Dialect},
+};
+
+use super::Node;
+use crate::h1::{Upstream, UpstreamError};
+
+/// Time that a watch waits at the platform.
+const WATCH: Duration = Duration::from_secs(5);
+/// Time that the platform has to answer beyond that.
+const ANSWER: Duration = Duration::from_millis(1_500);
+/// First pause after a failure; each further one doubles it.
+const PAUSE_MS: u64 = 100;
+/// Longest pause after a failure.
+const MAX_PAUSE_MS: u64 = 800;
+/// Largest answer that is read.
+const MAX_ANSWER: usize = 16_000_000;
+
+/// Why the platform gave nothing.
+#[derive(Debug)]
+enum ReadError {
+    /// The changes since the revision are no longer held.
+    Compacted,
+    /// No sound answer.
+    Failed(String),
+}
+
+impl From<UpstreamError> for ReadError {
+    fn from(error: UpstreamError) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
+impl From<DecodeError> for ReadError {
+    fn from(error: DecodeError) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
+impl From<std::io::Error> for ReadError {
+    fn from(error: std::io::Error) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
+/// Follows the platform for as long as the process runs.
+pub(super) async fn follow<D: Dialect>(node: Rc<Node<D>>) {
+    let mut failures = 0;
+    let mut compacted = false;
+    let mut upstream = None;
+    loop {
+        let whole = compacted || node.mirror.borrow().at() == Revision(0);
+        let read = if whole { all(&node, &mut upstream).await } else { next(&node, &mut upstream).await };
+        match read {
+            Ok(changes) => {
+                node.platform_answers();
+                (failures, compacted) = (0, false);
+                node.take(changes);
+            }
+            Err(ReadError::Compacted) => compacted = true,
+            Err(ReadError::Failed(fault)) => {
+                upstream = None;
+                node.platform_fails(&fault);
+                pause(&node, failures).await;
+                failures += 1;
+            }
+        }
+    }
+}
+
+/// Reads all items; changes made meanwhile come with the next watch.
+async fn all<D: Dialect>(
+    node: &Node<D>,
+    upstream: &mut Option<Upstream>,
+) -> Result<Vec<Change>, ReadError> {
+    let mut items: Vec<Change> = vec![];
+    let mut at = None;
+    loop {
+        let after = items.last().map(|item| item.key.as_str());
+        let body = get(node, upstream, &node.dialect.page_path(after), ANSWER).await?;
+        let page = node.dialect.page(&body)?;
+        at.get_or_insert(page.at);
+        let more = page.more && !page.items.is_empty();
+        items.extend(page.items);
+        if !more {
+            let at = at.unwrap_or(page.at);
+            return Ok(node.mirror.borrow_mut().replace(at, items));
+        }
+    }
+}
+
+/// Waits for the next changes.
+async fn next<D: Dialect>(
+    node: &Node<D>,
+    upstream: &mut Option<Upstream>,
+) -> Result<Vec<Change>, ReadError> {
+    let after = node.mirror.borrow().at();
+    let path = node.dialect.watch_path(after, WATCH.as_millis() as u64);
+    let body = get(node, upstream, &path, WATCH + ANSWER).await?;
+    let (at, changes) = node.dialect.changes(&body)?;
+    Ok(node.mirror.borrow_mut().apply(at, changes))
+}
+
+async fn get<D: Dialect>(
+    node: &Node<D>,
+    kept: &mut Option<Upstream>,
+    path: &str,
+    most: Duration,
+) -> Result<Bytes, ReadError> {
+    let call = async {
+        let idle = kept.take().and_then(|mut upstream| upstream.is_idle().then_some(upstream));
+        let mut upstream = match idle {
+            Some(upstream) => upstream,
+            None => node.pool.open(node.settings.platform).await?,
+        };
+        let sent = upstream.send(Method::GET, path, HeaderMap::new(), &Bytes::new()).await;
+        sent.map_err(|error| error.error)?;
+        let answer = upstream.head().await?;
+        let body = upstream.body(MAX_ANSWER).await?;
+        *kept = Some(upstream);
+        match answer.status.as_u16() {
+            200 => Ok(body),
+            410 => Err(ReadError::Compacted),
+            status => Err(ReadError::Failed(format!("status {status} for {path}"))),
+        }
+    };
+    let silent = |_| ReadError::Failed("no answer in time".to_owned());
+    timeout(most, call).await.map_err(silent)?
+}
+
+async fn pause<D>(node: &Node<D>, failures: u32) {
+    let most = (PAUSE_MS << failures.min(3)).min(MAX_PAUSE_MS);
+    let pause = node.rng.borrow_mut().random_range(most / 2..=most);
+    actix_rt::time::sleep(Duration::from_millis(pause)).await;
+}
--- /dev/null
+++ b/crates/sequoiahold/src/settings/gateway.rs
@@ -0,0 +1,41 @@
+//! Settings of a gateway process.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Check, Log, Node, addr};
+
+/// Settings of a gateway process.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Gateway {
+    /// The settings that gateways and loaders share.
+    pub node: Node,
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address at which the platform asks whether the gateway is ready.
+    pub ready: SocketAddr,
+    /// Connections of callers that may be open at the same time.
+    #[serde(default = "Gateway::default_connections")]
+    pub connections: u32,
+    /// Log lines.
+    #[serde(default)]
+    pub log: Log,
+}
+
+impl Gateway {
+    fn default_connections() -> u32 {
+        2_000
+    }
+}
+
+impl Check for Gateway {
+    fn check(&self) -> Result<(), (String, String)> {
+        addr::check(&[("callers", self.callers), ("ready", self.ready), ("node.peers", self.node.peers)])?;
+        if self.connections == 0 {
+            return Err(("connections".to_owned(), "must be at least 1".to_owned()));
+        }
+        self.node.check()
+    }
+}
--- a/crates/sequoiahold/src/settings/log.rs
+++ b/crates/sequoiahold/src/settings/log.rs
@@ -14,6 +14,17 @@
     Plain,
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Output {
+    /// Standard error.
+    #[default]
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
 /// Settings of log lines.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -23,11 +34,13 @@
     pub level: LevelFilter,
     /// The format of a line.
     pub format: Format,
+    /// Where lines go.
+    pub output: Output,
 }
 
 impl Default for Log {
     fn default() -> Self {
-        Self { level: LevelFilter::Info, format: Format::Plain }
+        Self { level: LevelFilter::Info, format: Format::Plain, output: Output::Stderr }
     }
 }
 
--- a/crates/sequoiahold/src/settings/mod.rs
+++ b/crates/sequoiahold/src/settings/mod.rs
@@ -5,9 +5,12 @@
 mod config;
 mod endpoint;
 mod entry;
+mod gateway;
 mod keys;
+mod loader;
 mod log;
 mod metrics;
+mod node;
 mod platform;
 
 use std::{fs, path::Path};
@@ -20,9 +23,12 @@
     config::Config,
     endpoint::{Endpoint, Engine, Weights},
     entry::Entry,
+    gateway::Gateway,
     keys::Keys,
-    log::{Format, Log},
+    loader::Loader,
+    log::{Format, Log, Output},
     metrics::Metrics,
+    node::{Bounds, Node},
     platform::Platform,
 };
 
