--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     ids::{ClientId, InstanceId, ModelId, RegionId, ServiceId, ZoneId},
-    units::{Bytes, Span},
+    units::{ByteRate, Bytes, Span},
 };
 
 /// What may be repeated of a request.
@@ -101,8 +101,19 @@
     pub cold_rate: Option<f64>,
     /// The engines, where the endpoints are model engines.
     pub engine: Option<EngineSpec>,
-    /// The address of the origin, where the service hands out weights.
-    pub origin: Option<SocketAddr>,
+    /// The origin, where the service hands out weights.
+    pub origin: Option<Origin>,
+}
+
+/// The origin of weights.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Origin {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its availability zone, if it is told.
+    pub zone: Option<ZoneId>,
+    /// The rate of its link, if it is told.
+    pub link: Option<ByteRate>,
 }
 
 /// A client account.
@@ -198,8 +209,8 @@
     }
 
     /// Returns the origin of weights, the first one where there are several.
-    pub fn origin(&self) -> Option<SocketAddr> {
-        self.services.values().find_map(|service| service.origin)
+    pub fn origin(&self) -> Option<&Origin> {
+        self.services.values().find_map(|service| service.origin.as_ref())
     }
 }
 
--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -203,6 +203,13 @@
         }
     }
 
+    /// Takes note that an endpoint takes no new requests until a time.
+    pub fn pause(&mut self, instance: &InstanceId, until: Time) {
+        if let Some(seat) = self.names.get(instance) {
+            self.seats[*seat].pause(until);
+        }
+    }
+
     /// Places a request, lets it wait, or turns it away.
     pub fn arrive(&mut self, now: Time, ask: Ask, rng: &mut impl Rng) -> Verdict {
         let first = self.services.get(&ask.service).is_none_or(|desk| desk.line.is_empty());
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,4 +9,5 @@
 pub mod seam;
 pub mod seat;
 pub mod stream;
+pub mod turns;
 pub mod view;
--- a/crates/core/src/direct/seam.rs
+++ b/crates/core/src/direct/seam.rs
@@ -8,7 +8,7 @@
     catalog::{Catalog, Listed},
     mirror::{Change, Revision},
 };
-use crate::ids::{InstanceId, ModelId, ZoneId};
+use crate::ids::{Digest, InstanceId, ModelId, ZoneId};
 
 /// The names of the headers that gateways read and set, in lower case.
 #[derive(Clone, Copy, Debug)]
@@ -108,8 +108,10 @@
 pub struct ChunkList {
     /// The version.
     pub version: u64,
+    /// The size of a chunk in bytes.
+    pub size: u64,
     /// The SHA-256 digest of each chunk.
-    pub digests: Vec<[u8; 32]>,
+    pub digests: Vec<Digest>,
 }
 
 /// An order to load what is staged at an engine.
@@ -143,8 +145,8 @@
     fn report_path(&self) -> &'static str;
     /// Reads a report.
     fn report(&self, body: &[u8]) -> Result<Report, DecodeError>;
-    /// Returns the path of the chunk list of a version.
-    fn list_path(&self, model: &ModelId, version: u64) -> String;
+    /// Returns the path of the chunk list of a version, the newest one where none is given.
+    fn list_path(&self, model: &ModelId, version: Option<u64>) -> String;
     /// Reads a chunk list.
     fn list(&self, body: &[u8]) -> Result<ChunkList, DecodeError>;
     /// Returns the path of a chunk at the origin.
--- a/crates/core/src/direct/seat.rs
+++ b/crates/core/src/direct/seat.rs
@@ -59,6 +59,7 @@
     failures: u32,
     rest: Time,
     unfit: bool,
+    paused: Time,
 }
 
 impl Seat {
@@ -75,6 +76,7 @@
             failures: 0,
             rest: Time::default(),
             unfit: false,
+            paused: Time::default(),
         }
     }
 
@@ -94,7 +96,13 @@
 
     /// Returns whether the endpoint may be asked now, apart from its load.
     pub fn is_fit(&self, now: Time) -> bool {
-        !self.unfit && !self.endpoint.listed.leaving && self.rest <= now
+        let rests = self.rest > now || self.paused > now;
+        !self.unfit && !self.endpoint.listed.leaving && !rests
+    }
+
+    /// Takes note that the endpoint takes no new requests until a time.
+    pub fn pause(&mut self, until: Time) {
+        self.paused = until;
     }
 
     /// Returns whether the endpoint answered the last requests.
--- /dev/null
+++ b/crates/core/src/direct/turns.rs
@@ -0,0 +1,25 @@
+//! When an engine loads a new version, so that not all engines of a zone pause at the same time.
+//!
+//! Load pattern: live traffic while operators name a version that must be in use everywhere within a
+//! few seconds. An engine that loads takes no new requests until those in progress are over. Each
+//! loader works out its turn alone, from the members of its zone; there is no time to wait for the
+//! engines before it.
+
+use crate::{ids::VmId, peers::ranked, time::Time, units::Span};
+
+/// Groups that load one after the other.
+const GROUPS: usize = 3;
+/// Part of the time for a version at which the first group may load.
+const FIRST: f64 = 0.44;
+/// Part of the time for a version between two groups.
+const STEP: f64 = 0.13;
+
+/// Returns when a loader may give the order, for a version known since `since`.
+pub fn turn(own: &VmId, zone: &[VmId], item: &str, since: Time, time: Span) -> Time {
+    let names: Vec<&str> = zone.iter().map(VmId::as_str).collect();
+    let order = ranked(names, item.as_bytes());
+    let place = order.iter().position(|name| *name == own.as_str()).unwrap_or(0);
+    let size = order.len().div_ceil(GROUPS).max(1);
+    let part = FIRST + STEP * (place / size) as f64;
+    since + Span((time.0 as f64 * part) as u64)
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -109,7 +109,7 @@
 
 name_id!(VmId ZoneId RegionId PoolId ServiceId ModelId VersionId AdapterId ClientId InstanceId OnceKey);
 
-/// A BLAKE3 digest.
+/// A digest of 32 bytes: BLAKE3 for the product's own names, SHA-256 where a platform uses it.
 #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Digest([u8; 32]);
 
@@ -119,6 +119,11 @@
         Self(*blake3::hash(data).as_bytes())
     }
 
+    /// Returns the digest with these bytes, made by whichever function names the data.
+    pub const fn from_bytes(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+
     /// Returns the bytes of the digest.
     pub fn bytes(&self) -> &[u8; 32] {
         &self.0
--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -22,7 +22,7 @@
     pace::Pacer,
     rollout::{Rollout, Turn},
     state::{TransferEvent, TransferState},
-    topology::{PeerKey, Topology},
+    topology::{PeerKey, Topology, ZoneLink},
     transfer::Transfer,
     upload::Uploads,
 };
--- a/crates/core/src/weights/topology.rs
+++ b/crates/core/src/weights/topology.rs
@@ -33,6 +33,15 @@
     origin: bool,
 }
 
+/// An availability zone as a topology needs it.
+#[derive(Clone, Debug)]
+pub struct ZoneLink {
+    /// The region.
+    pub region: String,
+    /// The rate of the region's link.
+    pub link: ByteRate,
+}
+
 /// The VMs that share weights, as one of them sees them.
 #[derive(Clone, Debug)]
 pub struct Topology {
@@ -50,20 +59,35 @@
         fleet: &Fleet,
         origin: Option<&RegionId>,
     ) -> Self {
-        let mut members: Vec<&Vm> = vms.into_iter().collect();
-        members.sort_by(|a, b| a.name.cmp(&b.name));
+        let members = vms.into_iter().map(|vm| (&vm.name, &vm.zone));
+        let links = |zone: &ZoneId| {
+            let declared = fleet.zones.get(zone)?;
+            Some(ZoneLink { region: declared.region.as_str().to_owned(), link: declared.link })
+        };
+        Self::of(own, members, links, origin)
+    }
+
+    /// Sorts members by zone and region; `links` tells what is known of a zone.
+    pub fn of<'a>(
+        own: &VmId,
+        members: impl IntoIterator<Item = (&'a VmId, &'a ZoneId)>,
+        links: impl Fn(&ZoneId) -> Option<ZoneLink>,
+        origin: Option<&RegionId>,
+    ) -> Self {
+        let mut members: Vec<(&VmId, &ZoneId)> = members.into_iter().collect();
+        members.sort_by(|a, b| a.0.cmp(b.0));
         let mut topology =
             Self { own: PeerKey(0), members: vec![], zones: vec![], regions: vec![] };
         let (mut zones, mut regions) = (BTreeMap::new(), BTreeMap::new());
-        for (i, vm) in members.into_iter().enumerate() {
+        for (i, (vm, zone)) in members.into_iter().enumerate() {
             let key = PeerKey(i as u32);
-            let zone = *zones.entry(&vm.zone).or_insert_with(|| {
-                topology.add_zone(&vm.zone, fleet, origin, &mut regions);
+            let place = *zones.entry(zone).or_insert_with(|| {
+                topology.add_zone(zone, links(zone), origin, &mut regions);
                 topology.zones.len() - 1
             });
-            topology.zones[zone].members.push(key);
-            let seed = name_seed(vm.name.as_str());
-            topology.members.push(Member { vm: vm.name.clone(), seed, zone });
+            topology.zones[place].members.push(key);
+            let seed = name_seed(vm.as_str());
+            topology.members.push(Member { vm: vm.clone(), seed, zone: place });
         }
         topology.own = topology.key(own).unwrap_or(PeerKey(0));
         topology
@@ -72,16 +96,15 @@
     fn add_zone(
         &mut self,
         zone: &ZoneId,
-        fleet: &Fleet,
+        link: Option<ZoneLink>,
         origin: Option<&RegionId>,
         regions: &mut BTreeMap<String, usize>,
     ) {
-        let declared = fleet.zones.get(zone);
-        let name = declared.map_or(zone.as_str(), |zone| zone.region.as_str());
+        let name = link.as_ref().map_or(zone.as_str(), |link| link.region.as_str());
         let region = *regions.entry(name.to_owned()).or_insert_with(|| {
             self.regions.push(Region {
                 seed: name_seed(name),
-                link: declared.map_or(ByteRate(u64::MAX), |zone| zone.link),
+                link: link.as_ref().map_or(ByteRate(u64::MAX), |link| link.link),
                 origin: origin.is_some_and(|origin| origin.as_str() == name),
             });
             self.regions.len() - 1
--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -213,6 +213,11 @@
 
     /// Takes a chunk that arrived.
     pub fn arrived(&mut self, now: Time, digest: Digest, data: &[u8]) -> TransferOutcome {
+        self.arrived_checked(now, digest, Digest::of(data) == digest)
+    }
+
+    /// Takes a chunk that arrived and was checked against its digest.
+    pub fn arrived_checked(&mut self, now: Time, digest: Digest, sound: bool) -> TransferOutcome {
         let Some(chunk) = self.index.get(&digest).copied() else {
             return TransferOutcome::Unwanted;
         };
@@ -221,7 +226,7 @@
             return TransferOutcome::Unwanted;
         }
         let peer = flight.as_ref().and_then(|flight| self.peers.get_mut(&flight.source?));
-        if Digest::of(data) != digest {
+        if !sound {
             peer.map(Peer::charge);
             self.tasks[chunk].iter_mut().for_each(|task| task.silent += 1);
             return TransferOutcome::Corrupt;
--- a/crates/sequoiahold/src/gateway/loads.rs
+++ b/crates/sequoiahold/src/gateway/loads.rs
@@ -46,6 +46,10 @@
                     Some(Datagram::Load(note)) => {
                         notes.told.insert(note.from, (gateway.node.now(), note.loads));
                     }
+                    Some(Datagram::Loading(note)) => {
+                        let until = gateway.node.now() + note.pause;
+                        gateway.desk.borrow_mut().pause(&note.instance, until);
+                    }
                     Some(Datagram::Gossip(_)) => {}
                     None => return,
                 },
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -1,5 +1,14 @@
 //! The loader: brings the wanted weights to the engine on its VM.
 
+mod engine;
+mod goal;
+mod shelf;
+mod sources;
+mod stage;
+mod transfer;
+
+use std::{rc::Rc, time::Duration};
+
 use actix_http::ServiceConfig;
 use sequoiahold_core::direct::{mesh::Role, seam::Dialect};
 use tokio::{
@@ -7,21 +16,84 @@
     sync::mpsc,
 };
 
-use crate::{
-    node::{NoCalls, Node},
-    settings,
-};
+use self::{engine::Engine, goal::Goal, shelf::Shelf};
+use crate::{node::Node, settings};
+
+/// Time between two looks at the engine.
+const LOOK: Duration = Duration::from_millis(250);
+/// Pause after a failure.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// What the tasks of a loader share.
+struct Loader<D> {
+    node: Rc<Node<D>>,
+    settings: settings::Loader,
+    engine: Engine<D>,
+    shelf: Shelf,
+}
 
 /// Runs a loader until it is told to stop.
 pub async fn run<D: Dialect>(dialect: D, settings: settings::Loader) -> anyhow::Result<()> {
     let (notes, _inbox) = mpsc::unbounded_channel();
     let config = ServiceConfig::default();
-    let node = Node::new(dialect, Role::Loader, settings.node.clone(), config, notes);
+    let node = Node::new(dialect, Role::Loader, settings.node.clone(), config.clone(), notes);
     let mut stop = signal(SignalKind::terminate())?;
-    node.start(NoCalls)?;
+    let shelf = Shelf::default();
+    node.start(shelf.clone())?;
     let vm = settings.node.vm.to_string();
     log::info!(vm = vm.as_str(), version = env!("CARGO_PKG_VERSION"); "loader started");
-    stop.recv().await;
+    let engine = Engine::new(dialect, settings.engine, config);
+    let loader = Loader { node, settings, engine, shelf };
+    tokio::select! {
+        () = follow(&loader) => {}
+        _ = stop.recv() => {}
+    }
     log::info!("stopped");
     Ok(())
 }
+
+/// Brings each wanted version to the engine, for as long as the process runs.
+async fn follow<D: Dialect>(loader: &Loader<D>) {
+    loop {
+        let goal = match goal::find(loader).await {
+            Ok(Some(goal)) => goal,
+            Ok(None) => {
+                actix_rt::time::sleep(LOOK).await;
+                continue;
+            }
+            Err(error) => {
+                log::debug!("engine: {error:#}");
+                actix_rt::time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        let reached = tokio::select! {
+            reached = reach(loader, &goal) => reached,
+            () = goal::overtaken(loader, &goal) => {
+                log::info!(version = goal.version; "overtaken by a newer version");
+                continue;
+            }
+        };
+        if let Err(error) = reached {
+            let fault = format!("{error:#}");
+            log::warn!(version = goal.version, fault = fault.as_str(); "version not brought");
+            actix_rt::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Brings one version to the engine.
+async fn reach<D: Dialect>(loader: &Loader<D>, goal: &Goal) -> anyhow::Result<()> {
+    let begun = loader.node.now();
+    let took = |node: &Node<D>| (node.now() - begun).0 / 1_000;
+    let (model, version) = (goal.model.to_string(), goal.version);
+    let list = sources::list(loader, &goal.model, Some(goal.version)).await?;
+    if goal.held == Some(goal.version) {
+        return stage::take_stock(loader, goal, &list).await;
+    }
+    transfer::run(loader, goal, &list).await?;
+    log::info!(model = model.as_str(), version, took_ms = took(&loader.node); "chunks held whole");
+    stage::load(loader, goal, &list).await?;
+    log::info!(model = model.as_str(), version, took_ms = took(&loader.node); "version in use");
+    Ok(())
+}
--- /dev/null
+++ b/crates/sequoiahold/src/loader/shelf.rs
@@ -0,0 +1,117 @@
+//! The chunks that a loader holds and gives to its peers.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
+
+use actix_http::StatusCode;
+use bytes::Bytes;
+use sequoiahold_core::{
+    direct::seam::ChunkList,
+    ids::{Digest, ModelId},
+    weights::Bits,
+};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::node::{CHUNKS, PeerCalls};
+
+/// Versions of a model that are kept: the one in use and the one that replaces it.
+const VERSIONS: usize = 2;
+
+/// A chunk list as it is passed between loaders.
+#[derive(Deserialize, Serialize)]
+pub(super) struct ListMessage {
+    version: u64,
+    size: u64,
+    digests: Vec<[u8; 32]>,
+}
+
+#[derive(Default)]
+struct Held {
+    lists: BTreeMap<(ModelId, u64), ChunkList>,
+    chunks: BTreeMap<Digest, Bytes>,
+}
+
+/// The chunks that a loader holds.
+#[derive(Clone, Default)]
+pub(super) struct Shelf(Rc<RefCell<Held>>);
+
+impl Shelf {
+    /// Takes the chunk list of a version and forgets what is too old.
+    pub(super) fn put_list(&self, model: &ModelId, list: ChunkList) {
+        let mut held = self.0.borrow_mut();
+        held.lists.insert((model.clone(), list.version), list);
+        let of_model = held.lists.keys().filter(|(name, _)| name == model);
+        let versions: Vec<u64> = of_model.map(|(_, version)| *version).collect();
+        for version in versions.iter().rev().skip(VERSIONS) {
+            held.lists.remove(&(model.clone(), *version));
+        }
+        let Held { lists, chunks } = &mut *held;
+        chunks.retain(|digest, _| lists.values().any(|list| list.digests.contains(digest)));
+    }
+
+    /// Returns the chunk list of a version.
+    pub(super) fn list(&self, model: &ModelId, version: u64) -> Option<ChunkList> {
+        self.0.borrow().lists.get(&(model.clone(), version)).cloned()
+    }
+
+    /// Takes a chunk that was checked.
+    pub(super) fn put(&self, digest: Digest, data: Bytes) {
+        self.0.borrow_mut().chunks.insert(digest, data);
+    }
+
+    /// Returns a chunk.
+    pub(super) fn get(&self, digest: &Digest) -> Option<Bytes> {
+        self.0.borrow().chunks.get(digest).cloned()
+    }
+
+    /// Returns whether a chunk is held.
+    pub(super) fn holds(&self, digest: &Digest) -> bool {
+        self.0.borrow().chunks.contains_key(digest)
+    }
+
+    fn bits(&self, list: &ChunkList) -> Vec<u8> {
+        let mut bits = Bits::new(list.digests.len());
+        let held = list.digests.iter().enumerate().filter(|(_, digest)| self.holds(digest));
+        held.for_each(|(chunk, _)| {
+            bits.insert(chunk);
+        });
+        bits.bytes()
+    }
+
+    fn find(&self, target: &str) -> Option<Bytes> {
+        let mut parts = target.strip_prefix(CHUNKS)?.split('/');
+        let model: ModelId = parts.next()?.parse().ok()?;
+        let version: u64 = parts.next()?.parse().ok()?;
+        let list = self.list(&model, version)?;
+        match parts.next()? {
+            "list" => {
+                let digests = list.digests.iter().map(|digest| *digest.bytes()).collect();
+                let message = ListMessage { version, size: list.size, digests };
+                postcard::to_stdvec(&message).ok().map(Bytes::from)
+            }
+            "have" => Some(self.bits(&list).into()),
+            chunk => self.get(list.digests.get(chunk.parse::<usize>().ok()?)?),
+        }
+    }
+}
+
+impl PeerCalls for Shelf {
+    fn answer(&self, target: &str) -> (StatusCode, Bytes) {
+        match self.find(target) {
+            Some(body) => (StatusCode::OK, body),
+            None => (StatusCode::NOT_FOUND, Bytes::new()),
+        }
+    }
+}
+
+/// Reads a chunk list that a peer passed on.
+pub(super) fn read_list(body: &[u8]) -> Option<ChunkList> {
+    let message: ListMessage = postcard::from_bytes(body).ok()?;
+    let digests = message.digests.into_iter().map(Digest::from_bytes).collect();
+    Some(ChunkList { version: message.version, size: message.size, digests })
+}
+
+/// Returns whether data has a digest.
+pub(super) fn is_sound(data: &[u8], digest: &Digest) -> bool {
+    <[u8; 32]>::from(Sha256::digest(data)) == *digest.bytes()
+}
--- /dev/null
+++ b/crates/sequoiahold/src/loader/sources.rs
@@ -0,0 +1,173 @@
+//! Where chunk lists and chunks come from: peers, and the origin.
+
+use std::{net::SocketAddr, time::Duration};
+
+use actix_http::{Method, StatusCode, header::HeaderMap};
+use actix_rt::time::timeout;
+use anyhow::{Context as _, bail};
+use bytes::Bytes;
+use rand::seq::IndexedRandom as _;
+use sequoiahold_core::{
+    direct::{
+        mesh::{Member, Role},
+        seam::{ChunkList, Dialect},
+    },
+    ids::{ModelId, VmId},
+    peers::ranked,
+    weights::DrawError,
+};
+
+use super::{Loader, shelf::read_list};
+use crate::node::{CHUNKS, get};
+
+/// Largest chunk list or chunk that is read.
+const MAX_BODY: usize = 16_000_000;
+/// Time that a chunk list may take.
+const LIST: Duration = Duration::from_millis(1_500);
+/// Time by which each loader leaves the origin to the ones ranked before it.
+const TURN: Duration = Duration::from_millis(60);
+/// Longest such time.
+const MAX_TURN: Duration = Duration::from_millis(600);
+/// Peers that are asked for a chunk list before the origin is.
+const ASKED: usize = 3;
+/// Pause of the origin when it refuses.
+const REFUSED: sequoiahold_core::units::Span = sequoiahold_core::units::Span::millis(150);
+
+/// Returns the chunk list of a version, from a peer where one holds it, else from the origin.
+pub(super) async fn list<D: Dialect>(
+    loader: &Loader<D>,
+    model: &ModelId,
+    version: Option<u64>,
+) -> anyhow::Result<ChunkList> {
+    if let Some(version) = version {
+        if let Some(list) = loader.shelf.list(model, version) {
+            return Ok(list);
+        }
+        let rank = rank(loader, &format!("{model}/{version}"));
+        actix_rt::time::sleep((TURN * rank as u32).min(MAX_TURN)).await;
+        if let Some(list) = peer_list(loader, model, version).await {
+            loader.shelf.put_list(model, list.clone());
+            return Ok(list);
+        }
+    }
+    let path = loader.node.dialect.list_path(model, version);
+    let call = timeout(LIST, origin(loader, &path));
+    let body = call.await.context("the origin gave no chunk list in time")??;
+    let list = loader.node.dialect.list(&body)?;
+    if version.is_some_and(|version| version != list.version) {
+        bail!("the origin gave the chunk list of version {}", list.version);
+    }
+    loader.shelf.put_list(model, list.clone());
+    Ok(list)
+}
+
+/// Draws a chunk from a peer.
+pub(super) async fn peer_chunk<D: Dialect>(
+    loader: &Loader<D>,
+    addr: SocketAddr,
+    (model, version, chunk): (&ModelId, u64, usize),
+) -> Result<Bytes, DrawError> {
+    let path = format!("{CHUNKS}{model}/{version}/{chunk}");
+    get(&loader.node, addr, &path, MAX_BODY).await.map_err(|error| {
+        let absent = error.to_string().contains(StatusCode::NOT_FOUND.as_str());
+        if absent { DrawError::Absent } else { DrawError::Silent }
+    })
+}
+
+/// Asks a peer which chunks it holds.
+pub(super) async fn peer_holds<D: Dialect>(
+    loader: &Loader<D>,
+    addr: SocketAddr,
+    (model, version): (&ModelId, u64),
+) -> Option<Bytes> {
+    let path = format!("{CHUNKS}{model}/{version}/have");
+    timeout(LIST, get(&loader.node, addr, &path, MAX_BODY)).await.ok()?.ok()
+}
+
+/// Draws a chunk from the origin.
+pub(super) async fn origin_chunk<D: Dialect>(
+    loader: &Loader<D>,
+    (model, version, chunk): (&ModelId, u64, usize),
+) -> Result<Bytes, DrawError> {
+    let path = loader.node.dialect.chunk_path(model, version, chunk);
+    origin(loader, &path).await.map_err(|error| {
+        log::debug!("chunk {chunk} from the origin: {error:#}");
+        if error.is::<Refused>() { DrawError::Later(REFUSED) } else { DrawError::Silent }
+    })
+}
+
+/// Returns the live loaders, this one left out.
+pub(super) fn members<D: Dialect>(loader: &Loader<D>) -> Vec<Member> {
+    let mesh = loader.node.mesh.borrow();
+    let live = mesh.live(loader.node.now());
+    live.filter(|member| member.role == Role::Loader).cloned().collect()
+}
+
+/// Returns how many loaders go before this one for an item.
+fn rank<D: Dialect>(loader: &Loader<D>, item: &str) -> usize {
+    let members = members(loader);
+    let own = loader.settings.node.vm.as_str();
+    let names: Vec<&str> =
+        members.iter().map(|member| member.vm.as_str()).chain([own]).collect();
+    ranked(names, item.as_bytes()).into_iter().position(|name| name == own).unwrap_or(0)
+}
+
+async fn peer_list<D: Dialect>(
+    loader: &Loader<D>,
+    model: &ModelId,
+    version: u64,
+) -> Option<ChunkList> {
+    let members = members(loader);
+    let names: Vec<&str> = members.iter().map(|member| member.vm.as_str()).collect();
+    let item = format!("{model}/{version}");
+    let first: Vec<VmId> = ranked(names, item.as_bytes())
+        .into_iter()
+        .take(ASKED)
+        .filter_map(|name| name.parse().ok())
+        .collect();
+    let near: Vec<&Member> =
+        members.iter().filter(|member| member.zone == loader.settings.node.zone).collect();
+    let random = near.choose(&mut *loader.node.rng.borrow_mut()).map(|member| member.vm.clone());
+    for vm in first.into_iter().chain(random) {
+        let Some(member) = members.iter().find(|member| member.vm == vm) else { continue };
+        let path = format!("{CHUNKS}{model}/{version}/list");
+        let call = timeout(LIST / 4, get(&loader.node, member.addr, &path, MAX_BODY));
+        if let Ok(Ok(body)) = call.await
+            && let Some(list) = read_list(&body)
+        {
+            return Some(list);
+        }
+    }
+    None
+}
+
+/// The origin takes no call now.
+#[derive(Debug)]
+struct Refused(StatusCode);
+
+impl std::fmt::Display for Refused {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "refused with status {}", self.0)
+    }
+}
+
+impl std::error::Error for Refused {}
+
+async fn origin<D: Dialect>(loader: &Loader<D>, path: &str) -> anyhow::Result<Bytes> {
+    let node = &loader.node;
+    let known = node.view.borrow().catalog().and_then(|catalog| catalog.origin().cloned());
+    let origin = known.context("no origin is configured")?;
+    let mut upstream = node.pool.get(origin.addr, LIST).await?;
+    let sent = upstream.send(Method::GET, path, HeaderMap::new(), &Bytes::new()).await;
+    sent.map_err(|error| error.error)?;
+    let answer = upstream.head().await?;
+    let body = upstream.body(MAX_BODY).await?;
+    node.pool.put(upstream);
+    match answer.status {
+        StatusCode::OK => Ok(body),
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            Err(Refused(answer.status).into())
+        }
+        status => bail!("status {status} for {path}"),
+    }
+}
--- /dev/null
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -0,0 +1,188 @@
+//! Runs a transfer: draws chunks, answers of peers, staging at the engine.
+
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+
+use actix_rt::time::timeout;
+use bytes::Bytes;
+use futures_util::{FutureExt as _, StreamExt as _, future::LocalBoxFuture, stream::FuturesUnordered};
+use sequoiahold_core::{
+    direct::seam::{ChunkList, Dialect},
+    ids::{Digest, VmId},
+    units::{Bytes as Size, Span},
+    weights::{
+        Draw, DrawError, Limits, Manifest, Owners, Supplier, Topology, Transfer, TransferOutcome,
+        ZoneLink,
+    },
+};
+
+use super::{Loader, goal::Goal, shelf::is_sound, sources};
+
+/// Chunks that are drawn at the same time.
+const DRAWS: u32 = 6;
+/// Longest time between two looks at what may be drawn.
+const LOOK: Duration = Duration::from_millis(30);
+/// Time between two looks at which loaders there are.
+const MEMBERS: Span = Span::millis(500);
+
+enum Event {
+    Drawn(Digest, Result<Bytes, DrawError>),
+    Holds(VmId, Option<Bytes>),
+    Staged(usize, anyhow::Result<()>),
+}
+
+/// Draws what is missing of a version and stages each chunk as it comes.
+pub(super) async fn run<D: Dialect>(
+    loader: &Loader<D>,
+    goal: &Goal,
+    list: &ChunkList,
+) -> anyhow::Result<()> {
+    let mut now = loader.node.now();
+    let manifest = manifest(list);
+    let held = |digest: &Digest| loader.shelf.holds(digest);
+    let topology = topology(loader);
+    let limits = Limits { rate: loader.settings.link, draws: DRAWS };
+    let mut transfer = Transfer::new(&manifest, held, topology, owners(loader), limits, now);
+    let mut events: FuturesUnordered<LocalBoxFuture<'_, Event>> = FuturesUnordered::new();
+    let mut staging: VecDeque<(usize, Bytes)> = VecDeque::new();
+    let mut drawing = 0;
+    let mut busy = false;
+    let mut members = now + MEMBERS;
+    while !transfer.is_whole() || busy || !staging.is_empty() {
+        if now >= members {
+            transfer.set_topology(self::topology(loader));
+            members = now + MEMBERS;
+        }
+        while drawing < DRAWS
+            && let Some(draw) = transfer.next(now)
+        {
+            drawing += 1;
+            events.push(drawn(loader, goal, list, draw).boxed_local());
+        }
+        for vm in transfer.asks(now) {
+            events.push(holds(loader, goal, vm).boxed_local());
+        }
+        if !busy && let Some((chunk, data)) = staging.pop_front() {
+            busy = true;
+            let put = async move {
+                Event::Staged(chunk, loader.engine.put(&goal.model, chunk, data).await)
+            };
+            events.push(put.boxed_local());
+        }
+        let event = timeout(LOOK, next(&mut events)).await;
+        now = loader.node.now();
+        match event {
+            Ok(Event::Drawn(digest, drawn)) => {
+                drawing -= 1;
+                take(loader, list, &mut transfer, &mut staging, digest, drawn);
+            }
+            Ok(Event::Holds(vm, Some(bits))) => transfer.have(now, &vm, &bits),
+            Ok(Event::Holds(vm, None)) => transfer.silent(&vm),
+            Ok(Event::Staged(chunk, staged)) => {
+                busy = false;
+                if let Err(error) = staged {
+                    log::debug!("chunk {chunk}: {error:#}");
+                }
+            }
+            Err(_) => {}
+        }
+    }
+    Ok(())
+}
+
+async fn next(events: &mut FuturesUnordered<LocalBoxFuture<'_, Event>>) -> Event {
+    match events.next().await {
+        Some(event) => event,
+        None => std::future::pending().await,
+    }
+}
+
+/// Takes a chunk that was drawn.
+fn take<D: Dialect>(
+    loader: &Loader<D>,
+    list: &ChunkList,
+    transfer: &mut Transfer,
+    staging: &mut VecDeque<(usize, Bytes)>,
+    digest: Digest,
+    drawn: Result<Bytes, DrawError>,
+) {
+    let now = loader.node.now();
+    let data = match drawn {
+        Ok(data) => data,
+        Err(error) => return transfer.failed(now, &digest, error),
+    };
+    let sound = is_sound(&data, &digest);
+    match transfer.arrived_checked(now, digest, sound) {
+        TransferOutcome::Kept | TransferOutcome::Whole => {
+            let places = list.digests.iter().enumerate().filter(|(_, held)| **held == digest);
+            staging.extend(places.map(|(chunk, _)| (chunk, data.clone())));
+            loader.shelf.put(digest, data);
+        }
+        TransferOutcome::Corrupt => {
+            let digest = digest.short();
+            log::warn!(digest = digest.as_str(); "chunk with another digest dropped");
+        }
+        TransferOutcome::Unwanted => {}
+    }
+}
+
+async fn drawn<D: Dialect>(
+    loader: &Loader<D>,
+    goal: &Goal,
+    list: &ChunkList,
+    draw: Draw,
+) -> Event {
+    let chunk = list.digests.iter().position(|digest| *digest == draw.digest).unwrap_or(0);
+    let place = (&goal.model, goal.version, chunk);
+    let drawn = async {
+        match &draw.supplier {
+            Supplier::Origin => sources::origin_chunk(loader, place).await,
+            Supplier::Peer(vm) => match addr(loader, vm) {
+                Some(addr) => sources::peer_chunk(loader, addr, place).await,
+                None => Err(DrawError::Silent),
+            },
+        }
+    };
+    let drawn = timeout(draw.timeout.into(), drawn).await;
+    Event::Drawn(draw.digest, drawn.unwrap_or(Err(DrawError::Silent)))
+}
+
+async fn holds<D: Dialect>(loader: &Loader<D>, goal: &Goal, vm: VmId) -> Event {
+    let bits = match addr(loader, &vm) {
+        Some(addr) => sources::peer_holds(loader, addr, (&goal.model, goal.version)).await,
+        None => None,
+    };
+    Event::Holds(vm, bits)
+}
+
+fn addr<D: Dialect>(loader: &Loader<D>, vm: &VmId) -> Option<SocketAddr> {
+    let members = sources::members(loader);
+    members.into_iter().find(|member| member.vm == *vm).map(|member| member.addr)
+}
+
+fn manifest(list: &ChunkList) -> Manifest {
+    let size = list.size * list.digests.len() as u64;
+    Manifest { chunk: Size(list.size), size: Size(size), chunks: list.digests.clone() }
+}
+
+fn topology<D: Dialect>(loader: &Loader<D>) -> Topology {
+    let node = &loader.settings.node;
+    let members = sources::members(loader);
+    let all = members.iter().map(|member| (&member.vm, &member.zone));
+    let own = (&node.vm, &node.zone);
+    // The platform tells no rate of the links between regions; the origin's bounds all draws.
+    let rate = owners(loader).origin;
+    let links = |zone: &_| {
+        let region = node.zones.get(zone)?;
+        Some(ZoneLink { region: region.as_str().to_owned(), link: rate })
+    };
+    let view = loader.node.view.borrow();
+    let origin = view.catalog().and_then(|catalog| catalog.origin()?.zone.clone());
+    let region = origin.and_then(|zone| node.zones.get(&zone));
+    Topology::of(&node.vm, all.chain([own]), links, region)
+}
+
+fn owners<D: Dialect>(loader: &Loader<D>) -> Owners {
+    let view = loader.node.view.borrow();
+    let link = view.catalog().and_then(|catalog| catalog.origin()?.link);
+    Owners { origin: link.unwrap_or(loader.settings.link) }
+}
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -1,6 +1,10 @@
 //! The datagrams between processes.
 
-use sequoiahold_core::{direct::mesh::Gossip, ids::VmId};
+use sequoiahold_core::{
+    direct::mesh::Gossip,
+    ids::{InstanceId, VmId},
+    units::Span,
+};
 use serde::{Deserialize, Serialize};
 
 /// The load that a gateway causes at one endpoint.
@@ -23,6 +27,15 @@
     pub loads: Vec<EndpointLoad>,
 }
 
+/// Says that an engine loads and takes no new requests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadingNote {
+    /// The engine.
+    pub instance: InstanceId,
+    /// The time for which nothing is to be sent there; 0 where the load is over.
+    pub pause: Span,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -30,4 +43,6 @@
     Gossip(Gossip),
     /// The loads that a gateway causes.
     Load(LoadNote),
+    /// An engine loads.
+    Loading(LoadingNote),
 }
--- a/crates/sequoiahold/src/settings/loader.rs
+++ b/crates/sequoiahold/src/settings/loader.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use sequoiahold_core::units::ByteRate;
+use sequoiahold_core::{ids::ServiceId, units::ByteRate};
 use serde::{Deserialize, Serialize};
 
 use super::{Check, Log, Node, addr};
@@ -15,6 +15,8 @@
     pub node: Node,
     /// The address of the engine on this VM.
     pub engine: SocketAddr,
+    /// The service that the engine belongs to.
+    pub service: ServiceId,
     /// The rate of this VM's link.
     pub link: ByteRate,
     /// Log lines.
