--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -168,7 +168,7 @@
 
     /// Takes the published state.
     pub fn follow(&mut self, view: &View) {
-        self.wanted = view.models().map(|(model, wanted)| (model.clone(), *wanted)).collect();
+        self.wanted = view.models().map(|(model, wanted)| (model.clone(), wanted.clone())).collect();
         if let Some(catalog) = view.catalog() {
             self.specs = specs(catalog);
         }
@@ -305,11 +305,11 @@
     fn place(&mut self, now: Time, ask: &Ask, rng: &mut impl Rng) -> Option<Grant> {
         let spec = self.specs.get(&ask.service).cloned().unwrap_or_default();
         let most = self.most_a_second(&spec);
-        let version = self.version(now, ask);
+        let oldest = self.oldest(now, ask);
         let mut best: Option<(u64, SeatKey)> = None;
         for (key, seat) in &mut self.seats {
             let room = seat.load(now).count < seat.endpoint.listed.slots.max(1);
-            let fit = fits(seat, ask, version) && seat.is_fit(now) && seat.is_open(now, most);
+            let fit = fits(seat, ask, oldest) && seat.is_fit(now) && seat.is_open(now, most);
             if !room || !fit || (ask.careful && !seat.is_sound()) {
                 continue;
             }
@@ -323,6 +323,8 @@
         let seat = &mut self.seats[key];
         seat.send(now, work);
         let listed = &seat.endpoint.listed;
+        let held = ask.model.as_ref().and_then(|model| seat.endpoint.held(model));
+        let version = oldest.and(held).map(|loaded| loaded.version);
         let grant = Grant {
             seat: key,
             instance: listed.instance.clone(),
@@ -342,11 +344,10 @@
         self.seats.values().any(|seat| fits(seat, ask, None) && !seat.endpoint.listed.leaving)
     }
 
-    /// Returns the version that alone may be used, once an older one would come too late.
-    fn version(&self, now: Time, ask: &Ask) -> Option<u64> {
-        let wanted = self.wanted.get(ask.model.as_ref()?)?;
+    /// Returns the oldest version that may be used, where older ones would come too late.
+    fn oldest(&self, now: Time, ask: &Ask) -> Option<u64> {
         let last = Span((self.place.version_time.0 as f64 * VERSION_PART) as u64);
-        (wanted.since + last <= now).then_some(wanted.version)
+        self.wanted.get(ask.model.as_ref()?)?.oldest(now, last)
     }
 
     /// Returns the requests that this gateway may send to one endpoint in any second, such that all
@@ -386,14 +387,14 @@
     catalog.services.iter().map(|(name, service)| (name.clone(), spec(service))).collect()
 }
 
-fn fits(seat: &Seat, ask: &Ask, version: Option<u64>) -> bool {
+fn fits(seat: &Seat, ask: &Ask, oldest: Option<u64>) -> bool {
     let listed = &seat.endpoint.listed;
     let allowed = ask.regions.is_empty()
         || seat.region.as_ref().is_some_and(|region| ask.regions.contains(region));
     let serves = match (&ask.model, &listed.loaded) {
         (Some(model), Some(_)) => {
             let held = seat.endpoint.held(model).map(|loaded| loaded.version);
-            held.is_some_and(|held| version.is_none_or(|version| held == version))
+            held.is_some_and(|held| oldest.is_none_or(|oldest| held >= oldest))
         }
         _ => true,
     };
--- a/crates/core/src/direct/mesh.rs
+++ b/crates/core/src/direct/mesh.rs
@@ -29,6 +29,9 @@
 /// Time after which a silent member is forgotten; it may be alive behind a partition until then.
 const FORGET: Span = Span::secs(60);
 
+/// Processes of a zone that watch the platform; two, so that one may fail unnoticed for a while.
+const WATCHERS: usize = 2;
+
 /// What a process of the system does.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Role {
@@ -53,6 +56,8 @@
     pub incarnation: Incarnation,
     /// Its heartbeat counter.
     pub beat: u64,
+    /// Whether the platform answers it, as far as it has asked.
+    pub reads: bool,
 }
 
 /// One message of gossip.
@@ -112,6 +117,24 @@
         peers + usize::from(self.own.role == role)
     }
 
+    /// Sets whether the platform answers this process.
+    pub fn set_reads(&mut self, reads: bool) {
+        self.own.reads = reads;
+    }
+
+    /// Returns whether this process watches the platform for its zone: the first ones by name do,
+    /// gateways before loaders; those that the platform does not answer are left out.
+    pub fn is_watcher(&self, now: Time) -> bool {
+        let own = (self.own.role, &self.own.vm);
+        let near = self.live(now).filter(|member| member.zone == self.own.zone && member.reads);
+        near.filter(|member| (member.role, &member.vm) < own).count() < WATCHERS
+    }
+
+    /// Returns the live members of the own zone.
+    pub fn near(&self, now: Time) -> impl Iterator<Item = &Member> {
+        self.live(now).filter(|member| member.zone == self.own.zone)
+    }
+
     /// Starts a round: returns the message and whom to send it to.
     pub fn round(
         &mut self,
--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -19,6 +19,9 @@
 /// that entries of live endpoints are back within about two seconds.
 const RETURN: Span = Span::millis(1_700);
 
+/// Versions of a model that are remembered.
+const NAMED: usize = 8;
+
 /// An endpoint as it is believed to be.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
@@ -30,13 +33,37 @@
     pub doubt: Option<Time>,
 }
 
-/// The version of a model that operators want.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// The versions of a model that operators named of late, and when this process learnt of each.
+///
+/// A newer one does not put off the time by which an older one must be in use.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Wanted {
-    /// The version.
-    pub version: u64,
-    /// When this process learnt of it.
-    pub since: Time,
+    named: Vec<(u64, Time)>,
+}
+
+impl Wanted {
+    /// Returns the newest version.
+    pub fn version(&self) -> u64 {
+        self.named.last().map_or(0, |(version, _)| *version)
+    }
+
+    /// Returns when the first version after `held` was named, whose time is the next to run out.
+    pub fn since(&self, held: Option<u64>) -> Time {
+        let newer = |(version, _): &&(u64, Time)| held.is_none_or(|held| *version > held);
+        self.named.iter().find(newer).map_or(Time::default(), |(_, since)| *since)
+    }
+
+    /// Returns the oldest version that may still be used `after` it was named.
+    pub fn oldest(&self, now: Time, after: Span) -> Option<u64> {
+        let due = |(_, since): &&(u64, Time)| *since + after <= now;
+        self.named.iter().rev().find(due).map(|(version, _)| *version)
+    }
+
+    fn name(&mut self, version: u64, since: Time) {
+        self.named.push((version, since));
+        let surplus = self.named.len().saturating_sub(NAMED);
+        self.named.drain(..surplus);
+    }
 }
 
 /// What a change did.
@@ -77,8 +104,8 @@
     }
 
     /// Returns the version of a model that operators want.
-    pub fn wanted(&self, model: &ModelId) -> Option<Wanted> {
-        self.wanted.get(model).copied()
+    pub fn wanted(&self, model: &ModelId) -> Option<&Wanted> {
+        self.wanted.get(model)
     }
 
     /// Returns the models with a wanted version.
@@ -139,11 +166,11 @@
 
     fn want(&mut self, now: Time, model: ModelId, version: Option<u64>) -> Effect {
         let Some(version) = version else { return changed(self.wanted.remove(&model).is_some()) };
-        let known = self.wanted.get(&model);
-        if known.is_some_and(|wanted| wanted.version >= version) {
+        let wanted = self.wanted.entry(model).or_default();
+        if wanted.version() >= version {
             return Effect::None;
         }
-        self.wanted.insert(model, Wanted { version, since: now });
+        wanted.name(version, now);
         Effect::Endpoints
     }
 }
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -26,6 +26,8 @@
 const SILENCE: Duration = Duration::from_millis(450);
 /// Time without an event after which a stream goes on elsewhere.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_200);
+/// Time after which a caller may come back, to another gateway.
+const LEAVING_RETRY: Span = Span::millis(50);
 /// Least time that must be left for another try.
 const LEAST_LEFT: Span = Span::millis(60);
 
@@ -54,6 +56,10 @@
     request: Incoming,
     writer: &mut Writer,
 ) -> bool {
+    if gateway.is_closing() {
+        let refusal = Refusal::after(Reason::Leaving, LEAVING_RETRY);
+        return own(gateway, &request, writer, Own::Refused(refusal)).await;
+    }
     let plan = match plan(gateway, &request) {
         Ok(plan) => plan,
         Err(none) => return own(gateway, &request, writer, none.into()).await,
@@ -103,6 +109,8 @@
         self.ask.careful = true;
         let silence = self.silence();
         let last = relay.events.last();
+        // A time-out may end this future: until an answer proves otherwise, the request has run.
+        let before = std::mem::replace(&mut self.ran, true);
         let sent =
             attempt::send(self.gateway, &self.plan, self.request, &held.grant, last, silence).await;
         match sent {
@@ -115,11 +123,13 @@
                 self.answer(relay, held, answer, upstream).await
             }
             Sent::NotRun { misdirected } => {
+                self.ran = before;
                 self.sends += 1;
                 held.ended = if misdirected { Ended::Misdirected } else { Ended::Full };
                 Next::Again
             }
             Sent::Unsent(fault) => {
+                self.ran = before;
                 self.note(&held, &fault);
                 held.ended = Ended::Failed;
                 Next::Again
@@ -128,7 +138,6 @@
                 self.sends += 1;
                 self.note(&held, &fault);
                 held.ended = Ended::Failed;
-                self.ran = true;
                 Next::Again
             }
         }
@@ -143,7 +152,6 @@
         mut upstream: crate::h1::Upstream,
     ) -> Next {
         let part = relay.pass(&answer, &mut upstream, self.silence()).await;
-        self.ran = true;
         match part {
             Part::Done => {
                 held.ended = Ended::Answered;
@@ -172,7 +180,6 @@
             Err(error) => {
                 self.note(&held, &error.to_string());
                 held.ended = Ended::Failed;
-                self.ran = true;
                 return Next::Again;
             }
         };
@@ -206,9 +213,7 @@
         }
         let answer = match own_answer {
             Own::Refused(_) if self.ran => Own::Unknown,
-            Own::TimedOut if !self.ran && self.sends == 0 => {
-                Own::Refused(Refusal::new(Reason::Deadline))
-            }
+            Own::TimedOut if !self.ran => Own::Refused(Refusal::new(Reason::Deadline)),
             other => other,
         };
         own(self.gateway, self.request, relay.writer(), answer).await
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -127,6 +127,11 @@
         self.closing.send_replace(true);
     }
 
+    /// Returns whether new requests are turned away.
+    pub(super) fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
     /// Returns a signal that is raised when idle connections are to be closed.
     pub(super) fn closing(&self) -> watch::Receiver<bool> {
         self.closing.subscribe()
--- a/crates/sequoiahold/src/loader/goal.rs
+++ b/crates/sequoiahold/src/loader/goal.rs
@@ -34,7 +34,7 @@
     if report.busy {
         return Ok(None);
     }
-    let wanted = wanted(&loader.node.view.borrow(), &model);
+    let wanted = wanted(&loader.node.view.borrow(), &model, held);
     let (version, since) = match (wanted, held) {
         (Some(wanted), _) => wanted,
         (None, Some(held)) => (held, Time::default()),
@@ -49,8 +49,8 @@
 pub(super) async fn overtaken<D: Dialect>(loader: &Loader<D>, goal: &Goal) {
     loop {
         actix_rt::time::sleep(LOOK).await;
-        let wanted = loader.node.view.borrow().wanted(&goal.model);
-        if wanted.is_some_and(|wanted| wanted.version > goal.version) {
+        let view = loader.node.view.borrow();
+        if view.wanted(&goal.model).is_some_and(|wanted| wanted.version() > goal.version) {
             return;
         }
     }
@@ -64,9 +64,9 @@
 }
 
 /// Returns the version that operators want, else the newest one that an engine is known to hold.
-fn wanted(view: &View, model: &ModelId) -> Option<(u64, Time)> {
+fn wanted(view: &View, model: &ModelId, held: Option<u64>) -> Option<(u64, Time)> {
     if let Some(wanted) = view.wanted(model) {
-        return Some((wanted.version, wanted.since));
+        return Some((wanted.version(), wanted.since(held)));
     }
     let held = view.endpoints().values().filter_map(|endpoint| endpoint.held(model));
     held.map(|loaded| (loaded.version, Time::default())).max()
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -1,7 +1,10 @@
 //! The datagrams between processes.
 
 use sequoiahold_core::{
-    direct::mesh::Gossip,
+    direct::{
+        mesh::Gossip,
+        mirror::{Revision, Sync},
+    },
     ids::{InstanceId, VmId},
     units::Span,
 };
@@ -45,4 +48,6 @@
     Load(LoadNote),
     /// An engine loads.
     Loading(LoadingNote),
+    /// Changes of the published state, after a revision.
+    Changes(Revision, Sync),
 }
--- a/crates/sequoiahold/src/node/gossip.rs
+++ b/crates/sequoiahold/src/node/gossip.rs
@@ -6,7 +6,7 @@
 use sequoiahold_core::{
     direct::{
         mesh::{self, Gossip},
-        mirror::Revision,
+        mirror::{Change, Revision, Sync},
         seam::Dialect,
     },
     units::Span,
@@ -17,6 +17,10 @@
 
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 1_400;
+/// Most bytes of changes that are passed on in one datagram.
+const MAX_CHANGES: usize = 1_150;
+/// Bytes that a change takes beside its key and value.
+const CHANGE_OVERHEAD: usize = 16;
 /// Time that the own watch has to bring what a peer already knows.
 const PULL_AFTER: Span = Span::millis(150);
 
@@ -76,6 +80,7 @@
         };
         match postcard::from_bytes(&buffer[..len]) {
             Ok(Datagram::Gossip(gossip)) => hear(&node, from, gossip),
+            Ok(Datagram::Changes(after, sync)) => take(&node, from, after, sync),
             Ok(datagram) => {
                 if node.notes.send(datagram).is_err() {
                     log::debug!("datagram from {from}: nothing takes this kind");
@@ -99,6 +104,39 @@
     }
 }
 
+/// Passes changes on to the processes of the own zone; what fits no datagram is pulled.
+pub(super) fn pass_on<D: Dialect>(node: &Node<D>, after: Revision, changes: &[Change]) {
+    let at = node.mirror.borrow().at();
+    let size: usize = changes.iter().map(size_of_change).sum();
+    let changes = if size > MAX_CHANGES { vec![] } else { changes.to_vec() };
+    let after = if changes.is_empty() { at } else { after };
+    let datagram = Datagram::Changes(after, Sync { at, whole: false, changes });
+    let near: Vec<SocketAddr> =
+        node.mesh.borrow().near(node.now()).map(|member| member.addr).collect();
+    for peer in near {
+        node.tell(peer, &datagram);
+    }
+}
+
+fn size_of_change(change: &Change) -> usize {
+    change.key.len() + change.value.as_ref().map_or(0, |value| value.len()) + CHANGE_OVERHEAD
+}
+
+/// Takes changes that a peer passed on, or pulls where some before them are lacking.
+fn take<D: Dialect>(node: &Rc<Node<D>>, from: SocketAddr, after: Revision, sync: Sync) {
+    let at = node.mirror.borrow().at();
+    if sync.at <= at {
+        return;
+    }
+    if at < after || sync.changes.is_empty() {
+        let node = node.clone();
+        actix_rt::spawn(async move { peers::pull(&node, from).await });
+        return;
+    }
+    let changes = node.mirror.borrow_mut().sync(sync);
+    node.take(changes);
+}
+
 /// Pulls what a peer knows unless it has come otherwise by then.
 async fn pull_later<D: Dialect>(node: Rc<Node<D>>, peer: SocketAddr, at: Revision) {
     if node.mirror.borrow().at() > Revision(0) {
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -84,6 +84,7 @@
             addr: settings.peers,
             incarnation: clock.incarnation(),
             beat: 0,
+            reads: true,
         };
         let port = settings.peers.port();
         let seeds = settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
@@ -174,6 +175,7 @@
 
     /// Takes note that the platform answers.
     fn platform_answers(&self) {
+        self.mesh.borrow_mut().set_reads(true);
         if let Some(since) = self.lost.take() {
             let now = self.now();
             self.view.borrow_mut().platform_returned(now);
@@ -185,6 +187,7 @@
     fn platform_fails(&self, fault: &str) {
         if self.lost.get().is_none() {
             self.lost.set(Some(self.now()));
+            self.mesh.borrow_mut().set_reads(false);
             log::warn!(fault; "platform does not answer");
         }
     }
--- a/crates/sequoiahold/src/node/watch.rs
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -11,13 +11,17 @@
     seam::{DecodeError, Dialect},
 };
 
-use super::Node;
+use super::{Node, gossip};
 use crate::h1::{Upstream, UpstreamError};
 
 /// Time that a watch waits at the platform.
-const WATCH: Duration = Duration::from_secs(5);
+const WATCH: Duration = Duration::from_secs(10);
 /// Time that the platform has to answer beyond that.
 const ANSWER: Duration = Duration::from_millis(1_500);
+/// Pause after an answer, so that changes in quick succession come in one.
+const BATCH: Duration = Duration::from_millis(120);
+/// Time between two looks at whether this process is to watch.
+const STAND_BY: Duration = Duration::from_millis(250);
 /// First pause after a failure; each further one doubles it.
 const PAUSE_MS: u64 = 100;
 /// Longest pause after a failure.
@@ -58,13 +62,23 @@
     let mut compacted = false;
     let mut upstream = None;
     loop {
+        if !node.mesh.borrow().is_watcher(node.now()) && node.mirror.borrow().at() > Revision(0) {
+            upstream = None;
+            actix_rt::time::sleep(STAND_BY).await;
+            continue;
+        }
+        let after = node.mirror.borrow().at();
         let whole = compacted || node.mirror.borrow().at() == Revision(0);
         let read = if whole { all(&node, &mut upstream).await } else { next(&node, &mut upstream).await };
         match read {
             Ok(changes) => {
                 node.platform_answers();
                 (failures, compacted) = (0, false);
+                if !changes.is_empty() {
+                    gossip::pass_on(&node, after, &changes);
+                }
                 node.take(changes);
+                actix_rt::time::sleep(BATCH).await;
             }
             Err(ReadError::Compacted) => compacted = true,
             Err(ReadError::Failed(fault)) => {
