--- a/crates/sequoiahold/src/loader/sources.rs
+++ b/crates/sequoiahold/src/loader/sources.rs
@@ -30,7 +30,7 @@
 const MAX_TURN: Duration = Duration::from_millis(600);
 /// Peers that are asked for a chunk list before the origin is.
 const ASKED: usize = 3;
-/// Pause of the origin when it refuses.
+/// Pause of the origin when it refuses a call or a connection; it is back within seconds.
 const REFUSED: sequoiahold_core::units::Span = sequoiahold_core::units::Span::millis(150);
 
 /// Returns the chunk list of a version, from a peer where one holds it, else from the origin.
@@ -92,7 +92,8 @@
     let path = loader.node.dialect.chunk_path(model, version, chunk);
     origin(loader, &path).await.map_err(|error| {
         log::debug!("chunk {chunk} from the origin: {error:#}");
-        if error.is::<Refused>() { DrawError::Later(REFUSED) } else { DrawError::Silent }
+        let refused = error.is::<Refused>() || error.is::<std::io::Error>();
+        if refused { DrawError::Later(REFUSED) } else { DrawError::Silent }
     })
 }
 
