--- a/crates/sequoiahold/src/gateway/mod.rs
+++ b/crates/sequoiahold/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod loads;
 mod plan;
 mod ready;
+mod record;
 mod relay;
 mod request;
 mod seat;
--- /dev/null
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -0,0 +1,82 @@
+//! The line that each request leaves in the log.
+
+use actix_rt::time::Instant;
+use sequoiahold_core::{
+    direct::{desk::Grant, seam::Dialect},
+    units::Span,
+};
+
+use super::{
+    answer::Own,
+    plan::{NoPlan, Plan},
+    state::Gateway,
+};
+use crate::h1::Incoming;
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) enum Outcome {
+    /// The caller left before its answer.
+    #[default]
+    Left,
+    /// The caller got an endpoint's answer with this status.
+    Answered(u16),
+    /// The caller got an answer of the gateway itself.
+    Own(Own),
+    /// The answer was broken off.
+    Cut,
+}
+
+/// What is known of a request under way.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Record {
+    /// Time that it waited for places.
+    pub(super) waited: Span,
+    /// When the first event went out.
+    pub(super) first: Option<Instant>,
+    /// How it ended.
+    pub(super) outcome: Outcome,
+    places: Vec<String>,
+}
+
+impl Record {
+    /// Takes note of a place that it got.
+    pub(super) fn placed(&mut self, grant: &Grant) {
+        self.places.push(grant.instance.to_string());
+    }
+
+    /// Writes the line.
+    pub(super) fn write(&self, id: &str, plan: &Plan, sends: u32, took: u64) {
+        let account = plan.account.as_ref().map_or("", |account| account.as_str());
+        let first = self.first.map_or(0, |at| took.saturating_sub(elapsed_ms(at)));
+        let (outcome, places) = (format!("{:?}", self.outcome), self.places.join(","));
+        log::info!(
+            target: "request",
+            id,
+            route = plan.route.as_str(),
+            account,
+            configuration = plan.version,
+            endpoints = places.as_str(),
+            sends,
+            waited_ms = self.waited.0 / 1_000,
+            first_ms = first,
+            took_ms = took,
+            outcome = outcome.as_str();
+            "ended"
+        );
+    }
+}
+
+/// Writes the line of a request that the configuration does not allow.
+pub(super) fn unplanned<D: Dialect>(gateway: &Gateway<D>, request: &Incoming, none: NoPlan) {
+    let id = request.text(gateway.node.dialect.names().attempt).unwrap_or("");
+    let view = gateway.node.view.borrow();
+    let configuration = view.catalog().map_or(0, |catalog| catalog.version);
+    let (host, path) = (request.host.as_str(), request.path());
+    let reason = format!("{none:?}");
+    log::info!(target: "request", id, host, path, configuration, reason = reason.as_str(); "denied");
+}
+
+fn elapsed_ms(at: Instant) -> u64 {
+    at.elapsed().as_millis() as u64
+}
--- a/crates/sequoiahold/src/gateway/relay.rs
+++ b/crates/sequoiahold/src/gateway/relay.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix_http::header;
-use actix_rt::time::timeout;
+use actix_rt::time::{Instant, timeout};
 use sequoiahold_core::direct::stream::Events;
 
 use crate::h1::{Answer, Upstream, Writer, end_to_end};
@@ -15,6 +15,8 @@
     pub(super) events: Events,
     /// Whether the head of the answer has gone out.
     pub(super) begun: bool,
+    /// When the first event went out.
+    pub(super) first: Option<Instant>,
     close: bool,
 }
 
@@ -32,7 +34,7 @@
 impl<'a> Relay<'a> {
     /// Returns a relay that goes on after the event that the caller holds.
     pub(super) fn new(writer: &'a mut Writer, last: Option<u64>, close: bool) -> Self {
-        Self { writer, events: Events::after(last), begun: false, close }
+        Self { writer, events: Events::after(last), begun: false, first: None, close }
     }
 
     /// Returns the caller's side, to write another answer where nothing has gone out.
@@ -79,6 +81,7 @@
             return Ok(());
         }
         self.begun = true;
+        self.first = Some(Instant::now());
         let mut headers = end_to_end(&answer.headers);
         headers.remove(header::CONTENT_ENCODING);
         self.writer.begin(answer.status, headers, self.close)
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -8,7 +8,6 @@
 use sequoiahold_core::{
     direct::{catalog::Repeat, desk::Ask, seam::Dialect, seat::Ended},
     refuse::{Reason, Refusal},
-    time::Time,
     units::Span,
 };
 
@@ -16,6 +15,7 @@
     answer::Own,
     attempt::{self, Sent},
     plan::{Plan, plan},
+    record::{self, Outcome, Record},
     relay::{Part, Relay},
     seat::{Held, find},
     state::Gateway,
@@ -40,6 +40,7 @@
     sends: u32,
     ran: bool,
     fallback: Option<(Answer, Bytes)>,
+    record: Record,
 }
 
 /// What comes after a send.
@@ -62,31 +63,49 @@
     }
     let plan = match plan(gateway, &request) {
         Ok(plan) => plan,
-        Err(none) => return own(gateway, &request, writer, none.into()).await,
+        Err(none) => {
+            record::unplanned(gateway, &request, none);
+            return own(gateway, &request, writer, none.into()).await;
+        }
     };
     gateway.repeats.borrow_mut().request(gateway.node.now(), &plan.service);
-    let ask = plan.ask();
     let left = plan.left(gateway.node.now());
-    let mut run = Run { gateway, request: &request, plan, ask, sends: 0, ran: false, fallback: None };
+    let mut run = Run {
+        gateway,
+        request: &request,
+        ask: plan.ask(),
+        plan,
+        sends: 0,
+        ran: false,
+        fallback: None,
+        record: Record::default(),
+    };
     let last = request.text(gateway.node.dialect.names().last_event);
     let last = last.and_then(|text| text.trim().parse().ok());
     let mut relay = Relay::new(writer, last, gateway.is_draining());
     let kept = match timeout(left, run.go(&mut relay)).await {
         Ok(kept) => kept,
-        Err(_) if relay.begun => false,
+        Err(_) if relay.begun => {
+            run.record.outcome = Outcome::Cut;
+            false
+        }
         Err(_) => run.fail(&mut relay, Own::TimedOut).await,
     };
-    run.record(kept, relay.begun);
+    run.record.first = relay.first;
     kept
 }
 
 impl<D: Dialect> Run<'_, D> {
     async fn go(&mut self, relay: &mut Relay<'_>) -> bool {
         loop {
-            let held = match find(self.gateway, self.ask.clone()).await {
+            let asked = self.gateway.node.now();
+            let found = find(self.gateway, self.ask.clone()).await;
+            self.record.waited.0 += (self.gateway.node.now() - asked).0;
+            let held = match found {
                 Ok(held) => held,
                 Err(refusal) if relay.begun => {
                     log::debug!("stream cannot go on: {}", refusal.reason);
+                    self.record.outcome = Outcome::Cut;
                     return false;
                 }
                 Err(refusal) => return self.fail(relay, Own::Refused(refusal)).await,
@@ -94,7 +113,10 @@
             match self.send(relay, held).await {
                 Next::Over(kept) => return kept,
                 Next::Again if self.may_repeat() => {}
-                Next::Again if relay.begun => return false,
+                Next::Again if relay.begun => {
+                    self.record.outcome = Outcome::Cut;
+                    return false;
+                }
                 Next::Again => {
                     let refusal = Refusal::after(Reason::Overload, Span::millis(700));
                     return self.fail(relay, Own::Refused(refusal)).await;
@@ -106,6 +128,7 @@
     /// Sends the request to an endpoint.
     async fn send(&mut self, relay: &mut Relay<'_>, mut held: Held<D>) -> Next {
         self.ask.tried.push(held.grant.seat);
+        self.record.placed(&held.grant);
         self.ask.careful = true;
         let silence = self.silence();
         let last = relay.events.last();
@@ -154,6 +177,7 @@
         let part = relay.pass(&answer, &mut upstream, self.silence()).await;
         match part {
             Part::Done => {
+                self.record.outcome = Outcome::Answered(answer.status.as_u16());
                 held.ended = Ended::Answered;
                 self.gateway.pool.put(upstream);
                 Next::Over(relay.writer().keeps())
@@ -196,7 +220,8 @@
         Next::Over(self.write(relay, &answer, &body).await)
     }
 
-    async fn write(&self, relay: &mut Relay<'_>, answer: &Answer, body: &Bytes) -> bool {
+    async fn write(&mut self, relay: &mut Relay<'_>, answer: &Answer, body: &Bytes) -> bool {
+        self.record.outcome = Outcome::Answered(answer.status.as_u16());
         let close = self.gateway.is_draining();
         let headers = end_to_end(&answer.headers);
         let writer = relay.writer();
@@ -216,6 +241,7 @@
             Own::TimedOut if !self.ran => Own::Refused(Refusal::new(Reason::Deadline)),
             other => other,
         };
+        self.record.outcome = Outcome::Own(answer);
         own(self.gateway, self.request, relay.writer(), answer).await
     }
 
@@ -257,15 +283,19 @@
         );
     }
 
-    fn record(&self, kept: bool, begun: bool) {
-        log::debug!("request of {} kept {kept} begun {begun}", self.plan.route);
-    }
-
     fn took(&self) -> u64 {
         (self.gateway.node.now() - self.plan.arrived).0 / 1_000
     }
 }
 
+impl<D: Dialect> Drop for Run<'_, D> {
+    /// Writes the one line that every planned request leaves, also where its caller left.
+    fn drop(&mut self) {
+        let id = self.request.text(self.gateway.node.dialect.names().attempt).unwrap_or("");
+        self.record.write(id, &self.plan, self.sends, self.took());
+    }
+}
+
 /// Gives an answer of the gateway itself.
 async fn own<D: Dialect>(
     gateway: &Gateway<D>,
@@ -275,13 +305,5 @@
 ) -> bool {
     let name = gateway.node.dialect.names().attempt;
     let id = request.text(name);
-    let now: Time = gateway.node.now();
-    let status = answer.status().as_u16();
-    let reason = format!("{answer:?}");
-    log::info!(
-        target: "request",
-        id = id.unwrap_or(""), status, reason = reason.as_str(), at = now.0;
-        "answered by the gateway"
-    );
     answer.write(writer, id.map(|id| (name, id)), gateway.is_draining()).await
 }
