Placement by unread prompts, endpoints dealt to gateways

Cause: the first event waits for prompts that the engine reads before it (a pass reads up to 5 x 2048 tokens); counts of requests, 120 ms old, sent gateways to the same endpoint.

--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -12,7 +12,7 @@
     view::{View, Wanted},
 };
 use crate::{
-    ids::{ClientId, InstanceId, ModelId, RegionId, ServiceId, ZoneId},
+    ids::{ClientId, InstanceId, ModelId, RegionId, ServiceId, VmId, ZoneId},
     refuse::{Reason, Refusal},
     time::Time,
     units::Span,
@@ -20,8 +20,15 @@
 
 /// Part of the time within which a version must be in use after which nothing older is asked for.
 const VERSION_PART: f64 = 0.8;
-/// Work by which a farther endpoint must be less loaded, for each step of distance, in ms.
-const DISTANCE_WORK: u32 = 60;
+/// Time by which a farther endpoint must be sooner, for each step of distance, in ms.
+const DISTANCE: u32 = 15;
+/// Time by which an endpoint must be sooner that another gateway sends to first, in ms: what that
+/// one has sent of late is not known here yet.
+const SHARED: u32 = 40;
+/// Time by which each request in progress puts a new one off, in ms.
+const WRITER: u32 = 2;
+/// Time that a request to a plain service takes, in ms, where the service tells no figures.
+const PLAIN: u32 = 30;
 /// Part of the bound on cold endpoints that is used; the rest covers late arrivals.
 const COLD_PART: f64 = 0.9;
 /// Part of the objective that a request may wait for a place; the rest is for the first event.
@@ -93,8 +100,8 @@
     pub addr: std::net::SocketAddr,
     /// The version of the weights that alone may be used.
     pub version: Option<u64>,
-    /// The work that the request is counted with, in ms.
-    pub work: u32,
+    /// The time that reading the prompt takes, in ms; 0 once it is read.
+    pub reading: u32,
     /// The client account.
     pub account: Option<ClientId>,
     /// The service.
@@ -196,6 +203,24 @@
         }
     }
 
+    /// Sets the endpoints that this gateway sends to before others do: the endpoints of each zone
+    /// are dealt in turn to the gateways of that zone, and to all where it has none.
+    pub fn deal(&mut self, own: &VmId, gateways: &[(VmId, ZoneId)]) {
+        let mut dealt: BTreeMap<(ServiceId, ZoneId), usize> = BTreeMap::new();
+        for seat in self.names.values() {
+            let seat = &mut self.seats[*seat];
+            let listed = &seat.endpoint.listed;
+            let near: Vec<&VmId> = gateways
+                .iter()
+                .filter(|(_, zone)| *zone == listed.zone)
+                .map(|(vm, _)| vm)
+                .collect();
+            let turn = dealt.entry((listed.service.clone(), listed.zone.clone())).or_default();
+            seat.primary = near.get(*turn % near.len().max(1)).is_none_or(|vm| *vm == own);
+            *turn += 1;
+        }
+    }
+
     /// Takes the load that other gateways cause at an endpoint.
     pub fn tell(&mut self, now: Time, instance: &InstanceId, others: SeatLoad) {
         if let Some(seat) = self.names.get(instance) {
@@ -264,10 +289,19 @@
         }
     }
 
+    /// Takes note that the prompt of a request has been read.
+    pub fn read(&mut self, grant: &mut Grant) {
+        let reading = std::mem::take(&mut grant.reading);
+        if let Some(seat) = self.seats.get_mut(grant.seat) {
+            seat.read(reading);
+        }
+    }
+
     /// Takes note of the end of a request at an endpoint.
-    pub fn end(&mut self, now: Time, grant: &Grant, ended: Ended) {
+    pub fn end(&mut self, now: Time, grant: &mut Grant, ended: Ended) {
+        self.read(grant);
         if let Some(seat) = self.seats.get_mut(grant.seat) {
-            seat.end(now, grant.work, ended);
+            seat.end(now, ended);
         }
         let desk = self.services.entry(grant.service.clone()).or_default();
         desk.line.end(&grant.account);
@@ -319,9 +353,9 @@
             }
         }
         let (_, key) = best?;
-        let work = work(&spec, ask.tokens);
+        let reading = reading(&spec, ask.tokens.0);
         let seat = &mut self.seats[key];
-        seat.send(now, work);
+        seat.send(now, reading);
         let listed = &seat.endpoint.listed;
         let held = ask.model.as_ref().and_then(|model| seat.endpoint.held(model));
         let version = oldest.and(held).map(|loaded| loaded.version);
@@ -330,7 +364,7 @@
             instance: listed.instance.clone(),
             addr: listed.addr,
             version,
-            work,
+            reading,
             account: ask.account.clone(),
             service: ask.service.clone(),
         };
@@ -404,16 +438,16 @@
 /// Returns the load of an endpoint, with a disadvantage for its distance; ties are broken at random.
 fn score(seat: &Seat, now: Time, rng: &mut impl Rng) -> u64 {
     let load = seat.load(now);
-    let work = u64::from(load.work + seat.distance * DISTANCE_WORK);
-    (work << 16) | u64::from(rng.random::<u16>())
+    let strange = if seat.primary { 0 } else { SHARED };
+    let work = load.reading + load.count * WRITER + seat.distance * DISTANCE + strange;
+    (u64::from(work) << 16) | u64::from(rng.random::<u16>())
 }
 
-/// Returns the time that a request takes of an endpoint, in ms.
-fn work(spec: &Spec, (prompt, answer): (u32, u32)) -> u32 {
-    let Some(engine) = &spec.engine else { return 30 };
+/// Returns the time that an endpoint takes to read a prompt, in ms.
+fn reading(spec: &Spec, prompt: u32) -> u32 {
+    let Some(engine) = &spec.engine else { return PLAIN };
     let read = f64::from(prompt) * 1_000.0 / engine.read_rate.max(1.0);
-    let write = f64::from(answer) * engine.step / f64::from(engine.slots.max(1));
-    (read + write).ceil() as u32
+    read.ceil() as u32
 }
 
 /// Returns until when a request may wait for a place.
--- a/crates/core/src/direct/seat.rs
+++ b/crates/core/src/direct/seat.rs
@@ -38,8 +38,8 @@
 pub struct SeatLoad {
     /// Requests in progress.
     pub count: u32,
-    /// Their work, in ms of the endpoint's time.
-    pub work: u32,
+    /// The time that reading their prompts takes, for those without a first event yet, in ms.
+    pub reading: u32,
 }
 
 /// One endpoint.
@@ -51,6 +51,8 @@
     pub region: Option<RegionId>,
     /// How far it is: 0 in the own zone, 1 in the own region, 2 elsewhere.
     pub distance: u32,
+    /// Whether this gateway goes before the others in sending there.
+    pub primary: bool,
     /// The requests of this gateway there.
     pub own: SeatLoad,
     others: SeatLoad,
@@ -69,6 +71,7 @@
             endpoint,
             region,
             distance,
+            primary: false,
             own: SeatLoad::default(),
             others: SeatLoad::default(),
             told: Time::default(),
@@ -121,7 +124,10 @@
     /// Returns the load that all gateways cause, as far as this one knows.
     pub fn load(&self, now: Time) -> SeatLoad {
         let others = if self.told + STALE > now { self.others } else { SeatLoad::default() };
-        SeatLoad { count: self.own.count + others.count, work: self.own.work + others.work }
+        SeatLoad {
+            count: self.own.count + others.count,
+            reading: self.own.reading + others.reading,
+        }
     }
 
     /// Takes the load that other gateways cause.
@@ -131,16 +137,20 @@
     }
 
     /// Takes note of a request that is sent there.
-    pub fn send(&mut self, now: Time, work: u32) {
+    pub fn send(&mut self, now: Time, reading: u32) {
         self.own.count += 1;
-        self.own.work += work;
+        self.own.reading += reading;
         self.sends.push_back(now);
     }
 
+    /// Takes note that the prompt of a request that was sent there has been read.
+    pub fn read(&mut self, reading: u32) {
+        self.own.reading = self.own.reading.saturating_sub(reading);
+    }
+
     /// Takes note of the end of a request that was sent there.
-    pub fn end(&mut self, now: Time, work: u32, ended: Ended) {
+    pub fn end(&mut self, now: Time, ended: Ended) {
         self.own.count = self.own.count.saturating_sub(1);
-        self.own.work = self.own.work.saturating_sub(work);
         match ended {
             Ended::Answered => self.failures = 0,
             Ended::Dropped => {}
--- a/crates/sequoiahold/src/gateway/loads.rs
+++ b/crates/sequoiahold/src/gateway/loads.rs
@@ -69,7 +69,7 @@
         .map(|(_, seat)| EndpointLoad {
             instance: notes.hash(&seat.endpoint.listed.instance),
             count: seat.own.count.min(u32::from(u16::MAX)) as u16,
-            work: seat.own.work,
+            reading: seat.own.reading,
         })
         .take(MOST)
         .collect();
@@ -87,7 +87,7 @@
     for load in notes.told.values().flat_map(|(_, loads)| loads) {
         let sum = sums.entry(load.instance).or_default();
         sum.count += u32::from(load.count);
-        sum.work += load.work;
+        sum.reading += load.reading;
     }
     let mut desk = gateway.desk.borrow_mut();
     let names: Vec<InstanceId> =
--- a/crates/sequoiahold/src/gateway/relay.rs
+++ b/crates/sequoiahold/src/gateway/relay.rs
@@ -48,6 +48,7 @@
         answer: &Answer,
         upstream: &mut Upstream,
         silence: Duration,
+        mut moved: impl FnMut(),
     ) -> Part {
         self.events.cut();
         loop {
@@ -63,6 +64,7 @@
                 Ok(whole) => whole,
                 Err(error) => return Part::Broken(format!("{error:?}")),
             };
+            moved();
             if self.begin(answer).is_err() || self.writer.part(whole).await.is_err() {
                 return Part::CallerGone;
             }
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -174,7 +174,7 @@
         answer: Answer,
         mut upstream: crate::h1::Upstream,
     ) -> Next {
-        let part = relay.pass(&answer, &mut upstream, self.silence()).await;
+        let part = relay.pass(&answer, &mut upstream, self.silence(), || held.read()).await;
         match part {
             Part::Done => {
                 self.record.outcome = Outcome::Answered(answer.status.as_u16());
--- a/crates/sequoiahold/src/gateway/seat.rs
+++ b/crates/sequoiahold/src/gateway/seat.rs
@@ -30,12 +30,19 @@
     pub(super) fn new(gateway: Rc<Gateway<D>>, grant: Grant) -> Self {
         Self { gateway, grant, ended: Ended::Dropped }
     }
+
+    /// Takes note that the endpoint has read the prompt.
+    pub(super) fn read(&mut self) {
+        if self.grant.reading > 0 {
+            self.gateway.desk.borrow_mut().read(&mut self.grant);
+        }
+    }
 }
 
 impl<D: Dialect> Drop for Held<D> {
     fn drop(&mut self) {
         let now = self.gateway.node.now();
-        self.gateway.desk.borrow_mut().end(now, &self.grant, self.ended);
+        self.gateway.desk.borrow_mut().end(now, &mut self.grant, self.ended);
         if self.gateway.desk.borrow().waiting() > 0 {
             self.gateway.pump();
         }
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -16,7 +16,7 @@
         repeats::{RepeatBounds, Repeats},
         seam::Dialect,
     },
-    ids::ServiceId,
+    ids::{ServiceId, VmId, ZoneId},
     refuse::Refusal,
     time::Time,
 };
@@ -149,6 +149,18 @@
         Counted { gateway: self.clone(), count: |gateway| &gateway.open }
     }
 
+    /// Works out the endpoints that this gateway sends to before others do.
+    fn deal(&self) {
+        let mesh = self.node.mesh.borrow();
+        let live = mesh.live(self.node.now()).chain([mesh.own()]);
+        let mut gateways: Vec<(VmId, ZoneId)> = live
+            .filter(|member| member.role == Role::Gateway)
+            .map(|member| (member.vm.clone(), member.zone.clone()))
+            .collect();
+        gateways.sort();
+        self.desk.borrow_mut().deal(&mesh.own().vm, &gateways);
+    }
+
     /// Hands out the places that are free now.
     pub(super) fn pump(self: &Rc<Self>) {
         let now = self.node.now();
@@ -196,6 +208,7 @@
         actix_rt::time::sleep(LOOK).await;
         let gateways = gateway.gateways();
         gateway.desk.borrow_mut().set_gateways(gateways);
+        gateway.deal();
         if gateway.desk.borrow().waiting() > 0 {
             gateway.pump();
         }
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -17,8 +17,8 @@
     pub instance: u32,
     /// Requests in progress.
     pub count: u16,
-    /// Their work, in ms of the endpoint's time.
-    pub work: u32,
+    /// The time that reading their prompts takes, for those without a first event yet, in ms.
+    pub reading: u32,
 }
 
 /// The loads that a gateway causes.
