--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -19,7 +19,7 @@
 };
 
 /// Part of the time within which a version must be in use after which nothing older is asked for.
-const VERSION_PART: f64 = 0.8;
+const VERSION_PART: f64 = 0.86;
 /// Time by which a farther endpoint must be sooner, for each step of distance, in ms.
 const DISTANCE: u32 = 15;
 /// Time by which an endpoint must be sooner that another gateway sends to first, in ms: what that
--- a/crates/core/src/direct/turns.rs
+++ b/crates/core/src/direct/turns.rs
@@ -10,9 +10,9 @@
 /// Groups that load one after the other.
 const GROUPS: usize = 3;
 /// Part of the time for a version at which the first group may load.
-const FIRST: f64 = 0.44;
+const FIRST: f64 = 0.55;
 /// Part of the time for a version between two groups.
-const STEP: f64 = 0.13;
+const STEP: f64 = 0.14;
 
 /// Returns when a loader may give the order, for a version known since `since`.
 pub fn turn(own: &VmId, zone: &[VmId], item: &str, since: Time, time: Span) -> Time {
--- a/crates/sequoiahold/src/loader/stage.rs
+++ b/crates/sequoiahold/src/loader/stage.rs
@@ -28,6 +28,9 @@
 /// Time that gateways leave an engine alone after a note.
 const NOTE: Span = Span::millis(400);
 
+/// Time from the note to gateways to the order, in which requests on their way arrive.
+const TOLD: Duration = Duration::from_millis(20);
+
 /// Puts the chunks that the engine holds staged on the shelf, for peers.
 pub(super) async fn take_stock<D: Dialect>(
     loader: &Loader<D>,
@@ -68,6 +71,10 @@
             actix_rt::time::sleep(LOOK).await;
             continue;
         }
+        if goal.held.is_some() {
+            tell(loader, NOTE);
+            actix_rt::time::sleep(TOLD).await;
+        }
         let order =
             LoadOrder { model: goal.model.clone(), version: goal.version, after: report.orders };
         let ordered = loader.engine.order(&order).await;
