--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -5,6 +5,8 @@
     rc::Rc,
 };
 
+use serde::{Deserialize, Serialize};
+
 use super::{
     catalog::{Catalog, Listed, Loaded},
     seam::Published,
@@ -33,36 +35,68 @@
     pub doubt: Option<Time>,
 }
 
-/// The versions of a model that operators named of late, and when this process learnt of each.
+/// When a version was named, in microseconds of the process clock; negative before its start.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum NamedAt {
+    /// Before this process could see it; nothing older may be used.
+    Unknown,
+    /// At this time.
+    Known(i64),
+}
+
+/// A version that operators named, as one process tells another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Named {
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: u64,
+    /// How long ago it was named.
+    pub age: Span,
+}
+
+/// The versions of a model that operators named of late, and when.
 ///
 /// A newer one does not put off the time by which an older one must be in use.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Wanted {
-    named: Vec<(u64, Time)>,
+    named: BTreeMap<u64, NamedAt>,
 }
 
 impl Wanted {
     /// Returns the newest version.
     pub fn version(&self) -> u64 {
-        self.named.last().map_or(0, |(version, _)| *version)
+        self.named.keys().next_back().copied().unwrap_or(0)
     }
 
-    /// Returns when the first version after `held` was named, whose time is the next to run out.
+    /// Returns when the first version after `held` was named, whose time is the next to run out;
+    /// the start of the process where that is not known.
     pub fn since(&self, held: Option<u64>) -> Time {
-        let newer = |(version, _): &&(u64, Time)| held.is_none_or(|held| *version > held);
-        self.named.iter().find(newer).map_or(Time::default(), |(_, since)| *since)
+        let mut newer = self.named.iter().filter(|(version, _)| Some(**version) > held);
+        match newer.next() {
+            Some((_, NamedAt::Known(at))) => Time(u64::try_from(*at).unwrap_or(0)),
+            _ => Time::default(),
+        }
     }
 
     /// Returns the oldest version that may still be used `after` it was named.
     pub fn oldest(&self, now: Time, after: Span) -> Option<u64> {
-        let due = |(_, since): &&(u64, Time)| *since + after <= now;
+        let due = |(_, at): &(&u64, &NamedAt)| match at {
+            NamedAt::Unknown => true,
+            NamedAt::Known(at) => at + after.0 as i64 <= now.0 as i64,
+        };
         self.named.iter().rev().find(due).map(|(version, _)| *version)
     }
 
-    fn name(&mut self, version: u64, since: Time) {
-        self.named.push((version, since));
-        let surplus = self.named.len().saturating_sub(NAMED);
-        self.named.drain(..surplus);
+    fn name(&mut self, version: u64, at: NamedAt) {
+        let known = self.named.entry(version).or_insert(at);
+        *known = match (*known, at) {
+            (NamedAt::Known(a), NamedAt::Known(b)) => NamedAt::Known(a.min(b)),
+            (NamedAt::Unknown, other) | (other, NamedAt::Unknown) => other,
+        };
+        while self.named.len() > NAMED {
+            self.named.pop_first();
+        }
     }
 }
 
@@ -113,13 +147,32 @@
         self.wanted.iter()
     }
 
+    /// Returns the versions that were named of late, for peers.
+    pub fn named(&self, now: Time) -> Vec<Named> {
+        let ages = |(model, wanted): (&ModelId, &Wanted)| {
+            let age = |(version, at): (&u64, &NamedAt)| {
+                let NamedAt::Known(at) = at else { return None };
+                let age = Span((now.0 as i64 - at).max(0) as u64);
+                Some(Named { model: model.clone(), version: *version, age })
+            };
+            wanted.named.iter().filter_map(age).collect::<Vec<Named>>()
+        };
+        self.wanted.iter().flat_map(ages).collect()
+    }
+
+    /// Takes from a peer when a version was named.
+    pub fn learn(&mut self, now: Time, named: Named) {
+        let at = NamedAt::Known(now.0 as i64 - named.age.0 as i64);
+        self.wanted.entry(named.model).or_default().name(named.version, at);
+    }
+
     /// Takes note that the platform answers again after an outage.
     pub fn platform_returned(&mut self, now: Time) {
         self.returned = Some(now);
     }
 
-    /// Takes a published value.
-    pub fn apply(&mut self, now: Time, published: Published) -> Effect {
+    /// Takes a published value, which changed just now if `seen`, else at a time that is not known.
+    pub fn apply(&mut self, now: Time, published: Published, seen: bool) -> Effect {
         match published {
             Published::Catalog(catalog) => self.set_catalog(*catalog),
             Published::Endpoint(instance, Some(listed)) => {
@@ -130,7 +183,10 @@
             Published::Endpoint(instance, None) => self.remove(now, &instance),
             Published::ZoneOut(zone, true) => changed(self.out.insert(zone)),
             Published::ZoneOut(zone, false) => changed(self.out.remove(&zone)),
-            Published::Wanted(model, version) => self.want(now, model, version),
+            Published::Wanted(model, version) => {
+                let at = if seen { NamedAt::Known(now.0 as i64) } else { NamedAt::Unknown };
+                self.want(model, version, at)
+            }
             Published::Other => Effect::None,
         }
     }
@@ -164,13 +220,13 @@
         changed(self.endpoints.remove(instance).is_some())
     }
 
-    fn want(&mut self, now: Time, model: ModelId, version: Option<u64>) -> Effect {
+    fn want(&mut self, model: ModelId, version: Option<u64>, at: NamedAt) -> Effect {
         let Some(version) = version else { return changed(self.wanted.remove(&model).is_some()) };
         let wanted = self.wanted.entry(model).or_default();
         if wanted.version() >= version {
             return Effect::None;
         }
-        wanted.name(version, now);
+        wanted.name(version, at);
         Effect::Endpoints
     }
 }
--- a/crates/sequoiahold/src/node/gossip.rs
+++ b/crates/sequoiahold/src/node/gossip.rs
@@ -93,7 +93,13 @@
 
 fn hear<D: Dialect>(node: &Rc<Node<D>>, from: SocketAddr, gossip: Gossip) {
     let now = node.now();
+    let joined = node.mesh.borrow().is_joined();
     let new = node.mesh.borrow_mut().hear(now, &gossip);
+    if !joined {
+        // The platform tells what is published; only peers tell since when.
+        let (node, peer) = (node.clone(), gossip.from.addr);
+        actix_rt::spawn(async move { peers::pull(&node, peer).await });
+    }
     let at = node.mirror.borrow().at();
     if gossip.ask || new {
         let answer = node.mesh.borrow().answer(now, at, &mut *node.rng.borrow_mut());
@@ -134,7 +140,7 @@
         return;
     }
     let changes = node.mirror.borrow_mut().sync(sync);
-    node.take(changes);
+    node.take(changes, true);
 }
 
 /// Pulls what a peer knows unless it has come otherwise by then.
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -141,14 +141,14 @@
         live.filter(|member| member.role == role).map(|member| member.addr).collect()
     }
 
-    /// Takes changes that are new to the mirror.
-    fn take(&self, changes: Vec<Change>) {
+    /// Takes changes that are new to the mirror and were made just now if `seen`.
+    fn take(&self, changes: Vec<Change>, seen: bool) {
         let now = self.now();
         let mut changed = false;
         for change in changes {
             match self.dialect.published(&change.key, change.value.as_deref()) {
                 Ok(published) => {
-                    let effect = self.view.borrow_mut().apply(now, published);
+                    let effect = self.view.borrow_mut().apply(now, published, seen);
                     changed |= effect != Effect::None;
                     if effect == Effect::Catalog {
                         let version = self.view.borrow().catalog().map(|catalog| catalog.version);
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -9,7 +9,9 @@
     catalog::CallerBounds,
     mirror::{Revision, Sync},
     seam::Dialect,
+    view::Named,
 };
+use serde::{Deserialize, Serialize};
 
 use super::Node;
 use crate::h1::{Caller, Received, listen, watch_peer};
@@ -23,6 +25,13 @@
 /// Largest published state that is taken from a peer.
 const MAX_SYNC: usize = 16_000_000;
 
+/// What a process passes on of the published state.
+#[derive(Deserialize, Serialize)]
+struct State {
+    sync: Sync,
+    named: Vec<Named>,
+}
+
 /// Answers calls of peers beyond those for the published state.
 pub trait PeerCalls: Clone + 'static {
     /// Returns the status and body for a path below the prefix of chunks.
@@ -84,7 +93,8 @@
     if let Some(query) = target.strip_prefix(SYNC) {
         let after = query.strip_prefix("?after=").and_then(|text| text.parse().ok());
         let sync = node.mirror.borrow().since(Revision(after.unwrap_or(0)));
-        return match postcard::to_stdvec(&sync) {
+        let state = State { sync, named: node.view.borrow().named(node.now()) };
+        return match postcard::to_stdvec(&state) {
             Ok(body) => (StatusCode::OK, body.into()),
             Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
         };
@@ -101,19 +111,21 @@
     let target = format!("{SYNC}?after={after}");
     let call = get(node, peer, &target, MAX_SYNC);
     let body = actix_rt::time::timeout(TIMEOUT, call).await;
-    let sync = body.context("no answer in time").flatten().and_then(|body| {
-        let sync: Sync = postcard::from_bytes(&body).context("published state of a peer")?;
-        Ok(sync)
+    let state = body.context("no answer in time").flatten().and_then(|body| {
+        let state: State = postcard::from_bytes(&body).context("published state of a peer")?;
+        Ok(state)
     });
-    match sync {
-        Ok(sync) => {
+    match state {
+        Ok(State { sync, named }) => {
+            let now = node.now();
+            named.into_iter().for_each(|named| node.view.borrow_mut().learn(now, named));
             let changes = node.mirror.borrow_mut().sync(sync);
             if !changes.is_empty() {
                 let revision = node.mirror.borrow().at().0;
                 let peer = peer.to_string();
                 log::info!(peer = peer.as_str(), revision, changes = changes.len(); "state from a peer");
             }
-            node.take(changes);
+            node.take(changes, false);
         }
         Err(error) => log::debug!("published state of {peer}: {error:#}"),
     }
--- a/crates/sequoiahold/src/node/watch.rs
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -77,7 +77,7 @@
                 if !changes.is_empty() {
                     gossip::pass_on(&node, after, &changes);
                 }
-                node.take(changes);
+                node.take(changes, !whole);
                 actix_rt::time::sleep(BATCH).await;
             }
             Err(ReadError::Compacted) => compacted = true,
