--- a/crates/core/src/weights/topology.rs
+++ b/crates/core/src/weights/topology.rs
@@ -208,6 +208,15 @@
         before.len()
     }
 
+    /// Returns the owner of a chunk in the zone to which this one passes it on, if there is one.
+    pub fn downstream(&self, chunk: &Digest) -> Option<PeerKey> {
+        let seed = chunk_seed(chunk);
+        let order = self.zone_order(seed);
+        let place = order.iter().position(|zone| *zone == self.zone(self.own))?;
+        let next = order.get(place + 1)?;
+        self.owners(*next, seed, 1).pop()
+    }
+
     /// Returns VMs of other zones that may give a chunk, `per_zone` of each, the best zone first.
     pub fn upstream(&self, chunk: &Digest, per_zone: usize) -> Vec<Vec<PeerKey>> {
         let seed = chunk_seed(chunk);
--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -204,6 +204,32 @@
         }
     }
 
+    /// Takes the chunks that a VM says it has got, without having been asked.
+    ///
+    /// From a VM of the zone they count like an answer; a VM of another zone, which tells the owner
+    /// here, is drawn from without a further pause.
+    pub fn offered(&mut self, now: Time, vm: &VmId, bits: &[u8]) {
+        let Some(key) = self.topology.key(vm) else { return };
+        if self.topology.is_near(key) {
+            let waiting = self.peers.get(&key).is_some_and(|peer| peer.waiting);
+            self.have(now, vm, bits);
+            if let Some(peer) = self.peers.get_mut(&key) {
+                peer.waiting = waiting;
+            }
+            return;
+        }
+        for chunk in Bits::read(bits, self.digests.len()).iter() {
+            if let Some(task) = &mut self.tasks[chunk] {
+                task.pause = task.pause.min(now);
+            }
+        }
+    }
+
+    /// Returns the VM of another zone that waits for a chunk from this one.
+    pub fn awaited_by(&self, digest: &Digest) -> Option<VmId> {
+        self.topology.downstream(digest).map(|key| self.topology.vm(key).clone())
+    }
+
     /// Takes note that a peer gave no answer about its chunks.
     pub fn silent(&mut self, vm: &VmId) {
         if let Some(peer) = self.topology.key(vm).and_then(|key| self.peers.get_mut(&key)) {
--- a/crates/sequoiahold/src/gateway/loads.rs
+++ b/crates/sequoiahold/src/gateway/loads.rs
@@ -50,7 +50,7 @@
                         let until = gateway.node.now() + note.pause;
                         gateway.desk.borrow_mut().pause(&note.instance, until);
                     }
-                    Some(Datagram::Gossip(_) | Datagram::Changes(..)) => {}
+                    Some(_) => {}
                     None => return,
                 },
                 _ = round.tick() => {
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -7,7 +7,7 @@
 mod stage;
 mod transfer;
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_http::ServiceConfig;
 use sequoiahold_core::direct::{mesh::Role, seam::Dialect};
@@ -17,10 +17,15 @@
 };
 
 use self::{engine::Engine, goal::Goal, shelf::Shelf};
-use crate::{node::Node, settings};
+use crate::{
+    node::{Datagram, HoldsNote, Node},
+    settings,
+};
 
 /// Time between two looks at the engine.
 const LOOK: Duration = Duration::from_millis(250);
+/// Offers that are kept while no transfer takes them.
+const MAX_OFFERS: usize = 256;
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -30,11 +35,15 @@
     settings: settings::Loader,
     engine: Engine<D>,
     shelf: Shelf,
+    offers: Offers,
 }
 
+/// What other loaders say that they hold, until a transfer takes it.
+type Offers = Rc<RefCell<Vec<HoldsNote>>>;
+
 /// Runs a loader until it is told to stop.
 pub async fn run<D: Dialect>(dialect: D, settings: settings::Loader) -> anyhow::Result<()> {
-    let (notes, _inbox) = mpsc::unbounded_channel();
+    let (notes, inbox) = mpsc::unbounded_channel();
     let config = ServiceConfig::default();
     let node = Node::new(dialect, Role::Loader, settings.node.clone(), config.clone(), notes);
     let mut stop = signal(SignalKind::terminate())?;
@@ -43,15 +52,30 @@
     let vm = settings.node.vm.to_string();
     log::info!(vm = vm.as_str(), version = env!("CARGO_PKG_VERSION"); "loader started");
     let engine = Engine::new(dialect, settings.engine, config);
-    let loader = Loader { node, settings, engine, shelf };
+    let offers = Offers::default();
+    let loader = Loader { node, settings, engine, shelf, offers: offers.clone() };
     tokio::select! {
         () = follow(&loader) => {}
+        () = hear(inbox, offers) => {}
         _ = stop.recv() => {}
     }
     log::info!("stopped");
     Ok(())
 }
 
+/// Keeps the offers of other loaders; a transfer takes them within milliseconds, or nobody does.
+async fn hear(mut inbox: mpsc::UnboundedReceiver<Datagram>, offers: Offers) {
+    while let Some(datagram) = inbox.recv().await {
+        if let Datagram::Holds(note) = datagram {
+            let mut offers = offers.borrow_mut();
+            if offers.len() >= MAX_OFFERS {
+                offers.clear();
+            }
+            offers.push(note);
+        }
+    }
+}
+
 /// Brings each wanted version to the engine, for as long as the process runs.
 async fn follow<D: Dialect>(loader: &Loader<D>) {
     loop {
--- a/crates/sequoiahold/src/loader/shelf.rs
+++ b/crates/sequoiahold/src/loader/shelf.rs
@@ -69,7 +69,8 @@
         self.0.borrow().chunks.contains_key(digest)
     }
 
-    fn bits(&self, list: &ChunkList) -> Vec<u8> {
+    /// Returns the chunks of a version that are held, as bits in the order of the list.
+    pub(super) fn bits(&self, list: &ChunkList) -> Vec<u8> {
         let mut bits = Bits::new(list.digests.len());
         let held = list.digests.iter().enumerate().filter(|(_, digest)| self.holds(digest));
         held.for_each(|(chunk, _)| {
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -16,11 +16,16 @@
 };
 
 use super::{Loader, goal::Goal, shelf::is_sound, sources};
+use crate::node::{Datagram, HoldsNote};
 
 /// Chunks that are drawn at the same time.
 const DRAWS: u32 = 6;
 /// Longest time between two looks at what may be drawn.
 const LOOK: Duration = Duration::from_millis(30);
+/// Time between two notes to the loaders of the zone.
+const TELL: Span = Span::millis(30);
+/// Longest bits that are told by datagram.
+const MAX_BITS: usize = 1_000;
 /// Time between two looks at which loaders there are.
 const MEMBERS: Span = Span::millis(500);
 
@@ -47,6 +52,8 @@
     let mut drawing = 0;
     let mut busy = false;
     let mut members = now + MEMBERS;
+    let mut told = now;
+    let mut news = false;
     while !transfer.is_whole() || busy || !staging.is_empty() {
         if now >= members {
             transfer.set_topology(self::topology(loader));
@@ -68,12 +75,25 @@
             };
             events.push(put.boxed_local());
         }
+        for note in loader.offers.take() {
+            if note.model == goal.model && note.version == goal.version {
+                transfer.offered(now, &note.from, &note.bits);
+            }
+        }
+        if news && now >= told + TELL {
+            (told, news) = (now, false);
+            tell(loader, goal, list, near(loader));
+        }
         let event = timeout(LOOK, next(&mut events)).await;
         now = loader.node.now();
         match event {
             Ok(Event::Drawn(digest, drawn)) => {
                 drawing -= 1;
-                take(loader, list, &mut transfer, &mut staging, digest, drawn);
+                if take(loader, list, &mut transfer, &mut staging, digest, drawn) {
+                    news = true;
+                    let far = transfer.awaited_by(&digest).and_then(|vm| addr(loader, &vm));
+                    tell(loader, goal, list, far);
+                }
             }
             Ok(Event::Holds(vm, Some(bits))) => transfer.have(now, &vm, &bits),
             Ok(Event::Holds(vm, None)) => transfer.silent(&vm),
@@ -96,7 +116,32 @@
     }
 }
 
-/// Takes a chunk that was drawn.
+/// Tells loaders which chunks are held; what fits no datagram they find out by asking.
+fn tell<D: Dialect>(
+    loader: &Loader<D>,
+    goal: &Goal,
+    list: &ChunkList,
+    to: impl IntoIterator<Item = SocketAddr>,
+) {
+    let bits = loader.shelf.bits(list);
+    if bits.len() > MAX_BITS {
+        return;
+    }
+    let from = loader.settings.node.vm.clone();
+    let note = HoldsNote { from, model: goal.model.clone(), version: goal.version, bits };
+    let datagram = Datagram::Holds(note);
+    for peer in to {
+        loader.node.tell(peer, &datagram);
+    }
+}
+
+fn near<D: Dialect>(loader: &Loader<D>) -> Vec<SocketAddr> {
+    let zone = &loader.settings.node.zone;
+    let members = sources::members(loader).into_iter();
+    members.filter(|member| member.zone == *zone).map(|member| member.addr).collect()
+}
+
+/// Takes a chunk that was drawn; returns whether it is kept.
 fn take<D: Dialect>(
     loader: &Loader<D>,
     list: &ChunkList,
@@ -104,11 +149,14 @@
     staging: &mut VecDeque<(usize, Bytes)>,
     digest: Digest,
     drawn: Result<Bytes, DrawError>,
-) {
+) -> bool {
     let now = loader.node.now();
     let data = match drawn {
         Ok(data) => data,
-        Err(error) => return transfer.failed(now, &digest, error),
+        Err(error) => {
+            transfer.failed(now, &digest, error);
+            return false;
+        }
     };
     let sound = is_sound(&data, &digest);
     match transfer.arrived_checked(now, digest, sound) {
@@ -116,12 +164,14 @@
             let places = list.digests.iter().enumerate().filter(|(_, held)| **held == digest);
             staging.extend(places.map(|(chunk, _)| (chunk, data.clone())));
             loader.shelf.put(digest, data);
+            true
         }
         TransferOutcome::Corrupt => {
             let digest = digest.short();
             log::warn!(digest = digest.as_str(); "chunk with another digest dropped");
+            false
         }
-        TransferOutcome::Unwanted => {}
+        TransferOutcome::Unwanted => false,
     }
 }
 
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -5,7 +5,7 @@
         mesh::Gossip,
         mirror::{Revision, Sync},
     },
-    ids::{InstanceId, VmId},
+    ids::{InstanceId, ModelId, VmId},
     units::Span,
 };
 use serde::{Deserialize, Serialize};
@@ -39,6 +39,19 @@
     pub pause: Span,
 }
 
+/// Says which chunks a loader holds, as bits in the order of the chunk list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HoldsNote {
+    /// The loader.
+    pub from: VmId,
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: u64,
+    /// The chunks.
+    pub bits: Vec<u8>,
+}
+
 /// A datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -48,6 +61,8 @@
     Load(LoadNote),
     /// An engine loads.
     Loading(LoadingNote),
+    /// A loader has got chunks.
+    Holds(HoldsNote),
     /// Changes of the published state, after a revision.
     Changes(Revision, Sync),
 }
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -26,7 +26,7 @@
 use tokio::sync::{mpsc, watch as signal};
 
 pub use self::{
-    datagram::{Datagram, EndpointLoad, LoadNote, LoadingNote},
+    datagram::{Datagram, EndpointLoad, HoldsNote, LoadNote, LoadingNote},
     peers::{NoCalls, PeerCalls},
 };
 pub(crate) use self::peers::{CHUNKS, get};
