--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -241,7 +241,7 @@
         if first && let Some(grant) = self.place(now, &ask, rng) {
             return Verdict::Go(grant);
         }
-        if !self.has_endpoint(&ask) {
+        if !self.has_endpoint(now, &ask) {
             return Verdict::Refuse(Refusal::after(Reason::NoEndpoint, MIN_RETRY));
         }
         let until = patience(now, &ask);
@@ -374,8 +374,9 @@
     }
 
     /// Returns whether any endpoint may serve the request, now or when its load falls.
-    fn has_endpoint(&self, ask: &Ask) -> bool {
-        self.seats.values().any(|seat| fits(seat, ask, None) && !seat.endpoint.listed.leaving)
+    fn has_endpoint(&self, now: Time, ask: &Ask) -> bool {
+        let oldest = self.oldest(now, ask);
+        self.seats.values().any(|seat| fits(seat, ask, oldest) && !seat.endpoint.listed.leaving)
     }
 
     /// Returns the oldest version that may be used, where older ones would come too late.
--- a/crates/core/src/endpoint/wanted.rs
+++ b/crates/core/src/endpoint/wanted.rs
@@ -66,7 +66,7 @@
         now: Time,
     ) {
         let owners = Owners { origin: ByteRate(own.rate.0.saturating_mul(ORIGIN_RATE)) };
-        let limits = Limits { rate: own.rate, draws: own.draws };
+        let limits = Limits { rate: own.rate, draws: own.draws, within: None };
         self.transfer = Some(Transfer::new(&manifest, held, topology, owners, limits, now));
         self.manifest = Some(Arc::new(manifest));
     }
--- a/crates/core/src/weights/draw.rs
+++ b/crates/core/src/weights/draw.rs
@@ -63,14 +63,31 @@
     pub rate: ByteRate,
     /// The chunks that are drawn at the same time.
     pub draws: u32,
+    /// The time in which the whole version is wanted, if there is one: waits are a part of it.
+    pub within: Option<Span>,
 }
 
+/// Parts of the wanted time in which others wait for a VM that is due to draw a chunk.
+const WAITS: u64 = 10;
+/// Parts of the wanted time of which a draw's timeout is at least one.
+const TIMEOUTS: u64 = 8;
+
 impl Limits {
     /// Returns the most draws from outside the zone at the same time.
     pub(super) fn window(&self) -> usize {
         (self.draws as usize / 2).max(1)
     }
 
+    /// Returns the shortest timeout of a draw, `least` where no time is wanted.
+    pub(super) fn least(&self, least: Span) -> Span {
+        self.within.map_or(least, |within| Span(within.0 / TIMEOUTS).min(least))
+    }
+
+    /// Returns the time without progress after which others step in, `usual` where no time is wanted.
+    pub(super) fn patience(&self, usual: Span) -> Span {
+        self.within.map_or(usual, |within| Span(within.0 / WAITS).min(usual))
+    }
+
     /// Returns the time that a draw may take, over a region's link of this rate if over one.
     pub(super) fn usual(&self, chunk: Bytes, link: Option<ByteRate>) -> Span {
         let slots = u64::from(self.draws) + SLOTS;
--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -399,7 +399,12 @@
             return false;
         }
         let patience = self.patience();
+        // Where a time is wanted, an owner on a slow link is out although it makes some progress.
+        let slow = self.limits.within.is_some() && now - turn >= Span(3 * patience.0);
         let out = |key: &PeerKey| {
+            if slow {
+                return true;
+            }
             let stuck = |peer: &Peer| now - turn >= patience && peer.stuck(now, patience);
             self.peers.get(key).is_some_and(|peer| peer.down() || stuck(peer))
         };
@@ -511,7 +516,7 @@
         } else {
             self.near.timeout(Span(usual.0 * NEAR_LEAST / 4), usual).0
         };
-        Span(timeout.clamp(MIN_TIMEOUT.0, MAX_TIMEOUT.0))
+        Span(timeout.clamp(self.limits.least(MIN_TIMEOUT).0, MAX_TIMEOUT.0))
     }
 
     /// Returns the time that a draw may take while nothing is known of the ones before.
@@ -521,6 +526,7 @@
 
     /// Returns the time without progress after which others step in.
     fn patience(&self) -> Span {
-        Span(self.timeout(true).0.saturating_mul(2).max(5 * MIN_TIMEOUT.0))
+        let usual = self.timeout(true).0.saturating_mul(2).max(5 * MIN_TIMEOUT.0);
+        self.limits.patience(Span(usual))
     }
 }
--- a/crates/core/tests/weights_transfer.rs
+++ b/crates/core/tests/weights_transfer.rs
@@ -53,7 +53,7 @@
     let fleet = fleet(vms, zones);
     let region = "region-0".parse().expect("a name");
     let topology = Topology::new(&name(vm), fleet.vms.values(), &fleet, Some(&region));
-    let limits = Limits { rate: RATE, draws: 4 };
+    let limits = Limits { rate: RATE, draws: 4, within: None };
     let owners = Owners { origin: ByteRate(2 * RATE.0) };
     Transfer::new(manifest, |_| false, topology, owners, limits, Time::default())
 }
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -10,7 +10,10 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use actix_http::ServiceConfig;
-use sequoiahold_core::direct::{mesh::Role, seam::Dialect};
+use sequoiahold_core::{
+    direct::{mesh::Role, seam::Dialect},
+    time::Time,
+};
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::mpsc,
@@ -26,6 +29,10 @@
 const LOOK: Duration = Duration::from_millis(250);
 /// Offers that are kept while no transfer takes them.
 const MAX_OFFERS: usize = 256;
+/// Time without a new member after which the other loaders count as known.
+const SETTLED: Duration = Duration::from_millis(300);
+/// Time after the start at which they count as known in any case.
+const UNSETTLED: Time = Time(1_500_000);
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -78,6 +85,7 @@
 
 /// Brings each wanted version to the engine, for as long as the process runs.
 async fn follow<D: Dialect>(loader: &Loader<D>) {
+    settle(loader).await;
     loop {
         let goal = match goal::find(loader).await {
             Ok(Some(goal)) => goal,
@@ -106,6 +114,19 @@
     }
 }
 
+/// Waits until the other loaders are known, so that each chunk has one owner in a zone.
+async fn settle<D: Dialect>(loader: &Loader<D>) {
+    let mut known = 0;
+    loop {
+        actix_rt::time::sleep(SETTLED).await;
+        let members = sources::members(loader).len();
+        if members == known || loader.node.now() >= UNSETTLED {
+            return;
+        }
+        known = members;
+    }
+}
+
 /// Brings one version to the engine.
 async fn reach<D: Dialect>(loader: &Loader<D>, goal: &Goal) -> anyhow::Result<()> {
     let begun = loader.node.now();
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -24,6 +24,8 @@
 const LOOK: Duration = Duration::from_millis(30);
 /// Time between two notes to the loaders of the zone.
 const TELL: Span = Span::millis(30);
+/// Time that the origin has for a chunk at least: all owners draw from it at the same time.
+const ORIGIN: Duration = Duration::from_millis(2_500);
 /// Longest bits that are told by datagram.
 const MAX_BITS: usize = 1_000;
 /// Time between two looks at which loaders there are.
@@ -45,7 +47,8 @@
     let manifest = manifest(list);
     let held = |digest: &Digest| loader.shelf.holds(digest);
     let topology = topology(loader);
-    let limits = Limits { rate: loader.settings.link, draws: DRAWS };
+    let within = Some(loader.settings.node.bounds.version);
+    let limits = Limits { rate: loader.settings.link, draws: DRAWS, within };
     let mut transfer = Transfer::new(&manifest, held, topology, owners(loader), limits, now);
     let mut events: FuturesUnordered<LocalBoxFuture<'_, Event>> = FuturesUnordered::new();
     let mut staging: VecDeque<(usize, Bytes)> = VecDeque::new();
@@ -192,8 +195,17 @@
             },
         }
     };
-    let drawn = timeout(draw.timeout.into(), drawn).await;
-    Event::Drawn(draw.digest, drawn.unwrap_or(Err(DrawError::Silent)))
+    let begun = loader.node.now();
+    let limit = match draw.supplier {
+        Supplier::Origin => Duration::from(draw.timeout).max(ORIGIN),
+        Supplier::Peer(_) => draw.timeout.into(),
+    };
+    let drawn = timeout(limit, drawn).await.unwrap_or(Err(DrawError::Silent));
+    let took = (loader.node.now() - begun).0 / 1_000;
+    let (from, error) = (format!("{:?}", draw.supplier), drawn.as_ref().err().copied());
+    let error = format!("{error:?}");
+    log::debug!(chunk, from = from.as_str(), took_ms = took, error = error.as_str(); "draw");
+    Event::Drawn(draw.digest, drawn)
 }
 
 async fn holds<D: Dialect>(loader: &Loader<D>, goal: &Goal, vm: VmId) -> Event {
--- a/crates/standins/src/experiment/weights/mod.rs
+++ b/crates/standins/src/experiment/weights/mod.rs
@@ -182,7 +182,7 @@
     let known: Rc<BTreeMap<Digest, bool>> =
         Rc::new(manifest.chunks.iter().copied().zip(held.iter().copied()).collect());
     let uploads = Uploads { slots: SLOTS, rate: VM_RATE };
-    let limits = Limits { rate: VM_RATE, draws: DRAWS as u32 };
+    let limits = Limits { rate: VM_RATE, draws: DRAWS as u32, within: None };
     let region: RegionId = plan::name("region", 0);
     let node = |vm| {
         let (fleet, manifest, known) = (fleet.clone(), manifest.clone(), known.clone());
