--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -40,6 +40,8 @@
 const MAX_TIMEOUT: Span = Span::secs(300);
 /// Quarters of the usual timeout that draws within a region keep at least.
 const NEAR_LEAST: u64 = 3;
+/// Times the usual patience after which a due owner that makes some progress is out.
+const SLOW: u64 = 3;
 /// Chunks that are compared for the rarest.
 const SAMPLE: usize = 512;
 
@@ -67,6 +69,7 @@
     progress: Time,
     window: usize,
     origin: Time,
+    idle: Option<Time>,
     refused: u32,
     rng: SmallRng,
     life: Machine<TransferState, TransferEvent>,
@@ -114,6 +117,7 @@
             progress: now,
             window: limits.window(),
             origin: now,
+            idle: Some(now),
             refused: 0,
             rng: SmallRng::seed_from_u64(seed),
             life: Machine::new(std::sync::Arc::new(chart())),
@@ -377,6 +381,7 @@
         if self.in_flight.values().filter(|flight| flight.outside).count() >= self.window {
             return None;
         }
+        self.note_idle(now);
         let idle = self.unknown().without(&self.flying);
         let due = |task: &Task| task.pause <= now && self.acts(task, now);
         let chunk = idle.iter().find(|chunk| self.tasks[*chunk].as_ref().is_some_and(due))?;
@@ -384,6 +389,13 @@
         Some(self.fly(now, chunk, source, true))
     }
 
+    /// Takes note since when no chunk that is this VM's own duty is due.
+    fn note_idle(&mut self, now: Time) {
+        let own = |task: &Task| task.duty.rank == 0 && self.start + task.duty.turn <= now;
+        let busy = self.missing.iter().any(|chunk| self.tasks[chunk].as_ref().is_some_and(own));
+        self.idle = if busy { None } else { self.idle.or(Some(now)) };
+    }
+
     /// Returns whether this VM draws a chunk from outside: its turn has come and those ahead are out.
     fn acts(&self, task: &Task, now: Time) -> bool {
         let turn = self.start + task.duty.turn;
@@ -400,7 +412,10 @@
         }
         let patience = self.patience();
         // Where a time is wanted, an owner on a slow link is out although it makes some progress.
-        let slow = self.limits.within.is_some() && now - turn >= Span(3 * patience.0);
+        // While the own chunks do not come either, the source is slow and not the owner.
+        let since = self.idle.map(|idle| turn.max(idle));
+        let late = since.is_some_and(|since| now - since >= Span(SLOW * patience.0));
+        let slow = self.limits.within.is_some() && late;
         let out = |key: &PeerKey| {
             if slow {
                 return true;
