--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -175,7 +175,8 @@
 
     /// Takes the published state.
     pub fn follow(&mut self, view: &View) {
-        self.wanted = view.models().map(|(model, wanted)| (model.clone(), wanted.clone())).collect();
+        self.wanted =
+            view.models().map(|(model, wanted)| (model.clone(), wanted.clone())).collect();
         if let Some(catalog) = view.catalog() {
             self.specs = specs(catalog);
         }
@@ -250,7 +251,10 @@
         let desk = self.services.entry(ask.service.clone()).or_default();
         if until <= now || now + wait > until {
             desk.refused += 1;
-            return Verdict::Refuse(Refusal::after(Reason::Overload, retry(now, &ask, desk.refused)));
+            return Verdict::Refuse(Refusal::after(
+                Reason::Overload,
+                retry(now, &ask, desk.refused),
+            ));
         }
         let waiting = Waiting {
             priority: ask.priority,
@@ -401,7 +405,7 @@
         }
         let ahead = desk.line.ahead(ask.priority, late) as u64;
         let ends = desk.ends.len() as u64;
-        if ends == 0 { Span(0) } else { Span(RATE_WINDOW.0 * ahead / ends) }
+        Span((RATE_WINDOW.0 * ahead).checked_div(ends).unwrap_or(0))
     }
 
     fn distance(&self, zone: &ZoneId) -> u32 {
--- a/crates/core/src/direct/line.rs
+++ b/crates/core/src/direct/line.rs
@@ -55,7 +55,8 @@
 
     /// Returns how many waiting requests go before one of this rank that arrives now.
     pub fn ahead(&self, priority: u8, late: bool) -> usize {
-        let before = |(waiting, _): &&(Waiting, T)| (waiting.late, waiting.priority) <= (late, priority);
+        let before =
+            |(waiting, _): &&(Waiting, T)| (waiting.late, waiting.priority) <= (late, priority);
         self.waiting.values().filter(before).count()
     }
 
--- a/crates/core/src/direct/mirror.rs
+++ b/crates/core/src/direct/mirror.rs
@@ -9,9 +9,7 @@
 const LOG: usize = 512;
 
 /// The platform's revision counter: it rises with each change.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Revision(pub u64);
 
 impl std::fmt::Display for Revision {
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -101,7 +101,10 @@
         bits.filter(|mbit| *mbit >= 0.0)
             .map(|mbit| Self((mbit * BYTES_PER_MBIT) as u64))
             .or_else(|| bytes().map(|size| Self(size.0)))
-            .ok_or_else(|| BadId { text: text.to_owned(), allowed: "a rate such as 2500KB/s or 20Mbit/s" })
+            .ok_or_else(|| BadId {
+                text: text.to_owned(),
+                allowed: "a rate such as 2500KB/s or 20Mbit/s",
+            })
     }
 }
 
--- a/crates/core/tests/weights_transfer.rs
+++ b/crates/core/tests/weights_transfer.rs
@@ -190,7 +190,7 @@
     let (old, new) = (manifest(0..100), manifest((0..95).chain(200..205)));
     let topology = Topology::new(&name(0), fleet.vms.values(), &fleet, None);
     let owners = Owners { origin: RATE };
-    let limits = Limits { rate: RATE, draws: 4 };
+    let limits = Limits { rate: RATE, draws: 4, within: None };
     let held = |digest: &Digest| old.chunks.contains(digest);
     let transfer = Transfer::new(&new, held, topology, owners, limits, Time::default());
     assert_eq!(transfer.missing(), 5);
--- a/crates/sequoiahold/src/gateway/attempt.rs
+++ b/crates/sequoiahold/src/gateway/attempt.rs
@@ -35,7 +35,18 @@
     /// No byte of the request has left.
     Unsent(String),
     /// The request may have run.
-    Lost(String),
+    Lost {
+        /// What went wrong.
+        fault: String,
+        /// Whether the connection broke, as it does where the endpoint crashes.
+        broke: bool,
+    },
+}
+
+impl Sent {
+    fn lost(fault: impl Into<String>, broke: bool) -> Self {
+        Self::Lost { fault: fault.into(), broke }
+    }
 }
 
 /// Sends a request and reads the head of the answer, for at most `silence`.
@@ -56,14 +67,16 @@
     let sending = upstream.send(request.method.clone(), &request.target, headers, &request.body);
     match timeout(silence, sending).await {
         Ok(Ok(())) => {}
-        Ok(Err(error)) if error.begun => return Sent::Lost(format!("sending: {}", error.error)),
+        Ok(Err(error)) if error.begun => {
+            return Sent::lost(format!("sending: {}", error.error), true);
+        }
         Ok(Err(error)) => return Sent::Unsent(format!("sending: {}", error.error)),
-        Err(_) => return Sent::Lost("sending took too long".to_owned()),
+        Err(_) => return Sent::lost("sending took too long", false),
     }
     match timeout(silence, head(gateway, request, &mut upstream)).await {
         Ok(Ok(answer)) => judge(gateway, answer, upstream).await,
-        Ok(Err(error)) => Sent::Lost(error.to_string()),
-        Err(_) => Sent::Lost("no answer in time".to_owned()),
+        Ok(Err(error)) => Sent::lost(error.to_string(), error.is_break()),
+        Err(_) => Sent::lost("no answer in time", false),
     }
 }
 
@@ -99,7 +112,7 @@
     }
     let signed = answer.headers.contains_key(names.signature);
     if answer.status.is_success() && !signed {
-        return Sent::Lost("an answer without the endpoint's signature".to_owned());
+        return Sent::lost("an answer without the endpoint's signature", false);
     }
     Sent::Answered(answer, upstream)
 }
--- a/crates/sequoiahold/src/gateway/loads.rs
+++ b/crates/sequoiahold/src/gateway/loads.rs
@@ -50,6 +50,10 @@
                         let until = gateway.node.now() + note.pause;
                         gateway.desk.borrow_mut().pause(&note.instance, until);
                     }
+                    Some(Datagram::Crash(crash)) => {
+                        let now = gateway.node.now();
+                        gateway.suspects.borrow_mut().hear(now, crash);
+                    }
                     Some(_) => {}
                     None => return,
                 },
--- a/crates/sequoiahold/src/gateway/mod.rs
+++ b/crates/sequoiahold/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempt;
 mod loads;
+mod metrics;
 mod plan;
 mod ready;
 mod record;
@@ -11,6 +12,7 @@
 mod seat;
 mod server;
 mod state;
+mod suspects;
 
 use std::{rc::Rc, time::Duration};
 
@@ -47,6 +49,9 @@
     server::start(&gateway, settings.callers, settings.connections)?;
     state::start(&gateway);
     loads::start(&gateway, inbox);
+    if let Some(addr) = settings.node.metrics {
+        crate::exposition::start(gateway.metrics.registry(), addr)?;
+    }
     let vm = settings.node.vm.to_string();
     log::info!(vm = vm.as_str(), version = env!("CARGO_PKG_VERSION"); "gateway started");
     loop {
--- a/crates/sequoiahold/src/gateway/record.rs
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -8,6 +8,7 @@
 
 use super::{
     answer::Own,
+    metrics::Metrics,
     plan::{NoPlan, Plan},
     state::Gateway,
 };
@@ -27,6 +28,21 @@
     Cut,
 }
 
+impl Outcome {
+    /// Returns the label of metrics.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Self::Left => "left",
+            Self::Answered(200..=299) => "answered",
+            Self::Answered(_) => "failed",
+            Self::Own(Own::Refused(_) | Own::Unconfigured) => "refused",
+            Self::Own(Own::Denied(_)) => "denied",
+            Self::Own(Own::Unknown | Own::TimedOut) => "unknown",
+            Self::Cut => "cut",
+        }
+    }
+}
+
 /// What is known of a request under way.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Record {
@@ -46,9 +62,12 @@
     }
 
     /// Writes the line.
-    pub(super) fn write(&self, id: &str, plan: &Plan, sends: u32, took: u64) {
+    pub(super) fn write(&self, metrics: &Metrics, id: &str, plan: &Plan, sends: u32, took: u64) {
         let account = plan.account.as_ref().map_or("", |account| account.as_str());
         let first = self.first.map_or(0, |at| took.saturating_sub(elapsed_ms(at)));
+        let first_or_end = if self.first.is_some() { first } else { took };
+        metrics.request(&plan.route, account, self.outcome.label(), first_or_end);
+        metrics.sends(&plan.route, sends);
         let (outcome, places) = (format!("{:?}", self.outcome), self.places.join(","));
         log::info!(
             target: "request",
@@ -74,6 +93,7 @@
     let configuration = view.catalog().map_or(0, |catalog| catalog.version);
     let (host, path) = (request.host.as_str(), request.path());
     let reason = format!("{none:?}");
+    gateway.metrics.request("", "", "denied", 0);
     log::info!(target: "request", id, host, path, configuration, reason = reason.as_str(); "denied");
 }
 
--- a/crates/sequoiahold/src/gateway/relay.rs
+++ b/crates/sequoiahold/src/gateway/relay.rs
@@ -26,11 +26,22 @@
     /// With the end of the stream.
     Done,
     /// Before that.
-    Broken(String),
+    Broken {
+        /// What went wrong.
+        fault: String,
+        /// Whether the connection broke, as it does where the endpoint crashes.
+        broke: bool,
+    },
     /// The caller takes no more.
     CallerGone,
 }
 
+impl Part {
+    fn broken(fault: impl Into<String>, broke: bool) -> Self {
+        Self::Broken { fault: fault.into(), broke }
+    }
+}
+
 impl<'a> Relay<'a> {
     /// Returns a relay that goes on after the event that the caller holds.
     pub(super) fn new(writer: &'a mut Writer, last: Option<u64>, close: bool) -> Self {
@@ -53,16 +64,16 @@
         self.events.cut();
         loop {
             let part = match timeout(silence, upstream.part()).await {
-                Err(_) => return Part::Broken("no event in time".to_owned()),
-                Ok(Err(error)) => return Part::Broken(error.to_string()),
+                Err(_) => return Part::broken("no event in time", false),
+                Ok(Err(error)) => return Part::broken(error.to_string(), error.is_break()),
                 Ok(Ok(None)) if self.events.is_whole() => return self.end(answer).await,
-                Ok(Ok(None)) => return Part::Broken("ended within an event".to_owned()),
+                Ok(Ok(None)) => return Part::broken("ended within an event", false),
                 Ok(Ok(Some(part))) => part,
             };
             let whole = match self.events.take(&part) {
                 Ok(whole) if whole.is_empty() => continue,
                 Ok(whole) => whole,
-                Err(error) => return Part::Broken(format!("{error:?}")),
+                Err(error) => return Part::broken(format!("{error:?}"), false),
             };
             moved();
             if self.begin(answer).is_err() || self.writer.part(whole).await.is_err() {
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -8,6 +8,7 @@
 use sequoiahold_core::{
     direct::{catalog::Repeat, desk::Ask, seam::Dialect, seat::Ended},
     refuse::{Reason, Refusal},
+    suspect::Print,
     units::Span,
 };
 
@@ -19,6 +20,7 @@
     relay::{Part, Relay},
     seat::{Held, find},
     state::Gateway,
+    suspects,
 };
 use crate::h1::{Answer, Incoming, Writer, end_to_end};
 
@@ -41,6 +43,7 @@
     ran: bool,
     fallback: Option<(Answer, Bytes)>,
     record: Record,
+    print: Print,
 }
 
 /// What comes after a send.
@@ -69,6 +72,7 @@
         }
     };
     gateway.repeats.borrow_mut().request(gateway.node.now(), &plan.service);
+    let print = suspects::print(&request, plan.account.as_ref());
     let left = plan.left(gateway.node.now());
     let mut run = Run {
         gateway,
@@ -79,6 +83,7 @@
         ran: false,
         fallback: None,
         record: Record::default(),
+        print,
     };
     let last = request.text(gateway.node.dialect.names().last_event);
     let last = last.and_then(|text| text.trim().parse().ok());
@@ -98,6 +103,10 @@
 impl<D: Dialect> Run<'_, D> {
     async fn go(&mut self, relay: &mut Relay<'_>) -> bool {
         loop {
+            if self.gateway.suspects.borrow().is_condemned(self.print) {
+                let refusal = Refusal::new(Reason::Suspect);
+                return self.fail(relay, Own::Refused(refusal)).await;
+            }
             let asked = self.gateway.node.now();
             let found = find(self.gateway, self.ask.clone()).await;
             self.record.waited.0 += (self.gateway.node.now() - asked).0;
@@ -134,6 +143,7 @@
         let last = relay.events.last();
         // A time-out may end this future: until an answer proves otherwise, the request has run.
         let before = std::mem::replace(&mut self.ran, true);
+        let _running = suspects::enter(self.gateway, &held.grant.instance, self.print);
         let sent =
             attempt::send(self.gateway, &self.plan, self.request, &held.grant, last, silence).await;
         match sent {
@@ -157,9 +167,12 @@
                 held.ended = Ended::Failed;
                 Next::Again
             }
-            Sent::Lost(fault) => {
+            Sent::Lost { fault, broke } => {
                 self.sends += 1;
                 self.note(&held, &fault);
+                if broke {
+                    suspects::crashed(self.gateway, &held.grant.instance);
+                }
                 held.ended = Ended::Failed;
                 Next::Again
             }
@@ -179,12 +192,16 @@
             Part::Done => {
                 self.record.outcome = Outcome::Answered(answer.status.as_u16());
                 held.ended = Ended::Answered;
+                self.gateway.suspects.borrow_mut().clear(self.print);
                 self.gateway.pool.put(upstream);
                 Next::Over(relay.writer().keeps())
             }
             Part::CallerGone => Next::Over(false),
-            Part::Broken(fault) => {
+            Part::Broken { fault, broke } => {
                 self.note(&held, &fault);
+                if broke {
+                    suspects::crashed(self.gateway, &held.grant.instance);
+                }
                 held.ended = Ended::Failed;
                 Next::Again
             }
@@ -292,7 +309,8 @@
     /// Writes the one line that every planned request leaves, also where its caller left.
     fn drop(&mut self) {
         let id = self.request.text(self.gateway.node.dialect.names().attempt).unwrap_or("");
-        self.record.write(id, &self.plan, self.sends, self.took());
+        let metrics = &self.gateway.metrics;
+        self.record.write(metrics, id, &self.plan, self.sends, self.took());
     }
 }
 
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -22,7 +22,7 @@
 };
 use tokio::sync::{oneshot, watch};
 
-use super::seat::Held;
+use super::{metrics::Metrics, seat::Held, suspects::Suspected};
 use crate::{
     h1::{Pool, PoolLimits},
     node::Node,
@@ -50,6 +50,8 @@
     pub(super) repeats: RefCell<Repeats>,
     pub(super) waiters: RefCell<BTreeMap<(ServiceId, TicketKey), Waiter<D>>>,
     pub(super) pool: Pool,
+    pub(super) metrics: Metrics,
+    pub(super) suspects: RefCell<Suspected>,
     active: Cell<usize>,
     open: Cell<usize>,
     draining: Cell<bool>,
@@ -81,6 +83,8 @@
             repeats: RefCell::new(Repeats::new(repeats)),
             waiters: RefCell::default(),
             pool,
+            metrics: Metrics::default(),
+            suspects: RefCell::default(),
             active: Cell::new(0),
             open: Cell::new(0),
             draining: Cell::new(false),
--- a/crates/sequoiahold/src/h1/caller.rs
+++ b/crates/sequoiahold/src/h1/caller.rs
@@ -6,8 +6,8 @@
 use actix_http::{
     ConnectionType, Method, Request, Response, ServiceConfig, StatusCode,
     body::BodySize,
-    header::{self, HeaderMap},
     h1::{Codec, Message},
+    header::{self, HeaderMap},
 };
 use actix_rt::time::Instant;
 use bytes::{Bytes, BytesMut};
@@ -232,12 +232,7 @@
     }
 
     /// Begins an answer whose parts follow; they go out with the first one.
-    pub fn begin(
-        &mut self,
-        status: StatusCode,
-        headers: HeaderMap,
-        close: bool,
-    ) -> io::Result<()> {
+    pub fn begin(&mut self, status: StatusCode, headers: HeaderMap, close: bool) -> io::Result<()> {
         self.head(status, headers, BodySize::Stream, close)
     }
 
--- a/crates/sequoiahold/src/h1/pool.rs
+++ b/crates/sequoiahold/src/h1/pool.rs
@@ -1,13 +1,6 @@
 //! Open connections by address, kept for reuse.
 
-use std::{
-    cell::RefCell,
-    collections::BTreeMap,
-    io,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::ServiceConfig;
 
--- a/crates/sequoiahold/src/h1/upstream.rs
+++ b/crates/sequoiahold/src/h1/upstream.rs
@@ -51,6 +51,13 @@
 
 impl std::error::Error for UpstreamError {}
 
+impl UpstreamError {
+    /// Returns whether the connection broke, as it does where the other end crashes.
+    pub fn is_break(&self) -> bool {
+        matches!(self, Self::Io(_))
+    }
+}
+
 impl From<io::Error> for UpstreamError {
     fn from(error: io::Error) -> Self {
         Self::Io(error)
@@ -236,7 +243,11 @@
     /// end, nothing follows it, and neither end has announced the close.
     pub fn is_idle(&mut self) -> bool {
         let done = matches!(self.framing, Framing::Done);
-        self.reusable && done && self.bytes.is_empty() && Instant::now() < self.until && self.quiet()
+        self.reusable
+            && done
+            && self.bytes.is_empty()
+            && Instant::now() < self.until
+            && self.quiet()
     }
 
     /// Takes note that the connection may not be used again.
@@ -300,10 +311,7 @@
     }
 }
 
-async fn early(
-    read: &mut tokio::net::tcp::ReadHalf<'_>,
-    bytes: &mut BytesMut,
-) -> io::Result<()> {
+async fn early(read: &mut tokio::net::tcp::ReadHalf<'_>, bytes: &mut BytesMut) -> io::Result<()> {
     match read.read_buf(bytes).await? {
         0 => Err(io::ErrorKind::UnexpectedEof.into()),
         _ => Ok(()),
--- a/crates/sequoiahold/src/lib.rs
+++ b/crates/sequoiahold/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod endpoint;
 pub mod entry;
+pub mod exposition;
 pub mod gateway;
 pub mod h1;
 pub mod help;
--- a/crates/sequoiahold/src/loader/engine.rs
+++ b/crates/sequoiahold/src/loader/engine.rs
@@ -52,7 +52,12 @@
     }
 
     /// Stages a chunk.
-    pub(super) async fn put(&self, model: &ModelId, chunk: usize, data: Bytes) -> anyhow::Result<()> {
+    pub(super) async fn put(
+        &self,
+        model: &ModelId,
+        chunk: usize,
+        data: Bytes,
+    ) -> anyhow::Result<()> {
         let path = self.dialect.put_path(model, chunk);
         let (status, _) = self.call(Method::PUT, &path, data).await?;
         anyhow::ensure!(status.is_success(), "staging chunk {chunk}: status {status}");
--- a/crates/sequoiahold/src/loader/sources.rs
+++ b/crates/sequoiahold/src/loader/sources.rs
@@ -108,8 +108,7 @@
 fn rank<D: Dialect>(loader: &Loader<D>, item: &str) -> usize {
     let members = members(loader);
     let own = loader.settings.node.vm.as_str();
-    let names: Vec<&str> =
-        members.iter().map(|member| member.vm.as_str()).chain([own]).collect();
+    let names: Vec<&str> = members.iter().map(|member| member.vm.as_str()).chain([own]).collect();
     ranked(names, item.as_bytes()).into_iter().position(|name| name == own).unwrap_or(0)
 }
 
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -4,7 +4,9 @@
 
 use actix_rt::time::timeout;
 use bytes::Bytes;
-use futures_util::{FutureExt as _, StreamExt as _, future::LocalBoxFuture, stream::FuturesUnordered};
+use futures_util::{
+    FutureExt as _, StreamExt as _, future::LocalBoxFuture, stream::FuturesUnordered,
+};
 use sequoiahold_core::{
     direct::seam::{ChunkList, Dialect},
     ids::{Digest, VmId},
@@ -178,12 +180,7 @@
     }
 }
 
-async fn drawn<D: Dialect>(
-    loader: &Loader<D>,
-    goal: &Goal,
-    list: &ChunkList,
-    draw: Draw,
-) -> Event {
+async fn drawn<D: Dialect>(loader: &Loader<D>, goal: &Goal, list: &ChunkList, draw: Draw) -> Event {
     let chunk = list.digests.iter().position(|digest| *digest == draw.digest).unwrap_or(0);
     let place = (&goal.model, goal.version, chunk);
     let drawn = async {
--- a/crates/sequoiahold/src/logging.rs
+++ b/crates/sequoiahold/src/logging.rs
@@ -1,5 +1,7 @@
 //! Log lines: plain or JSON, at the levels of the settings.
 
+mod lines;
+
 use std::{io, panic, process};
 
 use log::kv::{self, Key, VisitSource};
@@ -24,7 +26,7 @@
         });
     match settings.output {
         Output::Stderr => dispatch.chain(io::stderr()).apply()?,
-        Output::Stdout => dispatch.chain(io::stdout()).apply()?,
+        Output::Stdout => dispatch.chain(lines::output()?).apply()?,
     }
     Ok(())
 }
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -6,6 +6,7 @@
         mirror::{Revision, Sync},
     },
     ids::{InstanceId, ModelId, VmId},
+    suspect::Crash,
     units::Span,
 };
 use serde::{Deserialize, Serialize};
@@ -61,6 +62,8 @@
     Load(LoadNote),
     /// An engine loads.
     Loading(LoadingNote),
+    /// An endpoint crashed with requests in progress.
+    Crash(Crash),
     /// A loader has got chunks.
     Holds(HoldsNote),
     /// Changes of the published state, after a revision.
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -25,11 +25,11 @@
 };
 use tokio::sync::{mpsc, watch as signal};
 
+pub(crate) use self::peers::{CHUNKS, get};
 pub use self::{
     datagram::{Datagram, EndpointLoad, HoldsNote, LoadNote, LoadingNote},
     peers::{NoCalls, PeerCalls},
 };
-pub(crate) use self::peers::{CHUNKS, get};
 use crate::{
     clock::Clock,
     h1::{Pool, PoolLimits},
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -85,11 +85,7 @@
     }
 }
 
-fn answer<D: Dialect>(
-    node: &Node<D>,
-    calls: &impl PeerCalls,
-    target: &str,
-) -> (StatusCode, Bytes) {
+fn answer<D: Dialect>(node: &Node<D>, calls: &impl PeerCalls, target: &str) -> (StatusCode, Bytes) {
     if let Some(query) = target.strip_prefix(SYNC) {
         let after = query.strip_prefix("?after=").and_then(|text| text.parse().ok());
         let sync = node.mirror.borrow().since(Revision(after.unwrap_or(0)));
--- a/crates/sequoiahold/src/node/watch.rs
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -69,7 +69,8 @@
         }
         let after = node.mirror.borrow().at();
         let whole = compacted || node.mirror.borrow().at() == Revision(0);
-        let read = if whole { all(&node, &mut upstream).await } else { next(&node, &mut upstream).await };
+        let read =
+            if whole { all(&node, &mut upstream).await } else { next(&node, &mut upstream).await };
         match read {
             Ok(changes) => {
                 node.platform_answers();
--- a/crates/sequoiahold/src/settings/gateway.rs
+++ b/crates/sequoiahold/src/settings/gateway.rs
@@ -32,7 +32,11 @@
 
 impl Check for Gateway {
     fn check(&self) -> Result<(), (String, String)> {
-        addr::check(&[("callers", self.callers), ("ready", self.ready), ("node.peers", self.node.peers)])?;
+        addr::check(&[
+            ("callers", self.callers),
+            ("ready", self.ready),
+            ("node.peers", self.node.peers),
+        ])?;
         if self.connections == 0 {
             return Err(("connections".to_owned(), "must be at least 1".to_owned()));
         }
