--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -27,6 +27,10 @@
 const SHARED: u32 = 40;
 /// Time by which each request in progress puts a new one off, in ms.
 const WRITER: u32 = 2;
+/// Part of the time left to the objective that reading and one pass of the engine may take.
+const READING_PART: f64 = 0.85;
+/// Time that an engine may read before the first event of a request that is late anyway, in ms.
+const LATE_READING: u32 = 500;
 /// Time that a request to a plain service takes, in ms, where the service tells no figures.
 const PLAIN: u32 = 30;
 /// Part of the bound on cold endpoints that is used; the rest covers late arrivals.
@@ -344,9 +348,13 @@
         let spec = self.specs.get(&ask.service).cloned().unwrap_or_default();
         let most = self.most_a_second(&spec);
         let oldest = self.oldest(now, ask);
+        let reading = reading(&spec, ask.tokens.0);
+        let most_reading = most_reading(now, ask, &spec);
         let mut best: Option<(u64, SeatKey)> = None;
         for (key, seat) in &mut self.seats {
-            let room = seat.load(now).count < seat.endpoint.listed.slots.max(1);
+            let load = seat.load(now);
+            let soon = spec.engine.is_none() || load.reading + reading <= most_reading;
+            let room = soon && load.count < seat.endpoint.listed.slots.max(1);
             let fit = fits(seat, ask, oldest) && seat.is_fit(now) && seat.is_open(now, most);
             if !room || !fit || (ask.careful && !seat.is_sound()) {
                 continue;
@@ -357,7 +365,6 @@
             }
         }
         let (_, key) = best?;
-        let reading = reading(&spec, ask.tokens.0);
         let seat = &mut self.seats[key];
         seat.send(now, reading);
         let listed = &seat.endpoint.listed;
@@ -455,6 +462,16 @@
     read.ceil() as u32
 }
 
+/// Returns the time that an engine may read before the first event of a request, in ms.
+fn most_reading(now: Time, ask: &Ask, spec: &Spec) -> u32 {
+    let pass = spec.engine.as_ref().map_or(0.0, |engine| engine.step * f64::from(engine.stride));
+    if ask.objective <= now {
+        return LATE_READING;
+    }
+    let left = (ask.objective - now).0 as f64 / 1_000.0;
+    (left * READING_PART - pass).max(0.0) as u32
+}
+
 /// Returns until when a request may wait for a place.
 fn patience(now: Time, ask: &Ask) -> Time {
     if ask.objective <= now {
--- a/crates/sequoiahold/src/gateway/attempt.rs
+++ b/crates/sequoiahold/src/gateway/attempt.rs
@@ -26,7 +26,7 @@
 /// What a send came to.
 pub(super) enum Sent {
     /// The head of the endpoint's answer; the body follows on the connection.
-    Answered(Answer, Upstream),
+    Answered(Answer, Box<Upstream>),
     /// The endpoint says that it did not run the request.
     NotRun {
         /// Whether another instance or other weights were there.
@@ -114,7 +114,7 @@
     if answer.status.is_success() && !signed {
         return Sent::lost("an answer without the endpoint's signature", false);
     }
-    Sent::Answered(answer, upstream)
+    Sent::Answered(answer, Box::new(upstream))
 }
 
 /// Reads the rest of an answer that is no stream.
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -22,7 +22,7 @@
     state::Gateway,
     suspects,
 };
-use crate::h1::{Answer, Incoming, Writer, end_to_end};
+use crate::h1::{Answer, Incoming, Upstream, Writer, end_to_end};
 
 /// Time without an answer after which what may be repeated is sent elsewhere, where time is left.
 const SILENCE: Duration = Duration::from_millis(450);
@@ -185,7 +185,7 @@
         relay: &mut Relay<'_>,
         mut held: Held<D>,
         answer: Answer,
-        mut upstream: crate::h1::Upstream,
+        mut upstream: Box<Upstream>,
     ) -> Next {
         let part = relay.pass(&answer, &mut upstream, self.silence(), || held.read()).await;
         match part {
@@ -193,7 +193,7 @@
                 self.record.outcome = Outcome::Answered(answer.status.as_u16());
                 held.ended = Ended::Answered;
                 self.gateway.suspects.borrow_mut().clear(self.print);
-                self.gateway.pool.put(upstream);
+                self.gateway.pool.put(*upstream);
                 Next::Over(relay.writer().keeps())
             }
             Part::CallerGone => Next::Over(false),
@@ -214,9 +214,9 @@
         relay: &mut Relay<'_>,
         mut held: Held<D>,
         answer: Answer,
-        upstream: crate::h1::Upstream,
+        upstream: Box<Upstream>,
     ) -> Next {
-        let body = match attempt::body(self.gateway, upstream).await {
+        let body = match attempt::body(self.gateway, *upstream).await {
             Ok(body) => body,
             Err(error) => {
                 self.note(&held, &error.to_string());
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -13,6 +13,7 @@
 use sequoiahold_core::{
     direct::{mesh::Role, seam::Dialect},
     time::Time,
+    units::ByteRate,
 };
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -33,6 +34,8 @@
 const SETTLED: Duration = Duration::from_millis(300);
 /// Time after the start at which they count as known in any case.
 const UNSETTLED: Time = Time(1_500_000);
+/// Part of the VM's link that uploads may use; the engine's answers use the same link.
+const UPLOAD_PART: f64 = 0.85;
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -55,6 +58,7 @@
     let node = Node::new(dialect, Role::Loader, settings.node.clone(), config.clone(), notes);
     let mut stop = signal(SignalKind::terminate())?;
     let shelf = Shelf::default();
+    node.pace_uploads(ByteRate((settings.link.0 as f64 * UPLOAD_PART) as u64));
     node.start(shelf.clone())?;
     let vm = settings.node.vm.to_string();
     log::info!(vm = vm.as_str(), version = env!("CARGO_PKG_VERSION"); "loader started");
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -22,6 +22,8 @@
         view::{Effect, View},
     },
     time::Time,
+    units::{ByteRate, Bytes},
+    weights::Pacer,
 };
 use tokio::sync::{mpsc, watch as signal};
 
@@ -60,6 +62,7 @@
     /// Random numbers.
     pub rng: RefCell<SmallRng>,
     notes: mpsc::UnboundedSender<Datagram>,
+    uploads: RefCell<Option<Pacer>>,
     socket: RefCell<Option<Rc<tokio::net::UdpSocket>>>,
     changes: signal::Sender<Revision>,
     lost: Cell<Option<Time>>,
@@ -103,6 +106,7 @@
             pool: Pool::new(config, limits),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             notes,
+            uploads: RefCell::default(),
             socket: RefCell::default(),
             changes: signal::channel(Revision(0)).0,
             lost: Cell::new(None),
@@ -134,6 +138,17 @@
         }
     }
 
+    /// Keeps the chunks that this process gives to peers under a rate.
+    pub fn pace_uploads(&self, rate: ByteRate) {
+        self.uploads.replace(Some(Pacer::new(rate)));
+    }
+
+    /// Returns when an upload of `size` may begin.
+    fn upload_at(&self, size: Bytes) -> Option<Time> {
+        let now = self.now();
+        self.uploads.borrow_mut().as_mut().map(|pacer| pacer.reserve(now, size))
+    }
+
     /// Returns the addresses of live processes of a role, this one left out.
     pub fn peers(&self, role: Role) -> Vec<SocketAddr> {
         let mesh = self.mesh.borrow();
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -5,11 +5,14 @@
 use actix_http::{Method, ServiceConfig, StatusCode, header::HeaderMap};
 use anyhow::{Context as _, bail};
 use bytes::Bytes;
-use sequoiahold_core::direct::{
-    catalog::CallerBounds,
-    mirror::{Revision, Sync},
-    seam::Dialect,
-    view::Named,
+use sequoiahold_core::{
+    direct::{
+        catalog::CallerBounds,
+        mirror::{Revision, Sync},
+        seam::Dialect,
+        view::Named,
+    },
+    units::Bytes as Size,
 };
 use serde::{Deserialize, Serialize};
 
@@ -78,6 +81,12 @@
     let bounds = CallerBounds::default();
     while let Received::Request(request) = caller.receive(&bounds).await {
         let (status, body) = answer(&node, &calls, &request.target);
+        if request.target.starts_with(CHUNKS) {
+            let size = Size(body.len() as u64);
+            if let Some(at) = node.upload_at(size) {
+                node.clock.until(Some(at)).await;
+            }
+        }
         let written = caller.writer.answer(status, HeaderMap::new(), &body, false).await;
         if written.is_err() || !caller.writer.keeps() {
             return;
