--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -35,7 +35,7 @@
 /// Time after the start at which they count as known in any case.
 const UNSETTLED: Time = Time(1_500_000);
 /// Part of the VM's link that uploads may use; the engine's answers use the same link.
-const UPLOAD_PART: f64 = 0.85;
+const UPLOAD_PART: f64 = 0.95;
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(200);
 
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -21,7 +21,7 @@
 use crate::node::{Datagram, HoldsNote};
 
 /// Chunks that are drawn at the same time.
-const DRAWS: u32 = 3;
+const DRAWS: u32 = 6;
 /// Longest time between two looks at what may be drawn.
 const LOOK: Duration = Duration::from_millis(30);
 /// Time between two notes to the loaders of the zone.
