--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -247,7 +247,8 @@
             return Verdict::Go(grant);
         }
         if !self.has_endpoint(now, &ask) {
-            return Verdict::Refuse(Refusal::after(Reason::NoEndpoint, MIN_RETRY));
+            // It is not known when one serves again: the later return has the better chance.
+            return Verdict::Refuse(Refusal::after(Reason::NoEndpoint, most_retry(now, &ask)));
         }
         let until = patience(now, &ask);
         let late = ask.objective <= now;
@@ -481,10 +482,15 @@
     until.min(ask.deadline)
 }
 
+/// Returns the longest time that a refused caller waits: callers give up a third of what is left.
+fn most_retry(now: Time, ask: &Ask) -> Span {
+    Span((ask.deadline - now).0 / 3).min(MAX_RETRY)
+}
+
 /// Returns when a refused caller may come back; callers are spread over the allowed time.
 fn retry(now: Time, ask: &Ask, refused: u64) -> Span {
     const STEPS: u64 = 8;
-    let most = Span((ask.deadline - now).0 / 3).min(MAX_RETRY);
+    let most = most_retry(now, ask);
     let least = MIN_RETRY.min(most);
     Span(least.0 + (most.0 - least.0) * (refused % STEPS) / STEPS)
 }
--- a/crates/sequoiahold/src/gateway/answer.rs
+++ b/crates/sequoiahold/src/gateway/answer.rs
@@ -1,5 +1,7 @@
 //! The gateway's own answers.
 
+use std::fmt;
+
 use actix_http::{StatusCode, header::HeaderMap};
 use sequoiahold_core::{direct::catalog::Denial, refuse::Refusal, units::Span};
 
@@ -24,6 +26,19 @@
     TimedOut,
 }
 
+impl fmt::Display for Own {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Denied(Denial::NoRoute) => f.write_str("no route matches"),
+            Self::Denied(Denial::BadKey) => f.write_str("the API key is unknown"),
+            Self::Refused(refusal) => refusal.reason.fmt(f),
+            Self::Unconfigured => f.write_str("no configuration is known yet"),
+            Self::Unknown => f.write_str("the outcome at an endpoint is not known"),
+            Self::TimedOut => f.write_str("the time is over"),
+        }
+    }
+}
+
 impl From<NoPlan> for Own {
     fn from(none: NoPlan) -> Self {
         match none {
--- a/crates/sequoiahold/src/gateway/record.rs
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -29,6 +29,17 @@
 }
 
 impl Outcome {
+    /// Returns the status, the reason of a refusal, and the time to come back.
+    fn detail(self) -> (u16, String, Span) {
+        match self {
+            Self::Left | Self::Cut => (0, String::new(), Span(0)),
+            Self::Answered(status) => (status, String::new(), Span(0)),
+            Self::Own(own) => {
+                (own.status().as_u16(), own.to_string(), own.retry().unwrap_or_default())
+            }
+        }
+    }
+
     /// Returns the label of metrics.
     pub(super) fn label(self) -> &'static str {
         match self {
@@ -68,7 +79,8 @@
         let first_or_end = if self.first.is_some() { first } else { took };
         metrics.request(&plan.route, account, self.outcome.label(), first_or_end);
         metrics.sends(&plan.route, sends);
-        let (outcome, places) = (format!("{:?}", self.outcome), self.places.join(","));
+        let (status, reason, retry) = self.outcome.detail();
+        let places = self.places.join(",");
         log::info!(
             target: "request",
             id,
@@ -80,7 +92,10 @@
             waited_ms = self.waited.0 / 1_000,
             first_ms = first,
             took_ms = took,
-            outcome = outcome.as_str();
+            outcome = self.outcome.label(),
+            status,
+            reason = reason.as_str(),
+            retry_ms = retry.0 / 1_000;
             "ended"
         );
     }
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -28,8 +28,8 @@
     node::Node,
 };
 
-/// Time within which a connection to an endpoint must be established.
-const CONNECT: Duration = Duration::from_millis(350);
+/// Time within which a connection to an endpoint must be established: 20 round trips between regions.
+const CONNECT: Duration = Duration::from_millis(150);
 /// Idle connections that are kept to one endpoint.
 const IDLE: usize = 24;
 /// Time between two looks at waiting requests.
--- a/crates/sequoiahold/src/help.rs
+++ b/crates/sequoiahold/src/help.rs
@@ -7,6 +7,10 @@
 SIGTERM stops the process gracefully. Exit codes: 0 stopped, 2 it could not start.
 ";
 
+const NAMED: &str = "
+Without --config, the environment variable SEQUOIAHOLD_CONFIG names the settings.
+";
+
 const CHECK: &str = "\
 Usage: sequoiahold check DIR
 
@@ -48,6 +52,9 @@
         "entry" | "endpoint" => {
             Some(format!("Usage: sequoiahold {command} --config FILE\n\n{PROCESS}"))
         }
+        "gateway" | "loader" => {
+            Some(format!("Usage: sequoiahold {command} [--config FILE]\n\n{PROCESS}{NAMED}"))
+        }
         "check" => Some(CHECK.to_owned()),
         "render" => Some(RENDER.to_owned()),
         "diff" => Some(DIFF.to_owned()),
--- a/crates/sequoiahold/tests/cli.rs
+++ b/crates/sequoiahold/tests/cli.rs
@@ -11,6 +11,8 @@
 #[rstest]
 #[case::entry("entry", "--config FILE")]
 #[case::endpoint("endpoint", "--config FILE")]
+#[case::gateway("gateway", "SEQUOIAHOLD_CONFIG")]
+#[case::loader("loader", "[--config FILE]")]
 #[case::check("check", "check DIR")]
 #[case::render("render", "--generation")]
 #[case::diff("diff", "--manifests")]
--- a/crates/sequoiahold/tests/settings.rs
+++ b/crates/sequoiahold/tests/settings.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use rstest::rstest;
-use sequoiahold::settings::{Check, Endpoint, Entry, parse};
+use sequoiahold::settings::{Check, Endpoint, Entry, Gateway, Loader, parse};
 use sequoiahold_core::declare::load::read_set;
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::{Value, json};
@@ -28,6 +28,21 @@
     value
 }
 
+fn node() -> Value {
+    json!({
+        "vm": "g1", "zone": "z1", "zones": {"z1": "r1"}, "peers": "10.0.0.1:7700",
+        "platform": "10.0.0.9:8007",
+    })
+}
+
+fn gateway() -> Value {
+    json!({"node": node(), "callers": "10.0.0.1:8005", "ready": "10.0.0.1:8002"})
+}
+
+fn loader() -> Value {
+    json!({"node": node(), "engine": "10.0.0.1:8001", "service": "llm", "link": "7.3Mbit/s"})
+}
+
 /// Sets the value at a path such as `config/wait`; `null` removes it.
 fn change(mut settings: Value, path: &str, to: Value) -> Value {
     let mut place = &mut settings;
@@ -49,6 +64,8 @@
 fn the_smallest_settings_are_taken() {
     assert_eq!(fault::<Entry>(&entry()), "");
     assert_eq!(fault::<Endpoint>(&endpoint()), "");
+    assert_eq!(fault::<Gateway>(&gateway()), "");
+    assert_eq!(fault::<Loader>(&loader()), "");
 }
 
 #[rstest]
@@ -100,6 +117,26 @@
     assert!(found.contains(text), "{text:?} is not in {found:?}");
 }
 
+#[rstest]
+#[case::zone("node/zone", json!("z9"), "key zones: has no region for zone z9")]
+#[case::grace("node/bounds", json!({"grace": "10ms"}), "key bounds.grace: must be at least 1s")]
+#[case::window("node/bounds", json!({"retry_window": "1ms"}), "key bounds.retry_window: must be")]
+#[case::fraction("node/bounds", json!({"grace": "2.5"}), "key node.bounds.grace: \"2.5\" is not a time")]
+#[case::one_address("ready", json!("10.0.0.1:8005"), "key ready: must be another address")]
+#[case::connections("connections", json!(0), "key connections: must be at least 1")]
+fn gateway_settings_are_refused(#[case] path: &str, #[case] to: Value, #[case] text: &str) {
+    let found = fault::<Gateway>(&change(gateway(), path, to));
+    assert!(found.contains(text), "{text:?} is not in {found:?}");
+}
+
+#[rstest]
+#[case::link("link", json!("0Mbit/s"), "key link: must be above 0")]
+#[case::engine("engine", json!("host"), "key engine: invalid socket address")]
+fn loader_settings_are_refused(#[case] path: &str, #[case] to: Value, #[case] text: &str) {
+    let found = fault::<Loader>(&change(loader(), path, to));
+    assert!(found.contains(text), "{text:?} is not in {found:?}");
+}
+
 /// Returns the keys and defaults of a section of the page.
 fn page(section: &str) -> BTreeMap<String, String> {
     let heading = format!("## {section}\n");
@@ -131,6 +168,9 @@
     leaves(&serde_json::to_value(&settings).expect("JSON"), "", &mut found);
     leaves(given, "", &mut set);
     set.into_keys().for_each(|key| drop(found.insert(key, "required".to_owned())));
+    if found.remove("node.zones.z1").is_some() {
+        found.insert("node.zones".to_owned(), "required".to_owned());
+    }
     found
 }
 
@@ -138,6 +178,8 @@
 fn the_page_has_the_settings_of_the_code() {
     assert_eq!(page("Settings of an entry"), all::<Entry>(&entry()));
     assert_eq!(page("Settings of an endpoint"), all::<Endpoint>(&endpoint()));
+    assert_eq!(page("Settings of a gateway"), all::<Gateway>(&gateway()));
+    assert_eq!(page("Settings of a loader"), all::<Loader>(&loader()));
 }
 
 #[test]
