--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -29,8 +29,9 @@
 const WRITER: u32 = 2;
 /// Part of the time left to the objective that reading and one pass of the engine may take.
 const READING_PART: f64 = 0.85;
-/// Time that an engine may read before the first event of a request that is late anyway, in ms.
-const LATE_READING: u32 = 500;
+/// Time that an engine may read before the first event of a request that is late anyway, in ms:
+/// three prompts, so that the engine never idles and those that can be on time find room.
+const LATE_READING: u32 = 150;
 /// Time that a request to a plain service takes, in ms, where the service tells no figures.
 const PLAIN: u32 = 30;
 /// Part of the bound on cold endpoints that is used; the rest covers late arrivals.
--- a/crates/core/src/direct/mesh.rs
+++ b/crates/core/src/direct/mesh.rs
@@ -19,11 +19,17 @@
 };
 
 /// Time between two rounds of gossip.
-pub const ROUND: Span = Span::millis(400);
+const ROUND: Span = Span::millis(400);
+/// Time between two rounds while members are new.
+const ROUND_NEW: Span = Span::millis(200);
 /// Members that a round tells.
 const FANOUT: usize = 3;
-/// Members that one message describes; with it a message fits one datagram.
+/// Members that one message describes.
 const DESCRIBED: usize = 8;
+/// Members that one message describes while members are new; with it a message fits one datagram.
+const DESCRIBED_NEW: usize = 16;
+/// Time after the last new member in which members count as new.
+const NEW: Span = Span::secs(3);
 /// Time without a new heartbeat after which a member counts as silent.
 const SILENT: Span = Span::millis(3_200);
 /// Time after which a silent member is forgotten; it may be alive behind a partition until then.
@@ -86,13 +92,14 @@
     seeds: Vec<SocketAddr>,
     peers: BTreeMap<VmId, Peer>,
     told: bool,
+    news: Time,
 }
 
 impl Mesh {
     /// Returns a mesh that knows only its seeds.
     pub fn new(own: Member, seeds: impl IntoIterator<Item = SocketAddr>) -> Self {
         let seeds = seeds.into_iter().filter(|seed| *seed != own.addr).collect();
-        Self { own, seeds, peers: BTreeMap::new(), told: false }
+        Self { own, seeds, peers: BTreeMap::new(), told: false, news: Time::default() }
     }
 
     /// Returns this process.
@@ -135,6 +142,15 @@
         self.live(now).filter(|member| member.zone == self.own.zone)
     }
 
+    /// Returns the time from one round to the next.
+    pub fn pause(&self, now: Time) -> Span {
+        if self.has_news(now) { ROUND_NEW } else { ROUND }
+    }
+
+    fn has_news(&self, now: Time) -> bool {
+        now < self.news + NEW
+    }
+
     /// Starts a round: returns the message and whom to send it to.
     pub fn round(
         &mut self,
@@ -191,6 +207,7 @@
         }
         let Some(known) = self.peers.get_mut(&member.vm) else {
             self.peers.insert(member.vm.clone(), Peer { member: member.clone(), heard: now });
+            self.news = now;
             return true;
         };
         let order = |member: &Member| (member.incarnation, member.beat);
@@ -207,7 +224,8 @@
     }
 
     fn message(&self, now: Time, at: Revision, ask: bool, rng: &mut impl Rng) -> Gossip {
-        let described: Vec<&Member> = self.live(now).choose_multiple(rng, DESCRIBED);
+        let most = if self.has_news(now) { DESCRIBED_NEW } else { DESCRIBED };
+        let described: Vec<&Member> = self.live(now).choose_multiple(rng, most);
         let members = described.into_iter().cloned().collect();
         Gossip { from: self.own.clone(), members, at, ask }
     }
--- a/crates/core/tests/direct_mesh.rs
+++ b/crates/core/tests/direct_mesh.rs
@@ -32,15 +32,24 @@
     }
 }
 
-/// Runs rounds of gossip among all, without loss, for `rounds` x 400 ms.
-fn gossip(meshes: &mut [Mesh], from: u64, rounds: u64, rng: &mut SmallRng) {
-    for round in 0..rounds {
-        let now = ms(from + round * 400);
+/// Runs gossip among all, without loss, until `end`; each keeps its own pace.
+fn gossip(meshes: &mut [Mesh], end: Time, rng: &mut SmallRng) {
+    let mut next = vec![Time::default(); meshes.len()];
+    while let Some(now) = next.iter().min().copied().filter(|now| *now < end) {
         for sender in 0..meshes.len() {
+            if next[sender] > now {
+                continue;
+            }
+            next[sender] = now + meshes[sender].pause(now);
             let (message, to) = meshes[sender].round(now, Revision(0), rng);
             for addr in to {
-                if let Some(mesh) = meshes.iter_mut().find(|mesh| mesh.own().addr == addr) {
-                    mesh.hear(now, &message);
+                let Some(mesh) = meshes.iter_mut().find(|mesh| mesh.own().addr == addr) else {
+                    continue;
+                };
+                let new = mesh.hear(now, &message);
+                if new || message.ask {
+                    let answer = mesh.answer(now, Revision(0), rng);
+                    meshes[sender].hear(now, &answer);
                 }
             }
         }
@@ -53,7 +62,9 @@
     let seed = member(1, Role::Gateway, 1).addr;
     let mut meshes: Vec<Mesh> =
         (1..=40).map(|number| Mesh::new(member(number, Role::Gateway, 1), [seed])).collect();
-    gossip(&mut meshes, 0, 6, &mut rng);
+    gossip(&mut meshes, ms(2_000), &mut rng);
+    let least = meshes.iter().map(|mesh| mesh.count(Role::Gateway)).min();
+    assert_eq!(least, Some(40));
     assert!(meshes.iter().all(|mesh| mesh.count(Role::Gateway) == 40));
 }
 
--- a/crates/sequoiahold/src/node/gossip.rs
+++ b/crates/sequoiahold/src/node/gossip.rs
@@ -1,11 +1,11 @@
 //! Gossip by datagrams: membership, and who knows newer published state.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 
 use anyhow::Context as _;
 use sequoiahold_core::{
     direct::{
-        mesh::{self, Gossip},
+        mesh::Gossip,
         mirror::{Change, Revision, Sync},
         seam::Dialect,
     },
@@ -64,7 +64,8 @@
             node.signal();
         }
         node.pool.sweep();
-        actix_rt::time::sleep(Duration::from(mesh::ROUND)).await;
+        let pause = node.mesh.borrow().pause(node.now());
+        actix_rt::time::sleep(pause.into()).await;
     }
 }
 
