--- /dev/null
+++ b/crates/core/src/direct/judge.rs
@@ -0,0 +1,94 @@
+//! What a request needs of an endpoint, how good an endpoint is for it, and how long it may wait.
+
+use rand::Rng;
+
+use super::{
+    desk::{Ask, Spec},
+    seat::Seat,
+};
+use crate::{time::Time, units::Span};
+
+/// Time by which a farther endpoint must be sooner, for each step of distance, in ms.
+const DISTANCE: u32 = 15;
+/// Time by which an endpoint must be sooner that another gateway sends to first, in ms: what that
+/// one has sent of late is not known here yet.
+const SHARED: u32 = 40;
+/// Time by which each request in progress puts a new one off, in ms.
+const WRITER: u32 = 2;
+/// Time that a request to a plain service takes, in ms, where the service tells no figures.
+const PLAIN: u32 = 30;
+/// Part of the time left to the objective that reading and one pass of the engine may take.
+const READING_PART: f64 = 0.85;
+/// Time that an engine may read before the first event of a request that is late anyway, in ms:
+/// three prompts, so that the engine never idles and those that can be on time find room.
+const LATE_READING: u32 = 150;
+/// Part of the objective that a request may wait for a place; the rest is for the first event.
+const WAIT_PART: f64 = 0.45;
+/// Part of the time left that a request which is late anyway may wait.
+const LATE_PART: f64 = 0.25;
+/// Shortest time after which a refused caller may come back.
+const MIN_RETRY: Span = Span::millis(700);
+/// Longest time after which a refused caller is asked to come back.
+const MAX_RETRY: Span = Span::secs(2);
+
+/// Returns whether an endpoint may serve a request, with weights that are not too old.
+pub(super) fn fits(seat: &Seat, ask: &Ask, oldest: Option<u64>) -> bool {
+    let listed = &seat.endpoint.listed;
+    let allowed = ask.regions.is_empty()
+        || seat.region.as_ref().is_some_and(|region| ask.regions.contains(region));
+    let serves = match (&ask.model, &listed.loaded) {
+        (Some(model), Some(_)) => {
+            let held = seat.endpoint.held(model).map(|loaded| loaded.version);
+            held.is_some_and(|held| oldest.is_none_or(|oldest| held >= oldest))
+        }
+        _ => true,
+    };
+    listed.service == ask.service && allowed && serves
+}
+
+/// Returns the load of an endpoint, with a disadvantage for its distance; ties are broken at random.
+pub(super) fn score(seat: &Seat, now: Time, rng: &mut impl Rng) -> u64 {
+    let load = seat.load(now);
+    let strange = if seat.primary { 0 } else { SHARED };
+    let work = load.reading + load.count * WRITER + seat.distance * DISTANCE + strange;
+    (u64::from(work) << 16) | u64::from(rng.random::<u16>())
+}
+
+/// Returns the time that an endpoint takes to read a prompt, in ms.
+pub(super) fn reading(spec: &Spec, prompt: u32) -> u32 {
+    let Some(engine) = &spec.engine else { return PLAIN };
+    let read = f64::from(prompt) * 1_000.0 / engine.read_rate.max(1.0);
+    read.ceil() as u32
+}
+
+/// Returns the time that an engine may read before the first event of a request, in ms.
+pub(super) fn most_reading(now: Time, ask: &Ask, spec: &Spec) -> u32 {
+    let pass = spec.engine.as_ref().map_or(0.0, |engine| engine.step * f64::from(engine.stride));
+    if ask.objective <= now {
+        return LATE_READING;
+    }
+    let left = (ask.objective - now).0 as f64 / 1_000.0;
+    (left * READING_PART - pass).max(0.0) as u32
+}
+
+/// Returns until when a request may wait for a place.
+pub(super) fn patience(now: Time, ask: &Ask) -> Time {
+    if ask.objective <= now {
+        return now + Span(((ask.deadline - now).0 as f64 * LATE_PART) as u64);
+    }
+    let until = now + Span(((ask.objective - now).0 as f64 * WAIT_PART) as u64);
+    until.min(ask.deadline)
+}
+
+/// Returns the longest time that a refused caller waits: callers give up a third of what is left.
+pub(super) fn most_retry(now: Time, ask: &Ask) -> Span {
+    Span((ask.deadline - now).0 / 3).min(MAX_RETRY)
+}
+
+/// Returns when a refused caller may come back; callers are spread over the allowed time.
+pub(super) fn retry(now: Time, ask: &Ask, refused: u64) -> Span {
+    const STEPS: u64 = 8;
+    let most = most_retry(now, ask);
+    let least = MIN_RETRY.min(most);
+    Span(least.0 + (most.0 - least.0) * (refused % STEPS) / STEPS)
+}
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod catalog;
 pub mod desk;
+mod judge;
 pub mod line;
 pub mod mesh;
 pub mod mirror;
--- a/crates/core/tests/direct_desk.rs
+++ b/crates/core/tests/direct_desk.rs
@@ -281,6 +281,22 @@
     assert_eq!(grant.instance.as_str(), "i-00");
 }
 
+#[test]
+fn a_repeat_goes_to_another_endpoint_or_nowhere() {
+    let view = view(2);
+    let mut desk = desk(&view);
+    let mut rng = SmallRng::seed_from_u64(11);
+    let mut repeat = ask(ms(0));
+    for _ in 0..2 {
+        let mut grant = go(desk.arrive(ms(0), repeat.clone(), &mut rng)).expect("room");
+        assert!(!repeat.tried.contains(&grant.seat));
+        repeat.tried.push(grant.seat);
+        desk.end(ms(0), &mut grant, Ended::Answered);
+    }
+    let verdict = desk.arrive(ms(0), repeat, &mut rng);
+    assert!(matches!(verdict, Verdict::Refuse(refusal) if refusal.reason == Reason::NoEndpoint));
+}
+
 #[test]
 fn an_endpoint_that_fails_rests_and_then_gets_requests_again() {
     let view = view_with(2, None);
--- a/crates/sequoiahold/src/gateway/mod.rs
+++ b/crates/sequoiahold/src/gateway/mod.rs
@@ -57,7 +57,7 @@
     loop {
         tokio::select! {
             _ = stop.recv() => break,
-            _ = reload.recv() => log::info!("asked to read the settings again"),
+            _ = reload.recv() => log::info!("signal to reload ignored: settings are read at the start"),
         }
     }
     drain(&gateway, settings.node.bounds.grace.into()).await;
--- a/crates/sequoiahold/src/loader/sources.rs
+++ b/crates/sequoiahold/src/loader/sources.rs
@@ -14,11 +14,12 @@
     },
     ids::{ModelId, VmId},
     peers::ranked,
+    units::Span,
     weights::DrawError,
 };
 
 use super::{Loader, shelf::read_list};
-use crate::node::{CHUNKS, get};
+use crate::node::{CHUNKS, CallError, get};
 
 /// Largest chunk list or chunk that is read.
 const MAX_BODY: usize = 16_000_000;
@@ -31,7 +32,7 @@
 /// Peers that are asked for a chunk list before the origin is.
 const ASKED: usize = 3;
 /// Pause of the origin when it refuses a call or a connection; it is back within seconds.
-const REFUSED: sequoiahold_core::units::Span = sequoiahold_core::units::Span::millis(150);
+const REFUSED: Span = Span::millis(150);
 
 /// Returns the chunk list of a version, from a peer where one holds it, else from the origin.
 pub(super) async fn list<D: Dialect>(
@@ -68,9 +69,9 @@
     (model, version, chunk): (&ModelId, u64, usize),
 ) -> Result<Bytes, DrawError> {
     let path = format!("{CHUNKS}{model}/{version}/{chunk}");
-    get(&loader.node, addr, &path, MAX_BODY).await.map_err(|error| {
-        let absent = error.to_string().contains(StatusCode::NOT_FOUND.as_str());
-        if absent { DrawError::Absent } else { DrawError::Silent }
+    get(&loader.node, addr, &path, MAX_BODY).await.map_err(|error| match error {
+        CallError::Absent => DrawError::Absent,
+        CallError::Failed(_) => DrawError::Silent,
     })
 }
 
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -27,7 +27,7 @@
 };
 use tokio::sync::{mpsc, watch as signal};
 
-pub(crate) use self::peers::{CHUNKS, get};
+pub(crate) use self::peers::{CHUNKS, CallError, get};
 pub use self::{
     datagram::{Datagram, EndpointLoad, HoldsNote, LoadNote, LoadingNote},
     peers::{NoCalls, PeerCalls},
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -1,9 +1,9 @@
 //! Calls between processes: published state and chunks.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{fmt, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{Method, ServiceConfig, StatusCode, header::HeaderMap};
-use anyhow::{Context as _, bail};
+use anyhow::Context as _;
 use bytes::Bytes;
 use sequoiahold_core::{
     direct::{
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Node;
-use crate::h1::{Caller, Received, listen, watch_peer};
+use crate::h1::{Caller, Received, UpstreamError, listen, watch_peer};
 
 /// Path of the published state.
 const SYNC: &str = "/sync";
@@ -116,8 +116,8 @@
     let target = format!("{SYNC}?after={after}");
     let call = get(node, peer, &target, MAX_SYNC);
     let body = actix_rt::time::timeout(TIMEOUT, call).await;
-    let state = body.context("no answer in time").flatten().and_then(|body| {
-        let state: State = postcard::from_bytes(&body).context("published state of a peer")?;
+    let state = body.context("no answer in time").and_then(|body| {
+        let state: State = postcard::from_bytes(&body?).context("published state of a peer")?;
         Ok(state)
     });
     match state {
@@ -136,21 +136,54 @@
     }
 }
 
+/// Why a peer gave nothing.
+#[derive(Debug)]
+pub(crate) enum CallError {
+    /// It does not have what was asked for.
+    Absent,
+    /// It gave no sound answer.
+    Failed(String),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Absent => f.write_str("the peer does not have it"),
+            Self::Failed(fault) => f.write_str(fault),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+impl From<io::Error> for CallError {
+    fn from(error: io::Error) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
+impl From<UpstreamError> for CallError {
+    fn from(error: UpstreamError) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
 /// Calls a peer and returns the body of its answer.
 pub(crate) async fn get<D>(
     node: &Node<D>,
     peer: SocketAddr,
     target: &str,
     most: usize,
-) -> anyhow::Result<Bytes> {
+) -> Result<Bytes, CallError> {
     let mut upstream = node.pool.get(peer, TIMEOUT).await?;
     let sent = upstream.send(Method::GET, target, HeaderMap::new(), &Bytes::new()).await;
     sent.map_err(|error| error.error)?;
     let answer = upstream.head().await?;
     let body = upstream.body(most).await?;
     node.pool.put(upstream);
-    if answer.status != StatusCode::OK {
-        bail!("status {}", answer.status);
+    match answer.status {
+        StatusCode::OK => Ok(body),
+        StatusCode::NOT_FOUND => Err(CallError::Absent),
+        status => Err(CallError::Failed(format!("status {status}"))),
     }
-    Ok(body)
 }
