--- a/crates/sequoiahold/src/cli.rs
+++ b/crates/sequoiahold/src/cli.rs
@@ -1,11 +1,16 @@
 //! The command line.
 
-use std::{ffi::OsString, path::PathBuf, process::ExitCode};
+use std::{
+    ffi::OsString,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use anyhow::{Context as _, bail};
 use pico_args::Arguments;
 use sequoiahold_core::ids::Generation;
 use sequoiahold_platform::Hosted;
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{command, endpoint, entry, gateway, help, loader, logging, settings};
 
@@ -64,10 +69,24 @@
         return Ok(0);
     }
     match command.as_deref() {
-        Some("entry") => run_entry(args),
-        Some("endpoint") => run_endpoint(args),
-        Some("gateway") => run_gateway(args),
-        Some("loader") => run_loader(args),
+        Some("entry") => {
+            let file: PathBuf = args.value_from_os_str("--config", path)?;
+            run_process(args, &file, |settings: &settings::Entry| &settings.log, entry::run)
+        }
+        Some("endpoint") => {
+            let file: PathBuf = args.value_from_os_str("--config", path)?;
+            run_process(args, &file, |settings: &settings::Endpoint| &settings.log, endpoint::run)
+        }
+        Some("gateway") => {
+            let file = config_file(&mut args)?;
+            let run = |settings| gateway::run(Hosted, settings);
+            run_process(args, &file, |settings: &settings::Gateway| &settings.log, run)
+        }
+        Some("loader") => {
+            let file = config_file(&mut args)?;
+            let run = |settings| loader::run(Hosted, settings);
+            run_process(args, &file, |settings: &settings::Loader| &settings.log, run)
+        }
         Some("check") => {
             let dir = directory(&mut args)?;
             finish(args)?;
@@ -99,63 +118,27 @@
     }
 }
 
-fn run_entry(mut args: Arguments) -> anyhow::Result<u8> {
-    let file: PathBuf = args.value_from_os_str("--config", path)?;
-    let print = args.contains("--print-config");
-    finish(args)?;
-    let settings: settings::Entry = settings::load(&file)?;
-    if print {
-        println!("{}", serde_json::to_string_pretty(&settings)?);
-        return Ok(0);
-    }
-    logging::start(&settings.log)?;
-    logging::stop_on_panic();
-    actix_rt::System::new().block_on(entry::run(settings))?;
-    Ok(0)
-}
-
-fn run_endpoint(mut args: Arguments) -> anyhow::Result<u8> {
-    let file: PathBuf = args.value_from_os_str("--config", path)?;
-    let print = args.contains("--print-config");
-    finish(args)?;
-    let settings: settings::Endpoint = settings::load(&file)?;
-    if print {
-        println!("{}", serde_json::to_string_pretty(&settings)?);
-        return Ok(0);
-    }
-    logging::start(&settings.log)?;
-    logging::stop_on_panic();
-    actix_rt::System::new().block_on(endpoint::run(settings))?;
-    Ok(0)
-}
-
-fn run_gateway(mut args: Arguments) -> anyhow::Result<u8> {
-    let file = config_file(&mut args)?;
-    let print = args.contains("--print-config");
-    finish(args)?;
-    let settings: settings::Gateway = settings::load(&file)?;
-    if print {
-        println!("{}", serde_json::to_string_pretty(&settings)?);
-        return Ok(0);
-    }
-    logging::start(&settings.log)?;
-    logging::stop_on_panic();
-    actix_rt::System::new().block_on(gateway::run(Hosted, settings))?;
-    Ok(0)
-}
-
-fn run_loader(mut args: Arguments) -> anyhow::Result<u8> {
-    let file = config_file(&mut args)?;
+/// Runs a process with the settings in a file until it is told to stop.
+fn run_process<T, F>(
+    mut args: Arguments,
+    file: &Path,
+    log: fn(&T) -> &settings::Log,
+    run: impl FnOnce(T) -> F,
+) -> anyhow::Result<u8>
+where
+    T: settings::Check + DeserializeOwned + Serialize,
+    F: Future<Output = anyhow::Result<()>>,
+{
     let print = args.contains("--print-config");
     finish(args)?;
-    let settings: settings::Loader = settings::load(&file)?;
+    let settings: T = settings::load(file)?;
     if print {
         println!("{}", serde_json::to_string_pretty(&settings)?);
         return Ok(0);
     }
-    logging::start(&settings.log)?;
+    logging::start(log(&settings))?;
     logging::stop_on_panic();
-    actix_rt::System::new().block_on(loader::run(Hosted, settings))?;
+    actix_rt::System::new().block_on(run(settings))?;
     Ok(0)
 }
 
--- a/crates/sequoiahold/src/gateway/mod.rs
+++ b/crates/sequoiahold/src/gateway/mod.rs
@@ -2,8 +2,8 @@
 
 mod answer;
 mod attempt;
-mod loads;
 mod metrics;
+mod notes;
 mod plan;
 mod ready;
 mod record;
@@ -48,7 +48,7 @@
     ready::start(&gateway, settings.ready)?;
     server::start(&gateway, settings.callers, settings.connections)?;
     state::start(&gateway);
-    loads::start(&gateway, inbox);
+    notes::start(&gateway, inbox);
     if let Some(addr) = settings.node.metrics {
         crate::exposition::start(gateway.metrics.registry(), addr)?;
     }
--- a/crates/sequoiahold/src/gateway/loads.rs
+++ b/crates/sequoiahold/src/gateway/notes.rs
@@ -1,4 +1,4 @@
-//! Gateways tell each other the load that they cause.
+//! The datagrams between gateways and from loaders: loads, crashes, engines that load.
 
 use std::{
     collections::{BTreeMap, HashMap},
