--- a/crates/sequoiahold/src/exposition.rs
+++ b/crates/sequoiahold/src/exposition.rs
@@ -1,6 +1,6 @@
 //! Serves metrics as text.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 
 use actix_http::{
     ServiceConfig, StatusCode,
@@ -8,48 +8,36 @@
 };
 use anyhow::Context as _;
 use prometheus_client::{encoding::text::encode, registry::Registry};
-use sequoiahold_core::direct::catalog::CallerBounds;
 
-use crate::h1::{Caller, Received, listen};
+use crate::h1::{Caller, Incoming, accept, answer_each, listen};
 
 /// Path of the metrics.
 const PATH: &str = "/metrics";
 /// Type of the text.
 const TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-/// Pause after a connection could not be accepted.
-const PAUSE: Duration = Duration::from_millis(50);
 
 /// Starts to serve the metrics of a registry.
 pub fn start(registry: Rc<Registry>, addr: SocketAddr) -> anyhow::Result<()> {
     let listener = listen(addr).with_context(|| format!("cannot serve metrics on {addr}"))?;
     actix_rt::spawn(async move {
         let config = ServiceConfig::default();
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    actix_rt::spawn(serve(registry.clone(), Caller::new(stream, config.clone())));
-                }
-                Err(error) => {
-                    log::warn!("accepting readers of metrics: {error}");
-                    actix_rt::time::sleep(PAUSE).await;
-                }
-            }
-        }
+        let take = |stream| {
+            let caller = Caller::new(stream, config.clone());
+            actix_rt::spawn(serve(registry.clone(), caller));
+        };
+        accept(&listener, "readers of metrics", take).await;
     });
     Ok(())
 }
 
-async fn serve(registry: Rc<Registry>, mut caller: Caller) {
-    let bounds = CallerBounds::default();
-    while let Received::Request(request) = caller.receive(&bounds).await {
+async fn serve(registry: Rc<Registry>, caller: Caller) {
+    let answer = async |request: &Incoming| {
         let (status, text) = page(&registry, request.path());
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static(TYPE));
-        let written = caller.writer.answer(status, headers, text.as_bytes(), false).await;
-        if written.is_err() || !caller.writer.keeps() {
-            return;
-        }
-    }
+        (status, headers, text.into())
+    };
+    answer_each(caller, answer).await;
 }
 
 fn page(registry: &Registry, path: &str) -> (StatusCode, String) {
--- a/crates/sequoiahold/src/gateway/server.rs
+++ b/crates/sequoiahold/src/gateway/server.rs
@@ -1,17 +1,14 @@
 //! Takes callers' connections and the requests on them.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc};
 
 use actix_http::header::HeaderMap;
 use anyhow::Context as _;
 use sequoiahold_core::direct::{catalog::CallerBounds, seam::Dialect};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 use super::{request, state::Gateway};
-use crate::h1::{Caller, Received, listen, watch_peer};
-
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+use crate::h1::{Caller, Received, accept, listen, watch_peer};
 
 /// Starts to take callers; at most `most` connections are open at the same time.
 pub(super) fn start<D: Dialect>(
@@ -23,8 +20,15 @@
     let gateway = gateway.clone();
     let mut closing = gateway.closing();
     actix_rt::spawn(async move {
+        let take = |stream| {
+            if gateway.open() < most as usize {
+                actix_rt::spawn(serve(gateway.clone(), stream));
+            } else {
+                log::debug!("a caller's connection is over the limit of {most}");
+            }
+        };
         tokio::select! {
-            () = accept(&gateway, &listener, most) => {}
+            () = accept(&listener, "callers", take) => {}
             // The end of the listener sends new callers to other gateways.
             _ = closing.wait_for(|closing| *closing) => {}
         }
@@ -32,21 +36,6 @@
     Ok(())
 }
 
-async fn accept<D: Dialect>(gateway: &Rc<Gateway<D>>, listener: &TcpListener, most: u32) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) if gateway.open() < most as usize => {
-                actix_rt::spawn(serve(gateway.clone(), stream));
-            }
-            Ok(_) => log::debug!("a caller's connection is over the limit of {most}"),
-            Err(error) => {
-                log::warn!("accepting callers: {error}");
-                actix_rt::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 async fn serve<D: Dialect>(gateway: Rc<Gateway<D>>, stream: TcpStream) {
     let _open = gateway.connect();
     if let Err(error) = watch_peer(&stream) {
--- a/crates/sequoiahold/src/h1/caller.rs
+++ b/crates/sequoiahold/src/h1/caller.rs
@@ -287,6 +287,21 @@
     }
 }
 
+/// Answers the requests on a connection, one after the other, with whole bodies.
+pub async fn answer_each(
+    mut caller: Caller,
+    mut answer: impl AsyncFnMut(&Incoming) -> (StatusCode, HeaderMap, Bytes),
+) {
+    let bounds = CallerBounds::default();
+    while let Received::Request(request) = caller.receive(&bounds).await {
+        let (status, headers, body) = answer(&request).await;
+        let written = caller.writer.answer(status, headers, &body, false).await;
+        if written.is_err() || !caller.writer.keeps() {
+            return;
+        }
+    }
+}
+
 fn without_port(host: &str) -> String {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name.to_owned(),
--- a/crates/sequoiahold/src/h1/connect.rs
+++ b/crates/sequoiahold/src/h1/connect.rs
@@ -13,6 +13,8 @@
 const PROBES: u32 = 2;
 /// Time that sent bytes may stay without an acknowledgement.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -38,6 +40,19 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
 }
 
+/// Accepts connections for as long as it is polled and hands each to `take`.
+pub async fn accept(listener: &TcpListener, whom: &'static str, mut take: impl FnMut(TcpStream)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => take(stream),
+            Err(error) => {
+                log::warn!("accepting {whom}: {error}");
+                actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Listens on an address, also right after another process did.
 pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- a/crates/sequoiahold/src/h1/mod.rs
+++ b/crates/sequoiahold/src/h1/mod.rs
@@ -11,8 +11,8 @@
 use actix_http::header::{self, HeaderMap};
 
 pub use self::{
-    caller::{Caller, Incoming, Reader, Received, Writer},
-    connect::{connect, listen, watch_peer},
+    caller::{Caller, Incoming, Reader, Received, Writer, answer_each},
+    connect::{accept, connect, listen, watch_peer},
     pool::{Pool, PoolLimits},
     upstream::{Answer, SendError, Upstream, UpstreamError},
 };
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use sequoiahold_core::{
     direct::{
-        catalog::CallerBounds,
         mirror::{Revision, Sync},
         seam::Dialect,
         view::Named,
@@ -17,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Node;
-use crate::h1::{Caller, Received, UpstreamError, listen, watch_peer};
+use crate::h1::{Caller, Incoming, UpstreamError, accept, answer_each, listen, watch_peer};
 
 /// Path of the published state.
 const SYNC: &str = "/sync";
@@ -58,40 +57,28 @@
     let node = node.clone();
     actix_rt::spawn(async move {
         let config = ServiceConfig::default();
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    if let Err(error) = watch_peer(&stream) {
-                        log::debug!("connection of a peer: {error}");
-                    }
-                    let caller = Caller::new(stream, config.clone());
-                    actix_rt::spawn(serve(node.clone(), calls.clone(), caller));
-                }
-                Err(error) => {
-                    log::warn!("accepting peers: {error}");
-                    actix_rt::time::sleep(Duration::from_millis(50)).await;
-                }
+        let take = |stream| {
+            if let Err(error) = watch_peer(&stream) {
+                log::debug!("connection of a peer: {error}");
             }
-        }
+            let caller = Caller::new(stream, config.clone());
+            actix_rt::spawn(serve(node.clone(), calls.clone(), caller));
+        };
+        accept(&listener, "peers", take).await;
     });
     Ok(())
 }
 
-async fn serve<D: Dialect>(node: Rc<Node<D>>, calls: impl PeerCalls, mut caller: Caller) {
-    let bounds = CallerBounds::default();
-    while let Received::Request(request) = caller.receive(&bounds).await {
+async fn serve<D: Dialect>(node: Rc<Node<D>>, calls: impl PeerCalls, caller: Caller) {
+    let answer = async |request: &Incoming| {
         let (status, body) = answer(&node, &calls, &request.target);
-        if request.target.starts_with(CHUNKS) {
-            let size = Size(body.len() as u64);
-            if let Some(at) = node.upload_at(size) {
-                node.clock.until(Some(at)).await;
-            }
+        let paced = request.target.starts_with(CHUNKS);
+        if let Some(at) = paced.then(|| node.upload_at(Size(body.len() as u64))).flatten() {
+            node.clock.until(Some(at)).await;
         }
-        let written = caller.writer.answer(status, HeaderMap::new(), &body, false).await;
-        if written.is_err() || !caller.writer.keeps() {
-            return;
-        }
-    }
+        (status, HeaderMap::new(), body)
+    };
+    answer_each(caller, answer).await;
 }
 
 fn answer<D: Dialect>(node: &Node<D>, calls: &impl PeerCalls, target: &str) -> (StatusCode, Bytes) {
