--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -175,6 +175,21 @@
     BadKey,
 }
 
+impl Route {
+    /// Returns the regions that a request of an account may be served in, `None` for all.
+    ///
+    /// Where both have homes, both bind: without a common one the request may be served nowhere.
+    pub fn homes(&self, account: Option<&Account>) -> Option<BTreeSet<RegionId>> {
+        let homes = account.map(|account| &account.regions).filter(|homes| !homes.is_empty());
+        match (homes, self.regions.is_empty()) {
+            (None, true) => None,
+            (None, false) => Some(self.regions.clone()),
+            (Some(homes), true) => Some(homes.clone()),
+            (Some(homes), false) => Some(self.regions.intersection(homes).cloned().collect()),
+        }
+    }
+}
+
 impl Catalog {
     /// Returns a configuration of these routes, sorted for look-ups.
     pub fn new(version: u64, routes: impl IntoIterator<Item = Route>) -> Self {
--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -25,8 +25,6 @@
 const COLD_PART: f64 = 0.9;
 /// Time over which departures are counted to foretell how long a request would wait.
 const RATE_WINDOW: Span = Span::secs(2);
-/// Time between two looks at requests that wait for an endpoint whose rest ends.
-const LOOK: Span = Span::millis(25);
 
 new_key_type! {
     /// An endpoint that requests can be sent to.
@@ -57,8 +55,8 @@
     pub account: Option<ClientId>,
     /// The rank; 0 goes first.
     pub priority: u8,
-    /// The regions that it may be served in; empty for all.
-    pub regions: BTreeSet<RegionId>,
+    /// The regions that it may be served in, `None` for all.
+    pub regions: Option<BTreeSet<RegionId>>,
     /// The model.
     pub model: Option<ModelId>,
     /// Tokens of the prompt and expected tokens of the answer.
@@ -266,12 +264,6 @@
         decided
     }
 
-    /// Returns when to look at the waiting requests again without an event.
-    pub fn wake(&self, now: Time) -> Option<Time> {
-        let waits = self.services.values().any(|service| !service.line.is_empty());
-        waits.then_some(now + LOOK)
-    }
-
     /// Removes a waiting request whose caller left.
     pub fn cancel(&mut self, service: &ServiceId, ticket: TicketKey) {
         if let Some(desk) = self.services.get_mut(service) {
--- a/crates/core/src/direct/judge.rs
+++ b/crates/core/src/direct/judge.rs
@@ -1,12 +1,14 @@
 //! What a request needs of an endpoint, how good an endpoint is for it, and how long it may wait.
 
+use std::collections::BTreeSet;
+
 use rand::Rng;
 
 use super::{
     desk::{Ask, Spec},
     seat::Seat,
 };
-use crate::{time::Time, units::Span};
+use crate::{ids::RegionId, time::Time, units::Span};
 
 /// Time by which a farther endpoint must be sooner, for each step of distance, in ms.
 const DISTANCE: u32 = 15;
@@ -34,8 +36,10 @@
 /// Returns whether an endpoint may serve a request, with weights that are not too old.
 pub(super) fn fits(seat: &Seat, ask: &Ask, oldest: Option<u64>) -> bool {
     let listed = &seat.endpoint.listed;
-    let allowed = ask.regions.is_empty()
-        || seat.region.as_ref().is_some_and(|region| ask.regions.contains(region));
+    let lies_in = |homes: &BTreeSet<RegionId>| {
+        seat.region.as_ref().is_some_and(|region| homes.contains(region))
+    };
+    let allowed = ask.regions.as_ref().is_none_or(lies_in);
     let serves = match (&ask.model, &listed.loaded) {
         (Some(model), Some(_)) => {
             let held = seat.endpoint.held(model).map(|loaded| loaded.version);
--- a/crates/core/tests/direct_desk.rs
+++ b/crates/core/tests/direct_desk.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{SeedableRng as _, rngs::SmallRng};
+use rstest::rstest;
 use sequoiahold_core::{
     direct::{
-        catalog::{Catalog, EngineSpec, Listed, Loaded, Service},
+        catalog::{Account, Catalog, EngineSpec, Listed, Loaded, Repeat, Route, Service},
         desk::{Ask, Desk, Grant, Place, Verdict},
         seam::Published,
         seat::{Ended, SeatLoad},
@@ -112,7 +113,7 @@
         service: name::<ServiceId>("llm"),
         account: Some(name::<ClientId>("acme")),
         priority: 1,
-        regions: BTreeSet::new(),
+        regions: None,
         model: Some(name::<ModelId>("m")),
         tokens: (1_000, 90),
         objective: now + Span::millis(500),
@@ -297,6 +298,41 @@
     assert!(matches!(verdict, Verdict::Refuse(refusal) if refusal.reason == Reason::NoEndpoint));
 }
 
+#[rstest]
+#[case::anywhere(&[], &[], true)]
+#[case::route(&["r1"], &[], true)]
+#[case::account(&[], &["r2"], false)]
+#[case::both(&["r1", "r2"], &["r1"], true)]
+#[case::nothing_in_common(&["r1"], &["r2"], false)]
+fn homes_of_route_and_account_both_bind(
+    #[case] route: &[&str],
+    #[case] account: &[&str],
+    #[case] served: bool,
+) {
+    let homes = |names: &[&str]| names.iter().map(|text| name(text)).collect();
+    let route = Route {
+        name: "route".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        repeat: Repeat::Idempotent,
+        streaming: false,
+        timeout: Span::secs(1),
+        objective: Span::secs(1),
+        priority: 1,
+        targets: vec![],
+        attempts: 1,
+        public: false,
+        regions: homes(route),
+    };
+    let account = Account { name: name("acme"), priority: None, regions: homes(account) };
+    let view = view(1);
+    let mut desk = desk(&view);
+    let mut rng = SmallRng::seed_from_u64(12);
+    let mut ask = ask(ms(0));
+    ask.regions = route.homes(Some(&account));
+    assert_eq!(go(desk.arrive(ms(0), ask, &mut rng)).is_some(), served);
+}
+
 #[test]
 fn an_endpoint_that_fails_rests_and_then_gets_requests_again() {
     let view = view_with(2, None);
--- a/crates/sequoiahold/src/gateway/plan.rs
+++ b/crates/sequoiahold/src/gateway/plan.rs
@@ -6,7 +6,7 @@
 use rand::Rng as _;
 use sequoiahold_core::{
     direct::{
-        catalog::{Account, Catalog, Denial, EngineSpec, Repeat, Route},
+        catalog::{Catalog, Denial, EngineSpec, Repeat, Route},
         desk::Ask,
         seam::Dialect,
     },
@@ -40,8 +40,8 @@
     pub(super) attempts: u32,
     /// The rank; 0 goes first.
     pub(super) priority: u8,
-    /// The regions that it may be served in; empty for all.
-    pub(super) regions: BTreeSet<RegionId>,
+    /// The regions that it may be served in, `None` for all.
+    pub(super) regions: Option<BTreeSet<RegionId>>,
     /// The model.
     pub(super) model: Option<ModelId>,
     /// Tokens of the prompt and expected tokens of the answer.
@@ -83,7 +83,7 @@
         streaming: route.streaming,
         attempts: route.attempts,
         priority: account.and_then(|account| account.priority).unwrap_or(route.priority),
-        regions: regions(route, account),
+        regions: route.homes(account),
         model: request.text(names.model).and_then(|text| text.parse().ok()),
         tokens: tokens(gateway, &catalog, request, &service),
         arrived,
@@ -132,16 +132,6 @@
     None
 }
 
-fn regions(route: &Route, account: Option<&Account>) -> BTreeSet<RegionId> {
-    match account.map(|account| &account.regions) {
-        Some(homes) if !homes.is_empty() && !route.regions.is_empty() => {
-            route.regions.intersection(homes).cloned().collect()
-        }
-        Some(homes) if !homes.is_empty() => homes.clone(),
-        _ => route.regions.clone(),
-    }
-}
-
 /// Returns the tokens of the prompt and the expected tokens of the answer.
 fn tokens<D: Dialect>(
     gateway: &Gateway<D>,
