A watcher passes on all that its watch told

A change that reached the watcher by a peer while its watch waited was left out of what it passed on, under a revision that said that it was in it; receivers skipped it. The test fails with the filtered list.

--- a/crates/core/src/direct/mirror.rs
+++ b/crates/core/src/direct/mirror.rs
@@ -62,6 +62,15 @@
         new
     }
 
+    /// Takes the answer to a watch; returns what was new, and what to pass on to peers.
+    ///
+    /// Peers get all that the watch told: what has come here another way meanwhile may not have
+    /// reached them, and the revision that they take says that they know it.
+    pub fn watched(&mut self, at: Revision, changes: Vec<Change>) -> (Vec<Change>, Sync) {
+        let told = Sync { at, whole: false, changes: changes.clone() };
+        (self.apply(at, changes), told)
+    }
+
     /// Takes all items that exist at `at`, and returns what changed; absent keys are removed.
     pub fn replace(&mut self, at: Revision, items: Vec<Change>) -> Vec<Change> {
         let present: BTreeSet<&String> = items.iter().map(|item| &item.key).collect();
--- a/crates/core/tests/direct_mesh.rs
+++ b/crates/core/tests/direct_mesh.rs
@@ -128,6 +128,19 @@
     assert_eq!(mirror.at(), Revision(9));
 }
 
+#[test]
+fn what_came_another_way_during_a_watch_is_passed_on_too() {
+    let mut watcher = Mirror::default();
+    watcher.replace(Revision(96), vec![change("a", 90, Some("1"))]);
+    let mut peer = watcher.clone();
+    watcher.apply(Revision(97), vec![change("config", 97, Some("29"))]);
+    let answer = vec![change("config", 97, Some("29")), change("a", 98, None)];
+    let (new, told) = watcher.watched(Revision(98), answer);
+    assert_eq!(new, [change("a", 98, None)]);
+    assert_eq!(peer.sync(told).len(), 2);
+    assert_eq!(peer.since(Revision(96)), watcher.since(Revision(96)));
+}
+
 #[test]
 fn a_peer_that_lags_gets_the_changes_or_all_items() {
     let mut source = Mirror::default();
--- a/crates/sequoiahold/src/node/gossip.rs
+++ b/crates/sequoiahold/src/node/gossip.rs
@@ -112,12 +112,12 @@
 }
 
 /// Passes changes on to the processes of the own zone; what fits no datagram is pulled.
-pub(super) fn pass_on<D: Dialect>(node: &Node<D>, after: Revision, changes: &[Change]) {
-    let at = node.mirror.borrow().at();
-    let size: usize = changes.iter().map(size_of_change).sum();
-    let changes = if size > MAX_CHANGES { vec![] } else { changes.to_vec() };
-    let after = if changes.is_empty() { at } else { after };
-    let datagram = Datagram::Changes(after, Sync { at, whole: false, changes });
+pub(super) fn pass_on<D: Dialect>(node: &Node<D>, after: Revision, mut told: Sync) {
+    let size: usize = told.changes.iter().map(size_of_change).sum();
+    if size > MAX_CHANGES {
+        told.changes.clear();
+    }
+    let datagram = Datagram::Changes(after, told);
     let near: Vec<SocketAddr> =
         node.mesh.borrow().near(node.now()).map(|member| member.addr).collect();
     for peer in near {
--- a/crates/sequoiahold/src/node/watch.rs
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use rand::Rng as _;
 use sequoiahold_core::direct::{
-    mirror::{Change, Revision},
+    mirror::{Change, Revision, Sync},
     seam::{DecodeError, Dialect},
 };
 
@@ -29,6 +29,15 @@
 /// Largest answer that is read.
 const MAX_ANSWER: usize = 16_000_000;
 
+/// What the platform gave.
+struct Read {
+    /// The changes that were new here.
+    new: Vec<Change>,
+    /// What to pass on to peers that know all changes up to `after`.
+    told: Sync,
+    after: Revision,
+}
+
 /// Why the platform gave nothing.
 #[derive(Debug)]
 enum ReadError {
@@ -67,18 +76,17 @@
             actix_rt::time::sleep(STAND_BY).await;
             continue;
         }
-        let after = node.mirror.borrow().at();
         let whole = compacted || node.mirror.borrow().at() == Revision(0);
         let read =
             if whole { all(&node, &mut upstream).await } else { next(&node, &mut upstream).await };
         match read {
-            Ok(changes) => {
+            Ok(read) => {
                 node.platform_answers();
                 (failures, compacted) = (0, false);
-                if !changes.is_empty() {
-                    gossip::pass_on(&node, after, &changes);
+                if !read.new.is_empty() {
+                    gossip::pass_on(&node, read.after, read.told);
                 }
-                node.take(changes, !whole);
+                node.take(read.new, !whole);
                 actix_rt::time::sleep(BATCH).await;
             }
             Err(ReadError::Compacted) => compacted = true,
@@ -96,7 +104,7 @@
 async fn all<D: Dialect>(
     node: &Node<D>,
     upstream: &mut Option<Upstream>,
-) -> Result<Vec<Change>, ReadError> {
+) -> Result<Read, ReadError> {
     let mut items: Vec<Change> = vec![];
     let mut at = None;
     loop {
@@ -108,7 +116,9 @@
         items.extend(page.items);
         if !more {
             let at = at.unwrap_or(page.at);
-            return Ok(node.mirror.borrow_mut().replace(at, items));
+            let new = node.mirror.borrow_mut().replace(at, items);
+            let told = Sync { at, whole: true, changes: vec![] };
+            return Ok(Read { new, told, after: at });
         }
     }
 }
@@ -117,12 +127,13 @@
 async fn next<D: Dialect>(
     node: &Node<D>,
     upstream: &mut Option<Upstream>,
-) -> Result<Vec<Change>, ReadError> {
+) -> Result<Read, ReadError> {
     let after = node.mirror.borrow().at();
     let path = node.dialect.watch_path(after, WATCH.as_millis() as u64);
     let body = get(node, upstream, &path, WATCH + ANSWER).await?;
     let (at, changes) = node.dialect.changes(&body)?;
-    Ok(node.mirror.borrow_mut().apply(at, changes))
+    let (new, told) = node.mirror.borrow_mut().watched(at, changes);
+    Ok(Read { new, told, after })
 }
 
 async fn get<D: Dialect>(
