--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -259,6 +259,11 @@
 
     /// Gives the final answer where no endpoint's answer can be passed on.
     async fn fail(&mut self, relay: &mut Relay<'_>, own_answer: Own) -> bool {
+        if relay.begun {
+            // Another head within the answer that has begun would be no answer at all.
+            self.record.outcome = Outcome::Cut;
+            return false;
+        }
         if let Some((answer, body)) = self.fallback.take() {
             return self.write(relay, &answer, &body).await;
         }
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -59,7 +59,7 @@
         "routes": [
             route("orders", "/order/", "non_idempotent", 1),
             route("reads", "/read/", "idempotent", 2),
-            route("streams", "/stream/", "streaming", 2),
+            route("streams", "/stream/", "streaming", 3),
         ],
         "services": [{ "name": "llm", "health_check_path": "/health", "max_connections": 100 }],
         "limits": {
@@ -212,6 +212,16 @@
     assert_eq!(resumed, fixture.workers[0].ran().len());
 }
 
+#[actix_rt::test]
+async fn a_stream_that_breaks_everywhere_ends_without_a_second_head() {
+    let fixture = Fixture::start(3).await;
+    fixture.workers.iter().for_each(|worker| worker.behave(Behaviour::Torn));
+    let (status, text) = fixture.ask("POST", "/stream/1", "key-1").await;
+    assert_eq!(status, 200, "{text}");
+    assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
+    assert!(!text.ends_with("0\r\n\r\n"), "the broken stream looks complete: {text}");
+}
+
 #[actix_rt::test]
 async fn a_leaving_caller_is_passed_on() {
     let fixture = Fixture::start(1).await;
