--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -16,7 +16,7 @@
     units::ByteRate,
 };
 use tokio::{
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     sync::mpsc,
 };
 
@@ -57,6 +57,7 @@
     let config = ServiceConfig::default();
     let node = Node::new(dialect, Role::Loader, settings.node.clone(), config.clone(), notes);
     let mut stop = signal(SignalKind::terminate())?;
+    let reload = signal(SignalKind::hangup())?;
     let shelf = Shelf::default();
     node.pace_uploads(ByteRate((settings.link.0 as f64 * UPLOAD_PART) as u64));
     node.start(shelf.clone())?;
@@ -68,12 +69,20 @@
     tokio::select! {
         () = follow(&loader) => {}
         () = hear(inbox, offers) => {}
+        () = ignore(reload) => {}
         _ = stop.recv() => {}
     }
     log::info!("stopped");
     Ok(())
 }
 
+/// Takes signals to reload, which would otherwise end the process; settings are read at the start.
+async fn ignore(mut reload: Signal) {
+    while reload.recv().await.is_some() {
+        log::info!("signal to reload ignored: settings are read at the start");
+    }
+}
+
 /// Keeps the offers of other loaders; a transfer takes them within milliseconds, or nobody does.
 async fn hear(mut inbox: mpsc::UnboundedReceiver<Datagram>, offers: Offers) {
     while let Some(datagram) = inbox.recv().await {
