--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -92,10 +92,6 @@
     let mut relay = Relay::new(writer, last, gateway.is_draining());
     let kept = match timeout(left, run.go(&mut relay)).await {
         Ok(kept) => kept,
-        Err(_) if relay.begun => {
-            run.record.outcome = Outcome::Cut;
-            false
-        }
         Err(_) => run.fail(&mut relay, Own::TimedOut).await,
     };
     run.record.first = relay.first;
@@ -114,23 +110,12 @@
             self.record.waited.0 += (self.gateway.node.now() - asked).0;
             let held = match found {
                 Ok(held) => held,
-                Err(refusal) if relay.begun => {
-                    log::debug!("stream cannot go on: {}", refusal.reason);
-                    self.record.outcome = Outcome::Cut;
-                    return false;
-                }
                 Err(refusal) => return self.fail(relay, Own::Refused(refusal)).await,
             };
             match self.send(relay, held).await {
                 Next::Over(kept) => return kept,
                 Next::Again if self.may_repeat() => {}
-                Next::Again if relay.begun => {
-                    self.record.outcome = Outcome::Cut;
-                    return false;
-                }
-                Next::Again => {
-                    return self.fail(relay, self.without_answer()).await;
-                }
+                Next::Again => return self.fail(relay, self.without_answer()).await,
             }
         }
     }
--- a/crates/sequoiahold/src/h1/pool.rs
+++ b/crates/sequoiahold/src/h1/pool.rs
@@ -75,9 +75,4 @@
         }
         idle.retain(|_, list| !list.is_empty());
     }
-
-    /// Closes the idle connections to an address.
-    pub fn close(&self, addr: SocketAddr) {
-        self.idle.borrow_mut().remove(&addr);
-    }
 }
