A request above the cold limit passes on a look that began after it came

Now such a request waits for a look of its own at the engine, one exchange over loopback. What is left is a request that was handed over when the engine turned: nothing can call it back.

--- a/crates/core/src/endpoint/mod.rs
+++ b/crates/core/src/endpoint/mod.rs
@@ -177,6 +177,11 @@
         self.set_closed();
     }
 
+    /// Takes note that a look at the engine begins for a request, and returns its number.
+    pub fn begin_look(&mut self) -> LookId {
+        self.gate.begin_look()
+    }
+
     /// Takes the state that the engine showed at a look, `None` where it did not answer.
     pub fn engine(&mut self, now: Time, look: LookId, state: Option<EngineState>) {
         self.wake(now);
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -231,6 +231,12 @@
         !matches!(self.trust, Trust::After(stale) if stale >= self.taken)
     }
 
+    /// Returns whether the next request to pass would be one more than a cold engine bears, so that
+    /// only a look that begins now shows whether the engine bears it.
+    pub fn above_cold(&self) -> bool {
+        self.open() && (self.bounds.cold..self.limit()).contains(&self.running())
+    }
+
     /// Lets a request pass or refuses it.
     pub fn admit(&mut self, ticket: Ticket) -> Result<(), Refusal> {
         if self.closed {
--- a/crates/sequoiahold/src/endpoint/ask.rs
+++ b/crates/sequoiahold/src/endpoint/ask.rs
@@ -71,7 +71,11 @@
 
     async fn admit(&self, offered: &Offered) -> Decision {
         let (reply, decision) = oneshot::channel();
-        let _ = self.events.send(Event::Admit(Admit { offered: offered.clone(), reply }));
+        let _ = self.events.send(Event::Admit(Admit {
+            offered: offered.clone(),
+            looked: false,
+            reply,
+        }));
         decision.await.unwrap_or(Decision::Refuse(Refusal::new(Reason::Leaving)))
     }
 
--- a/crates/sequoiahold/src/endpoint/event.rs
+++ b/crates/sequoiahold/src/endpoint/event.rs
@@ -68,6 +68,8 @@
 pub struct Admit {
     /// The request.
     pub offered: Offered,
+    /// Whether a look at the engine has begun and ended since the request came.
+    pub looked: bool,
     /// Takes the decision.
     pub reply: oneshot::Sender<Decision>,
 }
--- a/crates/sequoiahold/src/endpoint/event_loop.rs
+++ b/crates/sequoiahold/src/endpoint/event_loop.rs
@@ -150,6 +150,9 @@
     }
 
     fn on_admit(&mut self, admit: Admit) {
+        if !admit.looked && self.endpoint.gate().above_cold() {
+            return self.look_before(admit);
+        }
         let now = self.parts.clock.now();
         let decision = self.endpoint.decide(now, &admit.offered);
         let passed = matches!(decision, Decision::Run(_));
@@ -233,6 +236,17 @@
         });
     }
 
+    /// Looks at the engine, then has the request decided on what the look shows.
+    fn look_before(&mut self, admit: Admit) {
+        let look = self.endpoint.begin_look();
+        let (engine, events) = (self.parts.engine.clone(), self.parts.events.clone());
+        actix_rt::spawn(async move {
+            let state = engine.state().await.ok();
+            let _ = events.send(Event::Engine(look, state));
+            let _ = events.send(Event::Admit(Admit { looked: true, ..admit }));
+        });
+    }
+
     fn look(&self, look: LookId) {
         let (engine, events) = (self.parts.engine.clone(), self.parts.events.clone());
         actix_rt::spawn(async move {
--- a/crates/standins/src/deployment/records.rs
+++ b/crates/standins/src/deployment/records.rs
@@ -52,6 +52,13 @@
         self.deployment.engines.values().map(|e| e.state.borrow().overloads).sum()
     }
 
+    /// Returns, for each engine, the times from its turning cold without warning to the overloads
+    /// after it.
+    pub fn overloads_after_turn(&self) -> Vec<Vec<Duration>> {
+        let engines = self.deployment.engines.values();
+        engines.map(|engine| engine.state.borrow().after_turn.clone()).collect()
+    }
+
     /// Returns the orders that ran more than once.
     pub fn run_twice(&self) -> usize {
         self.deployment.plain.borrow().ran.values().filter(|count| **count > 1).count()
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -95,7 +95,9 @@
 
     /// Makes the engine cold again without warning.
     pub fn turn_cold(&self) {
-        self.state.borrow_mut().tokens = 0;
+        let mut state = self.state.borrow_mut();
+        state.tokens = 0;
+        state.turned = Some(Instant::now());
     }
 
     /// Returns the version that the engine holds.
@@ -229,6 +231,8 @@
         state.began.push(Began { at: Instant::now(), id: id.clone(), prompt: prompt.clone() });
         if state.active() >= bears {
             state.overloads += 1;
+            let since = state.turned.map(|turned| turned.elapsed());
+            state.after_turn.extend(since);
             if self.behaviour.falls {
                 state.crash();
                 return Response::with_body(StatusCode::OK, Body::broken());
--- a/crates/standins/src/engine/state.rs
+++ b/crates/standins/src/engine/state.rs
@@ -71,6 +71,10 @@
     pub began: Vec<Began>,
     /// Times at which more was given than the engine bears.
     pub overloads: u64,
+    /// The last time at which the engine turned cold without warning.
+    pub turned: Option<Instant>,
+    /// The times from such a turn to each overload after it.
+    pub after_turn: Vec<Duration>,
     /// Times at which the engine crashed.
     pub crashes: u64,
     /// Requests that were cancelled while they ran.
@@ -96,6 +100,8 @@
             running: BTreeMap::new(),
             began: vec![],
             overloads: 0,
+            turned: None,
+            after_turn: vec![],
             crashes: 0,
             cancelled: 0,
             fenced: 0,
