Loaders wait until they know each other before they draw from the origin

The chunk list was then waited for by rank, up to 0.6 s, before peers were asked. Ruled out: corrupt or refused origin draws (one silent of 135). Now members count as known 250 ms after the last new one, never before one was heard of, and 1.5 s after the start in any case; chunk lists are asked of peers while the turn at the origin has not come. The test of members that count as known stands in core; the one of nobody heard of is what the old rule failed.

--- a/crates/core/src/direct/mesh.rs
+++ b/crates/core/src/direct/mesh.rs
@@ -35,6 +35,11 @@
 /// Time after which a silent member is forgotten; it may be alive behind a partition until then.
 const FORGET: Span = Span::secs(60);
 
+/// Time without a new member after which the members count as known: one round reaches most of them.
+const SETTLED: Span = Span::millis(250);
+/// Time after the start at which they count as known in any case, as no peer may be in reach.
+const UNSETTLED: Time = Time(1_500_000);
+
 /// Processes of a zone that watch the platform; two, so that one may fail unnoticed for a while.
 const WATCHERS: usize = 2;
 
@@ -112,6 +117,11 @@
         self.told
     }
 
+    /// Returns whether the members count as known, `now` being the time since the start.
+    pub fn is_settled(&self, now: Time) -> bool {
+        now >= UNSETTLED || self.told && now >= self.news + SETTLED
+    }
+
     /// Returns the members that are heard of regularly.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Member> {
         let live = move |peer: &&Peer| peer.heard + SILENT > now;
--- a/crates/core/tests/direct_mesh.rs
+++ b/crates/core/tests/direct_mesh.rs
@@ -34,7 +34,11 @@
 
 /// Runs gossip among all, without loss, until `end`; each keeps its own pace.
 fn gossip(meshes: &mut [Mesh], end: Time, rng: &mut SmallRng) {
-    let mut next = vec![Time::default(); meshes.len()];
+    gossip_from(meshes, Time::default(), end, rng);
+}
+
+fn gossip_from(meshes: &mut [Mesh], start: Time, end: Time, rng: &mut SmallRng) {
+    let mut next = vec![start; meshes.len()];
     while let Some(now) = next.iter().min().copied().filter(|now| *now < end) {
         for sender in 0..meshes.len() {
             if next[sender] > now {
@@ -56,6 +60,38 @@
     }
 }
 
+#[test]
+fn members_do_not_count_as_known_before_anybody_was_heard_of() {
+    let mut mesh = Mesh::new(member(1, Role::Loader, 1), []);
+    assert!(!mesh.is_settled(ms(1_400)), "nobody was heard of");
+    assert!(mesh.is_settled(ms(1_500)), "there may be nobody");
+    let from = member(2, Role::Loader, 1);
+    let message = Gossip { from, members: vec![], at: Revision(0), ask: false };
+    mesh.hear(ms(400), &message);
+    assert!(!mesh.is_settled(ms(600)), "more members may follow the first");
+    assert!(mesh.is_settled(ms(700)));
+}
+
+#[test]
+fn members_that_count_as_known_are_nearly_all() {
+    let seed = ([127, 0, 0, 1], 7_700).into();
+    let start = |number| Mesh::new(member(number, Role::Loader, 1), [seed]);
+    let mut meshes: Vec<Mesh> = (1..=40).map(start).collect();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut known = vec![None; meshes.len()];
+    for step in 0..8 {
+        gossip_from(&mut meshes, ms(step * 200), ms((step + 1) * 200), &mut rng);
+        let now = ms((step + 1) * 200);
+        for (mesh, known) in meshes.iter().zip(&mut known) {
+            if mesh.is_settled(now) && known.is_none() {
+                *known = Some(mesh.live(now).count());
+            }
+        }
+    }
+    let least = known.iter().map(|known| known.unwrap_or(0)).min();
+    assert!(least >= Some(36), "of 39: {known:?}");
+}
+
 #[test]
 fn all_find_each_other_from_one_seed_within_two_seconds() {
     let mut rng = SmallRng::seed_from_u64(1);
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -12,7 +12,6 @@
 use actix_http::ServiceConfig;
 use sequoiahold_core::{
     direct::{mesh::Role, seam::Dialect},
-    time::Time,
     units::ByteRate,
 };
 use tokio::{
@@ -30,10 +29,8 @@
 const LOOK: Duration = Duration::from_millis(250);
 /// Offers that are kept while no transfer takes them.
 const MAX_OFFERS: usize = 256;
-/// Time without a new member after which the other loaders count as known.
-const SETTLED: Duration = Duration::from_millis(300);
-/// Time after the start at which they count as known in any case.
-const UNSETTLED: Time = Time(1_500_000);
+/// Time between two looks at whether the other loaders are known.
+const SETTLE: Duration = Duration::from_millis(50);
 /// Part of the VM's link that uploads may use; the engine's answers use the same link.
 const UPLOAD_PART: f64 = 0.95;
 /// Pause after a failure.
@@ -129,14 +126,8 @@
 
 /// Waits until the other loaders are known, so that each chunk has one owner in a zone.
 async fn settle<D: Dialect>(loader: &Loader<D>) {
-    let mut known = 0;
-    loop {
-        actix_rt::time::sleep(SETTLED).await;
-        let members = sources::members(loader).len();
-        if members == known || loader.node.now() >= UNSETTLED {
-            return;
-        }
-        known = members;
+    while !loader.node.mesh.borrow().is_settled(loader.node.now()) {
+        actix_rt::time::sleep(SETTLE).await;
     }
 }
 
--- a/crates/sequoiahold/src/loader/sources.rs
+++ b/crates/sequoiahold/src/loader/sources.rs
@@ -26,9 +26,9 @@
 /// Time that a chunk list may take.
 const LIST: Duration = Duration::from_millis(1_500);
 /// Time by which each loader leaves the origin to the ones ranked before it.
-const TURN: Duration = Duration::from_millis(60);
+const TURN: Span = Span::millis(60);
 /// Longest such time.
-const MAX_TURN: Duration = Duration::from_millis(600);
+const MAX_TURN: Span = Span::millis(600);
 /// Peers that are asked for a chunk list before the origin is.
 const ASKED: usize = 3;
 /// Pause of the origin when it refuses a call or a connection; it is back within seconds.
@@ -45,10 +45,13 @@
             return Ok(list);
         }
         let rank = rank(loader, &format!("{model}/{version}"));
-        actix_rt::time::sleep((TURN * rank as u32).min(MAX_TURN)).await;
-        if let Some(list) = peer_list(loader, model, version).await {
-            loader.shelf.put_list(model, list.clone());
-            return Ok(list);
+        let turn = loader.node.now() + Span(TURN.0 * rank as u64).min(MAX_TURN);
+        while loader.node.now() < turn {
+            if let Some(list) = peer_list(loader, model, version).await {
+                loader.shelf.put_list(model, list.clone());
+                return Ok(list);
+            }
+            actix_rt::time::sleep(TURN.into()).await;
         }
     }
     let path = loader.node.dialect.list_path(model, version);
