A loader whose link is busy sends peers to another one

Cause: while all engines load at once, uploads queued at some loaders (a near draw took 173 ms at the median, 375 ms at the ninetieth part) while the links of others were idle: about 520 draws a half minute's second of 970 that 27 links bear, as drawers know only their own draws.

--- a/crates/sequoiahold/src/loader/sources.rs
+++ b/crates/sequoiahold/src/loader/sources.rs
@@ -31,6 +31,8 @@
 const MAX_TURN: Span = Span::millis(600);
 /// Peers that are asked for a chunk list before the origin is.
 const ASKED: usize = 3;
+/// Pause of a peer whose link is busy: it sends about two chunks of the usual size meanwhile.
+const BUSY: Span = Span::millis(50);
 /// Pause of the origin when it refuses a call or a connection; it is back within seconds.
 const REFUSED: Span = Span::millis(150);
 
@@ -74,6 +76,7 @@
     let path = format!("{CHUNKS}{model}/{version}/{chunk}");
     get(&loader.node, addr, &path, MAX_BODY).await.map_err(|error| match error {
         CallError::Absent => DrawError::Absent,
+        CallError::Busy => DrawError::Later(BUSY),
         CallError::Failed(_) => DrawError::Silent,
     })
 }
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -40,6 +40,8 @@
 
 /// Time within which a connection to a peer or the platform must be established.
 const CONNECT: Duration = Duration::from_millis(1_000);
+/// Uploads that wait for the link; a peer that asks for more draws from another one meanwhile.
+const UPLOADS: u64 = 3;
 /// Idle connections that are kept to one peer.
 const IDLE: usize = 4;
 
@@ -143,10 +145,13 @@
         self.uploads.replace(Some(Pacer::new(rate)));
     }
 
-    /// Returns when an upload of `size` may begin.
+    /// Returns when an upload of `size` may begin, or `None` while too many wait.
     fn upload_at(&self, size: Bytes) -> Option<Time> {
         let now = self.now();
-        self.uploads.borrow_mut().as_mut().map(|pacer| pacer.reserve(now, size))
+        let mut uploads = self.uploads.borrow_mut();
+        let Some(pacer) = uploads.as_mut() else { return Some(now) };
+        let most = pacer.rate().time_of(size).0 * UPLOADS;
+        (pacer.wait(now).0 < most).then(|| pacer.reserve(now, size))
     }
 
     /// Returns the addresses of live processes of a role, this one left out.
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -72,10 +72,13 @@
 async fn serve<D: Dialect>(node: Rc<Node<D>>, calls: impl PeerCalls, caller: Caller) {
     let answer = async |request: &Incoming| {
         let (status, body) = answer(&node, &calls, &request.target);
-        let paced = request.target.starts_with(CHUNKS);
-        if let Some(at) = paced.then(|| node.upload_at(Size(body.len() as u64))).flatten() {
-            node.clock.until(Some(at)).await;
+        if !request.target.starts_with(CHUNKS) {
+            return (status, HeaderMap::new(), body);
         }
+        let Some(at) = node.upload_at(Size(body.len() as u64)) else {
+            return (StatusCode::TOO_MANY_REQUESTS, HeaderMap::new(), Bytes::new());
+        };
+        node.clock.until(Some(at)).await;
         (status, HeaderMap::new(), body)
     };
     answer_each(caller, answer).await;
@@ -128,6 +131,8 @@
 pub(crate) enum CallError {
     /// It does not have what was asked for.
     Absent,
+    /// Too many calls wait for its link.
+    Busy,
     /// It gave no sound answer.
     Failed(String),
 }
@@ -136,6 +141,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Absent => f.write_str("the peer does not have it"),
+            Self::Busy => f.write_str("too many calls wait for the peer's link"),
             Self::Failed(fault) => f.write_str(fault),
         }
     }
@@ -171,6 +177,7 @@
     match answer.status {
         StatusCode::OK => Ok(body),
         StatusCode::NOT_FOUND => Err(CallError::Absent),
+        StatusCode::TOO_MANY_REQUESTS => Err(CallError::Busy),
         status => Err(CallError::Failed(format!("status {status}"))),
     }
 }
