--- a/crates/core/src/weights/task.rs
+++ b/crates/core/src/weights/task.rs
@@ -26,6 +26,7 @@
     pub(super) absent: usize,
     pub(super) silent: usize,
     pub(super) pause: Time,
+    pub(super) offer: Option<PeerKey>,
 }
 
 impl Task {
--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -213,7 +213,7 @@
     /// Takes the chunks that a VM says it has got, without having been asked.
     ///
     /// From a VM of the zone they count like an answer; a VM of another zone, which tells the owner
-    /// here, is drawn from without a further pause.
+    /// here, is drawn from next and without a further pause.
     pub fn offered(&mut self, now: Time, vm: &VmId, bits: &[u8]) {
         let Some(key) = self.topology.key(vm) else { return };
         if self.topology.is_near(key) {
@@ -226,7 +226,7 @@
         }
         for chunk in Bits::read(bits, self.digests.len()).iter() {
             if let Some(task) = &mut self.tasks[chunk] {
-                task.pause = task.pause.min(now);
+                (task.pause, task.offer) = (task.pause.min(now), Some(key));
             }
         }
     }
@@ -310,8 +310,9 @@
             let digest = &self.digests[chunk];
             let duty = self.outside.duty(&self.topology, digest, place, self.chunk);
             let pause = old[chunk].as_ref().map_or(self.start, |task| task.pause);
-            self.tasks[chunk] =
-                Some(Task { duty, sources: None, zone: 0, absent: 0, silent: 0, pause });
+            let task =
+                Task { duty, sources: None, zone: 0, absent: 0, silent: 0, pause, offer: None };
+            self.tasks[chunk] = Some(task);
         }
     }
 
@@ -433,6 +434,10 @@
     #[allow(clippy::option_option)]
     fn source(&mut self, chunk: usize, now: Time) -> Option<Option<PeerKey>> {
         let task = self.tasks[chunk].as_mut()?;
+        let free = |key: &PeerKey| self.peers.get(key).is_none_or(|peer| peer.open(now));
+        if let Some(key) = task.offer.take().filter(free) {
+            return Some(Some(key));
+        }
         let digest = &self.digests[chunk];
         let sources =
             task.sources.get_or_insert_with(|| self.outside.sources(&self.topology, digest));
@@ -444,8 +449,7 @@
             };
             let first = (task.absent + task.silent) % owners.len().max(1);
             let turned = owners.iter().cycle().skip(first).take(owners.len());
-            let open = |key: &&PeerKey| self.peers.get(key).is_none_or(|peer| peer.open(now));
-            if let Some(key) = turned.into_iter().find(open) {
+            if let Some(key) = turned.into_iter().find(|key| free(key)) {
                 return Some(Some(*key));
             }
         }
--- a/crates/core/src/weights/transfer/failure.rs
+++ b/crates/core/src/weights/transfer/failure.rs
@@ -30,7 +30,10 @@
                 task.absent += 1;
                 task.pause = now + Span(wait.0 << task.absent.min(4));
             }
-            DrawError::Later(pause) => task.pause = now + pause,
+            DrawError::Later(pause) => {
+                task.absent += 1;
+                task.pause = now + pause;
+            }
             DrawError::Silent => task.silent += 1,
         }
         task.go_on();
--- a/crates/core/tests/weights_transfer.rs
+++ b/crates/core/tests/weights_transfer.rs
@@ -108,6 +108,36 @@
     assert!(!suppliers.contains(&Supplier::Origin), "{suppliers:?}");
 }
 
+#[test]
+fn a_chunk_is_drawn_from_the_vm_of_another_zone_that_offers_it() {
+    let manifest = manifest(0..60);
+    let mut transfer = transfer(1, 9, 3, &manifest);
+    let holder = name(6);
+    let drawn = draws(&mut transfer, Span::secs(2), DrawError::Absent);
+    let (_, chunk, _) =
+        drawn.iter().rfind(|(.., from)| *from != Supplier::Peer(holder.clone())).expect("a draw");
+    let place = manifest.chunks.iter().position(|digest| digest == chunk).expect("a chunk");
+    let mut bits = vec![0; 8];
+    bits[place / 8] = 1 << (place % 8);
+    transfer.offered(Time(2_050_000), &holder, &bits);
+    let mut later = vec![];
+    while let Some(draw) = transfer.next(Time(2_050_000)) {
+        later.push((draw.digest, draw.supplier));
+    }
+    assert!(later.contains(&(*chunk, Supplier::Peer(holder))), "{later:?}");
+}
+
+#[test]
+fn a_busy_source_is_left_for_the_next_one_of_its_zone() {
+    let manifest = manifest(0..60);
+    let mut transfer = transfer(1, 9, 3, &manifest);
+    let drawn = draws(&mut transfer, Span::secs(2), DrawError::Later(Span::millis(50)));
+    let first = drawn.first().expect("a draw").1;
+    let sources: BTreeSet<&Supplier> =
+        drawn.iter().filter(|(_, digest, _)| *digest == first).map(|(.., from)| from).collect();
+    assert!(sources.len() > 1, "{sources:?}");
+}
+
 #[test]
 fn a_zone_whose_sources_are_all_silent_falls_back_to_the_origin() {
     let manifest = manifest(0..30);
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -72,7 +72,7 @@
 async fn serve<D: Dialect>(node: Rc<Node<D>>, calls: impl PeerCalls, caller: Caller) {
     let answer = async |request: &Incoming| {
         let (status, body) = answer(&node, &calls, &request.target);
-        if !request.target.starts_with(CHUNKS) {
+        if !request.target.starts_with(CHUNKS) || status != StatusCode::OK {
             return (status, HeaderMap::new(), body);
         }
         let Some(at) = node.upload_at(Size(body.len() as u64)) else {
