sequoiahold explain gathers what was decided about one request

Reads the JSON logs of gateways from files or standard input, with or without a collector's prefix, and shows for each process the lines of the request and what that process believed: the configuration in force, an outage of the platform, what was published of the endpoints that it chose, each with its age.

--- a/crates/sequoiahold/src/cli.rs
+++ b/crates/sequoiahold/src/cli.rs
@@ -38,6 +38,7 @@
   diff OLD NEW [--manifests DIR] [--json]
                             show what publishing the set in NEW would change
   status ADDR [--json]      show what a process holds and does
+  explain ID [FILE...]      show what was decided about a request, from logs
 
 Options:
   --print-config            with entry and endpoint: print the settings in force and exit
@@ -113,6 +114,15 @@
             finish(args)?;
             command::status::run(addr, json)
         }
+        Some("explain") => {
+            let id: String = args.free_from_str().context("explain needs the id of a request")?;
+            let files: Vec<PathBuf> = args.finish().into_iter().map(PathBuf::from).collect();
+            if let Some(option) = files.iter().find(|file| file.to_string_lossy().starts_with('-'))
+            {
+                bail!("unexpected argument {}", option.display());
+            }
+            command::explain::run(&id, &files)
+        }
         Some(other) => bail!("unknown command {other:?}; try --help"),
         None => unreachable!("handled above"),
     }
--- /dev/null
+++ b/crates/sequoiahold/src/command/explain.rs
@@ -0,0 +1,44 @@
+//! `sequoiahold explain`: what was decided about one request, from the logs of all processes.
+
+mod account;
+mod line;
+
+use std::{
+    fs::File,
+    io::{BufRead, BufReader, stdin},
+    path::PathBuf,
+};
+
+use anyhow::Context as _;
+
+use self::{account::Account, line::Line};
+use crate::cli::EXIT_UNSOUND;
+
+/// Prints the account of the request `id` from log files, or from standard input without any.
+///
+/// The exit code tells whether the request was found.
+pub fn run(id: &str, files: &[PathBuf]) -> anyhow::Result<u8> {
+    let mut lines = vec![];
+    for file in files {
+        let name = file.file_stem().unwrap_or_default().to_string_lossy();
+        let reader = File::open(file).with_context(|| format!("cannot open {}", file.display()))?;
+        let read = read(&name, BufReader::new(reader), &mut lines);
+        read.with_context(|| format!("cannot read {}", file.display()))?;
+    }
+    if files.is_empty() {
+        read("stdin", stdin().lock(), &mut lines).context("cannot read standard input")?;
+    }
+    let account = Account::of(id, lines);
+    print!("{account}");
+    Ok(if account.is_empty() { EXIT_UNSOUND } else { 0 })
+}
+
+/// Takes the log lines of a reader; lines of other programs are passed over.
+fn read(name: &str, mut reader: impl BufRead, lines: &mut Vec<Line>) -> anyhow::Result<()> {
+    let mut bytes = vec![];
+    while reader.read_until(b'\n', &mut bytes)? > 0 {
+        lines.extend(Line::read(name, &String::from_utf8_lossy(&bytes)));
+        bytes.clear();
+    }
+    Ok(())
+}
--- a/crates/sequoiahold/src/help.rs
+++ b/crates/sequoiahold/src/help.rs
@@ -46,6 +46,14 @@
 Exit codes: 0 well, 1 there are alarms, 2 the process gave no answer.
 ";
 
+const EXPLAIN: &str = "\
+Usage: sequoiahold explain ID [FILE...]
+
+Shows what each process decided about the request with this id, and what it knew then, from
+JSON logs of gateways in files or on standard input.
+Exit codes: 0 shown, 1 no line tells of the request, 2 a file could not be read.
+";
+
 /// Returns the help text of a command, `None` where there is no such command.
 pub fn of(command: &str) -> Option<String> {
     match command {
@@ -59,6 +67,7 @@
         "render" => Some(RENDER.to_owned()),
         "diff" => Some(DIFF.to_owned()),
         "status" => Some(STATUS.to_owned()),
+        "explain" => Some(EXPLAIN.to_owned()),
         _ => None,
     }
 }
--- a/crates/sequoiahold/tests/cli.rs
+++ b/crates/sequoiahold/tests/cli.rs
@@ -17,6 +17,7 @@
 #[case::render("render", "--generation")]
 #[case::diff("diff", "--manifests")]
 #[case::status("status", "status ADDR")]
+#[case::explain("explain", "explain ID")]
 fn each_command_has_a_help_text(#[case] command: &str, #[case] part: &str) {
     let output = run(&[command, "--help"]);
     let text = String::from_utf8(output.stdout).unwrap();
@@ -29,6 +30,9 @@
 #[case::unknown_argument(&["check", "examples", "--fast"], "unexpected argument")]
 #[case::no_directory(&["check"], "directory of a set")]
 #[case::no_file(&["entry", "--config", "no/such/file"], "no/such/file")]
+#[case::no_request(&["explain"], "id of a request")]
+#[case::no_log(&["explain", "1f", "no/such/log"], "no/such/log")]
+#[case::no_option(&["explain", "1f", "--fast"], "unexpected argument")]
 #[case::no_process(&["status", "127.0.0.1:1"], "no answer")]
 fn what_cannot_be_done_ends_with_2(#[case] args: &[&str], #[case] part: &str) {
     let output = run(args);
