Processes pass on the newest version of a value only, and pull one at a time

Gateways used 515 MB and were killed for it, answers passed the 16 MB that a peer takes, and processes stayed on old configurations. Now the copy holds the newest change of each key and the removals of late, a watch's answer is reduced to the newest change of each key before it is decoded or passed on, and one pull runs at a time, from the peer that told of the newest state. Two tests of core (many versions of a value; removals) show the bounds.

--- a/crates/core/src/direct/mirror.rs
+++ b/crates/core/src/direct/mirror.rs
@@ -1,12 +1,12 @@
 //! A copy of what the platform publishes, ordered by revision.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-/// Changes that are kept for peers that lag; one that lags further gets all items.
-const LOG: usize = 512;
+/// Removed keys that are kept for peers that lag; one that lags further gets all items.
+const REMOVED: usize = 4_096;
 
 /// The platform's revision counter: it rises with each change.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -41,10 +41,13 @@
 }
 
 /// The copy.
+///
+/// It keeps the newest change of each key only: a process that lags over many versions of a large
+/// value takes one of them.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     items: BTreeMap<String, (Revision, Option<Bytes>)>,
-    log: VecDeque<Change>,
+    removed: BTreeSet<(Revision, String)>,
     from: Revision,
     at: Revision,
 }
@@ -57,8 +60,10 @@
 
     /// Takes changes up to `at` and returns those that were new.
     pub fn apply(&mut self, at: Revision, changes: Vec<Change>) -> Vec<Change> {
-        let new: Vec<Change> = changes.into_iter().filter(|change| self.take(change)).collect();
+        let changes = newest(changes).into_iter();
+        let new: Vec<Change> = changes.filter(|change| self.take(change)).collect();
         self.at = self.at.max(at);
+        self.forget();
         new
     }
 
@@ -67,6 +72,7 @@
     /// Peers get all that the watch told: what has come here another way meanwhile may not have
     /// reached them, and the revision that they take says that they know it.
     pub fn watched(&mut self, at: Revision, changes: Vec<Change>) -> (Vec<Change>, Sync) {
+        let changes = newest(changes);
         let told = Sync { at, whole: false, changes: changes.clone() };
         (self.apply(at, changes), told)
     }
@@ -87,15 +93,17 @@
 
     /// Returns what a peer that knows all changes up to `after` lacks.
     pub fn since(&self, after: Revision) -> Sync {
-        if after >= self.from && after > Revision(0) {
-            let later = self.log.iter().filter(|change| change.revision > after);
-            return Sync { at: self.at, whole: false, changes: later.cloned().collect() };
-        }
-        let held = |(key, (revision, value)): (&String, &(Revision, Option<Bytes>))| {
-            let value = Some(value.clone()?);
-            Some(Change { key: key.clone(), revision: *revision, value })
+        let whole = after < self.from || after == Revision(0);
+        let lacking = |(_, (revision, value)): &(&String, &(Revision, Option<Bytes>))| {
+            if whole { value.is_some() } else { *revision > after }
+        };
+        let change = |(key, (revision, value)): (&String, &(Revision, Option<Bytes>))| Change {
+            key: key.clone(),
+            revision: *revision,
+            value: value.clone(),
         };
-        Sync { at: self.at, whole: true, changes: self.items.iter().filter_map(held).collect() }
+        let changes = self.items.iter().filter(lacking).map(change).collect();
+        Sync { at: self.at, whole, changes }
     }
 
     /// Takes what a peer passed on and returns what was new.
@@ -112,13 +120,35 @@
         if known.is_some_and(|(revision, _)| *revision >= change.revision) {
             return false;
         }
+        if let Some((revision, None)) = known {
+            self.removed.remove(&(*revision, change.key.clone()));
+        }
+        if change.value.is_none() {
+            self.removed.insert((change.revision, change.key.clone()));
+        }
         self.items.insert(change.key.clone(), (change.revision, change.value.clone()));
-        self.log.push_back(change.clone());
-        if self.log.len() > LOG
-            && let Some(first) = self.log.pop_front()
+        true
+    }
+
+    /// Forgets the keys that were removed first, beyond those that are kept.
+    fn forget(&mut self) {
+        while self.removed.len() > REMOVED
+            && let Some((revision, key)) = self.removed.pop_first()
         {
-            self.from = self.from.max(first.revision);
+            self.items.remove(&key);
+            self.from = self.from.max(revision);
+        }
+    }
+}
+
+/// Returns the newest change of each key.
+fn newest(changes: Vec<Change>) -> Vec<Change> {
+    let mut newest: BTreeMap<String, Change> = BTreeMap::new();
+    for change in changes {
+        let known = newest.get(&change.key);
+        if known.is_none_or(|known| known.revision < change.revision) {
+            newest.insert(change.key.clone(), change);
         }
-        true
     }
+    newest.into_values().collect()
 }
--- a/crates/core/tests/direct_mesh.rs
+++ b/crates/core/tests/direct_mesh.rs
@@ -192,6 +192,38 @@
     assert!(new.sync(source.since(Revision(0))).is_empty());
 }
 
+#[test]
+fn a_peer_that_lags_over_many_versions_of_a_value_gets_the_newest_only() {
+    let mut source = Mirror::default();
+    source.replace(Revision(1), vec![change("config", 1, Some("1"))]);
+    let lagging = source.clone();
+    for revision in 2..100 {
+        source.apply(Revision(revision), vec![change("config", revision, Some("2"))]);
+    }
+    let sync = source.since(lagging.at());
+    assert!(!sync.whole);
+    assert_eq!(sync.changes, [change("config", 99, Some("2"))]);
+    let answer = (2..100).map(|revision| change("config", revision, Some("2"))).collect();
+    let (new, told) = lagging.clone().watched(Revision(99), answer);
+    assert_eq!((new.len(), told.changes.len()), (1, 1), "each version would be decoded");
+}
+
+#[test]
+fn removed_keys_are_known_for_a_while_and_then_cost_nothing() {
+    let mut source = Mirror::default();
+    source.replace(Revision(1), vec![change("config", 1, Some("1"))]);
+    for number in 0..5_000 {
+        let key = format!("servers/{number}");
+        source.apply(Revision(2 + 2 * number), vec![change(&key, 2 + 2 * number, Some("1"))]);
+        source.apply(Revision(3 + 2 * number), vec![change(&key, 3 + 2 * number, None)]);
+    }
+    assert!(source.since(Revision(1)).whole, "the first removals are forgotten");
+    let recent = source.since(Revision(9_990));
+    assert!(!recent.whole);
+    assert_eq!(recent.changes.len(), 6);
+    assert!(recent.changes.iter().all(|change| change.value.is_none()));
+}
+
 #[rstest]
 #[case::today(8)]
 #[case::grown(33)]
--- a/crates/sequoiahold/src/node/gossip.rs
+++ b/crates/sequoiahold/src/node/gossip.rs
@@ -136,9 +136,7 @@
         return;
     }
     if at < after || sync.changes.is_empty() {
-        let node = node.clone();
-        actix_rt::spawn(async move { peers::pull(&node, from).await });
-        return;
+        return peers::follow(node, from, sync.at);
     }
     let changes = node.mirror.borrow_mut().sync(sync);
     node.take(changes, true);
@@ -150,6 +148,6 @@
         actix_rt::time::sleep(PULL_AFTER.into()).await;
     }
     if node.mirror.borrow().at() < at {
-        peers::pull(&node, peer).await;
+        peers::follow(&node, peer, at);
     }
 }
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -68,6 +68,8 @@
     socket: RefCell<Option<Rc<tokio::net::UdpSocket>>>,
     changes: signal::Sender<Revision>,
     lost: Cell<Option<Time>>,
+    ahead: Cell<Option<(Revision, SocketAddr)>>,
+    pulling: Cell<bool>,
 }
 
 impl<D: Dialect> Node<D> {
@@ -112,6 +114,8 @@
             socket: RefCell::default(),
             changes: signal::channel(Revision(0)).0,
             lost: Cell::new(None),
+            ahead: Cell::new(None),
+            pulling: Cell::new(false),
         })
     }
 
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -100,6 +100,25 @@
     (StatusCode::NOT_FOUND, Bytes::new())
 }
 
+/// Takes what a peer knows up to `at`; while one pull runs, the newest peer told of is next.
+pub(super) fn follow<D: Dialect>(node: &Rc<Node<D>>, peer: SocketAddr, at: Revision) {
+    if node.ahead.get().is_none_or(|(known, _)| known < at) {
+        node.ahead.set(Some((at, peer)));
+    }
+    if node.pulling.replace(true) {
+        return;
+    }
+    let node = node.clone();
+    actix_rt::spawn(async move {
+        while let Some((at, peer)) = node.ahead.take() {
+            if node.mirror.borrow().at() < at {
+                pull(&node, peer).await;
+            }
+        }
+        node.pulling.set(false);
+    });
+}
+
 /// Takes from a peer what this process lacks of the published state.
 pub(super) async fn pull<D: Dialect>(node: &Node<D>, peer: SocketAddr) {
     let after = node.mirror.borrow().at();
