Gateways place requests by the first event that the engine's figures foretell

The limit counted prompts as if an engine only read, and several gateways took the last slots of an engine at once, so that the last to come waited for one to end. Ruled out: single slow engines (medians of all 16 lie between 259 and 497 ms). Now a model of the engine (passes of a chunk of prompts and some steps of all that write) foretells the first event, and the last eighth of the slots is left to the gateway that goes first at an engine. The foretold time is in the line of each request.

--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -7,7 +7,7 @@
 
 use super::{
     catalog::{Catalog, EngineSpec},
-    judge::{fits, most_reading, most_retry, patience, reading, retry, score},
+    judge::{first_event, fits, is_soon, most_retry, patience, reading, retry, score},
     line::{Line, TicketKey, Waiting},
     seat::{Ended, Seat, SeatLoad},
     view::{View, Wanted},
@@ -84,6 +84,8 @@
     pub version: Option<u64>,
     /// The time that reading the prompt takes, in ms; 0 once it is read.
     pub reading: u32,
+    /// The time to the first event that the engine's figures foretell, in ms; 0 without figures.
+    pub first: u32,
     /// The client account.
     pub account: Option<ClientId>,
     /// The service.
@@ -323,23 +325,23 @@
         let most = self.most_a_second(&spec);
         let oldest = self.oldest(now, ask);
         let reading = reading(&spec, ask.tokens.0);
-        let most_reading = most_reading(now, ask, &spec);
-        let mut best: Option<(u64, SeatKey)> = None;
+        let mut best: Option<(u64, SeatKey, u32)> = None;
         for (key, seat) in &mut self.seats {
             let load = seat.load(now);
-            let soon = spec.engine.is_none() || load.reading + reading <= most_reading;
-            let room = soon && load.count < seat.endpoint.listed.slots.max(1);
+            let first = first_event(&spec, load, reading);
+            let room =
+                is_soon(now, ask, load, reading, first) && load.count < seat.room(self.gateways);
             let fit = fits(seat, ask, oldest) && seat.is_fit(now) && seat.is_open(now, most);
             let tried = ask.tried.contains(&key);
             if !room || !fit || tried || (ask.careful && !seat.is_sound()) {
                 continue;
             }
             let score = score(seat, now, rng);
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, key));
+            if best.is_none_or(|(least, ..)| score < least) {
+                best = Some((score, key, first));
             }
         }
-        let (_, key) = best?;
+        let (_, key, first) = best?;
         let seat = &mut self.seats[key];
         seat.send(now, reading);
         let listed = &seat.endpoint.listed;
@@ -351,6 +353,7 @@
             addr: listed.addr,
             version,
             reading,
+            first,
             account: ask.account.clone(),
             service: ask.service.clone(),
         };
--- a/crates/core/src/direct/judge.rs
+++ b/crates/core/src/direct/judge.rs
@@ -6,7 +6,8 @@
 
 use super::{
     desk::{Ask, Spec},
-    seat::Seat,
+    engine,
+    seat::{Seat, SeatLoad},
 };
 use crate::{ids::RegionId, time::Time, units::Span};
 
@@ -19,8 +20,9 @@
 const WRITER: u32 = 2;
 /// Time that a request to a plain service takes, in ms, where the service tells no figures.
 const PLAIN: u32 = 30;
-/// Part of the time left to the objective that reading and one pass of the engine may take.
-const READING_PART: f64 = 0.85;
+/// Part of the time left to the objective that the first event may take by the engine's figures; over
+/// 1 as half of the requests come sooner than foretold.
+const FIRST_PART: f64 = 1.1;
 /// Time that an engine may read before the first event of a request that is late anyway, in ms:
 /// three prompts, so that the engine never idles and those that can be on time find room.
 const LATE_READING: u32 = 150;
@@ -60,19 +62,26 @@
 
 /// Returns the time that an endpoint takes to read a prompt, in ms.
 pub(super) fn reading(spec: &Spec, prompt: u32) -> u32 {
-    let Some(engine) = &spec.engine else { return PLAIN };
-    let read = f64::from(prompt) * 1_000.0 / engine.read_rate.max(1.0);
-    read.ceil() as u32
+    spec.engine.as_ref().map_or(PLAIN, |spec| engine::reading(spec, prompt))
 }
 
-/// Returns the time that an engine may read before the first event of a request, in ms.
-pub(super) fn most_reading(now: Time, ask: &Ask, spec: &Spec) -> u32 {
-    let pass = spec.engine.as_ref().map_or(0.0, |engine| engine.step * f64::from(engine.stride));
+/// Returns the time to the first event at an endpoint with this load, in ms; 0 where the service
+/// tells no figures.
+pub(super) fn first_event(spec: &Spec, load: SeatLoad, reading: u32) -> u32 {
+    spec.engine.as_ref().map_or(0, |spec| engine::first_event(spec, load, reading))
+}
+
+/// Returns whether the first event comes in time, or the request is late and finds the engine idle
+/// enough.
+pub(super) fn is_soon(now: Time, ask: &Ask, load: SeatLoad, reading: u32, first: u32) -> bool {
+    if first == 0 {
+        return true;
+    }
     if ask.objective <= now {
-        return LATE_READING;
+        return load.reading + reading <= LATE_READING;
     }
     let left = (ask.objective - now).0 as f64 / 1_000.0;
-    (left * READING_PART - pass).max(0.0) as u32
+    f64::from(first) <= left * FIRST_PART
 }
 
 /// Returns until when a request may wait for a place.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod catalog;
 pub mod desk;
+pub mod engine;
 mod judge;
 pub mod line;
 pub mod mesh;
--- a/crates/core/src/direct/seat.rs
+++ b/crates/core/src/direct/seat.rs
@@ -15,6 +15,9 @@
 const MAX_REST: Span = Span::millis(4_800);
 /// Time after a refusal for want of room in which nothing more is sent there.
 const FULL: Span = Span::millis(120);
+/// Part of an endpoint's slots that only the gateway that goes first there may fill: the others know
+/// what it has sent of late only after a while, and a request too many waits for a slot to end.
+const SHARED_PART: u32 = 8;
 /// Age at which the load that peers told is forgotten.
 const STALE: Span = Span::millis(1_500);
 
@@ -130,6 +133,13 @@
         }
     }
 
+    /// Returns the requests that may run there where this many gateways send.
+    pub fn room(&self, gateways: usize) -> u32 {
+        let slots = self.endpoint.listed.slots.max(1);
+        let kept = if self.primary || gateways <= 1 { 0 } else { slots / SHARED_PART };
+        slots - kept
+    }
+
     /// Takes the load that other gateways cause.
     pub fn tell(&mut self, now: Time, others: SeatLoad) {
         self.others = others;
--- a/crates/core/tests/direct_desk.rs
+++ b/crates/core/tests/direct_desk.rs
@@ -194,6 +194,28 @@
     assert_eq!((picked.len(), distinct.len()), (8, 8));
 }
 
+#[test]
+fn the_last_slots_of_an_endpoint_are_left_to_the_gateway_that_goes_first_there() {
+    let view = view(1);
+    let gateways: Vec<(VmId, ZoneId)> =
+        (1..=2).map(|number| (name(&format!("g-{number}")), name("z1"))).collect();
+    let mut rng = SmallRng::seed_from_u64(6);
+    let mut filled: Vec<u32> = vec![];
+    for (own, _) in &gateways {
+        let mut desk = desk(&view);
+        desk.set_gateways(gateways.len());
+        desk.deal(own, &gateways);
+        let mut count = 0;
+        while let Some(mut grant) = go(desk.arrive(ms(0), ask(ms(0)), &mut rng)) {
+            desk.read(&mut grant);
+            count += 1;
+        }
+        filled.push(count);
+    }
+    filled.sort_unstable();
+    assert_eq!(filled, [SLOTS - SLOTS / 8, SLOTS]);
+}
+
 #[test]
 fn a_request_that_would_be_late_behind_others_waits_and_is_turned_away_in_time() {
     let view = view(1);
--- a/crates/sequoiahold/src/cli.rs
+++ b/crates/sequoiahold/src/cli.rs
@@ -114,20 +114,21 @@
             finish(args)?;
             command::status::run(addr, json)
         }
-        Some("explain") => {
-            let id: String = args.free_from_str().context("explain needs the id of a request")?;
-            let files: Vec<PathBuf> = args.finish().into_iter().map(PathBuf::from).collect();
-            if let Some(option) = files.iter().find(|file| file.to_string_lossy().starts_with('-'))
-            {
-                bail!("unexpected argument {}", option.display());
-            }
-            command::explain::run(&id, &files)
-        }
+        Some("explain") => explain(args),
         Some(other) => bail!("unknown command {other:?}; try --help"),
         None => unreachable!("handled above"),
     }
 }
 
+fn explain(mut args: Arguments) -> anyhow::Result<u8> {
+    let id: String = args.free_from_str().context("explain needs the id of a request")?;
+    let files: Vec<PathBuf> = args.finish().into_iter().map(PathBuf::from).collect();
+    if let Some(option) = files.iter().find(|file| file.to_string_lossy().starts_with('-')) {
+        bail!("unexpected argument {}", option.display());
+    }
+    command::explain::run(&id, &files)
+}
+
 /// Runs a process with the settings in a file until it is told to stop.
 fn run_process<T, F>(
     mut args: Arguments,
--- a/crates/sequoiahold/src/command/explain/account.rs
+++ b/crates/sequoiahold/src/command/explain/account.rs
@@ -69,7 +69,7 @@
         let before = |line: &&&Line| line.at <= end;
         let last = |messages: &[&str]| {
             let said = |line: &&&Line| messages.contains(&line.message.as_str());
-            here.iter().filter(before).filter(said).next_back().copied()
+            here.iter().filter(before).rfind(said).copied()
         };
         let source = last(&["platform answers again", "platform does not answer"]);
         let lost = source.filter(|line| line.message == "platform does not answer");
--- a/crates/sequoiahold/src/gateway/record.rs
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -64,12 +64,14 @@
     /// How it ended.
     pub(super) outcome: Outcome,
     places: Vec<String>,
+    foretold: u32,
 }
 
 impl Record {
     /// Takes note of a place that it got.
     pub(super) fn placed(&mut self, grant: &Grant) {
         self.places.push(grant.instance.to_string());
+        self.foretold = grant.first;
     }
 
     /// Writes the line.
@@ -90,6 +92,7 @@
             endpoints = places.as_str(),
             sends,
             waited_ms = self.waited.0 / 1_000,
+            foretold_ms = self.foretold,
             first_ms = first,
             took_ms = took,
             outcome = self.outcome.label(),
