--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -144,7 +144,12 @@
             Sent::NotRun { misdirected } => {
                 self.ran = before;
                 self.sends += 1;
-                held.ended = if misdirected { Ended::Misdirected } else { Ended::Full };
+                let (ended, fault) = match misdirected {
+                    true => (Ended::Misdirected, "not run: another instance or version there"),
+                    false => (Ended::Full, "not run: no room there"),
+                };
+                self.note(&held, fault);
+                held.ended = ended;
                 Next::Again
             }
             Sent::Unsent(fault) => {
