--- a/crates/core/src/direct/seam.rs
+++ b/crates/core/src/direct/seam.rs
@@ -25,12 +25,8 @@
     pub account: &'static str,
     /// The instance that alone may run the request.
     pub instance: &'static str,
-    /// Requests running and waiting at the endpoint, and its slots.
-    pub load: &'static str,
     /// Says that the endpoint did not run the request.
     pub not_run: &'static str,
-    /// Milliseconds that an endpoint stays cold.
-    pub cold: &'static str,
     /// The model.
     pub model: &'static str,
     /// Prompt tokens, and the most tokens of the answer.
--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -29,8 +29,6 @@
 pub struct Endpoint {
     /// Its entry in the list.
     pub listed: Listed,
-    /// Until when it is cold by its entry.
-    pub cold: Time,
     /// When it is given up unless its entry comes back.
     pub doubt: Option<Time>,
 }
@@ -176,8 +174,7 @@
         match published {
             Published::Catalog(catalog) => self.set_catalog(*catalog),
             Published::Endpoint(instance, Some(listed)) => {
-                let cold = now + listed.cold;
-                self.endpoints.insert(instance, Endpoint { listed, cold, doubt: None });
+                self.endpoints.insert(instance, Endpoint { listed, doubt: None });
                 Effect::Endpoints
             }
             Published::Endpoint(instance, None) => self.remove(now, &instance),
--- a/crates/sequoiahold/src/h1/upstream.rs
+++ b/crates/sequoiahold/src/h1/upstream.rs
@@ -138,6 +138,21 @@
         self.since.elapsed()
     }
 
+    /// Sends a request and reads the whole answer, where it does not matter what left before a fault.
+    pub async fn call(
+        &mut self,
+        method: Method,
+        target: &str,
+        headers: HeaderMap,
+        body: &Bytes,
+        most: usize,
+    ) -> Result<(StatusCode, Bytes), UpstreamError> {
+        let sent = self.send(method, target, headers, body).await;
+        sent.map_err(|error| error.error)?;
+        let answer = self.head().await?;
+        Ok((answer.status, self.body(most).await?))
+    }
+
     /// Sends a request; an answer that begins before the body is out stops the sending.
     pub async fn send(
         &mut self,
--- a/crates/sequoiahold/src/loader/engine.rs
+++ b/crates/sequoiahold/src/loader/engine.rs
@@ -112,11 +112,8 @@
             let json = actix_http::header::HeaderValue::from_static("application/json");
             headers.insert(actix_http::header::CONTENT_TYPE, json);
         }
-        let sent = upstream.send(method, path, headers, &body).await;
-        sent.map_err(|error| error.error)?;
-        let answer = upstream.head().await?;
-        let body = upstream.body(MAX_ANSWER).await?;
+        let answer = upstream.call(method, path, headers, &body, MAX_ANSWER).await?;
         self.kept.replace(Some(upstream));
-        Ok((answer.status, body))
+        Ok(answer)
     }
 }
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -188,12 +188,10 @@
     most: usize,
 ) -> Result<Bytes, CallError> {
     let mut upstream = node.pool.get(peer, TIMEOUT).await?;
-    let sent = upstream.send(Method::GET, target, HeaderMap::new(), &Bytes::new()).await;
-    sent.map_err(|error| error.error)?;
-    let answer = upstream.head().await?;
-    let body = upstream.body(most).await?;
+    let (status, body) =
+        upstream.call(Method::GET, target, HeaderMap::new(), &Bytes::new(), most).await?;
     node.pool.put(upstream);
-    match answer.status {
+    match status {
         StatusCode::OK => Ok(body),
         StatusCode::NOT_FOUND => Err(CallError::Absent),
         StatusCode::TOO_MANY_REQUESTS => Err(CallError::Busy),
--- a/crates/sequoiahold/src/node/watch.rs
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -149,12 +149,10 @@
             Some(upstream) => upstream,
             None => node.pool.open(node.settings.platform).await?,
         };
-        let sent = upstream.send(Method::GET, path, HeaderMap::new(), &Bytes::new()).await;
-        sent.map_err(|error| error.error)?;
-        let answer = upstream.head().await?;
-        let body = upstream.body(MAX_ANSWER).await?;
+        let (status, body) =
+            upstream.call(Method::GET, path, HeaderMap::new(), &Bytes::new(), MAX_ANSWER).await?;
         *kept = Some(upstream);
-        match answer.status.as_u16() {
+        match status.as_u16() {
             200 => Ok(body),
             410 => Err(ReadError::Compacted),
             status => Err(ReadError::Failed(format!("status {status} for {path}"))),
