--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -8,7 +8,6 @@
 pub mod mesh;
 pub mod mirror;
 pub mod repeats;
-pub mod returns;
 pub mod seam;
 pub mod seat;
 pub mod stream;
--- a/crates/sequoiahold/src/gateway/plan.rs
+++ b/crates/sequoiahold/src/gateway/plan.rs
@@ -75,7 +75,6 @@
     let arrived = Time(gateway.node.now().0.saturating_sub(age.0));
     let left = request.text(names.deadline).and_then(|text| text.trim().parse::<f64>().ok());
     let left = left.map_or(route.timeout, |ms| Span((ms.max(0.0) * 1_000.0) as u64));
-    let waited = gateway.returns.borrow_mut().waited(&route.name, left);
     Ok(Plan {
         route: route.name.clone(),
         version: catalog.version,
@@ -88,7 +87,7 @@
         model: request.text(names.model).and_then(|text| text.parse().ok()),
         tokens: tokens(gateway, &catalog, request, &service),
         arrived,
-        objective: Time((arrived + route.objective).0.saturating_sub(waited.0)),
+        objective: arrived + route.objective,
         deadline: arrived + left.min(route.timeout),
         service,
     })
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     rc::Rc,
     time::Duration,
 };
@@ -14,7 +14,6 @@
         line::TicketKey,
         mesh::Role,
         repeats::{RepeatBounds, Repeats},
-        returns::Returns,
         seam::Dialect,
     },
     ids::{ServiceId, VmId, ZoneId},
@@ -49,7 +48,6 @@
     pub(super) config: ServiceConfig,
     pub(super) desk: RefCell<Desk>,
     pub(super) repeats: RefCell<Repeats>,
-    pub(super) returns: RefCell<Returns>,
     pub(super) waiters: RefCell<BTreeMap<(ServiceId, TicketKey), Waiter<D>>>,
     pub(super) pool: Pool,
     pub(super) metrics: Metrics,
@@ -83,7 +81,6 @@
             config,
             desk: RefCell::new(Desk::new(place)),
             repeats: RefCell::new(Repeats::new(repeats)),
-            returns: RefCell::default(),
             waiters: RefCell::default(),
             pool,
             metrics: Metrics::default(),
@@ -156,15 +153,6 @@
         Counted { gateway: self.clone(), count: |gateway| &gateway.open }
     }
 
-    /// Forgets what was learnt of routes that are gone.
-    fn forget_routes(&self) {
-        let view = self.node.view.borrow();
-        let Some(catalog) = view.catalog() else { return };
-        let routes = catalog.routes.values().flatten();
-        let names: BTreeSet<&str> = routes.map(|route| route.name.as_str()).collect();
-        self.returns.borrow_mut().retain(|route| names.contains(route));
-    }
-
     /// Works out the endpoints that this gateway sends to before others do.
     fn deal(&self) {
         let mesh = self.node.mesh.borrow();
@@ -215,7 +203,6 @@
     let mut changes = gateway.node.changes();
     while changes.changed().await.is_ok() {
         gateway.desk.borrow_mut().follow(&gateway.node.view.borrow());
-        gateway.forget_routes();
         gateway.pump();
     }
 }
