Published state passes between processes packed, made once for peers that lag alike

Now the state is deflated, and one answer serves all that ask for the same within 100 ms. A process test has a gateway that the platform does not answer take all from a peer.

--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod datagram;
 mod gossip;
 mod peers;
+mod state;
 mod watch;
 
 use std::{
@@ -70,6 +71,7 @@
     lost: Cell<Option<Time>>,
     ahead: Cell<Option<(Revision, SocketAddr)>>,
     pulling: Cell<bool>,
+    packed: RefCell<state::Packed>,
 }
 
 impl<D: Dialect> Node<D> {
@@ -116,6 +118,7 @@
             lost: Cell::new(None),
             ahead: Cell::new(None),
             pulling: Cell::new(false),
+            packed: RefCell::default(),
         })
     }
 
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -6,16 +6,11 @@
 use anyhow::Context as _;
 use bytes::Bytes;
 use sequoiahold_core::{
-    direct::{
-        mirror::{Revision, Sync},
-        seam::Dialect,
-        view::Named,
-    },
+    direct::{mirror::Revision, seam::Dialect},
     units::Bytes as Size,
 };
-use serde::{Deserialize, Serialize};
 
-use super::Node;
+use super::{Node, state::State};
 use crate::h1::{Caller, Incoming, UpstreamError, accept, answer_each, listen, watch_peer};
 
 /// Path of the published state.
@@ -27,13 +22,6 @@
 /// Largest published state that is taken from a peer.
 const MAX_SYNC: usize = 16_000_000;
 
-/// What a process passes on of the published state.
-#[derive(Deserialize, Serialize)]
-struct State {
-    sync: Sync,
-    named: Vec<Named>,
-}
-
 /// Answers calls of peers beyond those for the published state.
 pub trait PeerCalls: Clone + 'static {
     /// Returns the status and body for a path below the prefix of chunks.
@@ -87,10 +75,10 @@
 fn answer<D: Dialect>(node: &Node<D>, calls: &impl PeerCalls, target: &str) -> (StatusCode, Bytes) {
     if let Some(query) = target.strip_prefix(SYNC) {
         let after = query.strip_prefix("?after=").and_then(|text| text.parse().ok());
-        let sync = node.mirror.borrow().since(Revision(after.unwrap_or(0)));
-        let state = State { sync, named: node.view.borrow().named(node.now()) };
-        return match postcard::to_stdvec(&state) {
-            Ok(body) => (StatusCode::OK, body.into()),
+        let (after, mirror, view) =
+            (Revision(after.unwrap_or(0)), node.mirror.borrow(), node.view.borrow());
+        return match node.packed.borrow_mut().since(node.now(), after, &mirror, &view) {
+            Ok(body) => (StatusCode::OK, body),
             Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
         };
     }
@@ -125,10 +113,7 @@
     let target = format!("{SYNC}?after={after}");
     let call = get(node, peer, &target, MAX_SYNC);
     let body = actix_rt::time::timeout(TIMEOUT, call).await;
-    let state = body.context("no answer in time").and_then(|body| {
-        let state: State = postcard::from_bytes(&body?).context("published state of a peer")?;
-        Ok(state)
-    });
+    let state = body.context("no answer in time").and_then(|body| State::unpack(&body?));
     match state {
         Ok(State { sync, named }) => {
             let now = node.now();
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -28,8 +28,9 @@
     addrs: Vec<SocketAddr>,
     callers: SocketAddr,
     ready: SocketAddr,
+    peers: SocketAddr,
     gateway: Process,
-    _dir: TempDir,
+    dir: TempDir,
 }
 
 struct TempDir(PathBuf);
@@ -77,6 +78,24 @@
     })
 }
 
+fn settings(
+    vm: &str,
+    peers: SocketAddr,
+    platform: SocketAddr,
+    seeds: &[SocketAddr],
+    callers: SocketAddr,
+    ready: SocketAddr,
+) -> Value {
+    json!({
+        "node": {
+            "vm": vm, "zone": "z1", "zones": { "z1": "r1" },
+            "peers": peers, "seeds": seeds, "platform": platform,
+            "bounds": { "retry_ratio": 0.2, "retry_extra": 100.0, "grace": "6s" }
+        },
+        "callers": callers, "ready": ready, "log": { "format": "json" }
+    })
+}
+
 impl Fixture {
     async fn start(endpoints: usize) -> Self {
         let dir = std::env::temp_dir().join(format!("gateway-{}", free().port()));
@@ -91,17 +110,11 @@
             store.put(&format!("servers/{name}"), Some(entry(addr, "ready")));
             addrs.push(addr);
         }
-        let settings = json!({
-            "node": {
-                "vm": "gateway-1", "zone": "z1", "zones": { "z1": "r1" },
-                "peers": peers, "seeds": [], "platform": platform,
-                "bounds": { "retry_ratio": 0.2, "retry_extra": 100.0, "grace": "6s" }
-            },
-            "callers": callers, "ready": ready, "log": { "format": "json" }
-        });
+        let settings = settings("gateway-1", peers, platform, &[], callers, ready);
         let gateway =
             Process::start(&program(), "gateway", "gateway-1", &dir, &settings).expect("a gateway");
-        let fixture = Self { store, workers, addrs, callers, ready, gateway, _dir: TempDir(dir) };
+        let fixture =
+            Self { store, workers, addrs, callers, ready, peers, gateway, dir: TempDir(dir) };
         let end = Instant::now() + READY;
         while fixture.ready().await != 200 {
             assert!(Instant::now() < end, "the gateway is not ready");
@@ -257,6 +270,26 @@
     assert_eq!(fixture.ask("GET", "/read/1", "key-2").await.0, 200);
 }
 
+#[actix_rt::test]
+async fn a_gateway_that_the_platform_does_not_answer_takes_all_from_a_peer() {
+    let fixture = Fixture::start(1).await;
+    let (callers, nobody) = (free(), free());
+    // All processes listen for peers on the same port, each on its own address.
+    let peers = SocketAddr::from(([127, 0, 0, 2], fixture.peers.port()));
+    let alone = settings("gateway-2", peers, nobody, &[fixture.peers], callers, free());
+    let dir = &fixture.dir.0;
+    let _second =
+        Process::start(&program(), "gateway", "gateway-2", dir, &alone).expect("a gateway");
+    let ask = async |key| exchange(callers, &request("GET", "/read/1", key, "close")).await.0;
+    until("the second gateway serves", async || ask("key-1").await == 200).await;
+    // Larger than a datagram carries, so that it is pulled.
+    let many: Vec<String> = (0..2_000).map(|number| format!("spare-key-{number}")).collect();
+    let keys: Vec<&str> = ["key-2"].into_iter().chain(many.iter().map(String::as_str)).collect();
+    fixture.store.put("op/config", Some(config(2, &keys)));
+    until("the new key is valid there too", async || ask("key-2").await == 200).await;
+    assert_eq!(ask("key-1").await, 401);
+}
+
 #[actix_rt::test]
 async fn a_watch_that_falls_silent_delays_a_change_by_no_more_than_its_bound() {
     let fixture = Fixture::start(1).await;
