--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -45,13 +45,16 @@
 /// What a draw tells of the VM's link.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Width {
+    /// The draw was quick.
     Free,
+    /// The draw took as long as over a narrowed link, whether it gave the chunk or not.
     Narrow,
+    /// It failed early, or came from the origin, whose own link binds.
     Unknown,
 }
 
 impl Width {
-    /// Returns the draws at the same time after one that told this.
+    /// Returns how many draws may run at the same time after one that told this, from `most` before.
     fn most(self, most: u32) -> u32 {
         match self {
             Self::Free => (most + 1).min(DRAWS),
