Placing a request copies no figures of its service

Each placement copied the engine's figures with their list of models, each look at the waiting requests copied every one of them, and every 25 ms the gateways of a zone were collected again for each endpoint. Figures and waiting requests are shared now, and gateways are grouped by zone once. A watch's answer is reduced to the newest change of each key once instead of twice. Behaviour unchanged.

--- a/crates/core/src/direct/desk.rs
+++ b/crates/core/src/direct/desk.rs
@@ -1,6 +1,9 @@
 //! Places requests at endpoints, lets them wait, or turns them away.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
 
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
@@ -106,7 +109,7 @@
 
 #[derive(Debug, Default)]
 struct ServiceDesk {
-    line: Line<Ask>,
+    line: Line<Rc<Ask>>,
     ends: std::collections::VecDeque<Time>,
     refused: u64,
 }
@@ -118,7 +121,7 @@
     seats: SlotMap<SeatKey, Seat>,
     names: BTreeMap<InstanceId, SeatKey>,
     services: BTreeMap<ServiceId, ServiceDesk>,
-    specs: BTreeMap<ServiceId, Spec>,
+    specs: BTreeMap<ServiceId, Rc<Spec>>,
     wanted: BTreeMap<ModelId, Wanted>,
     gateways: usize,
 }
@@ -193,15 +196,15 @@
     /// Sets the endpoints that this gateway sends to before others do: the endpoints of each zone
     /// are dealt in turn to the gateways of that zone, and to all where it has none.
     pub fn deal(&mut self, own: &VmId, gateways: &[(VmId, ZoneId)]) {
+        let mut zones: BTreeMap<&ZoneId, Vec<&VmId>> = BTreeMap::new();
+        for (vm, zone) in gateways {
+            zones.entry(zone).or_default().push(vm);
+        }
         let mut dealt: BTreeMap<(ServiceId, ZoneId), usize> = BTreeMap::new();
         for seat in self.names.values() {
             let seat = &mut self.seats[*seat];
             let listed = &seat.endpoint.listed;
-            let near: Vec<&VmId> = gateways
-                .iter()
-                .filter(|(_, zone)| *zone == listed.zone)
-                .map(|(vm, _)| vm)
-                .collect();
+            let near = zones.get(&listed.zone).map_or(&[][..], Vec::as_slice);
             let turn = dealt.entry((listed.service.clone(), listed.zone.clone())).or_default();
             seat.primary = near.get(*turn % near.len().max(1)).is_none_or(|vm| *vm == own);
             *turn += 1;
@@ -250,7 +253,7 @@
             until,
             late,
         };
-        Verdict::Wait(desk.line.push(waiting, ask))
+        Verdict::Wait(desk.line.push(waiting, Rc::new(ask)))
     }
 
     /// Places waiting requests where there is room now and turns away those that waited too long.
@@ -407,10 +410,10 @@
     }
 }
 
-fn specs(catalog: &Catalog) -> BTreeMap<ServiceId, Spec> {
+fn specs(catalog: &Catalog) -> BTreeMap<ServiceId, Rc<Spec>> {
     let spec = |service: &super::catalog::Service| Spec {
         cold_rate: service.cold_rate,
         engine: service.engine.clone(),
     };
-    catalog.services.iter().map(|(name, service)| (name.clone(), spec(service))).collect()
+    catalog.services.iter().map(|(name, service)| (name.clone(), Rc::new(spec(service)))).collect()
 }
--- a/crates/core/src/direct/mirror.rs
+++ b/crates/core/src/direct/mirror.rs
@@ -58,10 +58,9 @@
         self.at
     }
 
-    /// Takes changes up to `at` and returns those that were new.
+    /// Takes changes up to `at`, one of each key, and returns those that were new.
     pub fn apply(&mut self, at: Revision, changes: Vec<Change>) -> Vec<Change> {
-        let changes = newest(changes).into_iter();
-        let new: Vec<Change> = changes.filter(|change| self.take(change)).collect();
+        let new: Vec<Change> = changes.into_iter().filter(|change| self.take(change)).collect();
         self.at = self.at.max(at);
         self.forget();
         new
