A datagram to many is written once, and members are asked for by role in one place

Loads (to every gateway each 70 ms), changes, offers, crashes and pauses were serialized anew for each recipient, in five loops of the same shape; the address of one loader was looked up in a copy of all of them, for each draw. Behaviour unchanged, but that a datagram that is too long is said once and not for each recipient.

--- a/crates/core/src/direct/mesh.rs
+++ b/crates/core/src/direct/mesh.rs
@@ -128,6 +128,11 @@
         self.peers.values().filter(live).map(|peer| &peer.member)
     }
 
+    /// Returns the members of a role that are heard of regularly.
+    pub fn live_as(&self, now: Time, role: Role) -> impl Iterator<Item = &Member> {
+        self.live(now).filter(move |member| member.role == role)
+    }
+
     /// Returns how many processes of a role there may be, this one and silent ones included.
     pub fn count(&self, role: Role) -> usize {
         let peers = self.peers.values().filter(|peer| peer.member.role == role).count();
--- a/crates/sequoiahold/src/gateway/notes.rs
+++ b/crates/sequoiahold/src/gateway/notes.rs
@@ -79,9 +79,7 @@
         .collect();
     let from = gateway.node.settings.vm.clone();
     let datagram = Datagram::Load(LoadNote { from, loads });
-    for peer in gateway.node.peers(Role::Gateway) {
-        gateway.node.tell(peer, &datagram);
-    }
+    gateway.node.tell(gateway.node.peers(Role::Gateway), &datagram);
 }
 
 fn add_up<D: Dialect>(gateway: &Gateway<D>, notes: &mut Notes) {
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -156,11 +156,9 @@
     /// Works out the endpoints that this gateway sends to before others do.
     fn deal(&self) {
         let mesh = self.node.mesh.borrow();
-        let live = mesh.live(self.node.now()).chain([mesh.own()]);
-        let mut gateways: Vec<(VmId, ZoneId)> = live
-            .filter(|member| member.role == Role::Gateway)
-            .map(|member| (member.vm.clone(), member.zone.clone()))
-            .collect();
+        let all = mesh.live_as(self.node.now(), Role::Gateway).chain([mesh.own()]);
+        let mut gateways: Vec<(VmId, ZoneId)> =
+            all.map(|member| (member.vm.clone(), member.zone.clone())).collect();
         gateways.sort();
         self.desk.borrow_mut().deal(&mesh.own().vm, &gateways);
     }
--- a/crates/sequoiahold/src/gateway/suspects.rs
+++ b/crates/sequoiahold/src/gateway/suspects.rs
@@ -100,9 +100,7 @@
     actix_rt::spawn(async move {
         let datagram = Datagram::Crash(crash);
         for _ in 0..TELLS {
-            for peer in gateway.node.peers(Role::Gateway) {
-                gateway.node.tell(peer, &datagram);
-            }
+            gateway.node.tell(gateway.node.peers(Role::Gateway), &datagram);
             actix_rt::time::sleep(TELL).await;
         }
     });
--- a/crates/sequoiahold/src/loader/sources.rs
+++ b/crates/sequoiahold/src/loader/sources.rs
@@ -107,8 +107,7 @@
 /// Returns the live loaders, this one left out.
 pub(super) fn members<D: Dialect>(loader: &Loader<D>) -> Vec<Member> {
     let mesh = loader.node.mesh.borrow();
-    let live = mesh.live(loader.node.now());
-    live.filter(|member| member.role == Role::Loader).cloned().collect()
+    mesh.live_as(loader.node.now(), Role::Loader).cloned().collect()
 }
 
 /// Returns how many loaders go before this one for an item.
--- a/crates/sequoiahold/src/loader/stage.rs
+++ b/crates/sequoiahold/src/loader/stage.rs
@@ -158,7 +158,5 @@
     };
     let Some(instance) = instance else { return };
     let datagram = Datagram::Loading(LoadingNote { instance, pause });
-    for peer in loader.node.peers(Role::Gateway) {
-        loader.node.tell(peer, &datagram);
-    }
+    loader.node.tell(loader.node.peers(Role::Gateway), &datagram);
 }
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -8,7 +8,10 @@
     FutureExt as _, StreamExt as _, future::LocalBoxFuture, stream::FuturesUnordered,
 };
 use sequoiahold_core::{
-    direct::seam::{ChunkList, Dialect},
+    direct::{
+        mesh::Role,
+        seam::{ChunkList, Dialect},
+    },
     ids::{Digest, VmId},
     units::{Bytes as Size, Span},
     weights::{
@@ -161,16 +164,13 @@
     }
     let from = loader.settings.node.vm.clone();
     let note = HoldsNote { from, model: goal.model.clone(), version: goal.version, bits };
-    let datagram = Datagram::Holds(note);
-    for peer in to {
-        loader.node.tell(peer, &datagram);
-    }
+    loader.node.tell(to, &Datagram::Holds(note));
 }
 
 fn near<D: Dialect>(loader: &Loader<D>) -> Vec<SocketAddr> {
-    let zone = &loader.settings.node.zone;
-    let members = sources::members(loader).into_iter();
-    members.filter(|member| member.zone == *zone).map(|member| member.addr).collect()
+    let mesh = loader.node.mesh.borrow();
+    let near = mesh.near(loader.node.now()).filter(|member| member.role == Role::Loader);
+    near.map(|member| member.addr).collect()
 }
 
 /// Takes a chunk that was drawn; returns whether it is kept.
@@ -246,8 +246,9 @@
 }
 
 fn addr<D: Dialect>(loader: &Loader<D>, vm: &VmId) -> Option<SocketAddr> {
-    let members = sources::members(loader);
-    members.into_iter().find(|member| member.vm == *vm).map(|member| member.addr)
+    let mesh = loader.node.mesh.borrow();
+    let mut loaders = mesh.live_as(loader.node.now(), Role::Loader);
+    loaders.find(|member| member.vm == *vm).map(|member| member.addr)
 }
 
 fn manifest(list: &ChunkList) -> Manifest {
--- a/crates/sequoiahold/src/node/gossip.rs
+++ b/crates/sequoiahold/src/node/gossip.rs
@@ -39,15 +39,20 @@
 }
 
 /// Sends a datagram; one that cannot be sent counts as lost on the way, as any other may be.
-pub(super) fn send(socket: &UdpSocket, to: SocketAddr, datagram: &Datagram) {
-    match postcard::to_stdvec(datagram) {
-        Ok(bytes) if bytes.len() <= MAX_DATAGRAM => {
-            if let Err(error) = socket.try_send_to(&bytes, to) {
-                log::debug!("datagram to {to}: {error}");
-            }
+pub(super) fn send(
+    socket: &UdpSocket,
+    to: impl IntoIterator<Item = SocketAddr>,
+    datagram: &Datagram,
+) {
+    let bytes = match postcard::to_stdvec(datagram) {
+        Ok(bytes) if bytes.len() <= MAX_DATAGRAM => bytes,
+        Ok(bytes) => return log::warn!("datagram of {} bytes is too long", bytes.len()),
+        Err(error) => return log::error!("datagram cannot be written: {error}"),
+    };
+    for peer in to {
+        if let Err(error) = socket.try_send_to(&bytes, peer) {
+            log::debug!("datagram to {peer}: {error}");
         }
-        Ok(bytes) => log::warn!("datagram of {} bytes to {to} is too long", bytes.len()),
-        Err(error) => log::error!("datagram cannot be written: {error}"),
     }
 }
 
@@ -56,10 +61,7 @@
         let at = node.mirror.borrow().at();
         let (gossip, to) =
             node.mesh.borrow_mut().round(node.now(), at, &mut *node.rng.borrow_mut());
-        let datagram = Datagram::Gossip(gossip);
-        for peer in to {
-            node.tell(peer, &datagram);
-        }
+        node.tell(to, &Datagram::Gossip(gossip));
         if node.view.borrow_mut().expire(node.now()) {
             node.signal();
         }
@@ -104,7 +106,7 @@
     let at = node.mirror.borrow().at();
     if gossip.ask || new {
         let answer = node.mesh.borrow().answer(now, at, &mut *node.rng.borrow_mut());
-        node.tell(from, &Datagram::Gossip(answer));
+        node.tell([from], &Datagram::Gossip(answer));
     }
     if gossip.at > at {
         actix_rt::spawn(pull_later(node.clone(), gossip.from.addr, gossip.at));
@@ -117,12 +119,9 @@
     if size > MAX_CHANGES {
         told.changes.clear();
     }
-    let datagram = Datagram::Changes(after, told);
-    let near: Vec<SocketAddr> =
-        node.mesh.borrow().near(node.now()).map(|member| member.addr).collect();
-    for peer in near {
-        node.tell(peer, &datagram);
-    }
+    let mesh = node.mesh.borrow();
+    let near = mesh.near(node.now()).map(|member| member.addr);
+    node.tell(near, &Datagram::Changes(after, told));
 }
 
 fn size_of_change(change: &Change) -> usize {
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -140,8 +140,8 @@
         self.clock.now()
     }
 
-    /// Sends a datagram to a peer; one that cannot be sent counts as lost on the way.
-    pub fn tell(&self, to: SocketAddr, datagram: &Datagram) {
+    /// Sends a datagram to peers; one that cannot be sent counts as lost on the way.
+    pub fn tell(&self, to: impl IntoIterator<Item = SocketAddr>, datagram: &Datagram) {
         if let Some(socket) = self.socket.borrow().as_ref() {
             gossip::send(socket, to, datagram);
         }
@@ -164,8 +164,7 @@
     /// Returns the addresses of live processes of a role, this one left out.
     pub fn peers(&self, role: Role) -> Vec<SocketAddr> {
         let mesh = self.mesh.borrow();
-        let live = mesh.live(self.now());
-        live.filter(|member| member.role == role).map(|member| member.addr).collect()
+        mesh.live_as(self.now(), role).map(|member| member.addr).collect()
     }
 
     /// Takes changes that are new to the mirror and were made just now if `seen`.
