A failed send, the engine's connection and signals to reload have one place each

Four places took note of a send that failed; the engine's calls kept a pool of one by hand beside the pool; gateway and loader each ignored signals to reload; the seam had a method that nothing calls. Behaviour unchanged. Seen and left: Report and EngineSpec decode fields that nothing uses; leaving them out would take bodies that are refused now.

--- a/crates/core/src/direct/seam.rs
+++ b/crates/core/src/direct/seam.rs
@@ -1,6 +1,6 @@
 //! The seam between the product and the platform that it runs on: paths, names and formats.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::collections::BTreeMap;
 
 use bytes::Bytes;
 
@@ -155,6 +155,4 @@
     fn order_path(&self) -> &'static str;
     /// Writes an order to load what is staged.
     fn order(&self, order: &LoadOrder) -> Bytes;
-    /// Reads the address of a peer that the platform named, with the port where peers listen.
-    fn peer(&self, text: &str, port: u16) -> Option<SocketAddr>;
 }
--- a/crates/sequoiahold/src/gateway/mod.rs
+++ b/crates/sequoiahold/src/gateway/mod.rs
@@ -25,7 +25,7 @@
 
 use self::state::Gateway;
 use crate::{
-    node::{NoCalls, Node},
+    node::{NoCalls, Node, ignore_reloads},
     settings,
 };
 
@@ -43,7 +43,7 @@
     let node = Node::new(dialect, Role::Gateway, settings.node.clone(), config.clone(), notes);
     let gateway = Gateway::new(node.clone(), config.clone());
     let mut stop = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
+    let reload = signal(SignalKind::hangup())?;
     node.start(NoCalls)?;
     ready::start(&gateway, settings.ready)?;
     server::start(&gateway, settings.callers, settings.connections)?;
@@ -54,11 +54,9 @@
     }
     let vm = settings.node.vm.to_string();
     log::info!(vm = vm.as_str(), version = env!("CARGO_PKG_VERSION"); "gateway started");
-    loop {
-        tokio::select! {
-            _ = stop.recv() => break,
-            _ = reload.recv() => log::info!("signal to reload ignored: settings are read at the start"),
-        }
+    tokio::select! {
+        _ = stop.recv() => {}
+        () = ignore_reloads(reload) => {}
     }
     drain(&gateway, settings.node.bounds.grace.into()).await;
     Ok(())
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -154,18 +154,11 @@
             }
             Sent::Unsent(fault) => {
                 self.ran = before;
-                self.note(&held, &fault);
-                held.ended = Ended::Failed;
-                Next::Again
+                self.failed(&mut held, &fault, false)
             }
             Sent::Lost { fault, broke } => {
                 self.sends += 1;
-                self.note(&held, &fault);
-                if broke {
-                    suspects::crashed(self.gateway, &held.grant.instance);
-                }
-                held.ended = Ended::Failed;
-                Next::Again
+                self.failed(&mut held, &fault, broke)
             }
         }
     }
@@ -188,14 +181,7 @@
                 Next::Over(relay.writer().keeps())
             }
             Part::CallerGone => Next::Over(false),
-            Part::Broken { fault, broke } => {
-                self.note(&held, &fault);
-                if broke {
-                    suspects::crashed(self.gateway, &held.grant.instance);
-                }
-                held.ended = Ended::Failed;
-                Next::Again
-            }
+            Part::Broken { fault, broke } => self.failed(&mut held, &fault, broke),
         }
     }
 
@@ -209,11 +195,7 @@
     ) -> Next {
         let body = match attempt::body(self.gateway, *upstream).await {
             Ok(body) => body,
-            Err(error) => {
-                self.note(&held, &error.to_string());
-                held.ended = Ended::Failed;
-                return Next::Again;
-            }
+            Err(error) => return self.failed(&mut held, &error.to_string(), false),
         };
         held.ended = Ended::Answered;
         drop(held);
@@ -293,6 +275,16 @@
         }
     }
 
+    /// Takes note that the endpoint gave no sound answer, and crashed if the connection `broke`.
+    fn failed(&self, held: &mut Held<D>, fault: &str, broke: bool) -> Next {
+        self.note(held, fault);
+        if broke {
+            suspects::crashed(self.gateway, &held.grant.instance);
+        }
+        held.ended = Ended::Failed;
+        Next::Again
+    }
+
     fn note(&self, held: &Held<D>, fault: &str) {
         let id = self.request.text(self.gateway.node.dialect.names().attempt).unwrap_or("");
         let instance = held.grant.instance.to_string();
--- a/crates/sequoiahold/src/loader/engine.rs
+++ b/crates/sequoiahold/src/loader/engine.rs
@@ -1,6 +1,6 @@
 //! Calls to the engine on the same VM.
 
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use actix_http::{Method, ServiceConfig, StatusCode, header::HeaderMap};
 use actix_rt::time::timeout;
@@ -11,7 +11,7 @@
     ids::ModelId,
 };
 
-use crate::h1::{Upstream, connect};
+use crate::h1::{Pool, PoolLimits};
 
 /// Time that a call may take; both ends are on one VM.
 const TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -33,14 +33,14 @@
 pub(super) struct Engine<D> {
     dialect: D,
     addr: SocketAddr,
-    config: ServiceConfig,
-    kept: RefCell<Option<Upstream>>,
+    pool: Pool,
 }
 
 impl<D: Dialect> Engine<D> {
     /// Returns the engine at an address.
     pub(super) fn new(dialect: D, addr: SocketAddr, config: ServiceConfig) -> Self {
-        Self { dialect, addr, config, kept: RefCell::default() }
+        let pool = Pool::new(config, PoolLimits { connect: TIMEOUT, idle: 1 });
+        Self { dialect, addr, pool }
     }
 
     /// Asks the engine what it holds and does.
@@ -99,21 +99,14 @@
         path: &str,
         body: Bytes,
     ) -> anyhow::Result<(StatusCode, Bytes)> {
-        let kept = self.kept.take().and_then(|mut kept| kept.is_idle().then_some(kept));
-        let mut upstream = match kept {
-            Some(upstream) => upstream,
-            None => {
-                let stream = connect(self.addr, TIMEOUT).await?;
-                Upstream::new(stream, self.addr, self.config.clone())
-            }
-        };
+        let mut upstream = self.pool.get(self.addr, Duration::MAX).await?;
         let mut headers = HeaderMap::new();
         if !body.is_empty() {
             let json = actix_http::header::HeaderValue::from_static("application/json");
             headers.insert(actix_http::header::CONTENT_TYPE, json);
         }
         let answer = upstream.call(method, path, headers, &body, MAX_ANSWER).await?;
-        self.kept.replace(Some(upstream));
+        self.pool.put(upstream);
         Ok(answer)
     }
 }
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -15,13 +15,13 @@
     units::ByteRate,
 };
 use tokio::{
-    signal::unix::{Signal, SignalKind, signal},
+    signal::unix::{SignalKind, signal},
     sync::mpsc,
 };
 
 use self::{engine::Engine, goal::Goal, shelf::Shelf};
 use crate::{
-    node::{Datagram, HoldsNote, Node},
+    node::{Datagram, HoldsNote, Node, ignore_reloads},
     settings,
 };
 
@@ -66,20 +66,13 @@
     tokio::select! {
         () = follow(&loader) => {}
         () = hear(inbox, offers) => {}
-        () = ignore(reload) => {}
+        () = ignore_reloads(reload) => {}
         _ = stop.recv() => {}
     }
     log::info!("stopped");
     Ok(())
 }
 
-/// Takes signals to reload, which would otherwise end the process; settings are read at the start.
-async fn ignore(mut reload: Signal) {
-    while reload.recv().await.is_some() {
-        log::info!("signal to reload ignored: settings are read at the start");
-    }
-}
-
 /// Keeps the offers of other loaders; a transfer takes them within milliseconds, or nobody does.
 async fn hear(mut inbox: mpsc::UnboundedReceiver<Datagram>, offers: Offers) {
     while let Some(datagram) = inbox.recv().await {
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -26,7 +26,10 @@
     units::{ByteRate, Bytes},
     weights::Pacer,
 };
-use tokio::sync::{mpsc, watch as signal};
+use tokio::{
+    signal::unix::Signal,
+    sync::{mpsc, watch as signal},
+};
 
 pub(crate) use self::peers::{CHUNKS, CallError, get};
 pub use self::{
@@ -218,3 +221,10 @@
         }
     }
 }
+
+/// Takes signals to reload, which would otherwise end the process; settings are read at the start.
+pub(crate) async fn ignore_reloads(mut reload: Signal) {
+    while reload.recv().await.is_some() {
+        log::info!("signal to reload ignored: settings are read at the start");
+    }
+}
