Membership by probes and rumours, whose cost does not grow with the fleet

Cause: heartbeats gossiped through eight random members a message are too old above some dozens of processes. In virtual time without loss, 14 s after the start, a process holds 61 to 90 of 90 others live at 91 processes (12 watchers where 10 are wanted) and 86 to 264 of 304 at 305 (22 watchers): all that is divided among live members (watchers, primaries, owners of chunks) differs from process to process. Change: SWIM. Each round probes two members and asks others to relay a probe without an answer; what answers neither is suspected and refutes that with a higher heartbeat. Messages carry recent changes and the number of live members; who knows fewer or more is told the difference. A paused process drops its open probes.

--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -1,13 +1,19 @@
-//! Gossip membership of gateways and loaders, based on heartbeat counters.
+//! Membership of gateways and loaders by probes and rumours, after SWIM.
+//!
+//! Load pattern: hundreds of processes, of which many start, stop or are cut off at once. The cost
+//! of each process does not grow with the fleet: a round probes [`PROBES`] members, and messages
+//! carry recent changes only. A member that answers neither a probe nor one relayed by others is
+//! suspected; it refutes the suspicion by raising its heartbeat counter (Das, Gupta, Motivala:
+//! SWIM, DSN 2002).
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::{IpAddr, SocketAddr},
 };
 
 use rand::{
     Rng,
-    seq::{IndexedRandom as _, IteratorRandom as _},
+    seq::{IndexedRandom as _, IteratorRandom as _, SliceRandom as _},
 };
 use serde::{Deserialize, Serialize};
 
@@ -19,21 +25,37 @@
 };
 
 /// Interval between gossip rounds.
-const GOSSIP_INTERVAL: Span = Span::millis(400);
+const ROUND_INTERVAL: Span = Span::millis(400);
 /// Interval between gossip rounds while members are joining.
-const JOIN_GOSSIP_INTERVAL: Span = Span::millis(200);
-/// Number of live members that each round sends to.
-const GOSSIP_FANOUT: usize = 3;
-/// Maximum number of members in one message.
-const MAX_MEMBERS: usize = 8;
-/// Maximum number of members in one message while members are joining; fits into one datagram.
-const JOIN_MAX_MEMBERS: usize = 16;
+const JOIN_ROUND_INTERVAL: Span = Span::millis(200);
+/// Number of members that each round probes.
+const PROBES: usize = 2;
+/// Number of members asked to relay a probe that was not answered.
+const RELAYS: usize = 3;
+/// Time after a probe at which it is repeated through other members.
+const PROBE_TIMEOUT: Span = Span::millis(350);
+/// Time after a probe at which a member without an answer is suspected; includes that of the
+/// relayed ones.
+const SUSPICION_TIMEOUT: Span = Span::millis(1_150);
+/// Time between two rounds after which this process counts as paused, and its probes as not sent.
+const PAUSE_TIMEOUT: Span = Span::millis(1_000);
+/// Maximum number of recent changes in one message.
+const MAX_CHANGES: usize = 16;
+/// Number of other members in one message.
+const MAX_SAMPLES: usize = 2;
+/// Maximum number of recent changes in one message while members are joining.
+const JOIN_MAX_CHANGES: usize = 4;
+/// Number of members in one message while members are joining; fits into one datagram.
+const JOIN_MAX_MEMBERS: usize = 20;
+/// Times that a suspicion or its refutation is sent, for each doubling of the number of members.
+const SENDS_PER_DOUBLING: u32 = 4;
+/// Times that a new member is sent as a change; those that miss it find that they know fewer live
+/// members than others, and ask for them.
+const NEW_MEMBER_SENDS: u32 = 4;
 /// Time after the last new member during which members count as joining.
 const JOIN_PERIOD: Span = Span::secs(3);
-/// Time without a new heartbeat after which a member is no longer live.
-const SILENCE_TIMEOUT: Span = Span::millis(3_200);
-/// Time without a new heartbeat after which a member is removed; until then it may be alive behind
-/// a network partition.
+/// Time after the start of a suspicion at which a member is removed; until then it may be alive
+/// behind a network partition.
 const REMOVAL_TIMEOUT: Span = Span::secs(60);
 
 /// Time without a new member after which membership counts as settled, as one round reaches most
@@ -68,31 +90,63 @@
     pub addr: SocketAddr,
     /// Its incarnation, derived from its start time.
     pub incarnation: Incarnation,
-    /// Its heartbeat counter, which rises with each gossip round.
+    /// Its heartbeat counter, which rises when it refutes a suspicion or its state changes.
     #[serde(rename = "beat")]
     pub heartbeat: u64,
+    /// Whether it is suspected to have failed.
+    pub suspected: bool,
     /// Whether the platform answers its reads, as far as it knows.
     #[serde(rename = "reads")]
     pub platform_reachable: bool,
 }
 
+/// A probe that is relayed by a third process, as the path between two may be harmed.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Relay {
+    /// The recipient probes the process at this address for the sender.
+    To(SocketAddr),
+    /// The answer to this probe is passed on to the process at this address.
+    For(SocketAddr),
+}
+
 /// A gossip message.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Gossip {
     /// The sender.
     pub from: Member,
-    /// A random selection of the live members known to the sender.
+    /// Recent changes, and a random selection of the live members known to the sender.
     pub members: Vec<Member>,
+    /// The number of live members known to the sender, including itself.
+    pub live: u32,
     /// The revision of the published state that the sender holds.
     pub at: Revision,
     /// Whether the sender requests a reply.
     pub ask: bool,
+    /// Set where the probe is relayed.
+    pub relay: Option<Relay>,
+}
+
+/// A message and its recipients.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Envelope {
+    /// The message.
+    pub gossip: Gossip,
+    /// The addresses of the recipients.
+    pub recipients: Vec<SocketAddr>,
 }
 
 #[derive(Clone, Debug)]
 struct PeerState {
     member: Member,
-    last_heard: Time,
+    suspected_at: Option<Time>,
+    probe: Option<Probe>,
+    sends_left: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Probe {
+    sent: Time,
+    relayed: bool,
 }
 
 /// The members known to one process.
@@ -101,15 +155,29 @@
     own: Member,
     seeds: Vec<SocketAddr>,
     peers: BTreeMap<VmId, PeerState>,
+    probe_order: Vec<VmId>,
+    sample_order: Vec<VmId>,
+    changes: VecDeque<VmId>,
     joined: bool,
     last_join: Time,
+    last_round: Time,
 }
 
 impl Membership {
     /// Returns a membership that knows only its own process and the seed addresses.
     pub fn new(own: Member, seeds: impl IntoIterator<Item = SocketAddr>) -> Self {
         let seeds = seeds.into_iter().filter(|seed| *seed != own.addr).collect();
-        Self { own, seeds, peers: BTreeMap::new(), joined: false, last_join: Time::default() }
+        Self {
+            own,
+            seeds,
+            peers: BTreeMap::new(),
+            probe_order: vec![],
+            sample_order: vec![],
+            changes: VecDeque::new(),
+            joined: false,
+            last_join: Time::default(),
+            last_round: Time::default(),
+        }
     }
 
     /// Returns the member of this process.
@@ -127,15 +195,14 @@
         now >= SETTLE_DEADLINE || self.joined && now >= self.last_join + SETTLE_TIME
     }
 
-    /// Returns the members whose heartbeats are current, without this process.
-    pub fn live(&self, now: Time) -> impl Iterator<Item = &Member> {
-        let live = move |peer: &&PeerState| peer.last_heard + SILENCE_TIMEOUT > now;
-        self.peers.values().filter(live).map(|peer| &peer.member)
+    /// Returns the members that are not suspected to have failed, without this process.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        self.peers.values().map(|peer| &peer.member).filter(|member| !member.suspected)
     }
 
     /// Returns the live members of a role, without this process.
-    pub fn live_with_role(&self, now: Time, role: Role) -> impl Iterator<Item = &Member> {
-        self.live(now).filter(move |member| member.role == role)
+    pub fn live_with_role(&self, role: Role) -> impl Iterator<Item = &Member> {
+        self.live().filter(move |member| member.role == role)
     }
 
     /// Returns the number of known processes of a role, including this one and silent ones.
@@ -146,112 +213,310 @@
 
     /// Sets whether the platform answers the reads of this process.
     pub fn set_platform_reachable(&mut self, reachable: bool) {
-        self.own.platform_reachable = reachable;
+        if self.own.platform_reachable != reachable {
+            self.own.platform_reachable = reachable;
+            self.own.heartbeat += 1;
+        }
     }
 
     /// Returns whether this process watches the platform for its zone.
     ///
     /// Watchers are the first live processes in the order of role and VM, gateways before loaders.
     /// Other processes that cannot reach the platform are skipped.
-    pub fn is_watcher(&self, now: Time) -> bool {
+    pub fn is_watcher(&self) -> bool {
         let own = (self.own.role, &self.own.vm);
-        let local = self
-            .live(now)
-            .filter(|member| member.zone == self.own.zone && member.platform_reachable);
+        let local =
+            self.live().filter(|member| member.zone == self.own.zone && member.platform_reachable);
         local.filter(|member| (member.role, &member.vm) < own).count() < WATCHERS_PER_ZONE
     }
 
     /// Returns the live members of the zone of this process.
-    pub fn live_in_zone(&self, now: Time) -> impl Iterator<Item = &Member> {
-        self.live(now).filter(|member| member.zone == self.own.zone)
+    pub fn live_in_zone(&self) -> impl Iterator<Item = &Member> {
+        self.live().filter(|member| member.zone == self.own.zone)
     }
 
     /// Returns the time until the next gossip round.
     pub fn round_interval(&self, now: Time) -> Span {
-        if self.has_recent_join(now) { JOIN_GOSSIP_INTERVAL } else { GOSSIP_INTERVAL }
+        if self.has_recent_join(now) { JOIN_ROUND_INTERVAL } else { ROUND_INTERVAL }
     }
 
     fn has_recent_join(&self, now: Time) -> bool {
         now < self.last_join + JOIN_PERIOD
     }
 
-    /// Starts a gossip round and returns its message and recipients.
-    pub fn start_round(
-        &mut self,
-        now: Time,
-        at: Revision,
-        rng: &mut impl Rng,
-    ) -> (Gossip, Vec<SocketAddr>) {
-        self.own.heartbeat += 1;
-        self.peers.retain(|_, peer| peer.last_heard + REMOVAL_TIMEOUT > now);
-        let live: Vec<&Member> = self.live(now).collect();
-        let mut targets: Vec<SocketAddr> =
-            live.choose_multiple(rng, GOSSIP_FANOUT).map(|member| member.addr).collect();
-        let silent = |peer: &&PeerState| peer.last_heard + SILENCE_TIMEOUT <= now;
+    /// Starts a gossip round: judges earlier probes and returns the messages to send.
+    pub fn start_round(&mut self, now: Time, at: Revision, rng: &mut impl Rng) -> Vec<Envelope> {
+        if self.last_round + PAUSE_TIMEOUT < now {
+            self.peers.values_mut().for_each(|peer| peer.probe = None);
+        }
+        self.last_round = now;
+        let expired =
+            |peer: &PeerState| peer.suspected_at.is_some_and(|at| at + REMOVAL_TIMEOUT <= now);
+        self.peers.retain(|_, peer| !expired(peer));
+        self.suspect_silent(now);
+        let mut messages = self.relay_probes(now, at, rng);
+        let mut recipients = self.next_probes(now, rng);
+        let silent = |peer: &&PeerState| peer.member.suspected;
         if let Some(peer) = self.peers.values().filter(silent).choose(rng) {
-            targets.push(peer.member.addr);
+            recipients.push(peer.member.addr);
         }
-        if targets.len() < GOSSIP_FANOUT {
-            targets.extend(self.seeds.iter().filter(|seed| !self.knows_ip(seed.ip())));
+        if recipients.len() < PROBES {
+            recipients.extend(self.seeds.iter().filter(|seed| !self.knows_ip(seed.ip())));
         } else if let Some(seed) = self.seeds.choose(rng)
             && rng.random_ratio(1, 8)
         {
-            targets.push(*seed);
+            recipients.push(*seed);
         }
-        targets.sort();
-        targets.dedup();
-        let ask = !self.joined;
-        (self.build_message(now, at, ask, rng), targets)
+        recipients.sort();
+        recipients.dedup();
+        let joining = self.has_recent_join(now);
+        let gossip = Gossip { ask: true, ..self.build_message(joining, at, recipients.len(), rng) };
+        messages.push(Envelope { gossip, recipients });
+        messages
     }
 
-    /// Returns the reply to a message that requests one.
-    pub fn reply(&self, now: Time, at: Revision, rng: &mut impl Rng) -> Gossip {
-        self.build_message(now, at, false, rng)
+    /// Returns the reply to a message that requests one, or that contained a new member.
+    ///
+    /// It makes up for changes that the sender missed: a sender that knows fewer live members gets
+    /// more of them, one that knows more gets the suspected ones.
+    pub fn reply(
+        &mut self,
+        now: Time,
+        at: Revision,
+        request: &Gossip,
+        rng: &mut impl Rng,
+    ) -> Gossip {
+        let relay = request.relay.filter(|relay| request.ask && matches!(relay, Relay::For(_)));
+        let live = self.live_count();
+        let joining = request.live < live || request.live == live && self.has_recent_join(now);
+        let mut reply = Gossip { relay, ..self.build_message(joining, at, 1, rng) };
+        if request.live > live {
+            let suspected = self.peers.values().filter(|peer| peer.member.suspected);
+            let room = JOIN_MAX_MEMBERS.saturating_sub(reply.members.len());
+            let suspected = suspected.choose_multiple(rng, room).into_iter();
+            reply.members.extend(suspected.map(|peer| peer.member.clone()));
+        }
+        reply
     }
 
-    /// Merges a received message and returns whether it contained a new member.
+    /// Returns the messages by which this process relays a probe or the answer to one.
+    pub fn relay(&mut self, gossip: &Gossip, rng: &mut impl Rng) -> Option<Envelope> {
+        match gossip.relay? {
+            Relay::To(target) => {
+                let relay = Some(Relay::For(gossip.from.addr));
+                let message = self.build_message(false, gossip.at, 1, rng);
+                let gossip = Gossip { ask: true, relay, at: Revision(0), ..message };
+                Some(Envelope { gossip, recipients: vec![target] })
+            }
+            Relay::For(origin) if !gossip.ask && origin != self.own.addr => {
+                let gossip = Gossip { relay: None, ..gossip.clone() };
+                Some(Envelope { gossip, recipients: vec![origin] })
+            }
+            Relay::For(_) => None,
+        }
+    }
+
+    /// Merges a received message and returns whether the sender is owed a reply: it was unknown, it
+    /// named a new member, or it is suspected and can refute that.
     pub fn merge_gossip(&mut self, now: Time, gossip: &Gossip) -> bool {
         if gossip.from.vm == self.own.vm {
             return false;
         }
         self.joined = true;
-        let mut new = self.merge_member(now, &gossip.from, true);
+        if gossip.live > self.live_count() {
+            self.last_join = now;
+        }
+        let mut owed = self.merge_member(now, &gossip.from, true);
         for member in &gossip.members {
-            new |= self.merge_member(now, member, false);
+            owed |= self.merge_member(now, member, false);
         }
-        new
+        let max_sends = self.max_sends();
+        if let Some(peer) = self.peers.get_mut(&gossip.from.vm) {
+            peer.probe = None;
+            if peer.member.suspected {
+                announce(&mut self.changes, peer, max_sends);
+                owed = true;
+            }
+        }
+        owed
     }
 
     fn merge_member(&mut self, now: Time, member: &Member, direct: bool) -> bool {
         if member.vm == self.own.vm {
-            if member.incarnation > self.own.incarnation {
-                self.own.incarnation = member.incarnation.next();
-            }
+            self.refute(member);
             return false;
         }
+        let max_sends = self.max_sends();
+        let suspected_at = member.suspected.then_some(now);
         let Some(peer) = self.peers.get_mut(&member.vm) else {
-            self.peers
-                .insert(member.vm.clone(), PeerState { member: member.clone(), last_heard: now });
+            // A suspicion of an unknown member would bring back those that were removed.
+            if member.suspected {
+                return false;
+            }
+            let mut peer = PeerState::new(member.clone());
+            announce(&mut self.changes, &mut peer, NEW_MEMBER_SENDS);
+            self.peers.insert(member.vm.clone(), peer);
             self.last_join = now;
             return true;
         };
-        let order = |member: &Member| (member.incarnation, member.heartbeat);
+        let order = |member: &Member| (member.incarnation, member.heartbeat, member.suspected);
         let newer = order(member) > order(&peer.member);
         let restarted = direct && member.incarnation != peer.member.incarnation;
         if newer || restarted {
-            *peer = PeerState { member: member.clone(), last_heard: now };
+            if member.incarnation != peer.member.incarnation {
+                peer.probe = None;
+            }
+            peer.member = member.clone();
+            peer.suspected_at = suspected_at;
+            announce(&mut self.changes, peer, max_sends);
         }
         false
     }
 
+    /// Raises the own heartbeat above a suspicion, or the own incarnation above a later one.
+    fn refute(&mut self, member: &Member) {
+        if member.incarnation > self.own.incarnation {
+            self.own.incarnation = member.incarnation.next();
+        } else if member.suspected
+            && member.incarnation == self.own.incarnation
+            && member.heartbeat >= self.own.heartbeat
+        {
+            self.own.heartbeat = member.heartbeat + 1;
+        }
+    }
+
+    /// Suspects the members that answered neither a probe nor a relayed one.
+    fn suspect_silent(&mut self, now: Time) {
+        let max_sends = self.max_sends();
+        for peer in self.peers.values_mut() {
+            if peer.probe.is_some_and(|probe| probe.sent + SUSPICION_TIMEOUT <= now) {
+                peer.probe = None;
+                if !peer.member.suspected {
+                    peer.member.suspected = true;
+                    peer.suspected_at = Some(now);
+                    announce(&mut self.changes, peer, max_sends);
+                }
+            }
+        }
+    }
+
+    /// Returns the requests to relay the probes that were not answered in time.
+    fn relay_probes(&mut self, now: Time, at: Revision, rng: &mut impl Rng) -> Vec<Envelope> {
+        let mut overdue = vec![];
+        for peer in self.peers.values_mut().filter(|peer| !peer.member.suspected) {
+            if let Some(probe) = &mut peer.probe
+                && !probe.relayed
+                && probe.sent + PROBE_TIMEOUT <= now
+            {
+                probe.relayed = true;
+                overdue.push(peer.member.addr);
+            }
+        }
+        let mut messages = vec![];
+        for target in overdue {
+            let others = self.live().filter(|member| member.addr != target);
+            let relays: Vec<SocketAddr> =
+                others.map(|member| member.addr).choose_multiple(rng, RELAYS);
+            let message = self.build_message(false, at, 0, rng);
+            let gossip = Gossip { relay: Some(Relay::To(target)), ..message };
+            messages.push(Envelope { gossip, recipients: relays });
+        }
+        messages
+    }
+
+    /// Returns the addresses of the members to probe next, each once before any a second time.
+    fn next_probes(&mut self, now: Time, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let mut targets = vec![];
+        let mut refilled = false;
+        while targets.len() < PROBES {
+            let Some(vm) = self.probe_order.pop() else {
+                if std::mem::replace(&mut refilled, true) {
+                    break;
+                }
+                self.probe_order = self.live().map(|member| member.vm.clone()).collect();
+                self.probe_order.shuffle(rng);
+                continue;
+            };
+            let Some(peer) = self.peers.get_mut(&vm).filter(|peer| !peer.member.suspected) else {
+                continue;
+            };
+            if peer.probe.is_none() {
+                peer.probe = Some(Probe { sent: now, relayed: false });
+                targets.push(peer.member.addr);
+            }
+        }
+        targets
+    }
+
+    fn live_count(&self) -> u32 {
+        self.live().count() as u32 + 1
+    }
+
     fn knows_ip(&self, ip: IpAddr) -> bool {
         self.peers.values().any(|peer| peer.member.addr.ip() == ip)
     }
 
-    fn build_message(&self, now: Time, at: Revision, ask: bool, rng: &mut impl Rng) -> Gossip {
-        let max_members = if self.has_recent_join(now) { JOIN_MAX_MEMBERS } else { MAX_MEMBERS };
-        let chosen: Vec<&Member> = self.live(now).choose_multiple(rng, max_members);
-        let members = chosen.into_iter().cloned().collect();
-        Gossip { from: self.own.clone(), members, at, ask }
+    /// Returns how often a change is sent until all members have it with high probability.
+    fn max_sends(&self) -> u32 {
+        (self.peers.len() as u32 + 2).ilog2() * SENDS_PER_DOUBLING
+    }
+
+    fn build_message(
+        &mut self,
+        joining: bool,
+        at: Revision,
+        recipients: usize,
+        rng: &mut impl Rng,
+    ) -> Gossip {
+        let max_changes = if joining { JOIN_MAX_CHANGES } else { MAX_CHANGES };
+        let mut members = self.next_changes(max_changes, recipients as u32);
+        let samples = if joining { JOIN_MAX_MEMBERS - members.len() } else { MAX_SAMPLES };
+        self.sample(samples, rng, &mut members);
+        let live = self.live_count();
+        Gossip { from: self.own.clone(), members, live, at, ask: false, relay: None }
+    }
+
+    /// Returns the changes for the next message, the newest first.
+    fn next_changes(&mut self, max: usize, recipients: u32) -> Vec<Member> {
+        let mut members = vec![];
+        for _ in 0..self.changes.len().min(max) {
+            let Some(vm) = self.changes.pop_front() else { break };
+            let Some(peer) = self.peers.get_mut(&vm) else { continue };
+            members.push(peer.member.clone());
+            peer.sends_left = peer.sends_left.saturating_sub(recipients);
+            if peer.sends_left > 0 {
+                self.changes.push_back(vm);
+            }
+        }
+        members
+    }
+
+    /// Adds live members in random order, each once before any a second time.
+    fn sample(&mut self, count: usize, rng: &mut impl Rng, members: &mut Vec<Member>) {
+        if self.sample_order.len() < count {
+            self.sample_order = self.live().map(|member| member.vm.clone()).collect();
+            self.sample_order.shuffle(rng);
+        }
+        let sampled = self.sample_order.len().saturating_sub(count);
+        for vm in self.sample_order.drain(sampled..) {
+            let Some(peer) = self.peers.get(&vm) else { continue };
+            if !peer.member.suspected && members.iter().all(|member| member.vm != vm) {
+                members.push(peer.member.clone());
+            }
+        }
+    }
+}
+
+impl PeerState {
+    fn new(member: Member) -> Self {
+        Self { member, suspected_at: None, probe: None, sends_left: 0 }
+    }
+}
+
+/// Sends the state of a member as a change in the next messages.
+fn announce(changes: &mut VecDeque<VmId>, peer: &mut PeerState, sends: u32) {
+    if peer.sends_left == 0 {
+        changes.push_front(peer.member.vm.clone());
     }
+    peer.sends_left = sends;
 }
--- a/crates/core/tests/direct_mesh.rs
+++ b/crates/core/tests/direct_mesh.rs
@@ -7,7 +7,7 @@
     direct::{
         event_splitter::{EventSplitter, StreamError},
         load_schedule::load_start,
-        membership::{Gossip, Member, Membership, Role},
+        membership::{Envelope, Gossip, Member, Membership, Role},
         mirror::{Change, Mirror, Revision},
         retry_budget::{RetryBounds, RetryBudget},
     },
@@ -28,6 +28,7 @@
         addr: ([127, 0, 0, number], 7_700).into(),
         incarnation: Incarnation(incarnation),
         heartbeat: 0,
+        suspected: false,
         platform_reachable: true,
     }
 }
@@ -45,29 +46,43 @@
                 continue;
             }
             next[sender] = now + nodes[sender].round_interval(now);
-            let (message, to) = nodes[sender].start_round(now, Revision(0), rng);
-            for addr in to {
-                let Some(node) = nodes.iter_mut().find(|node| node.own().addr == addr) else {
-                    continue;
-                };
-                let new = node.merge_gossip(now, &message);
-                if new || message.ask {
-                    let answer = node.reply(now, Revision(0), rng);
-                    nodes[sender].merge_gossip(now, &answer);
+            for Envelope { gossip, recipients } in nodes[sender].start_round(now, Revision(0), rng)
+            {
+                for addr in recipients {
+                    let Some(node) = nodes.iter_mut().find(|node| node.own().addr == addr) else {
+                        continue;
+                    };
+                    let owed = node.merge_gossip(now, &gossip);
+                    if owed || gossip.ask {
+                        let answer = node.reply(now, Revision(0), &gossip, rng);
+                        nodes[sender].merge_gossip(now, &answer);
+                    }
                 }
             }
         }
     }
 }
 
+fn message(from: Member) -> Gossip {
+    Gossip { from, members: vec![], live: 2, at: Revision(0), ask: false, relay: None }
+}
+
+/// Runs rounds of a process that nobody answers from `start` until `end`.
+fn run_alone(node: &mut Membership, start: Time, end: Time, rng: &mut SmallRng) {
+    let mut now = start;
+    while now < end {
+        node.start_round(now, Revision(0), rng);
+        now = now + node.round_interval(now);
+    }
+}
+
 #[test]
 fn membership_is_unsettled_before_the_first_message() {
     let mut node = Membership::new(member(1, Role::Loader, 1), []);
     assert!(!node.is_settled(ms(1_400)), "no member has been seen");
     assert!(node.is_settled(ms(1_500)), "there may be no other member");
     let from = member(2, Role::Loader, 1);
-    let message = Gossip { from, members: vec![], at: Revision(0), ask: false };
-    node.merge_gossip(ms(400), &message);
+    node.merge_gossip(ms(400), &message(from));
     assert!(!node.is_settled(ms(600)), "more members may follow the first");
     assert!(node.is_settled(ms(700)));
 }
@@ -84,7 +99,7 @@
         let now = ms((step + 1) * 200);
         for (node, known) in nodes.iter().zip(&mut known) {
             if node.is_settled(now) && known.is_none() {
-                *known = Some(node.live(now).count());
+                *known = Some(node.live().count());
             }
         }
     }
@@ -107,46 +122,48 @@
 #[test]
 fn process_restarted_with_an_earlier_clock_is_live() {
     let mut node = Membership::new(member(1, Role::Gateway, 1), []);
-    let message = |incarnation, heartbeat| Gossip {
-        from: Member { heartbeat, ..member(2, Role::Gateway, incarnation) },
-        members: vec![],
-        at: Revision(0),
-        ask: false,
+    let mut rng = SmallRng::seed_from_u64(3);
+    let message = |incarnation, heartbeat| {
+        message(Member { heartbeat, ..member(2, Role::Gateway, incarnation) })
     };
     node.merge_gossip(ms(0), &message(900, 50));
+    run_alone(&mut node, ms(0), ms(4_000), &mut rng);
+    assert_eq!(node.live().count(), 0);
     node.merge_gossip(ms(4_000), &message(300, 1));
-    assert_eq!(node.live(ms(4_000)).count(), 1);
+    assert_eq!(node.live().count(), 1);
 }
 
 #[test]
 fn silent_members_count_for_shares_until_they_expire() {
     let mut rng = SmallRng::seed_from_u64(2);
     let mut node = Membership::new(member(1, Role::Gateway, 1), []);
-    let from = member(2, Role::Gateway, 1);
-    node.merge_gossip(ms(0), &Gossip { from, members: vec![], at: Revision(0), ask: false });
-    assert_eq!((node.live(ms(10_000)).count(), node.count_with_role(Role::Gateway)), (0, 2));
-    node.start_round(ms(70_000), Revision(0), &mut rng);
+    node.merge_gossip(ms(0), &message(member(2, Role::Gateway, 1)));
+    run_alone(&mut node, ms(0), ms(3_200), &mut rng);
+    assert_eq!((node.live().count(), node.count_with_role(Role::Gateway)), (0, 2));
+    run_alone(&mut node, ms(3_200), ms(10_000), &mut rng);
+    assert_eq!((node.live().count(), node.count_with_role(Role::Gateway)), (0, 2));
+    run_alone(&mut node, ms(10_000), ms(70_000), &mut rng);
     assert_eq!(node.count_with_role(Role::Gateway), 1);
 }
 
 #[test]
 fn two_processes_of_a_zone_watch_and_others_replace_them() {
-    let receive = |node: &mut Membership, now, from: Member| {
-        node.merge_gossip(now, &Gossip { from, members: vec![], at: Revision(0), ask: false });
-    };
+    let mut rng = SmallRng::seed_from_u64(4);
     let mut third = Membership::new(member(3, Role::Gateway, 1), []);
-    assert!(third.is_watcher(ms(0)));
-    receive(&mut third, ms(0), member(1, Role::Gateway, 1));
-    receive(&mut third, ms(0), member(2, Role::Gateway, 1));
-    assert!(!third.is_watcher(ms(100)));
+    assert!(third.is_watcher());
+    third.merge_gossip(ms(0), &message(member(1, Role::Gateway, 1)));
+    third.merge_gossip(ms(0), &message(member(2, Role::Gateway, 1)));
+    assert!(!third.is_watcher());
     let unreachable =
         Member { platform_reachable: false, heartbeat: 1, ..member(2, Role::Gateway, 1) };
-    receive(&mut third, ms(200), unreachable);
-    assert!(third.is_watcher(ms(200)));
+    third.merge_gossip(ms(200), &message(unreachable));
+    assert!(third.is_watcher());
     let mut loader = Membership::new(member(0, Role::Loader, 1), []);
-    receive(&mut loader, ms(0), member(1, Role::Gateway, 1));
-    receive(&mut loader, ms(0), member(2, Role::Gateway, 1));
-    assert!(!loader.is_watcher(ms(100)) && loader.is_watcher(ms(4_000)));
+    loader.merge_gossip(ms(0), &message(member(1, Role::Gateway, 1)));
+    loader.merge_gossip(ms(0), &message(member(2, Role::Gateway, 1)));
+    assert!(!loader.is_watcher());
+    run_alone(&mut loader, ms(0), ms(3_200), &mut rng);
+    assert!(loader.is_watcher());
 }
 
 fn change(key: &str, revision: u64, value: Option<&'static str>) -> Change {
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -164,8 +164,7 @@
     /// Updates which endpoints this gateway is primary for from the live gateways.
     fn assign_primaries(&self) {
         let membership = self.node.membership.borrow();
-        let members =
-            membership.live_with_role(self.node.now(), Role::Gateway).chain([membership.own()]);
+        let members = membership.live_with_role(Role::Gateway).chain([membership.own()]);
         let mut gateways: Vec<(VmId, ZoneId)> =
             members.map(|member| (member.vm.clone(), member.zone.clone())).collect();
         gateways.sort();
--- a/crates/sequoiahold/src/loader/sources.rs
+++ b/crates/sequoiahold/src/loader/sources.rs
@@ -112,7 +112,7 @@
 /// Returns the live loaders, without this one.
 pub(super) fn live_loaders<C: Codec>(loader: &Loader<C>) -> Vec<Member> {
     let membership = loader.node.membership.borrow();
-    membership.live_with_role(loader.node.now(), Role::Loader).cloned().collect()
+    membership.live_with_role(Role::Loader).cloned().collect()
 }
 
 /// Returns the rank of this loader for an item, 0 for the owner.
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -171,8 +171,7 @@
 
 fn zone_loaders<C: Codec>(loader: &Loader<C>) -> Vec<SocketAddr> {
     let membership = loader.node.membership.borrow();
-    let local =
-        membership.live_in_zone(loader.node.now()).filter(|member| member.role == Role::Loader);
+    let local = membership.live_in_zone().filter(|member| member.role == Role::Loader);
     local.map(|member| member.addr).collect()
 }
 
@@ -253,7 +252,7 @@
 
 fn loader_addr<C: Codec>(loader: &Loader<C>, vm: &VmId) -> Option<SocketAddr> {
     let membership = loader.node.membership.borrow();
-    let mut loaders = membership.live_with_role(loader.node.now(), Role::Loader);
+    let mut loaders = membership.live_with_role(Role::Loader);
     loaders.find(|member| member.vm == *vm).map(|member| member.addr)
 }
 
--- a/crates/sequoiahold/src/node/gossip.rs
+++ b/crates/sequoiahold/src/node/gossip.rs
@@ -5,7 +5,7 @@
 use anyhow::Context as _;
 use sequoiahold_core::{
     direct::{
-        membership::Gossip,
+        membership::{Envelope, Gossip},
         mirror::{Change, Revision, StateDelta},
         platform::Codec,
     },
@@ -60,12 +60,14 @@
 async fn run_rounds<C: Codec>(node: Rc<Node<C>>) {
     loop {
         let revision = node.mirror.borrow().revision();
-        let (gossip, recipients) = node.membership.borrow_mut().start_round(
+        let messages = node.membership.borrow_mut().start_round(
             node.now(),
             revision,
             &mut *node.rng.borrow_mut(),
         );
-        node.send(recipients, &Datagram::Gossip(gossip));
+        for Envelope { gossip, recipients } in messages {
+            node.send(recipients, &Datagram::Gossip(gossip));
+        }
         if node.view.borrow_mut().expire_endpoints(node.now()) {
             node.notify_subscribers();
         }
@@ -101,7 +103,7 @@
 fn on_gossip<C: Codec>(node: &Rc<Node<C>>, from: SocketAddr, gossip: Gossip) {
     let now = node.now();
     let was_joined = node.membership.borrow().is_joined();
-    let has_new_member = node.membership.borrow_mut().merge_gossip(now, &gossip);
+    let reply_owed = node.membership.borrow_mut().merge_gossip(now, &gossip);
     if !was_joined {
         // The platform publishes values without their times; only peers know when versions were
         // announced.
@@ -109,10 +111,14 @@
         actix_rt::spawn(async move { peers::pull_state(&node, peer).await });
     }
     let revision = node.mirror.borrow().revision();
-    if gossip.ask || has_new_member {
-        let reply = node.membership.borrow().reply(now, revision, &mut *node.rng.borrow_mut());
+    let rng = &mut *node.rng.borrow_mut();
+    if gossip.ask || reply_owed {
+        let reply = node.membership.borrow_mut().reply(now, revision, &gossip, rng);
         node.send([from], &Datagram::Gossip(reply));
     }
+    if let Some(relayed) = node.membership.borrow_mut().relay(&gossip, rng) {
+        node.send(relayed.recipients, &Datagram::Gossip(relayed.gossip));
+    }
     if gossip.at > revision {
         actix_rt::spawn(pull_if_behind(node.clone(), gossip.from.addr, gossip.at));
     }
@@ -125,7 +131,7 @@
         delta.changes.clear();
     }
     let membership = node.membership.borrow();
-    let zone_peers = membership.live_in_zone(node.now()).map(|member| member.addr);
+    let zone_peers = membership.live_in_zone().map(|member| member.addr);
     node.send(zone_peers, &Datagram::Changes(after, delta));
 }
 
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -97,6 +97,7 @@
             addr: settings.peers,
             incarnation: clock.incarnation(),
             heartbeat: 0,
+            suspected: false,
             platform_reachable: true,
         };
         let port = settings.peers.port();
@@ -170,7 +171,7 @@
     /// Returns the addresses of the live processes of a role, without this process.
     pub fn peer_addrs(&self, role: Role) -> Vec<SocketAddr> {
         let membership = self.membership.borrow();
-        membership.live_with_role(self.now(), role).map(|member| member.addr).collect()
+        membership.live_with_role(role).map(|member| member.addr).collect()
     }
 
     /// Applies changes that were new to the mirror to the view; `seen` is true if they happened
--- a/crates/sequoiahold/src/node/watch.rs
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -74,9 +74,7 @@
     let mut compacted = false;
     let mut upstream = None;
     loop {
-        if !node.membership.borrow().is_watcher(node.now())
-            && node.mirror.borrow().revision() > Revision(0)
-        {
+        if !node.membership.borrow().is_watcher() && node.mirror.borrow().revision() > Revision(0) {
             upstream = None;
             actix_rt::time::sleep(STANDBY_INTERVAL).await;
             continue;
