Cells of gateways and endpoints: loads told within a cell, totals outside, shares by cell

Assigning primaries 40 times a second cloned every name. Ruled out: exchange by zone only (100 gateways a zone at the size to design for); no exchange and Server-Load alone (not tried: it comes with the first event, so as late as the load it tells). Change: gateways of a zone form cells of up to 12 that own its endpoints. Own loads go to the cell at once if changed, guests' loads to the primary, totals of the cell to four others in turn. A cold endpoint's rate is shared 0.2 primary, 0.2 cell, 0.6 others, below one a second as a turn.

--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -2,11 +2,21 @@
 
 use std::collections::VecDeque;
 
-use super::view::Endpoint;
-use crate::{ids::RegionId, time::Time, units::Span};
+use super::{
+    cells::{Assignment, Relation},
+    load_exchange::LocalLoad,
+    view::Endpoint,
+};
+use crate::{
+    ids::{Digest, RegionId},
+    time::Time,
+    units::Span,
+};
 
 /// Window of the rate limit that protects cold endpoints.
 const SEND_WINDOW: Span = Span::secs(1);
+/// Maximum number of seconds of which one is open to a gateway with a low rate limit.
+const MAX_TURNS: f64 = 100.0;
 /// Consecutive failures after which an endpoint is put in backoff.
 const FAILURE_THRESHOLD: u32 = 2;
 /// Initial backoff of a failing endpoint; each further failure doubles it.
@@ -18,6 +28,9 @@
 /// Divisor of an endpoint's slots that gives the share reserved for its primary gateway: the others
 /// learn of its recent sends with a delay, and an excess request waits until a slot is free.
 const PRIMARY_SLOT_DIVISOR: u32 = 8;
+/// Divisor of an endpoint's slots that gives the share reserved for its cell: what others know of
+/// its load is older still.
+const CELL_SLOT_DIVISOR: u32 = 4;
 /// Age after which the load reported by peers is ignored.
 const PEER_LOAD_TTL: Span = Span::millis(1_500);
 
@@ -45,6 +58,30 @@
     pub prefill_ms: u32,
 }
 
+impl InFlightLoad {
+    /// Adds another load to this one.
+    pub fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.prefill_ms += other.prefill_ms;
+    }
+
+    /// Returns this load without another one, at least zero.
+    pub fn saturating_sub(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(other.requests),
+            prefill_ms: self.prefill_ms.saturating_sub(other.prefill_ms),
+        }
+    }
+
+    /// Returns the greater of both loads, by requests and by prefill time.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.max(other.requests),
+            prefill_ms: self.prefill_ms.max(other.prefill_ms),
+        }
+    }
+}
+
 /// An endpoint as seen by the scheduler.
 #[derive(Clone, Debug)]
 pub struct EndpointState {
@@ -54,8 +91,10 @@
     pub region: Option<RegionId>,
     /// Distance: 0 in the gateway's zone, 1 in its region, 2 elsewhere.
     pub distance: u32,
-    /// Whether this gateway may use the reserved slots and gets no score penalty.
-    pub primary: bool,
+    /// The hash of the instance id, which identifies the endpoint in load reports.
+    pub hash: u32,
+    /// Its primary and cell, and how this gateway is related to them.
+    pub assignment: Assignment,
     /// The load caused by this gateway.
     pub own_load: InFlightLoad,
     peer_load: InFlightLoad,
@@ -70,11 +109,14 @@
 impl EndpointState {
     /// Returns the state of an endpoint that has received no requests.
     pub fn new(endpoint: Endpoint, region: Option<RegionId>, distance: u32) -> Self {
+        let digest = Digest::of(endpoint.entry.instance.as_str().as_bytes());
+        let [a, b, c, d, ..] = digest.bytes();
         Self {
+            hash: u32::from_le_bytes([*a, *b, *c, *d]),
             endpoint,
             region,
             distance,
-            primary: false,
+            assignment: Assignment::default(),
             own_load: InFlightLoad::default(),
             peer_load: InFlightLoad::default(),
             peer_updated: Time::default(),
@@ -119,11 +161,21 @@
     }
 
     /// Returns whether one more request stays within `limit` requests per second.
-    pub fn allows_send(&mut self, now: Time, limit: usize) -> bool {
+    ///
+    /// A limit below one allows a single request in one of several seconds. Which one depends on
+    /// `salt`, which differs between gateways, so that not all of them send in the same second.
+    pub fn allows_send(&mut self, now: Time, limit: f64, salt: u32) -> bool {
+        if limit <= 0.0 {
+            return false;
+        }
+        let turns = (1.0 / limit).ceil().clamp(1.0, MAX_TURNS) as u64;
+        if turns > 1 && (now.0 / SEND_WINDOW.0 + u64::from(salt ^ self.hash)) % turns != 0 {
+            return false;
+        }
         while self.recent_sends.front().is_some_and(|at| *at + SEND_WINDOW < now) {
             self.recent_sends.pop_front();
         }
-        self.recent_sends.len() < limit
+        (self.recent_sends.len() as f64) < limit.max(1.0).floor()
     }
 
     /// Returns the load caused by all gateways, as far as known here.
@@ -133,16 +185,30 @@
         } else {
             InFlightLoad::default()
         };
-        InFlightLoad {
-            requests: self.own_load.requests + peer_load.requests,
-            prefill_ms: self.own_load.prefill_ms + peer_load.prefill_ms,
+        let mut load = self.own_load;
+        load.add(peer_load);
+        load
+    }
+
+    /// Returns the endpoint as the exchange of loads sees it.
+    pub fn local_load(&self) -> LocalLoad<'_> {
+        LocalLoad {
+            instance: self.hash,
+            relation: self.assignment.relation,
+            primary: self.assignment.primary.as_deref(),
+            own: self.own_load,
         }
     }
 
     /// Returns the number of slots that this gateway may fill where `gateways` send requests.
     pub fn capacity(&self, gateways: usize) -> u32 {
         let slots = self.endpoint.entry.slots.max(1);
-        let reserved = if self.primary || gateways <= 1 { 0 } else { slots / PRIMARY_SLOT_DIVISOR };
+        let reserved = match self.assignment.relation {
+            _ if gateways <= 1 => 0,
+            Relation::Primary => 0,
+            Relation::Cell | Relation::Shared => slots / PRIMARY_SLOT_DIVISOR,
+            Relation::Outside => slots / CELL_SLOT_DIVISOR,
+        };
         slots - reserved
     }
 
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -1,9 +1,11 @@
 //! Decision logic of gateways, which send requests directly to endpoints, and of weight loaders.
 
 pub mod catalog;
+pub mod cells;
 pub mod endpoint_state;
 pub mod engine_model;
 pub mod event_splitter;
+pub mod load_exchange;
 pub mod load_schedule;
 pub mod membership;
 pub mod mirror;
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -5,9 +5,10 @@
 use rand::Rng;
 
 use super::{
+    cells::{Assignment, Relation},
     endpoint_state::{EndpointState, InFlightLoad},
     engine_model,
-    scheduler::{PlacementRequest, ServiceSpec},
+    scheduler::{PlacementRequest, SchedulerConfig, ServiceSpec},
 };
 use crate::{ids::RegionId, time::Time, units::Span};
 
@@ -16,6 +17,17 @@
 /// Score penalty for an endpoint whose primary is another gateway, in ms: the requests that the
 /// primary sent most recently are not known here yet.
 const SECONDARY_PENALTY_MS: u32 = 40;
+/// Score penalty for an endpoint of another cell, in ms: its load is known with a longer delay.
+const OUTSIDE_PENALTY_MS: u32 = 45;
+/// Number of endpoints of other cells among which a request is placed. Few, picked at random for
+/// each request, so that gateways which know the same old loads do not all pick the same endpoint.
+const OUTSIDE_SAMPLES: usize = 12;
+/// Fraction of the rate limit of a cold endpoint that is used; the rest covers requests that arrive
+/// late.
+const COLD_RATE_FRACTION: f64 = 0.9;
+/// Shares of that rate for the primary, the rest of its cell, and all other gateways. The latter
+/// carry the whole load of a zone whose own endpoints are gone.
+const COLD_RATE_SHARES: [f64; 3] = [0.2, 0.2, 0.6];
 /// Delay that each request in progress adds to a new one, in ms.
 const REQUEST_PENALTY_MS: u32 = 2;
 /// Assumed duration of a request to a service that declares no engine, in ms.
@@ -62,7 +74,11 @@
 /// not being its primary. Ties are broken at random.
 pub(super) fn score(state: &EndpointState, now: Time, rng: &mut impl Rng) -> u64 {
     let load = state.total_load(now);
-    let secondary = if state.primary { 0 } else { SECONDARY_PENALTY_MS };
+    let secondary = match state.assignment.relation {
+        Relation::Primary | Relation::Shared => 0,
+        Relation::Cell => SECONDARY_PENALTY_MS,
+        Relation::Outside => OUTSIDE_PENALTY_MS,
+    };
     let work = load.prefill_ms
         + load.requests * REQUEST_PENALTY_MS
         + state.distance * DISTANCE_PENALTY_MS
@@ -70,6 +86,48 @@
     (u64::from(work) << 16) | u64::from(rng.random::<u16>())
 }
 
+/// Returns the requests per second that this gateway may send to an endpoint.
+///
+/// All gateways together then stay within the rate of a cold endpoint. The limit is permanent, as a
+/// gateway may not know that an endpoint is cold.
+pub(super) fn max_send_rate(
+    config: &SchedulerConfig,
+    spec: &ServiceSpec,
+    assignment: &Assignment,
+    gateways: usize,
+) -> f64 {
+    let Some(rate) = spec.cold_rate else { return f64::MAX };
+    let all = (rate * config.cold_factor + config.cold_extra) * COLD_RATE_FRACTION;
+    let cell = assignment.cell_gateways;
+    let outsiders = gateways.saturating_sub(cell);
+    let [primary, mates, others] = match (cell, outsiders) {
+        (0 | 1, 0) => [1.0, 0.0, 0.0],
+        (_, 0) => [0.5, 0.5, 0.0],
+        (0 | 1, _) => [0.5, 0.0, 0.5],
+        _ => COLD_RATE_SHARES,
+    };
+    match assignment.relation {
+        Relation::Shared => (all / gateways as f64).max(1.0),
+        Relation::Primary => all * primary,
+        Relation::Cell => all * mates / (cell - 1) as f64,
+        Relation::Outside => all * others / outsiders.max(1) as f64,
+    }
+}
+
+/// Returns whether a request may be placed at an endpoint, which is sampled if it is one of
+/// `outside` endpoints of other cells; a rate limit below one a second selects few of them anyway.
+pub(super) fn is_sampled(
+    state: &EndpointState,
+    send_limit: f64,
+    outside: usize,
+    rng: &mut impl Rng,
+) -> bool {
+    let outside = outside.max(1) as u32;
+    state.assignment.relation != Relation::Outside
+        || send_limit < 1.0
+        || rng.random_ratio((OUTSIDE_SAMPLES as u32).min(outside), outside)
+}
+
 /// Returns the estimated prefill time of a prompt in ms, a fixed value where the service declares
 /// no engine.
 pub(super) fn prefill_ms(spec: &ServiceSpec, prompt: u32) -> u32 {
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -10,16 +10,18 @@
 
 use super::{
     catalog::{Catalog, EngineSpec},
+    cells::{Cells, Relation},
     endpoint_state::{AttemptOutcome, EndpointState, InFlightLoad},
+    load_exchange::LocalLoad,
     placement::{
-        can_serve, first_event_ms, max_retry_delay, meets_objective, prefill_ms, queue_deadline,
-        retry_delay, score,
+        can_serve, first_event_ms, is_sampled, max_retry_delay, max_send_rate, meets_objective,
+        prefill_ms, queue_deadline, retry_delay, score,
     },
     view::{TargetVersions, View},
     wait_queue::{QueueEntry, TicketKey, WaitQueue},
 };
 use crate::{
-    ids::{ClientId, InstanceId, ModelId, RegionId, ServiceId, VmId, ZoneId},
+    ids::{ClientId, InstanceId, ModelId, RegionId, ServiceId, ZoneId},
     refusal::{Reason, Refusal},
     time::Time,
     units::Span,
@@ -28,9 +30,6 @@
 /// Fraction of the rollout time after which no older version is requested. Of 8 s, the rest covers
 /// the 1.1 s that a request took to start over a slow link.
 const ROLLOUT_FRACTION: f64 = 0.82;
-/// Fraction of the rate limit of a cold endpoint that is used; the rest covers requests that arrive
-/// late.
-const COLD_RATE_FRACTION: f64 = 0.9;
 /// Window over which completions are counted to estimate the queueing time.
 const COMPLETION_WINDOW: Span = Span::secs(2);
 
@@ -128,6 +127,8 @@
     specs: BTreeMap<ServiceId, Rc<ServiceSpec>>,
     targets: BTreeMap<ModelId, TargetVersions>,
     gateways: usize,
+    outside: BTreeMap<ServiceId, usize>,
+    salt: u32,
 }
 
 /// The published properties of a service that placement depends on.
@@ -148,6 +149,8 @@
             specs: BTreeMap::new(),
             targets: BTreeMap::new(),
             gateways: 1,
+            outside: BTreeMap::new(),
+            salt: 0,
         }
     }
 
@@ -161,6 +164,11 @@
         self.endpoints.iter()
     }
 
+    /// Returns the endpoints as the exchange of loads sees them.
+    pub fn local_loads(&self) -> impl Iterator<Item = (EndpointKey, LocalLoad<'_>)> {
+        self.endpoints.iter().map(|(key, state)| (key, state.local_load()))
+    }
+
     /// Returns the number of queued requests of all services.
     pub fn queued_requests(&self) -> usize {
         self.queues.values().map(|queue| queue.waiting.len()).sum()
@@ -202,30 +210,34 @@
         }
     }
 
-    /// Sets which endpoints this gateway is primary for.
-    ///
-    /// The endpoints of each zone are assigned round-robin to the gateways of the zone; where there
-    /// are none, every gateway is primary.
-    pub fn assign_primaries(&mut self, own: &VmId, gateways: &[(VmId, ZoneId)]) {
-        let mut zones: BTreeMap<&ZoneId, Vec<&VmId>> = BTreeMap::new();
-        for (vm, zone) in gateways {
-            zones.entry(zone).or_default().push(vm);
-        }
-        let mut assigned: BTreeMap<(ServiceId, ZoneId), usize> = BTreeMap::new();
-        for key in self.by_instance.values() {
-            let state = &mut self.endpoints[*key];
-            let entry = &state.endpoint.entry;
-            let local = zones.get(&entry.zone).map_or(&[][..], Vec::as_slice);
-            let index = assigned.entry((entry.service.clone(), entry.zone.clone())).or_default();
-            state.primary = local.get(*index % local.len().max(1)).is_none_or(|vm| *vm == own);
-            *index += 1;
+    /// Assigns the endpoints to the cells of the gateways.
+    pub fn assign(&mut self, cells: &Cells) {
+        let keys: Vec<EndpointKey> = self.by_instance.values().copied().collect();
+        let entries = keys.iter().map(|key| &self.endpoints[*key].endpoint.entry);
+        let assignments = cells.assign(entries.map(|entry| (&entry.service, &entry.zone)));
+        for (key, assignment) in keys.into_iter().zip(assignments) {
+            self.endpoints[key].assignment = assignment;
         }
+        self.outside = self.outside_counts();
+        self.salt = cells.salt();
+    }
+
+    /// Returns the number of endpoints of each service that are outside the own cell.
+    fn outside_counts(&self) -> BTreeMap<ServiceId, usize> {
+        let outside = self
+            .endpoints
+            .values()
+            .filter(|state| state.assignment.relation == Relation::Outside)
+            .map(|state| state.endpoint.entry.service.clone());
+        let mut counts = BTreeMap::new();
+        outside.for_each(|service| *counts.entry(service).or_default() += 1);
+        counts
     }
 
     /// Sets the load that other gateways report at an endpoint.
-    pub fn set_peer_load(&mut self, now: Time, instance: &InstanceId, peer_load: InFlightLoad) {
-        if let Some(key) = self.by_instance.get(instance) {
-            self.endpoints[*key].set_peer_load(now, peer_load);
+    pub fn set_peer_load(&mut self, now: Time, key: EndpointKey, peer_load: InFlightLoad) {
+        if let Some(state) = self.endpoints.get_mut(key) {
+            state.set_peer_load(now, peer_load);
         }
     }
 
@@ -348,18 +360,22 @@
         rng: &mut impl Rng,
     ) -> Option<Grant> {
         let spec = self.specs.get(&request.service).cloned().unwrap_or_default();
-        let send_limit = self.max_send_rate(&spec);
+        let outside = self.outside.get(&request.service).copied().unwrap_or(0);
         let min_version = self.min_version(now, request);
         let prefill_ms = prefill_ms(&spec, request.tokens.0);
         let mut best: Option<(u64, EndpointKey, u32)> = None;
         for (key, state) in &mut self.endpoints {
+            let send_limit = max_send_rate(&self.config, &spec, &state.assignment, self.gateways);
+            if !is_sampled(state, send_limit, outside, rng) {
+                continue;
+            }
             let load = state.total_load(now);
             let first_ms = first_event_ms(&spec, load, prefill_ms);
             let has_room = meets_objective(now, request, load, prefill_ms, first_ms)
                 && load.requests < state.capacity(self.gateways);
             let usable = can_serve(state, request, min_version)
                 && state.is_available(now)
-                && state.allows_send(now, send_limit);
+                && state.allows_send(now, send_limit, self.salt);
             let tried = request.tried.contains(&key);
             if !has_room || !usable || tried || (request.healthy_only && !state.is_healthy()) {
                 continue;
@@ -407,16 +423,6 @@
         self.targets.get(request.model.as_ref()?)?.min_usable(now, last)
     }
 
-    /// Returns the requests per second that this gateway may send to one endpoint.
-    ///
-    /// All gateways together then stay within the rate of a cold endpoint. The limit is permanent,
-    /// as a gateway may not know that an endpoint is cold.
-    fn max_send_rate(&self, spec: &ServiceSpec) -> usize {
-        let Some(rate) = spec.cold_rate else { return usize::MAX };
-        let all = (rate * self.config.cold_factor + self.config.cold_extra) * COLD_RATE_FRACTION;
-        ((all / self.gateways as f64) as usize).max(1)
-    }
-
     /// Estimates the queueing time of a request from the rate of recent completions.
     fn estimate_wait(&mut self, now: Time, request: &PlacementRequest, late: bool) -> Span {
         let queue = self.queues.entry(request.service.clone()).or_default();
--- a/crates/core/tests/direct_desk.rs
+++ b/crates/core/tests/direct_desk.rs
@@ -9,6 +9,7 @@
         catalog::{
             Account, Catalog, EndpointEntry, EngineSpec, LoadedModel, RetryMode, Route, Service,
         },
+        cells::Cells,
         endpoint_state::{AttemptOutcome, InFlightLoad},
         platform::PublishedValue,
         scheduler::{Decision, Grant, PlacementRequest, Scheduler, SchedulerConfig},
@@ -154,6 +155,68 @@
     assert!(window_counts.max().expect("at least one window") <= 59);
 }
 
+#[rstest]
+#[case::small_site(8, 36.0)]
+#[case::grown_site(33, 36.0)]
+#[case::large_site(149, 14.0)]
+fn cold_endpoint_rate_limit_holds_across_cells(#[case] count: usize, #[case] rate: f64) {
+    let view = view_with(1, Some(rate));
+    let gateways: Vec<(VmId, ZoneId)> = (0..count)
+        .map(|number| (name(&format!("g-{number:03}")), name(&format!("z{}", number % 3))))
+        .collect();
+    let mut rng = SmallRng::seed_from_u64(9);
+    let mut sent: Vec<u64> = vec![];
+    for (index, (own, _)) in gateways.iter().enumerate() {
+        let mut scheduler = scheduler(&view);
+        scheduler.set_gateway_count(count);
+        scheduler.assign(&Cells::new(own, gateways.clone()));
+        // The clocks of processes start at different times.
+        for step in 0..4_000 {
+            let now = ms(step + index as u64 * 37);
+            if let Some(mut grant) = grant(scheduler.submit(now, request(now), &mut rng)) {
+                sent.push(step);
+                scheduler.release(now, &mut grant, AttemptOutcome::Answered);
+            }
+        }
+    }
+    sent.sort_unstable();
+    let window_counts =
+        (0..3_000).map(|from| sent.iter().filter(|at| (from..from + 1_000).contains(*at)).count());
+    let most = window_counts.max().expect("at least one window");
+    assert!(most as f64 <= rate * 1.5 + 5.0, "{most} requests in one second");
+}
+
+/// Load pattern: a zone of a large fleet is evacuated, and its gateways use other zones only.
+#[test]
+fn gateways_without_endpoints_in_their_zone_are_served_elsewhere() {
+    let mut view = View::default();
+    view.apply(ms(0), catalog(Some(14.0)), true);
+    for number in 0..125 {
+        view.apply(ms(0), listed(number, &format!("z{}", 2 + number % 4), 1), true);
+    }
+    let gateways: Vec<(VmId, ZoneId)> = (0..149)
+        .map(|number| (name(&format!("g-{number:03}")), name(&format!("z{}", 1 + number % 5))))
+        .collect();
+    let mut scheduler = scheduler(&view);
+    scheduler.set_gateway_count(gateways.len());
+    scheduler.assign(&Cells::new(&gateways[0].0, gateways.clone()));
+    let mut rng = SmallRng::seed_from_u64(10);
+    let mut placed = 0;
+    for step in 0..400 {
+        let now = ms(step * 50);
+        let mut grants: Vec<Grant> =
+            grant(scheduler.submit(now, request(now), &mut rng)).into_iter().collect();
+        let queued = scheduler.dispatch_queued(now, &mut rng).into_iter();
+        grants.extend(queued.filter_map(|(_, _, result)| result.ok()));
+        placed += grants.len();
+        for grant in &mut grants {
+            scheduler.release(now, grant, AttemptOutcome::Answered);
+        }
+    }
+    // Each gateway has 12 requests a second there; this one has 20.
+    assert!(placed >= 12 * 20, "{placed} of 400 requests in 20 s");
+}
+
 #[test]
 fn burst_is_spread_by_pending_prompt_time() {
     let view = view(4);
@@ -189,7 +252,7 @@
     let mut picked = vec![];
     for (own, _) in &gateways {
         let mut scheduler = scheduler(&view);
-        scheduler.assign_primaries(own, &gateways);
+        scheduler.assign(&Cells::new(own, gateways.clone()));
         let grants =
             (0..4).filter_map(|_| grant(scheduler.submit(ms(0), request(ms(0)), &mut rng)));
         picked.extend(grants.map(|grant| grant.instance));
@@ -224,7 +287,7 @@
     for (own, _) in &gateways {
         let mut scheduler = scheduler(&view);
         scheduler.set_gateway_count(gateways.len());
-        scheduler.assign_primaries(own, &gateways);
+        scheduler.assign(&Cells::new(own, gateways.clone()));
         let mut count = 0;
         while let Some(mut grant) = grant(scheduler.submit(ms(0), request(ms(0)), &mut rng)) {
             scheduler.finish_prefill(&mut grant);
@@ -242,7 +305,8 @@
     let mut scheduler = scheduler(&view);
     let mut rng = SmallRng::seed_from_u64(5);
     let busy = InFlightLoad { requests: 4, prefill_ms: 600 };
-    scheduler.set_peer_load(ms(0), &name("i-00"), busy);
+    let (key, _) = scheduler.endpoints().next().expect("one endpoint");
+    scheduler.set_peer_load(ms(0), key, busy);
     let Decision::Wait(ticket) = scheduler.submit(ms(0), request(ms(0)), &mut rng) else {
         panic!("the request is placed behind 600 ms of pending prompts")
     };
--- a/crates/sequoiahold/src/gateway/datagrams.rs
+++ b/crates/sequoiahold/src/gateway/datagrams.rs
@@ -1,35 +1,15 @@
-//! Exchange of load reports between gateways, and handling of the other datagrams from peers.
+//! Exchange of loads between gateways, and handling of the other datagrams from peers.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    rc::Rc,
-    time::Duration,
-};
+use std::{rc::Rc, time::Duration};
 
-use sequoiahold_core::{
-    direct::{endpoint_state::InFlightLoad, membership::Role, platform::Codec},
-    ids::{Digest, InstanceId, VmId},
-    time::Time,
-    units::Span,
-};
+use sequoiahold_core::direct::{load_exchange::LocalLoad, platform::Codec, scheduler::EndpointKey};
 use tokio::sync::mpsc;
 
 use super::state::Gateway;
-use crate::node::{Datagram, EndpointLoad, LoadReport};
+use crate::node::Datagram;
 
-/// Interval between two load reports.
-const SEND_INTERVAL: Duration = Duration::from_millis(70);
-/// Age at which a load report expires.
-const REPORT_TTL: Span = Span::millis(1_200);
-/// Maximum number of endpoints in a load report, so that it fits into one datagram.
-const MAX_ENDPOINTS: usize = 120;
-
-/// Load reports of the other gateways, and the hashes that identify endpoints in them.
-#[derive(Default)]
-struct PeerLoads {
-    reports: BTreeMap<VmId, (Time, Vec<EndpointLoad>)>,
-    hashes: HashMap<InstanceId, u32>,
-}
+/// Interval between two rounds of the exchange.
+const ROUND_INTERVAL: Duration = Duration::from_millis(70);
 
 /// Starts the task that exchanges load reports and handles the datagrams from peers.
 pub(super) fn start<C: Codec>(
@@ -38,13 +18,13 @@
 ) {
     let gateway = gateway.clone();
     actix_rt::spawn(async move {
-        let mut peer_loads = PeerLoads::default();
-        let mut send_timer = actix_rt::time::interval(SEND_INTERVAL);
+        let mut round_timer = actix_rt::time::interval(ROUND_INTERVAL);
         loop {
             tokio::select! {
                 datagram = inbox.recv() => match datagram {
-                    Some(Datagram::Load(report)) => {
-                        peer_loads.reports.insert(report.from, (gateway.node.now(), report.loads));
+                    Some(Datagram::Load(message)) => {
+                        let now = gateway.node.now();
+                        gateway.load_exchange.borrow_mut().receive(now, message);
                     }
                     Some(Datagram::Loading(note)) => {
                         let paused_until = gateway.node.now() + note.pause;
@@ -57,59 +37,26 @@
                     Some(_) => {}
                     None => return,
                 },
-                _ = send_timer.tick() => {
-                    send_loads(&gateway, &mut peer_loads);
-                    apply_loads(&gateway, &mut peer_loads);
-                }
+                _ = round_timer.tick() => exchange_loads(&gateway),
             }
         }
     });
 }
 
-/// Sends this gateway's load at each endpoint to the other gateways.
-fn send_loads<C: Codec>(gateway: &Gateway<C>, peer_loads: &mut PeerLoads) {
-    let scheduler = gateway.scheduler.borrow();
-    let loaded = scheduler.endpoints().filter(|(_, state)| state.own_load.requests > 0);
-    let loads: Vec<EndpointLoad> = loaded
-        .map(|(_, state)| EndpointLoad {
-            instance: peer_loads.hash(&state.endpoint.entry.instance),
-            count: state.own_load.requests.min(u32::from(u16::MAX)) as u16,
-            prefill_ms: state.own_load.prefill_ms,
-        })
-        .take(MAX_ENDPOINTS)
-        .collect();
-    let from = gateway.node.settings.vm.clone();
-    let datagram = Datagram::Load(LoadReport { from, loads });
-    gateway.node.send(gateway.node.peer_addrs(Role::Gateway), &datagram);
-}
-
-/// Sets the sum of the other gateways' loads at each endpoint in the scheduler.
-fn apply_loads<C: Codec>(gateway: &Gateway<C>, peer_loads: &mut PeerLoads) {
+/// Tells other gateways the loads known here, and applies those that they told.
+fn exchange_loads<C: Codec>(gateway: &Gateway<C>) {
     let now = gateway.node.now();
-    peer_loads.reports.retain(|_, (at, _)| *at + REPORT_TTL > now);
-    let mut totals: HashMap<u32, InFlightLoad> = HashMap::new();
-    for load in peer_loads.reports.values().flat_map(|(_, loads)| loads) {
-        let total = totals.entry(load.instance).or_default();
-        total.requests += u32::from(load.count);
-        total.prefill_ms += load.prefill_ms;
-    }
+    let mut exchange = gateway.load_exchange.borrow_mut();
+    let (keys, peer_loads) = {
+        let scheduler = gateway.scheduler.borrow();
+        let (keys, loads): (Vec<EndpointKey>, Vec<LocalLoad>) = scheduler.local_loads().unzip();
+        for (message, recipients) in exchange.start_round(now, &gateway.node.settings.vm, &loads) {
+            gateway.node.send(recipients, &Datagram::Load(message));
+        }
+        (keys, exchange.peer_loads(now, &loads))
+    };
     let mut scheduler = gateway.scheduler.borrow_mut();
-    let instances: Vec<InstanceId> =
-        scheduler.endpoints().map(|(_, state)| state.endpoint.entry.instance.clone()).collect();
-    peer_loads.hashes.retain(|instance, _| instances.contains(instance));
-    for instance in instances {
-        let peer_load = totals.get(&peer_loads.hash(&instance)).copied().unwrap_or_default();
-        scheduler.set_peer_load(now, &instance, peer_load);
-    }
-}
-
-impl PeerLoads {
-    fn hash(&mut self, instance: &InstanceId) -> u32 {
-        let compute_hash = || {
-            let digest = Digest::of(instance.as_str().as_bytes());
-            let bytes = digest.bytes();
-            u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
-        };
-        *self.hashes.entry(instance.clone()).or_insert_with(compute_hash)
+    for (key, peer_load) in keys.into_iter().zip(peer_loads) {
+        scheduler.set_peer_load(now, key, peer_load);
     }
 }
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -10,13 +10,15 @@
 use actix_http::ServiceConfig;
 use sequoiahold_core::{
     direct::{
+        cells::Cells,
+        load_exchange::LoadExchange,
         membership::Role,
         platform::Codec,
         retry_budget::{RetryBounds, RetryBudget},
         scheduler::{Grant, Scheduler, SchedulerConfig},
         wait_queue::TicketKey,
     },
-    ids::{ServiceId, VmId, ZoneId},
+    ids::ServiceId,
     refusal::Refusal,
     time::Time,
 };
@@ -32,8 +34,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Maximum number of idle connections kept to each endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 24;
-/// Interval at which the gateway count, the primaries and the queues are updated.
+/// Interval at which queued requests are dispatched.
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval at which the gateway count and the cells are updated.
+const ASSIGN_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after the start at which a gateway that found no other gateway becomes ready.
 const STANDALONE_READY_TIME: Time = Time(3_000_000);
 /// Number of gateways assumed while none is known.
@@ -52,6 +56,8 @@
     pub(super) pool: ConnectionPool,
     pub(super) metrics: Metrics,
     pub(super) suspects: RefCell<CrashSuspects>,
+    pub(super) load_exchange: RefCell<LoadExchange>,
+    cells: RefCell<Cells>,
     active_requests: Cell<usize>,
     open_connections: Cell<usize>,
     draining: Cell<bool>,
@@ -88,6 +94,8 @@
             pool,
             metrics: Metrics::default(),
             suspects: RefCell::default(),
+            load_exchange: RefCell::default(),
+            cells: RefCell::default(),
             active_requests: Cell::new(0),
             open_connections: Cell::new(0),
             draining: Cell::new(false),
@@ -161,14 +169,19 @@
         CountGuard { gateway: self.clone(), count: |gateway| &gateway.open_connections }
     }
 
-    /// Updates which endpoints this gateway is primary for from the live gateways.
-    fn assign_primaries(&self) {
+    /// Divides the live gateways into cells, and assigns the endpoints to them.
+    fn assign_cells(&self) {
         let membership = self.node.membership.borrow();
-        let members = membership.live_with_role(Role::Gateway).chain([membership.own()]);
-        let mut gateways: Vec<(VmId, ZoneId)> =
-            members.map(|member| (member.vm.clone(), member.zone.clone())).collect();
-        gateways.sort();
-        self.scheduler.borrow_mut().assign_primaries(&membership.own().vm, &gateways);
+        let own = membership.own();
+        let members = || membership.live_with_role(Role::Gateway).chain([own]);
+        let gateways = members().map(|member| (member.vm.clone(), member.zone.clone()));
+        let cells = Cells::new(&own.vm, gateways);
+        if *self.cells.borrow() != cells {
+            let addrs = members().map(|member| (member.vm.clone(), member.addr)).collect();
+            self.load_exchange.borrow_mut().set_gateways(&cells, addrs);
+            self.cells.replace(cells);
+        }
+        self.scheduler.borrow_mut().assign(&self.cells.borrow());
     }
 
     /// Dispatches queued requests to free slots and notifies their tasks.
@@ -204,12 +217,14 @@
 pub(super) fn start<C: Codec>(gateway: &Rc<Gateway<C>>) {
     actix_rt::spawn(follow_changes(gateway.clone()));
     actix_rt::spawn(poll_queue(gateway.clone()));
+    actix_rt::spawn(follow_members(gateway.clone()));
 }
 
 async fn follow_changes<C: Codec>(gateway: Rc<Gateway<C>>) {
     let mut changes = gateway.node.subscribe();
     while changes.changed().await.is_ok() {
         gateway.scheduler.borrow_mut().update(&gateway.node.view.borrow());
+        gateway.assign_cells();
         gateway.dispatch_queued();
     }
 }
@@ -217,11 +232,17 @@
 async fn poll_queue<C: Codec>(gateway: Rc<Gateway<C>>) {
     loop {
         actix_rt::time::sleep(QUEUE_POLL_INTERVAL).await;
-        let gateway_count = gateway.gateway_count();
-        gateway.scheduler.borrow_mut().set_gateway_count(gateway_count);
-        gateway.assign_primaries();
         if gateway.scheduler.borrow().queued_requests() > 0 {
             gateway.dispatch_queued();
         }
     }
 }
+
+async fn follow_members<C: Codec>(gateway: Rc<Gateway<C>>) {
+    loop {
+        let gateway_count = gateway.gateway_count();
+        gateway.scheduler.borrow_mut().set_gateway_count(gateway_count);
+        gateway.assign_cells();
+        actix_rt::time::sleep(ASSIGN_INTERVAL).await;
+    }
+}
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -2,6 +2,7 @@
 
 use sequoiahold_core::{
     direct::{
+        load_exchange::LoadMessage,
         membership::Gossip,
         mirror::{Revision, StateDelta},
     },
@@ -11,27 +12,6 @@
 };
 use serde::{Deserialize, Serialize};
 
-/// The load of one gateway at one endpoint.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct EndpointLoad {
-    /// The hash of the endpoint's instance id.
-    pub instance: u32,
-    /// The number of requests in flight.
-    pub count: u16,
-    /// The expected prefill time in ms, summed over the requests without a first event.
-    #[serde(rename = "reading")]
-    pub prefill_ms: u32,
-}
-
-/// The load of one gateway at its endpoints.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct LoadReport {
-    /// The VM of the gateway.
-    pub from: VmId,
-    /// The loads of the endpoints with requests in flight.
-    pub loads: Vec<EndpointLoad>,
-}
-
 /// Announces that an engine is loading and accepts no new requests.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadingNotice {
@@ -59,8 +39,8 @@
 pub enum Datagram {
     /// A gossip message of the membership protocol.
     Gossip(Gossip),
-    /// The load of a gateway at its endpoints.
-    Load(LoadReport),
+    /// Loads of gateways at endpoints.
+    Load(LoadMessage),
     /// The start, continuation or end of a load at an engine.
     Loading(LoadingNotice),
     /// An endpoint crashed with requests in flight.
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -33,7 +33,7 @@
 
 pub(crate) use self::peers::{CHUNKS_PREFIX, CallError, get_from_peer};
 pub use self::{
-    datagram::{ChunkOffer, Datagram, EndpointLoad, LoadReport, LoadingNotice},
+    datagram::{ChunkOffer, Datagram, LoadingNotice},
     peers::{NotFoundHandler, PeerHandler},
 };
 use crate::{
