--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -169,7 +169,8 @@
             return false;
         }
         let turns = (1.0 / limit).ceil().clamp(1.0, MAX_TURNS) as u64;
-        if turns > 1 && (now.0 / SEND_WINDOW.0 + u64::from(salt ^ self.hash)) % turns != 0 {
+        let turn = now.0 / SEND_WINDOW.0 + u64::from(salt ^ self.hash);
+        if !turn.is_multiple_of(turns) {
             return false;
         }
         while self.recent_sends.front().is_some_and(|at| *at + SEND_WINDOW < now) {
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -41,8 +41,9 @@
 /// Fraction of the time left until the objective that a request may be queued; the rest is for the
 /// first event.
 const QUEUE_FRACTION: f64 = 0.45;
-/// Fraction of the time left until the deadline that an already late request may be queued.
-const LATE_QUEUE_FRACTION: f64 = 0.25;
+/// Fraction of the time left until the deadline that an already late request may be queued: its
+/// caller has been refused before and does not return again.
+const LATE_QUEUE_FRACTION: f64 = 0.6;
 /// Minimum delay before a refused caller retries.
 const MIN_RETRY_DELAY: Span = Span::millis(700);
 /// Maximum delay before a refused caller retries.
