Who does not own a chunk leaves it to its owner while the origin refuses all

Ruled out: the pause after a refusal (150 ms), the choice of sources. Change: a loader that was refused counts owners as stalled or slow only after twice the patience, or after one patience from the first chunk that arrives.

--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -73,6 +73,8 @@
     origin_retry: Time,
     idle_since: Option<Time>,
     origin_failures: u32,
+    refused_at: Option<Time>,
+    resumed_at: Option<Time>,
     rng: SmallRng,
     state_machine: Machine<TransferState, TransferEvent>,
 }
@@ -121,6 +123,8 @@
             origin_retry: now,
             idle_since: Some(now),
             origin_failures: 0,
+            refused_at: None,
+            resumed_at: None,
             rng: SmallRng::seed_from_u64(seed),
             state_machine: Machine::new(std::sync::Arc::new(state_chart())),
         };
@@ -205,8 +209,7 @@
         for chunk in new.iter() {
             self.holder_counts[chunk] += 1;
             if self.holder_counts[chunk] == 1 && self.missing.contains(chunk) {
-                self.last_progress = now;
-                self.state_machine.apply(TransferEvent::Progress);
+                self.record_progress(now);
             }
         }
     }
@@ -274,8 +277,7 @@
         }
         self.missing.remove(chunk);
         self.tasks[chunk] = None;
-        self.last_progress = now;
-        self.state_machine.apply(TransferEvent::Progress);
+        self.record_progress(now);
         if self.is_complete() {
             self.state_machine.apply(TransferEvent::Complete);
             return ChunkOutcome::Complete;
@@ -302,6 +304,14 @@
         (!self.is_complete()).then_some(self.next_round)
     }
 
+    fn record_progress(&mut self, now: Time) {
+        self.last_progress = now;
+        self.state_machine.apply(TransferEvent::Progress);
+        if self.refused_at.take().is_some() {
+            self.resumed_at = Some(now);
+        }
+    }
+
     /// Plans the pulls of the missing chunks from outside the zone, keeping their pauses.
     fn plan_pulls(&mut self) {
         let salt = self.digests.first().map_or(0, chunk_seed);
@@ -429,19 +439,26 @@
         // Under a time limit, an owner on a slow link counts as failed even if it makes progress.
         // While this VM's own chunks are late too, the source is slow rather than the owner.
         let since = self.idle_since.map(|idle| due.max(idle));
-        let late = since.is_some_and(|since| now - since >= Span(SLOW_OWNER_FACTOR * timeout.0));
-        let slow = self.limits.time_limit.is_some() && late;
+        let patience = Span(SLOW_OWNER_FACTOR * timeout.0);
+        let late = since.is_some_and(|since| now - since >= patience);
+        // While the origin refuses this VM too, the source has failed rather than the owner. If all
+        // VMs took over, each chunk would be pulled many times once the origin returns.
+        let within = |at: Option<Time>, span: Span| at.is_some_and(|at| now - at < span);
+        let source_failed =
+            within(self.refused_at, Span(2 * patience.0)) || within(self.resumed_at, patience);
+        let slow = self.limits.time_limit.is_some() && late && !source_failed;
         let has_failed = |key: &PeerKey| {
             if slow {
                 return true;
             }
             let stalled_peer =
                 |peer: &PeerState| now - due >= timeout && peer.is_stalled(now, timeout);
+            let stalled_peer = |peer: &PeerState| !source_failed && stalled_peer(peer);
             self.peers.get(key).is_some_and(|peer| peer.is_down() || stalled_peer(peer))
         };
         let late = Span(timeout.0.saturating_mul(1 + task.plan.rank as u64));
         (watched && task.plan.predecessors.iter().all(has_failed))
-            || (stalled && now - self.last_progress >= late)
+            || (stalled && !source_failed && now - self.last_progress >= late)
     }
 
     /// Returns the next source outside the zone to try, where `Some(None)` is the origin.
--- a/crates/core/tests/weights_transfer.rs
+++ b/crates/core/tests/weights_transfer.rs
@@ -272,3 +272,62 @@
     assert!(queried.len() <= 2 * (vms.ilog2() as usize + 1) + 6);
     assert!(!queried.contains(&vm_id(0)));
 }
+
+/// Load pattern: the origin refuses all pulls for some seconds, then all VMs need it at once.
+#[test]
+fn origin_that_returns_is_asked_for_each_chunk_about_once() {
+    const CHUNKS: u64 = 48;
+    let manifest = manifest(0..CHUNKS);
+    let mut transfers: Vec<Transfer> =
+        (0..27).map(|vm| timed_transfer(vm, 27, &manifest)).collect();
+    let returned = Time(6_000_000);
+    let transmission = Span::millis(26);
+    let mut link_free = returned;
+    let mut active: Vec<(Time, usize, Digest)> = vec![];
+    let mut held = vec![vec![0u8; 6]; 27];
+    let mut sent = 0;
+    let mut refused = 0;
+    let mut now = Time::default();
+    while now < Time(10_000_000) && transfers.iter().any(|transfer| !transfer.is_complete()) {
+        for (_, vm, digest) in active.extract_if(.., |(at, ..)| *at <= now) {
+            let chunk = manifest.chunks.iter().position(|d| *d == digest).expect("a chunk");
+            transfers[vm].on_chunk(now, digest, &chunk_data(chunk as u64));
+            held[vm][chunk / 8] |= 1 << (chunk % 8);
+        }
+        for vm in 0..27 {
+            for (peer, bits) in held.iter().enumerate().filter(|(peer, _)| *peer != vm) {
+                transfers[vm].on_held_chunks(now, &vm_id(peer), bits);
+            }
+            while let Some(pull) = transfers[vm].next_pull(now) {
+                let from_origin = pull.source == ChunkSource::Origin;
+                if from_origin && now < returned {
+                    refused += 1;
+                    let later = PullError::Later(Span::millis(150));
+                    transfers[vm].on_pull_failed(now, &pull.digest, later);
+                } else if from_origin {
+                    sent += 1;
+                    link_free = link_free.max(now) + transmission;
+                    active.push((link_free, vm, pull.digest));
+                } else {
+                    active.push((now + Span::millis(100), vm, pull.digest));
+                }
+            }
+        }
+        now = now + Span::millis(10);
+    }
+    assert!(now < returned + Span::millis(2_600), "complete at {now}");
+    assert!(
+        sent <= CHUNKS + CHUNKS / 5,
+        "{sent} chunks of {CHUNKS} sent, {refused} refused before"
+    );
+}
+
+fn timed_transfer(vm: usize, vms: usize, manifest: &Manifest) -> Transfer {
+    let fleet = fleet(vms, 1);
+    let region = "region-0".parse().expect("valid name");
+    let topology = Topology::new(&vm_id(vm), fleet.vms.values(), &fleet, Some(&region));
+    let time_limit = Some(Span::secs(8));
+    let limits = TransferLimits { rate: RATE, max_pulls: 6, time_limit };
+    let owners = RendezvousOwners { origin_rate: ByteRate(2 * RATE.0) };
+    Transfer::new(manifest, |_| false, topology, owners, limits, Time::default())
+}
