Endless heads and bodies of endpoints as tests; fixtures use addresses of their own

Five cases (body of an answer and of a stream; an endless header, informational heads, no head at all) pass on the code as it is: head, body and event are bounded, and the endpoint's connection is closed.

--- a/crates/standins/src/hosted/worker.rs
+++ b/crates/standins/src/hosted/worker.rs
@@ -18,6 +18,11 @@
 /// Time from sending the start of a truncated event to closing the connection.
 const ABORT_DELAY: Duration = Duration::from_millis(50);
 
+/// Interval between the pieces of a body without end.
+const ENDLESS_INTERVAL: Duration = Duration::from_millis(2);
+/// Number of pieces after which a body without end is given up; far above what a reader may take.
+const MAX_ENDLESS_PIECES: u32 = 5_000;
+
 /// How the endpoint answers requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Behaviour {
@@ -36,6 +41,8 @@
     Unsigned,
     /// Waits for this time before each event of a stream.
     Slow(Duration),
+    /// Sends a body without events and without end, until the reader disconnects.
+    EndlessBody,
 }
 
 /// A request that the endpoint ran.
@@ -117,6 +124,7 @@
                 Body::aborted()
             }
             Behaviour::CloseUnanswered => Body::aborted(),
+            Behaviour::EndlessBody => self.endless_body(),
             _ if request.path().starts_with("/stream/") => self.stream(behaviour, last_event),
             _ => Body::Full(Bytes::from_static(b"done")),
         };
@@ -129,6 +137,21 @@
         with_headers(response, &headers)
     }
 
+    fn endless_body(&self) -> Body {
+        let (pieces, body) = mpsc::unbounded_channel();
+        let state = self.state.clone();
+        actix_rt::spawn(async move {
+            for _ in 0..MAX_ENDLESS_PIECES {
+                if pieces.send(Bytes::from_static(&[b'x'; 65_536])).is_err() {
+                    break;
+                }
+                actix_rt::time::sleep(ENDLESS_INTERVAL).await;
+            }
+            state.borrow_mut().dropped_streams += 1;
+        });
+        Body::Stream(body)
+    }
+
     fn stream(&self, behaviour: Behaviour, last_event: Option<u64>) -> Body {
         let (pieces, body) = mpsc::unbounded_channel();
         let state = self.state.clone();
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -3,6 +3,7 @@
 use std::{
     net::{SocketAddr, TcpListener},
     path::PathBuf,
+    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
@@ -17,6 +18,8 @@
     net::TcpStream,
 };
 
+/// The first port of the processes under test, below those of outgoing connections.
+const FIRST_PORT: u16 = 20_000;
 /// Time within which a gateway must be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time within which published state must be in force.
@@ -41,9 +44,15 @@
     }
 }
 
+/// Returns an address of its own in this test process, outside the ports and the address from
+/// which connections are opened, so that nothing else takes it before its process listens.
 fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let [block, host] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let addr = SocketAddr::from(([127, 64 + high % 64, low, host], FIRST_PORT + u16::from(block)));
+    drop(TcpListener::bind(addr).expect("a free address"));
+    addr
 }
 
 fn gateway_config(version: u64, keys: &[&str]) -> Value {
@@ -98,7 +107,7 @@
 
 impl Fixture {
     async fn start(endpoints: usize) -> Self {
-        let dir = std::env::temp_dir().join(format!("gateway-{}", free_addr().port()));
+        let dir = std::env::temp_dir().join(format!("gateway-{:016x}", random_id()));
         std::fs::create_dir_all(&dir).expect("a directory for settings");
         let (platform, callers, ready, peers) =
             (free_addr(), free_addr(), free_addr(), free_addr());
@@ -282,7 +291,7 @@
     let fixture = Fixture::start(1).await;
     let (callers, unused_addr) = (free_addr(), free_addr());
     // All processes listen for peers on the same port, each at its own address.
-    let peers = SocketAddr::from(([127, 0, 0, 2], fixture.peers.port()));
+    let peers = SocketAddr::new(free_addr().ip(), fixture.peers.port());
     let second_settings =
         gateway_settings("gateway-2", peers, unused_addr, &[fixture.peers], callers, free_addr());
     let dir = &fixture.dir.0;
@@ -326,3 +335,60 @@
     assert!(text.contains("id: 6"), "{text}");
     assert!(fixture.gateway.wait(Duration::from_secs(8)).await, "the gateway still runs");
 }
+
+/// An endpoint that sends bytes without end costs its request and neither memory nor a connection.
+#[rstest]
+#[case::answer("GET", "/read/1")]
+#[case::stream("POST", "/stream/1")]
+#[actix_rt::test]
+async fn a_body_without_end_is_broken_off(#[case] method: &str, #[case] path: &str) {
+    let fixture = Fixture::start(1).await;
+    fixture.workers[0].set_behaviour(Behaviour::EndlessBody);
+    let (status, text) = fixture.send(method, path, "key-1").await;
+    assert_ne!(status, 200, "{} bytes", text.len());
+    assert!(text.len() < 10_000, "{} bytes reach the caller", text.len());
+    wait_until("the connection is closed", async || fixture.workers[0].dropped_streams() > 0).await;
+    fixture.workers[0].set_behaviour(Behaviour::Normal);
+    wait_until("the endpoint serves again", async || {
+        fixture.send("GET", "/read/2", "key-1").await.0 == 200
+    })
+    .await;
+}
+
+/// The head of an answer has no end either.
+#[rstest]
+#[case::header(b"HTTP/1.1 200 OK\r\nx: ", b"y")]
+#[case::informational(b"", b"HTTP/1.1 100 Continue\r\n\r\n")]
+#[case::garbage(b"", b"\0")]
+#[actix_rt::test]
+async fn a_head_without_end_is_broken_off(
+    #[case] start: &'static [u8],
+    #[case] rest: &'static [u8],
+) {
+    let fixture = Fixture::start(1).await;
+    let addr = free_addr();
+    let listener = tokio::net::TcpListener::bind(addr).await.expect("an address");
+    let closed = std::rc::Rc::new(std::cell::Cell::new(0));
+    let closed_count = closed.clone();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let closed = closed_count.clone();
+            actix_rt::spawn(async move {
+                let piece = rest.repeat(4_096);
+                let mut sent = stream.write_all(start).await;
+                while sent.is_ok() {
+                    sent = stream.write_all(&piece).await;
+                    actix_rt::time::sleep(Duration::from_millis(1)).await;
+                }
+                closed.set(closed.get() + 1);
+            });
+        }
+    });
+    fixture.store.put("servers/i-0", Some(registry_entry(addr, "ready")));
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    let started = Instant::now();
+    let (status, text) = fixture.send("GET", "/read/1", "key-1").await;
+    assert!(status >= 500, "{status}: {text}");
+    assert!(started.elapsed() < Duration::from_secs(5), "took {:?}", started.elapsed());
+    wait_until("the connection is closed", async || closed.get() > 0).await;
+}
