--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -1,6 +1,7 @@
 //! The transfer of a version to one VM: which chunk to pull next, and from which source.
 
 mod failure;
+mod takeover;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -42,8 +43,6 @@
 const MAX_TIMEOUT: Span = Span::secs(300);
 /// Minimum timeout of pulls within the region, in quarters of the initial timeout.
 const MIN_IN_REGION_QUARTERS: u64 = 3;
-/// Stall timeouts after which a due owner that still makes some progress counts as too slow.
-const SLOW_OWNER_FACTOR: u64 = 3;
 /// Maximum number of chunks compared to find the rarest.
 const RAREST_SAMPLE: usize = 512;
 
@@ -414,53 +413,6 @@
         Some(self.pull(now, chunk, source, true))
     }
 
-    /// Records since when none of the chunks that this VM owns is due.
-    fn update_idle(&mut self, now: Time) {
-        let own_due = |task: &ChunkTask| task.plan.rank == 0 && self.start + task.plan.delay <= now;
-        let due = self.missing.iter().any(|chunk| self.tasks[chunk].as_ref().is_some_and(own_due));
-        self.idle_since = if due { None } else { self.idle_since.or(Some(now)) };
-    }
-
-    /// Returns whether this VM pulls a chunk now, as its owner or in place of failed predecessors.
-    fn is_responsible(&self, task: &ChunkTask, now: Time) -> bool {
-        let due = self.start + task.plan.delay;
-        if now < due {
-            return false;
-        }
-        if task.plan.rank == 0 {
-            return true;
-        }
-        let stalled = self.state() == TransferState::Stalled;
-        let watched = task.plan.rank == task.plan.predecessors.len();
-        if !watched && !stalled {
-            return false;
-        }
-        let timeout = self.stall_timeout();
-        // Under a time limit, an owner on a slow link counts as failed even if it makes progress.
-        // While this VM's own chunks are late too, the source is slow rather than the owner.
-        let since = self.idle_since.map(|idle| due.max(idle));
-        let patience = Span(SLOW_OWNER_FACTOR * timeout.0);
-        let late = since.is_some_and(|since| now - since >= patience);
-        // While the origin refuses this VM too, the source has failed rather than the owner. If all
-        // VMs took over, each chunk would be pulled many times once the origin returns.
-        let within = |at: Option<Time>, span: Span| at.is_some_and(|at| now - at < span);
-        let source_failed =
-            within(self.refused_at, Span(2 * patience.0)) || within(self.resumed_at, patience);
-        let slow = self.limits.time_limit.is_some() && late && !source_failed;
-        let has_failed = |key: &PeerKey| {
-            if slow {
-                return true;
-            }
-            let stalled_peer =
-                |peer: &PeerState| now - due >= timeout && peer.is_stalled(now, timeout);
-            let stalled_peer = |peer: &PeerState| !source_failed && stalled_peer(peer);
-            self.peers.get(key).is_some_and(|peer| peer.is_down() || stalled_peer(peer))
-        };
-        let late = Span(timeout.0.saturating_mul(1 + task.plan.rank as u64));
-        (watched && task.plan.predecessors.iter().all(has_failed))
-            || (stalled && !source_failed && now - self.last_progress >= late)
-    }
-
     /// Returns the next source outside the zone to try, where `Some(None)` is the origin.
     #[allow(clippy::option_option)]
     fn next_source(&mut self, chunk: usize, now: Time) -> Option<Option<PeerKey>> {
--- a/crates/core/tests/weights_transfer.rs
+++ b/crates/core/tests/weights_transfer.rs
@@ -294,16 +294,16 @@
             transfers[vm].on_chunk(now, digest, &chunk_data(chunk as u64));
             held[vm][chunk / 8] |= 1 << (chunk % 8);
         }
-        for vm in 0..27 {
+        for (vm, transfer) in transfers.iter_mut().enumerate() {
             for (peer, bits) in held.iter().enumerate().filter(|(peer, _)| *peer != vm) {
-                transfers[vm].on_held_chunks(now, &vm_id(peer), bits);
+                transfer.on_held_chunks(now, &vm_id(peer), bits);
             }
-            while let Some(pull) = transfers[vm].next_pull(now) {
+            while let Some(pull) = transfer.next_pull(now) {
                 let from_origin = pull.source == ChunkSource::Origin;
                 if from_origin && now < returned {
                     refused += 1;
                     let later = PullError::Later(Span::millis(150));
-                    transfers[vm].on_pull_failed(now, &pull.digest, later);
+                    transfer.on_pull_failed(now, &pull.digest, later);
                 } else if from_origin {
                     sent += 1;
                     link_free = link_free.max(now) + transmission;
