--- a/crates/core/src/direct/engine_model.rs
+++ b/crates/core/src/direct/engine_model.rs
@@ -29,13 +29,6 @@
     (current_pass + total + passes * steps + NETWORK_MS).ceil() as u32
 }
 
-/// Returns the time in ms in which a full batch, without any prefill, decodes an answer of mean
-/// length.
-pub fn answer_ms(spec: &EngineSpec) -> u32 {
-    let passes = f64::from(spec.mean_answer) / f64::from(spec.pass_steps.max(1));
-    (passes * decode_ms(spec, spec.slots)).ceil() as u32
-}
-
 /// Returns the time of the decode steps of one pass with a batch of this many requests, in ms.
 fn decode_ms(spec: &EngineSpec, requests: u32) -> f64 {
     if requests == 0 {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -1,6 +1,5 @@
 //! Decision logic of gateways, which send requests directly to endpoints, and of weight loaders.
 
-pub mod caller_time;
 pub mod catalog;
 pub mod cells;
 pub mod endpoint_state;
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -41,12 +41,8 @@
 /// Fraction of the time left until the objective that a request may be queued; the rest is for the
 /// first event.
 const QUEUE_FRACTION: f64 = 0.45;
-/// Fraction of the time left until the deadline that an already late request may be queued: its
-/// caller has been refused before and does not return again.
-const LATE_QUEUE_FRACTION: f64 = 0.6;
-/// Multiple of the time of an answer that is kept free before the deadline: prompts of other
-/// requests slow it down.
-const ANSWER_RESERVE: u32 = 2;
+/// Fraction of the time left until the deadline that an already late request may be queued.
+const LATE_QUEUE_FRACTION: f64 = 0.25;
 /// Minimum delay before a refused caller retries.
 const MIN_RETRY_DELAY: Span = Span::millis(700);
 /// Maximum delay before a refused caller retries.
@@ -165,15 +161,10 @@
     f64::from(first_ms) <= left * FIRST_EVENT_TOLERANCE
 }
 
-/// Returns the time until which a request may be queued; a late one only as long as its answer can
-/// still be complete at its deadline.
-pub(super) fn queue_deadline(now: Time, request: &PlacementRequest, spec: &ServiceSpec) -> Time {
+/// Returns the time until which a request may be queued.
+pub(super) fn queue_deadline(now: Time, request: &PlacementRequest) -> Time {
     if request.objective <= now {
-        let left = request.deadline - now;
-        let answer_ms = spec.engine.as_ref().map_or(DEFAULT_REQUEST_MS, engine_model::answer_ms);
-        let reserve = Span::millis(u64::from(answer_ms * ANSWER_RESERVE));
-        let longest = Span((left.0 as f64 * LATE_QUEUE_FRACTION) as u64);
-        return now + longest.min(Span(left.0.saturating_sub(reserve.0)));
+        return now + Span(((request.deadline - now).0 as f64 * LATE_QUEUE_FRACTION) as u64);
     }
     let until = now + Span(((request.objective - now).0 as f64 * QUEUE_FRACTION) as u64);
     until.min(request.deadline)
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -262,8 +262,7 @@
                 max_retry_delay(now, &request),
             ));
         }
-        let spec = self.specs.get(&request.service).cloned().unwrap_or_default();
-        let until = queue_deadline(now, &request, &spec);
+        let until = queue_deadline(now, &request);
         let late = request.objective <= now;
         let wait = self.estimate_wait(now, &request, late);
         let queue = self.queues.entry(request.service.clone()).or_default();
--- a/crates/sequoiahold/src/gateway/plan.rs
+++ b/crates/sequoiahold/src/gateway/plan.rs
@@ -48,8 +48,7 @@
     pub(super) tokens: (u32, u32),
     /// Time at which the request was received.
     pub(super) arrived: Time,
-    /// Time after which the response, or the first event of a stream, counts as late, from the
-    /// caller's first attempt on.
+    /// Time after which the response, or the first event of a stream, counts as late.
     pub(super) objective: Time,
     /// Time by which the caller must have the final response.
     pub(super) deadline: Time,
@@ -82,8 +81,6 @@
     let timeout =
         request.header_text(names.deadline).and_then(|text| text.trim().parse::<f64>().ok());
     let timeout = timeout.map_or(route.timeout, |ms| Span((ms.max(0.0) * 1_000.0) as u64));
-    let timeout = timeout.min(route.timeout);
-    let waited = gateway.caller_time.borrow_mut().elapsed(arrived, &route.name, timeout);
     Ok(Plan {
         route: route.name.clone(),
         config_version: catalog.version,
@@ -96,8 +93,8 @@
         model: request.header_text(names.model).and_then(|text| text.parse().ok()),
         tokens: estimate_tokens(gateway, &catalog, request, &service),
         arrived,
-        objective: arrived + Span(route.objective.0.saturating_sub(waited.0)),
-        deadline: arrived + timeout,
+        objective: arrived + route.objective,
+        deadline: arrived + timeout.min(route.timeout),
         service,
     })
 }
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -10,7 +10,6 @@
 use actix_http::ServiceConfig;
 use sequoiahold_core::{
     direct::{
-        caller_time::CallerTime,
         cells::Cells,
         load_exchange::LoadExchange,
         membership::Role,
@@ -58,7 +57,6 @@
     pub(super) metrics: Metrics,
     pub(super) suspects: RefCell<CrashSuspects>,
     pub(super) load_exchange: RefCell<LoadExchange>,
-    pub(super) caller_time: RefCell<CallerTime>,
     cells: RefCell<Cells>,
     active_requests: Cell<usize>,
     open_connections: Cell<usize>,
@@ -97,7 +95,6 @@
             metrics: Metrics::default(),
             suspects: RefCell::default(),
             load_exchange: RefCell::default(),
-            caller_time: RefCell::default(),
             cells: RefCell::default(),
             active_requests: Cell::new(0),
             open_connections: Cell::new(0),
