--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -25,9 +25,11 @@
 /// Fraction of the rate limit of a cold endpoint that is used; the rest covers requests that arrive
 /// late.
 const COLD_RATE_FRACTION: f64 = 0.9;
-/// Shares of that rate for the primary, the rest of its cell, and all other gateways. The latter
-/// carry the whole load of a zone whose own endpoints are gone.
-const COLD_RATE_SHARES: [f64; 3] = [0.2, 0.2, 0.6];
+/// Shares of that rate for the rest of a primary's cell, and for all other gateways, which carry the
+/// whole load of a zone whose own endpoints are gone. The primary has what they cannot use.
+const COLD_RATE_SHARES: [f64; 2] = [0.2, 0.6];
+/// The same shares where all gateways are in one cell.
+const COLD_RATE_SHARES_ONE_CELL: [f64; 2] = [0.5, 0.0];
 /// Delay that each request in progress adds to a new one, in ms.
 const REQUEST_PENALTY_MS: u32 = 2;
 /// Assumed duration of a request to a service that declares no engine, in ms.
@@ -98,22 +100,26 @@
 ) -> f64 {
     let Some(rate) = spec.cold_rate else { return f64::MAX };
     let all = (rate * config.cold_factor + config.cold_extra) * COLD_RATE_FRACTION;
-    let cell = assignment.cell_gateways;
-    let outsiders = gateways.saturating_sub(cell);
-    let [primary, mates, others] = match (cell, outsiders) {
-        (0 | 1, 0) => [1.0, 0.0, 0.0],
-        (_, 0) => [0.5, 0.5, 0.0],
-        (0 | 1, _) => [0.5, 0.0, 0.5],
-        _ => COLD_RATE_SHARES,
-    };
+    let mates = assignment.cell_gateways.saturating_sub(1) as f64;
+    let outsiders = gateways.saturating_sub(assignment.cell_gateways) as f64;
+    let shares = if outsiders == 0.0 { COLD_RATE_SHARES_ONE_CELL } else { COLD_RATE_SHARES };
+    let [mates_share, outsiders_share] = shares;
+    let mate = whole_rate(all * mates_share / mates.max(1.0));
+    let outsider = whole_rate(all * outsiders_share / outsiders.max(1.0));
     match assignment.relation {
         Relation::Shared => (all / gateways as f64).max(1.0),
-        Relation::Primary => all * primary,
-        Relation::Cell => all * mates / (cell - 1) as f64,
-        Relation::Outside => all * others / outsiders.max(1) as f64,
+        Relation::Primary => all - mate * mates - outsider * outsiders,
+        Relation::Cell => mate,
+        Relation::Outside => outsider,
     }
 }
 
+/// Returns the rate that a limit allows, which is a whole number of requests in one second, or one
+/// request in a whole number of seconds.
+fn whole_rate(limit: f64) -> f64 {
+    if limit >= 1.0 { limit.floor() } else { 1.0 / (1.0 / limit).ceil() }
+}
+
 /// Returns whether a request may be placed at an endpoint, which is sampled if it is one of
 /// `outside` endpoints of other cells; a rate limit below one a second selects few of them anyway.
 pub(super) fn is_sampled(
