--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -72,8 +72,6 @@
     origin_retry: Time,
     idle_since: Option<Time>,
     origin_failures: u32,
-    refused_at: Option<Time>,
-    resumed_at: Option<Time>,
     rng: SmallRng,
     state_machine: Machine<TransferState, TransferEvent>,
 }
@@ -122,8 +120,6 @@
             origin_retry: now,
             idle_since: Some(now),
             origin_failures: 0,
-            refused_at: None,
-            resumed_at: None,
             rng: SmallRng::seed_from_u64(seed),
             state_machine: Machine::new(std::sync::Arc::new(state_chart())),
         };
@@ -306,9 +302,6 @@
     fn record_progress(&mut self, now: Time) {
         self.last_progress = now;
         self.state_machine.apply(TransferEvent::Progress);
-        if self.refused_at.take().is_some() {
-            self.resumed_at = Some(now);
-        }
     }
 
     /// Plans the pulls of the missing chunks from outside the zone, keeping their pauses.
--- a/crates/core/src/weights/transfer/takeover.rs
+++ b/crates/core/src/weights/transfer/takeover.rs
@@ -36,25 +36,18 @@
         // Under a time limit, an owner on a slow link counts as failed even if it makes progress.
         // While this VM's own chunks are late too, the source is slow rather than the owner.
         let since = self.idle_since.map(|idle| due.max(idle));
-        let patience = Span(SLOW_OWNER_FACTOR * timeout.0);
-        let late = since.is_some_and(|since| now - since >= patience);
-        // While the origin refuses this VM too, the source has failed rather than the owner. If all
-        // VMs took over, each chunk would be pulled many times once the origin returns.
-        let within = |at: Option<Time>, span: Span| at.is_some_and(|at| now - at < span);
-        let source_failed =
-            within(self.refused_at, Span(2 * patience.0)) || within(self.resumed_at, patience);
-        let slow = self.limits.time_limit.is_some() && late && !source_failed;
+        let late = since.is_some_and(|since| now - since >= Span(SLOW_OWNER_FACTOR * timeout.0));
+        let slow = self.limits.time_limit.is_some() && late;
         let has_failed = |key: &PeerKey| {
             if slow {
                 return true;
             }
             let stalled_peer =
                 |peer: &PeerState| now - due >= timeout && peer.is_stalled(now, timeout);
-            let stalled_peer = |peer: &PeerState| !source_failed && stalled_peer(peer);
             self.peers.get(key).is_some_and(|peer| peer.is_down() || stalled_peer(peer))
         };
         let late = Span(timeout.0.saturating_mul(1 + task.plan.rank as u64));
         (watched && task.plan.predecessors.iter().all(has_failed))
-            || (stalled && !source_failed && now - self.last_progress >= late)
+            || (stalled && now - self.last_progress >= late)
     }
 }
