Load reports always fit into a datagram

Cause: found in reading: 100 own loads and 100 of guests are up to 2,200 bytes, and a datagram above 1,400 is dropped whole, so that a busy gateway would have been unknown to its cell. Totals of a cell with many endpoints were cut at the same ones each time. Change: 110 loads a message, own ones first; totals continue where the last message ended. Test: report_of_many_endpoints_fits_into_a_datagram, 1,585 bytes at 70 of each before.

--- a/crates/core/src/direct/load_exchange.rs
+++ b/crates/core/src/direct/load_exchange.rs
@@ -28,8 +28,8 @@
 const NEAR_RECIPIENTS: usize = 2;
 /// Number of gateways of other zones that each round tells the totals.
 const FAR_RECIPIENTS: usize = 2;
-/// Maximum number of endpoints in a report, so that it fits into one datagram.
-const MAX_ENDPOINTS: usize = 100;
+/// Maximum number of loads in a message, so that it fits into one datagram.
+const MAX_LOADS: usize = 110;
 
 /// A load at one endpoint.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -188,7 +188,9 @@
         let told = reports.flat_map(|report| &report.loads);
         let mut guests = Loads::new();
         add_all(&mut guests, told.filter(|load| primary.contains(&load.instance)));
-        LoadReport { from: own.clone(), loads, guests: self::loads(guests) }
+        let mut guests = self::loads(guests);
+        guests.truncate(MAX_LOADS - loads.len());
+        LoadReport { from: own.clone(), loads, guests }
     }
 
     /// Returns the own report for the primaries of endpoints outside the cell, including those
@@ -221,7 +223,12 @@
             load.add(endpoint.own);
             EndpointLoad::new(endpoint.instance, load)
         };
-        inside.iter().zip(peer_loads).map(total).take(MAX_ENDPOINTS).collect()
+        // Where not all fit, each message continues after the one before.
+        let start = self.turn.wrapping_mul(MAX_LOADS) % inside.len().max(1);
+        let mut totals: Vec<EndpointLoad> = inside.iter().zip(peer_loads).map(total).collect();
+        totals.rotate_left(start);
+        totals.truncate(MAX_LOADS);
+        totals
     }
 
     /// Returns the next gateways outside the cell; those of one cell are at different places in the
@@ -261,5 +268,5 @@
 
 fn loads(loads: impl IntoIterator<Item = (u32, InFlightLoad)>) -> Vec<EndpointLoad> {
     let some = loads.into_iter().filter(|(_, load)| load.requests > 0);
-    some.map(|(instance, load)| EndpointLoad::new(instance, load)).take(MAX_ENDPOINTS).collect()
+    some.map(|(instance, load)| EndpointLoad::new(instance, load)).take(MAX_LOADS).collect()
 }
--- a/crates/core/tests/direct_cells.rs
+++ b/crates/core/tests/direct_cells.rs
@@ -7,7 +7,7 @@
     direct::{
         cells::{Assignment, Cells, Relation},
         endpoint_state::InFlightLoad,
-        load_exchange::{LoadExchange, LoadMessage, LocalLoad},
+        load_exchange::{EndpointLoad, LoadExchange, LoadMessage, LoadReport, LocalLoad},
     },
     ids::{ServiceId, VmId, ZoneId},
     time::Time,
@@ -222,3 +222,35 @@
     // Only the zone of the gateway that left may change.
     assert!(moved <= 32, "{moved} of 156 endpoints have another primary");
 }
+
+#[test]
+fn report_of_many_endpoints_fits_into_a_datagram() {
+    let mut exchange = LoadExchange::default();
+    let cells = Cells::new(&name("g-000"), gateways(1, 1));
+    exchange.set_gateways(&cells, BTreeMap::new());
+    let load = |instance: u32| EndpointLoad {
+        instance: u32::MAX - instance,
+        count: u16::MAX,
+        prefill_ms: 100_000,
+    };
+    let report = LoadReport {
+        from: name("some-other-gateway-with-a-long-name-12"),
+        loads: (0..200).map(load).collect(),
+        guests: vec![],
+    };
+    exchange.receive(ms(0), LoadMessage::Report(report));
+    let own: VmId = name("a-gateway-with-a-name-of-forty-characters");
+    let busy = InFlightLoad { requests: 70_000, prefill_ms: 100_000 };
+    let endpoints: Vec<LocalLoad> = (0..200)
+        .map(|index| LocalLoad {
+            instance: u32::MAX - index,
+            relation: Relation::Primary,
+            primary: Some(&own),
+            own: busy,
+        })
+        .collect();
+    for (message, _) in exchange.start_round(ms(10), &own, &endpoints) {
+        let bytes = postcard::to_stdvec(&message).expect("encodes");
+        assert!(bytes.len() < 1_400, "{} bytes", bytes.len());
+    }
+}
