Membership catches up by faster rounds only after a start

A process that knew fewer live members than a peer counted as joining: five rounds a second with 20 members each. Over narrow links between regions that loses probes, lost probes become suspicions, and these keep the numbers different. Change: only in the first 20 s of a process; later replies to its probes tell it what it lacks. direct_membership passes as before (without the catching up, 303 of 304 at 14 s).

--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -51,6 +51,9 @@
 const NEW_MEMBER_SENDS: u32 = 4;
 /// Time after the last new member during which members count as joining.
 const JOIN_PERIOD: Span = Span::secs(3);
+/// Time since the start during which a process that knows fewer members than others counts as
+/// joining.
+const CATCH_UP_PERIOD: Time = Time(20_000_000);
 /// Time after the start of a suspicion at which a member is removed; until then it may be alive
 /// behind a network partition.
 const REMOVAL_TIMEOUT: Span = Span::secs(60);
@@ -253,7 +256,9 @@
             return false;
         }
         self.joined = true;
-        if gossip.live > self.live_count() {
+        // Later, replies alone make up for missed changes: faster rounds of many processes at once
+        // would congest the links between regions, and the probes lost there keep them going.
+        if now < CATCH_UP_PERIOD && gossip.live > self.live_count() {
             self.last_join = now;
         }
         let mut owed = self.merge_member(now, &gossip.from, true);
