--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -90,8 +90,9 @@
 
 /// Returns the requests per second that this gateway may send to an endpoint.
 ///
-/// All gateways together then stay within the rate of a cold endpoint. The limit is permanent, as a
-/// gateway may not know that an endpoint is cold.
+/// All gateways together then stay within the rate of a cold endpoint, with limits below one a
+/// second only on average. The limit is permanent, as a gateway may not know that an endpoint is
+/// cold.
 pub(super) fn max_send_rate(
     config: &SchedulerConfig,
     spec: &ServiceSpec,
