Cells are assigned when they change, peer loads computed once a round

Each gateway assigned all endpoints four times a second although neither cells nor endpoints had changed, hashed its own name each time, and summed the reports of all peers twice in each round of the exchange; two places took four bytes of a digest by hand. Change: assigned on a change of either; the round takes the loads that were computed; Digest::short_hash.

--- a/crates/core/src/direct/cells.rs
+++ b/crates/core/src/direct/cells.rs
@@ -40,6 +40,7 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Cells {
     own: Option<Rc<VmId>>,
+    salt: u32,
     zones: BTreeMap<ZoneId, Vec<Rc<VmId>>>,
 }
 
@@ -51,7 +52,8 @@
             zones.entry(zone).or_default().push(Rc::new(vm));
         }
         zones.values_mut().for_each(|vms| vms.sort());
-        Self { own: Some(Rc::new(own.clone())), zones }
+        let salt = Digest::of(own.as_str().as_bytes()).short_hash();
+        Self { own: Some(Rc::new(own.clone())), salt, zones }
     }
 
     /// Returns the gateway as which the cells are seen.
@@ -61,10 +63,7 @@
 
     /// Returns a number that differs between gateways.
     pub fn salt(&self) -> u32 {
-        let own = self.own.as_ref().map_or("", |vm| vm.as_str());
-        let digest = Digest::of(own.as_bytes());
-        let [a, b, c, d, ..] = digest.bytes();
-        u32::from_le_bytes([*a, *b, *c, *d])
+        self.salt
     }
 
     /// Returns the other gateways: of the own cell, of the rest of its zone, and of other zones.
--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -109,10 +109,8 @@
 impl EndpointState {
     /// Returns the state of an endpoint that has received no requests.
     pub fn new(endpoint: Endpoint, region: Option<RegionId>, distance: u32) -> Self {
-        let digest = Digest::of(endpoint.entry.instance.as_str().as_bytes());
-        let [a, b, c, d, ..] = digest.bytes();
         Self {
-            hash: u32::from_le_bytes([*a, *b, *c, *d]),
+            hash: Digest::of(endpoint.entry.instance.as_str().as_bytes()).short_hash(),
             endpoint,
             region,
             distance,
--- a/crates/core/src/direct/load_exchange.rs
+++ b/crates/core/src/direct/load_exchange.rs
@@ -150,12 +150,14 @@
         endpoints.iter().map(peer_load).collect()
     }
 
-    /// Returns the messages of a round and their recipients.
+    /// Returns the messages of a round and their recipients, given the endpoints and the load that
+    /// [`LoadExchange::peer_loads`] returned for each.
     pub fn start_round(
         &mut self,
         now: Time,
         own: &VmId,
         endpoints: &[LocalLoad],
+        peer_loads: &[InFlightLoad],
     ) -> Vec<(LoadMessage, Vec<SocketAddr>)> {
         let report = self.build_report(own, endpoints);
         let repeated =
@@ -171,7 +173,8 @@
         }
         let recipients = self.next_recipients();
         if !recipients.is_empty() {
-            messages.push((LoadMessage::Totals(self.cell_totals(now, endpoints)), recipients));
+            messages
+                .push((LoadMessage::Totals(self.cell_totals(endpoints, peer_loads)), recipients));
         }
         messages
     }
@@ -214,18 +217,23 @@
         (!recipients.is_empty()).then_some((LoadMessage::Report(report), recipients))
     }
 
-    fn cell_totals(&mut self, now: Time, endpoints: &[LocalLoad]) -> Vec<EndpointLoad> {
-        let inside =
-            |endpoint: &&LocalLoad| matches!(endpoint.relation, Relation::Primary | Relation::Cell);
-        let inside: Vec<LocalLoad> = endpoints.iter().filter(inside).copied().collect();
-        let peer_loads = self.peer_loads(now, &inside);
-        let total = |(endpoint, mut load): (&LocalLoad, InFlightLoad)| {
+    fn cell_totals(
+        &self,
+        endpoints: &[LocalLoad],
+        peer_loads: &[InFlightLoad],
+    ) -> Vec<EndpointLoad> {
+        let inside = |(endpoint, _): &(&LocalLoad, &InFlightLoad)| {
+            matches!(endpoint.relation, Relation::Primary | Relation::Cell)
+        };
+        let total = |(endpoint, load): (&LocalLoad, &InFlightLoad)| {
+            let mut load = *load;
             load.add(endpoint.own);
             EndpointLoad::new(endpoint.instance, load)
         };
+        let mut totals: Vec<EndpointLoad> =
+            endpoints.iter().zip(peer_loads).filter(inside).map(total).collect();
         // Where not all fit, each message continues after the one before.
-        let start = self.turn.wrapping_mul(MAX_LOADS) % inside.len().max(1);
-        let mut totals: Vec<EndpointLoad> = inside.iter().zip(peer_loads).map(total).collect();
+        let start = self.turn.wrapping_mul(MAX_LOADS) % totals.len().max(1);
         totals.rotate_left(start);
         totals.truncate(MAX_LOADS);
         totals
--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -13,14 +13,15 @@
     net::{IpAddr, SocketAddr},
 };
 
-pub use self::message::{Envelope, Gossip, Member, Relay, Role};
-use super::mirror::Revision;
-use crate::{ids::VmId, time::Time, units::Span};
 use rand::{
     Rng,
     seq::{IndexedRandom as _, IteratorRandom as _, SliceRandom as _},
 };
 
+pub use self::message::{Envelope, Gossip, Member, Relay, Role};
+use super::mirror::Revision;
+use crate::{ids::VmId, time::Time, units::Span};
+
 /// Interval between gossip rounds.
 const ROUND_INTERVAL: Span = Span::millis(400);
 /// Interval between gossip rounds while members are joining.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -125,6 +125,12 @@
         Self(bytes)
     }
 
+    /// Returns the first four bytes as a number, where a short hash is enough.
+    pub fn short_hash(&self) -> u32 {
+        let [a, b, c, d, ..] = self.0;
+        u32::from_le_bytes([a, b, c, d])
+    }
+
     /// Returns the bytes of the digest.
     pub fn bytes(&self) -> &[u8; 32] {
         &self.0
--- a/crates/core/tests/direct_cells.rs
+++ b/crates/core/tests/direct_cells.rs
@@ -123,7 +123,9 @@
         for gateway in 0..self.gateways.len() {
             let mut exchange = std::mem::take(&mut self.exchanges[gateway]);
             let own = &self.gateways[gateway].0;
-            for (message, to) in exchange.start_round(now, own, &self.local_loads(gateway)) {
+            let loads = self.local_loads(gateway);
+            let peer_loads = exchange.peer_loads(now, &loads);
+            for (message, to) in exchange.start_round(now, own, &loads, &peer_loads) {
                 inbox.extend(to.iter().map(|addr| (usize::from(addr.port()), message.clone())));
             }
             self.exchanges[gateway] = exchange;
@@ -249,7 +251,8 @@
             own: busy,
         })
         .collect();
-    for (message, _) in exchange.start_round(ms(10), &own, &endpoints) {
+    let peer_loads = exchange.peer_loads(ms(10), &endpoints);
+    for (message, _) in exchange.start_round(ms(10), &own, &endpoints, &peer_loads) {
         let bytes = postcard::to_stdvec(&message).expect("encodes");
         assert!(bytes.len() < 1_400, "{} bytes", bytes.len());
     }
--- a/crates/sequoiahold/src/gateway/datagrams.rs
+++ b/crates/sequoiahold/src/gateway/datagrams.rs
@@ -50,10 +50,12 @@
     let (keys, peer_loads) = {
         let scheduler = gateway.scheduler.borrow();
         let (keys, loads): (Vec<EndpointKey>, Vec<LocalLoad>) = scheduler.local_loads().unzip();
-        for (message, recipients) in exchange.start_round(now, &gateway.node.settings.vm, &loads) {
+        let peer_loads = exchange.peer_loads(now, &loads);
+        let own = &gateway.node.settings.vm;
+        for (message, recipients) in exchange.start_round(now, own, &loads, &peer_loads) {
             gateway.node.send(recipients, &Datagram::Load(message));
         }
-        (keys, exchange.peer_loads(now, &loads))
+        (keys, peer_loads)
     };
     let mut scheduler = gateway.scheduler.borrow_mut();
     for (key, peer_load) in keys.into_iter().zip(peer_loads) {
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -169,8 +169,8 @@
         CountGuard { gateway: self.clone(), count: |gateway| &gateway.open_connections }
     }
 
-    /// Divides the live gateways into cells, and assigns the endpoints to them.
-    fn assign_cells(&self) {
+    /// Divides the live gateways into cells, and assigns the endpoints to them if they differ.
+    fn update_cells(&self) {
         let membership = self.node.membership.borrow();
         let own = membership.own();
         let members = || membership.live_with_role(Role::Gateway).chain([own]);
@@ -179,9 +179,9 @@
         if *self.cells.borrow() != cells {
             let addrs = members().map(|member| (member.vm.clone(), member.addr)).collect();
             self.load_exchange.borrow_mut().set_gateways(&cells, addrs);
+            self.scheduler.borrow_mut().assign(&cells);
             self.cells.replace(cells);
         }
-        self.scheduler.borrow_mut().assign(&self.cells.borrow());
     }
 
     /// Dispatches queued requests to free slots and notifies their tasks.
@@ -224,7 +224,7 @@
     let mut changes = gateway.node.subscribe();
     while changes.changed().await.is_ok() {
         gateway.scheduler.borrow_mut().update(&gateway.node.view.borrow());
-        gateway.assign_cells();
+        gateway.scheduler.borrow_mut().assign(&gateway.cells.borrow());
         gateway.dispatch_queued();
     }
 }
@@ -242,7 +242,7 @@
     loop {
         let gateway_count = gateway.gateway_count();
         gateway.scheduler.borrow_mut().set_gateway_count(gateway_count);
-        gateway.assign_cells();
+        gateway.update_cells();
         actix_rt::time::sleep(ASSIGN_INTERVAL).await;
     }
 }
