Logs tell from when a version's rollout counts and which version a request was bound to

Callers saw requests that began on an old version after the rollout time. The logs could not tell a version that was dated late from a request that began late: neither the date of a version nor the version in the request to the endpoint stood in them.

--- a/crates/sequoiahold/src/gateway/record.rs
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -66,6 +66,8 @@
     pub(super) outcome: Outcome,
     instances: Vec<String>,
     predicted_ms: u32,
+    /// The version of the weights that the last send was bound to, 0 for any.
+    bound_version: u64,
 }
 
 impl RequestRecord {
@@ -73,6 +75,7 @@
     pub(super) fn add_grant(&mut self, grant: &Grant) {
         self.instances.push(grant.instance.to_string());
         self.predicted_ms = grant.first_ms;
+        self.bound_version = grant.version.unwrap_or(0);
     }
 
     /// Writes the log line and updates the metrics.
@@ -91,6 +94,7 @@
             account,
             configuration = plan.config_version,
             endpoints = instances.as_str(),
+            version = self.bound_version,
             sends,
             waited_ms = self.waited.0 / 1_000,
             foretold_ms = self.predicted_ms,
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -19,9 +19,10 @@
     direct::{
         membership::{Member, Membership, Role},
         mirror::{Change, Mirror, Revision},
-        platform::Codec,
+        platform::{Codec, PublishedValue},
         view::{Effect, View},
     },
+    ids::ModelId,
     time::Time,
     units::{ByteRate, Bytes},
     weights::Pacer,
@@ -182,6 +183,7 @@
         for change in changes {
             match self.codec.decode_published(&change.key, change.value.as_deref()) {
                 Ok(published) => {
+                    let announced = announced_version(&published);
                     let effect = self.view.borrow_mut().apply(now, published, seen);
                     changed |= effect != Effect::None;
                     if effect == Effect::Catalog {
@@ -191,6 +193,9 @@
                         let (key, revision) = (change.key.as_str(), change.revision.0);
                         log::info!(key, revision, removed = change.value.is_none(); "published");
                     }
+                    if let Some((model, version)) = announced.filter(|_| effect != Effect::None) {
+                        self.log_announced(&model, version);
+                    }
                 }
                 Err(error) => {
                     let fault = error.to_string();
@@ -203,6 +208,14 @@
         }
     }
 
+    /// Logs a newly known version with the age that its rollout counts from, -1 if unknown.
+    fn log_announced(&self, model: &ModelId, version: u64) {
+        let announced = self.view.borrow().announced_versions(self.now());
+        let mut ages = announced.iter().filter(|a| a.model == *model && a.version == version);
+        let age_ms = ages.next().map_or(-1, |announced| (announced.age.0 / 1_000) as i64);
+        log::info!(model = model.as_str(), version, age_ms; "version announced");
+    }
+
     fn notify_subscribers(&self) {
         self.revision_sender.send_replace(self.mirror.borrow().revision());
     }
@@ -227,6 +240,13 @@
     }
 }
 
+fn announced_version(published: &PublishedValue) -> Option<(ModelId, u64)> {
+    match published {
+        PublishedValue::TargetVersion(model, version) => Some((model.clone(), (*version)?)),
+        _ => None,
+    }
+}
+
 /// Ignores SIGHUP, which would otherwise end the process, as settings are read only at startup.
 pub(crate) async fn ignore_sighup(mut reload: Signal) {
     while reload.recv().await.is_some() {
