The rollout time of a version counts from its publication, not from hearing of it

Callers saw requests begin on an old version after the rollout time. Cause: each process dated a version by the moment at which it received the change. A watch whose connection fell silent is given up after up to 2.5 s and the next one returns the change as if it had just happened; a process that stood still reads the change from its socket afterwards. The class: an event is taken to happen when it is observed.

A change that a process lacked is now dated by the last moment at which it knew the state as current: the start of its last good read, and for a watch on a connection that has answered since, the last moment at which it still waited. The first watch of a connection does not wait, so that it tells what was missed from what comes. Forwarded changes carry the ages of both bounds; a datagram counts from the last time at which the socket was empty. The time of an outage of the platform, known by new connections that fail, does not count, as otherwise all would stop using the old version at once when the platform returns.

Evidence: a_version_that_is_heard_of_late_is_in_use_within_the_rollout_time failed before with "requests ran on the old version after the rollout time", 15 with a silent watch and 13 with a process paused for 2 s; both pass.

--- /dev/null
+++ b/crates/core/src/direct/freshness.rs
@@ -0,0 +1,54 @@
+//! Bounds the time at which changes of the published state can have been made.
+
+use crate::{time::Time, units::Span};
+
+/// The last time at which a process knew the published state to be current.
+///
+/// Whatever it lacked then was published later, however late the process hears of it: a connection
+/// may have fallen silent, or the process may have stood still.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Freshness {
+    current_at: Option<Time>,
+    outage_at: Option<Time>,
+}
+
+impl Freshness {
+    /// Records a complete read that was started at `started`.
+    pub fn record_read(&mut self, started: Time) {
+        self.current_at = self.current_at.max(Some(started));
+    }
+
+    /// Records the state of a peer, which was current `age` before it was sent, at `sent` or later.
+    pub fn record_peer(&mut self, sent: Time, age: Span) {
+        self.current_at = self.current_at.max(time_before(sent, age));
+    }
+
+    /// Records that the platform could not be reached by a new connection at `started`; a rollout
+    /// does not count the time of an outage.
+    pub fn record_outage(&mut self, started: Time) {
+        self.outage_at = self.outage_at.max(Some(started));
+    }
+
+    /// Returns the earliest time at which a change that was not known so far counts as published,
+    /// `None` if it is unknown.
+    pub fn earliest_change(&self) -> Option<Time> {
+        self.current_at.map(|at| self.outage_at.map_or(at, |outage| at.max(outage)))
+    }
+
+    /// Returns the same for a change that a peer sent at `sent` or later and that, by its knowledge,
+    /// was not published more than `age` before.
+    pub fn earliest_sent_change(&self, sent: Time, age: Option<Span>) -> Option<Time> {
+        let told = age.and_then(|age| time_before(sent, age));
+        self.earliest_change().max(told)
+    }
+
+    /// Returns the time since the state was known to be current.
+    pub fn age(&self, now: Time) -> Option<Span> {
+        self.current_at.map(|at| now - at)
+    }
+}
+
+/// Returns the time `age` before `sent`, `None` if that is before the start of the process.
+fn time_before(sent: Time, age: Span) -> Option<Time> {
+    sent.0.checked_sub(age.0).map(Time)
+}
--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -164,6 +164,15 @@
         local.filter(|member| (member.role, &member.vm) < own).count() < WATCHERS_PER_ZONE
     }
 
+    /// Returns the first members of the zone that watch the platform or would take that over.
+    pub fn next_watchers(&self) -> Vec<&Member> {
+        let reachable = |member: &&Member| member.platform_reachable;
+        let mut members: Vec<&Member> = self.live_in_zone().filter(reachable).collect();
+        members.sort_by_key(|member| (member.role, &member.vm));
+        members.truncate(2 * WATCHERS_PER_ZONE);
+        members
+    }
+
     /// Returns the live members of the zone of this process.
     pub fn live_in_zone(&self) -> impl Iterator<Item = &Member> {
         self.live().filter(|member| member.zone == self.own.zone)
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -5,6 +5,7 @@
 pub mod endpoint_state;
 pub mod engine_model;
 pub mod event_splitter;
+pub mod freshness;
 pub mod load_exchange;
 pub mod load_schedule;
 pub mod membership;
--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -38,7 +38,7 @@
 enum AnnouncedAt {
     /// At an unknown time before this process saw it; older versions may no longer be used.
     Unknown,
-    /// At this time.
+    /// At this time or later.
     Known(i64),
 }
 
@@ -87,15 +87,17 @@
         self.announced.iter().rev().find(is_due).map(|(version, _)| *version)
     }
 
-    fn announce(&mut self, version: u64, at: AnnouncedAt) {
-        let known = self.announced.entry(version).or_insert(at);
-        *known = match (*known, at) {
-            (AnnouncedAt::Known(a), AnnouncedAt::Known(b)) => AnnouncedAt::Known(a.min(b)),
-            (AnnouncedAt::Unknown, other) | (other, AnnouncedAt::Unknown) => other,
-        };
+    /// Sets the time of an announcement unless it is known; returns whether anything changed.
+    fn announce(&mut self, version: u64, at: AnnouncedAt) -> bool {
+        let known = self.announced.insert(version, at);
+        let dated = known.filter(|known| *known != AnnouncedAt::Unknown);
+        if let Some(dated) = dated {
+            self.announced.insert(version, dated);
+        }
         while self.announced.len() > MAX_VERSIONS {
             self.announced.pop_first();
         }
+        dated.is_none() && known != Some(at)
     }
 }
 
@@ -159,10 +161,20 @@
         self.targets.iter().flat_map(ages).collect()
     }
 
-    /// Merges a version announcement received from a peer.
-    pub fn merge_announcement(&mut self, now: Time, announced: AnnouncedVersion) {
-        let at = AnnouncedAt::Known(now.0 as i64 - announced.age.0 as i64);
-        self.targets.entry(announced.model).or_default().announce(announced.version, at);
+    /// Merges a version announcement that a peer sent at `sent` or later; a version not known here
+    /// was not published before `earliest` either. Returns whether anything changed.
+    pub fn merge_announcement(
+        &mut self,
+        sent: Time,
+        earliest: Option<Time>,
+        announced: AnnouncedVersion,
+    ) -> bool {
+        let at = sent.0 as i64 - announced.age.0 as i64;
+        let earliest = earliest.map_or(at, |earliest| earliest.0 as i64);
+        let versions = self.targets.entry(announced.model).or_default();
+        let is_new = !versions.announced.contains_key(&announced.version);
+        let at = AnnouncedAt::Known(if is_new { at.max(earliest) } else { at });
+        versions.announce(announced.version, at)
     }
 
     /// Records that the platform answers again after an outage.
@@ -170,8 +182,13 @@
         self.recovered_at = Some(now);
     }
 
-    /// Applies a published value; `just_now` tells that it changed now, not at an unknown time.
-    pub fn apply(&mut self, now: Time, published: PublishedValue, just_now: bool) -> Effect {
+    /// Applies a published value that was not published before `earliest`, `None` if that is unknown.
+    pub fn apply(
+        &mut self,
+        now: Time,
+        published: PublishedValue,
+        earliest: Option<Time>,
+    ) -> Effect {
         match published {
             PublishedValue::Catalog(catalog) => self.set_catalog(*catalog),
             PublishedValue::Endpoint(instance, Some(entry)) => {
@@ -182,8 +199,8 @@
             PublishedValue::ZoneEvacuated(zone, true) => effect(self.evacuated.insert(zone)),
             PublishedValue::ZoneEvacuated(zone, false) => effect(self.evacuated.remove(&zone)),
             PublishedValue::TargetVersion(model, version) => {
-                let at =
-                    if just_now { AnnouncedAt::Known(now.0 as i64) } else { AnnouncedAt::Unknown };
+                let known = |earliest: Time| AnnouncedAt::Known(earliest.0 as i64);
+                let at = earliest.map_or(AnnouncedAt::Unknown, known);
                 self.set_target(model, version, at)
             }
             PublishedValue::Other => Effect::None,
--- a/crates/core/tests/direct_desk.rs
+++ b/crates/core/tests/direct_desk.rs
@@ -98,9 +98,9 @@
 
 fn view_with(endpoints: usize, cold_rate: Option<f64>) -> View {
     let mut view = View::default();
-    view.apply(ms(0), catalog(cold_rate), true);
+    view.apply(ms(0), catalog(cold_rate), Some(ms(0)));
     (0..endpoints).for_each(|number| {
-        view.apply(ms(0), listed(number, "z1", 1), true);
+        view.apply(ms(0), listed(number, "z1", 1), Some(ms(0)));
     });
     view
 }
@@ -207,9 +207,9 @@
 #[test]
 fn gateways_without_endpoints_in_their_zone_are_served_elsewhere() {
     let mut view = View::default();
-    view.apply(ms(0), catalog(Some(14.0)), true);
+    view.apply(ms(0), catalog(Some(14.0)), Some(ms(0)));
     for number in 0..125 {
-        view.apply(ms(0), listed(number, &format!("z{}", 2 + number % 4), 1), true);
+        view.apply(ms(0), listed(number, &format!("z{}", 2 + number % 4), 1), Some(ms(0)));
     }
     let gateways: Vec<(VmId, ZoneId)> = (0..149)
         .map(|number| (name(&format!("g-{number:03}")), name(&format!("z{}", 1 + number % 5))))
@@ -375,14 +375,14 @@
 #[test]
 fn older_versions_are_not_used_after_the_update_deadline() {
     let mut view = view(2);
-    view.apply(ms(0), PublishedValue::TargetVersion(name("m"), Some(2)), true);
+    view.apply(ms(0), PublishedValue::TargetVersion(name("m"), Some(2)), Some(ms(0)));
     let mut scheduler = scheduler(&view);
     let mut rng = SmallRng::seed_from_u64(8);
     let early = grant(scheduler.submit(ms(1_000), request(ms(1_000)), &mut rng)).expect("room");
     assert_eq!(early.version, None);
     let refused = scheduler.submit(ms(7_500), request(ms(7_500)), &mut rng);
     assert!(matches!(refused, Decision::Refuse(refusal) if refusal.reason == Reason::NoEndpoint));
-    view.apply(ms(7_600), listed(1, "z1", 2), true);
+    view.apply(ms(7_600), listed(1, "z1", 2), Some(ms(7_600)));
     scheduler.update(&view);
     let late = grant(scheduler.submit(ms(7_700), request(ms(7_700)), &mut rng)).expect("room");
     assert_eq!((late.instance.as_str(), late.version), ("i-01", Some(2)));
@@ -391,7 +391,7 @@
 #[test]
 fn old_version_is_last_used_early_enough_for_a_slow_link() {
     let mut view = view(1);
-    view.apply(ms(0), PublishedValue::TargetVersion(name("m"), Some(2)), true);
+    view.apply(ms(0), PublishedValue::TargetVersion(name("m"), Some(2)), Some(ms(0)));
     let mut scheduler = scheduler(&view);
     let mut rng = SmallRng::seed_from_u64(9);
     // A request may take 0.9 s over a slow link and 0.2 s at the engine to begin; the version is
@@ -405,8 +405,8 @@
 #[test]
 fn zone_that_is_out_and_paused_endpoint_get_no_requests() {
     let mut view = view(1);
-    view.apply(ms(0), listed(7, "z2", 1), true);
-    view.apply(ms(0), PublishedValue::ZoneEvacuated(name("z2"), true), true);
+    view.apply(ms(0), listed(7, "z2", 1), Some(ms(0)));
+    view.apply(ms(0), PublishedValue::ZoneEvacuated(name("z2"), true), Some(ms(0)));
     let mut scheduler = scheduler(&view);
     let mut rng = SmallRng::seed_from_u64(9);
     scheduler.pause_endpoint(&name("i-00"), ms(400));
--- a/crates/core/tests/direct_view.rs
+++ b/crates/core/tests/direct_view.rs
@@ -3,6 +3,7 @@
 use sequoiahold_core::{
     direct::{
         catalog::{Catalog, EndpointEntry},
+        freshness::Freshness,
         platform::PublishedValue,
         view::{AnnouncedVersion, Effect, View},
     },
@@ -45,8 +46,8 @@
 #[test]
 fn newer_version_does_not_extend_the_deadline_of_an_older_one() {
     let mut view = View::default();
-    view.apply(at(1_000), target(2), true);
-    view.apply(at(3_000), target(3), true);
+    view.apply(at(1_000), target(2), Some(at(1_000)));
+    view.apply(at(3_000), target(3), Some(at(3_000)));
     let target = view.target(&model()).expect("a version");
     let after = Span::secs(6);
     assert_eq!(target.newest(), 3);
@@ -60,15 +61,13 @@
 #[test]
 fn restarted_process_uses_no_old_version_until_a_peer_reports_its_age() {
     let mut view = View::default();
-    view.apply(at(50), target(2), false);
+    view.apply(at(50), target(2), None);
     assert_eq!(
         view.target(&model()).expect("a version").min_usable(at(50), Span::secs(6)),
         Some(2)
     );
-    view.merge_announcement(
-        at(100),
-        AnnouncedVersion { model: model(), version: 2, age: Span::secs(4) },
-    );
+    let announced = AnnouncedVersion { model: model(), version: 2, age: Span::secs(4) };
+    assert!(view.merge_announcement(at(100), None, announced));
     let target = view.target(&model()).expect("a version");
     assert_eq!(target.min_usable(at(2_000), Span::secs(6)), None);
     assert_eq!(target.min_usable(at(2_100), Span::secs(6)), Some(2));
@@ -77,9 +76,9 @@
 #[test]
 fn only_known_version_ages_are_reported() {
     let mut view = View::default();
-    view.apply(at(50), target(2), false);
+    view.apply(at(50), target(2), None);
     assert_eq!(view.announced_versions(at(100)), []);
-    view.apply(at(1_000), target(3), true);
+    view.apply(at(1_000), target(3), Some(at(1_000)));
     let announced = AnnouncedVersion { model: model(), version: 3, age: Span::millis(500) };
     assert_eq!(view.announced_versions(at(1_500)), [announced]);
 }
@@ -88,17 +87,17 @@
 fn older_configuration_is_ignored() {
     let mut view = View::default();
     let set = |version| PublishedValue::Catalog(Box::new(Catalog::new(version, [])));
-    assert_eq!(view.apply(at(0), set(4), true), Effect::Catalog);
-    assert_eq!(view.apply(at(1), set(3), true), Effect::None);
+    assert_eq!(view.apply(at(0), set(4), Some(at(0))), Effect::Catalog);
+    assert_eq!(view.apply(at(1), set(3), Some(at(1))), Effect::None);
     assert_eq!(view.catalog().expect("a configuration").version, 4);
 }
 
 #[test]
 fn entry_missing_after_an_outage_is_removed_after_a_grace_period() {
     let mut view = View::default();
-    view.apply(at(0), listed(), true);
+    view.apply(at(0), listed(), Some(at(0)));
     view.record_recovery(at(10_000));
-    view.apply(at(10_000), PublishedValue::Endpoint(instance(), None), false);
+    view.apply(at(10_000), PublishedValue::Endpoint(instance(), None), None);
     assert!(!view.expire_endpoints(at(11_600)));
     assert!(view.endpoints().contains_key(&instance()));
     assert!(view.expire_endpoints(at(11_700)));
@@ -108,10 +107,10 @@
 #[test]
 fn entry_that_returns_after_an_outage_is_kept() {
     let mut view = View::default();
-    view.apply(at(0), listed(), true);
+    view.apply(at(0), listed(), Some(at(0)));
     view.record_recovery(at(10_000));
-    view.apply(at(10_000), PublishedValue::Endpoint(instance(), None), false);
-    view.apply(at(11_000), listed(), true);
+    view.apply(at(10_000), PublishedValue::Endpoint(instance(), None), None);
+    view.apply(at(11_000), listed(), Some(at(11_000)));
     assert!(!view.expire_endpoints(at(20_000)));
     assert!(view.endpoints().contains_key(&instance()));
 }
@@ -119,7 +118,50 @@
 #[test]
 fn removed_entry_is_dropped_at_once_while_the_platform_answers() {
     let mut view = View::default();
-    view.apply(at(0), listed(), true);
-    view.apply(at(100), PublishedValue::Endpoint(instance(), None), true);
+    view.apply(at(0), listed(), Some(at(0)));
+    view.apply(at(100), PublishedValue::Endpoint(instance(), None), Some(at(100)));
     assert!(view.endpoints().is_empty());
 }
+
+/// A watch falls silent at 1 s; the version is published right after and heard of at 3.6 s.
+#[test]
+fn version_heard_of_late_counts_from_the_last_time_without_it() {
+    let (mut view, mut freshness) = (View::default(), Freshness::default());
+    freshness.record_read(at(900));
+    view.apply(at(3_600), target(2), freshness.earliest_change());
+    let target = view.target(&model()).expect("a version");
+    assert_eq!(target.min_usable(at(6_899), Span::secs(6)), None);
+    assert_eq!(target.min_usable(at(6_900), Span::secs(6)), Some(2));
+}
+
+#[test]
+fn rollout_does_not_count_the_time_of_an_outage() {
+    let mut freshness = Freshness::default();
+    freshness.record_read(at(1_000));
+    freshness.record_outage(at(5_000));
+    assert_eq!(freshness.earliest_change(), Some(at(5_000)));
+    freshness.record_read(at(6_000));
+    assert_eq!(freshness.earliest_change(), Some(at(6_000)));
+}
+
+/// A datagram that waited while the process stood still is dated by the last look at the socket.
+#[test]
+fn forwarded_change_counts_from_the_latest_known_bound() {
+    let mut freshness = Freshness::default();
+    assert_eq!(freshness.earliest_sent_change(at(50), Some(Span::millis(200))), None);
+    assert_eq!(freshness.earliest_sent_change(at(500), Some(Span::millis(200))), Some(at(300)));
+    freshness.record_peer(at(500), Span::millis(100));
+    assert_eq!(freshness.earliest_sent_change(at(500), Some(Span::millis(200))), Some(at(400)));
+    assert_eq!(freshness.earliest_sent_change(at(900), Some(Span::millis(200))), Some(at(700)));
+    assert_eq!(freshness.age(at(900)), Some(Span::millis(500)));
+}
+
+#[test]
+fn announced_age_neither_precedes_own_knowledge_nor_moves_a_known_date() {
+    let mut view = View::default();
+    let announced = |secs| AnnouncedVersion { model: model(), version: 2, age: Span::secs(secs) };
+    assert!(view.merge_announcement(at(9_000), Some(at(6_000)), announced(4)));
+    assert!(!view.merge_announcement(at(9_000), None, announced(1)));
+    let target = view.target(&model()).expect("a version");
+    assert_eq!(target.rollout_start(Some(1)), at(6_000));
+}
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -34,6 +34,19 @@
     pub bits: Vec<u8>,
 }
 
+/// Changes of the published state for peers that know all changes up to a revision.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Changes {
+    /// The revision.
+    pub after: Revision,
+    /// The changes.
+    pub delta: StateDelta,
+    /// The changes were published at most this long before they were sent, `None` if unknown.
+    pub earliest: Option<Span>,
+    /// The state with the changes was current this long before they were sent.
+    pub current: Option<Span>,
+}
+
 /// A datagram between processes.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Datagram {
@@ -47,6 +60,6 @@
     Crash(Crash),
     /// The chunks that a loader holds.
     Holds(ChunkOffer),
-    /// Changes of the published state for peers that know all changes up to the revision.
-    Changes(Revision, StateDelta),
+    /// Changes of the published state.
+    Changes(Changes),
 }
--- a/crates/sequoiahold/src/node/gossip.rs
+++ b/crates/sequoiahold/src/node/gossip.rs
@@ -1,6 +1,6 @@
 //! Gossip over UDP: membership, and changes of the published state within a zone.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{io, net::SocketAddr, rc::Rc};
 
 use anyhow::Context as _;
 use sequoiahold_core::{
@@ -9,11 +9,12 @@
         mirror::{Change, Revision, StateDelta},
         platform::Codec,
     },
+    time::Time,
     units::Span,
 };
 use tokio::net::UdpSocket;
 
-use super::{Datagram, Node, peers};
+use super::{Datagram, Node, datagram::Changes, peers};
 
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -79,8 +80,18 @@
 
 async fn receive_datagrams<C: Codec>(node: Rc<Node<C>>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    // A datagram may have waited in the socket for as long as this process stood still.
+    let mut drained_at = node.now();
     loop {
-        let (len, from) = match socket.recv_from(&mut buffer).await {
+        tokio::task::coop::consume_budget().await;
+        let received = match socket.try_recv_from(&mut buffer) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                drained_at = node.now();
+                socket.recv_from(&mut buffer).await
+            }
+            received => received,
+        };
+        let (len, from) = match received {
             Ok(received) => received,
             Err(error) => {
                 log::debug!("cannot receive datagram: {error}");
@@ -89,7 +100,7 @@
         };
         match postcard::from_bytes(&buffer[..len]) {
             Ok(Datagram::Gossip(gossip)) => on_gossip(&node, from, gossip),
-            Ok(Datagram::Changes(after, delta)) => on_changes(&node, from, after, delta),
+            Ok(Datagram::Changes(changes)) => on_changes(&node, from, drained_at, changes),
             Ok(datagram) => {
                 if node.datagrams.send(datagram).is_err() {
                     log::debug!("datagram from {from} dropped: its receiver is closed");
@@ -124,15 +135,38 @@
     }
 }
 
-/// Forwards changes to the processes of the zone, which pull those that exceed a datagram.
-pub(super) fn forward_changes<C: Codec>(node: &Node<C>, after: Revision, mut delta: StateDelta) {
+/// Forwards changes, not published before `earliest`, to the processes of the zone, which pull those
+/// that exceed a datagram.
+pub(super) fn forward_changes<C: Codec>(
+    node: &Node<C>,
+    after: Revision,
+    mut delta: StateDelta,
+    earliest: Option<Time>,
+) {
     let size: usize = delta.changes.iter().map(estimated_size).sum();
     if size > MAX_CHANGE_BYTES {
         delta.changes.clear();
     }
+    let now = node.now();
+    let changes = Changes {
+        after,
+        delta,
+        earliest: earliest.map(|earliest| now - earliest),
+        current: node.freshness.borrow().age(now),
+    };
     let membership = node.membership.borrow();
     let zone_peers = membership.live_in_zone().map(|member| member.addr);
-    node.send(zone_peers, &Datagram::Changes(after, delta));
+    node.send(zone_peers, &Datagram::Changes(changes));
+}
+
+/// Tells the processes that may have to take over the watch that the state, `delta` being empty, is
+/// still current.
+pub(super) fn confirm_unchanged<C: Codec>(node: &Node<C>, delta: StateDelta) {
+    let current = node.freshness.borrow().age(node.now());
+    let changes = Changes { after: delta.at, delta, earliest: None, current };
+    let membership = node.membership.borrow();
+    let watchers = membership.next_watchers().into_iter().map(|member| member.addr);
+    node.send(watchers, &Datagram::Changes(changes));
 }
 
 fn estimated_size(change: &Change) -> usize {
@@ -140,16 +174,21 @@
 }
 
 /// Applies changes forwarded by a peer, or pulls its state if earlier changes are missing.
-fn on_changes<C: Codec>(node: &Rc<Node<C>>, from: SocketAddr, after: Revision, delta: StateDelta) {
+fn on_changes<C: Codec>(node: &Rc<Node<C>>, from: SocketAddr, sent: Time, message: Changes) {
+    let Changes { after, delta, earliest, current } = message;
     let revision = node.mirror.borrow().revision();
-    if delta.at <= revision {
-        return;
-    }
-    if revision < after || delta.changes.is_empty() {
+    let is_new = delta.at > revision;
+    if is_new && (revision < after || delta.changes.is_empty()) {
         return peers::schedule_pull(node, from, delta.at);
     }
-    let changes = node.mirror.borrow_mut().apply_delta(delta);
-    node.apply_changes(changes, true);
+    let earliest = node.freshness.borrow().earliest_sent_change(sent, earliest);
+    if let Some(age) = current {
+        node.freshness.borrow_mut().record_peer(sent, age);
+    }
+    if is_new {
+        let changes = node.mirror.borrow_mut().apply_delta(delta);
+        node.apply_changes(changes, earliest);
+    }
 }
 
 /// Pulls the state of a peer unless this process reaches `revision` within [`PULL_DELAY`]; pulls
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -17,10 +17,11 @@
 use rand::{SeedableRng as _, rngs::SmallRng};
 use sequoiahold_core::{
     direct::{
+        freshness::Freshness,
         membership::{Member, Membership, Role},
         mirror::{Change, Mirror, Revision},
         platform::{Codec, PublishedValue},
-        view::{Effect, View},
+        view::{AnnouncedVersion, Effect, View},
     },
     ids::ModelId,
     time::Time,
@@ -73,6 +74,7 @@
     upload_pacer: RefCell<Option<Pacer>>,
     socket: RefCell<Option<Rc<tokio::net::UdpSocket>>>,
     revision_sender: watch_channel::Sender<Revision>,
+    freshness: RefCell<Freshness>,
     outage_start: Cell<Option<Time>>,
     pending_pull: Cell<Option<(Revision, SocketAddr)>>,
     pulling: Cell<bool>,
@@ -122,6 +124,7 @@
             upload_pacer: RefCell::default(),
             socket: RefCell::default(),
             revision_sender: watch_channel::channel(Revision(0)).0,
+            freshness: RefCell::default(),
             outage_start: Cell::new(None),
             pending_pull: Cell::new(None),
             pulling: Cell::new(false),
@@ -175,16 +178,16 @@
         membership.live_with_role(role).map(|member| member.addr).collect()
     }
 
-    /// Applies changes that were new to the mirror to the view; `seen` is true if they happened
-    /// just now, and false if they happened at an unknown time.
-    fn apply_changes(&self, changes: Vec<Change>, seen: bool) {
+    /// Applies changes that were new to the mirror to the view; they were not published before
+    /// `earliest`, `None` if that is unknown.
+    fn apply_changes(&self, changes: Vec<Change>, earliest: Option<Time>) {
         let now = self.now();
         let mut changed = false;
         for change in changes {
             match self.codec.decode_published(&change.key, change.value.as_deref()) {
                 Ok(published) => {
                     let announced = announced_version(&published);
-                    let effect = self.view.borrow_mut().apply(now, published, seen);
+                    let effect = self.view.borrow_mut().apply(now, published, earliest);
                     changed |= effect != Effect::None;
                     if effect == Effect::Catalog {
                         let version = self.view.borrow().catalog().map(|catalog| catalog.version);
@@ -208,6 +211,26 @@
         }
     }
 
+    /// Merges the version announcements that a peer sent at `sent` or later.
+    fn merge_announcements(
+        &self,
+        sent: Time,
+        earliest: Option<Time>,
+        announced: Vec<AnnouncedVersion>,
+    ) {
+        let mut changed = false;
+        for announced in announced {
+            let (model, version) = (announced.model.clone(), announced.version);
+            if self.view.borrow_mut().merge_announcement(sent, earliest, announced) {
+                self.log_announced(&model, version);
+                changed = true;
+            }
+        }
+        if changed {
+            self.notify_subscribers();
+        }
+    }
+
     /// Logs a newly known version with the age that its rollout counts from, -1 if unknown.
     fn log_announced(&self, model: &ModelId, version: u64) {
         let announced = self.view.borrow().announced_versions(self.now());
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -119,6 +119,7 @@
 
 /// Pulls the changes of the published state that this process lacks from a peer.
 pub(super) async fn pull_state<C: Codec>(node: &Node<C>, peer: SocketAddr) {
+    let started = node.now();
     let after = node.mirror.borrow().revision();
     let target = format!("{SYNC_PATH}?after={after}");
     let call = get_from_peer(node, peer, &target, MAX_SYNC_BYTES);
@@ -126,17 +127,15 @@
     let state = body.context("no answer in time").and_then(|body| StateMessage::decode(&body?));
     match state {
         Ok(StateMessage { delta, announced }) => {
-            let now = node.now();
-            announced
-                .into_iter()
-                .for_each(|announced| node.view.borrow_mut().merge_announcement(now, announced));
+            let earliest = node.freshness.borrow().earliest_change();
+            node.merge_announcements(started, earliest, announced);
             let changes = node.mirror.borrow_mut().apply_delta(delta);
             if !changes.is_empty() {
                 let revision = node.mirror.borrow().revision().0;
                 let peer = peer.to_string();
                 log::info!(peer = peer.as_str(), revision, changes = changes.len(); "state from a peer");
             }
-            node.apply_changes(changes, false);
+            node.apply_changes(changes, earliest);
         }
         Err(error) => log::debug!("cannot pull the published state from {peer}: {error:#}"),
     }
--- a/crates/sequoiahold/src/node/watch.rs
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -6,9 +6,13 @@
 use actix_rt::time::timeout;
 use bytes::Bytes;
 use rand::Rng as _;
-use sequoiahold_core::direct::{
-    mirror::{Change, Revision, StateDelta},
-    platform::{Codec, DecodeError},
+use sequoiahold_core::{
+    direct::{
+        mirror::{Change, Revision, StateDelta},
+        platform::{Codec, DecodeError},
+    },
+    time::Time,
+    units::Span,
 };
 
 use super::{Node, gossip};
@@ -18,9 +22,13 @@
 ///
 /// Together with [`RESPONSE_TIMEOUT`], a dead connection is detected within 2.5 s, half of the 5 s
 /// within which a change must be in force after a disruption.
-const WATCH_WAIT: Duration = Duration::from_millis(1_500);
+const WATCH_WAIT: Span = Span::millis(1_500);
+/// The same for the first watch of a connection, which tells missed changes from those to come.
+const CATCH_UP_WAIT: Span = Span::millis(1);
 /// Timeout of a read, in addition to [`WATCH_WAIT`] for a watch.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Interval at which a waiting read checks that it still waits.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause after a response, so that the next one combines changes in quick succession.
 const BATCH_INTERVAL: Duration = Duration::from_millis(120);
 /// Interval between checks whether this process must watch the platform.
@@ -39,6 +47,10 @@
     /// The delta for peers that know all changes up to `after`.
     delta: StateDelta,
     after: Revision,
+    /// The earliest time at which the response can have arrived.
+    arrived: Time,
+    /// The time for which the platform held the read as there were no changes.
+    held: Span,
 }
 
 /// The reason why a read failed.
@@ -80,6 +92,7 @@
             continue;
         }
         let needs_snapshot = compacted || node.mirror.borrow().revision() == Revision(0);
+        let (started, was_connected) = (node.now(), upstream.is_some());
         let read = if needs_snapshot {
             read_snapshot(&node, &mut upstream).await
         } else {
@@ -89,14 +102,25 @@
             Ok(read) => {
                 node.record_platform_response();
                 (failures, compacted) = (0, false);
+                let mut earliest = node.freshness.borrow().earliest_change();
+                if was_connected && !needs_snapshot {
+                    earliest = earliest.max(Some(read.arrived));
+                }
+                node.freshness.borrow_mut().record_read(started + read.held);
                 if !read.new_changes.is_empty() {
-                    gossip::forward_changes(&node, read.after, read.delta);
+                    gossip::forward_changes(&node, read.after, read.delta, earliest);
+                } else if read.held > Span(0) {
+                    gossip::confirm_unchanged(&node, read.delta);
                 }
-                node.apply_changes(read.new_changes, !needs_snapshot);
+                node.apply_changes(read.new_changes, earliest);
                 actix_rt::time::sleep(BATCH_INTERVAL).await;
             }
             Err(ReadError::Compacted) => compacted = true,
             Err(ReadError::Failed(fault)) => {
+                // Without an answer on an open connection, only that connection may be at fault.
+                if !was_connected || upstream.is_some() {
+                    node.freshness.borrow_mut().record_outage(started);
+                }
                 upstream = None;
                 node.record_platform_failure(&fault);
                 back_off(&node, failures).await;
@@ -115,7 +139,8 @@
     let mut at = None;
     loop {
         let after = items.last().map(|item| item.key.as_str());
-        let body = get(node, upstream, &node.codec.page_path(after), RESPONSE_TIMEOUT).await?;
+        let path = node.codec.page_path(after);
+        let (body, arrived) = get(node, upstream, &path, RESPONSE_TIMEOUT).await?;
         let page = node.codec.decode_page(&body)?;
         at.get_or_insert(page.revision);
         let more = page.has_more && !page.items.is_empty();
@@ -124,7 +149,7 @@
             let at = at.unwrap_or(page.revision);
             let new_changes = node.mirror.borrow_mut().apply_snapshot(at, items);
             let delta = StateDelta { at, is_snapshot: true, changes: vec![] };
-            return Ok(PlatformRead { new_changes, delta, after: at });
+            return Ok(PlatformRead { new_changes, delta, after: at, arrived, held: Span(0) });
         }
     }
 }
@@ -134,20 +159,26 @@
     node: &Node<C>,
     upstream: &mut Option<Upstream>,
 ) -> Result<PlatformRead, ReadError> {
+    let started = node.now();
     let after = node.mirror.borrow().revision();
-    let path = node.codec.watch_path(after, WATCH_WAIT.as_millis() as u64);
-    let body = get(node, upstream, &path, WATCH_WAIT + RESPONSE_TIMEOUT).await?;
+    let wait = if upstream.is_some() { WATCH_WAIT } else { CATCH_UP_WAIT };
+    let path = node.codec.watch_path(after, wait.0 / 1_000);
+    let time_limit = Duration::from(wait) + RESPONSE_TIMEOUT;
+    let (body, arrived) = get(node, upstream, &path, time_limit).await?;
     let (at, changes) = node.codec.decode_changes(&body)?;
+    let held = if changes.is_empty() { (arrived - started).min(wait) } else { Span(0) };
     let (new_changes, delta) = node.mirror.borrow_mut().apply_watch(at, changes);
-    Ok(PlatformRead { new_changes, delta, after })
+    Ok(PlatformRead { new_changes, delta, after, arrived, held })
 }
 
+/// Returns the body of a response and the earliest time at which it can have arrived, which is
+/// before `now` where this process stood still.
 async fn get<C: Codec>(
     node: &Node<C>,
     connection: &mut Option<Upstream>,
     path: &str,
     time_limit: Duration,
-) -> Result<Bytes, ReadError> {
+) -> Result<(Bytes, Time), ReadError> {
     let call = async {
         let idle =
             connection.take().and_then(|mut upstream| upstream.is_reusable().then_some(upstream));
@@ -165,8 +196,17 @@
             status => Err(ReadError::Failed(format!("unexpected status {status} for {path}"))),
         }
     };
-    let timed_out = |_| ReadError::Failed("no answer in time".to_owned());
-    timeout(time_limit, call).await.map_err(timed_out)?
+    let deadline = actix_rt::time::Instant::now() + time_limit;
+    let mut call = std::pin::pin!(call);
+    // After a pause of this process, the timer may be polled once before the response.
+    let mut waiting_at = [node.now(); 2];
+    while actix_rt::time::Instant::now() < deadline {
+        match timeout(POLL_INTERVAL, &mut call).await {
+            Ok(body) => return Ok((body?, waiting_at[0])),
+            Err(_) => waiting_at = [waiting_at[1], node.now()],
+        }
+    }
+    Err(ReadError::Failed("no answer in time".to_owned()))
 }
 
 async fn back_off<C>(node: &Node<C>, failures: u32) {
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -107,6 +107,11 @@
 
 impl Fixture {
     async fn start(endpoints: usize) -> Self {
+        Self::start_with(endpoints, |_| {}).await
+    }
+
+    /// Starts a gateway whose settings `adjust` changes.
+    async fn start_with(endpoints: usize, adjust: impl FnOnce(&mut Value)) -> Self {
         let dir = std::env::temp_dir().join(format!("gateway-{:016x}", random_id()));
         std::fs::create_dir_all(&dir).expect("a directory for settings");
         let (platform, callers, ready, peers) =
@@ -120,7 +125,8 @@
             store.put(&format!("servers/{name}"), Some(registry_entry(addr, "ready")));
             addrs.push(addr);
         }
-        let settings = gateway_settings("gateway-1", peers, platform, &[], callers, ready);
+        let mut settings = gateway_settings("gateway-1", peers, platform, &[], callers, ready);
+        adjust(&mut settings);
         let gateway = Process::start(&program_path(), "gateway", "gateway-1", &dir, &settings)
             .expect("a gateway");
         let fixture =
@@ -321,6 +327,58 @@
     .await;
 }
 
+/// What happens to a gateway while operators publish a version.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Disruption {
+    /// The connection of its waiting watch falls silent, new ones work.
+    SilentWatch,
+    /// The process stands still.
+    Paused(Duration),
+}
+
+/// The rollout time counts from the publication, not from the moment at which a process hears of it.
+#[rstest]
+#[case::silent_watch(Disruption::SilentWatch)]
+#[case::paused_process(Disruption::Paused(Duration::from_secs(2)))]
+#[actix_rt::test]
+async fn a_version_that_is_heard_of_late_is_in_use_within_the_rollout_time(
+    #[case] disruption: Disruption,
+) {
+    const ROLLOUT: Duration = Duration::from_secs(4);
+    let adjust = |settings: &mut Value| settings["node"]["bounds"]["version"] = json!("4s");
+    let fixture = Fixture::start_with(1, adjust).await;
+    let mut entry = registry_entry(fixture.addrs[0], "ready");
+    entry["models"] = json!([{ "name": "m", "version": 1, "adapters": [] }]);
+    fixture.store.put("servers/i-0", Some(entry));
+    fixture.store.put("op/version/m", Some(json!({ "model": "m", "version": 1 })));
+    let text = request("GET", "/read/1", "key-1", "close");
+    let read = text.replacen("\r\n", "\r\nModel: m\r\n", 1);
+    wait_until("the first version serves", async || {
+        exchange(fixture.callers, &read).await.0 == 200
+    })
+    .await;
+    // Waits until the gateway has renewed its watch: only waiting watches are stalled.
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    match disruption {
+        Disruption::SilentWatch => fixture.store.stall_watches(),
+        Disruption::Paused(_) => fixture.gateway.signal(Signal::Stop),
+    }
+    fixture.store.put("op/version/m", Some(json!({ "model": "m", "version": 2 })));
+    let published = Instant::now();
+    if let Disruption::Paused(pause) = disruption {
+        actix_rt::time::sleep(pause).await;
+        fixture.gateway.signal(Signal::Continue);
+    }
+    actix_rt::time::sleep(ROLLOUT.saturating_sub(published.elapsed())).await;
+    let before = fixture.workers[0].requests().len();
+    while published.elapsed() < ROLLOUT * 2 {
+        exchange(fixture.callers, &read).await;
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    let late = fixture.workers[0].requests().len() - before;
+    assert_eq!(late, 0, "requests ran on the old version after the rollout time");
+}
+
 #[actix_rt::test]
 async fn a_stopping_gateway_is_not_ready_and_finishes_running_requests() {
     let mut fixture = Fixture::start(1).await;
