--- a/crates/sequoiahold/src/node/gossip.rs
+++ b/crates/sequoiahold/src/node/gossip.rs
@@ -22,6 +22,8 @@
 const MAX_CHANGE_BYTES: usize = 1_150;
 /// Estimated size of an encoded change without its key and value.
 const CHANGE_OVERHEAD_BYTES: usize = 16;
+/// Minimum duration of a suspension of the VM that is logged.
+const MIN_SUSPENSION: Span = Span::millis(100);
 /// Delay before newer state is pulled from a peer, during which the watch of this process or a
 /// datagram may deliver it.
 const PULL_DELAY: Span = Span::millis(150);
@@ -59,7 +61,13 @@
 }
 
 async fn run_rounds<C: Codec>(node: Rc<Node<C>>) {
+    let mut suspended = Span(0);
     loop {
+        let suspended_before = std::mem::replace(&mut suspended, node.clock.suspended());
+        if suspended.0 > suspended_before.0 + MIN_SUSPENSION.0 {
+            let suspended_ms = (suspended.0 - suspended_before.0) / 1_000;
+            log::warn!(suspended_ms; "VM was suspended");
+        }
         let revision = node.mirror.borrow().revision();
         let messages = node.membership.borrow_mut().start_round(
             node.now(),
