A request that has not begun is withdrawn before its version is due

Callers saw requests begin on an old version after the rollout time. Cause (hypothesis 3, the wait at the endpoint): a gateway stops sending old work 1.44 s before the version is due, but nothing ended a request that was sent before and still waited in the engine's queue or behind its prefill; it could begin at any time until its deadline. The class: a bound on sending that is taken for a bound on beginning.

A grant now says by when the request must have begun, 0.925 of the rollout time after the first version newer than the endpoint's; the connection of one without an answer is closed then, which makes the engine drop it. It is sent to another endpoint if it may be, else its caller is told that the outcome is unknown. Bytes that are still on their way are not taken back.

Evidence: a_request_that_waits_at_an_endpoint_is_withdrawn_within_the_rollout_time failed before: the answer was 504 at the caller's deadline for 502 within the rollout time.

--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -30,6 +30,9 @@
 /// Fraction of the rollout time after which no older version is requested. Of 8 s, the rest covers
 /// the 1.1 s that a request took to start over a slow link.
 const ROLLOUT_FRACTION: f64 = 0.82;
+/// Fraction of the rollout time after which a request that has not begun on an older version is
+/// withdrawn. Of 8 s, the rest covers the way of the withdrawal and the clocks.
+const WITHDRAW_FRACTION: f64 = 0.925;
 /// Window over which completions are counted to estimate the queueing time.
 const COMPLETION_WINDOW: Span = Span::secs(2);
 
@@ -53,6 +56,12 @@
     pub cold_extra: f64,
 }
 
+impl SchedulerConfig {
+    fn rollout_span(&self, fraction: f64) -> Span {
+        Span((self.rollout_time.0 as f64 * fraction) as u64)
+    }
+}
+
 /// A request to be placed at an endpoint.
 #[derive(Clone, Debug)]
 pub struct PlacementRequest {
@@ -89,6 +98,9 @@
     pub addr: std::net::SocketAddr,
     /// The only version of the weights that may be used, `None` for any.
     pub version: Option<u64>,
+    /// When the request is withdrawn unless it has begun, as its version is no longer valid then;
+    /// `None` while no newer version is announced.
+    pub begin_by: Option<Time>,
     /// Estimated prefill time of the prompt in ms; 0 once prefill is over.
     pub prefill_ms: u32,
     /// Estimated time to the first event in ms; 0 where the service declares no engine.
@@ -386,16 +398,34 @@
             }
         }
         let (_, key, first_ms) = best?;
+        Some(self.reserve(now, request, key, min_version, (prefill_ms, first_ms)))
+    }
+
+    /// Reserves a slot at an endpoint for a request with these estimated times, in ms, of its prefill
+    /// and to its first event.
+    fn reserve(
+        &mut self,
+        now: Time,
+        request: &PlacementRequest,
+        key: EndpointKey,
+        min_version: Option<u64>,
+        (prefill_ms, first_ms): (u32, u32),
+    ) -> Grant {
         let state = &mut self.endpoints[key];
         state.record_send(now, prefill_ms);
         let entry = &state.endpoint.entry;
         let loaded = request.model.as_ref().and_then(|model| state.endpoint.loaded_model(model));
-        let version = min_version.and(loaded).map(|loaded| loaded.version);
+        let loaded = loaded.map(|loaded| loaded.version);
+        let begin_by = loaded.and_then(|loaded| {
+            let targets = self.targets.get(request.model.as_ref()?)?;
+            targets.replaced_for(loaded, self.config.rollout_span(WITHDRAW_FRACTION))
+        });
         let grant = Grant {
             endpoint: key,
             instance: entry.instance.clone(),
             addr: entry.addr,
-            version,
+            version: min_version.and(loaded),
+            begin_by,
             prefill_ms,
             first_ms,
             account: request.account.clone(),
@@ -403,7 +433,7 @@
         };
         let queue = self.queues.entry(request.service.clone()).or_default();
         queue.waiting.record_start(&request.account);
-        Some(grant)
+        grant
     }
 
     /// Returns whether any endpoint may serve the request, now or once its load has dropped.
@@ -419,7 +449,7 @@
 
     /// Returns the oldest version that may still be used, `None` for any.
     fn min_version(&self, now: Time, request: &PlacementRequest) -> Option<u64> {
-        let last = Span((self.config.rollout_time.0 as f64 * ROLLOUT_FRACTION) as u64);
+        let last = self.config.rollout_span(ROLLOUT_FRACTION);
         self.targets.get(request.model.as_ref()?)?.min_usable(now, last)
     }
 
--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -77,6 +77,16 @@
         }
     }
 
+    /// Returns when `current` has been replaced for `after`, `None` if no newer version is announced
+    /// or its time is unknown.
+    pub fn replaced_for(&self, current: u64, after: Span) -> Option<Time> {
+        let mut newer = self.announced.iter().filter(|(version, _)| **version > current);
+        match newer.next()? {
+            (_, AnnouncedAt::Known(at)) => u64::try_from(at + after.0 as i64).ok().map(Time),
+            (_, AnnouncedAt::Unknown) => None,
+        }
+    }
+
     /// Returns the newest version that was announced at least `after` ago; older ones may no longer
     /// be used.
     pub fn min_usable(&self, now: Time, after: Span) -> Option<u64> {
--- a/crates/core/tests/direct_view.rs
+++ b/crates/core/tests/direct_view.rs
@@ -165,3 +165,14 @@
     let target = view.target(&model()).expect("a version");
     assert_eq!(target.rollout_start(Some(1)), at(6_000));
 }
+
+#[test]
+fn version_is_replaced_by_the_next_newer_one() {
+    let mut view = View::default();
+    view.apply(at(1_000), target(2), Some(at(1_000)));
+    view.apply(at(3_000), target(3), Some(at(3_000)));
+    let target = view.target(&model()).expect("a version");
+    assert_eq!(target.replaced_for(1, Span::secs(6)), Some(at(7_000)));
+    assert_eq!(target.replaced_for(2, Span::secs(6)), Some(at(9_000)));
+    assert_eq!(target.replaced_for(3, Span::secs(6)), None);
+}
--- a/crates/sequoiahold/src/gateway/attempt.rs
+++ b/crates/sequoiahold/src/gateway/attempt.rs
@@ -50,7 +50,8 @@
     }
 }
 
-/// Sends a request and reads the response head; `response_timeout` applies to each of the two.
+/// Sends a request and reads the response head; `response_timeout` applies to each of the two, and
+/// both end at the time by which the grant wants the request to have begun.
 pub(super) async fn send<C: Codec>(
     gateway: &Gateway<C>,
     plan: &Plan,
@@ -67,7 +68,11 @@
     };
     let headers = request_headers(gateway, plan, request, grant, last_event);
     let sending = upstream.send(request.method.clone(), &request.target, headers, &request.body);
-    match timeout(response_timeout, sending).await {
+    let time_limit = || match grant.begin_by {
+        Some(begin_by) => response_timeout.min((begin_by - gateway.node.now()).into()),
+        None => response_timeout,
+    };
+    match timeout(time_limit(), sending).await {
         Ok(Ok(())) => {}
         Ok(Err(error)) if error.partly_sent => {
             return SendOutcome::indeterminate(format!("sending: {}", error.error), true);
@@ -75,7 +80,7 @@
         Ok(Err(error)) => return SendOutcome::NotSent(format!("sending: {}", error.error)),
         Err(_) => return SendOutcome::indeterminate("sending timed out", false),
     }
-    match timeout(response_timeout, read_head(gateway, request, &mut upstream)).await {
+    match timeout(time_limit(), read_head(gateway, request, &mut upstream)).await {
         Ok(Ok(response)) => classify(gateway, response, upstream).await,
         Ok(Err(error)) => SendOutcome::indeterminate(error.to_string(), error.is_disconnect()),
         Err(_) => SendOutcome::indeterminate("no response in time", false),
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -327,6 +327,29 @@
     .await;
 }
 
+/// The time within which a version must be in use, as in the settings of [`start_with_version`].
+const ROLLOUT: Duration = Duration::from_secs(4);
+
+/// Starts a gateway and an endpoint that holds version 1 of a model.
+async fn start_with_version() -> Fixture {
+    let adjust = |settings: &mut Value| settings["node"]["bounds"]["version"] = json!("4s");
+    let fixture = Fixture::start_with(1, adjust).await;
+    let mut entry = registry_entry(fixture.addrs[0], "ready");
+    entry["models"] = json!([{ "name": "m", "version": 1, "adapters": [] }]);
+    fixture.store.put("servers/i-0", Some(entry));
+    fixture.store.put("op/version/m", Some(json!({ "model": "m", "version": 1 })));
+    let read = model_request("GET", "/read/1");
+    wait_until("the first version serves", async || {
+        exchange(fixture.callers, &read).await.0 == 200
+    })
+    .await;
+    fixture
+}
+
+fn model_request(method: &str, path: &str) -> String {
+    request(method, path, "key-1", "close").replacen("\r\n", "\r\nModel: m\r\n", 1)
+}
+
 /// What happens to a gateway while operators publish a version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Disruption {
@@ -344,19 +367,8 @@
 async fn a_version_that_is_heard_of_late_is_in_use_within_the_rollout_time(
     #[case] disruption: Disruption,
 ) {
-    const ROLLOUT: Duration = Duration::from_secs(4);
-    let adjust = |settings: &mut Value| settings["node"]["bounds"]["version"] = json!("4s");
-    let fixture = Fixture::start_with(1, adjust).await;
-    let mut entry = registry_entry(fixture.addrs[0], "ready");
-    entry["models"] = json!([{ "name": "m", "version": 1, "adapters": [] }]);
-    fixture.store.put("servers/i-0", Some(entry));
-    fixture.store.put("op/version/m", Some(json!({ "model": "m", "version": 1 })));
-    let text = request("GET", "/read/1", "key-1", "close");
-    let read = text.replacen("\r\n", "\r\nModel: m\r\n", 1);
-    wait_until("the first version serves", async || {
-        exchange(fixture.callers, &read).await.0 == 200
-    })
-    .await;
+    let fixture = start_with_version().await;
+    let read = model_request("GET", "/read/1");
     // Waits until the gateway has renewed its watch: only waiting watches are stalled.
     actix_rt::time::sleep(Duration::from_millis(500)).await;
     match disruption {
@@ -379,6 +391,20 @@
     assert_eq!(late, 0, "requests ran on the old version after the rollout time");
 }
 
+/// The endpoint may begin what waits there at any time, also after the rollout time.
+#[actix_rt::test]
+async fn a_request_that_waits_at_an_endpoint_is_withdrawn_within_the_rollout_time() {
+    let fixture = start_with_version().await;
+    fixture.store.put("op/version/m", Some(json!({ "model": "m", "version": 2 })));
+    let published = Instant::now();
+    fixture.workers[0].set_behaviour(Behaviour::NeverAnswer);
+    actix_rt::time::sleep(ROLLOUT / 2).await;
+    let (status, text) = exchange(fixture.callers, &model_request("POST", "/order/1")).await;
+    assert_eq!(fixture.workers[0].requests().last().map(|ran| ran.has_key), Some(false));
+    assert_eq!(status, 502, "{text}");
+    assert!(published.elapsed() < ROLLOUT, "withdrawn after {:?}", published.elapsed());
+}
+
 #[actix_rt::test]
 async fn a_stopping_gateway_is_not_ready_and_finishes_running_requests() {
     let mut fixture = Fixture::start(1).await;
