Loader: slow pulls are logged with the number of concurrent pulls

Nothing in the logs told that a VM's link was full of chunks: the line of a pull was written at debug level only and did not say how many others shared the link.

--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -98,7 +98,7 @@
             && let Some(job) = transfer.next_pull(now)
         {
             active_pulls += 1;
-            events.push(pull(loader, target, list, job).boxed_local());
+            events.push(pull(loader, target, list, job, active_pulls).boxed_local());
         }
         for vm in transfer.peers_to_query(now) {
             events.push(query_peer(loader, target, vm).boxed_local());
@@ -210,7 +210,14 @@
     }
 }
 
-async fn pull<C: Codec>(loader: &Loader<C>, target: &Target, list: &ChunkList, job: Pull) -> Event {
+/// Pulls a chunk while `concurrent` pulls are in progress, this one included.
+async fn pull<C: Codec>(
+    loader: &Loader<C>,
+    target: &Target,
+    list: &ChunkList,
+    job: Pull,
+    concurrent: u32,
+) -> Event {
     let chunk = list.digests.iter().position(|digest| *digest == job.digest).unwrap_or(0);
     let chunk_id = (&target.model, target.version, chunk);
     let request = async {
@@ -231,9 +238,15 @@
     let elapsed_ms = (loader.node.now() - start).0 / 1_000;
     let (from, error) = (format!("{:?}", job.source), result.as_ref().err().copied());
     let error = format!("{error:?}");
-    log::debug!(chunk, from = from.as_str(), took_ms = elapsed_ms, error = error.as_str(); "draw");
+    let is_slow = loader.node.now() - start >= SLOW_PULL;
+    let level = if is_slow { log::Level::Info } else { log::Level::Debug };
+    log::log!(
+        level,
+        chunk, from = from.as_str(), took_ms = elapsed_ms, concurrent, error = error.as_str();
+        "pull ended"
+    );
     let link_state = match job.source {
-        ChunkSource::Peer(_) if loader.node.now() - start >= SLOW_PULL => LinkState::Congested,
+        ChunkSource::Peer(_) if is_slow => LinkState::Congested,
         ChunkSource::Peer(_) if result.is_ok() => LinkState::Free,
         _ => LinkState::Unknown,
     };
