--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -7,6 +7,7 @@
 pub mod pace;
 mod peer;
 pub mod pull;
+pub mod pull_limit;
 pub mod rollout;
 pub mod state;
 mod task;
@@ -20,6 +21,7 @@
     manifest::{Manifest, ManifestError},
     pace::Pacer,
     pull::{ChunkOutcome, ChunkSource, Pull, PullError, TransferLimits},
+    pull_limit::PullLimit,
     rollout::{Rollout, RolloutDecision},
     state::{TransferEvent, TransferState},
     topology::{PeerKey, Topology, ZoneLink},
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -15,8 +15,8 @@
     ids::{Digest, VmId},
     units::{Bytes as Size, Span},
     weights::{
-        ChunkOutcome, ChunkSource, Manifest, Pull, PullError, RendezvousOwners, Topology, Transfer,
-        TransferLimits, ZoneLink,
+        ChunkOutcome, ChunkSource, Manifest, Pull, PullError, PullLimit, RendezvousOwners,
+        Topology, Transfer, TransferLimits, ZoneLink,
     },
 };
 
@@ -25,9 +25,6 @@
 
 /// Maximum number of concurrent pulls.
 const MAX_PULLS: u32 = 6;
-/// Duration from which a pull from a peer shows that the VM's link is congested, twice the p90 of
-/// six concurrent pulls; data queued on the link delays the requests of the engine.
-const SLOW_PULL: Span = Span::millis(750);
 /// Maximum interval between checks for pulls and queries to start.
 const POLL_INTERVAL: Duration = Duration::from_millis(30);
 /// Minimum interval between announcements to the loaders of the zone.
@@ -39,35 +36,22 @@
 /// Interval between updates of the topology from the membership.
 const TOPOLOGY_INTERVAL: Span = Span::millis(500);
 
+/// A pull that ended.
+struct EndedPull {
+    pull: Pull,
+    result: Result<Bytes, PullError>,
+    elapsed: Span,
+    /// The number of pulls in progress at its start, this one included.
+    concurrent: u32,
+}
+
 /// The result of a background operation of a transfer.
 enum Event {
-    Pulled(Digest, Result<Bytes, PullError>, LinkState),
+    Pulled(EndedPull),
     HeldChunks(VmId, Option<Bytes>),
     Staged(usize, anyhow::Result<()>),
 }
 
-/// The state of the VM's link as observed by a pull.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum LinkState {
-    /// The pull was fast.
-    Free,
-    /// The pull took [`SLOW_PULL`] or longer, whether it succeeded or not.
-    Congested,
-    /// The pull failed early, or its source was the origin, whose link is the bottleneck.
-    Unknown,
-}
-
-impl LinkState {
-    /// Returns the limit of concurrent pulls that follows `limit` after this observation.
-    fn next_limit(self, limit: u32) -> u32 {
-        match self {
-            Self::Free => (limit + 1).min(MAX_PULLS),
-            Self::Congested => 1,
-            Self::Unknown => limit,
-        }
-    }
-}
-
 /// Pulls the missing chunks of a version and stages each one as it arrives.
 pub(super) async fn run<C: Codec>(
     loader: &Loader<C>,
@@ -84,7 +68,7 @@
     let mut events: FuturesUnordered<LocalBoxFuture<'_, Event>> = FuturesUnordered::new();
     let mut staging_queue: VecDeque<(usize, Bytes)> = VecDeque::new();
     let mut active_pulls = 0;
-    let mut pull_limit = MAX_PULLS;
+    let mut pull_limit = PullLimit::new(MAX_PULLS);
     let mut is_staging = false;
     let mut next_refresh = now + TOPOLOGY_INTERVAL;
     let mut last_announced = now;
@@ -94,7 +78,7 @@
             transfer.set_topology(self::topology(loader));
             next_refresh = now + TOPOLOGY_INTERVAL;
         }
-        while active_pulls < pull_limit
+        while active_pulls < pull_limit.current()
             && let Some(job) = transfer.next_pull(now)
         {
             active_pulls += 1;
@@ -122,10 +106,12 @@
         let event = timeout(POLL_INTERVAL, next_event(&mut events)).await;
         now = loader.node.now();
         match event {
-            Ok(Event::Pulled(digest, result, link_state)) => {
+            Ok(Event::Pulled(ended)) => {
                 active_pulls -= 1;
-                pull_limit = link_state.next_limit(pull_limit);
-                if accept_chunk(loader, list, &mut transfer, &mut staging_queue, digest, result) {
+                pull_limit.record(&ended.pull.source, ended.elapsed, ended.result.is_ok());
+                log_pull(list, &ended, pull_limit.is_slow(ended.elapsed));
+                let digest = ended.pull.digest;
+                if accept_chunk(loader, list, &mut transfer, &mut staging_queue, ended) {
                     has_unannounced = true;
                     let downstream =
                         transfer.downstream_owner(&digest).and_then(|vm| loader_addr(loader, &vm));
@@ -181,11 +167,11 @@
     list: &ChunkList,
     transfer: &mut Transfer,
     staging_queue: &mut VecDeque<(usize, Bytes)>,
-    digest: Digest,
-    result: Result<Bytes, PullError>,
+    ended: EndedPull,
 ) -> bool {
     let now = loader.node.now();
-    let data = match result {
+    let digest = ended.pull.digest;
+    let data = match ended.result {
         Ok(data) => data,
         Err(error) => {
             transfer.on_pull_failed(now, &digest, error);
@@ -218,8 +204,7 @@
     job: Pull,
     concurrent: u32,
 ) -> Event {
-    let chunk = list.digests.iter().position(|digest| *digest == job.digest).unwrap_or(0);
-    let chunk_id = (&target.model, target.version, chunk);
+    let chunk_id = (&target.model, target.version, chunk_index(list, &job.digest));
     let request = async {
         match &job.source {
             ChunkSource::Origin => sources::origin_chunk(loader, chunk_id).await,
@@ -235,22 +220,28 @@
         ChunkSource::Peer(_) => job.timeout.into(),
     };
     let result = timeout(limit, request).await.unwrap_or(Err(PullError::Silent));
-    let elapsed_ms = (loader.node.now() - start).0 / 1_000;
-    let (from, error) = (format!("{:?}", job.source), result.as_ref().err().copied());
-    let error = format!("{error:?}");
-    let is_slow = loader.node.now() - start >= SLOW_PULL;
+    let elapsed = loader.node.now() - start;
+    Event::Pulled(EndedPull { pull: job, result, elapsed, concurrent })
+}
+
+fn log_pull(list: &ChunkList, ended: &EndedPull, is_slow: bool) {
+    let chunk = chunk_index(list, &ended.pull.digest);
+    let from = format!("{:?}", ended.pull.source);
+    let error = format!("{:?}", ended.result.as_ref().err());
     let level = if is_slow { log::Level::Info } else { log::Level::Debug };
     log::log!(
         level,
-        chunk, from = from.as_str(), took_ms = elapsed_ms, concurrent, error = error.as_str();
+        chunk,
+        from = from.as_str(),
+        took_ms = ended.elapsed.0 / 1_000,
+        concurrent = ended.concurrent,
+        error = error.as_str();
         "pull ended"
     );
-    let link_state = match job.source {
-        ChunkSource::Peer(_) if is_slow => LinkState::Congested,
-        ChunkSource::Peer(_) if result.is_ok() => LinkState::Free,
-        _ => LinkState::Unknown,
-    };
-    Event::Pulled(job.digest, result, link_state)
+}
+
+fn chunk_index(list: &ChunkList, digest: &Digest) -> usize {
+    list.digests.iter().position(|listed| listed == digest).unwrap_or(0)
 }
 
 async fn query_peer<C: Codec>(loader: &Loader<C>, target: &Target, vm: VmId) -> Event {
