Loader: a transfer starts with two pulls and adapts to the link's rate

Callers saw: requests ran on version 1 up to 0.6 s after the rollout time.

Cause: each transfer started with six pulls whatever the link, and the limit fell only after the first pull had ended, with a threshold that ignored how many shared the link. On a link of 0.9 Mbit/s six chunks take 2.6 s, each pull timed out after 1 s, and the next transfer ordered six more.

Change: two pulls at the start, one more after each pull in time; a pull is slow from 250 ms plus twice the time that it and the concurrent ones need at the declared rate. A pull in time from the origin counts as well.

Test weights_pull_limit::chunks_on_a_narrow_link_leave_room_for_requests, with the former start and threshold: "a request waits 8376 ms for chunks" (at most 1,440 ms, what gateways keep); passes now.

--- a/crates/core/src/weights/pull_limit.rs
+++ b/crates/core/src/weights/pull_limit.rs
@@ -1,23 +1,32 @@
 //! Limit of concurrent pulls that follows the state of the VM's link.
 
-use super::ChunkSource;
-use crate::units::Span;
+use super::{ChunkSource, TransferLimits};
+use crate::units::{Bytes, Span};
 
-/// Duration from which a pull from a peer shows that the VM's link is congested, twice the p90 of
-/// six concurrent pulls; data queued on the link delays the requests of the engine.
-const SLOW_PULL: Span = Span::millis(750);
+/// Concurrent pulls at the start of a transfer, when the state of the link is unknown.
+const INITIAL_PULLS: u32 = 2;
+/// Factor on the expected duration of a pull from which the link counts as congested.
+const SLOW_FACTOR: u64 = 2;
+/// Time that a pull may take in addition, for the source's own queue.
+const SLOW_GRACE: Span = Span::millis(250);
 
 /// The number of concurrent pulls that a VM may have.
+///
+/// Chunks queued on a congested link delay the requests of the VM's engine, also after their pulls
+/// were given up. So pulls are added one by one, and reduced to one at the first slow pull.
 #[derive(Clone, Copy, Debug)]
 pub struct PullLimit {
     max: u32,
     current: u32,
+    chunk_time: Span,
 }
 
 impl PullLimit {
-    /// Returns the limit at the start of a transfer.
-    pub fn new(max: u32) -> Self {
-        Self { max, current: max }
+    /// Returns the limit at the start of a transfer of chunks of this size.
+    pub fn new(limits: &TransferLimits, chunk: Bytes) -> Self {
+        let max = limits.max_pulls;
+        let chunk_time = limits.rate.transfer_time(chunk);
+        Self { max, current: INITIAL_PULLS.min(max), chunk_time }
     }
 
     /// Returns the number of pulls that may be in progress.
@@ -25,19 +34,29 @@
         self.current
     }
 
-    /// Returns whether a pull that took `elapsed` was slow.
-    pub fn is_slow(&self, elapsed: Span) -> bool {
-        elapsed >= SLOW_PULL
+    /// Returns whether a pull took longer than on a link at its declared rate, shared by
+    /// `concurrent` pulls.
+    pub fn is_slow(&self, elapsed: Span, concurrent: u32) -> bool {
+        let expected = self.chunk_time.0 * u64::from(concurrent);
+        elapsed.0 >= SLOW_GRACE.0 + SLOW_FACTOR * expected
     }
 
     /// Adapts the limit to a pull that ended, with or without success.
     ///
-    /// Pulls that fail early tell nothing about the link, nor do those from the origin, whose own
-    /// link is the bottleneck.
-    pub fn record(&mut self, source: &ChunkSource, elapsed: Span, succeeded: bool) {
+    /// Pulls that fail early tell nothing about the link, nor do slow ones from the origin, whose
+    /// own link is the bottleneck.
+    pub fn record(
+        &mut self,
+        source: &ChunkSource,
+        elapsed: Span,
+        concurrent: u32,
+        succeeded: bool,
+    ) {
         self.current = match source {
-            ChunkSource::Peer(_) if self.is_slow(elapsed) => 1,
-            ChunkSource::Peer(_) if succeeded => (self.current + 1).min(self.max),
+            ChunkSource::Peer(_) if self.is_slow(elapsed, concurrent) => 1,
+            _ if succeeded && !self.is_slow(elapsed, concurrent) => {
+                (self.current + 1).min(self.max)
+            }
             _ => self.current,
         };
     }
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -68,7 +68,7 @@
     let mut events: FuturesUnordered<LocalBoxFuture<'_, Event>> = FuturesUnordered::new();
     let mut staging_queue: VecDeque<(usize, Bytes)> = VecDeque::new();
     let mut active_pulls = 0;
-    let mut pull_limit = PullLimit::new(MAX_PULLS);
+    let mut pull_limit = PullLimit::new(&limits, manifest.chunk);
     let mut is_staging = false;
     let mut next_refresh = now + TOPOLOGY_INTERVAL;
     let mut last_announced = now;
@@ -108,8 +108,7 @@
         match event {
             Ok(Event::Pulled(ended)) => {
                 active_pulls -= 1;
-                pull_limit.record(&ended.pull.source, ended.elapsed, ended.result.is_ok());
-                log_pull(list, &ended, pull_limit.is_slow(ended.elapsed));
+                record_pull(list, &mut pull_limit, &ended);
                 let digest = ended.pull.digest;
                 if accept_chunk(loader, list, &mut transfer, &mut staging_queue, ended) {
                     has_unannounced = true;
@@ -224,7 +223,10 @@
     Event::Pulled(EndedPull { pull: job, result, elapsed, concurrent })
 }
 
-fn log_pull(list: &ChunkList, ended: &EndedPull, is_slow: bool) {
+/// Adapts the limit of concurrent pulls to a pull that ended, and logs it.
+fn record_pull(list: &ChunkList, limit: &mut PullLimit, ended: &EndedPull) {
+    limit.record(&ended.pull.source, ended.elapsed, ended.concurrent, ended.result.is_ok());
+    let is_slow = limit.is_slow(ended.elapsed, ended.concurrent);
     let chunk = chunk_index(list, &ended.pull.digest);
     let from = format!("{:?}", ended.pull.source);
     let error = format!("{:?}", ended.result.as_ref().err());
