--- a/crates/core/src/weights/pull_limit.rs
+++ b/crates/core/src/weights/pull_limit.rs
@@ -13,7 +13,7 @@
 /// The number of concurrent pulls that a VM may have.
 ///
 /// Chunks queued on a congested link delay the requests of the VM's engine, also after their pulls
-/// were given up. So pulls are added one by one, and reduced to one at the first slow pull.
+/// were given up. So pulls are added one by one, and each slow pull halves the limit.
 #[derive(Clone, Copy, Debug)]
 pub struct PullLimit {
     max: u32,
@@ -53,7 +53,7 @@
         succeeded: bool,
     ) {
         self.current = match source {
-            ChunkSource::Peer(_) if self.is_slow(elapsed, concurrent) => 1,
+            ChunkSource::Peer(_) if self.is_slow(elapsed, concurrent) => (self.current / 2).max(1),
             _ if succeeded && !self.is_slow(elapsed, concurrent) => {
                 (self.current + 1).min(self.max)
             }
