--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -34,9 +34,6 @@
 /// Age after which the load reported by peers is ignored.
 const PEER_LOAD_TTL: Span = Span::millis(1_500);
 
-/// Time for which the longest delay at an endpoint is remembered.
-const DELAY_TTL: Span = Span::secs(4);
-
 /// How an attempt at an endpoint ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptOutcome {
@@ -107,8 +104,6 @@
     backoff_until: Time,
     misdirected: bool,
     paused_until: Time,
-    max_delay: Span,
-    delayed_at: Time,
 }
 
 impl EndpointState {
@@ -128,8 +123,6 @@
             backoff_until: Time::default(),
             misdirected: false,
             paused_until: Time::default(),
-            max_delay: Span(0),
-            delayed_at: Time::default(),
         }
     }
 
@@ -236,19 +229,6 @@
         self.own_load.prefill_ms = self.own_load.prefill_ms.saturating_sub(prefill_ms);
     }
 
-    /// Records by how much a first event was later than estimated, or was so when the attempt was
-    /// given up.
-    pub fn record_delay(&mut self, now: Time, delay: Span) {
-        if delay >= self.recent_delay(now) {
-            (self.max_delay, self.delayed_at) = (delay, now);
-        }
-    }
-
-    /// Returns the longest delay within [`DELAY_TTL`].
-    pub fn recent_delay(&self, now: Time) -> Span {
-        if self.delayed_at + DELAY_TTL > now { self.max_delay } else { Span(0) }
-    }
-
     /// Records the end of a request sent to the endpoint and adjusts its backoff.
     pub fn record_outcome(&mut self, now: Time, outcome: AttemptOutcome) {
         self.own_load.requests = self.own_load.requests.saturating_sub(1);
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -9,16 +9,9 @@
     endpoint_state::{EndpointState, InFlightLoad},
     engine_model,
     scheduler::{PlacementRequest, SchedulerConfig, ServiceSpec},
-    view::TargetVersions,
 };
 use crate::{ids::RegionId, time::Time, units::Span};
 
-/// Fraction of the rollout time after which no older version is requested. Of 8 s, the rest covers
-/// the 1.1 s that a request took to start over a slow link.
-const ROLLOUT_FRACTION: f64 = 0.82;
-/// Multiple of an endpoint's recent delay that is kept instead, if longer: an attempt that was given
-/// up shows only how long it took at least.
-const DELAY_FACTOR: u64 = 3;
 /// Score penalty for each step of distance to an endpoint, in ms.
 const DISTANCE_PENALTY_MS: u32 = 15;
 /// Score penalty for an endpoint whose primary is another gateway, in ms: the requests that the
@@ -57,19 +50,6 @@
 /// Maximum delay before a refused caller retries.
 const MAX_RETRY_DELAY: Span = Span::secs(2);
 
-/// Returns the oldest version that a request sent now to an endpoint with this delay may use, `None`
-/// for any.
-pub(super) fn min_version(
-    targets: Option<&TargetVersions>,
-    now: Time,
-    rollout: Span,
-    delay: Span,
-) -> Option<u64> {
-    let regular = (rollout.0 as f64 * ROLLOUT_FRACTION) as u64;
-    let delayed = rollout.0.saturating_sub(DELAY_FACTOR * delay.0);
-    targets?.min_usable(now, Span(regular.min(delayed)))
-}
-
 /// Returns whether an endpoint is of the requested service, in an allowed region, and holds the
 /// requested model, if any, complete at `min_version` or newer.
 pub(super) fn can_serve(
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -15,7 +15,7 @@
     load_exchange::LocalLoad,
     placement::{
         can_serve, first_event_ms, is_sampled, max_retry_delay, max_send_rate, meets_objective,
-        min_version, prefill_ms, queue_deadline, retry_delay, score,
+        prefill_ms, queue_deadline, retry_delay, score,
     },
     view::{TargetVersions, View},
     wait_queue::{QueueEntry, TicketKey, WaitQueue},
@@ -27,6 +27,9 @@
     units::Span,
 };
 
+/// Fraction of the rollout time after which no older version is requested. Of 8 s, the rest covers
+/// the 1.1 s that a request took to start over a slow link.
+const ROLLOUT_FRACTION: f64 = 0.82;
 /// Window over which completions are counted to estimate the queueing time.
 const COMPLETION_WINDOW: Span = Span::secs(2);
 
@@ -90,21 +93,12 @@
     pub prefill_ms: u32,
     /// Estimated time to the first event in ms; 0 where the service declares no engine.
     pub first_ms: u32,
-    /// The time of the grant.
-    pub granted_at: Time,
     /// The client account.
     pub account: Option<ClientId>,
     /// The service.
     pub service: ServiceId,
 }
 
-impl Grant {
-    /// Returns how much time has passed beyond the estimated time to the first event.
-    fn delay(&self, now: Time) -> Span {
-        now - (self.granted_at + Span::millis(self.first_ms.into()))
-    }
-}
-
 /// What happens to a submitted request.
 #[derive(Debug)]
 pub enum Decision {
@@ -310,27 +304,18 @@
         }
     }
 
-    /// Records the first event of a request: its prefill time is removed from the endpoint's load,
-    /// once, and its delay counts.
-    pub fn finish_prefill(&mut self, now: Time, grant: &mut Grant) {
-        if grant.prefill_ms == 0 {
-            return;
-        }
+    /// Removes the prefill time of a request from the endpoint's load, once.
+    pub fn finish_prefill(&mut self, grant: &mut Grant) {
+        let prefill_ms = std::mem::take(&mut grant.prefill_ms);
         if let Some(state) = self.endpoints.get_mut(grant.endpoint) {
-            state.finish_prefill(grant.prefill_ms);
-            state.record_delay(now, grant.delay(now));
+            state.finish_prefill(prefill_ms);
         }
-        grant.prefill_ms = 0;
     }
 
     /// Releases the slot of a request that ended and records its outcome.
     pub fn release(&mut self, now: Time, grant: &mut Grant, outcome: AttemptOutcome) {
+        self.finish_prefill(grant);
         if let Some(state) = self.endpoints.get_mut(grant.endpoint) {
-            let unanswered = matches!(outcome, AttemptOutcome::Dropped | AttemptOutcome::Failed);
-            if grant.prefill_ms > 0 && unanswered {
-                state.record_delay(now, grant.delay(now));
-            }
-            state.finish_prefill(std::mem::take(&mut grant.prefill_ms));
             state.record_outcome(now, outcome);
         }
         let queue = self.queues.entry(grant.service.clone()).or_default();
@@ -376,8 +361,7 @@
     ) -> Option<Grant> {
         let spec = self.specs.get(&request.service).cloned().unwrap_or_default();
         let outside = self.outside.get(&request.service).copied().unwrap_or(0);
-        let targets = request.model.as_ref().and_then(|model| self.targets.get(model));
-        let rollout = self.config.rollout_time;
+        let min_version = self.min_version(now, request);
         let prefill_ms = prefill_ms(&spec, request.tokens.0);
         let mut best: Option<(u64, EndpointKey, u32)> = None;
         for (key, state) in &mut self.endpoints {
@@ -389,7 +373,6 @@
             let first_ms = first_event_ms(&spec, load, prefill_ms);
             let has_room = meets_objective(now, request, load, prefill_ms, first_ms)
                 && load.requests < state.capacity(self.gateways);
-            let min_version = min_version(targets, now, rollout, state.recent_delay(now));
             let usable = can_serve(state, request, min_version)
                 && state.is_available(now)
                 && state.allows_send(now, send_limit, self.salt);
@@ -407,7 +390,6 @@
         state.record_send(now, prefill_ms);
         let entry = &state.endpoint.entry;
         let loaded = request.model.as_ref().and_then(|model| state.endpoint.loaded_model(model));
-        let min_version = min_version(targets, now, rollout, state.recent_delay(now));
         let version = min_version.and(loaded).map(|loaded| loaded.version);
         let grant = Grant {
             endpoint: key,
@@ -416,7 +398,6 @@
             version,
             prefill_ms,
             first_ms,
-            granted_at: now,
             account: request.account.clone(),
             service: request.service.clone(),
         };
@@ -427,10 +408,8 @@
 
     /// Returns whether any endpoint may serve the request, now or once its load has dropped.
     fn has_candidate(&self, now: Time, request: &PlacementRequest) -> bool {
-        let targets = request.model.as_ref().and_then(|model| self.targets.get(model));
-        let rollout = self.config.rollout_time;
+        let min_version = self.min_version(now, request);
         let eligible = |(key, state): (EndpointKey, &EndpointState)| {
-            let min_version = min_version(targets, now, rollout, state.recent_delay(now));
             can_serve(state, request, min_version)
                 && !state.endpoint.entry.leaving
                 && !request.tried.contains(&key)
@@ -438,6 +417,12 @@
         self.endpoints.iter().any(eligible)
     }
 
+    /// Returns the oldest version that may still be used, `None` for any.
+    fn min_version(&self, now: Time, request: &PlacementRequest) -> Option<u64> {
+        let last = Span((self.config.rollout_time.0 as f64 * ROLLOUT_FRACTION) as u64);
+        self.targets.get(request.model.as_ref()?)?.min_usable(now, last)
+    }
+
     /// Estimates the queueing time of a request from the rate of recent completions.
     fn estimate_wait(&mut self, now: Time, request: &PlacementRequest, late: bool) -> Span {
         let queue = self.queues.entry(request.service.clone()).or_default();
--- a/crates/core/tests/direct_desk.rs
+++ b/crates/core/tests/direct_desk.rs
@@ -251,7 +251,7 @@
     let mut first = grant(scheduler.submit(ms(0), request(ms(0)), &mut rng)).expect("room");
     let second = grant(scheduler.submit(ms(0), request(ms(0)), &mut rng)).expect("room");
     assert_ne!(first.instance, second.instance);
-    scheduler.finish_prefill(ms(0), &mut first);
+    scheduler.finish_prefill(&mut first);
     let third = grant(scheduler.submit(ms(1), request(ms(1)), &mut rng)).expect("room");
     assert_eq!(third.instance, first.instance);
 }
@@ -303,7 +303,7 @@
         scheduler.assign(&Cells::new(own, gateways.clone()));
         let mut count = 0;
         while let Some(mut grant) = grant(scheduler.submit(ms(0), request(ms(0)), &mut rng)) {
-            scheduler.finish_prefill(ms(0), &mut grant);
+            scheduler.finish_prefill(&mut grant);
             count += 1;
         }
         placed_counts.push(count);
--- a/crates/sequoiahold/src/gateway/slot.rs
+++ b/crates/sequoiahold/src/gateway/slot.rs
@@ -34,8 +34,7 @@
     /// Tells the scheduler, once, that the prefill of the prompt is over.
     pub(super) fn finish_prefill(&mut self) {
         if self.grant.prefill_ms > 0 {
-            let now = self.gateway.node.now();
-            self.gateway.scheduler.borrow_mut().finish_prefill(now, &mut self.grant);
+            self.gateway.scheduler.borrow_mut().finish_prefill(&mut self.grant);
         }
     }
 }
