A version published between two watches is dated by the watch before

Callers may see requests that begin on an old version after the rollout time, at a gateway that stood still for a while. Cause: the answer to a watch on a connection in use was taken to hold changes that were made while the watch waited.

Changes that arrive before the watch has waited for a poll interval now count from the last moment at which the state was known as current. Not to date them too early by the whole wait of the watch before, that moment is the arrival of its answer instead of its start.

The pause of the case is 2 s.

--- a/crates/sequoiahold/src/node/watch.rs
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -103,10 +103,14 @@
                 node.record_platform_response();
                 (failures, compacted) = (0, false);
                 let mut earliest = node.freshness.borrow().earliest_change();
-                if was_connected && !needs_snapshot {
+                let mut current = started + read.held;
+                // Changes that arrive at once may have been published before the watch.
+                let waited = Duration::from(read.arrived - started) >= POLL_INTERVAL;
+                if was_connected && !needs_snapshot && waited && read.held == Span(0) {
                     earliest = earliest.max(Some(read.arrived));
+                    current = read.arrived;
                 }
-                node.freshness.borrow_mut().record_read(started + read.held);
+                node.freshness.borrow_mut().record_read(current);
                 if !read.new_changes.is_empty() {
                     gossip::forward_changes(&node, read.after, read.delta, earliest);
                 } else if read.held > Span(0) {
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -334,12 +334,15 @@
     SilentWatch,
     /// The process stands still.
     Paused(Duration),
+    /// The process stands still after an answer, while no watch is waiting.
+    PausedBetweenWatches(Duration),
 }
 
 /// The rollout time counts from the publication, not from the moment at which a process hears of it.
 #[rstest]
 #[case::silent_watch(Disruption::SilentWatch)]
 #[case::paused_process(Disruption::Paused(Duration::from_secs(2)))]
+#[case::paused_between_watches(Disruption::PausedBetweenWatches(Duration::from_secs(2)))]
 #[actix_rt::test]
 async fn a_version_that_is_heard_of_late_is_in_use_within_the_rollout_time(
     #[case] disruption: Disruption,
@@ -362,10 +365,15 @@
     match disruption {
         Disruption::SilentWatch => fixture.store.stall_watches(),
         Disruption::Paused(_) => fixture.gateway.signal(Signal::Stop),
+        Disruption::PausedBetweenWatches(_) => {
+            fixture.store.put("op/config", Some(gateway_config(2, &["key-1"])));
+            actix_rt::time::sleep(Duration::from_millis(40)).await;
+            fixture.gateway.signal(Signal::Stop);
+        }
     }
     fixture.store.put("op/version/m", Some(json!({ "model": "m", "version": 2 })));
     let published = Instant::now();
-    if let Disruption::Paused(pause) = disruption {
+    if let Disruption::Paused(pause) | Disruption::PausedBetweenWatches(pause) = disruption {
         actix_rt::time::sleep(pause).await;
         fixture.gateway.signal(Signal::Continue);
     }
