A silent connection to the platform is not an outage: removed endpoints are not kept

Callers may have requests sent to an endpoint whose entry was removed over 4 s before, where 2 s are allowed. Cause: a watch whose connection fell silent counted as an outage of the platform. After an outage, endpoints without an entry are kept for 1.7 s, as live ones may lack theirs for that long. The platform had been well all the while; the removal, 2.4 s old when it was found, was kept for 1.7 s more.

A read without an answer on an open connection now only has the next read open a new one. An outage starts if that fails too, up to 1 s later than before where the platform hangs.

Not shown by a run: how many live endpoints are lost for two seconds after the platform has hung for less than it takes to notice.

--- a/crates/sequoiahold/src/node/watch.rs
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -1,6 +1,6 @@
 //! Follows the published state of the platform: a snapshot first, then each change.
 
-use std::{rc::Rc, time::Duration};
+use std::{fmt, rc::Rc, time::Duration};
 
 use actix_http::{Method, header::HeaderMap};
 use actix_rt::time::timeout;
@@ -58,10 +58,22 @@
 enum ReadError {
     /// The platform no longer holds the changes since the revision.
     Compacted,
+    /// No response came in time.
+    Silent,
     /// The platform gave no usable response.
     Failed(String),
 }
 
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Compacted => f.write_str("the changes are no longer held"),
+            Self::Silent => f.write_str("no answer in time"),
+            Self::Failed(fault) => f.write_str(fault),
+        }
+    }
+}
+
 impl From<UpstreamError> for ReadError {
     fn from(error: UpstreamError) -> Self {
         Self::Failed(error.to_string())
@@ -120,13 +132,14 @@
                 actix_rt::time::sleep(BATCH_INTERVAL).await;
             }
             Err(ReadError::Compacted) => compacted = true,
-            Err(ReadError::Failed(fault)) => {
-                // Without an answer on an open connection, only that connection may be at fault.
+            // Only this connection may be at fault: the next one tells.
+            Err(ReadError::Silent) if was_connected => log::info!("platform connection is silent"),
+            Err(error) => {
                 if !was_connected || upstream.is_some() {
                     node.freshness.borrow_mut().record_outage(started);
                 }
                 upstream = None;
-                node.record_platform_failure(&fault);
+                node.record_platform_failure(&error.to_string());
                 back_off(&node, failures).await;
                 failures += 1;
             }
@@ -210,7 +223,7 @@
             Err(_) => waiting_at = [waiting_at[1], node.now()],
         }
     }
-    Err(ReadError::Failed("no answer in time".to_owned()))
+    Err(ReadError::Silent)
 }
 
 async fn back_off<C>(node: &Node<C>, failures: u32) {
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -327,6 +327,27 @@
     .await;
 }
 
+/// Only after an outage may the entry of a live endpoint be missing, so only then it is kept.
+#[actix_rt::test]
+async fn an_endpoint_removed_while_a_watch_is_silent_is_not_kept() {
+    let fixture = Fixture::start(1).await;
+    // The next watch begins soon after this change, so that its silence is noticed late.
+    fixture.store.put("op/config", Some(gateway_config(2, &["key-1"])));
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    fixture.store.stall_watches();
+    fixture.store.put("servers/i-0", None);
+    let removed = Instant::now();
+    assert_eq!(fixture.send("GET", "/read/1", "key-1").await.0, 200);
+    actix_rt::time::sleep(Duration::from_secs(3).saturating_sub(removed.elapsed())).await;
+    let before = fixture.workers[0].requests().len();
+    while removed.elapsed() < Duration::from_secs(5) {
+        fixture.send("GET", "/read/1", "key-1").await;
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    let late = fixture.workers[0].requests().len() - before;
+    assert_eq!(late, 0, "requests reached the removed endpoint");
+}
+
 /// What happens to a gateway while operators publish a version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Disruption {
