Requests to an endpoint of unknown version are bound to the due version

Callers may have requests begin on an old version after the rollout time at an endpoint whose entry lists no models. Cause: such an entry allows any model, and the version was taken from the entry alone, so that the request went without one.

Once a version is due, a request to such an endpoint is bound to it; an endpoint with another one rejects it.

Evidence: endpoint_of_unknown_version_gets_no_unbound_request_after_the_update_deadline failed before with None for Some(2).

--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -390,7 +390,7 @@
         state.record_send(now, prefill_ms);
         let entry = &state.endpoint.entry;
         let loaded = request.model.as_ref().and_then(|model| state.endpoint.loaded_model(model));
-        let version = min_version.and(loaded).map(|loaded| loaded.version);
+        let version = min_version.map(|min| loaded.map_or(min, |loaded| loaded.version));
         let grant = Grant {
             endpoint: key,
             instance: entry.instance.clone(),
--- a/crates/core/tests/direct_desk.rs
+++ b/crates/core/tests/direct_desk.rs
@@ -388,6 +388,22 @@
     assert_eq!((late.instance.as_str(), late.version), ("i-01", Some(2)));
 }
 
+/// An entry without models tells nothing of the version that the endpoint holds.
+#[test]
+fn endpoint_of_unknown_version_gets_no_unbound_request_after_the_update_deadline() {
+    let PublishedValue::Endpoint(instance, Some(mut entry)) = listed(0, "z1", 1) else {
+        panic!("an entry")
+    };
+    entry.loaded = None;
+    let mut view = view(0);
+    view.apply(ms(0), PublishedValue::Endpoint(instance, Some(entry)), Some(ms(0)));
+    view.apply(ms(0), PublishedValue::TargetVersion(name("m"), Some(2)), Some(ms(0)));
+    let mut scheduler = scheduler(&view);
+    let mut rng = SmallRng::seed_from_u64(8);
+    let late = grant(scheduler.submit(ms(7_500), request(ms(7_500)), &mut rng)).expect("room");
+    assert_eq!(late.version, Some(2));
+}
+
 #[test]
 fn old_version_is_last_used_early_enough_for_a_slow_link() {
     let mut view = view(1);
