Of an outage of the platform, a rollout leaves out its own time only

Callers may see requests that begin on an old version after the rollout time, at a gateway whose watch fell silent and whose next connection failed. Cause: a single failed connection moved the earliest date of whatever was missed to the start of that connection, and with it the time of the silence before, up to 2.5 s, in which the platform was well and the version was published.

A date now moves by the time from the first to the last failed connection. Where the last read is older than a silence can last, as in a process that did not follow the platform before, the date is bounded by 3 s before the first failure: else all that it missed would count as due at once.

A process that stood still for longer than 3 s and whose next connection then fails is still dated late by the rest; no run shows that case.

--- a/crates/core/src/direct/freshness.rs
+++ b/crates/core/src/direct/freshness.rs
@@ -2,6 +2,9 @@
 
 use crate::{time::Time, units::Span};
 
+/// Time within which a process that follows the platform notices that its connection is silent.
+const MAX_SILENCE: Span = Span::secs(3);
+
 /// The last time at which a process knew the published state to be current.
 ///
 /// Whatever it lacked then was published later, however late the process hears of it: a connection
@@ -9,13 +12,15 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
     current_at: Option<Time>,
-    outage_at: Option<Time>,
+    /// The first and the last failed new connection since the last read.
+    outage: Option<(Time, Time)>,
 }
 
 impl Freshness {
     /// Records a complete read that was started at `started`.
     pub fn record_read(&mut self, started: Time) {
         self.current_at = self.current_at.max(Some(started));
+        self.outage = None;
     }
 
     /// Records the state of a peer, which was current `age` before it was sent, at `sent` or later.
@@ -26,13 +31,18 @@
     /// Records that the platform could not be reached by a new connection at `started`; a rollout
     /// does not count the time of an outage.
     pub fn record_outage(&mut self, started: Time) {
-        self.outage_at = self.outage_at.max(Some(started));
+        let first = self.outage.map_or(started, |(first, _)| first);
+        self.outage = Some((first, started));
     }
 
     /// Returns the earliest time at which a change that was not known so far counts as published,
     /// `None` if it is unknown.
     pub fn earliest_change(&self) -> Option<Time> {
-        self.current_at.map(|at| self.outage_at.map_or(at, |outage| at.max(outage)))
+        let current_at = self.current_at?;
+        let Some((first, last)) = self.outage else { return Some(current_at) };
+        // A process that did not follow the platform before has no newer knowledge of its own.
+        let followed_at = Time(first.0.saturating_sub(MAX_SILENCE.0));
+        Some(current_at.max(followed_at) + (last - first.max(current_at)))
     }
 
     /// Returns the same for a change that a peer sent at `sent` or later and that, by its knowledge,
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -353,6 +353,8 @@
 enum Disruption {
     /// The connection of its waiting watch falls silent, new ones work.
     SilentWatch,
+    /// The same, and the first new connection is turned away.
+    SilentWatchAndRejection,
     /// The process stands still.
     Paused(Duration),
     /// The process stands still after an answer, while no watch is waiting.
@@ -362,6 +364,7 @@
 /// The rollout time counts from the publication, not from the moment at which a process hears of it.
 #[rstest]
 #[case::silent_watch(Disruption::SilentWatch)]
+#[case::silent_watch_and_rejection(Disruption::SilentWatchAndRejection)]
 #[case::paused_process(Disruption::Paused(Duration::from_secs(2)))]
 #[case::paused_between_watches(Disruption::PausedBetweenWatches(Duration::from_secs(2)))]
 #[actix_rt::test]
@@ -385,6 +388,12 @@
     actix_rt::time::sleep(Duration::from_millis(500)).await;
     match disruption {
         Disruption::SilentWatch => fixture.store.stall_watches(),
+        Disruption::SilentWatchAndRejection => {
+            // The next watch begins soon after this change, which tells when it is given up.
+            fixture.store.put("op/config", Some(gateway_config(2, &["key-1"])));
+            actix_rt::time::sleep(Duration::from_millis(500)).await;
+            fixture.store.stall_watches();
+        }
         Disruption::Paused(_) => fixture.gateway.signal(Signal::Stop),
         Disruption::PausedBetweenWatches(_) => {
             fixture.store.put("op/config", Some(gateway_config(2, &["key-1"])));
@@ -398,6 +407,12 @@
         actix_rt::time::sleep(pause).await;
         fixture.gateway.signal(Signal::Continue);
     }
+    if disruption == Disruption::SilentWatchAndRejection {
+        actix_rt::time::sleep(Duration::from_millis(1_900)).await;
+        fixture.store.set_down(true);
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        fixture.store.set_down(false);
+    }
     actix_rt::time::sleep(ROLLOUT.saturating_sub(published.elapsed())).await;
     let before = fixture.workers[0].requests().len();
     while published.elapsed() < ROLLOUT * 2 {
