--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -424,7 +424,7 @@
             endpoint: key,
             instance: entry.instance.clone(),
             addr: entry.addr,
-            version: min_version.and(loaded),
+            version: min_version.map(|min| loaded.unwrap_or(min)),
             begin_by,
             prefill_ms,
             first_ms,
