Gateways log the prompt parts of requests and the crash records of peers

Callers saw requests with one prompt part fail on engine after engine.

`endpoint failed` and `ended` name the shared parts of the prompt, all but the last; each crash record leaves a line `crash reported` with the instance, the reporter and the requests in flight. The codec decodes the parts; a header that cannot be decoded gives none.

--- a/crates/core/src/direct/platform.rs
+++ b/crates/core/src/direct/platform.rs
@@ -8,7 +8,7 @@
     catalog::{Catalog, EndpointEntry},
     mirror::{Change, Revision},
 };
-use crate::ids::{Digest, InstanceId, ModelId, ZoneId};
+use crate::ids::{Digest, InstanceId, ModelId, PartId, ZoneId};
 
 /// Names of the headers that gateways read and set, in lower case.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +31,8 @@
     pub model: &'static str,
     /// The number of prompt tokens and the maximum number of answer tokens.
     pub token_counts: &'static str,
+    /// The parts of the prompt in order.
+    pub prompt_parts: &'static str,
     /// The caller's estimate of the answer length in tokens.
     pub length_hint: &'static str,
     /// The priority at the engine.
@@ -125,6 +127,8 @@
 pub trait Codec: Copy + 'static {
     /// Returns the header names.
     fn header_names(&self) -> &'static HeaderNames;
+    /// Decodes the header with the parts of a prompt.
+    fn decode_prompt_parts(&self, value: &str) -> Result<Vec<PartId>, DecodeError>;
     /// Returns the path of a gateway's readiness check.
     fn readiness_path(&self) -> &'static str;
     /// Returns the path of the page of items after a key, the first page without one.
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -68,6 +68,27 @@
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct InstanceId(Arc<str>);
 
+/// The platform's identifier for a part of a prompt, which requests may share.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for PartId {
+    type Err = InvalidId;
+
+    fn from_str(text: &str) -> Result<Self, InvalidId> {
+        let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let value = digits.then(|| u64::from_str_radix(text, 16).ok()).flatten();
+        let allowed = "a hexadecimal number of 1 to 16 digits";
+        value.map(Self).ok_or_else(|| InvalidId { text: text.to_owned(), allowed })
+    }
+}
+
 macro_rules! name_id {
     ($($name:ident)*) => {$(
         impl $name {
--- a/crates/sequoiahold/src/gateway/plan.rs
+++ b/crates/sequoiahold/src/gateway/plan.rs
@@ -10,7 +10,7 @@
         platform::Codec,
         scheduler::PlacementRequest,
     },
-    ids::{ClientId, ModelId, RegionId, ServiceId},
+    ids::{ClientId, ModelId, PartId, RegionId, ServiceId},
     time::Time,
     units::Span,
 };
@@ -21,6 +21,9 @@
 /// Authorization scheme of API keys.
 const API_KEY_SCHEME: &str = "Bearer ";
 
+/// Maximum number of prompt parts that are considered.
+const MAX_PARTS: usize = 32;
+
 /// Routing decision and limits for a request.
 #[derive(Clone, Debug)]
 pub(super) struct Plan {
@@ -46,6 +49,8 @@
     pub(super) model: Option<ModelId>,
     /// Prompt tokens and expected answer tokens.
     pub(super) tokens: (u32, u32),
+    /// The parts of the prompt that other requests may share: all but the last.
+    pub(super) parts: Vec<PartId>,
     /// Time at which the request was received.
     pub(super) arrived: Time,
     /// Time after which the response, or the first event of a stream, counts as late.
@@ -92,6 +97,7 @@
         regions: route.allowed_regions(account),
         model: request.header_text(names.model).and_then(|text| text.parse().ok()),
         tokens: estimate_tokens(gateway, &catalog, request, &service),
+        parts: shared_parts(gateway, request),
         arrived,
         objective: arrived + route.objective,
         deadline: arrived + timeout.min(route.timeout),
@@ -116,6 +122,11 @@
         }
     }
 
+    /// Returns the shared parts of the prompt, for logs.
+    pub(super) fn parts_text(&self) -> String {
+        self.parts.iter().map(PartId::to_string).collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the time left until the deadline.
     pub(super) fn time_left(&self, now: Time) -> Duration {
         (self.deadline - now).into()
@@ -138,6 +149,21 @@
     None
 }
 
+/// Returns the parts of the prompt but the last, none where the header cannot be decoded.
+fn shared_parts<C: Codec>(gateway: &Gateway<C>, request: &IncomingRequest) -> Vec<PartId> {
+    let codec = &gateway.node.codec;
+    let Some(value) = request.header_text(codec.header_names().prompt_parts) else {
+        return vec![];
+    };
+    let mut parts = codec.decode_prompt_parts(value).unwrap_or_else(|error| {
+        log::debug!("request without usable prompt parts: {error}");
+        vec![]
+    });
+    parts.pop();
+    parts.truncate(MAX_PARTS);
+    parts
+}
+
 /// Returns the prompt tokens and the expected answer tokens.
 ///
 /// Missing headers are replaced by the engine's means; the caller may limit the answer tokens.
--- a/crates/sequoiahold/src/gateway/record.rs
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -83,7 +83,7 @@
         metrics.add_request(&plan.route, account, self.outcome.label(), latency_ms);
         metrics.add_sends(&plan.route, sends);
         let (status, reason, retry_delay) = self.outcome.detail();
-        let instances = self.instances.join(",");
+        let (instances, parts) = (self.instances.join(","), plan.parts_text());
         log::info!(
             target: "request",
             id,
@@ -91,6 +91,7 @@
             account,
             configuration = plan.config_version,
             endpoints = instances.as_str(),
+            parts = parts.as_str(),
             sends,
             waited_ms = self.waited.0 / 1_000,
             foretold_ms = self.predicted_ms,
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -325,10 +325,10 @@
         let id =
             self.request.header_text(self.gateway.node.codec.header_names().attempt).unwrap_or("");
         let instance = slot.grant.instance.to_string();
-        let took_ms = self.elapsed_ms();
+        let (took_ms, parts) = (self.elapsed_ms(), self.plan.parts_text());
         log::info!(
             target: "request",
-            id, instance = instance.as_str(), sends = self.sends, took_ms = took_ms, fault;
+            id, instance = instance.as_str(), parts = parts.as_str(), sends = self.sends, took_ms = took_ms, fault;
             "endpoint failed"
         );
     }
--- a/crates/sequoiahold/src/gateway/suspects.rs
+++ b/crates/sequoiahold/src/gateway/suspects.rs
@@ -38,6 +38,7 @@
     /// Records a crash that this gateway or another one observed.
     pub(super) fn record_crash(&mut self, now: Time, crash: Crash) {
         self.suspects.expire(now);
+        log_crash(&crash);
         self.suspects.record_crash(now, crash);
     }
 
@@ -94,6 +95,7 @@
         // Each gateway reports the crash with its own requests in flight, so the incarnation is
         // derived from the gateway: records of several gateways count as separate crashes.
         let crash = Crash { vm, incarnation: Fingerprint::from(&incarnation).0, fingerprints };
+        log_crash(&crash);
         suspects.record_crash(now, crash.clone());
         crash
     };
@@ -106,3 +108,9 @@
         }
     });
 }
+
+fn log_crash(crash: &Crash) {
+    let (instance, reporter) = (crash.vm.as_str(), format!("{:016x}", crash.incarnation));
+    let in_flight = crash.fingerprints.len();
+    log::info!(target: "request", instance, reporter = reporter.as_str(), in_flight; "crash reported");
+}
