A stream that ends with its connection before any event is not complete

Callers got a 200 with an empty body where an engine crashed after the head of an answer that has neither length nor chunks.

Cause: such an answer ends with its connection, and a gateway took the end at an event boundary for the regular one, also before the first event. It now counts as broken off and continues at another endpoint, as does one that ends within an event; both count as crashes of the endpoint, as a reset or a chunked answer that ends too early does.

An end at a later event boundary still can't be told from the regular one.

--- a/crates/sequoiahold/src/gateway/relay.rs
+++ b/crates/sequoiahold/src/gateway/relay.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Returns whether the caller has any event of the stream, from this answer or an earlier one.
+    fn has_events(&self) -> bool {
+        self.started || self.events.last_id().is_some()
+    }
+
     /// Returns the connection to the caller, for a response that is not a stream.
     pub(super) fn writer(&mut self) -> &mut ResponseWriter {
         self.writer
@@ -78,8 +83,14 @@
                 Ok(Err(error)) => {
                     return RelayOutcome::broken(error.to_string(), error.is_disconnect());
                 }
-                Ok(Ok(None)) if self.events.is_complete() => return self.finish(response).await,
-                Ok(Ok(None)) => return RelayOutcome::broken("stream ended within an event", false),
+                Ok(Ok(None)) if !self.events.is_complete() => {
+                    let disconnected = upstream.ends_with_connection();
+                    return RelayOutcome::broken("stream ended within an event", disconnected);
+                }
+                Ok(Ok(None)) if upstream.ends_with_connection() && !self.has_events() => {
+                    return RelayOutcome::broken("connection ended before an event", true);
+                }
+                Ok(Ok(None)) => return self.finish(response).await,
                 Ok(Ok(Some(chunk))) => chunk,
             };
             let events = match self.events.push(&chunk) {
--- a/crates/sequoiahold/src/h1/upstream.rs
+++ b/crates/sequoiahold/src/h1/upstream.rs
@@ -98,6 +98,7 @@
     framing: BodyFraming,
     buffer: BytesMut,
     bodiless: bool,
+    ends_with_connection: bool,
     reusable: bool,
     request_count: u32,
     usable_until: Instant,
@@ -116,6 +117,7 @@
             framing: BodyFraming::Complete,
             buffer: BytesMut::new(),
             bodiless: false,
+            ends_with_connection: false,
             reusable: true,
             request_count: 0,
             usable_until: now + DEFAULT_KEEP_ALIVE,
@@ -203,9 +205,8 @@
             }
             self.update_keep_alive(&head, codec.keep_alive());
             self.framing = body_framing(&head, codec, self.bodiless);
-            if matches!(self.framing, BodyFraming::UntilClose) {
-                self.reusable = false;
-            }
+            self.ends_with_connection = matches!(self.framing, BodyFraming::UntilClose);
+            self.reusable &= !self.ends_with_connection;
             let headers = std::mem::take(&mut head.headers);
             return Ok(UpstreamResponse { status: head.status, headers });
         }
@@ -265,6 +266,12 @@
             && self.has_no_input()
     }
 
+    /// Returns whether the last response has neither length nor chunks, so that its regular end
+    /// looks like that of a server that crashed.
+    pub fn ends_with_connection(&self) -> bool {
+        self.ends_with_connection
+    }
+
     /// Marks the connection as not reusable.
     pub fn forbid_reuse(&mut self) {
         self.reusable = false;
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -246,6 +246,40 @@
     assert!(!text.ends_with("0\r\n\r\n"), "the broken stream ended like a complete one: {text}");
 }
 
+/// An answer without length and chunks ends with its connection, also where the endpoint crashed.
+#[rstest]
+#[case::within_an_event("id: 1\ndata: tok")]
+#[case::before_the_first_event("")]
+#[actix_rt::test]
+async fn a_stream_that_ends_with_its_connection_too_early_continues_elsewhere(
+    #[case] body: &'static str,
+) {
+    let fixture = Fixture::start(2).await;
+    let addr = free_addr();
+    let listener = tokio::net::TcpListener::bind(addr).await.expect("an address");
+    let broken_count = std::rc::Rc::new(std::cell::Cell::new(0));
+    let broken = broken_count.clone();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = vec![0; 4_096];
+            let count = stream.read(&mut head).await.unwrap_or_default();
+            let text = String::from_utf8_lossy(&head[..count]).to_lowercase();
+            let attempt = text.lines().find(|line| line.starts_with("attempt-id:"));
+            let attempt = attempt.unwrap_or("attempt-id: none");
+            let answer = format!("HTTP/1.1 200 OK\r\n{attempt}\r\nserver-stamp: x\r\n\r\n{body}");
+            let _ = stream.write_all(answer.as_bytes()).await;
+            broken.set(broken.get() + 1);
+        }
+    });
+    fixture.store.put("servers/i-0", Some(registry_entry(addr, "ready")));
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    for _ in 0..20 {
+        let (status, text) = fixture.send("POST", "/stream/1", "key-1").await;
+        assert_eq!((status, text.matches("data: token").count()), (200, 6), "{text}");
+    }
+    assert!(broken_count.get() > 0, "no answer was broken off");
+}
+
 #[actix_rt::test]
 async fn a_caller_disconnect_is_passed_on_to_the_endpoint() {
     let fixture = Fixture::start(1).await;
