Prompt parts that crash engines are blocked on the evidence of all gateways

Cause: crash evidence was kept per whole request. No two of these requests are alike, so each came to the two crashes of its own two attempts and was refused nowhere; the retry doubled the damage.

Change: a request whose connection breaks before or within 1 s of its first event accuses the parts of its prompt but the last, which belongs to the request or its session. Accusations go to all gateways, twice; crashes are told apart by instance and published start and count once per 100 ms, as many endpoints may fail at once for another reason. The part with most crashes explains them, so that bystanders are not blocked with it. At three crashes (five, if an answer was seen to complete with it before) a part is blocked: requests with it, and with all parts that its accusing requests have in common, get 503, also after they waited for a slot, and are not sent on to a second engine where one more crash would reach the limit. An answer that completes clears all its parts, everywhere. Gateways with blocked parts tell the evidence to one random peer each 300 ms, so those that restarted or were cut off learn it. All maps and datagrams are bounded; evidence ends after 600 s. The codec does the parsing; decisions are in core, without I/O.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 pub mod load_schedule;
 pub mod membership;
 pub mod mirror;
+pub mod part_suspects;
 mod placement;
 pub mod platform;
 pub mod retry_budget;
--- a/crates/sequoiahold/src/gateway/datagrams.rs
+++ b/crates/sequoiahold/src/gateway/datagrams.rs
@@ -5,11 +5,13 @@
 use sequoiahold_core::direct::{load_exchange::LocalLoad, platform::Codec, scheduler::EndpointKey};
 use tokio::sync::mpsc;
 
-use super::state::Gateway;
+use super::{parts, state::Gateway};
 use crate::node::Datagram;
 
 /// Interval between two rounds of the exchange.
 const ROUND_INTERVAL: Duration = Duration::from_millis(70);
+/// Interval between two datagrams with the evidence against blocked prompt parts.
+const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Starts the task that exchanges load reports and handles the datagrams from peers.
 pub(super) fn start<C: Codec>(
@@ -19,6 +21,7 @@
     let gateway = gateway.clone();
     actix_rt::spawn(async move {
         let mut round_timer = actix_rt::time::interval(ROUND_INTERVAL);
+        let mut evidence_timer = actix_rt::time::interval(EVIDENCE_INTERVAL);
         loop {
             tokio::select! {
                 datagram = inbox.recv() => match datagram {
@@ -34,10 +37,15 @@
                         let now = gateway.node.now();
                         gateway.suspects.borrow_mut().record_crash(now, crash);
                     }
+                    Some(Datagram::Parts(news)) => parts::receive(&gateway, &news),
                     Some(_) => {}
                     None => return,
                 },
-                _ = round_timer.tick() => exchange_loads(&gateway),
+                _ = round_timer.tick() => {
+                    exchange_loads(&gateway);
+                    parts::send_news(&gateway);
+                }
+                _ = evidence_timer.tick() => parts::send_evidence(&gateway),
             }
         }
     });
--- a/crates/sequoiahold/src/gateway/metrics.rs
+++ b/crates/sequoiahold/src/gateway/metrics.rs
@@ -30,6 +30,7 @@
     route_latency: Family<Labels, Histogram>,
     account_latency: Family<Labels, Histogram>,
     sends: Family<Labels, Counter>,
+    blocked_parts: Counter,
     account_labels: RefCell<BTreeSet<String>>,
 }
 
@@ -57,6 +58,12 @@
             account_latency.clone(),
         );
         registry.register("sends", "Sends to endpoints by route", sends.clone());
+        let blocked_parts = Counter::default();
+        registry.register(
+            "blocked_parts",
+            "Prompt parts blocked as they crash endpoints",
+            blocked_parts.clone(),
+        );
         let registry = Rc::new(registry);
         let account_labels = RefCell::default();
         Self {
@@ -66,6 +73,7 @@
             route_latency,
             account_latency,
             sends,
+            blocked_parts,
             account_labels,
         }
     }
@@ -98,6 +106,11 @@
         self.sends.get_or_create(&vec![("route", route.to_owned())]).inc_by(u64::from(sends));
     }
 
+    /// Counts a prompt part that was blocked.
+    pub(super) fn add_blocked_part(&self) {
+        self.blocked_parts.inc();
+    }
+
     fn account_label(&self, account: &str) -> String {
         let mut account_labels = self.account_labels.borrow_mut();
         if account_labels.contains(account) || account_labels.len() < MAX_ACCOUNT_LABELS {
--- a/crates/sequoiahold/src/gateway/mod.rs
+++ b/crates/sequoiahold/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod datagrams;
 mod metrics;
+mod parts;
 mod plan;
 mod readiness;
 mod record;
--- a/crates/sequoiahold/src/gateway/relay.rs
+++ b/crates/sequoiahold/src/gateway/relay.rs
@@ -17,6 +17,8 @@
     pub(super) started: bool,
     /// Time at which the response head was written.
     pub(super) first_event: Option<Instant>,
+    /// Time of the first event from the current endpoint.
+    attempt_event: Option<Instant>,
     close: bool,
 }
 
@@ -54,6 +56,7 @@
             events: EventSplitter::resume_after(last_event),
             started: false,
             first_event: None,
+            attempt_event: None,
             close,
         }
     }
@@ -63,6 +66,11 @@
         self.started || self.events.last_id().is_some()
     }
 
+    /// Returns whether the current endpoint sent its first event less than `age` ago, or none yet.
+    pub(super) fn is_recent(&self, age: Duration) -> bool {
+        self.attempt_event.is_none_or(|at| at.elapsed() < age)
+    }
+
     /// Returns the connection to the caller, for a response that is not a stream.
     pub(super) fn writer(&mut self) -> &mut ResponseWriter {
         self.writer
@@ -77,6 +85,7 @@
         mut on_events: impl FnMut(),
     ) -> RelayOutcome {
         self.events.discard_partial();
+        self.attempt_event = None;
         loop {
             let chunk = match timeout(idle_timeout, upstream.read_chunk()).await {
                 Err(_) => return RelayOutcome::broken("no data within the idle timeout", false),
@@ -99,6 +108,7 @@
                 Err(error) => return RelayOutcome::broken(format!("{error:?}"), false),
             };
             on_events();
+            self.attempt_event.get_or_insert_with(Instant::now);
             if self.write_head(response).is_err() || self.writer.write_chunk(events).await.is_err()
             {
                 return RelayOutcome::CallerDisconnected;
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -18,6 +18,7 @@
 use super::{
     answer::LocalReply,
     attempt::{self, SendOutcome},
+    parts,
     plan::{Plan, plan_request},
     record::{self, Outcome, RequestRecord},
     relay::{Relay, RelayOutcome},
@@ -37,6 +38,12 @@
 const OVERLOAD_RETRY_DELAY: Span = Span::millis(700);
 /// Minimum time left until the deadline for another attempt.
 const MIN_RETRY_TIME: Span = Span::millis(60);
+/// Maximum age of the first event at a crash that the request may have caused.
+const MAX_CRASH_DELAY: Duration = Duration::from_secs(1);
+
+/// Reply to a request that is suspected of crashing endpoints.
+const SUSPECT_REPLY: LocalReply =
+    LocalReply::Refused(Refusal { reason: Reason::Suspect, retry: None });
 
 /// An active request.
 struct RequestTask<'a, C: Codec> {
@@ -52,6 +59,8 @@
     fallback: Option<(UpstreamResponse, Bytes)>,
     record: RequestRecord,
     fingerprint: Fingerprint,
+    /// Whether a further attempt may follow, as no part of the prompt is near its limit.
+    may_repeat: bool,
 }
 
 /// What to do after an attempt.
@@ -92,6 +101,7 @@
         fallback: None,
         record: RequestRecord::default(),
         fingerprint,
+        may_repeat: true,
     };
     let last_event = request.header_text(gateway.node.codec.header_names().last_event);
     let last_event = last_event.and_then(|text| text.trim().parse().ok());
@@ -109,9 +119,8 @@
     /// can be reused.
     async fn run(&mut self, relay: &mut Relay<'_>) -> bool {
         loop {
-            if self.gateway.suspects.borrow().is_blocked(self.fingerprint) {
-                let refusal = Refusal::new(Reason::Suspect);
-                return self.fail(relay, LocalReply::Refused(refusal)).await;
+            if self.is_blocked() {
+                return self.fail(relay, SUSPECT_REPLY).await;
             }
             let queued_at = self.gateway.node.now();
             let acquired = acquire(self.gateway, self.placement.clone()).await;
@@ -120,6 +129,11 @@
                 Ok(slot) => slot,
                 Err(refusal) => return self.fail(relay, LocalReply::Refused(refusal)).await,
             };
+            // The request may have been blocked while it waited.
+            if self.is_blocked() {
+                drop(slot);
+                return self.fail(relay, SUSPECT_REPLY).await;
+            }
             match self.send(relay, slot).await {
                 NextStep::Done(keep_alive) => return keep_alive,
                 NextStep::Retry if self.try_retry() => {}
@@ -128,6 +142,16 @@
         }
     }
 
+    /// Returns whether the request or a part of its prompt is blocked, and logs the part.
+    fn is_blocked(&self) -> bool {
+        let part = parts::blocked_part(self.gateway, &self.plan);
+        if let Some(part) = part {
+            let (id, part) = (self.attempt_id(), part.to_string());
+            log::info!(target: "request", id, part = part.as_str(); "refused for a prompt part");
+        }
+        part.is_some() || self.gateway.suspects.borrow().is_blocked(self.fingerprint)
+    }
+
     /// Makes one attempt at the endpoint of the slot and forwards the response.
     async fn send(&mut self, relay: &mut Relay<'_>, mut slot: SlotGuard<C>) -> NextStep {
         self.placement.tried.push(slot.grant.endpoint);
@@ -175,6 +199,7 @@
             }
             SendOutcome::Indeterminate { error, disconnected } => {
                 self.sends += 1;
+                self.accuse_parts(&slot, disconnected);
                 self.fail_attempt(&mut slot, &error, disconnected)
             }
         }
@@ -196,11 +221,15 @@
                 self.record.outcome = Outcome::Answered(response.status.as_u16());
                 slot.outcome = AttemptOutcome::Answered;
                 self.gateway.suspects.borrow_mut().clear(self.fingerprint);
+                if !upstream.ends_with_connection() || !relay.is_recent(MAX_CRASH_DELAY) {
+                    parts::complete(self.gateway, &self.plan);
+                }
                 self.gateway.pool.release(*upstream);
                 NextStep::Done(relay.writer().keep_alive())
             }
             RelayOutcome::CallerDisconnected => NextStep::Done(false),
             RelayOutcome::Broken { error, disconnected } => {
+                self.accuse_parts(&slot, disconnected && relay.is_recent(MAX_CRASH_DELAY));
                 self.fail_attempt(&mut slot, &error, disconnected)
             }
         }
@@ -214,10 +243,17 @@
         response: UpstreamResponse,
         upstream: Box<Upstream>,
     ) -> NextStep {
+        let is_complete = response.status.is_success() && !upstream.ends_with_connection();
         let body = match attempt::read_body(self.gateway, *upstream).await {
             Ok(body) => body,
-            Err(error) => return self.fail_attempt(&mut slot, &error.to_string(), false),
+            Err(error) => {
+                self.accuse_parts(&slot, error.is_disconnect());
+                return self.fail_attempt(&mut slot, &error.to_string(), false);
+            }
         };
+        if is_complete {
+            parts::complete(self.gateway, &self.plan);
+        }
         slot.outcome = AttemptOutcome::Answered;
         drop(slot);
         if relay.started {
@@ -283,7 +319,8 @@
     /// was sent before.
     fn try_retry(&mut self) -> bool {
         let now = self.gateway.node.now();
-        let allowed = self.sends < self.plan.max_attempts
+        let allowed = self.may_repeat
+            && self.sends < self.plan.max_attempts
             && !(self.maybe_run && self.plan.retry_mode == RetryMode::AtMostOnce)
             && now + MIN_RETRY_TIME < self.plan.deadline;
         if !allowed {
@@ -310,6 +347,15 @@
         }
     }
 
+    /// Accuses the parts of the prompt if the endpoint may have crashed by the request, which then
+    /// is sent to no other one if a part is near its limit.
+    fn accuse_parts(&mut self, slot: &SlotGuard<C>, crashed: bool) {
+        if crashed {
+            parts::accuse(self.gateway, &self.plan, &slot.grant.instance);
+            self.may_repeat &= parts::allows_retry(self.gateway, &self.plan);
+        }
+    }
+
     /// Records that the endpoint gave no valid response, and that it crashed if `disconnected`.
     fn fail_attempt(&self, slot: &mut SlotGuard<C>, error: &str, disconnected: bool) -> NextStep {
         self.log_failure(slot, error);
@@ -322,8 +368,7 @@
 
     /// Logs a failed attempt.
     fn log_failure(&self, slot: &SlotGuard<C>, fault: &str) {
-        let id =
-            self.request.header_text(self.gateway.node.codec.header_names().attempt).unwrap_or("");
+        let id = self.attempt_id();
         let instance = slot.grant.instance.to_string();
         let (took_ms, parts) = (self.elapsed_ms(), self.plan.parts_text());
         log::info!(
@@ -333,6 +378,10 @@
         );
     }
 
+    fn attempt_id(&self) -> &str {
+        self.request.header_text(self.gateway.node.codec.header_names().attempt).unwrap_or("")
+    }
+
     fn elapsed_ms(&self) -> u64 {
         (self.gateway.node.now() - self.plan.arrived).0 / 1_000
     }
@@ -341,8 +390,7 @@
 impl<C: Codec> Drop for RequestTask<'_, C> {
     /// Writes the log line of the request, also if the task is dropped as the caller disconnects.
     fn drop(&mut self) {
-        let id =
-            self.request.header_text(self.gateway.node.codec.header_names().attempt).unwrap_or("");
+        let id = self.attempt_id();
         let metrics = &self.gateway.metrics;
         self.record.emit(metrics, id, &self.plan, self.sends, self.elapsed_ms());
     }
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -24,7 +24,7 @@
 };
 use tokio::sync::{oneshot, watch};
 
-use super::{metrics::Metrics, slot::SlotGuard, suspects::CrashSuspects};
+use super::{metrics::Metrics, parts::PartTracker, slot::SlotGuard, suspects::CrashSuspects};
 use crate::{
     h1::{ConnectionPool, PoolLimits},
     node::Node,
@@ -56,6 +56,7 @@
     pub(super) pool: ConnectionPool,
     pub(super) metrics: Metrics,
     pub(super) suspects: RefCell<CrashSuspects>,
+    pub(super) parts: RefCell<PartTracker>,
     pub(super) load_exchange: RefCell<LoadExchange>,
     cells: RefCell<Cells>,
     active_requests: Cell<usize>,
@@ -94,6 +95,7 @@
             pool,
             metrics: Metrics::default(),
             suspects: RefCell::default(),
+            parts: RefCell::default(),
             load_exchange: RefCell::default(),
             cells: RefCell::default(),
             active_requests: Cell::new(0),
--- a/crates/sequoiahold/src/h1/upstream.rs
+++ b/crates/sequoiahold/src/h1/upstream.rs
@@ -98,7 +98,7 @@
     framing: BodyFraming,
     buffer: BytesMut,
     bodiless: bool,
-    ends_with_connection: bool,
+    until_close: bool,
     reusable: bool,
     request_count: u32,
     usable_until: Instant,
@@ -117,7 +117,7 @@
             framing: BodyFraming::Complete,
             buffer: BytesMut::new(),
             bodiless: false,
-            ends_with_connection: false,
+            until_close: false,
             reusable: true,
             request_count: 0,
             usable_until: now + DEFAULT_KEEP_ALIVE,
@@ -205,8 +205,8 @@
             }
             self.update_keep_alive(&head, codec.keep_alive());
             self.framing = body_framing(&head, codec, self.bodiless);
-            self.ends_with_connection = matches!(self.framing, BodyFraming::UntilClose);
-            self.reusable &= !self.ends_with_connection;
+            self.until_close = matches!(self.framing, BodyFraming::UntilClose);
+            self.reusable &= !self.until_close;
             let headers = std::mem::take(&mut head.headers);
             return Ok(UpstreamResponse { status: head.status, headers });
         }
@@ -269,7 +269,7 @@
     /// Returns whether the last response has neither length nor chunks, so that its regular end
     /// looks like that of a server that crashed.
     pub fn ends_with_connection(&self) -> bool {
-        self.ends_with_connection
+        self.until_close
     }
 
     /// Marks the connection as not reusable.
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -5,6 +5,7 @@
         load_exchange::LoadMessage,
         membership::Gossip,
         mirror::{Revision, StateDelta},
+        part_suspects::PartNews,
     },
     ids::{InstanceId, ModelId, VmId},
     suspect::Crash,
@@ -49,4 +50,6 @@
     Holds(ChunkOffer),
     /// Changes of the published state for peers that know all changes up to the revision.
     Changes(Revision, StateDelta),
+    /// Prompt parts in flight at crashes, and those with completed answers.
+    Parts(PartNews),
 }
--- a/crates/standins/tests/process_parts.rs
+++ b/crates/standins/tests/process_parts.rs
@@ -31,6 +31,8 @@
 const CRASHES_ALLOWED: u32 = 5;
 /// Time after the last allowed crash within which requests with the part may still be sent.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time within which the allowed crashes happen, unless requests with the part stop before.
+const CRASH_TIMEOUT: Duration = Duration::from_secs(6);
 /// Largest number of requests with the part that may reach endpoints later.
 const LATE_ARRIVALS_ALLOWED: usize = 3;
 /// Interval between two requests with the part.
@@ -170,7 +172,7 @@
     }
 
     async fn wait_crashes(&self, crashes: u32) {
-        let deadline = Instant::now() + READY_TIMEOUT;
+        let deadline = Instant::now() + CRASH_TIMEOUT;
         while self.record.borrow().crashes < crashes && Instant::now() < deadline {
             actix_rt::time::sleep(Duration::from_millis(20)).await;
         }
@@ -225,7 +227,6 @@
     (answered, total)
 }
 
-#[ignore = "known red: crashes are counted per request, not per prompt part"]
 #[actix_rt::test]
 async fn requests_that_share_a_part_that_crashes_engines_stop_on_all_gateways() {
     let fixture = Rc::new(Fixture::start().await);
