An engine that goes on after broken connections did not crash

Cause: connections also break where the engine goes on (a cut-off gateway, lost answers), and all breaks at one start of an engine fell into one record with the time of the first, so that breaks of one moment at several engines counted as crashes of different moments.

Change: an answer to a request sent after the break and received within 1 s of it, or to one sent before and received more than 0.5 s after it, shows that the engine lives; the crash is dropped, here and at the other gateways. A break more than 1.5 s after an earlier one at the same published start replaces it, as a start crashes once.

Evidence: core crash_parts, three new tests.

--- a/crates/core/src/direct/part_suspects.rs
+++ b/crates/core/src/direct/part_suspects.rs
@@ -18,7 +18,11 @@
 const CRASH_LIMIT: u32 = 3;
 /// Crashes after which a part is blocked that answers completed with before.
 const PROVEN_CRASH_LIMIT: u32 = 5;
-/// The largest number of crashes that are remembered.
+/// Time within which all connections to a crashed engine have broken.
+const BREAK_TIME: Span = Span::millis(500);
+/// Time within which a crashed engine is not back.
+const MIN_RESTART_TIME: Span = Span::secs(1);
+/// The largest number of crashes that are remembered, and of engines that survived one.
 const MAX_CRASHES: usize = 512;
 /// The largest number of requests that are remembered per crash.
 const MAX_REQUESTS: usize = 64;
@@ -60,6 +64,15 @@
     pub age: Span,
 }
 
+/// An engine that answered after connections to it had broken, which therefore did not crash.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Survivor {
+    /// The engine.
+    pub engine: EngineStart,
+    /// The time since it was last known to be alive.
+    pub age: Span,
+}
+
 /// What a gateway tells others about crashes and prompt parts.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PartNews {
@@ -67,6 +80,8 @@
     pub accusations: Vec<Accusation>,
     /// Accused parts with which an answer completed since.
     pub completed: Vec<PartId>,
+    /// Engines that did not crash.
+    pub survivors: Vec<Survivor>,
 }
 
 /// A blocked part.
@@ -106,6 +121,8 @@
     accused: BTreeSet<PartId>,
     /// The last completed answer with each part, as the time at which a crash then would expire.
     completions: BTreeMap<PartId, Time>,
+    /// Engines known to have been alive, as the time at which a crash then would expire.
+    survivors: BTreeMap<EngineStart, Time>,
     blocks: Vec<Block>,
     /// The crashes of each accused part that no blocked part explains.
     unexplained: BTreeMap<PartId, Tally>,
@@ -129,7 +146,9 @@
     /// Records an accusation of this process or a peer; returns whether it was new.
     pub fn accuse(&mut self, now: Time, accusation: &Accusation) -> bool {
         let expires = now + Span(EVIDENCE_PERIOD.0.saturating_sub(accusation.age.0));
-        if expires <= now {
+        let survived =
+            self.survivors.get(&accusation.engine).is_some_and(|alive| expires <= *alive);
+        if expires <= now || survived {
             return false;
         }
         let completed_later = |part: &PartId| {
@@ -139,6 +158,12 @@
         let parts: BTreeSet<AccusedPart> = accused.copied().collect();
         let initial = || CrashRecord { expires, requests: BTreeMap::new() };
         let record = self.crashes.entry(accusation.engine.clone()).or_insert_with(initial);
+        // One start of an engine crashes once: it did not crash the time before.
+        if accusation.engine.started_ms.is_some()
+            && expires > record.expires + BREAK_TIME + MIN_RESTART_TIME
+        {
+            *record = initial();
+        }
         if record.requests.len() >= MAX_REQUESTS || record.requests.contains_key(&accusation.id) {
             return false;
         }
@@ -172,6 +197,40 @@
         cleared
     }
 
+    /// Records that an engine answers at `now` a request that was sent to it at `sent`; returns it
+    /// if that disproves a crash.
+    pub fn record_answer(
+        &mut self,
+        now: Time,
+        sent: Time,
+        engine: &EngineStart,
+    ) -> Option<Survivor> {
+        let crashed = self.crashes.get(engine)?.expires;
+        let (sent, answered) = (sent + EVIDENCE_PERIOD, now + EVIDENCE_PERIOD);
+        let proves_alive = match sent > crashed {
+            // A later answer may come from the next start of the engine.
+            true => answered <= crashed + MIN_RESTART_TIME,
+            false => answered > crashed + BREAK_TIME,
+        };
+        if !proves_alive {
+            return None;
+        }
+        let alive = if sent > crashed { sent } else { crashed };
+        self.mark_alive(engine, alive);
+        Some(Survivor { engine: engine.clone(), age: answered - alive })
+    }
+
+    /// Applies the news of a peer that an engine did not crash.
+    pub fn record_survivor(&mut self, now: Time, survivor: &Survivor) {
+        let alive = now + Span(EVIDENCE_PERIOD.0.saturating_sub(survivor.age.0));
+        self.mark_alive(&survivor.engine, alive);
+    }
+
+    /// Returns whether any crash is remembered.
+    pub fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty()
+    }
+
     /// Returns the blocked part for which a request with these parts is refused.
     pub fn blocked_part(&mut self, parts: &[PartId]) -> Option<PartId> {
         let holds = |block: &&Block| block.common.iter().all(|part| parts.contains(part));
@@ -250,6 +309,23 @@
         self.unexplained = unexplained;
     }
 
+    /// Removes the crash of an engine that was alive at a later time, given as the time at which a
+    /// crash then would expire.
+    fn mark_alive(&mut self, engine: &EngineStart, alive: Time) {
+        let known = self.survivors.entry(engine.clone()).or_default();
+        *known = alive.max(*known);
+        if self.survivors.len() > MAX_CRASHES {
+            let oldest = self.survivors.iter().min_by_key(|(_, alive)| **alive);
+            if let Some(engine) = oldest.map(|(engine, _)| engine.clone()) {
+                self.survivors.remove(&engine);
+            }
+        }
+        if self.crashes.get(engine).is_some_and(|crash| crash.expires <= alive) {
+            self.crashes.remove(engine);
+            self.rebuild_accused();
+        }
+    }
+
     /// Removes the oldest crash, preferably one that accuses no part any more.
     fn evict_crash(&mut self) {
         let order = |crash: &CrashRecord| {
--- a/crates/core/tests/crash_parts.rs
+++ b/crates/core/tests/crash_parts.rs
@@ -136,6 +136,45 @@
     assert_eq!(restarted.blocked_part(&[SHARED, OTHER]), None);
 }
 
+#[test]
+fn broken_connections_of_an_engine_that_goes_on_are_no_crash() {
+    let mut suspects = PartSuspects::default();
+    crash_engines(&mut suspects, 3, &[SHARED]);
+    assert_eq!(suspects.blocked_part(&[SHARED]), Some(SHARED));
+    let mut peer = suspects.clone();
+    // An answer soon after the request was sent, and one to a request sent before.
+    let survivor = suspects.record_answer(at(1_200), at(1_050), &engine(2)).expect("no crash");
+    assert!(suspects.record_answer(at(1_600), at(100), &engine(1)).is_some());
+    assert_eq!(suspects.crash_count(&[SHARED]), 1);
+    peer.record_survivor(at(1_230), &survivor);
+    assert_eq!(peer.crash_count(&[SHARED]), 2);
+    let reporter = "gateway".parse().expect("a valid name");
+    let late =
+        Accusation { age: Span::millis(300), ..peer.accusation(7, engine(2), reporter, &[SHARED]) };
+    assert!(!peer.accuse(at(1_300), &late), "an engine that was alive later");
+}
+
+#[test]
+fn answer_after_a_restart_or_on_its_way_at_the_crash_disproves_nothing() {
+    let mut suspects = PartSuspects::default();
+    accuse(&mut suspects, at(500), 1, 1, &[FATAL]);
+    assert_eq!(suspects.record_answer(at(700), at(300), &engine(1)), None);
+    assert_eq!(suspects.record_answer(at(2_900), at(2_800), &engine(1)), None);
+    assert_eq!(suspects.crash_count(&[FATAL]), 1);
+}
+
+#[test]
+fn later_break_at_the_same_start_replaces_the_earlier_one() {
+    let mut suspects = PartSuspects::default();
+    for number in 0..5 {
+        accuse(&mut suspects, at(2_000 * number), 1, number, &[OTHER]);
+        accuse(&mut suspects, at(10_000), 10 + number, 10 + number, &[SHARED]);
+    }
+    accuse(&mut suspects, at(10_000), 1, 9, &[SHARED]);
+    assert_eq!(suspects.crash_count(&[OTHER]), 0);
+    assert_eq!(suspects.crash_count(&[SHARED]), 1, "six crashes at one moment");
+}
+
 #[test]
 fn evidence_is_bounded_and_expires() {
     let mut suspects = PartSuspects::default();
--- a/crates/sequoiahold/src/gateway/parts.rs
+++ b/crates/sequoiahold/src/gateway/parts.rs
@@ -6,10 +6,11 @@
 use sequoiahold_core::{
     direct::{
         membership::Role,
-        part_suspects::{Accusation, Block, EngineStart, PartNews, PartSuspects},
+        part_suspects::{Accusation, Block, EngineStart, PartNews, PartSuspects, Survivor},
         platform::Codec,
     },
     ids::{InstanceId, PartId},
+    time::Time,
 };
 
 use super::{plan::Plan, state::Gateway};
@@ -37,6 +38,7 @@
 enum NewsItem {
     Accusation(Accusation),
     Completed(PartId),
+    Survivor(Survivor),
 }
 
 impl NewsItem {
@@ -44,6 +46,7 @@
         match self {
             Self::Accusation(accusation) => accusation_size(accusation),
             Self::Completed(_) => PART_BYTES,
+            Self::Survivor(survivor) => ACCUSATION_BYTES + survivor.engine.instance.as_str().len(),
         }
     }
 }
@@ -67,6 +70,7 @@
             match &item {
                 NewsItem::Accusation(accusation) => news.accusations.push(accusation.clone()),
                 NewsItem::Completed(part) => news.completed.push(*part),
+                NewsItem::Survivor(survivor) => news.survivors.push(survivor.clone()),
             }
             if sends > 1 {
                 again.push((item, sends - 1));
@@ -95,11 +99,7 @@
     if plan.parts.is_empty() {
         return;
     }
-    let started_ms = {
-        let view = gateway.node.view.borrow();
-        view.endpoints().get(instance).and_then(|endpoint| endpoint.entry.started_ms)
-    };
-    let engine = EngineStart { instance: instance.clone(), started_ms };
+    let engine = engine_start(gateway, instance);
     let reporter = gateway.node.settings.vm.clone();
     let id = gateway.node.rng.borrow_mut().random();
     let accusation = gateway.parts.borrow().suspects.accusation(id, engine, reporter, &plan.parts);
@@ -125,13 +125,31 @@
     log_blocks(gateway);
 }
 
+/// Records that an endpoint answers a request that was sent to it at `sent`.
+pub(super) fn record_answer<C: Codec>(gateway: &Gateway<C>, instance: &InstanceId, sent: Time) {
+    if !gateway.parts.borrow().suspects.has_crashes() {
+        return;
+    }
+    let (now, engine) = (gateway.node.now(), engine_start(gateway, instance));
+    let survivor = gateway.parts.borrow_mut().suspects.record_answer(now, sent, &engine);
+    if let Some(survivor) = survivor {
+        log::info!(target: "request", instance = instance.as_str(); "endpoint did not crash");
+        gateway.parts.borrow_mut().enqueue(NewsItem::Survivor(survivor));
+        log_blocks(gateway);
+    }
+}
+
 /// Applies news from another gateway.
 pub(super) fn receive<C: Codec>(gateway: &Gateway<C>, news: &PartNews) {
     let now = gateway.node.now();
     for accusation in &news.accusations {
         record_accusation(gateway, accusation);
     }
-    gateway.parts.borrow_mut().suspects.complete(now, &news.completed);
+    {
+        let suspects = &mut gateway.parts.borrow_mut().suspects;
+        suspects.complete(now, &news.completed);
+        news.survivors.iter().for_each(|survivor| suspects.record_survivor(now, survivor));
+    }
     log_blocks(gateway);
 }
 
@@ -166,11 +184,18 @@
         size += accusation_size(accusation);
         size <= MAX_NEWS_BYTES
     });
-    let news = PartNews { accusations: accusations.collect(), completed: vec![] };
+    let news = PartNews { accusations: accusations.collect(), ..PartNews::default() };
     let peer = gateway.node.peer_addrs(Role::Gateway).into_iter().choose(rng);
     gateway.node.send(peer, &Datagram::Parts(news));
 }
 
+fn engine_start<C: Codec>(gateway: &Gateway<C>, instance: &InstanceId) -> EngineStart {
+    let view = gateway.node.view.borrow();
+    let endpoint = view.endpoints().get(instance);
+    let started_ms = endpoint.and_then(|endpoint| endpoint.entry.started_ms);
+    EngineStart { instance: instance.clone(), started_ms }
+}
+
 fn record_accusation<C: Codec>(gateway: &Gateway<C>, accusation: &Accusation) {
     let now = gateway.node.now();
     let crashes = {
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -12,6 +12,7 @@
     },
     refusal::{Reason, Refusal},
     suspect::Fingerprint,
+    time::Time,
     units::Span,
 };
 
@@ -61,6 +62,8 @@
     fingerprint: Fingerprint,
     /// Whether a further attempt may follow, as no part of the prompt is near its limit.
     may_repeat: bool,
+    /// Time at which the current attempt began.
+    sent_at: Time,
 }
 
 /// What to do after an attempt.
@@ -102,6 +105,7 @@
         record: RequestRecord::default(),
         fingerprint,
         may_repeat: true,
+        sent_at: Time::default(),
     };
     let last_event = request.header_text(gateway.node.codec.header_names().last_event);
     let last_event = last_event.and_then(|text| text.trim().parse().ok());
@@ -157,6 +161,7 @@
         self.placement.tried.push(slot.grant.endpoint);
         self.record.add_grant(&slot.grant);
         self.placement.healthy_only = true;
+        self.sent_at = self.gateway.node.now();
         let response_timeout = self.attempt_timeout();
         let last_event = relay.events.last_id();
         // The deadline may drop this future at any await: until a response proves otherwise, the
@@ -176,6 +181,7 @@
         match outcome {
             SendOutcome::Responded(response, upstream) => {
                 self.sends += 1;
+                parts::record_answer(self.gateway, &slot.grant.instance, self.sent_at);
                 let is_stream = self.plan.streaming && response.status == StatusCode::OK;
                 if is_stream {
                     return self.forward_stream(relay, slot, response, upstream).await;
@@ -220,6 +226,7 @@
             RelayOutcome::Completed => {
                 self.record.outcome = Outcome::Answered(response.status.as_u16());
                 slot.outcome = AttemptOutcome::Answered;
+                parts::record_answer(self.gateway, &slot.grant.instance, self.sent_at);
                 self.gateway.suspects.borrow_mut().clear(self.fingerprint);
                 if !upstream.ends_with_connection() || !relay.is_recent(MAX_CRASH_DELAY) {
                     parts::complete(self.gateway, &self.plan);
--- a/crates/standins/src/hosted/fragile.rs
+++ b/crates/standins/src/hosted/fragile.rs
@@ -15,7 +15,7 @@
 /// Number of events of a complete answer.
 const EVENTS: u32 = 5;
 /// Time from a crash until the endpoint listens again.
-const RESTART_TIME: Duration = Duration::from_millis(700);
+const RESTART_TIME: Duration = Duration::from_millis(2_000);
 /// Maximum length of a request head.
 const MAX_HEAD_BYTES: usize = 16_384;
 
