--- a/crates/sequoiahold/src/gateway/record.rs
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -86,7 +86,7 @@
         metrics.add_request(&plan.route, account, self.outcome.label(), latency_ms);
         metrics.add_sends(&plan.route, sends);
         let (status, reason, retry_delay) = self.outcome.detail();
-        let instances = self.instances.join(",");
+        let (instances, parts) = (self.instances.join(","), plan.parts_text());
         log::info!(
             target: "request",
             id,
@@ -95,6 +95,7 @@
             configuration = plan.config_version,
             endpoints = instances.as_str(),
             version = self.bound_version,
+            parts = parts.as_str(),
             sends,
             waited_ms = self.waited.0 / 1_000,
             foretold_ms = self.predicted_ms,
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -5,6 +5,7 @@
         load_exchange::LoadMessage,
         membership::Gossip,
         mirror::{Revision, StateDelta},
+        part_suspects::PartNews,
     },
     ids::{InstanceId, ModelId, VmId},
     suspect::Crash,
@@ -62,4 +63,6 @@
     Holds(ChunkOffer),
     /// Changes of the published state.
     Changes(Changes),
+    /// Prompt parts in flight at crashes, and those with completed answers.
+    Parts(PartNews),
 }
