A gateway counts each crash of an instance that comes back under its name

Callers saw: a request that crashes engines was sent once more for each start of an instance, where it reached it through one gateway.

Instances mostly come back under another name, but may keep theirs; then the second crash looked like a copy of the first for 600 s. The number now covers the published start.

--- a/crates/sequoiahold/src/gateway/parts.rs
+++ b/crates/sequoiahold/src/gateway/parts.rs
@@ -189,7 +189,8 @@
     gateway.node.send(peer, &Datagram::Parts(news));
 }
 
-fn engine_start<C: Codec>(gateway: &Gateway<C>, instance: &InstanceId) -> EngineStart {
+/// Returns the start of an endpoint's engine, as published last.
+pub(super) fn engine_start<C: Codec>(gateway: &Gateway<C>, instance: &InstanceId) -> EngineStart {
     let view = gateway.node.view.borrow();
     let endpoint = view.endpoints().get(instance);
     let started_ms = endpoint.and_then(|endpoint| endpoint.entry.started_ms);
--- a/crates/sequoiahold/src/gateway/suspects.rs
+++ b/crates/sequoiahold/src/gateway/suspects.rs
@@ -9,7 +9,7 @@
     time::Time,
 };
 
-use super::state::Gateway;
+use super::{parts, state::Gateway};
 use crate::{h1::IncomingRequest, node::Datagram};
 
 /// Number of times that a crash is announced, as datagrams may be lost.
@@ -87,13 +87,16 @@
 /// Records a crash and announces it to the other gateways.
 pub(super) fn report_crash<C: Codec>(gateway: &Rc<Gateway<C>>, instance: &InstanceId) {
     let now = gateway.node.now();
-    let incarnation = Digest::of(gateway.node.settings.vm.as_str().as_bytes());
+    let started_ms = parts::engine_start(gateway, instance).started_ms;
+    let record = format!("{} {}", gateway.node.settings.vm, started_ms.unwrap_or_default());
+    let incarnation = Digest::of(record.as_bytes());
     let crash = {
         let mut suspects = gateway.suspects.borrow_mut();
         let fingerprints = suspects.in_flight.get(instance).cloned().unwrap_or_default();
         let Ok(vm) = instance.as_str().parse() else { return };
         // Each gateway reports the crash with its own requests in flight, so the incarnation is
-        // derived from the gateway: records of several gateways count as separate crashes.
+        // derived from the gateway and the start of the engine: records of several gateways count
+        // as separate crashes.
         let crash = Crash { vm, incarnation: Fingerprint::from(&incarnation).0, fingerprints };
         log_crash(&crash);
         suspects.record_crash(now, crash.clone());
@@ -110,7 +113,7 @@
 }
 
 fn log_crash(crash: &Crash) {
-    let (instance, reporter) = (crash.vm.as_str(), format!("{:016x}", crash.incarnation));
+    let (instance, record) = (crash.vm.as_str(), format!("{:016x}", crash.incarnation));
     let in_flight = crash.fingerprints.len();
-    log::info!(target: "request", instance, reporter = reporter.as_str(), in_flight; "crash reported");
+    log::info!(target: "request", instance, record = record.as_str(), in_flight; "crash reported");
 }
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -280,6 +280,22 @@
     assert!(broken_count.get() > 0, "no answer was broken off");
 }
 
+/// An endpoint may come back under the same name, with another start time.
+#[actix_rt::test]
+async fn a_request_that_crashes_the_same_instance_twice_is_refused() {
+    let fixture = Fixture::start(1).await;
+    let worker = &fixture.workers[0];
+    worker.set_behaviour(Behaviour::CloseUnanswered);
+    for start in 1..=3 {
+        let mut entry = registry_entry(fixture.addrs[0], "ready");
+        entry["born"] = json!(1_000 * start);
+        fixture.store.put("servers/i-0", Some(entry));
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        fixture.send("GET", "/read/1", "key-1").await;
+    }
+    assert_eq!(worker.requests().len(), 2, "sends of a request that crashed two starts");
+}
+
 #[actix_rt::test]
 async fn a_caller_disconnect_is_passed_on_to_the_endpoint() {
     let fixture = Fixture::start(1).await;
