--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -11,6 +11,8 @@
     content::Content,
     demo,
     experiment::{self, burst, routing, traffic, zones},
+    processes::program_path,
+    soak,
 };
 
 const HELP: &str = "\
@@ -23,6 +25,9 @@
       run a deployment on loopback; the last line of output is one JSON object
   bench SERIES [--program FILE]
       measure one real process at growing sizes and fit a line
+  soak [--seed N] [--count N] [--regressions] [--jobs N] [--gateways N] [--program FILE]
+      inject random faults into real gateways on loopback; one line per seed from N on, or per
+      seed that failed before; exit code 1 if a check failed
   experiment config [--seed N] [--only TEXT] [--json]
       simulate configuration changes in a fleet of 5,310 processes in virtual time
   experiment weights [--seed N] [--vms MAX] [--scheme NAME] [--out DIR]
@@ -73,6 +78,7 @@
             };
             actix_rt::System::new().block_on(bench::run(options))
         }
+        Some("soak") => soak(args),
         Some("experiment") => experiment(args),
         Some("manifest") => {
             let size: Bytes = args.value_from_str("--size")?;
@@ -85,6 +91,23 @@
     }
 }
 
+fn soak(mut args: Arguments) -> anyhow::Result<u8> {
+    let first: u64 = args.opt_value_from_str("--seed")?.unwrap_or(1);
+    let count: u64 = args.opt_value_from_str("--count")?.unwrap_or(1);
+    let known = soak::REGRESSIONS.iter().map(|(seed, _)| *seed);
+    let seeds = match args.contains("--regressions") {
+        true => known.collect(),
+        false => (first..first + count).collect(),
+    };
+    let options = soak::Options {
+        seeds,
+        jobs: args.opt_value_from_str("--jobs")?.unwrap_or(1),
+        gateways: args.opt_value_from_str("--gateways")?,
+        program: args.opt_value_from_str("--program")?.unwrap_or_else(program_path),
+    };
+    actix_rt::System::new().block_on(soak::run(options))
+}
+
 fn experiment(mut args: Arguments) -> anyhow::Result<u8> {
     let name = args.subcommand()?;
     match name.as_deref() {
--- a/crates/standins/src/hosted/mod.rs
+++ b/crates/standins/src/hosted/mod.rs
@@ -1,9 +1,11 @@
 //! Simulated hosted platform: its store, and endpoints that callers reach through gateways.
 
+mod settings;
 mod store;
 mod worker;
 
 pub use self::{
+    settings::{gateway_config, gateway_settings, loopback_addr, registry_entry},
     store::Store,
     worker::{Behaviour, Worker},
 };
--- a/crates/standins/src/hosted/store.rs
+++ b/crates/standins/src/hosted/store.rs
@@ -19,6 +19,9 @@
     /// All writes as revision, key and value; `None` for a removal.
     log: Vec<(u64, String, Option<Value>)>,
     revision: u64,
+    /// The revision up to which the history of changes is discarded.
+    compacted: u64,
+    delay: Duration,
     down: bool,
     calls: u64,
     watch_stalls: u64,
@@ -54,6 +57,18 @@
         self.0.borrow_mut().down = down;
     }
 
+    /// Sets the time by which each answer is late.
+    pub fn set_delay(&self, delay: Duration) {
+        self.0.borrow_mut().delay = delay;
+    }
+
+    /// Discards the history of changes: watches from earlier revisions get status 410.
+    pub fn compact(&self) {
+        let mut state = self.0.borrow_mut();
+        state.compacted = state.revision;
+        state.log.clear();
+    }
+
     /// Never answers the watches that are waiting now; later calls are answered.
     pub fn stall_watches(&self) {
         self.0.borrow_mut().watch_stalls += 1;
@@ -66,6 +81,10 @@
 
     async fn handle(self, request: Request) -> Response<Body> {
         self.0.borrow_mut().calls += 1;
+        let delay = self.0.borrow().delay;
+        if !delay.is_zero() {
+            actix_rt::time::sleep(delay).await;
+        }
         if self.0.borrow().down {
             return reply::status(503);
         }
@@ -106,6 +125,9 @@
             }
         }
         let state = self.0.borrow();
+        if after < state.compacted {
+            return reply::status(410);
+        }
         let later = state.log.iter().filter(|(revision, ..)| *revision > after);
         let events: Vec<Value> =
             later.map(|(revision, key, value)| item_json(key, *revision, value.as_ref())).collect();
--- a/crates/standins/src/hosted/worker.rs
+++ b/crates/standins/src/hosted/worker.rs
@@ -2,10 +2,7 @@
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_http::{
-    HttpMessage as _, Request, Response, StatusCode,
-    header::{HeaderName, HeaderValue},
-};
+use actix_http::{HttpMessage as _, Request, Response, StatusCode};
 use bytes::Bytes;
 use sequoiahold::http;
 use tokio::sync::mpsc;
@@ -106,7 +103,7 @@
         }
         let behaviour = self.state.borrow().behaviour;
         if behaviour == Behaviour::AtCapacity {
-            return with_headers(reply::status(503), &[("not-executed", "1")]);
+            return reply::with_headers(reply::status(503), &[("not-executed", "1")]);
         }
         let attempt = text("attempt-id").unwrap_or_default();
         let last_event = text("last-event-id").and_then(|text| text.parse().ok());
@@ -134,7 +131,7 @@
         if behaviour != Behaviour::Unsigned {
             headers.push(("server-stamp", signature.as_str()));
         }
-        with_headers(response, &headers)
+        reply::with_headers(response, &headers)
     }
 
     fn endless_body(&self) -> Body {
@@ -181,12 +178,3 @@
         Body::Stream(body)
     }
 }
-
-fn with_headers(mut response: Response<Body>, headers: &[(&'static str, &str)]) -> Response<Body> {
-    for (name, value) in headers {
-        if let Ok(value) = HeaderValue::from_str(value) {
-            response.headers_mut().insert(HeaderName::from_static(name), value);
-        }
-    }
-    response
-}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod processes;
 pub mod relay;
 pub mod reply;
+pub mod soak;
 pub mod store;
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -31,6 +31,8 @@
     Terminate,
     /// Pauses the process (`SIGSTOP`).
     Stop,
+    /// Says that the settings have changed (`SIGHUP`).
+    Reload,
     /// Resumes a paused process (`SIGCONT`).
     Continue,
 }
@@ -67,6 +69,7 @@
             Signal::Kill => libc::SIGKILL,
             Signal::Terminate => libc::SIGTERM,
             Signal::Stop => libc::SIGSTOP,
+            Signal::Reload => libc::SIGHUP,
             Signal::Continue => libc::SIGCONT,
         };
         send_signal(self.child.id(), number);
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -1,4 +1,4 @@
-//! TCP and UDP relays that can block traffic or silently drop existing flows.
+//! TCP and UDP relays that can block, delay or reset traffic, or silently drop existing flows.
 
 mod tcp;
 mod udp;
@@ -8,16 +8,32 @@
     collections::BTreeSet,
     net::IpAddr,
     rc::Rc,
+    time::Duration,
 };
 
+use tokio::sync::watch;
+
 pub use self::{tcp::TcpRelay, udp::UdpRelay};
 
+/// The way of bytes through a relayed connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Direction {
+    /// From the client to the server.
+    ToServer,
+    /// From the server to the client.
+    ToClient,
+}
+
 /// Decides which traffic a relay forwards; shared with its forwarding tasks.
 #[derive(Clone, Debug, Default)]
 pub struct RelayFilter {
     blocked: Rc<Cell<bool>>,
     blocked_sources: Rc<RefCell<BTreeSet<IpAddr>>>,
+    blocked_direction: Rc<Cell<Option<Direction>>>,
+    delay: Rc<Cell<Duration>>,
+    down: Rc<Cell<bool>>,
     epoch: Rc<Cell<u64>>,
+    resets: watch::Sender<u64>,
 }
 
 impl RelayFilter {
@@ -26,6 +42,27 @@
         self.blocked.set(blocked);
     }
 
+    /// Blocks one direction of all connections, or none.
+    pub fn block_direction(&self, direction: Option<Direction>) {
+        self.blocked_direction.set(direction);
+    }
+
+    /// Delays each piece of data of all connections.
+    pub fn set_delay(&self, delay: Duration) {
+        self.delay.set(delay);
+    }
+
+    /// Resets all existing connections; new ones are forwarded.
+    pub fn reset_flows(&self) {
+        self.resets.send_modify(|count| *count += 1);
+    }
+
+    /// Resets all existing connections, and new ones until it is up again.
+    pub fn set_down(&self, down: bool) {
+        self.down.set(down);
+        self.reset_flows();
+    }
+
     /// Blocks the flows of clients at these addresses; replaces the earlier list.
     pub fn block_sources(&self, sources: impl IntoIterator<Item = IpAddr>) {
         *self.blocked_sources.borrow_mut() = sources.into_iter().collect();
@@ -45,4 +82,8 @@
             && epoch == self.epoch.get()
             && !self.blocked_sources.borrow().contains(&source)
     }
+
+    fn allows_direction(&self, direction: Direction) -> bool {
+        self.blocked_direction.get() != Some(direction)
+    }
 }
--- a/crates/standins/src/relay/tcp.rs
+++ b/crates/standins/src/relay/tcp.rs
@@ -3,9 +3,13 @@
 use std::{net::SocketAddr, time::Duration};
 
 use actix_rt::net::{TcpListener, TcpStream};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use futures_util::future::join;
+use tokio::{
+    io::AsyncWriteExt as _,
+    net::tcp::{ReadHalf, WriteHalf},
+};
 
-use super::RelayFilter;
+use super::{Direction, RelayFilter};
 
 /// Size of the read buffer, in bytes.
 const BUFFER_SIZE: usize = 65_536;
@@ -36,45 +40,68 @@
     }
 }
 
-async fn relay_stream(filter: RelayFilter, down: TcpStream, source: SocketAddr, to: SocketAddr) {
+async fn relay_stream(
+    filter: RelayFilter,
+    mut down: TcpStream,
+    source: SocketAddr,
+    to: SocketAddr,
+) {
     let epoch = filter.epoch();
-    let Ok(up) = TcpStream::connect(to).await else { return };
+    let mut resets = filter.resets.subscribe();
+    if filter.down.get() {
+        let _ = down.set_zero_linger();
+        return;
+    }
+    let Ok(mut up) = TcpStream::connect(to).await else { return };
     let _ = (down.set_nodelay(true), up.set_nodelay(true));
-    let ((down_read, down_write), (up_read, up_write)) = (down.into_split(), up.into_split());
-    let allows = move || filter.allows(source.ip(), epoch);
-    actix_rt::spawn(copy_bytes(down_read, up_write, allows.clone()));
-    copy_bytes(up_read, down_write, allows).await;
+    let copies = async {
+        let ((down_read, down_write), (up_read, up_write)) = (down.split(), up.split());
+        let allows = |direction| {
+            let filter = filter.clone();
+            move || filter.allows(source.ip(), epoch) && filter.allows_direction(direction)
+        };
+        join(
+            copy_bytes(down_read, up_write, &filter, allows(Direction::ToServer)),
+            copy_bytes(up_read, down_write, &filter, allows(Direction::ToClient)),
+        )
+        .await;
+    };
+    let reset = tokio::select! {
+        () = copies => false,
+        _ = resets.changed() => true,
+    };
+    if reset {
+        let _ = (down.set_zero_linger(), up.set_zero_linger());
+    }
 }
 
-/// Copies bytes while the filter allows it; a blocked connection stays open.
-async fn copy_bytes(from: OwnedReadHalf, to: OwnedWriteHalf, allows: impl Fn() -> bool) {
+/// Copies bytes while it is allowed; a blocked connection stays open.
+async fn copy_bytes(
+    from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    filter: &RelayFilter,
+    allows: impl Fn() -> bool,
+) {
     let mut buffer = vec![0; BUFFER_SIZE];
     loop {
-        let Ok(()) = from.readable().await else { return };
+        let Ok(()) = from.readable().await else { break };
         if !allows() {
             actix_rt::time::sleep(BLOCKED_POLL_INTERVAL).await;
             continue;
         }
         let size = match from.try_read(&mut buffer) {
-            Ok(0) => return,
+            Ok(0) => break,
             Ok(size) => size,
             Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => continue,
-            Err(_) => return,
+            Err(_) => break,
         };
-        if write_all(&to, &buffer[..size]).await.is_err() {
-            return;
+        let delay = filter.delay.get();
+        if !delay.is_zero() {
+            actix_rt::time::sleep(delay).await;
         }
-    }
-}
-
-async fn write_all(to: &OwnedWriteHalf, mut data: &[u8]) -> std::io::Result<()> {
-    while !data.is_empty() {
-        to.writable().await?;
-        match to.try_write(data) {
-            Ok(size) => data = &data[size..],
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(error) => return Err(error),
+        if to.write_all(&buffer[..size]).await.is_err() {
+            break;
         }
     }
-    Ok(())
+    let _ = to.shutdown().await;
 }
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -100,6 +100,19 @@
     response
 }
 
+/// Sets headers of a response; leaves out values that are not valid.
+pub fn with_headers(
+    mut response: Response<Body>,
+    headers: &[(&'static str, &str)],
+) -> Response<Body> {
+    for (name, value) in headers {
+        if let Ok(value) = header::HeaderValue::from_str(value) {
+            response.headers_mut().insert(header::HeaderName::from_static(name), value);
+        }
+    }
+    response
+}
+
 /// Reads the body of a request, up to its end or the first error.
 pub async fn read_body(request: &mut Request) -> Bytes {
     let mut payload = request.take_payload();
--- /dev/null
+++ b/crates/standins/src/soak/engine.rs
@@ -0,0 +1,375 @@
+//! Simulated engine that holds a version of the weights, queues requests and can crash.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use actix_http::{HttpMessage as _, Method, Request, Response};
+use actix_rt::time::sleep;
+use bytes::Bytes;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use sequoiahold::http;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::{Semaphore, mpsc};
+
+use super::journal::{Journal, Run};
+use crate::{
+    hosted::registry_entry,
+    reply::{self, Body},
+};
+
+/// Number of events of a complete stream.
+pub(super) const STREAM_EVENTS: u64 = 6;
+/// Number of requests that run concurrently.
+const SLOTS: usize = 4;
+/// Number of requests that may wait for a slot.
+const MAX_WAITING: u32 = 4;
+/// Maximum time from the slot to the first token, in milliseconds.
+const MAX_PREFILL_MS: u64 = 120;
+/// Maximum time of an answer that is not a stream, in milliseconds.
+const MAX_ANSWER_MS: u64 = 250;
+/// Maximum pause between two events, in milliseconds.
+const MAX_EVENT_MS: u64 = 40;
+/// Time that loading a version takes.
+const LOAD_TIME: Duration = Duration::from_millis(200);
+/// One in so many answers of a flaky engine breaks off.
+const FLAKY_RATIO: u32 = 8;
+
+#[derive(Debug)]
+struct State {
+    instance: String,
+    /// The version held, `None` after a start.
+    version: Option<u64>,
+    loading: bool,
+    /// Number of load orders begun since the start.
+    orders: u64,
+    /// Number of starts; what an earlier start began is void.
+    epoch: u64,
+    started_ms: u64,
+    running: u32,
+    waiting: u32,
+    flaky: bool,
+    leaving: bool,
+    /// The staged chunks; they outlive a crash.
+    staged: BTreeMap<u64, Bytes>,
+    rng: SmallRng,
+}
+
+/// A running simulated engine.
+#[derive(Clone, Debug)]
+pub(super) struct Engine {
+    state: Rc<RefCell<State>>,
+    slots: Arc<Semaphore>,
+    journal: Journal,
+}
+
+#[derive(Deserialize)]
+struct Order {
+    version: u64,
+    precondition: Option<u64>,
+}
+
+/// The head of a request as far as the engine uses it.
+struct Head {
+    attempt: u64,
+    version: Option<u64>,
+    account: Option<String>,
+    last_event: Option<u64>,
+    deadline: Instant,
+    stream: bool,
+    arrived: Instant,
+}
+
+impl Engine {
+    /// Starts an engine that holds `version`; fails if the address cannot be bound.
+    pub(super) async fn start(
+        addr: SocketAddr,
+        instance: &str,
+        version: u64,
+        seed: u64,
+        journal: &Journal,
+    ) -> anyhow::Result<Self> {
+        let state = State {
+            instance: instance.to_owned(),
+            version: Some(version),
+            loading: false,
+            orders: 0,
+            epoch: 0,
+            started_ms: unix_ms(),
+            running: 0,
+            waiting: 0,
+            flaky: false,
+            leaving: false,
+            staged: BTreeMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        let engine = Self {
+            state: Rc::new(RefCell::new(state)),
+            slots: Arc::new(Semaphore::new(SLOTS)),
+            journal: journal.clone(),
+        };
+        let server = engine.clone();
+        http::serve(addr, move |request| server.clone().handle(request)).await?;
+        Ok(engine)
+    }
+
+    /// Returns the id of the engine.
+    pub(super) fn instance(&self) -> String {
+        self.state.borrow().instance.clone()
+    }
+
+    /// Returns the version held.
+    pub(super) fn version(&self) -> Option<u64> {
+        self.state.borrow().version
+    }
+
+    /// Returns its entry in the list of endpoints, under the address that callers use.
+    pub(super) fn entry(&self, addr: SocketAddr) -> Value {
+        let state = self.state.borrow();
+        let mut entry = registry_entry(addr, if state.leaving { "draining" } else { "ready" });
+        entry["models"] = self.models(&state);
+        entry["born"] = json!(state.started_ms);
+        entry
+    }
+
+    /// Sets whether some answers break off.
+    pub(super) fn set_flaky(&self, flaky: bool) {
+        self.state.borrow_mut().flaky = flaky;
+    }
+
+    /// Sets whether the engine reports that it is leaving.
+    pub(super) fn set_leaving(&self, leaving: bool) {
+        self.state.borrow_mut().leaving = leaving;
+    }
+
+    /// Ends all that runs and starts again under an id, holding `version`.
+    pub(super) fn restart(&self, instance: &str, version: Option<u64>) {
+        let mut state = self.state.borrow_mut();
+        state.instance = instance.to_owned();
+        state.epoch += 1;
+        (state.version, state.loading, state.leaving) = (version, false, false);
+        (state.orders, state.started_ms) = (0, unix_ms());
+    }
+
+    /// Begins to load a version after what runs; nothing begins until it is loaded.
+    pub(super) fn load(&self, version: u64) {
+        let epoch = {
+            let mut state = self.state.borrow_mut();
+            (state.loading, state.orders) = (true, state.orders + 1);
+            state.epoch
+        };
+        let engine = self.clone();
+        actix_rt::spawn(async move {
+            while engine.state.borrow().running > 0 {
+                sleep(Duration::from_millis(5)).await;
+            }
+            sleep(LOAD_TIME).await;
+            let mut state = engine.state.borrow_mut();
+            if state.epoch == epoch {
+                (state.version, state.loading) = (Some(version), false);
+            }
+        });
+    }
+
+    fn models(&self, state: &State) -> Value {
+        state.version.map_or(json!([]), |version| json!([{ "name": "assist", "version": version }]))
+    }
+
+    async fn handle(self, mut request: Request) -> Response<Body> {
+        let path = request.path().to_owned();
+        let chunk = reply::query(&request, "sample_count").and_then(|text| text.parse().ok());
+        match (path.split('/').nth(2), request.method()) {
+            (Some("report"), _) => self.report(),
+            (Some("order"), &Method::POST) => {
+                let body = reply::read_body(&mut request).await;
+                self.order(&body)
+            }
+            (Some("stage-put"), _) => {
+                let body = reply::read_body(&mut request).await;
+                self.state.borrow_mut().staged.insert(chunk.unwrap_or(0), body);
+                reply::status(200)
+            }
+            (Some("stage-get"), _) => {
+                let staged = self.state.borrow().staged.get(&chunk.unwrap_or(0)).cloned();
+                staged.map_or(reply::status(404), reply::data)
+            }
+            _ => self.serve(&request).await,
+        }
+    }
+
+    fn report(&self) -> Response<Body> {
+        let state = self.state.borrow();
+        reply::json(&json!({
+            "stage": "combined", "models": self.models(&state), "busy": state.loading,
+            "sequence": state.orders, "waiting": state.waiting, "running": state.running,
+            "kv_used": 0, "kv_total": 90_000, "handles": 0, "born": state.started_ms
+        }))
+    }
+
+    fn order(&self, body: &[u8]) -> Response<Body> {
+        let Ok(order) = serde_json::from_slice::<Order>(body) else { return reply::status(400) };
+        let (version, loading, orders) = {
+            let state = self.state.borrow();
+            (state.version, state.loading, state.orders)
+        };
+        if version == Some(order.version) {
+            return reply::status(200);
+        }
+        if loading || order.precondition.is_some_and(|expected| expected != orders) {
+            return reply::status(409);
+        }
+        self.load(order.version);
+        reply::status(202)
+    }
+
+    /// Queues a request, runs it and answers it.
+    async fn serve(&self, request: &Request) -> Response<Body> {
+        let text = |name: &str| request.headers().get(name)?.to_str().ok();
+        let number = |name: &str| text(name)?.parse::<u64>().ok();
+        let id = text("attempt-id").unwrap_or_default();
+        let (Ok(attempt), arrived) = (u64::from_str_radix(id, 16), Instant::now()) else {
+            return reply::status(400);
+        };
+        let head = Head {
+            attempt,
+            version: number("expect-version"),
+            account: text("tenant").map(str::to_owned),
+            last_event: number("last-event-id"),
+            deadline: arrived + Duration::from_millis(number("deadline-ms").unwrap_or(3_000)),
+            stream: request.path().starts_with("/stream/"),
+            arrived,
+        };
+        let expected = text("expect-instance");
+        if expected.is_some_and(|instance| instance != self.state.borrow().instance) {
+            return not_run(421, id);
+        }
+        if let Some(status) = self.refusal(&head) {
+            return not_run(status, id);
+        }
+        self.journal.check_arrival(attempt, &self.instance());
+        let epoch = self.state.borrow().epoch;
+        let body = self.run(&head).await;
+        if self.state.borrow().epoch != epoch {
+            return Response::with_body(actix_http::StatusCode::OK, Body::aborted());
+        }
+        match body {
+            Ok(body) => {
+                let stamp = format!("signed-{}", self.instance());
+                let response = Response::with_body(actix_http::StatusCode::OK, body);
+                reply::with_headers(response, &[("attempt-id", id), ("server-stamp", &stamp)])
+            }
+            Err(status) => not_run(status, id),
+        }
+    }
+
+    /// Returns the status with which a request cannot begin now.
+    fn refusal(&self, head: &Head) -> Option<u16> {
+        let state = self.state.borrow();
+        let mismatch = head.version.is_some() && head.version != state.version;
+        match () {
+            () if mismatch || state.version.is_none() => Some(421),
+            () if state.loading || state.waiting >= MAX_WAITING => Some(503),
+            () if Instant::now() > head.deadline => Some(503),
+            () => None,
+        }
+    }
+
+    /// Runs a request in a slot; returns its body, or the status with which it did not run.
+    async fn run(&self, head: &Head) -> Result<Body, u16> {
+        let epoch = self.state.borrow().epoch;
+        let waiting = Counter::new(self, |state| &mut state.waiting);
+        let slot = self.slots.clone().acquire_owned().await.map_err(|_| 503_u16)?;
+        let (prefill, work) = {
+            let rng = &mut self.state.borrow_mut().rng;
+            (rng.random_range(0..MAX_PREFILL_MS), rng.random_range(20..MAX_ANSWER_MS))
+        };
+        sleep(Duration::from_millis(prefill)).await;
+        drop(waiting);
+        if self.state.borrow().epoch != epoch {
+            return Ok(Body::aborted());
+        }
+        if let Some(status) = self.refusal(head) {
+            return Err(status);
+        }
+        let (instance, version) = (self.instance(), self.version().unwrap_or(0));
+        let run = Run {
+            instance,
+            version,
+            versioned: head.version.is_some(),
+            account: head.account.clone(),
+            arrived: head.arrived,
+        };
+        self.journal.begin_run(head.attempt, run);
+        let running = Counter::new(self, |state| &mut state.running);
+        let breaks = self.breaks_off();
+        if head.stream {
+            return Ok(self.stream(head, epoch, breaks, (slot, running)));
+        }
+        sleep(Duration::from_millis(work)).await;
+        let whole = Body::Full(format!("done {:016x}", head.attempt).into());
+        Ok(if breaks { Body::aborted() } else { whole })
+    }
+
+    /// Sends the events of a stream, the last one only in part if it breaks off.
+    fn stream<G: 'static>(&self, head: &Head, epoch: u64, breaks: bool, guard: G) -> Body {
+        let (pieces, body) = mpsc::unbounded_channel();
+        let (engine, attempt) = (self.clone(), head.attempt);
+        let first = head.last_event.map_or(1, |last| last + 1);
+        actix_rt::spawn(async move {
+            let _guard = guard;
+            for number in first..=STREAM_EVENTS {
+                let pause = engine.state.borrow_mut().rng.random_range(1..MAX_EVENT_MS);
+                sleep(Duration::from_millis(pause)).await;
+                let text = format!("id: {number}\ndata: {attempt:016x}\n\n");
+                let broken = breaks && number == STREAM_EVENTS / 2;
+                let piece = if broken { text[..10].to_owned() } else { text };
+                let sent = pieces.send(Bytes::from(piece)).is_ok();
+                if !sent || broken || engine.state.borrow().epoch != epoch {
+                    return;
+                }
+            }
+            // An empty piece ends the body; the reader may have left.
+            let _ = pieces.send(Bytes::new());
+        });
+        Body::Stream(body)
+    }
+
+    fn breaks_off(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        state.flaky && state.rng.random_ratio(1, FLAKY_RATIO)
+    }
+}
+
+/// Counts a request until it is dropped.
+struct Counter {
+    engine: Engine,
+    pick: fn(&mut State) -> &mut u32,
+}
+
+impl Counter {
+    fn new(engine: &Engine, pick: fn(&mut State) -> &mut u32) -> Self {
+        *pick(&mut engine.state.borrow_mut()) += 1;
+        Self { engine: engine.clone(), pick }
+    }
+}
+
+impl Drop for Counter {
+    fn drop(&mut self) {
+        *(self.pick)(&mut self.engine.state.borrow_mut()) -= 1;
+    }
+}
+
+fn not_run(status: u16, id: &str) -> Response<Body> {
+    reply::with_headers(reply::status(status), &[("not-executed", "1"), ("attempt-id", id)])
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.as_millis() as u64
+}
--- /dev/null
+++ b/crates/standins/src/soak/faults.rs
@@ -0,0 +1,254 @@
+//! Faults injected from outside the processes: signals, broken links, a failing store, crashes.
+
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use futures_util::future::join_all;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
+
+use super::{
+    fleet::Fleet,
+    journal::Part,
+    plan::{Plan, Prelude, Round},
+};
+use crate::{
+    processes::Signal,
+    relay::{Direction, RelayFilter},
+};
+
+/// Duration of the faults of a round.
+const STORM_TIME: Duration = Duration::from_secs(3);
+/// Time after the bound of the versions for which a round goes on, without faults of the platform.
+const CALM_MARGIN: Duration = Duration::from_secs(2);
+/// Time after SIGTERM within which a process must end by itself.
+const STOP_TIMEOUT: Duration = Duration::from_secs(6);
+/// Fraction of the rollout time after which the engines have loaded a version, except late ones.
+const LOAD_FRACTION: f64 = 0.5;
+/// Interval between two checks of the processes, and of the engines' entries.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Plays the rounds of a plan.
+pub(super) async fn play(fleet: &Fleet, plan: &Plan) -> anyhow::Result<()> {
+    let mut rng = SmallRng::seed_from_u64(!plan.seed);
+    for round in &plan.rounds {
+        storm(fleet, plan, round, &mut rng).await?;
+        calm(fleet, plan, round, &mut rng).await?;
+    }
+    Ok(())
+}
+
+/// Keeps the published entries of the engines current, and finds processes that ended.
+pub(super) async fn supervise(fleet: &Fleet) -> anyhow::Result<()> {
+    loop {
+        fleet.publish_engines();
+        fleet.check_processes()?;
+        sleep(CHECK_INTERVAL).await;
+    }
+}
+
+/// Injects the faults of a round at the same time, each in a series of its own.
+async fn storm(
+    fleet: &Fleet,
+    plan: &Plan,
+    round: &Round,
+    rng: &mut SmallRng,
+) -> anyhow::Result<()> {
+    let mut fork = || SmallRng::seed_from_u64(rng.random());
+    let mut rngs = [fork(), fork(), fork(), fork(), fork()];
+    let [signals, links, store, engines, published] = &mut rngs;
+    let results = tokio::join!(
+        series(true, signals, async |rng| signal_gateway(fleet, rng).await),
+        series(round.links, links, async |rng| disturb_link(fleet, rng).await),
+        series(round.store, store, async |rng| disturb_store(fleet, rng).await),
+        series(round.engines, engines, async |rng| disturb_engine(fleet, rng).await),
+        series(true, published, async |rng| publish(fleet, plan, rng).await),
+    );
+    results.0.and(results.1).and(results.2).and(results.3).and(results.4)
+}
+
+/// Repeats a fault until the end of the storm; the last one ends in full.
+async fn series(
+    enabled: bool,
+    rng: &mut SmallRng,
+    mut fault: impl AsyncFnMut(&mut SmallRng) -> anyhow::Result<()>,
+) -> anyhow::Result<()> {
+    let end = actix_rt::time::Instant::now() + STORM_TIME;
+    while enabled && actix_rt::time::Instant::now() < end {
+        sleep(millis(rng, 50..600)).await;
+        fault(rng).await?;
+    }
+    Ok(())
+}
+
+/// Publishes versions on a calm platform, while one gateway is disturbed.
+async fn calm(fleet: &Fleet, plan: &Plan, round: &Round, rng: &mut SmallRng) -> anyhow::Result<()> {
+    fleet.seats.iter().for_each(|seat| seat.engine.set_flaky(false));
+    let links = || fleet.gateways.iter().map(|gateway| &gateway.store);
+    match round.prelude {
+        Prelude::None => {}
+        Prelude::Reset => momentary(fleet, || links().for_each(RelayFilter::reset_flows)),
+        Prelude::Silence => momentary(fleet, || links().for_each(RelayFilter::silence_flows)),
+    }
+    for pause in &round.versions {
+        sleep(*pause).await;
+        fleet.publish_version();
+    }
+    let loads = load_engines(fleet, plan, round.late_engines);
+    let mut signals = SmallRng::seed_from_u64(rng.random());
+    let disturbed = series(true, &mut signals, async |rng| signal_gateway(fleet, rng).await);
+    let rest = sleep(plan.bound + CALM_MARGIN);
+    let ((), result, ()) = tokio::join!(loads, disturbed, rest);
+    result
+}
+
+/// Has the engines load the newest version, the late ones just after the rollout time.
+async fn load_engines(fleet: &Fleet, plan: &Plan, late: usize) {
+    let loads = fleet.seats.iter().enumerate().map(|(number, seat)| async move {
+        let factor = if number < late { 1.0 } else { LOAD_FRACTION };
+        sleep(plan.bound.mul_f64(factor)).await;
+        if number < late {
+            sleep(CALM_MARGIN).await;
+        }
+        seat.engine.load(fleet.newest_version());
+    });
+    join_all(loads).await;
+}
+
+async fn signal_gateway(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
+    let number = rng.random_range(0..fleet.gateways.len());
+    let (gateway, part) = (&fleet.gateways[number], Part::Gateway(number));
+    fleet.journal.begin(part);
+    match rng.random_range(0..8) {
+        0..4 => {
+            gateway.signal(Signal::Stop);
+            sleep(millis(rng, 100..2_000)).await;
+            gateway.signal(Signal::Continue);
+        }
+        4..6 => {
+            gateway.signal(Signal::Kill);
+            drop(gateway.process.take());
+            sleep(millis(rng, 50..500)).await;
+            fleet.start_gateway(number)?;
+        }
+        6 => {
+            gateway.signal(Signal::Terminate);
+            let process = gateway.process.take();
+            if let Some(mut process) = process
+                && !process.wait(STOP_TIMEOUT).await
+            {
+                fleet.journal.report("STOP", 0, format_args!("gateway-{number} still runs"));
+            }
+            fleet.start_gateway(number)?;
+        }
+        _ => gateway.signal(Signal::Reload),
+    }
+    fleet.journal.end(part);
+    Ok(())
+}
+
+async fn disturb_link(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
+    let gateways = fleet.gateways.iter();
+    let links: Vec<&RelayFilter> = gateways
+        .flat_map(|gateway| [&gateway.store, gateway.callers()])
+        .chain(fleet.seats.iter().map(|seat| &seat.link.filter))
+        .collect();
+    let Some(link) = links.choose(rng) else { return Ok(()) };
+    let (time, delay) = (millis(rng, 100..1_500), millis(rng, 10..300));
+    match rng.random_range(0..6) {
+        0 => {
+            lasting(fleet, time, || link.set_delay(delay), || link.set_delay(Duration::ZERO)).await
+        }
+        1 => lasting(fleet, time, || link.set_blocked(true), || link.set_blocked(false)).await,
+        2 => momentary(fleet, || link.reset_flows()),
+        3 => momentary(fleet, || link.silence_flows()),
+        kind => {
+            let way = if kind == 4 { Direction::ToServer } else { Direction::ToClient };
+            let block = || link.block_direction(Some(way));
+            lasting(fleet, time, block, || link.block_direction(None)).await;
+        }
+    }
+    Ok(())
+}
+
+async fn disturb_store(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
+    let (store, time) = (&fleet.store, millis(rng, 200..2_000));
+    match rng.random_range(0..4) {
+        0 => lasting(fleet, time, || store.set_down(true), || store.set_down(false)).await,
+        1 => {
+            let delay = millis(rng, 50..900);
+            let (slow, usual) = (|| store.set_delay(delay), || store.set_delay(Duration::ZERO));
+            lasting(fleet, time, slow, usual).await;
+        }
+        2 => momentary(fleet, || store.compact()),
+        _ => momentary(fleet, || store.stall_watches()),
+    }
+    Ok(())
+}
+
+/// Crashes, replaces, drains or spoils one engine.
+async fn disturb_engine(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
+    let Some(seat) = fleet.seats.choose(rng) else { return Ok(()) };
+    let engine = &seat.engine;
+    let renamed = format!("i-{:08x}", rng.random::<u32>());
+    match rng.random_range(0..4) {
+        0 => engine.set_flaky(true),
+        // The address goes to another engine at once.
+        1 => engine.restart(&renamed, Some(fleet.newest_version())),
+        2 => {
+            seat.link.filter.set_down(true);
+            sleep(millis(rng, 100..1_000)).await;
+            let instance = if rng.random() { engine.instance() } else { renamed };
+            engine.restart(&instance, Some(fleet.newest_version()));
+            seat.link.filter.set_down(false);
+        }
+        _ => {
+            engine.set_leaving(true);
+            sleep(millis(rng, 2_500..4_000)).await;
+            engine.restart(&renamed, Some(fleet.newest_version()));
+        }
+    }
+    Ok(())
+}
+
+async fn publish(fleet: &Fleet, plan: &Plan, rng: &mut SmallRng) -> anyhow::Result<()> {
+    sleep(millis(rng, 100..1_200)).await;
+    if rng.random() {
+        fleet.publish_config();
+        return Ok(());
+    }
+    fleet.publish_version();
+    if rng.random() {
+        sleep(millis(rng, 0..200)).await;
+        fleet.publish_version();
+    }
+    let seat = fleet.seats.choose(rng);
+    if let Some(seat) = seat {
+        let (engine, version) = (seat.engine.clone(), fleet.newest_version());
+        let delay = plan.bound.mul_f64(rng.random_range(0.0..0.8));
+        actix_rt::spawn(async move {
+            sleep(delay).await;
+            engine.load(version);
+        });
+    }
+    Ok(())
+}
+
+/// A disturbance of the platform that is over at once.
+fn momentary(fleet: &Fleet, fault: impl FnOnce()) {
+    fleet.journal.begin(Part::Platform);
+    fault();
+    fleet.journal.end(Part::Platform);
+}
+
+/// A disturbance of the platform for a time.
+async fn lasting(fleet: &Fleet, time: Duration, start: impl FnOnce(), stop: impl FnOnce()) {
+    fleet.journal.begin(Part::Platform);
+    start();
+    sleep(time).await;
+    stop();
+    fleet.journal.end(Part::Platform);
+}
+
+fn millis(rng: &mut SmallRng, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(rng.random_range(range))
+}
--- /dev/null
+++ b/crates/standins/src/soak/fleet.rs
@@ -0,0 +1,267 @@
+//! The gateways, engines and store of a soak, with relays between them.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use actix_rt::time::sleep;
+use anyhow::ensure;
+use rand::{Rng as _, rngs::SmallRng, seq::IndexedRandom as _};
+use serde_json::{Value, json};
+
+use super::{
+    call::probe,
+    engine::Engine,
+    journal::{Journal, Part},
+    plan::Plan,
+};
+use crate::{
+    hosted::{Store, gateway_config, gateway_settings, loopback_addr},
+    processes::{Process, Signal},
+    relay::{RelayFilter, TcpRelay},
+};
+
+/// Port on which all processes listen for peers, each at its own address.
+const PEERS_PORT: u16 = 19_000;
+/// Port on which all gateways listen for callers.
+const CALLERS_PORT: u16 = 19_001;
+/// Port on which all gateways answer readiness checks.
+const READY_PORT: u16 = 19_002;
+/// Number of gateways that a process is told as seeds.
+const SEEDS: usize = 3;
+/// Time within which all gateways must be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Number of API keys that are valid at the same time.
+const VALID_KEYS: usize = 3;
+/// One in so many requests carries a key that was removed.
+const REMOVED_KEY_RATIO: u32 = 10;
+
+/// A gateway process, with the links on its ways to callers and to the store.
+pub(super) struct Gateway {
+    vm: String,
+    settings: Value,
+    ready: SocketAddr,
+    callers: TcpRelay,
+    /// The link to the store.
+    pub(super) store: RelayFilter,
+    /// The running process, `None` while it is stopped by the soak.
+    pub(super) process: RefCell<Option<Process>>,
+}
+
+impl Gateway {
+    /// Returns the address for callers.
+    pub(super) fn entrance(&self) -> SocketAddr {
+        self.callers.addr
+    }
+
+    /// Returns the link of its callers.
+    pub(super) fn callers(&self) -> &RelayFilter {
+        &self.callers.filter
+    }
+
+    /// Sends a signal to the process if it runs.
+    pub(super) fn signal(&self, signal: Signal) {
+        if let Some(process) = self.process.borrow().as_ref() {
+            process.signal(signal);
+        }
+    }
+}
+
+/// An engine with the link in front of it.
+pub(super) struct Seat {
+    /// The engine.
+    pub(super) engine: Engine,
+    /// The link to the engine, whose address is published.
+    pub(super) link: TcpRelay,
+    published: RefCell<(String, Value)>,
+}
+
+/// All parts of a soak.
+pub(super) struct Fleet {
+    /// What was seen.
+    pub(super) journal: Journal,
+    /// The store.
+    pub(super) store: Store,
+    /// The gateways.
+    pub(super) gateways: Vec<Gateway>,
+    /// The engines.
+    pub(super) seats: Vec<Seat>,
+    /// The folder of settings and logs.
+    pub(super) dir: PathBuf,
+    program: PathBuf,
+    version: Cell<u64>,
+    config: Cell<u64>,
+    keys: RefCell<Vec<String>>,
+}
+
+impl Fleet {
+    /// Starts the stand-ins and processes, and waits until all gateways are ready.
+    pub(super) async fn start(plan: &Plan, program: PathBuf) -> anyhow::Result<Self> {
+        let name = format!("soak-{}-{}", std::process::id(), plan.seed);
+        let dir = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&dir)?;
+        let journal = Journal::new(plan.bound);
+        let platform = loopback_addr()?;
+        let mut fleet = Self {
+            journal: journal.clone(),
+            store: Store::start(platform).await?,
+            gateways: vec![],
+            seats: vec![],
+            dir,
+            program,
+            version: Cell::new(0),
+            config: Cell::new(0),
+            keys: RefCell::default(),
+        };
+        fleet.publish_config();
+        fleet.publish_version();
+        for number in 0..plan.engines {
+            let (addr, instance) = (loopback_addr()?, format!("i-{number}"));
+            let engine =
+                Engine::start(addr, &instance, 1, plan.seed + number as u64, &journal).await?;
+            let link = TcpRelay::start(loopback_addr()?, addr).await?;
+            fleet.seats.push(Seat { engine, link, published: RefCell::default() });
+        }
+        fleet.publish_engines();
+        let addrs: Vec<SocketAddr> =
+            (0..plan.gateways).map(|_| loopback_addr()).collect::<Result<_, _>>()?;
+        let seeds = &addrs[..addrs.len().min(SEEDS)];
+        for (number, addr) in addrs.iter().enumerate() {
+            fleet.gateways.push(gateway(plan, number, *addr, seeds, platform).await?);
+        }
+        (0..plan.gateways).try_for_each(|number| fleet.start_gateway(number))?;
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Starts the process of a gateway.
+    pub(super) fn start_gateway(&self, number: usize) -> anyhow::Result<()> {
+        let gateway = &self.gateways[number];
+        let process =
+            Process::start(&self.program, "gateway", &gateway.vm, &self.dir, &gateway.settings)?;
+        gateway.process.replace(Some(process));
+        Ok(())
+    }
+
+    /// Returns the key of a request: mostly a valid one, at times one that was removed.
+    pub(super) fn choose_key(&self, rng: &mut SmallRng) -> String {
+        let keys = self.keys.borrow();
+        let valid = keys.len().saturating_sub(VALID_KEYS);
+        let removed = rng.random_ratio(1, REMOVED_KEY_RATIO).then(|| keys[..valid].choose(rng));
+        removed.flatten().or(keys[valid..].choose(rng)).cloned().unwrap_or_default()
+    }
+
+    /// Publishes the next configuration, which replaces the oldest key by a new one.
+    pub(super) fn publish_config(&self) {
+        let version = self.config.get() + 1;
+        self.config.set(version);
+        let mut keys = self.keys.borrow_mut();
+        let missing = VALID_KEYS.saturating_sub(keys.len()).max(1);
+        let first = keys.len();
+        keys.extend((first..first + missing).map(|number| format!("key-{number}")));
+        let valid = &keys[keys.len() - VALID_KEYS..];
+        let names: Vec<&str> = valid.iter().map(String::as_str).collect();
+        let mut config = gateway_config(version, &names);
+        config["services"][0]["engine"] = json!({
+            "slots": 4, "kv_cache_tokens": 100_000, "models": [{ "name": "assist", "warm_s": 0.2 }],
+            "step_ms": 5, "read_per_s": 100_000, "chunk": 4_096, "stride": 1,
+            "usual": { "prompt": 100, "answer": 6 }
+        });
+        let mut once = config["routes"][2].clone();
+        once["name"] = json!("streams-once");
+        once["prefix"] = json!("/stream/once/");
+        once["resume_streams"] = json!(false);
+        config["routes"].as_array_mut().into_iter().for_each(|routes| routes.push(once.clone()));
+        self.store.put("op/config", Some(config));
+        self.journal.publish_keys(valid);
+    }
+
+    /// Publishes the next version of the weights.
+    pub(super) fn publish_version(&self) -> u64 {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        let value = json!({ "model": "assist", "version": version });
+        self.store.put("op/version/assist", Some(value));
+        self.journal.publish_version(version);
+        version
+    }
+
+    /// Returns the newest published version.
+    pub(super) fn newest_version(&self) -> u64 {
+        self.version.get()
+    }
+
+    /// Publishes the entries of the engines that have changed.
+    pub(super) fn publish_engines(&self) {
+        for seat in &self.seats {
+            let (key, entry) =
+                (format!("servers/{}", seat.engine.instance()), seat.engine.entry(seat.link.addr));
+            let mut published = seat.published.borrow_mut();
+            if *published == (key.clone(), entry.clone()) {
+                continue;
+            }
+            if !published.0.is_empty() && published.0 != key {
+                self.store.put(&published.0, None);
+                self.journal.publish_leaving(published.0.trim_start_matches("servers/"));
+            }
+            if entry["state"] == "draining" {
+                self.journal.publish_leaving(&seat.engine.instance());
+            }
+            self.store.put(&key, Some(entry.clone()));
+            *published = (key, entry);
+        }
+    }
+
+    /// Reports the gateways that ended without a signal of the soak, and starts them again.
+    pub(super) fn check_processes(&self) -> anyhow::Result<()> {
+        for (number, gateway) in self.gateways.iter().enumerate() {
+            let ended = gateway.process.borrow_mut().as_mut().is_some_and(Process::has_ended);
+            if ended {
+                self.journal.report("ENDED", 0, format_args!("{} ended by itself", gateway.vm));
+                self.journal.begin(Part::Gateway(number));
+                self.start_gateway(number)?;
+                self.journal.end(Part::Gateway(number));
+            }
+        }
+        Ok(())
+    }
+
+    async fn wait_ready(&self) -> anyhow::Result<()> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        for gateway in &self.gateways {
+            while probe(gateway.ready, "/-/readiness").await != 200 {
+                ensure!(Instant::now() < deadline, "{} is not ready", gateway.vm);
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn gateway(
+    plan: &Plan,
+    number: usize,
+    addr: SocketAddr,
+    seeds: &[SocketAddr],
+    platform: SocketAddr,
+) -> anyhow::Result<Gateway> {
+    let vm = format!("gateway-{number}");
+    let at = |port| SocketAddr::new(addr.ip(), port);
+    let store = TcpRelay::start(loopback_addr()?, platform).await?;
+    let mut settings =
+        gateway_settings(&vm, at(PEERS_PORT), store.addr, seeds, at(CALLERS_PORT), at(READY_PORT));
+    settings["node"]["bounds"]["version"] = json!(format!("{}ms", plan.bound.as_millis()));
+    settings["node"]["bounds"]["grace"] = json!("3s");
+    let callers = TcpRelay::start(loopback_addr()?, at(CALLERS_PORT)).await?;
+    Ok(Gateway {
+        vm,
+        settings,
+        ready: at(READY_PORT),
+        callers,
+        store: store.filter,
+        process: RefCell::default(),
+    })
+}
--- /dev/null
+++ b/crates/standins/src/soak/journal.rs
@@ -0,0 +1,268 @@
+//! Record of what callers, endpoints and operators saw in a soak, with the checks on it.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    fmt::Display,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use super::call::Mode;
+
+/// Time without disturbance after which a process is in touch.
+pub(super) const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time after which a new configuration must be in force.
+const CONFIG_TIME: Duration = Duration::from_secs(2);
+/// Time after which a leaving endpoint must get no requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Time by which the soak itself may be late to record an event.
+const SLACK: Duration = Duration::from_millis(250);
+
+/// The disturbances of one part of the system, which may overlap.
+#[derive(Clone, Copy, Debug)]
+struct Disturbances {
+    active: u32,
+    last: Instant,
+}
+
+impl Disturbances {
+    fn new() -> Self {
+        Self { active: 0, last: Instant::now() }
+    }
+
+    /// Returns since when there is no disturbance, `None` during one.
+    fn calm_since(&self) -> Option<Instant> {
+        (self.active == 0).then_some(self.last)
+    }
+}
+
+/// A part of the system that faults disturb.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Part {
+    /// The store and all links.
+    Platform,
+    /// The process of a gateway, by its index.
+    Gateway(usize),
+}
+
+/// A request as sent by a caller.
+#[derive(Clone, Debug)]
+pub(super) struct Sent {
+    /// The index of the gateway.
+    pub(super) gateway: usize,
+    /// What may be done with the request.
+    pub(super) mode: Mode,
+    /// The API key.
+    pub(super) key: String,
+    /// The time at which the caller sent it.
+    pub(super) at: Instant,
+}
+
+/// A request as run by an endpoint.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    /// The id of the endpoint.
+    pub(super) instance: String,
+    /// The version of the weights that the endpoint held.
+    pub(super) version: u64,
+    /// Whether the gateway asked for this version.
+    pub(super) versioned: bool,
+    /// The client account that the gateway named.
+    pub(super) account: Option<String>,
+    /// The time at which the request reached the endpoint.
+    pub(super) arrived: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    sent: HashMap<u64, Sent>,
+    runs: HashMap<u64, Vec<Run>>,
+    refused: HashMap<u64, u16>,
+    /// The API keys, each with the times at which it was added and removed.
+    keys: BTreeMap<String, (Instant, Option<Instant>)>,
+    versions: BTreeMap<u64, Instant>,
+    leaving: HashMap<String, Instant>,
+    disturbances: BTreeMap<Part, Disturbances>,
+    answered: u64,
+    violations: Vec<String>,
+}
+
+/// The shared record of a soak.
+#[derive(Clone, Debug)]
+pub(super) struct Journal {
+    start: Instant,
+    /// The time within which a version must be in use everywhere.
+    bound: Duration,
+    state: Rc<RefCell<State>>,
+}
+
+impl Journal {
+    /// Returns an empty record.
+    pub(super) fn new(bound: Duration) -> Self {
+        Self { start: Instant::now(), bound, state: Rc::default() }
+    }
+
+    /// Returns the violations so far.
+    pub(super) fn violations(&self) -> Vec<String> {
+        self.state.borrow().violations.clone()
+    }
+
+    /// Returns the numbers of requests sent, run and answered with success.
+    pub(super) fn counts(&self) -> (usize, usize, u64) {
+        let state = self.state.borrow();
+        (state.sent.len(), state.runs.values().map(Vec::len).sum(), state.answered)
+    }
+
+    /// Records the start of a disturbance.
+    pub(super) fn begin(&self, part: Part) {
+        let mut state = self.state.borrow_mut();
+        state.disturbances.entry(part).or_insert_with(Disturbances::new).active += 1;
+    }
+
+    /// Records the end of a disturbance.
+    pub(super) fn end(&self, part: Part) {
+        let mut state = self.state.borrow_mut();
+        let known = state.disturbances.entry(part).or_insert_with(Disturbances::new);
+        known.active = known.active.saturating_sub(1);
+        known.last = Instant::now();
+    }
+
+    /// Records a published version; the newest one is in force.
+    pub(super) fn publish_version(&self, version: u64) {
+        self.state.borrow_mut().versions.insert(version, Instant::now());
+    }
+
+    /// Records the keys of a published configuration.
+    pub(super) fn publish_keys(&self, keys: &[String]) {
+        let (now, mut state) = (Instant::now(), self.state.borrow_mut());
+        for (key, (_, removed)) in &mut state.keys {
+            if removed.is_none() && !keys.contains(key) {
+                *removed = Some(now);
+            }
+        }
+        for key in keys {
+            state.keys.entry(key.clone()).or_insert((now, None));
+        }
+    }
+
+    /// Records that an endpoint was published as leaving or gone.
+    pub(super) fn publish_leaving(&self, instance: &str) {
+        self.state.borrow_mut().leaving.entry(instance.to_owned()).or_insert_with(Instant::now);
+    }
+
+    /// Records a request that a caller sends.
+    pub(super) fn send(&self, attempt: u64, sent: Sent) {
+        self.state.borrow_mut().sent.insert(attempt, sent);
+    }
+
+    /// Checks a request that reaches an endpoint which accepts it.
+    pub(super) fn check_arrival(&self, attempt: u64, instance: &str) {
+        let state = self.state.borrow();
+        let Some(leaving) = state.leaving.get(instance).copied() else { return };
+        let Some(calm) = self.in_touch(&state, attempt) else { return };
+        drop(state);
+        let late = Instant::now().saturating_duration_since(leaving.max(calm));
+        if late > DRAIN_TIME + SLACK {
+            self.report("DRAIN", attempt, format_args!("{instance} leaves since {late:?}"));
+        }
+    }
+
+    /// Checks and records a request that an endpoint begins to run.
+    pub(super) fn begin_run(&self, attempt: u64, run: Run) {
+        let sent = self.state.borrow().sent.get(&attempt).cloned();
+        match sent {
+            None => self.report("UNASKED", attempt, "no caller sent this request"),
+            Some(sent) => self.check_run(attempt, &sent, &run),
+        }
+        self.state.borrow_mut().runs.entry(attempt).or_default().push(run);
+    }
+
+    fn check_run(&self, attempt: u64, sent: &Sent, run: &Run) {
+        let (now, state) = (Instant::now(), self.state.borrow());
+        let refused = state.refused.get(&attempt).copied();
+        let repeated = sent.mode.runs_once() && state.runs.contains_key(&attempt);
+        let calm = self.in_touch(&state, attempt);
+        let newer = state.versions.range(run.version + 1..).map(|(version, at)| (*version, *at));
+        let newer = newer.min_by_key(|(_, at)| *at);
+        let removed = state.keys.get(&sent.key).map(|(_, removed)| *removed);
+        drop(state);
+        if run.account.as_deref() != Some("acme") {
+            self.report("UNASKED", attempt, format_args!("for account {:?}", run.account));
+        }
+        if let Some(status) = refused {
+            self.report("REFUSED", attempt, format_args!("runs after answer {status}"));
+        }
+        if repeated {
+            self.report("TWICE", attempt, format_args!("runs again at {}", run.instance));
+        }
+        match removed {
+            None => self.report("ROUTE", attempt, "runs with a key that never existed"),
+            Some(Some(at))
+                if calm.is_some_and(|calm| sent.at > at.max(calm) + CONFIG_TIME + SLACK) =>
+            {
+                self.report("KEY", attempt, format_args!("key removed {:?} ago", now - at));
+            }
+            Some(_) => {}
+        }
+        let (Some((version, published)), Some(calm)) = (newer, calm) else { return };
+        let late = now.saturating_duration_since(published.max(calm));
+        if late > self.bound + SLACK {
+            let text = format!(
+                "begins on version {} at {}, {late:?} after version {version} was published; \
+                 reached it {:?} ago, version asked for: {}, sent by gateway-{} at {:?}",
+                run.version,
+                run.instance,
+                now - run.arrived,
+                run.versioned,
+                sent.gateway,
+                sent.at - self.start
+            );
+            self.report("VERSION", attempt, text);
+        }
+    }
+
+    /// Checks the status of the answer that a caller got.
+    pub(super) fn check_status(&self, attempt: u64, status: u16) {
+        let mut state = self.state.borrow_mut();
+        let ran = state.runs.contains_key(&attempt);
+        if (200..300).contains(&status) {
+            state.answered += 1;
+        }
+        if matches!(status, 408 | 421 | 429 | 503) {
+            state.refused.insert(attempt, status);
+        }
+        let key = state.sent.get(&attempt).and_then(|sent| state.keys.get(&sent.key)).copied();
+        let sent_at = state.sent.get(&attempt).map(|sent| sent.at);
+        let calm = self.in_touch(&state, attempt);
+        drop(state);
+        if matches!(status, 408 | 421 | 429 | 503) && ran {
+            self.report("REFUSED", attempt, format_args!("answer {status} after a run"));
+        }
+        if let (401 | 403 | 404, Some((added, None)), Some(calm), Some(at)) =
+            (status, key, calm, sent_at)
+            && at > added.max(calm) + CONFIG_TIME + SLACK
+        {
+            self.report("CONFIG", attempt, format_args!("answer {status} for a valid key"));
+        }
+    }
+
+    /// Adds a violation.
+    pub(super) fn report(&self, check: &str, attempt: u64, detail: impl Display) {
+        let at = self.start.elapsed().as_secs_f64();
+        let text = format!("{check} at {at:.3} s, request {attempt:016x}: {detail}");
+        self.state.borrow_mut().violations.push(text);
+    }
+
+    /// Returns since when the platform is calm if the sender of a request was in touch.
+    fn in_touch(&self, state: &State, attempt: u64) -> Option<Instant> {
+        let sent = state.sent.get(&attempt)?;
+        let calm_since = |part| match state.disturbances.get(&part) {
+            Some(known) => known.calm_since(),
+            None => Some(self.start),
+        };
+        let (platform, gateway) =
+            (calm_since(Part::Platform)?, calm_since(Part::Gateway(sent.gateway))?);
+        (sent.at > platform.max(gateway) + CONTACT_TIME).then_some(platform)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/soak/mod.rs
@@ -0,0 +1,124 @@
+//! Randomized fault soak of real gateway processes on loopback.
+//!
+//! A seed draws the sizes and the order of events. Faults come from outside the processes, and the
+//! checks use only what callers and endpoints see.
+
+mod call;
+mod engine;
+mod faults;
+mod fleet;
+mod journal;
+mod plan;
+
+use std::{
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use actix_rt::time::{Instant as Tick, sleep, sleep_until};
+use futures_util::{StreamExt as _, future::join_all, stream};
+
+use self::{call::Caller, fleet::Fleet, plan::Plan};
+
+/// Seeds that failed, each with the cause.
+pub const REGRESSIONS: [(u64, &str); 3] = [
+    (1, "a watch fell silent before a version was published, which was then dated 2.6 s late"),
+    (12, "the same, with the connections of all gateways silent and two versions to go"),
+    (14, "the same, with a bound of 4 s"),
+];
+/// Number of violations of a seed that are printed; the rest are counted.
+const MAX_PRINTED: usize = 8;
+/// Interval at which the soak measures its own delay.
+const LAG_INTERVAL: Duration = Duration::from_millis(50);
+/// Time without new faults at the end of a soak, in which answers arrive.
+const END_TIME: Duration = Duration::from_millis(500);
+
+/// The options of a soak.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The seeds to play.
+    pub seeds: Vec<u64>,
+    /// The number of seeds played at the same time.
+    pub jobs: usize,
+    /// The number of gateways, drawn from the seed by default.
+    pub gateways: Option<usize>,
+    /// The `sequoiahold` program.
+    pub program: PathBuf,
+}
+
+/// What one seed showed.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// The line that sums it up.
+    pub summary: String,
+    /// The violations of the checks.
+    pub violations: Vec<String>,
+}
+
+/// Plays the seeds and prints a line for each; returns the exit code, 1 if a check failed.
+pub async fn run(options: Options) -> anyhow::Result<u8> {
+    let seeds = stream::iter(options.seeds.clone());
+    let mut outcomes = seeds.map(|seed| play(seed, &options)).buffer_unordered(options.jobs.max(1));
+    let (mut played, mut failed) = (0, 0);
+    while let Some(outcome) = outcomes.next().await {
+        let outcome = outcome?;
+        println!("{}", outcome.summary);
+        outcome.violations.iter().take(MAX_PRINTED).for_each(|line| println!("  {line}"));
+        played += 1;
+        failed += u32::from(!outcome.violations.is_empty());
+    }
+    println!("{played} seeds, {failed} failed");
+    Ok(u8::from(failed > 0))
+}
+
+/// Plays one seed; removes its logs unless a check failed.
+pub async fn play(seed: u64, options: &Options) -> anyhow::Result<Outcome> {
+    let start = Instant::now();
+    let plan = Plan::draw(seed, options.gateways);
+    let fleet = Fleet::start(&plan, options.program.clone()).await?;
+    let callers = (0..plan.callers as u64).map(|number| {
+        let caller = Caller::new(&fleet, seed.rotate_left(32) ^ number);
+        caller.run()
+    });
+    let faults = async {
+        sleep(journal::CONTACT_TIME).await;
+        faults::play(&fleet, &plan).await?;
+        sleep(END_TIME).await;
+        anyhow::Ok(())
+    };
+    let mut lag = Duration::ZERO;
+    tokio::select! {
+        result = faults => result?,
+        result = faults::supervise(&fleet) => result?,
+        _ = join_all(callers) => {}
+        () = measure_lag(&mut lag) => {}
+    }
+    let violations = fleet.journal.violations();
+    let (sent, runs, answered) = fleet.journal.counts();
+    let verdict = match violations.len() {
+        0 => "ok".to_owned(),
+        count => format!("FAILED, {count} violations, logs in {}", fleet.dir.display()),
+    };
+    let summary = format!(
+        "seed {seed}: {} gateways, {} engines, bound {:?}, {sent} requests, {runs} runs, \
+         {answered} answered, lag {} ms, {:.0} s: {verdict}",
+        plan.gateways,
+        plan.engines,
+        plan.bound,
+        lag.as_millis(),
+        start.elapsed().as_secs_f64(),
+    );
+    if violations.is_empty() {
+        std::fs::remove_dir_all(&fleet.dir)?;
+    }
+    Ok(Outcome { summary, violations })
+}
+
+/// Measures by how much timers of the soak itself fire late, for as long as it is polled.
+async fn measure_lag(lag: &mut Duration) {
+    loop {
+        let due = Tick::now() + LAG_INTERVAL;
+        sleep_until(due).await;
+        *lag = due.elapsed().max(*lag);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/soak/plan.rs
@@ -0,0 +1,89 @@
+//! The size, bounds and order of events of a soak, drawn from its seed.
+
+use std::time::Duration;
+
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
+
+/// The times within which a version must be in use everywhere, in milliseconds; the platform's own
+/// value is the last one.
+const VERSION_BOUNDS_MS: [u64; 3] = [4_000, 6_000, 8_000];
+
+/// What happens in a soak.
+#[derive(Clone, Debug)]
+pub(super) struct Plan {
+    /// The seed from which all else is drawn.
+    pub(super) seed: u64,
+    /// The number of gateways.
+    pub(super) gateways: usize,
+    /// The number of engines.
+    pub(super) engines: usize,
+    /// The number of callers.
+    pub(super) callers: usize,
+    /// The time within which a version must be in use everywhere.
+    pub(super) bound: Duration,
+    /// The rounds, one after the other.
+    pub(super) rounds: Vec<Round>,
+}
+
+/// Some seconds of overlapping faults, then a time without faults of the store and of links.
+#[derive(Clone, Debug)]
+pub(super) struct Round {
+    /// Whether links fail.
+    pub(super) links: bool,
+    /// Whether the store fails.
+    pub(super) store: bool,
+    /// Whether engines crash, leave and change their ids.
+    pub(super) engines: bool,
+    /// What happens to all links just before the versions that start the calm time.
+    pub(super) prelude: Prelude,
+    /// The pauses before each of these versions.
+    pub(super) versions: Vec<Duration>,
+    /// The engines that keep the old version for as long as they may.
+    pub(super) late_engines: usize,
+}
+
+/// What happens to all links at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Prelude {
+    /// Nothing.
+    None,
+    /// All connections are reset.
+    Reset,
+    /// All connections fall silent for good, while new ones work.
+    Silence,
+}
+
+impl Plan {
+    /// Draws a plan; `gateways` replaces the drawn number.
+    pub(super) fn draw(seed: u64, gateways: Option<usize>) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let gateways = gateways.unwrap_or_else(|| rng.random_range(2..=6));
+        let bound = VERSION_BOUNDS_MS.choose(&mut rng).copied().unwrap_or(8_000);
+        let engines = rng.random_range(3..=5).max(gateways / 6);
+        let rounds = if bound == VERSION_BOUNDS_MS[0] { 2 } else { 1 };
+        Self {
+            seed,
+            gateways,
+            engines,
+            callers: (3 * engines).max(gateways),
+            bound: Duration::from_millis(bound),
+            rounds: (0..rounds).map(|_| Round::draw(&mut rng, engines)).collect(),
+        }
+    }
+}
+
+impl Round {
+    fn draw(rng: &mut SmallRng, engines: usize) -> Self {
+        let preludes = [Prelude::None, Prelude::Reset, Prelude::Silence, Prelude::Silence];
+        Self {
+            links: rng.random_bool(0.6),
+            store: rng.random_bool(0.5),
+            engines: rng.random_bool(0.7),
+            prelude: *preludes.choose(rng).unwrap_or(&Prelude::None),
+            versions: (0..rng.random_range(1..=3))
+                .map(|_| Duration::from_millis(rng.random_range(0..600)))
+                .collect(),
+            late_engines: rng.random_range(1..engines),
+        }
+    }
+}
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -1,25 +1,23 @@
 //! Real gateway processes with a simulated store and simulated endpoints of a hosted platform.
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
-    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
 use rstest::rstest;
 use sequoiahold_standins::{
-    hosted::{Behaviour, Store, Worker},
+    hosted::{
+        Behaviour, Store, Worker, gateway_config, gateway_settings, loopback_addr, registry_entry,
+    },
     processes::{Process, Signal, program_path},
 };
-use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
 };
 
-/// The first port of the processes under test, below those of outgoing connections.
-const FIRST_PORT: u16 = 20_000;
 /// Time within which a gateway must be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time within which published state must be in force.
@@ -44,65 +42,8 @@
     }
 }
 
-/// Returns an address of its own in this test process, outside the ports and the address from
-/// which connections are opened, so that nothing else takes it before its process listens.
 fn free_addr() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let [block, host] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
-    let addr = SocketAddr::from(([127, 64 + high % 64, low, host], FIRST_PORT + u16::from(block)));
-    drop(TcpListener::bind(addr).expect("a free address"));
-    addr
-}
-
-fn gateway_config(version: u64, keys: &[&str]) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, attempts: u32| {
-        json!({
-            "name": name, "host": "shop.example", "prefix": prefix, "kind": kind,
-            "timeout_ms": 3000, "target_latency_ms": 1500, "priority": 1, "service": "llm",
-            "attempts": attempts, "public": false, "resume_streams": kind == "streaming",
-            "target_gap_ms": 400, "allowed_regions": []
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("orders", "/order/", "non_idempotent", 1),
-            route("reads", "/read/", "idempotent", 2),
-            route("streams", "/stream/", "streaming", 3),
-        ],
-        "services": [{ "name": "llm", "health_check_path": "/health", "max_connections": 100 }],
-        "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 4194304,
-            "header_timeout_ms": 3000, "idle_timeout_ms": 15000
-        },
-        "tenants": [{ "name": "acme", "api_keys": keys, "priority": 1, "allowed_regions": [] }]
-    })
-}
-
-fn registry_entry(addr: SocketAddr, state: &str) -> Value {
-    json!({
-        "service": "llm", "address": addr.to_string(), "zone": "z1", "version": "v1",
-        "slots": 4, "state": state, "cold_remaining_ms": 0, "sequence": 1
-    })
-}
-
-fn gateway_settings(
-    vm: &str,
-    peers: SocketAddr,
-    platform: SocketAddr,
-    seeds: &[SocketAddr],
-    callers: SocketAddr,
-    ready: SocketAddr,
-) -> Value {
-    json!({
-        "node": {
-            "vm": vm, "zone": "z1", "zones": { "z1": "r1" },
-            "peers": peers, "seeds": seeds, "platform": platform,
-            "bounds": { "retry_ratio": 0.2, "retry_extra": 100.0, "grace": "6s" }
-        },
-        "callers": callers, "ready": ready, "log": { "format": "json" }
-    })
+    loopback_addr().expect("a free address")
 }
 
 impl Fixture {
