--- a/crates/standins/src/soak/engine.rs
+++ b/crates/standins/src/soak/engine.rs
@@ -18,7 +18,10 @@
 use serde_json::{Value, json};
 use tokio::sync::{Semaphore, mpsc};
 
-use super::journal::{Journal, Run};
+use super::{
+    journal::{Journal, Run},
+    origin::{self, CHUNKS},
+};
 use crate::{
     hosted::registry_entry,
     reply::{self, Body},
@@ -106,7 +109,7 @@
             waiting: 0,
             flaky: false,
             leaving: false,
-            staged: BTreeMap::new(),
+            staged: (0..CHUNKS).map(|number| (number, origin::chunk(version, number))).collect(),
             rng: SmallRng::seed_from_u64(seed),
         };
         let engine = Self {
@@ -221,6 +224,16 @@
         if version == Some(order.version) {
             return reply::status(200);
         }
+        let staged = |number| self.state.borrow().staged.get(&number).cloned();
+        let spoilt = (0..CHUNKS).find(|n| staged(*n) != Some(origin::chunk(order.version, *n)));
+        if let Some(number) = spoilt {
+            let instance = self.instance();
+            self.journal.report(
+                "WHOLE",
+                0,
+                format_args!("{instance} loads without chunk {number}"),
+            );
+        }
         if loading || order.precondition.is_some_and(|expected| expected != orders) {
             return reply::status(409);
         }
--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -57,7 +57,7 @@
     let mut rngs = [fork(), fork(), fork(), fork(), fork()];
     let [signals, links, store, engines, published] = &mut rngs;
     let results = tokio::join!(
-        series(true, signals, async |rng| signal_gateway(fleet, rng).await),
+        series(true, signals, async |rng| signal_process(fleet, rng).await),
         series(round.links, links, async |rng| disturb_link(fleet, rng).await),
         series(round.store, store, async |rng| disturb_store(fleet, rng).await),
         series(round.engines, engines, async |rng| disturb_engine(fleet, rng).await),
@@ -95,7 +95,7 @@
     }
     let loads = load_engines(fleet, plan, round.late_engines);
     let mut signals = SmallRng::seed_from_u64(rng.random());
-    let disturbed = series(true, &mut signals, async |rng| signal_gateway(fleet, rng).await);
+    let disturbed = series(true, &mut signals, async |rng| signal_process(fleet, rng).await);
     let rest = sleep(plan.bound + CALM_MARGIN);
     let ((), result, ()) = tokio::join!(loads, disturbed, rest);
     result
@@ -103,6 +103,9 @@
 
 /// Has the engines load the newest version, the late ones just after the rollout time.
 async fn load_engines(fleet: &Fleet, plan: &Plan, late: usize) {
+    if plan.loaders {
+        return;
+    }
     let loads = fleet.seats.iter().enumerate().map(|(number, seat)| async move {
         let factor = if number < late { 1.0 } else { LOAD_FRACTION };
         sleep(plan.bound.mul_f64(factor)).await;
@@ -114,33 +117,32 @@
     join_all(loads).await;
 }
 
-async fn signal_gateway(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
-    let number = rng.random_range(0..fleet.gateways.len());
-    let (gateway, part) = (&fleet.gateways[number], Part::Gateway(number));
+async fn signal_process(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
+    let number = rng.random_range(0..fleet.members.len());
+    let (member, part) = (&fleet.members[number], Part::Process(number));
     fleet.journal.begin(part);
     match rng.random_range(0..8) {
         0..4 => {
-            gateway.signal(Signal::Stop);
+            member.signal(Signal::Stop);
             sleep(millis(rng, 100..2_000)).await;
-            gateway.signal(Signal::Continue);
+            member.signal(Signal::Continue);
         }
         4..6 => {
-            gateway.signal(Signal::Kill);
-            drop(gateway.process.take());
+            drop(member.process.take());
             sleep(millis(rng, 50..500)).await;
-            fleet.start_gateway(number)?;
+            fleet.start_member(number)?;
         }
         6 => {
-            gateway.signal(Signal::Terminate);
-            let process = gateway.process.take();
+            member.signal(Signal::Terminate);
+            let process = member.process.take();
             if let Some(mut process) = process
                 && !process.wait(STOP_TIMEOUT).await
             {
-                fleet.journal.report("STOP", 0, format_args!("gateway-{number} still runs"));
+                fleet.journal.report("STOP", 0, format_args!("{} still runs", member.vm));
             }
-            fleet.start_gateway(number)?;
+            fleet.start_member(number)?;
         }
-        _ => gateway.signal(Signal::Reload),
+        _ => member.signal(Signal::Reload),
     }
     fleet.journal.end(part);
     Ok(())
@@ -193,18 +195,18 @@
     match rng.random_range(0..4) {
         0 => engine.set_flaky(true),
         // The address goes to another engine at once.
-        1 => engine.restart(&renamed, Some(fleet.newest_version())),
+        1 => engine.restart(&renamed, fleet.start_version()),
         2 => {
             seat.link.filter.set_down(true);
             sleep(millis(rng, 100..1_000)).await;
             let instance = if rng.random() { engine.instance() } else { renamed };
-            engine.restart(&instance, Some(fleet.newest_version()));
+            engine.restart(&instance, fleet.start_version());
             seat.link.filter.set_down(false);
         }
         _ => {
             engine.set_leaving(true);
             sleep(millis(rng, 2_500..4_000)).await;
-            engine.restart(&renamed, Some(fleet.newest_version()));
+            engine.restart(&renamed, fleet.start_version());
         }
     }
     Ok(())
@@ -222,7 +224,7 @@
         fleet.publish_version();
     }
     let seat = fleet.seats.choose(rng);
-    if let Some(seat) = seat {
+    if let Some(seat) = seat.filter(|_| !plan.loaders) {
         let (engine, version) = (seat.engine.clone(), fleet.newest_version());
         let delay = plan.bound.mul_f64(rng.random_range(0.0..0.8));
         actix_rt::spawn(async move {
--- a/crates/standins/src/soak/fleet.rs
+++ b/crates/standins/src/soak/fleet.rs
@@ -16,6 +16,7 @@
     call::probe,
     engine::Engine,
     journal::{Journal, Part},
+    origin,
     plan::Plan,
 };
 use crate::{
@@ -39,16 +40,22 @@
 /// One in so many requests carries a key that was removed.
 const REMOVED_KEY_RATIO: u32 = 10;
 
-/// A gateway process, with the links on its ways to callers and to the store.
-pub(super) struct Gateway {
-    vm: String,
+/// A process of the system, which is started again whenever it has ended.
+pub(super) struct Member {
+    /// The name of its VM.
+    pub(super) vm: String,
+    role: &'static str,
     settings: Value,
+    /// The running process, `None` while it is stopped by the soak.
+    pub(super) process: RefCell<Option<Process>>,
+}
+
+/// The links of a gateway.
+pub(super) struct Gateway {
     ready: SocketAddr,
     callers: TcpRelay,
     /// The link to the store.
     pub(super) store: RelayFilter,
-    /// The running process, `None` while it is stopped by the soak.
-    pub(super) process: RefCell<Option<Process>>,
 }
 
 impl Gateway {
@@ -61,7 +68,9 @@
     pub(super) fn callers(&self) -> &RelayFilter {
         &self.callers.filter
     }
+}
 
+impl Member {
     /// Sends a signal to the process if it runs.
     pub(super) fn signal(&self, signal: Signal) {
         if let Some(process) = self.process.borrow().as_ref() {
@@ -85,13 +94,17 @@
     pub(super) journal: Journal,
     /// The store.
     pub(super) store: Store,
-    /// The gateways.
+    /// The processes; gateways come first.
+    pub(super) members: Vec<Member>,
+    /// The links of the gateways.
     pub(super) gateways: Vec<Gateway>,
     /// The engines.
     pub(super) seats: Vec<Seat>,
     /// The folder of settings and logs.
     pub(super) dir: PathBuf,
     program: PathBuf,
+    origin: SocketAddr,
+    loaders: bool,
     version: Cell<u64>,
     config: Cell<u64>,
     keys: RefCell<Vec<String>>,
@@ -108,10 +121,13 @@
         let mut fleet = Self {
             journal: journal.clone(),
             store: Store::start(platform).await?,
+            members: vec![],
             gateways: vec![],
             seats: vec![],
             dir,
             program,
+            origin: loopback_addr()?,
+            loaders: plan.loaders,
             version: Cell::new(0),
             config: Cell::new(0),
             keys: RefCell::default(),
@@ -125,24 +141,45 @@
             let link = TcpRelay::start(loopback_addr()?, addr).await?;
             fleet.seats.push(Seat { engine, link, published: RefCell::default() });
         }
+        origin::start(fleet.origin).await?;
         fleet.publish_engines();
+        fleet.add_members(plan, platform).await?;
+        (0..fleet.members.len()).try_for_each(|number| fleet.start_member(number))?;
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    async fn add_members(&mut self, plan: &Plan, platform: SocketAddr) -> anyhow::Result<()> {
         let addrs: Vec<SocketAddr> =
             (0..plan.gateways).map(|_| loopback_addr()).collect::<Result<_, _>>()?;
         let seeds = &addrs[..addrs.len().min(SEEDS)];
         for (number, addr) in addrs.iter().enumerate() {
-            fleet.gateways.push(gateway(plan, number, *addr, seeds, platform).await?);
+            let at = |port| SocketAddr::new(addr.ip(), port);
+            let store = TcpRelay::start(loopback_addr()?, platform).await?;
+            let callers = TcpRelay::start(loopback_addr()?, at(CALLERS_PORT)).await?;
+            let settings = settings(plan, number, "gateway", *addr, seeds, store.addr);
+            self.members.push(Member::new("gateway", number, settings));
+            let links = Gateway { ready: at(READY_PORT), callers, store: store.filter };
+            self.gateways.push(links);
         }
-        (0..plan.gateways).try_for_each(|number| fleet.start_gateway(number))?;
-        fleet.wait_ready().await?;
-        Ok(fleet)
+        for (number, seat) in self.seats.iter().enumerate().filter(|_| plan.loaders) {
+            let addr = loopback_addr()?;
+            let mut settings = settings(plan, number, "loader", addr, seeds, platform);
+            settings = json!({
+                "node": settings["node"], "engine": seat.link.addr, "service": "llm",
+                "link": "100Mbit/s", "log": { "format": "json" }
+            });
+            self.members.push(Member::new("loader", number, settings));
+        }
+        Ok(())
     }
 
-    /// Starts the process of a gateway.
-    pub(super) fn start_gateway(&self, number: usize) -> anyhow::Result<()> {
-        let gateway = &self.gateways[number];
-        let process =
-            Process::start(&self.program, "gateway", &gateway.vm, &self.dir, &gateway.settings)?;
-        gateway.process.replace(Some(process));
+    /// Starts a process.
+    pub(super) fn start_member(&self, number: usize) -> anyhow::Result<()> {
+        let member = &self.members[number];
+        let (role, vm) = (member.role, &member.vm);
+        let process = Process::start(&self.program, role, vm, &self.dir, &member.settings)?;
+        member.process.replace(Some(process));
         Ok(())
     }
 
@@ -170,6 +207,9 @@
             "step_ms": 5, "read_per_s": 100_000, "chunk": 4_096, "stride": 1,
             "usual": { "prompt": 100, "answer": 6 }
         });
+        config["services"][0]["origin"] = json!(self.origin);
+        config["services"][0]["zone"] = json!("z1");
+        config["services"][0]["link_mbps"] = json!(1_000);
         let mut once = config["routes"][2].clone();
         once["name"] = json!("streams-once");
         once["prefix"] = json!("/stream/once/");
@@ -194,6 +234,11 @@
         self.version.get()
     }
 
+    /// Returns the version that an engine holds after a start; with loaders none.
+    pub(super) fn start_version(&self) -> Option<u64> {
+        (!self.loaders).then(|| self.newest_version())
+    }
+
     /// Publishes the entries of the engines that have changed.
     pub(super) fn publish_engines(&self) {
         for seat in &self.seats {
@@ -215,15 +260,15 @@
         }
     }
 
-    /// Reports the gateways that ended without a signal of the soak, and starts them again.
+    /// Reports the processes that ended without a signal of the soak, and starts them again.
     pub(super) fn check_processes(&self) -> anyhow::Result<()> {
-        for (number, gateway) in self.gateways.iter().enumerate() {
-            let ended = gateway.process.borrow_mut().as_mut().is_some_and(Process::has_ended);
+        for (number, member) in self.members.iter().enumerate() {
+            let ended = member.process.borrow_mut().as_mut().is_some_and(Process::has_ended);
             if ended {
-                self.journal.report("ENDED", 0, format_args!("{} ended by itself", gateway.vm));
-                self.journal.begin(Part::Gateway(number));
-                self.start_gateway(number)?;
-                self.journal.end(Part::Gateway(number));
+                self.journal.report("ENDED", 0, format_args!("{} ended by itself", member.vm));
+                self.journal.begin(Part::Process(number));
+                self.start_member(number)?;
+                self.journal.end(Part::Process(number));
             }
         }
         Ok(())
@@ -231,9 +276,9 @@
 
     async fn wait_ready(&self) -> anyhow::Result<()> {
         let deadline = Instant::now() + READY_TIMEOUT;
-        for gateway in &self.gateways {
+        for (gateway, member) in self.gateways.iter().zip(&self.members) {
             while probe(gateway.ready, "/-/readiness").await != 200 {
-                ensure!(Instant::now() < deadline, "{} is not ready", gateway.vm);
+                ensure!(Instant::now() < deadline, "{} is not ready", member.vm);
                 sleep(Duration::from_millis(50)).await;
             }
         }
@@ -241,27 +286,24 @@
     }
 }
 
-async fn gateway(
+impl Member {
+    fn new(role: &'static str, number: usize, settings: Value) -> Self {
+        Self { vm: format!("{role}-{number}"), role, settings, process: RefCell::default() }
+    }
+}
+
+fn settings(
     plan: &Plan,
     number: usize,
+    role: &str,
     addr: SocketAddr,
     seeds: &[SocketAddr],
-    platform: SocketAddr,
-) -> anyhow::Result<Gateway> {
-    let vm = format!("gateway-{number}");
-    let at = |port| SocketAddr::new(addr.ip(), port);
-    let store = TcpRelay::start(loopback_addr()?, platform).await?;
-    let mut settings =
-        gateway_settings(&vm, at(PEERS_PORT), store.addr, seeds, at(CALLERS_PORT), at(READY_PORT));
+    store: SocketAddr,
+) -> Value {
+    let (vm, at) = (format!("{role}-{number}"), |port| SocketAddr::new(addr.ip(), port));
+    let (peers, callers, ready) = (at(PEERS_PORT), at(CALLERS_PORT), at(READY_PORT));
+    let mut settings = gateway_settings(&vm, peers, store, seeds, callers, ready);
     settings["node"]["bounds"]["version"] = json!(format!("{}ms", plan.bound.as_millis()));
     settings["node"]["bounds"]["grace"] = json!("3s");
-    let callers = TcpRelay::start(loopback_addr()?, at(CALLERS_PORT)).await?;
-    Ok(Gateway {
-        vm,
-        settings,
-        ready: at(READY_PORT),
-        callers,
-        store: store.filter,
-        process: RefCell::default(),
-    })
+    settings
 }
--- a/crates/standins/src/soak/journal.rs
+++ b/crates/standins/src/soak/journal.rs
@@ -42,8 +42,8 @@
 pub(super) enum Part {
     /// The store and all links.
     Platform,
-    /// The process of a gateway, by its index.
-    Gateway(usize),
+    /// A process, by its index; gateways come first.
+    Process(usize),
 }
 
 /// A request as sent by a caller.
@@ -262,7 +262,7 @@
             None => Some(self.start),
         };
         let (platform, gateway) =
-            (calm_since(Part::Platform)?, calm_since(Part::Gateway(sent.gateway))?);
+            (calm_since(Part::Platform)?, calm_since(Part::Process(sent.gateway))?);
         (sent.at > platform.max(gateway) + CONTACT_TIME).then_some(platform)
     }
 }
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -17,6 +17,8 @@
     pub(super) gateways: usize,
     /// The number of engines.
     pub(super) engines: usize,
+    /// Whether loaders bring the versions to the engines; else the soak has the engines load.
+    pub(super) loaders: bool,
     /// The number of callers.
     pub(super) callers: usize,
     /// The time within which a version must be in use everywhere.
@@ -68,6 +70,7 @@
             callers: (3 * engines).max(gateways),
             bound: Duration::from_millis(bound),
             rounds: (0..rounds).map(|_| Round::draw(&mut rng, engines)).collect(),
+            loaders: rng.random_bool(0.4),
         }
     }
 }
