--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -17,11 +17,13 @@
 use rand::{SeedableRng as _, rngs::SmallRng};
 use sequoiahold_core::{
     direct::{
+        freshness::Freshness,
         membership::{Member, Membership, Role},
         mirror::{Change, Mirror, Revision},
-        platform::Codec,
-        view::{Effect, View},
+        platform::{Codec, PublishedValue},
+        view::{AnnouncedVersion, Effect, View},
     },
+    ids::ModelId,
     time::Time,
     units::{ByteRate, Bytes},
     weights::Pacer,
@@ -72,6 +74,7 @@
     upload_pacer: RefCell<Option<Pacer>>,
     socket: RefCell<Option<Rc<tokio::net::UdpSocket>>>,
     revision_sender: watch_channel::Sender<Revision>,
+    freshness: RefCell<Freshness>,
     outage_start: Cell<Option<Time>>,
     pending_pull: Cell<Option<(Revision, SocketAddr)>>,
     pulling: Cell<bool>,
@@ -121,6 +124,7 @@
             upload_pacer: RefCell::default(),
             socket: RefCell::default(),
             revision_sender: watch_channel::channel(Revision(0)).0,
+            freshness: RefCell::default(),
             outage_start: Cell::new(None),
             pending_pull: Cell::new(None),
             pulling: Cell::new(false),
@@ -174,15 +178,16 @@
         membership.live_with_role(role).map(|member| member.addr).collect()
     }
 
-    /// Applies changes that were new to the mirror to the view; `seen` is true if they happened
-    /// just now, and false if they happened at an unknown time.
-    fn apply_changes(&self, changes: Vec<Change>, seen: bool) {
+    /// Applies changes that were new to the mirror to the view; they were not published before
+    /// `earliest`, `None` if that is unknown.
+    fn apply_changes(&self, changes: Vec<Change>, earliest: Option<Time>) {
         let now = self.now();
         let mut changed = false;
         for change in changes {
             match self.codec.decode_published(&change.key, change.value.as_deref()) {
                 Ok(published) => {
-                    let effect = self.view.borrow_mut().apply(now, published, seen);
+                    let announced = announced_version(&published);
+                    let effect = self.view.borrow_mut().apply(now, published, earliest);
                     changed |= effect != Effect::None;
                     if effect == Effect::Catalog {
                         let version = self.view.borrow().catalog().map(|catalog| catalog.version);
@@ -191,6 +196,9 @@
                         let (key, revision) = (change.key.as_str(), change.revision.0);
                         log::info!(key, revision, removed = change.value.is_none(); "published");
                     }
+                    if let Some((model, version)) = announced.filter(|_| effect != Effect::None) {
+                        self.log_announced(&model, version);
+                    }
                 }
                 Err(error) => {
                     let fault = error.to_string();
@@ -203,6 +211,34 @@
         }
     }
 
+    /// Merges the version announcements that a peer sent at `sent` or later.
+    fn merge_announcements(
+        &self,
+        sent: Time,
+        earliest: Option<Time>,
+        announced: Vec<AnnouncedVersion>,
+    ) {
+        let mut changed = false;
+        for announced in announced {
+            let (model, version) = (announced.model.clone(), announced.version);
+            if self.view.borrow_mut().merge_announcement(sent, earliest, announced) {
+                self.log_announced(&model, version);
+                changed = true;
+            }
+        }
+        if changed {
+            self.notify_subscribers();
+        }
+    }
+
+    /// Logs a newly known version with the age that its rollout counts from, -1 if unknown.
+    fn log_announced(&self, model: &ModelId, version: u64) {
+        let announced = self.view.borrow().announced_versions(self.now());
+        let mut ages = announced.iter().filter(|a| a.model == *model && a.version == version);
+        let age_ms = ages.next().map_or(-1, |announced| (announced.age.0 / 1_000) as i64);
+        log::info!(model = model.as_str(), version, age_ms; "version announced");
+    }
+
     fn notify_subscribers(&self) {
         self.revision_sender.send_replace(self.mirror.borrow().revision());
     }
@@ -227,6 +263,13 @@
     }
 }
 
+fn announced_version(published: &PublishedValue) -> Option<(ModelId, u64)> {
+    match published {
+        PublishedValue::TargetVersion(model, version) => Some((model.clone(), (*version)?)),
+        _ => None,
+    }
+}
+
 /// Ignores SIGHUP, which would otherwise end the process, as settings are read only at startup.
 pub(crate) async fn ignore_sighup(mut reload: Signal) {
     while reload.recv().await.is_some() {
