--- a/crates/standins/src/soak/call.rs
+++ b/crates/standins/src/soak/call.rs
@@ -15,7 +15,7 @@
 use super::{
     engine::STREAM_EVENTS,
     fleet::Fleet,
-    journal::{Journal, Sent},
+    journal::{AttemptId, Journal, Sent},
 };
 
 /// Time that a caller waits for an answer.
@@ -112,7 +112,7 @@
 
     /// Sends a request and checks its answer; returns the last event of a stream that broke.
     async fn send(&mut self, mode: Mode, last_event: Option<u64>) -> Option<u64> {
-        let (attempt, key) = (self.rng.random(), self.fleet.choose_key(&mut self.rng));
+        let (attempt, key) = (AttemptId(self.rng.random()), self.fleet.choose_key(&mut self.rng));
         let (gateway, mut stream) = match self.connection.take() {
             Some(open) => open,
             None => {
@@ -122,7 +122,7 @@
         };
         let resume = last_event.map(|last| format!("Last-Event-Id: {last}\r\n"));
         let request = format!(
-            "POST {} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {attempt:016x}\r\n\
+            "POST {} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {attempt}\r\n\
              Deadline-Ms: 3000\r\nAuthorization: Bearer {key}\r\nModel: assist\r\n\
              Token-Counts: 100,6\r\n{}Content-Length: 0\r\n\r\n",
             mode.path(),
@@ -152,12 +152,12 @@
 /// Checks that a success is the answer to its request; returns the last event of a stream.
 fn check_body(
     journal: &Journal,
-    attempt: u64,
+    attempt: AttemptId,
     mode: Mode,
     last_event: Option<u64>,
     answer: &Answer,
 ) -> Option<u64> {
-    let id = format!("{attempt:016x}");
+    let id = attempt.to_string();
     if answer.status != 0 && answer.header("attempt-id") != Some(id.as_str()) {
         let echo = answer.header("attempt-id");
         journal.report("MIXED", attempt, format_args!("{} echoes {echo:?}", answer.status));
--- a/crates/standins/src/soak/engine.rs
+++ b/crates/standins/src/soak/engine.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{Semaphore, mpsc};
 
 use super::{
-    journal::{Journal, Run},
+    journal::{AttemptId, Journal, Run},
     origin::{self, CHUNKS},
 };
 use crate::{
@@ -80,7 +80,7 @@
 
 /// The head of a request as far as the engine uses it.
 struct Head {
-    attempt: u64,
+    attempt: AttemptId,
     version: Option<u64>,
     account: Option<String>,
     last_event: Option<u64>,
@@ -246,7 +246,7 @@
         let text = |name: &str| request.headers().get(name)?.to_str().ok();
         let number = |name: &str| text(name)?.parse::<u64>().ok();
         let id = text("attempt-id").unwrap_or_default();
-        let (Ok(attempt), arrived) = (u64::from_str_radix(id, 16), Instant::now()) else {
+        let (Ok(attempt), arrived) = (id.parse::<AttemptId>(), Instant::now()) else {
             return reply::status(400);
         };
         let head = Head {
@@ -325,7 +325,7 @@
             return Ok(self.stream(head, epoch, breaks, (slot, running)));
         }
         sleep(Duration::from_millis(work)).await;
-        let whole = Body::Full(format!("done {:016x}", head.attempt).into());
+        let whole = Body::Full(format!("done {}", head.attempt).into());
         Ok(if breaks { Body::aborted() } else { whole })
     }
 
@@ -339,7 +339,7 @@
             for number in first..=STREAM_EVENTS {
                 let pause = engine.state.borrow_mut().rng.random_range(1..MAX_EVENT_MS);
                 sleep(Duration::from_millis(pause)).await;
-                let text = format!("id: {number}\ndata: {attempt:016x}\n\n");
+                let text = format!("id: {number}\ndata: {attempt}\n\n");
                 let broken = breaks && number == STREAM_EVENTS / 2;
                 let piece = if broken { text[..10].to_owned() } else { text };
                 let sent = pieces.send(Bytes::from(piece)).is_ok();
--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -138,7 +138,7 @@
             if let Some(mut process) = process
                 && !process.wait(STOP_TIMEOUT).await
             {
-                fleet.journal.report("STOP", 0, format_args!("{} still runs", member.vm));
+                fleet.journal.report("STOP", &member.vm, "still runs");
             }
             fleet.start_member(number)?;
         }
--- a/crates/standins/src/soak/fleet.rs
+++ b/crates/standins/src/soak/fleet.rs
@@ -31,6 +31,8 @@
 const CALLERS_PORT: u16 = 19_001;
 /// Port on which all gateways answer readiness checks.
 const READY_PORT: u16 = 19_002;
+/// Maximum number of gateways; each process has a loopback address of its own.
+const MAX_GATEWAYS: usize = 200;
 /// Number of gateways that a process is told as seeds.
 const SEEDS: usize = 3;
 /// Time within which all gateways must be ready.
@@ -71,6 +73,10 @@
 }
 
 impl Member {
+    fn new(role: &'static str, number: usize, settings: Value) -> Self {
+        Self { vm: format!("{role}-{number}"), role, settings, process: RefCell::default() }
+    }
+
     /// Sends a signal to the process if it runs.
     pub(super) fn signal(&self, signal: Signal) {
         if let Some(process) = self.process.borrow().as_ref() {
@@ -113,6 +119,7 @@
 impl Fleet {
     /// Starts the stand-ins and processes, and waits until all gateways are ready.
     pub(super) async fn start(plan: &Plan, program: PathBuf) -> anyhow::Result<Self> {
+        ensure!(plan.gateways <= MAX_GATEWAYS, "more than {MAX_GATEWAYS} gateways");
         let name = format!("soak-{}-{}", std::process::id(), plan.seed);
         let dir = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&dir)?;
@@ -150,8 +157,10 @@
     }
 
     async fn add_members(&mut self, plan: &Plan, platform: SocketAddr) -> anyhow::Result<()> {
+        let count = plan.gateways + plan.engines;
         let addrs: Vec<SocketAddr> =
-            (0..plan.gateways).map(|_| loopback_addr()).collect::<Result<_, _>>()?;
+            (0..count).map(|_| loopback_addr()).collect::<Result<_, _>>()?;
+        let (addrs, loader_addrs) = addrs.split_at(plan.gateways);
         let seeds = &addrs[..addrs.len().min(SEEDS)];
         for (number, addr) in addrs.iter().enumerate() {
             let at = |port| SocketAddr::new(addr.ip(), port);
@@ -162,11 +171,11 @@
             let links = Gateway { ready: at(READY_PORT), callers, store: store.filter };
             self.gateways.push(links);
         }
-        for (number, seat) in self.seats.iter().enumerate().filter(|_| plan.loaders) {
-            let addr = loopback_addr()?;
-            let mut settings = settings(plan, number, "loader", addr, seeds, platform);
-            settings = json!({
-                "node": settings["node"], "engine": seat.link.addr, "service": "llm",
+        let loaders = self.seats.iter().zip(loader_addrs).filter(|_| plan.loaders);
+        for (number, (seat, addr)) in loaders.enumerate() {
+            let common = settings(plan, number, "loader", *addr, seeds, platform);
+            let settings = json!({
+                "node": common["node"], "engine": seat.link.addr, "service": "llm",
                 "link": "100Mbit/s", "log": { "format": "json" }
             });
             self.members.push(Member::new("loader", number, settings));
@@ -265,7 +274,7 @@
         for (number, member) in self.members.iter().enumerate() {
             let ended = member.process.borrow_mut().as_mut().is_some_and(Process::has_ended);
             if ended {
-                self.journal.report("ENDED", 0, format_args!("{} ended by itself", member.vm));
+                self.journal.report("ENDED", &member.vm, "ended by itself");
                 self.journal.begin(Part::Process(number));
                 self.start_member(number)?;
                 self.journal.end(Part::Process(number));
@@ -286,12 +295,6 @@
     }
 }
 
-impl Member {
-    fn new(role: &'static str, number: usize, settings: Value) -> Self {
-        Self { vm: format!("{role}-{number}"), role, settings, process: RefCell::default() }
-    }
-}
-
 fn settings(
     plan: &Plan,
     number: usize,
--- a/crates/standins/src/soak/journal.rs
+++ b/crates/standins/src/soak/journal.rs
@@ -3,8 +3,10 @@
 use std::{
     cell::RefCell,
     collections::{BTreeMap, HashMap},
-    fmt::Display,
+    fmt::{self, Display},
+    num::ParseIntError,
     rc::Rc,
+    str::FromStr,
     time::{Duration, Instant},
 };
 
@@ -19,6 +21,24 @@
 /// Time by which the soak itself may be late to record an event.
 const SLACK: Duration = Duration::from_millis(250);
 
+/// The id of a request as sent once by a caller.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub(super) struct AttemptId(pub(super) u64);
+
+impl Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// The disturbances of one part of the system, which may overlap.
 #[derive(Clone, Copy, Debug)]
 struct Disturbances {
@@ -76,9 +96,9 @@
 
 #[derive(Debug, Default)]
 struct State {
-    sent: HashMap<u64, Sent>,
-    runs: HashMap<u64, Vec<Run>>,
-    refused: HashMap<u64, u16>,
+    sent: HashMap<AttemptId, Sent>,
+    runs: HashMap<AttemptId, Vec<Run>>,
+    refused: HashMap<AttemptId, u16>,
     /// The API keys, each with the times at which it was added and removed.
     keys: BTreeMap<String, (Instant, Option<Instant>)>,
     versions: BTreeMap<u64, Instant>,
@@ -152,12 +172,12 @@
     }
 
     /// Records a request that a caller sends.
-    pub(super) fn send(&self, attempt: u64, sent: Sent) {
+    pub(super) fn send(&self, attempt: AttemptId, sent: Sent) {
         self.state.borrow_mut().sent.insert(attempt, sent);
     }
 
     /// Checks a request that reaches an endpoint which accepts it.
-    pub(super) fn check_arrival(&self, attempt: u64, instance: &str) {
+    pub(super) fn check_arrival(&self, attempt: AttemptId, instance: &str) {
         let state = self.state.borrow();
         let Some(leaving) = state.leaving.get(instance).copied() else { return };
         let Some(calm) = self.in_touch(&state, attempt) else { return };
@@ -169,7 +189,7 @@
     }
 
     /// Checks and records a request that an endpoint begins to run.
-    pub(super) fn begin_run(&self, attempt: u64, run: Run) {
+    pub(super) fn begin_run(&self, attempt: AttemptId, run: Run) {
         let sent = self.state.borrow().sent.get(&attempt).cloned();
         match sent {
             None => self.report("UNASKED", attempt, "no caller sent this request"),
@@ -178,7 +198,7 @@
         self.state.borrow_mut().runs.entry(attempt).or_default().push(run);
     }
 
-    fn check_run(&self, attempt: u64, sent: &Sent, run: &Run) {
+    fn check_run(&self, attempt: AttemptId, sent: &Sent, run: &Run) {
         let (now, state) = (Instant::now(), self.state.borrow());
         let refused = state.refused.get(&attempt).copied();
         let repeated = sent.mode.runs_once() && state.runs.contains_key(&attempt);
@@ -223,7 +243,7 @@
     }
 
     /// Checks the status of the answer that a caller got.
-    pub(super) fn check_status(&self, attempt: u64, status: u16) {
+    pub(super) fn check_status(&self, attempt: AttemptId, status: u16) {
         let mut state = self.state.borrow_mut();
         let ran = state.runs.contains_key(&attempt);
         if (200..300).contains(&status) {
@@ -247,15 +267,15 @@
         }
     }
 
-    /// Adds a violation.
-    pub(super) fn report(&self, check: &str, attempt: u64, detail: impl Display) {
+    /// Adds a violation by a request, an engine or a process.
+    pub(super) fn report(&self, check: &str, subject: impl Display, detail: impl Display) {
         let at = self.start.elapsed().as_secs_f64();
-        let text = format!("{check} at {at:.3} s, request {attempt:016x}: {detail}");
+        let text = format!("{check} at {at:.3} s, {subject}: {detail}");
         self.state.borrow_mut().violations.push(text);
     }
 
     /// Returns since when the platform is calm if the sender of a request was in touch.
-    fn in_touch(&self, state: &State, attempt: u64) -> Option<Instant> {
+    fn in_touch(&self, state: &State, attempt: AttemptId) -> Option<Instant> {
         let sent = state.sent.get(&attempt)?;
         let calm_since = |part| match state.disturbances.get(&part) {
             Some(known) => known.calm_since(),
