Soak: requests must be answered after each storm; a soak that stood still says so

Twice the soak's own timers fired 1.7 s and 2.9 s late, in two soaks at the same moment: the VM stood still. No check failed, but times are recorded late then, and a stall of the VM stops the gateways too. It counts as a disturbance, as a SIGSTOP does.

--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -96,7 +96,14 @@
     let loads = load_engines(fleet, plan, round.late_engines);
     let mut signals = SmallRng::seed_from_u64(rng.random());
     let disturbed = series(true, &mut signals, async |rng| signal_process(fleet, rng).await);
-    let rest = sleep(plan.bound + CALM_MARGIN);
+    let rest = async {
+        sleep(plan.bound).await;
+        let (_, _, before) = fleet.journal.counts();
+        sleep(CALM_MARGIN).await;
+        if fleet.journal.counts().2 == before {
+            fleet.journal.report("RECOVER", "all gateways", "no request is answered any more");
+        }
+    };
     let ((), result, ()) = tokio::join!(loads, disturbed, rest);
     result
 }
--- a/crates/standins/src/soak/journal.rs
+++ b/crates/standins/src/soak/journal.rs
@@ -18,6 +18,10 @@
 const CONFIG_TIME: Duration = Duration::from_secs(2);
 /// Time after which a leaving endpoint must get no requests.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// Interval at which the soak shows that it is not held up.
+pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time beyond the interval after which the soak, and maybe all processes, stood still.
+const STALL_TIME: Duration = Duration::from_millis(200);
 /// Time by which the soak itself may be late to record an event.
 const SLACK: Duration = Duration::from_millis(250);
 
@@ -104,6 +108,9 @@
     versions: BTreeMap<u64, Instant>,
     leaving: HashMap<String, Instant>,
     disturbances: BTreeMap<Part, Disturbances>,
+    /// The last tick and the longest time by which one was late.
+    ticked: Option<Instant>,
+    lag: Duration,
     answered: u64,
     violations: Vec<String>,
 }
@@ -134,6 +141,25 @@
         (state.sent.len(), state.runs.values().map(Vec::len).sum(), state.answered)
     }
 
+    /// Returns the longest time for which the soak stood still.
+    pub(super) fn lag(&self) -> Duration {
+        self.state.borrow().lag
+    }
+
+    /// Records that the soak runs; one that stood still disturbs the platform, as times are then
+    /// recorded late.
+    pub(super) fn tick(&self) {
+        let (now, mut state) = (Instant::now(), self.state.borrow_mut());
+        let last = state.ticked.replace(now).unwrap_or(now);
+        let late = (now - last).saturating_sub(TICK_INTERVAL);
+        state.lag = state.lag.max(late);
+        drop(state);
+        if late > STALL_TIME {
+            self.begin(Part::Platform);
+            self.end(Part::Platform);
+        }
+    }
+
     /// Records the start of a disturbance.
     pub(super) fn begin(&self, part: Part) {
         let mut state = self.state.borrow_mut();
@@ -178,6 +204,7 @@
 
     /// Checks a request that reaches an endpoint which accepts it.
     pub(super) fn check_arrival(&self, attempt: AttemptId, instance: &str) {
+        self.tick();
         let state = self.state.borrow();
         let Some(leaving) = state.leaving.get(instance).copied() else { return };
         let Some(calm) = self.in_touch(&state, attempt) else { return };
@@ -190,6 +217,7 @@
 
     /// Checks and records a request that an endpoint begins to run.
     pub(super) fn begin_run(&self, attempt: AttemptId, run: Run) {
+        self.tick();
         let sent = self.state.borrow().sent.get(&attempt).cloned();
         match sent {
             None => self.report("UNASKED", attempt, "no caller sent this request"),
@@ -244,6 +272,7 @@
 
     /// Checks the status of the answer that a caller got.
     pub(super) fn check_status(&self, attempt: AttemptId, status: u16) {
+        self.tick();
         let mut state = self.state.borrow_mut();
         let ran = state.runs.contains_key(&attempt);
         if (200..300).contains(&status) {
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -16,7 +16,7 @@
     time::{Duration, Instant},
 };
 
-use actix_rt::time::{Instant as Tick, sleep, sleep_until};
+use actix_rt::time::sleep;
 use futures_util::{StreamExt as _, future::join_all, stream};
 
 use self::{call::Caller, fleet::Fleet, plan::Plan};
@@ -29,8 +29,6 @@
 ];
 /// Number of violations of a seed that are printed; the rest are counted.
 const MAX_PRINTED: usize = 8;
-/// Interval at which the soak measures its own delay.
-const LAG_INTERVAL: Duration = Duration::from_millis(50);
 /// Time without new faults at the end of a soak, in which answers arrive.
 const END_TIME: Duration = Duration::from_millis(500);
 
@@ -87,12 +85,17 @@
         sleep(END_TIME).await;
         anyhow::Ok(())
     };
-    let mut lag = Duration::ZERO;
+    let ticks = async {
+        loop {
+            fleet.journal.tick();
+            sleep(journal::TICK_INTERVAL).await;
+        }
+    };
     tokio::select! {
         result = faults => result?,
         result = faults::supervise(&fleet) => result?,
         _ = join_all(callers) => {}
-        () = measure_lag(&mut lag) => {}
+        () = ticks => {}
     }
     let violations = fleet.journal.violations();
     let (sent, runs, answered) = fleet.journal.counts();
@@ -107,7 +110,7 @@
         plan.engines,
         if plan.loaders { " with loaders" } else { "" },
         plan.bound,
-        lag.as_millis(),
+        fleet.journal.lag().as_millis(),
         start.elapsed().as_secs_f64(),
     );
     if violations.is_empty() {
@@ -115,12 +118,3 @@
     }
     Ok(Outcome { summary, violations })
 }
-
-/// Measures by how much timers of the soak itself fire late, for as long as it is polled.
-async fn measure_lag(lag: &mut Duration) {
-    loop {
-        let due = Tick::now() + LAG_INTERVAL;
-        sleep_until(due).await;
-        *lag = due.elapsed().max(*lag);
-    }
-}
