--- a/crates/standins/src/soak/engine.rs
+++ b/crates/standins/src/soak/engine.rs
@@ -3,17 +3,18 @@
 use std::{
     cell::RefCell,
     collections::BTreeMap,
+    convert::Infallible,
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use actix_http::{HttpMessage as _, Method, Request, Response};
-use actix_rt::time::sleep;
+use actix_http::{HttpMessage as _, HttpService, Method, Request, Response};
+use actix_rt::{net::TcpListener, time::sleep};
+use actix_service::{Service as _, ServiceFactory as _, fn_service};
 use bytes::Bytes;
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
-use sequoiahold::http;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::{Semaphore, mpsc};
@@ -35,6 +36,8 @@
 const MAX_WAITING: u32 = 4;
 /// Maximum time from the slot to the first token, in milliseconds.
 const MAX_PREFILL_MS: u64 = 120;
+/// The same of a slow engine.
+const SLOW_PREFILL_MS: u64 = 3_000;
 /// Maximum time of an answer that is not a stream, in milliseconds.
 const MAX_ANSWER_MS: u64 = 250;
 /// Maximum pause between two events, in milliseconds.
@@ -58,6 +61,7 @@
     running: u32,
     waiting: u32,
     flaky: bool,
+    slow: bool,
     leaving: bool,
     /// The staged chunks; they outlive a crash.
     staged: BTreeMap<u64, Bytes>,
@@ -108,6 +112,7 @@
             running: 0,
             waiting: 0,
             flaky: false,
+            slow: false,
             leaving: false,
             staged: (0..CHUNKS).map(|number| (number, origin::chunk(version, number))).collect(),
             rng: SmallRng::seed_from_u64(seed),
@@ -117,11 +122,28 @@
             slots: Arc::new(Semaphore::new(SLOTS)),
             journal: journal.clone(),
         };
-        let server = engine.clone();
-        http::serve(addr, move |request| server.clone().handle(request)).await?;
+        engine.clone().listen(addr).await?;
         Ok(engine)
     }
 
+    /// Serves requests; one whose connection closes is dropped, also while it waits.
+    async fn listen(self, addr: SocketAddr) -> anyhow::Result<()> {
+        let listener = TcpListener::bind(addr).await?;
+        let service = fn_service(move |request: Request| {
+            let response = self.clone().handle(request);
+            async move { Ok::<_, Infallible>(response.await) }
+        });
+        let factory = HttpService::build().h1_allow_half_closed(false).h1(service).tcp();
+        let service = factory.new_service(()).await;
+        let service = service.map_err(|()| anyhow::anyhow!("cannot create the HTTP service"))?;
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                actix_rt::spawn(service.call(stream));
+            }
+        });
+        Ok(())
+    }
+
     /// Returns the id of the engine.
     pub(super) fn instance(&self) -> String {
         self.state.borrow().instance.clone()
@@ -146,6 +168,11 @@
         self.state.borrow_mut().flaky = flaky;
     }
 
+    /// Sets whether the engine takes long to begin a request.
+    pub(super) fn set_slow(&self, slow: bool) {
+        self.state.borrow_mut().slow = slow;
+    }
+
     /// Sets whether the engine reports that it is leaving.
     pub(super) fn set_leaving(&self, leaving: bool) {
         self.state.borrow_mut().leaving = leaving;
@@ -299,8 +326,9 @@
         let waiting = Counter::new(self, |state| &mut state.waiting);
         let slot = self.slots.clone().acquire_owned().await.map_err(|_| 503_u16)?;
         let (prefill, work) = {
-            let rng = &mut self.state.borrow_mut().rng;
-            (rng.random_range(0..MAX_PREFILL_MS), rng.random_range(20..MAX_ANSWER_MS))
+            let mut state = self.state.borrow_mut();
+            let max_prefill = if state.slow { SLOW_PREFILL_MS } else { MAX_PREFILL_MS };
+            (state.rng.random_range(0..max_prefill), state.rng.random_range(20..MAX_ANSWER_MS))
         };
         sleep(Duration::from_millis(prefill)).await;
         drop(waiting);
--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -82,7 +82,10 @@
 
 /// Publishes versions on a calm platform, while one gateway is disturbed.
 async fn calm(fleet: &Fleet, plan: &Plan, round: &Round, rng: &mut SmallRng) -> anyhow::Result<()> {
-    fleet.seats.iter().for_each(|seat| seat.engine.set_flaky(false));
+    for (number, seat) in fleet.seats.iter().enumerate() {
+        seat.engine.set_flaky(false);
+        seat.engine.set_slow(plan.slow && number < round.late_engines);
+    }
     let links = || fleet.gateways.iter().map(|gateway| &gateway.store);
     match round.prelude {
         Prelude::None => {}
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -118,11 +118,12 @@
         count => format!("FAILED, {count} violations, logs in {}", fleet.dir.display()),
     };
     let summary = format!(
-        "seed {seed}: {} gateways, {} engines{}, bound {:?}, {sent} requests, {runs} runs, \
+        "seed {seed}: {} gateways, {} engines{}{}, bound {:?}, {sent} requests, {runs} runs, \
          {answered} answered, lag {} ms, {:.0} s: {verdict}",
         plan.gateways,
         plan.engines,
         if plan.loaders { " with loaders" } else { "" },
+        if plan.slow { ", some slow" } else { "" },
         plan.bound,
         fleet.journal.lag().as_millis(),
         start.elapsed().as_secs_f64(),
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -19,6 +19,8 @@
     pub(super) engines: usize,
     /// Whether loaders bring the versions to the engines; else the soak has the engines load.
     pub(super) loaders: bool,
+    /// Whether the late engines of a round take long to begin a request.
+    pub(super) slow: bool,
     /// The number of callers.
     pub(super) callers: usize,
     /// The time within which a version must be in use everywhere.
@@ -71,6 +73,7 @@
             bound: Duration::from_millis(bound),
             rounds: (0..rounds).map(|_| Round::draw(&mut rng, engines)).collect(),
             loaders: rng.random_bool(0.4),
+            slow: rng.random_bool(0.4),
         }
     }
 }
