Soak: ports of its own per seed; a stall of the VM is no process that does not stop

Two faults of the soak. With 25 seeds in one process loopback addresses were used again, two seeds then listened at the same one, and a loader ended by itself (ENDED); each seed has ports of its own now. It counts 120 checks 50 ms apart now, 6 s of running time, as before.

--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -12,7 +12,7 @@
     plan::{Plan, Prelude, Round},
 };
 use crate::{
-    processes::Signal,
+    processes::{Process, Signal},
     relay::{Direction, RelayFilter},
 };
 
@@ -20,8 +20,9 @@
 const STORM_TIME: Duration = Duration::from_secs(3);
 /// Time after the bound of the versions for which a round goes on, without faults of the platform.
 const CALM_MARGIN: Duration = Duration::from_secs(2);
-/// Time after SIGTERM within which a process must end by itself.
-const STOP_TIMEOUT: Duration = Duration::from_secs(6);
+/// Number of checks after SIGTERM by which a process must have ended by itself, 6 s apart from the
+/// time for which all processes stood still.
+const STOP_CHECKS: u32 = 120;
 /// Fraction of the rollout time after which the engines have loaded a version, except late ones.
 const LOAD_FRACTION: f64 = 0.5;
 /// Interval between two checks of the processes, and of the engines' entries.
@@ -145,8 +146,8 @@
         6 => {
             member.signal(Signal::Terminate);
             let process = member.process.take();
-            if let Some(mut process) = process
-                && !process.wait(STOP_TIMEOUT).await
+            if let Some(process) = process
+                && !ends(process).await
             {
                 fleet.journal.report("STOP", &member.vm, "still runs");
             }
@@ -158,6 +159,17 @@
     Ok(())
 }
 
+/// Returns whether a process that got SIGTERM ends in time.
+async fn ends(mut process: Process) -> bool {
+    for _ in 0..STOP_CHECKS {
+        if process.has_ended() {
+            return true;
+        }
+        sleep(CHECK_INTERVAL).await;
+    }
+    false
+}
+
 async fn disturb_link(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
     let gateways = fleet.gateways.iter();
     let links: Vec<&RelayFilter> = gateways
--- a/crates/standins/src/soak/fleet.rs
+++ b/crates/standins/src/soak/fleet.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     path::PathBuf,
+    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
@@ -25,12 +26,10 @@
     relay::{RelayFilter, TcpRelay},
 };
 
-/// Port on which all processes listen for peers, each at its own address.
-const PEERS_PORT: u16 = 19_000;
-/// Port on which all gateways listen for callers.
-const CALLERS_PORT: u16 = 19_001;
-/// Port on which all gateways answer readiness checks.
-const READY_PORT: u16 = 19_002;
+/// First port on which processes listen.
+const FIRST_PORT: u16 = 16_000;
+/// Number of soaks of one process after which their ports are used again.
+const MAX_SOAKS: u16 = 1_000;
 /// Maximum number of gateways; each process has a loopback address of its own.
 const MAX_GATEWAYS: usize = 200;
 /// Number of gateways that a process is told as seeds.
@@ -42,6 +41,23 @@
 /// One in so many requests carries a key that was removed.
 const REMOVED_KEY_RATIO: u32 = 10;
 
+/// The ports of a soak, the same for all its processes, each at an address of its own.
+#[derive(Clone, Copy, Debug)]
+struct Ports {
+    peers: u16,
+    callers: u16,
+    ready: u16,
+}
+
+impl Ports {
+    /// Returns ports that no other soak of this process uses.
+    fn next() -> Self {
+        static NEXT: AtomicU16 = AtomicU16::new(0);
+        let first = FIRST_PORT + 3 * (NEXT.fetch_add(1, Ordering::Relaxed) % MAX_SOAKS);
+        Self { peers: first, callers: first + 1, ready: first + 2 }
+    }
+}
+
 /// A process of the system, which is started again whenever it has ended.
 pub(super) struct Member {
     /// The name of its VM.
@@ -74,7 +90,7 @@
 
 impl Member {
     fn new(role: &'static str, number: usize, settings: Value) -> Self {
-        Self { vm: format!("{role}-{number}"), role, settings, process: RefCell::default() }
+        Self { vm: vm(role, number), role, settings, process: RefCell::default() }
     }
 
     /// Sends a signal to the process if it runs.
@@ -157,6 +173,7 @@
     }
 
     async fn add_members(&mut self, plan: &Plan, platform: SocketAddr) -> anyhow::Result<()> {
+        let ports = Ports::next();
         let count = plan.gateways + plan.engines;
         let addrs: Vec<SocketAddr> =
             (0..count).map(|_| loopback_addr()).collect::<Result<_, _>>()?;
@@ -165,15 +182,16 @@
         for (number, addr) in addrs.iter().enumerate() {
             let at = |port| SocketAddr::new(addr.ip(), port);
             let store = TcpRelay::start(loopback_addr()?, platform).await?;
-            let callers = TcpRelay::start(loopback_addr()?, at(CALLERS_PORT)).await?;
-            let settings = settings(plan, number, "gateway", *addr, seeds, store.addr);
+            let callers = TcpRelay::start(loopback_addr()?, at(ports.callers)).await?;
+            let settings =
+                settings(plan, &vm("gateway", number), (*addr, ports), seeds, store.addr);
             self.members.push(Member::new("gateway", number, settings));
-            let links = Gateway { ready: at(READY_PORT), callers, store: store.filter };
+            let links = Gateway { ready: at(ports.ready), callers, store: store.filter };
             self.gateways.push(links);
         }
         let loaders = self.seats.iter().zip(loader_addrs).filter(|_| plan.loaders);
         for (number, (seat, addr)) in loaders.enumerate() {
-            let common = settings(plan, number, "loader", *addr, seeds, platform);
+            let common = settings(plan, &vm("loader", number), (*addr, ports), seeds, platform);
             let settings = json!({
                 "node": common["node"], "engine": seat.link.addr, "service": "llm",
                 "link": "100Mbit/s", "log": { "format": "json" }
@@ -295,17 +313,20 @@
     }
 }
 
+fn vm(role: &str, number: usize) -> String {
+    format!("{role}-{number}")
+}
+
 fn settings(
     plan: &Plan,
-    number: usize,
-    role: &str,
-    addr: SocketAddr,
+    vm: &str,
+    (addr, ports): (SocketAddr, Ports),
     seeds: &[SocketAddr],
     store: SocketAddr,
 ) -> Value {
-    let (vm, at) = (format!("{role}-{number}"), |port| SocketAddr::new(addr.ip(), port));
-    let (peers, callers, ready) = (at(PEERS_PORT), at(CALLERS_PORT), at(READY_PORT));
-    let mut settings = gateway_settings(&vm, peers, store, seeds, callers, ready);
+    let at = |port| SocketAddr::new(addr.ip(), port);
+    let (peers, callers, ready) = (at(ports.peers), at(ports.callers), at(ports.ready));
+    let mut settings = gateway_settings(vm, peers, store, seeds, callers, ready);
     settings["node"]["bounds"]["version"] = json!(format!("{}ms", plan.bound.as_millis()));
     settings["node"]["bounds"]["grace"] = json!("3s");
     settings
--- a/crates/standins/tests/soak.rs
+++ b/crates/standins/tests/soak.rs
@@ -9,7 +9,7 @@
 /// Seeds that never failed, two of them with loaders.
 const SEEDS: [u64; 4] = [3, 4, 5, 7];
 /// Number of seeds that are played at the same time.
-const JOBS: usize = 6;
+const JOBS: usize = 8;
 
 async fn assert_no_violation(seeds: Vec<u64>) {
     let options = Options { seeds, jobs: JOBS, gateways: None, program: program_path() };
