--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -292,19 +292,46 @@
     request(method, path, "key-1", "close").replacen("\r\n", "\r\nModel: m\r\n", 1)
 }
 
+/// Only after an outage may the entry of a live endpoint be missing, so only then it is kept.
+#[actix_rt::test]
+async fn an_endpoint_removed_while_a_watch_is_silent_is_not_kept() {
+    let fixture = Fixture::start(1).await;
+    // The next watch begins soon after this change, so that its silence is noticed late.
+    fixture.store.put("op/config", Some(gateway_config(2, &["key-1"])));
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    fixture.store.stall_watches();
+    fixture.store.put("servers/i-0", None);
+    let removed = Instant::now();
+    assert_eq!(fixture.send("GET", "/read/1", "key-1").await.0, 200);
+    actix_rt::time::sleep(Duration::from_secs(3).saturating_sub(removed.elapsed())).await;
+    let before = fixture.workers[0].requests().len();
+    while removed.elapsed() < Duration::from_secs(5) {
+        fixture.send("GET", "/read/1", "key-1").await;
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    let late = fixture.workers[0].requests().len() - before;
+    assert_eq!(late, 0, "requests reached the removed endpoint");
+}
+
 /// What happens to a gateway while operators publish a version.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Disruption {
     /// The connection of its waiting watch falls silent, new ones work.
     SilentWatch,
+    /// The same, and the first new connection is turned away.
+    SilentWatchAndRejection,
     /// The process stands still.
     Paused(Duration),
+    /// The process stands still after an answer, while no watch is waiting.
+    PausedBetweenWatches(Duration),
 }
 
 /// The rollout time counts from the publication, not from the moment at which a process hears of it.
 #[rstest]
 #[case::silent_watch(Disruption::SilentWatch)]
+#[case::silent_watch_and_rejection(Disruption::SilentWatchAndRejection)]
 #[case::paused_process(Disruption::Paused(Duration::from_secs(2)))]
+#[case::paused_between_watches(Disruption::PausedBetweenWatches(Duration::from_secs(2)))]
 #[actix_rt::test]
 async fn a_version_that_is_heard_of_late_is_in_use_within_the_rollout_time(
     #[case] disruption: Disruption,
@@ -315,14 +342,31 @@
     actix_rt::time::sleep(Duration::from_millis(500)).await;
     match disruption {
         Disruption::SilentWatch => fixture.store.stall_watches(),
+        Disruption::SilentWatchAndRejection => {
+            // The next watch begins soon after this change, which tells when it is given up.
+            fixture.store.put("op/config", Some(gateway_config(2, &["key-1"])));
+            actix_rt::time::sleep(Duration::from_millis(500)).await;
+            fixture.store.stall_watches();
+        }
         Disruption::Paused(_) => fixture.gateway.signal(Signal::Stop),
+        Disruption::PausedBetweenWatches(_) => {
+            fixture.store.put("op/config", Some(gateway_config(2, &["key-1"])));
+            actix_rt::time::sleep(Duration::from_millis(40)).await;
+            fixture.gateway.signal(Signal::Stop);
+        }
     }
     fixture.store.put("op/version/m", Some(json!({ "model": "m", "version": 2 })));
     let published = Instant::now();
-    if let Disruption::Paused(pause) = disruption {
+    if let Disruption::Paused(pause) | Disruption::PausedBetweenWatches(pause) = disruption {
         actix_rt::time::sleep(pause).await;
         fixture.gateway.signal(Signal::Continue);
     }
+    if disruption == Disruption::SilentWatchAndRejection {
+        actix_rt::time::sleep(Duration::from_millis(1_900)).await;
+        fixture.store.set_down(true);
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        fixture.store.set_down(false);
+    }
     actix_rt::time::sleep(ROLLOUT.saturating_sub(published.elapsed())).await;
     let before = fixture.workers[0].requests().len();
     while published.elapsed() < ROLLOUT * 2 {
