--- /dev/null
+++ b/crates/standins/tests/soak.rs
@@ -0,0 +1,32 @@
+//! Short fault soak of real processes with fixed seeds.
+
+use futures_util::TryStreamExt as _;
+use sequoiahold_standins::{
+    processes::program_path,
+    soak::{self, Options},
+};
+
+/// Seeds that never failed, two of them with loaders.
+const SEEDS: [u64; 4] = [3, 4, 5, 7];
+/// Number of seeds that are played at the same time.
+const JOBS: usize = 8;
+
+async fn assert_no_violation(seeds: Vec<u64>) {
+    let options = Options { seeds, jobs: JOBS, gateways: None, program: program_path() };
+    let outcomes: Vec<soak::Outcome> =
+        soak::outcomes(&options).try_collect().await.expect("the processes start");
+    let failed = outcomes.iter().filter(|outcome| !outcome.violations.is_empty());
+    let failed: Vec<String> =
+        failed.map(|outcome| format!("{}\n{:#?}", outcome.summary, outcome.violations)).collect();
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
+
+#[actix_rt::test]
+async fn fixed_seeds_break_no_promise() {
+    assert_no_violation(SEEDS.to_vec()).await;
+}
+
+#[actix_rt::test]
+async fn seeds_that_failed_break_no_promise() {
+    assert_no_violation(soak::failed_seeds()).await;
+}
