Tests: addresses of processes under test are not tried before use

Runs of process_gateway beside other work failed with "Address already in use" while the fixture bound a stand-in, in 3 of 14 full runs of the binary by three people. Suspected cause: each address was bound once as a trial; a child that another test had forked and that had not yet executed its program still held that listener when the stand-in bound the address. No run shows the child.

Addresses are of their own in each process by its id and a counter, so the trial is left out. process_parts uses the same function instead of a copy.

--- a/crates/standins/src/hosted/settings.rs
+++ b/crates/standins/src/hosted/settings.rs
@@ -1,8 +1,7 @@
 //! Addresses, settings and published values of a small hosted deployment on loopback.
 
 use std::{
-    io,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::atomic::{AtomicU16, Ordering},
 };
 
@@ -13,13 +12,14 @@
 
 /// Returns an address of its own in this process, outside the ports and the address from which
 /// connections are opened, so that nothing else takes it before its process listens.
-pub fn loopback_addr() -> io::Result<SocketAddr> {
+///
+/// It is not tried first: a child process that has yet to execute its program would hold the
+/// listener of such a trial open.
+pub fn loopback_addr() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let [block, host] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
-    let addr = SocketAddr::from(([127, 64 + high % 64, low, host], FIRST_PORT + u16::from(block)));
-    drop(TcpListener::bind(addr)?);
-    Ok(addr)
+    SocketAddr::from(([127, 64 + high % 64, low, host], FIRST_PORT + u16::from(block)))
 }
 
 /// Returns a configuration with a route of each kind and one client account with these keys.
--- a/crates/standins/src/soak/fleet.rs
+++ b/crates/standins/src/soak/fleet.rs
@@ -140,7 +140,7 @@
         let dir = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&dir)?;
         let journal = Journal::new(plan.bound);
-        let platform = loopback_addr()?;
+        let platform = loopback_addr();
         let mut fleet = Self {
             journal: journal.clone(),
             store: Store::start(platform).await?,
@@ -149,7 +149,7 @@
             seats: vec![],
             dir,
             program,
-            origin: loopback_addr()?,
+            origin: loopback_addr(),
             loaders: plan.loaders,
             version: Cell::new(0),
             config: Cell::new(0),
@@ -158,10 +158,10 @@
         fleet.publish_config();
         fleet.publish_version();
         for number in 0..plan.engines {
-            let (addr, instance) = (loopback_addr()?, format!("i-{number}"));
+            let (addr, instance) = (loopback_addr(), format!("i-{number}"));
             let engine =
                 Engine::start(addr, &instance, 1, plan.seed + number as u64, &journal).await?;
-            let link = TcpRelay::start(loopback_addr()?, addr).await?;
+            let link = TcpRelay::start(loopback_addr(), addr).await?;
             fleet.seats.push(Seat { engine, link, published: RefCell::default() });
         }
         origin::start(fleet.origin).await?;
@@ -175,14 +175,13 @@
     async fn add_members(&mut self, plan: &Plan, platform: SocketAddr) -> anyhow::Result<()> {
         let ports = Ports::next();
         let count = plan.gateways + plan.engines;
-        let addrs: Vec<SocketAddr> =
-            (0..count).map(|_| loopback_addr()).collect::<Result<_, _>>()?;
+        let addrs: Vec<SocketAddr> = (0..count).map(|_| loopback_addr()).collect();
         let (addrs, loader_addrs) = addrs.split_at(plan.gateways);
         let seeds = &addrs[..addrs.len().min(SEEDS)];
         for (number, addr) in addrs.iter().enumerate() {
             let at = |port| SocketAddr::new(addr.ip(), port);
-            let store = TcpRelay::start(loopback_addr()?, platform).await?;
-            let callers = TcpRelay::start(loopback_addr()?, at(ports.callers)).await?;
+            let store = TcpRelay::start(loopback_addr(), platform).await?;
+            let callers = TcpRelay::start(loopback_addr(), at(ports.callers)).await?;
             let settings =
                 settings(plan, &vm("gateway", number), (*addr, ports), seeds, store.addr);
             self.members.push(Member::new("gateway", number, settings));
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -43,10 +43,6 @@
     }
 }
 
-fn free_addr() -> SocketAddr {
-    loopback_addr().expect("a free address")
-}
-
 impl Fixture {
     async fn start(endpoints: usize) -> Self {
         Self::start_with(endpoints, |_| {}).await
@@ -57,12 +53,12 @@
         let dir = std::env::temp_dir().join(format!("gateway-{:016x}", random_id()));
         std::fs::create_dir_all(&dir).expect("a directory for settings");
         let (platform, callers, ready, peers) =
-            (free_addr(), free_addr(), free_addr(), free_addr());
+            (loopback_addr(), loopback_addr(), loopback_addr(), loopback_addr());
         let store = Store::start(platform).await.expect("a store");
         store.put("op/config", Some(gateway_config(1, &["key-1"])));
         let (mut workers, mut addrs) = (vec![], vec![]);
         for number in 0..endpoints {
-            let (addr, name) = (free_addr(), format!("i-{number}"));
+            let (addr, name) = (loopback_addr(), format!("i-{number}"));
             workers.push(Worker::start(addr, &name).await.expect("an endpoint"));
             store.put(&format!("servers/{name}"), Some(registry_entry(addr, "ready")));
             addrs.push(addr);
@@ -203,7 +199,7 @@
     #[case] body: &'static str,
 ) {
     let fixture = Fixture::start(2).await;
-    let addr = free_addr();
+    let addr = loopback_addr();
     let listener = tokio::net::TcpListener::bind(addr).await.expect("an address");
     let broken_count = std::rc::Rc::new(std::cell::Cell::new(0));
     let broken = broken_count.clone();
@@ -287,11 +283,17 @@
 #[actix_rt::test]
 async fn a_gateway_without_the_platform_gets_its_state_from_a_peer() {
     let fixture = Fixture::start(1).await;
-    let (callers, unused_addr) = (free_addr(), free_addr());
+    let (callers, unused_addr) = (loopback_addr(), loopback_addr());
     // All processes listen for peers on the same port, each at its own address.
-    let peers = SocketAddr::new(free_addr().ip(), fixture.peers.port());
-    let second_settings =
-        gateway_settings("gateway-2", peers, unused_addr, &[fixture.peers], callers, free_addr());
+    let peers = SocketAddr::new(loopback_addr().ip(), fixture.peers.port());
+    let second_settings = gateway_settings(
+        "gateway-2",
+        peers,
+        unused_addr,
+        &[fixture.peers],
+        callers,
+        loopback_addr(),
+    );
     let dir = &fixture.dir.0;
     let _second = Process::start(&program_path(), "gateway", "gateway-2", dir, &second_settings)
         .expect("a gateway");
@@ -486,7 +488,7 @@
     #[case] rest: &'static [u8],
 ) {
     let fixture = Fixture::start(1).await;
-    let addr = free_addr();
+    let addr = loopback_addr();
     let listener = tokio::net::TcpListener::bind(addr).await.expect("an address");
     let closed = std::rc::Rc::new(std::cell::Cell::new(0));
     let closed_count = closed.clone();
--- a/crates/standins/tests/process_parts.rs
+++ b/crates/standins/tests/process_parts.rs
@@ -2,15 +2,14 @@
 
 use std::{
     cell::RefCell,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     rc::Rc,
-    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
 use sequoiahold_standins::{
-    hosted::{Fragile, FragileRecord, Store},
+    hosted::{Fragile, FragileRecord, Store, loopback_addr},
     processes::{Process, Signal, program_path},
 };
 use serde_json::{Value, json};
@@ -19,8 +18,6 @@
     net::TcpStream,
 };
 
-/// The first port of the processes under test, below those of outgoing connections.
-const FIRST_PORT: u16 = 20_000;
 /// Time within which a gateway must be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Number of endpoints.
@@ -60,17 +57,6 @@
     }
 }
 
-/// Returns an address of its own in this test process, outside the ports and the address from
-/// which connections are opened.
-fn free_addr() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let [block, host] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
-    let addr = SocketAddr::from(([127, 64 + high % 64, low, host], FIRST_PORT + u16::from(block)));
-    drop(TcpListener::bind(addr).expect("a free address"));
-    addr
-}
-
 fn random_id() -> u64 {
     use std::hash::{BuildHasher as _, Hasher as _};
     std::collections::hash_map::RandomState::new().build_hasher().finish()
@@ -100,12 +86,12 @@
     async fn start() -> Self {
         let dir = std::env::temp_dir().join(format!("parts-{:016x}", random_id()));
         std::fs::create_dir_all(&dir).expect("a directory for settings");
-        let platform = free_addr();
+        let platform = loopback_addr();
         let store = Store::start(platform).await.expect("a store");
         store.put("op/config", Some(gateway_config()));
         let record = Rc::default();
         for number in 0..ENDPOINTS {
-            let (addr, name) = (free_addr(), format!("i-{number}"));
+            let (addr, name) = (loopback_addr(), format!("i-{number}"));
             let started = Fragile::start(addr, &name, FATAL_PART, Rc::clone(&record)).await;
             started.expect("an endpoint");
             let entry = json!({
@@ -114,11 +100,11 @@
             });
             store.put(&format!("servers/{name}"), Some(entry));
         }
-        let addrs = [free_addr(), free_addr()];
+        let addrs = [loopback_addr(), loopback_addr()];
         // All processes listen for peers on the same port, each at its own address.
         let peers = addrs.map(|addr| SocketAddr::new(addr.ip(), addrs[0].port()));
         let gateways = peers.iter().enumerate().map(|(number, own)| {
-            let (callers, ready) = (free_addr(), free_addr());
+            let (callers, ready) = (loopback_addr(), loopback_addr());
             let settings = json!({
                 "node": {
                     "vm": format!("gateway-{number}"), "zone": "z1", "zones": { "z1": "r1" },
