Loader: an engine that holds no version starts with all pulls

Cause: the limit of concurrent pulls that leaves room for requests on a narrow link also held back engines that hold nothing and so have no requests: two pulls at first, over links that all loaders fill at the same time, never became more.

An engine without a version starts with the maximum; slow pulls halve it as before.

--- a/crates/core/src/weights/pull_limit.rs
+++ b/crates/core/src/weights/pull_limit.rs
@@ -23,10 +23,12 @@
 
 impl PullLimit {
     /// Returns the limit at the start of a transfer of chunks of this size.
-    pub fn new(limits: &TransferLimits, chunk: Bytes) -> Self {
+    ///
+    /// An engine that is not `serving` has no requests to delay, so it starts with all pulls.
+    pub fn new(limits: &TransferLimits, chunk: Bytes, serving: bool) -> Self {
         let max = limits.max_pulls;
-        let chunk_time = limits.rate.transfer_time(chunk);
-        Self { max, current: INITIAL_PULLS.min(max), chunk_time }
+        let current = if serving { INITIAL_PULLS.min(max) } else { max };
+        Self { max, current, chunk_time: limits.rate.transfer_time(chunk) }
     }
 
     /// Returns the number of pulls that may be in progress.
--- a/crates/core/tests/weights_pull_limit.rs
+++ b/crates/core/tests/weights_pull_limit.rs
@@ -45,12 +45,12 @@
 /// had to wait on the link.
 fn max_backlog(rate: ByteRate, length: Span, restart: Span) -> Span {
     let mut link = Link { rate, free_at: Time::default() };
-    let mut limit = PullLimit::new(&LIMITS, CHUNK);
+    let mut limit = PullLimit::new(&LIMITS, CHUNK, true);
     let mut active: VecDeque<ActivePull> = VecDeque::new();
     let mut max = Span(0);
     for now in (0..length.0).step_by(1_000).map(Time) {
         if now.0 % restart.0 == 0 {
-            limit = PullLimit::new(&LIMITS, CHUNK);
+            limit = PullLimit::new(&LIMITS, CHUNK, true);
             active.clear();
         }
         let (ended, rest): (Vec<_>, Vec<_>) = active.into_iter().partition(|pull| pull.ends <= now);
@@ -85,7 +85,7 @@
 
 #[test]
 fn pulls_use_the_limit_on_a_link_at_its_rate() {
-    let mut limit = PullLimit::new(&LIMITS, CHUNK);
+    let mut limit = PullLimit::new(&LIMITS, CHUNK, true);
     let elapsed =
         |concurrent: u32| Span(u64::from(concurrent) * LIMITS.rate.transfer_time(CHUNK).0);
     for _ in 0..LIMITS.max_pulls {
@@ -94,3 +94,10 @@
     }
     assert_eq!(limit.current(), LIMITS.max_pulls);
 }
+
+/// After a loss of power all engines of a fleet hold nothing and wait for the same version.
+#[test]
+fn engine_that_holds_no_version_does_not_wait_for_its_limit_to_grow() {
+    let limit = PullLimit::new(&LIMITS, CHUNK, false);
+    assert_eq!(limit.current(), LIMITS.max_pulls);
+}
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -68,7 +68,7 @@
     let mut events: FuturesUnordered<LocalBoxFuture<'_, Event>> = FuturesUnordered::new();
     let mut staging_queue: VecDeque<(usize, Bytes)> = VecDeque::new();
     let mut active_pulls = 0;
-    let mut pull_limit = PullLimit::new(&limits, manifest.chunk);
+    let mut pull_limit = PullLimit::new(&limits, manifest.chunk, target.held.is_some());
     let mut is_staging = false;
     let mut next_refresh = now + TOPOLOGY_INTERVAL;
     let mut last_announced = now;
