Gateways log and count the rate limits that endpoints advertise

A change of an endpoint's limit is now one log line with the request's id, and a gauge holds the number of limited endpoints. Placement does not use the limit.

--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -10,7 +10,7 @@
 use crate::{
     ids::{Digest, RegionId},
     time::Time,
-    units::Span,
+    units::{RequestRate, Span},
 };
 
 /// Window of the rate limit that protects cold endpoints.
@@ -104,6 +104,7 @@
     backoff_until: Time,
     misdirected: bool,
     paused_until: Time,
+    rate_limit: Option<RequestRate>,
 }
 
 impl EndpointState {
@@ -123,6 +124,7 @@
             backoff_until: Time::default(),
             misdirected: false,
             paused_until: Time::default(),
+            rate_limit: None,
         }
     }
 
@@ -138,6 +140,7 @@
         if restarted {
             self.failure_streak = 0;
             self.backoff_until = Time::default();
+            self.rate_limit = None;
         }
         self.endpoint = endpoint;
     }
@@ -153,6 +156,17 @@
         self.paused_until = until;
     }
 
+    /// Records the rate limit that an answer of the endpoint advertised, `None` if it advertised
+    /// none; returns whether that is new.
+    pub fn record_rate_limit(&mut self, rate_limit: Option<RequestRate>) -> bool {
+        std::mem::replace(&mut self.rate_limit, rate_limit) != rate_limit
+    }
+
+    /// Returns the rate limit that the endpoint last advertised.
+    pub fn rate_limit(&self) -> Option<RequestRate> {
+        self.rate_limit
+    }
+
     /// Returns whether the endpoint has not failed since its last answer.
     pub fn is_healthy(&self) -> bool {
         self.failure_streak == 0
--- a/crates/core/src/direct/platform.rs
+++ b/crates/core/src/direct/platform.rs
@@ -39,6 +39,8 @@
     pub priority: &'static str,
     /// The only version of the weights that may be used.
     pub version: &'static str,
+    /// The requests per second that the endpoint takes from all gateways together.
+    pub rate_limit: &'static str,
 }
 
 /// A decoded value that the platform published.
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -24,7 +24,7 @@
     ids::{ClientId, InstanceId, ModelId, RegionId, ServiceId, ZoneId},
     refusal::{Reason, Refusal},
     time::Time,
-    units::Span,
+    units::{RequestRate, Span},
 };
 
 /// Fraction of the rollout time after which no older version is requested. Of 8 s, the rest covers
@@ -260,6 +260,22 @@
         }
     }
 
+    /// Records the rate limit that an answer of an endpoint advertised, `None` if it advertised none;
+    /// returns whether that is new.
+    pub fn record_rate_limit(
+        &mut self,
+        instance: &InstanceId,
+        rate_limit: Option<RequestRate>,
+    ) -> bool {
+        let key = self.by_instance.get(instance);
+        key.is_some_and(|key| self.endpoints[*key].record_rate_limit(rate_limit))
+    }
+
+    /// Returns the number of endpoints that advertise a rate limit.
+    pub fn rate_limited_endpoints(&self) -> usize {
+        self.endpoints.values().filter(|state| state.rate_limit().is_some()).count()
+    }
+
     /// Places a new request, queues it or refuses it.
     pub fn submit(&mut self, now: Time, request: PlacementRequest, rng: &mut impl Rng) -> Decision {
         let no_queue =
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -19,6 +19,10 @@
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ByteRate(pub u64);
 
+/// A rate in requests per second, finite and not negative.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, PartialOrd, Serialize)]
+pub struct RequestRate(f64);
+
 /// A duration in microseconds.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Span(pub u64);
@@ -52,6 +56,31 @@
     }
 }
 
+impl RequestRate {
+    /// Returns the rate in requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = InvalidId;
+
+    fn from_str(text: &str) -> Result<Self, InvalidId> {
+        let rate = text.trim().parse::<f64>().ok().filter(|rate| rate.is_finite() && *rate >= 0.0);
+        rate.map(Self).ok_or_else(|| InvalidId {
+            text: text.to_owned(),
+            allowed: "a number of requests per second such as 1.5",
+        })
+    }
+}
+
 impl From<Span> for Duration {
     fn from(span: Span) -> Self {
         Self::from_micros(span.0)
--- a/crates/sequoiahold/src/gateway/attempt.rs
+++ b/crates/sequoiahold/src/gateway/attempt.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use sequoiahold_core::direct::{catalog::RetryMode, platform::Codec, scheduler::Grant};
 
-use super::{plan::Plan, state::Gateway};
+use super::{plan::Plan, rate_limits, state::Gateway};
 use crate::h1::{IncomingRequest, Upstream, UpstreamError, UpstreamResponse, end_to_end_headers};
 
 /// Maximum body length of a response that is not a stream.
@@ -81,7 +81,10 @@
         Err(_) => return SendOutcome::indeterminate("sending timed out", false),
     }
     match timeout(time_limit(), read_head(gateway, request, &mut upstream)).await {
-        Ok(Ok(response)) => classify(gateway, response, upstream).await,
+        Ok(Ok(response)) => {
+            rate_limits::record_answer(gateway, request, &grant.instance, &response);
+            classify(gateway, response, upstream).await
+        }
         Ok(Err(error)) => SendOutcome::indeterminate(error.to_string(), error.is_disconnect()),
         Err(_) => SendOutcome::indeterminate("no response in time", false),
     }
--- a/crates/sequoiahold/src/gateway/metrics.rs
+++ b/crates/sequoiahold/src/gateway/metrics.rs
@@ -6,6 +6,7 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
@@ -31,6 +32,7 @@
     account_latency: Family<Labels, Histogram>,
     sends: Family<Labels, Counter>,
     blocked_parts: Counter,
+    limited_endpoints: Gauge,
     account_labels: RefCell<BTreeSet<String>>,
 }
 
@@ -64,6 +66,12 @@
             "Prompt parts blocked as they crash endpoints",
             blocked_parts.clone(),
         );
+        let limited_endpoints = Gauge::default();
+        registry.register(
+            "rate_limited_endpoints",
+            "Endpoints that advertise a rate limit",
+            limited_endpoints.clone(),
+        );
         let registry = Rc::new(registry);
         let account_labels = RefCell::default();
         Self {
@@ -74,6 +82,7 @@
             account_latency,
             sends,
             blocked_parts,
+            limited_endpoints,
             account_labels,
         }
     }
@@ -111,6 +120,11 @@
         self.blocked_parts.inc();
     }
 
+    /// Sets the number of endpoints that advertise a rate limit.
+    pub(super) fn set_limited_endpoints(&self, endpoints: usize) {
+        self.limited_endpoints.set(endpoints as i64);
+    }
+
     fn account_label(&self, account: &str) -> String {
         let mut account_labels = self.account_labels.borrow_mut();
         if account_labels.contains(account) || account_labels.len() < MAX_ACCOUNT_LABELS {
--- a/crates/sequoiahold/src/gateway/mod.rs
+++ b/crates/sequoiahold/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod metrics;
 mod parts;
 mod plan;
+mod rate_limits;
 mod readiness;
 mod record;
 mod relay;
--- a/crates/standins/src/hosted/worker.rs
+++ b/crates/standins/src/hosted/worker.rs
@@ -1,6 +1,11 @@
 //! Simulated hosted endpoint that streams events and can fail in several ways.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use actix_http::{HttpMessage as _, Request, Response, StatusCode};
 use bytes::Bytes;
@@ -53,11 +58,14 @@
     pub last_event: Option<u64>,
     /// Whether it has an `authorization` header.
     pub has_key: bool,
+    /// Time of its arrival.
+    pub arrived: Instant,
 }
 
 #[derive(Debug, Default)]
 struct State {
     behaviour: Behaviour,
+    rate_limit: Option<String>,
     requests: Vec<ServedRequest>,
     dropped_streams: u32,
 }
@@ -83,6 +91,11 @@
         self.state.borrow_mut().behaviour = behaviour;
     }
 
+    /// Sets the value of the `server-limit` header of all answers, `None` for answers without it.
+    pub fn set_rate_limit(&self, rate_limit: Option<&str>) {
+        self.state.borrow_mut().rate_limit = rate_limit.map(str::to_owned);
+    }
+
     /// Returns the requests that the endpoint ran, in order.
     pub fn requests(&self) -> Vec<ServedRequest> {
         self.state.borrow().requests.clone()
@@ -94,6 +107,13 @@
     }
 
     async fn handle(self, request: Request) -> Response<Body> {
+        let response = self.answer(request).await;
+        let rate_limit = self.state.borrow().rate_limit.clone();
+        let headers = rate_limit.iter().map(|rate_limit| ("server-limit", rate_limit.as_str()));
+        reply::with_headers(response, &headers.collect::<Vec<_>>())
+    }
+
+    async fn answer(&self, request: Request) -> Response<Body> {
         let text = |name: &str| {
             let value = request.headers().get(name)?.to_str().ok()?;
             Some(value.to_owned())
@@ -114,6 +134,7 @@
             account,
             last_event,
             has_key,
+            arrived: Instant::now(),
         });
         let body = match behaviour {
             Behaviour::NeverAnswer => {
