--- a/crates/standins/src/hosted/cluster.rs
+++ b/crates/standins/src/hosted/cluster.rs
@@ -111,6 +111,11 @@
         Ok(cluster)
     }
 
+    /// Returns the number of gateways.
+    pub fn gateways(&self) -> usize {
+        self.gateways.len()
+    }
+
     /// Starts a gateway again, whose process is ended if it still runs.
     pub fn start_gateway(&self, number: usize) -> anyhow::Result<()> {
         let Gateway { vm, settings, process, .. } = &self.gateways[number];
--- a/crates/standins/tests/process_rate_limits.rs
+++ b/crates/standins/tests/process_rate_limits.rs
@@ -1,9 +1,21 @@
 //! Rate limits that endpoints advertise in their answers, through real gateways.
 
-use std::time::Duration;
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
-use sequoiahold_standins::hosted::{Cluster, request};
+use rstest::rstest;
+use sequoiahold_standins::hosted::{Call, Cluster, request};
 
+/// Time after an endpoint first advertised a limit from which the limit must hold.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// The span in which the requests of all gateways are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Factor on what a limit allows in the span, and the requests allowed beyond.
+const LIMIT_TOLERANCE: (f64, f64) = (1.5, 5.0);
+/// Interval between two requests of callers.
+const CALL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time within which a gateway must log what an answer advertised.
 const LOG_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -25,3 +37,62 @@
     cluster.workers[0].set_rate_limit(None);
     assert!(logged("endpoint lifts its rate limit").await);
 }
+
+/// Sends reads to all gateways in turn for `time` and returns the answers.
+async fn send_reads(cluster: &Rc<Cluster>, time: Duration) -> Vec<Call> {
+    let (started, mut calls) = (Instant::now(), vec![]);
+    while started.elapsed() < time {
+        let (cluster, number) = (cluster.clone(), calls.len() % cluster.gateways());
+        calls.push(actix_rt::spawn(async move {
+            cluster.call(number, &request("GET", "/read/1", "key-1")).await
+        }));
+        actix_rt::time::sleep(CALL_INTERVAL).await;
+    }
+    let mut answers = vec![];
+    for call in calls {
+        answers.push(call.await.expect("a finished call"));
+    }
+    answers
+}
+
+/// Returns the largest number of requests that reached an endpoint within [`LIMIT_WINDOW`], in a
+/// window that starts at `since` or later.
+fn most_in_window(cluster: &Cluster, endpoint: usize, since: Instant) -> usize {
+    let requests = cluster.workers[endpoint].requests();
+    let arrived: Vec<Instant> =
+        requests.iter().map(|request| request.arrived).filter(|at| *at >= since).collect();
+    let counts = arrived.iter().enumerate().map(|(index, first)| {
+        arrived[index..].iter().take_while(|at| **at - *first < LIMIT_WINDOW).count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+#[rstest]
+#[case::two_gateways(2, ["1", "1.3"])]
+#[case::eight_gateways(8, ["1", "3.5"])]
+#[ignore = "known red: gateways place requests without regard to the limit"]
+#[actix_rt::test]
+async fn endpoint_gets_at_most_the_rate_that_it_advertises_from_all_gateways(
+    #[case] gateways: usize,
+    #[case] limits: [&str; 2],
+) {
+    let cluster = Rc::new(Cluster::start(gateways, 8).await.expect("a cluster"));
+    send_reads(&cluster, Duration::from_secs(1)).await;
+    for (endpoint, limit) in limits.iter().enumerate() {
+        cluster.workers[endpoint].set_rate_limit(Some(limit));
+    }
+    let due = Instant::now() + CONTACT_TIME;
+    let answers = send_reads(&cluster, CONTACT_TIME + LIMIT_WINDOW * 2).await;
+    for (endpoint, limit) in limits.iter().enumerate() {
+        let rate: f64 = limit.parse().expect("a number");
+        let (factor, extra) = LIMIT_TOLERANCE;
+        let allowed = factor * rate * LIMIT_WINDOW.as_secs_f64() + extra;
+        let most = most_in_window(&cluster, endpoint, due);
+        assert!(
+            most as f64 <= allowed,
+            "{most} requests within 4 s at a limit of {limit} a second"
+        );
+    }
+    let answered = answers.iter().filter(|call| call.status == 200).count();
+    assert_eq!(answered, answers.len(), "the other endpoints have room for all");
+}
