Gateways keep the rate limits that endpoints advertise, all together

Cause: no code read the limit; placement went by load, by which an endpoint with few requests looks best. Class: a limit over all gateways that is enforced only where it is published in the configuration, not where the endpoint itself tells it.

Change: an answer with a limit is recorded at the gateway and reported to the others. A limit of L a second is shared by 4 + 2 L gateways, chosen alike by all of them, each with an equal part at its own interval, so that any 4 s hold at most 4 L + 4 + 2 L requests, with no agreement and no clock in common. The rest send nothing there. A request that no part will reach in time is refused at once with the time until the next turn.

--- a/crates/core/src/direct/cells.rs
+++ b/crates/core/src/direct/cells.rs
@@ -6,7 +6,10 @@
 
 use std::{collections::BTreeMap, rc::Rc};
 
-use crate::ids::{Digest, ServiceId, VmId, ZoneId};
+use crate::{
+    ids::{Digest, InstanceId, ServiceId, VmId, ZoneId},
+    rendezvous,
+};
 
 /// Maximum number of gateways in a cell.
 const MAX_GATEWAYS: usize = 12;
@@ -66,6 +69,15 @@
         self.salt
     }
 
+    /// Returns the place of this gateway in an order of all gateways that is the same at all of them
+    /// and differs between endpoints.
+    pub fn rank(&self, instance: &InstanceId) -> usize {
+        let Some(own) = &self.own else { return 0 };
+        let weight = |vm: &VmId| rendezvous::weight(vm.as_str(), instance.as_str().as_bytes());
+        let own_weight = weight(own);
+        self.zones.values().flatten().filter(|vm| weight(vm) > own_weight).count()
+    }
+
     /// Returns the other gateways: of the own cell, of the rest of its zone, and of other zones.
     pub fn others(&self) -> (Vec<&VmId>, Vec<&VmId>, Vec<&VmId>) {
         let (mut mates, mut near, mut far) = (vec![], vec![], vec![]);
--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -5,12 +5,13 @@
 use super::{
     cells::{Assignment, Relation},
     load_exchange::LocalLoad,
+    rate_limit::RateLimit,
     view::Endpoint,
 };
 use crate::{
     ids::{Digest, RegionId},
     time::Time,
-    units::{RequestRate, Span},
+    units::Span,
 };
 
 /// Window of the rate limit that protects cold endpoints.
@@ -97,6 +98,10 @@
     pub assignment: Assignment,
     /// The load caused by this gateway.
     pub own_load: InFlightLoad,
+    /// The rate limit that it advertises.
+    pub rate_limit: RateLimit,
+    /// The place of this gateway among those that share the limit, if there is one.
+    pub limit_rank: usize,
     peer_load: InFlightLoad,
     peer_updated: Time,
     recent_sends: VecDeque<Time>,
@@ -104,7 +109,7 @@
     backoff_until: Time,
     misdirected: bool,
     paused_until: Time,
-    rate_limit: Option<RequestRate>,
+    last_send: Option<Time>,
 }
 
 impl EndpointState {
@@ -117,6 +122,8 @@
             distance,
             assignment: Assignment::default(),
             own_load: InFlightLoad::default(),
+            rate_limit: RateLimit::default(),
+            limit_rank: 0,
             peer_load: InFlightLoad::default(),
             peer_updated: Time::default(),
             recent_sends: VecDeque::new(),
@@ -124,13 +131,13 @@
             backoff_until: Time::default(),
             misdirected: false,
             paused_until: Time::default(),
-            rate_limit: None,
+            last_send: None,
         }
     }
 
     /// Applies a new published state of the same instance.
     ///
-    /// A changed entry clears the misdirected flag; a restart also clears failures and backoff.
+    /// A changed entry clears the misdirected flag; a restart also clears failures, backoff and limit.
     pub fn update(&mut self, endpoint: Endpoint) {
         let restarted = self.endpoint.entry.started_ms != endpoint.entry.started_ms
             || self.endpoint.entry.addr != endpoint.entry.addr;
@@ -140,7 +147,7 @@
         if restarted {
             self.failure_streak = 0;
             self.backoff_until = Time::default();
-            self.rate_limit = None;
+            self.rate_limit = RateLimit::default();
         }
         self.endpoint = endpoint;
     }
@@ -156,15 +163,10 @@
         self.paused_until = until;
     }
 
-    /// Records the rate limit that an answer of the endpoint advertised, `None` if it advertised
-    /// none; returns whether that is new.
-    pub fn record_rate_limit(&mut self, rate_limit: Option<RequestRate>) -> bool {
-        std::mem::replace(&mut self.rate_limit, rate_limit) != rate_limit
-    }
-
-    /// Returns the rate limit that the endpoint last advertised.
-    pub fn rate_limit(&self) -> Option<RequestRate> {
-        self.rate_limit
+    /// Returns from when on this gateway, one of `gateways`, may send a request within the rate limit,
+    /// with the interval to the next one; `None` if it has no part of the limit.
+    pub fn next_turn(&self, now: Time, gateways: usize) -> Option<(Time, Span)> {
+        self.rate_limit.next_turn(now, self.limit_rank, gateways, self.last_send)
     }
 
     /// Returns whether the endpoint has not failed since its last answer.
@@ -236,6 +238,7 @@
         self.own_load.requests += 1;
         self.own_load.prefill_ms += prefill_ms;
         self.recent_sends.push_back(now);
+        self.last_send = Some(now);
     }
 
     /// Removes the prefill time of a request from the own load.
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -13,6 +13,7 @@
 pub mod part_suspects;
 mod placement;
 pub mod platform;
+pub mod rate_limit;
 pub mod retry_budget;
 pub mod scheduler;
 pub mod view;
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -1,5 +1,7 @@
 //! Dispatches requests to endpoints, queues them or refuses them.
 
+mod rate_limits;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
@@ -8,6 +10,7 @@
 use rand::Rng;
 use slotmap::{SlotMap, new_key_type};
 
+use self::rate_limits::Outlook;
 use super::{
     catalog::{Catalog, EngineSpec},
     cells::{Cells, Relation},
@@ -24,7 +27,7 @@
     ids::{ClientId, InstanceId, ModelId, RegionId, ServiceId, ZoneId},
     refusal::{Reason, Refusal},
     time::Time,
-    units::{RequestRate, Span},
+    units::Span,
 };
 
 /// Fraction of the rollout time after which no older version is requested. Of 8 s, the rest covers
@@ -140,7 +143,7 @@
     targets: BTreeMap<ModelId, TargetVersions>,
     gateways: usize,
     outside: BTreeMap<ServiceId, usize>,
-    salt: u32,
+    cells: Cells,
 }
 
 /// The published properties of a service that placement depends on.
@@ -162,7 +165,7 @@
             targets: BTreeMap::new(),
             gateways: 1,
             outside: BTreeMap::new(),
-            salt: 0,
+            cells: Cells::default(),
         }
     }
 
@@ -231,7 +234,7 @@
             self.endpoints[key].assignment = assignment;
         }
         self.outside = self.outside_counts();
-        self.salt = cells.salt();
+        self.set_cells(cells);
     }
 
     /// Returns the number of endpoints of each service that are outside the own cell.
@@ -260,22 +263,6 @@
         }
     }
 
-    /// Records the rate limit that an answer of an endpoint advertised, `None` if it advertised none;
-    /// returns whether that is new.
-    pub fn record_rate_limit(
-        &mut self,
-        instance: &InstanceId,
-        rate_limit: Option<RequestRate>,
-    ) -> bool {
-        let key = self.by_instance.get(instance);
-        key.is_some_and(|key| self.endpoints[*key].record_rate_limit(rate_limit))
-    }
-
-    /// Returns the number of endpoints that advertise a rate limit.
-    pub fn rate_limited_endpoints(&self) -> usize {
-        self.endpoints.values().filter(|state| state.rate_limit().is_some()).count()
-    }
-
     /// Places a new request, queues it or refuses it.
     pub fn submit(&mut self, now: Time, request: PlacementRequest, rng: &mut impl Rng) -> Decision {
         let no_queue =
@@ -283,16 +270,22 @@
         if no_queue && let Some(grant) = self.try_place(now, &request, rng) {
             return Decision::Dispatch(grant);
         }
-        if !self.has_candidate(now, &request) {
-            // It is unknown when an endpoint returns, so the longest delay has the best chance.
-            return Decision::Refuse(Refusal::retry_after(
-                Reason::NoEndpoint,
-                max_retry_delay(now, &request),
-            ));
-        }
         let until = queue_deadline(now, &request);
         let late = request.objective <= now;
-        let wait = self.estimate_wait(now, &request, late);
+        let wait = match self.outlook(now, &request, until) {
+            // It is unknown when an endpoint returns, so the longest delay has the best chance.
+            Outlook::NoEndpoint => {
+                let delay = max_retry_delay(now, &request);
+                return Decision::Refuse(Refusal::retry_after(Reason::NoEndpoint, delay));
+            }
+            Outlook::Unlimited => self.estimate_wait(now, &request, late),
+            Outlook::Limited { requests, first } => {
+                if self.queued_ahead(&request, late) >= requests {
+                    return Decision::Refuse(self.limit_refusal(now, &request, first));
+                }
+                Span(0)
+            }
+        };
         let queue = self.queues.entry(request.service.clone()).or_default();
         if until <= now || now + wait > until {
             queue.refused += 1;
@@ -391,6 +384,7 @@
         let outside = self.outside.get(&request.service).copied().unwrap_or(0);
         let min_version = self.min_version(now, request);
         let prefill_ms = prefill_ms(&spec, request.tokens.0);
+        let (gateways, salt) = (self.gateways, self.cells.salt());
         let mut best: Option<(u64, EndpointKey, u32)> = None;
         for (key, state) in &mut self.endpoints {
             let send_limit = max_send_rate(&self.config, &spec, &state.assignment, self.gateways);
@@ -403,7 +397,8 @@
                 && load.requests < state.capacity(self.gateways);
             let usable = can_serve(state, request, min_version)
                 && state.is_available(now)
-                && state.allows_send(now, send_limit, self.salt);
+                && state.allows_send(now, send_limit, salt)
+                && state.next_turn(now, gateways).is_some_and(|(turn, _)| turn <= now);
             let tried = request.tried.contains(&key);
             if !has_room || !usable || tried || (request.healthy_only && !state.is_healthy()) {
                 continue;
@@ -452,17 +447,6 @@
         grant
     }
 
-    /// Returns whether any endpoint may serve the request, now or once its load has dropped.
-    fn has_candidate(&self, now: Time, request: &PlacementRequest) -> bool {
-        let min_version = self.min_version(now, request);
-        let eligible = |(key, state): (EndpointKey, &EndpointState)| {
-            can_serve(state, request, min_version)
-                && !state.endpoint.entry.leaving
-                && !request.tried.contains(&key)
-        };
-        self.endpoints.iter().any(eligible)
-    }
-
     /// Returns the oldest version that may still be used, `None` for any.
     fn min_version(&self, now: Time, request: &PlacementRequest) -> Option<u64> {
         let last = self.config.rollout_span(ROLLOUT_FRACTION);
@@ -471,15 +455,21 @@
 
     /// Estimates the queueing time of a request from the rate of recent completions.
     fn estimate_wait(&mut self, now: Time, request: &PlacementRequest, late: bool) -> Span {
+        let ahead = self.queued_ahead(request, late) as u64;
         let queue = self.queues.entry(request.service.clone()).or_default();
         while queue.completions.front().is_some_and(|at| *at + COMPLETION_WINDOW < now) {
             queue.completions.pop_front();
         }
-        let ahead = queue.waiting.count_ahead(request.priority, late) as u64;
         let completed = queue.completions.len() as u64;
         Span((COMPLETION_WINDOW.0 * ahead).checked_div(completed).unwrap_or(0))
     }
 
+    /// Returns the number of queued requests that are dispatched before a new one.
+    fn queued_ahead(&self, request: &PlacementRequest, late: bool) -> usize {
+        let queue = self.queues.get(&request.service);
+        queue.map_or(0, |queue| queue.waiting.count_ahead(request.priority, late))
+    }
+
     fn distance(&self, zone: &ZoneId) -> u32 {
         let region = |zone| self.config.regions.get(zone);
         match () {
--- /dev/null
+++ b/crates/core/src/direct/scheduler/rate_limits.rs
@@ -0,0 +1,135 @@
+//! Placement within the rate limits that endpoints advertise.
+
+use super::{EndpointKey, PlacementRequest, Scheduler};
+use crate::{
+    direct::{
+        cells::Cells,
+        endpoint_state::EndpointState,
+        placement::{can_serve, max_retry_delay, retry_delay},
+        rate_limit::RateLimitReport,
+    },
+    ids::InstanceId,
+    refusal::{Reason, Refusal},
+    time::Time,
+    units::{RequestRate, Span},
+};
+
+/// What the endpoints that may serve a request allow.
+pub(super) enum Outlook {
+    /// No endpoint may serve it, now or once its load has dropped.
+    NoEndpoint,
+    /// Endpoints without a rate limit may serve it.
+    Unlimited,
+    /// All that may serve it have a rate limit: the requests that they still take from this gateway
+    /// in time, and the time until the first.
+    Limited {
+        /// The number of requests.
+        requests: usize,
+        /// The time until the first, `None` if this gateway has no part of any limit.
+        first: Option<Span>,
+    },
+}
+
+impl Scheduler {
+    /// Records the rate limit that an answer of an endpoint advertised, `None` if it advertised none;
+    /// returns whether that is new.
+    pub fn record_rate_limit(
+        &mut self,
+        now: Time,
+        instance: &InstanceId,
+        rate: Option<RequestRate>,
+    ) -> bool {
+        let Some(key) = self.by_instance.get(instance) else { return false };
+        let state = &mut self.endpoints[*key];
+        rank_if_limited(&self.cells, state, rate.is_some());
+        state.rate_limit.record(now, rate, state.limit_rank)
+    }
+
+    /// Merges the reports of another gateway and returns the endpoints with another limit than
+    /// known, `None` where it is lifted.
+    pub fn merge_rate_limits(
+        &mut self,
+        now: Time,
+        reports: Vec<RateLimitReport>,
+    ) -> Vec<(InstanceId, Option<RequestRate>)> {
+        let changed = |report: &RateLimitReport| {
+            let Some(key) = self.by_instance.get(&report.instance) else { return false };
+            let state = &mut self.endpoints[*key];
+            rank_if_limited(&self.cells, state, report.rate.is_some());
+            state.rate_limit.merge(now, report, state.limit_rank)
+        };
+        reports.into_iter().filter(changed).map(|report| (report.instance, report.rate)).collect()
+    }
+
+    /// Returns what is known of rate limits, for other gateways.
+    pub fn rate_limit_reports(&self, now: Time) -> Vec<RateLimitReport> {
+        let report =
+            |state: &EndpointState| state.rate_limit.report(now, &state.endpoint.entry.instance);
+        self.endpoints.values().filter_map(report).collect()
+    }
+
+    /// Returns the number of endpoints that advertise a rate limit.
+    pub fn rate_limited_endpoints(&self, now: Time) -> usize {
+        self.endpoints.values().filter(|state| state.rate_limit.rate(now).is_some()).count()
+    }
+
+    /// Sets the gateways that share the rate limits.
+    pub(super) fn set_cells(&mut self, cells: &Cells) {
+        if self.cells == *cells {
+            return;
+        }
+        self.cells = cells.clone();
+        for state in self.endpoints.values_mut() {
+            let is_limited = state.rate_limit != Default::default();
+            rank_if_limited(&self.cells, state, is_limited);
+        }
+    }
+
+    /// Returns the refusal of a request that the rate limits of its endpoints leave no room for, where
+    /// this gateway may send the next one in `first`.
+    pub(super) fn limit_refusal(
+        &mut self,
+        now: Time,
+        request: &PlacementRequest,
+        first: Option<Span>,
+    ) -> Refusal {
+        let queue = self.queues.entry(request.service.clone()).or_default();
+        queue.refused += 1;
+        let delay = retry_delay(now, request, queue.refused);
+        let delay = first.map_or(delay, |first| delay.max(first));
+        Refusal::retry_after(Reason::Overload, delay.min(max_retry_delay(now, request)))
+    }
+
+    /// Returns what the endpoints that may serve a request allow until a given time.
+    pub(super) fn outlook(&self, now: Time, request: &PlacementRequest, until: Time) -> Outlook {
+        let min_version = self.min_version(now, request);
+        let eligible = |(key, state): &(EndpointKey, &EndpointState)| {
+            can_serve(state, request, min_version)
+                && !state.endpoint.entry.leaving
+                && !request.tried.contains(key)
+        };
+        let mut states = self.endpoints.iter().filter(eligible).map(|(_, state)| state).peekable();
+        if states.peek().is_none() {
+            return Outlook::NoEndpoint;
+        }
+        let (mut requests, mut first) = (0, None::<Span>);
+        for state in states {
+            if state.rate_limit.rate(now).is_none() {
+                return Outlook::Unlimited;
+            }
+            let Some((turn, interval)) = state.next_turn(now, self.gateways) else { continue };
+            first = Some(first.map_or(turn - now, |first| first.min(turn - now)));
+            if turn <= until {
+                requests += 1 + ((until - turn).0 / interval.0.max(1)) as usize;
+            }
+        }
+        Outlook::Limited { requests, first }
+    }
+}
+
+/// Determines the place of this gateway among those that share the limit of an endpoint.
+fn rank_if_limited(cells: &Cells, state: &mut EndpointState, is_limited: bool) {
+    if is_limited {
+        state.limit_rank = cells.rank(&state.endpoint.entry.instance);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/direct_rate_limit.rs
@@ -0,0 +1,262 @@
+//! Rate limits that endpoints advertise: parts of the gateways, reports, and refusals.
+
+use std::collections::BTreeMap;
+
+use rand::{SeedableRng as _, rngs::SmallRng};
+use rstest::rstest;
+use sequoiahold_core::{
+    direct::{
+        catalog::{Catalog, EndpointEntry, Service},
+        cells::Cells,
+        endpoint_state::AttemptOutcome,
+        platform::PublishedValue,
+        scheduler::{Decision, PlacementRequest, Scheduler, SchedulerConfig},
+        view::View,
+    },
+    ids::{InstanceId, VmId, ZoneId},
+    refusal::Refusal,
+    time::Time,
+    units::{RequestRate, Span},
+};
+
+/// The span in which the requests of all gateways are counted, in ms.
+const LIMIT_WINDOW_MS: u64 = 4_000;
+/// Number of availability zones.
+const ZONES: usize = 3;
+
+fn ms(ms: u64) -> Time {
+    Time(ms * 1_000)
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("valid name")
+}
+
+fn zone(index: usize) -> ZoneId {
+    name(&format!("z{}", index % ZONES))
+}
+
+fn view(endpoints: usize) -> View {
+    let mut catalog = Catalog::new(1, []);
+    let service = Service {
+        name: name("orders"),
+        max_connections: 100,
+        cold_rate: None,
+        engine: None,
+        origin: None,
+    };
+    catalog.services.insert(name("orders"), service);
+    let mut view = View::default();
+    view.apply(ms(0), PublishedValue::Catalog(Box::new(catalog)), Some(ms(0)));
+    for index in 0..endpoints {
+        let entry = EndpointEntry {
+            instance: name(&format!("i-{index}")),
+            service: name("orders"),
+            addr: ([127, 0, 0, 1], 1_000 + index as u16).into(),
+            zone: zone(index),
+            slots: 8,
+            leaving: false,
+            cold_time: Span(0),
+            loaded: None,
+            started_ms: None,
+        };
+        let published = PublishedValue::Endpoint(entry.instance.clone(), Some(entry));
+        view.apply(ms(0), published, Some(ms(0)));
+    }
+    view
+}
+
+/// Returns the schedulers of `count` gateways that know each other.
+fn schedulers(count: usize, view: &View) -> Vec<Scheduler> {
+    let gateways: Vec<(VmId, ZoneId)> =
+        (0..count).map(|index| (name(&format!("g-{index:03}")), zone(index))).collect();
+    let regions: BTreeMap<ZoneId, _> =
+        (0..ZONES).map(|index| (zone(index), name(&format!("r{index}")))).collect();
+    let scheduler = |(own, zone): &(VmId, ZoneId)| {
+        let mut scheduler = Scheduler::new(SchedulerConfig {
+            zone: zone.clone(),
+            regions: regions.clone(),
+            rollout_time: Span::secs(8),
+            cold_factor: 1.5,
+            cold_extra: 5.0,
+        });
+        scheduler.update(view);
+        scheduler.set_gateway_count(count);
+        scheduler.assign(&Cells::new(own, gateways.clone()));
+        scheduler
+    };
+    gateways.iter().map(scheduler).collect()
+}
+
+fn request(now: Time) -> PlacementRequest {
+    PlacementRequest {
+        service: name("orders"),
+        account: None,
+        priority: 1,
+        regions: None,
+        model: None,
+        tokens: (0, 0),
+        objective: now + Span::millis(150),
+        deadline: now + Span::millis(2_500),
+        tried: vec![],
+        healthy_only: false,
+    }
+}
+
+/// Submits a request that is answered at once; returns the endpoint's instance or the refusal,
+/// `None` if it is queued.
+fn submit(
+    scheduler: &mut Scheduler,
+    now: Time,
+    rng: &mut SmallRng,
+) -> Option<Result<InstanceId, Refusal>> {
+    match scheduler.submit(now, request(now), rng) {
+        Decision::Dispatch(mut grant) => {
+            scheduler.release(now, &mut grant, AttemptOutcome::Answered);
+            Some(Ok(grant.instance))
+        }
+        Decision::Refuse(refusal) => Some(Err(refusal)),
+        Decision::Wait(_) => None,
+    }
+}
+
+fn rate(text: &str) -> Option<RequestRate> {
+    Some(name(text))
+}
+
+/// Every gateway has a request for the endpoint every 20 ms, and learns its limit only from the
+/// answers to its own requests.
+#[rstest]
+#[case::one_gateway(1, "1")]
+#[case::small_site(8, "1")]
+#[case::small_site_fraction(8, "1.3")]
+#[case::low_rate(33, "0.25")]
+#[case::higher_rate(33, "12.5")]
+#[case::large_site(149, "1")]
+#[case::large_site_higher_rate(149, "40")]
+fn endpoint_gets_at_most_the_rate_that_it_advertises(#[case] count: usize, #[case] limit: &str) {
+    let instance: InstanceId = name("i-0");
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut sent = vec![];
+    for (index, mut scheduler) in schedulers(count, &view(1)).into_iter().enumerate() {
+        // The clocks of the processes differ.
+        let started = index as u64 * 37 % 1_000;
+        for step in 0..2_000 {
+            let now = ms(started + step * 20);
+            let placed = matches!(submit(&mut scheduler, now, &mut rng), Some(Ok(_)));
+            let queued = scheduler.dispatch_queued(now, &mut rng).into_iter();
+            let mut granted: Vec<_> = queued.filter_map(|(_, _, result)| result.ok()).collect();
+            let count = usize::from(placed) + granted.len();
+            granted.iter_mut().for_each(|grant| {
+                scheduler.release(now, grant, AttemptOutcome::Answered);
+            });
+            if count > 0 {
+                scheduler.record_rate_limit(now, &instance, rate(limit));
+                sent.extend(std::iter::repeat_n(step * 20, count));
+            }
+        }
+    }
+    let due: Vec<u64> = sent.into_iter().filter(|at| *at >= 3_000).collect();
+    let per_second = rate(limit).expect("a rate").per_second();
+    let window_s = LIMIT_WINDOW_MS as f64 / 1e3;
+    let allowed = 1.5 * per_second * window_s + 5.0;
+    let in_window =
+        |from: u64| due.iter().filter(|at| (from..from + LIMIT_WINDOW_MS).contains(*at)).count();
+    let most = due.iter().map(|at| in_window(*at)).max().expect("requests after the limit is due");
+    assert!(most as f64 <= allowed, "{most} requests within 4 s, {allowed} are allowed");
+    let mean = due.len() as f64 / 37.0;
+    assert!(mean >= per_second * 0.6, "{mean} requests a second at a limit of {limit}");
+}
+
+#[test]
+fn gateways_share_a_limit_alike_for_each_endpoint() {
+    let (gateways, endpoints) = (40, 30);
+    let mut shares = vec![0; gateways];
+    let mut schedulers = schedulers(gateways, &view(endpoints));
+    for endpoint in 0..endpoints {
+        let instance: InstanceId = name(&format!("i-{endpoint}"));
+        for scheduler in &mut schedulers {
+            scheduler.record_rate_limit(ms(1_000), &instance, rate("1"));
+        }
+    }
+    for (share, scheduler) in shares.iter_mut().zip(&schedulers) {
+        let now = ms(20_000);
+        *share = scheduler
+            .endpoints()
+            .filter(|(_, state)| state.next_turn(now, gateways).is_some())
+            .count();
+    }
+    // Six gateways share a limit of one request per second.
+    assert_eq!(shares.iter().sum::<usize>(), 6 * endpoints);
+    assert!(shares.iter().all(|share| *share <= 12), "{shares:?}");
+}
+
+#[test]
+fn gateway_that_sends_nothing_learns_from_reports_that_a_limit_begins_and_ends() {
+    let instance: InstanceId = name("i-0");
+    let mut all = schedulers(2, &view(1));
+    let [sender, listener] = &mut all[..] else { panic!("two schedulers") };
+    assert!(sender.record_rate_limit(ms(1_000), &instance, rate("2")));
+    let reports = sender.rate_limit_reports(ms(1_100));
+    // The clock of the other process is another one.
+    let changes = listener.merge_rate_limits(ms(9_100), reports.clone());
+    assert_eq!(changes, [(instance.clone(), rate("2"))]);
+    assert_eq!(listener.merge_rate_limits(ms(9_110), reports), []);
+    assert_eq!(listener.rate_limited_endpoints(ms(9_200)), 1);
+    assert!(sender.record_rate_limit(ms(2_000), &instance, None));
+    let ended = sender.rate_limit_reports(ms(2_100));
+    assert_eq!(listener.merge_rate_limits(ms(10_100), ended), [(instance, None)]);
+    assert_eq!(listener.rate_limited_endpoints(ms(10_100)), 0);
+}
+
+#[test]
+fn report_that_arrives_late_does_not_replace_a_newer_answer() {
+    let instance: InstanceId = name("i-0");
+    let mut all = schedulers(2, &view(1));
+    let [sender, listener] = &mut all[..] else { panic!("two schedulers") };
+    sender.record_rate_limit(ms(1_000), &instance, rate("2"));
+    listener.record_rate_limit(ms(1_050), &instance, rate("3"));
+    assert_eq!(listener.merge_rate_limits(ms(1_060), sender.rate_limit_reports(ms(1_060))), []);
+}
+
+/// The end of a limit may be missed by a gateway that is cut off from the others.
+#[test]
+fn limit_that_nobody_confirms_is_disregarded_after_a_minute() {
+    let instance: InstanceId = name("i-0");
+    let [mut scheduler] = schedulers(1, &view(1)).try_into().expect("one scheduler");
+    scheduler.record_rate_limit(ms(1_000), &instance, rate("1"));
+    assert_eq!(scheduler.rate_limited_endpoints(ms(60_900)), 1);
+    assert_eq!(scheduler.rate_limited_endpoints(ms(61_100)), 0);
+}
+
+#[test]
+fn request_beyond_the_limits_of_all_endpoints_is_refused_at_once() {
+    let instance: InstanceId = name("i-0");
+    let mut rng = SmallRng::seed_from_u64(3);
+    let [mut scheduler] = schedulers(1, &view(1)).try_into().expect("one scheduler");
+    scheduler.record_rate_limit(ms(1_000), &instance, rate("1"));
+    // One gateway has the whole limit, a request each second.
+    assert!(matches!(submit(&mut scheduler, ms(5_000), &mut rng), Some(Ok(_))));
+    let Some(Err(refusal)) = submit(&mut scheduler, ms(5_100), &mut rng) else {
+        panic!("the next turn is too late for the request")
+    };
+    let retry = refusal.retry.expect("a retry delay");
+    assert!(retry >= Span::millis(800) && retry <= Span::millis(900), "{retry}");
+    // The next turn is near enough for one request, and for one only.
+    assert!(submit(&mut scheduler, ms(5_960), &mut rng).is_none());
+    assert!(matches!(submit(&mut scheduler, ms(5_961), &mut rng), Some(Err(_))));
+    assert_eq!(scheduler.dispatch_queued(ms(6_001), &mut rng).len(), 1);
+}
+
+#[test]
+fn endpoint_without_a_limit_takes_what_the_others_may_not() {
+    let instance: InstanceId = name("i-0");
+    let mut rng = SmallRng::seed_from_u64(5);
+    for mut scheduler in schedulers(8, &view(2)) {
+        scheduler.record_rate_limit(ms(1_000), &instance, rate("1"));
+        for step in 0..200 {
+            let submitted = submit(&mut scheduler, ms(2_000 + step * 10), &mut rng);
+            assert!(matches!(submitted, Some(Ok(_))), "{submitted:?}");
+        }
+    }
+}
--- a/crates/sequoiahold/src/gateway/datagrams.rs
+++ b/crates/sequoiahold/src/gateway/datagrams.rs
@@ -5,12 +5,13 @@
 use sequoiahold_core::direct::{load_exchange::LocalLoad, platform::Codec, scheduler::EndpointKey};
 use tokio::sync::mpsc;
 
-use super::{parts, state::Gateway};
+use super::{parts, rate_limits, state::Gateway};
 use crate::node::Datagram;
 
 /// Interval between two rounds of the exchange.
 const ROUND_INTERVAL: Duration = Duration::from_millis(70);
-/// Interval between two datagrams with the evidence against blocked prompt parts.
+/// Interval between two datagrams with the evidence against blocked prompt parts, and between two
+/// with the rate limits of endpoints.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Starts the task that exchanges load reports and handles the datagrams from peers.
@@ -38,6 +39,7 @@
                         gateway.suspects.borrow_mut().record_crash(now, crash);
                     }
                     Some(Datagram::Parts(news)) => parts::receive(&gateway, &news),
+                    Some(Datagram::RateLimits(reports)) => rate_limits::receive(&gateway, reports),
                     Some(_) => {}
                     None => return,
                 },
@@ -45,7 +47,10 @@
                     exchange_loads(&gateway);
                     parts::send_news(&gateway);
                 }
-                _ = evidence_timer.tick() => parts::send_evidence(&gateway),
+                _ = evidence_timer.tick() => {
+                    parts::send_evidence(&gateway);
+                    rate_limits::send_reports(&gateway);
+                }
             }
         }
     });
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -6,6 +6,7 @@
         membership::Gossip,
         mirror::{Revision, StateDelta},
         part_suspects::PartNews,
+        rate_limit::RateLimitReport,
     },
     ids::{InstanceId, ModelId, VmId},
     suspect::Crash,
@@ -49,7 +50,7 @@
 }
 
 /// A datagram between processes.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Datagram {
     /// A gossip message of the membership protocol.
     Gossip(Gossip),
@@ -65,4 +66,6 @@
     Changes(Changes),
     /// Prompt parts in flight at crashes, and those with completed answers.
     Parts(PartNews),
+    /// Rate limits that endpoints advertise.
+    RateLimits(Vec<RateLimitReport>),
 }
--- a/crates/standins/tests/process_rate_limits.rs
+++ b/crates/standins/tests/process_rate_limits.rs
@@ -14,6 +14,10 @@
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Factor on what a limit allows in the span, and the requests allowed beyond.
 const LIMIT_TOLERANCE: (f64, f64) = (1.5, 5.0);
+/// Time within which all gateways must know that a limit is lifted.
+const LIFT_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time within which a request is refused that cannot be served.
+const REFUSAL_TIME: Duration = Duration::from_millis(200);
 /// Interval between two requests of callers.
 const CALL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time within which a gateway must log what an answer advertised.
@@ -70,7 +74,6 @@
 #[rstest]
 #[case::two_gateways(2, ["1", "1.3"])]
 #[case::eight_gateways(8, ["1", "3.5"])]
-#[ignore = "known red: gateways place requests without regard to the limit"]
 #[actix_rt::test]
 async fn endpoint_gets_at_most_the_rate_that_it_advertises_from_all_gateways(
     #[case] gateways: usize,
@@ -96,3 +99,51 @@
     let answered = answers.iter().filter(|call| call.status == 200).count();
     assert_eq!(answered, answers.len(), "the other endpoints have room for all");
 }
+
+/// Returns the number of requests that reach an endpoint while reads are sent for 2 s.
+async fn reads_at(cluster: &Rc<Cluster>, endpoint: usize) -> usize {
+    let before = cluster.workers[endpoint].requests().len();
+    send_reads(cluster, Duration::from_secs(2)).await;
+    cluster.workers[endpoint].requests().len() - before
+}
+
+/// Only gateways that send to the endpoint see in its answers that the limit is lifted.
+#[actix_rt::test]
+async fn endpoint_that_lifts_its_limit_is_used_by_all_gateways_again() {
+    let cluster = Rc::new(Cluster::start(8, 4).await.expect("a cluster"));
+    let usual = reads_at(&cluster, 0).await;
+    cluster.workers[0].set_rate_limit(Some("1"));
+    reads_at(&cluster, 0).await;
+    let limited = reads_at(&cluster, 0).await;
+    assert!(limited <= 8, "{limited} requests in 2 s at a limit of 1 a second");
+    cluster.workers[0].set_rate_limit(None);
+    let is_lifted = async || {
+        let gateways = 0..cluster.gateways();
+        let logs = gateways.map(|number| cluster.log(number).expect("a log"));
+        send_reads(&cluster, Duration::from_millis(200)).await;
+        logs.filter(|log| log.contains("endpoint lifts its rate limit")).count() == 8
+    };
+    assert!(cluster.wait_until(LIFT_TIMEOUT, is_lifted).await, "a gateway still keeps the limit");
+    let lifted = reads_at(&cluster, 0).await;
+    assert!(2 * lifted >= usual, "{lifted} requests in 2 s, {usual} before the limit");
+}
+
+#[actix_rt::test]
+async fn requests_beyond_the_limits_of_all_endpoints_are_refused_at_once() {
+    let cluster = Rc::new(Cluster::start(2, 1).await.expect("a cluster"));
+    cluster.workers[0].set_rate_limit(Some("1"));
+    send_reads(&cluster, Duration::from_secs(2)).await;
+    let answers = send_reads(&cluster, Duration::from_secs(4)).await;
+    let refused: Vec<&Call> = answers.iter().filter(|call| call.status == 503).collect();
+    let answered = answers.iter().filter(|call| call.status == 200).count();
+    assert_eq!(answered + refused.len(), answers.len());
+    assert!((2..=11).contains(&answered), "{answered} answered in 4 s at a limit of 1 a second");
+    // A request may wait for a turn that is near.
+    let at_once = refused.iter().filter(|call| call.took < REFUSAL_TIME).count();
+    assert!(at_once + 8 >= refused.len(), "{at_once} of {} refused at once", refused.len());
+    let has_delay = |call: &&Call| {
+        let delay = call.header("retry-after").and_then(|text| text.parse::<f64>().ok());
+        delay.is_some_and(|delay| delay > 0.0 && delay <= 1.0)
+    };
+    assert!(refused.iter().all(has_delay), "a refusal without a time to come back");
+}
