Processes log the era of the platform's state and each whole read

The era that an answer carries is now decoded, a change of it is a log line, and so is each whole read with the revision read and the one known. Neither is used yet.

--- a/crates/core/src/direct/mirror.rs
+++ b/crates/core/src/direct/mirror.rs
@@ -9,6 +9,25 @@
 /// snapshot.
 const MAX_REMOVED_KEYS: usize = 4_096;
 
+/// Number of times that the platform restored its published state from a copy, which loses the
+/// changes since; revisions are comparable within an era only.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Era(pub u64);
+
+impl std::fmt::Display for Era {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl std::str::FromStr for Era {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.trim().parse().map(Self)
+    }
+}
+
 /// Revision of the published state, which rises with each change.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Revision(pub u64);
--- a/crates/sequoiahold/src/h1/upstream.rs
+++ b/crates/sequoiahold/src/h1/upstream.rs
@@ -148,11 +148,12 @@
         headers: HeaderMap,
         body: &Bytes,
         max_bytes: usize,
-    ) -> Result<(StatusCode, Bytes), UpstreamError> {
+    ) -> Result<(UpstreamResponse, Bytes), UpstreamError> {
         let sent = self.send(method, target, headers, body).await;
         sent.map_err(|error| error.error)?;
         let response = self.read_head().await?;
-        Ok((response.status, self.read_body(max_bytes).await?))
+        let body = self.read_body(max_bytes).await?;
+        Ok((response, body))
     }
 
     /// Sends a request; stops early if the response starts before the whole body is sent.
--- a/crates/sequoiahold/src/loader/engine.rs
+++ b/crates/sequoiahold/src/loader/engine.rs
@@ -106,8 +106,9 @@
             let json = actix_http::header::HeaderValue::from_static("application/json");
             headers.insert(actix_http::header::CONTENT_TYPE, json);
         }
-        let response = upstream.exchange(method, path, headers, &body, MAX_RESPONSE_BYTES).await?;
+        let (response, body) =
+            upstream.exchange(method, path, headers, &body, MAX_RESPONSE_BYTES).await?;
         self.pool.release(upstream);
-        Ok(response)
+        Ok((response.status, body))
     }
 }
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -19,7 +19,7 @@
     direct::{
         freshness::Freshness,
         membership::{Member, Membership, Role},
-        mirror::{Change, Mirror, Revision},
+        mirror::{Change, Era, Mirror, Revision},
         platform::{Codec, PublishedValue},
         view::{AnnouncedVersion, Effect, View},
     },
@@ -75,6 +75,7 @@
     socket: RefCell<Option<Rc<tokio::net::UdpSocket>>>,
     revision_sender: watch_channel::Sender<Revision>,
     freshness: RefCell<Freshness>,
+    platform_era: Cell<Option<Era>>,
     outage_start: Cell<Option<Time>>,
     pending_pull: Cell<Option<(Revision, SocketAddr)>>,
     pulling: Cell<bool>,
@@ -125,6 +126,7 @@
             socket: RefCell::default(),
             revision_sender: watch_channel::channel(Revision(0)).0,
             freshness: RefCell::default(),
+            platform_era: Cell::new(None),
             outage_start: Cell::new(None),
             pending_pull: Cell::new(None),
             pulling: Cell::new(false),
@@ -253,6 +255,15 @@
         }
     }
 
+    /// Records the era that an answer of the platform is of.
+    fn record_era(&self, era: Era) {
+        let before = self.platform_era.replace(Some(era));
+        if let Some(before) = before.filter(|before| *before != era) {
+            let revision = self.mirror.borrow().revision().0;
+            log::warn!(era = era.0, before = before.0, revision; "platform restored its state");
+        }
+    }
+
     /// Records that the platform did not respond, and starts an outage unless one has started.
     fn record_platform_failure(&self, fault: &str) {
         if self.outage_start.get().is_none() {
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -184,10 +184,10 @@
     max_bytes: usize,
 ) -> Result<Bytes, CallError> {
     let mut upstream = node.pool.get_or_open(peer, CALL_TIMEOUT).await?;
-    let (status, body) =
+    let (response, body) =
         upstream.exchange(Method::GET, target, HeaderMap::new(), &Bytes::new(), max_bytes).await?;
     node.pool.release(upstream);
-    match status {
+    match response.status {
         StatusCode::OK => Ok(body),
         StatusCode::NOT_FOUND => Err(CallError::Absent),
         StatusCode::TOO_MANY_REQUESTS => Err(CallError::Busy),
--- a/crates/sequoiahold/src/node/watch.rs
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -8,7 +8,7 @@
 use rand::Rng as _;
 use sequoiahold_core::{
     direct::{
-        mirror::{Change, Revision, StateDelta},
+        mirror::{Change, Era, Revision, StateDelta},
         platform::{Codec, DecodeError},
     },
     time::Time,
@@ -16,7 +16,7 @@
 };
 
 use super::{Node, gossip};
-use crate::h1::{Upstream, UpstreamError};
+use crate::h1::{Upstream, UpstreamError, UpstreamResponse};
 
 /// Maximum time that the platform holds a watch without changes.
 ///
@@ -164,6 +164,8 @@
         items.extend(page.items);
         if !more {
             let at = at.unwrap_or(page.revision);
+            let (revision, known) = (at.0, node.mirror.borrow().revision().0);
+            log::info!(revision, known, items = items.len(); "published state read whole");
             let new_changes = node.mirror.borrow_mut().apply_snapshot(at, items);
             let delta = StateDelta { at, is_snapshot: true, changes: vec![] };
             return Ok(PlatformRead { new_changes, delta, after: at, arrived, held: Span(0) });
@@ -203,11 +205,12 @@
             Some(upstream) => upstream,
             None => node.pool.open(node.settings.platform).await?,
         };
-        let (status, body) = upstream
+        let (response, body) = upstream
             .exchange(Method::GET, path, HeaderMap::new(), &Bytes::new(), MAX_RESPONSE_BYTES)
             .await?;
         *connection = Some(upstream);
-        match status.as_u16() {
+        node.record_era(era(node, &response)?);
+        match response.status.as_u16() {
             200 => Ok(body),
             410 => Err(ReadError::Compacted),
             status => Err(ReadError::Failed(format!("unexpected status {status} for {path}"))),
@@ -226,6 +229,14 @@
     Err(ReadError::Silent)
 }
 
+/// Returns the era that a response is of; platforms without eras are in the first one.
+fn era<C: Codec>(node: &Node<C>, response: &UpstreamResponse) -> Result<Era, ReadError> {
+    let name = node.codec.header_names().era;
+    let era = response.header_text(name).map(str::parse::<Era>).transpose();
+    era.map(Option::unwrap_or_default)
+        .map_err(|error| ReadError::Failed(format!("header {name}: {error}")))
+}
+
 async fn back_off<C>(node: &Node<C>, failures: u32) {
     let max_ms = (INITIAL_BACKOFF_MS << failures.min(3)).min(MAX_BACKOFF_MS);
     let delay_ms = node.rng.borrow_mut().random_range(max_ms / 2..=max_ms);
