--- a/crates/standins/src/hosted/store.rs
+++ b/crates/standins/src/hosted/store.rs
@@ -12,13 +12,15 @@
 /// Time between two checks of a waiting watch for changes.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     /// The current values by key, each with the revision that wrote it.
     items: BTreeMap<String, (u64, Value)>,
     /// All writes as revision, key and value; `None` for a removal.
     log: Vec<(u64, String, Option<Value>)>,
     revision: u64,
+    /// Number of the state's copy in use, from 1.
+    era: u64,
     /// The revision up to which the history of changes is discarded.
     compacted: u64,
     delay: Duration,
@@ -27,6 +29,22 @@
     watch_stalls: u64,
 }
 
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            items: BTreeMap::new(),
+            log: vec![],
+            revision: 0,
+            era: 1,
+            compacted: 0,
+            delay: Duration::ZERO,
+            down: false,
+            calls: 0,
+            watch_stalls: 0,
+        }
+    }
+}
+
 /// A running key-value store.
 #[derive(Clone, Debug, Default)]
 pub struct Store(Rc<RefCell<State>>);
@@ -52,6 +70,29 @@
         state.log.push((revision, key.to_owned(), value));
     }
 
+    /// Returns the revision of the last write.
+    pub fn revision(&self) -> u64 {
+        self.0.borrow().revision
+    }
+
+    /// Goes back to the copy of the state at a revision: later writes are lost, and their revisions
+    /// are given out again. The history must not have been discarded.
+    pub fn restore(&self, revision: u64) {
+        let mut state = self.0.borrow_mut();
+        state.log.retain(|(at, ..)| *at <= revision);
+        state.items.clear();
+        let log = std::mem::take(&mut state.log);
+        for (at, key, value) in &log {
+            match value {
+                Some(value) => state.items.insert(key.clone(), (*at, value.clone())),
+                None => state.items.remove(key),
+            };
+        }
+        state.log = log;
+        state.revision = revision;
+        state.era += 1;
+    }
+
     /// Sets whether the store answers all calls with status 503.
     pub fn set_down(&self, down: bool) {
         self.0.borrow_mut().down = down;
@@ -80,6 +121,12 @@
     }
 
     async fn handle(self, request: Request) -> Response<Body> {
+        let response = self.answer(request).await;
+        let era = self.0.borrow().era.to_string();
+        reply::with_headers(response, &[("store-era", &era)])
+    }
+
+    async fn answer(&self, request: Request) -> Response<Body> {
         self.0.borrow_mut().calls += 1;
         let delay = self.0.borrow().delay;
         if !delay.is_zero() {
@@ -114,7 +161,13 @@
     }
 
     async fn watch(&self, after: u64, wait_ms: u64) -> Response<Body> {
-        let watch_stalls = self.0.borrow().watch_stalls;
+        let (watch_stalls, era) = {
+            let state = self.0.borrow();
+            (state.watch_stalls, state.era)
+        };
+        if after > self.0.borrow().revision {
+            return reply::status(410);
+        }
         for _ in 0..=wait_ms / WATCH_POLL_INTERVAL.as_millis() as u64 {
             if self.0.borrow().revision > after {
                 break;
@@ -123,6 +176,9 @@
             if self.0.borrow().watch_stalls > watch_stalls {
                 std::future::pending::<()>().await;
             }
+            if self.0.borrow().era > era {
+                return reply::status(503);
+            }
         }
         let state = self.0.borrow();
         if after < state.compacted {
