--- a/crates/standins/tests/process_restored.rs
+++ b/crates/standins/tests/process_restored.rs
@@ -77,7 +77,6 @@
 }
 
 /// Operators and endpoints write what was lost again, but not at once.
-#[ignore = "known red: revisions of a restored state count as known"]
 #[actix_rt::test]
 async fn restored_state_takes_neither_an_evacuation_nor_a_leave_back() {
     let cluster = Cluster::start(2, 2).await.expect("a cluster");
