Soak: stores restored from copies and rate limits of engines, from seed 10000 on

Plans of earlier seeds stay as they were. The check LIMIT counts the requests that reach an engine within 4 s, from gateways in touch that were told 0.5 s before or earlier.

--- a/crates/standins/src/hosted/mod.rs
+++ b/crates/standins/src/hosted/mod.rs
@@ -10,6 +10,6 @@
     cluster::{Call, Cluster, request},
     fragile::{Arrival, Fragile, FragileRecord},
     settings::{gateway_config, gateway_settings, loopback_addr, registry_entry},
-    store::Store,
+    store::{Store, StoreCopy},
     worker::{Behaviour, Worker},
 };
--- a/crates/standins/src/hosted/store.rs
+++ b/crates/standins/src/hosted/store.rs
@@ -45,6 +45,13 @@
     }
 }
 
+/// A copy of the state of a store.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    items: BTreeMap<String, (u64, Value)>,
+    revision: u64,
+}
+
 /// A running key-value store.
 #[derive(Clone, Debug, Default)]
 pub struct Store(Rc<RefCell<State>>);
@@ -70,29 +77,28 @@
         state.log.push((revision, key.to_owned(), value));
     }
 
-    /// Returns the revision of the last write.
-    pub fn revision(&self) -> u64 {
-        self.0.borrow().revision
+    /// Returns a copy of the current state.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.0.borrow();
+        StoreCopy { items: state.items.clone(), revision: state.revision }
     }
 
-    /// Goes back to the copy of the state at a revision: later writes are lost, and their revisions
-    /// are given out again. The history must not have been discarded.
-    pub fn restore(&self, revision: u64) {
+    /// Goes back to a copy of the state: later writes are lost, and their revisions are given out
+    /// again.
+    pub fn restore(&self, copy: &StoreCopy) {
         let mut state = self.0.borrow_mut();
-        state.log.retain(|(at, ..)| *at <= revision);
-        state.items.clear();
-        let log = std::mem::take(&mut state.log);
-        for (at, key, value) in &log {
-            match value {
-                Some(value) => state.items.insert(key.clone(), (*at, value.clone())),
-                None => state.items.remove(key),
-            };
-        }
-        state.log = log;
-        state.revision = revision;
+        state.items.clone_from(&copy.items);
+        state.revision = copy.revision;
+        state.log.retain(|(at, ..)| *at <= copy.revision);
+        state.compacted = state.compacted.min(copy.revision);
         state.era += 1;
     }
 
+    /// Returns the keys that have a value.
+    pub fn keys(&self) -> Vec<String> {
+        self.0.borrow().items.keys().cloned().collect()
+    }
+
     /// Sets whether the store answers all calls with status 503.
     pub fn set_down(&self, down: bool) {
         self.0.borrow_mut().down = down;
--- a/crates/standins/src/soak/engine.rs
+++ b/crates/standins/src/soak/engine.rs
@@ -63,6 +63,8 @@
     flaky: bool,
     slow: bool,
     leaving: bool,
+    /// The requests per second that it takes from all gateways together.
+    rate_limit: Option<u32>,
     /// The staged chunks; they outlive a crash.
     staged: BTreeMap<u64, Bytes>,
     rng: SmallRng,
@@ -114,6 +116,7 @@
             flaky: false,
             slow: false,
             leaving: false,
+            rate_limit: None,
             staged: (0..CHUNKS).map(|number| (number, origin::chunk(version, number))).collect(),
             rng: SmallRng::seed_from_u64(seed),
         };
@@ -178,6 +181,13 @@
         self.state.borrow_mut().leaving = leaving;
     }
 
+    /// Sets the rate limit that all answers advertise, in tenths of a request per second.
+    pub(super) fn set_rate_limit(&self, rate_limit: Option<u32>) {
+        self.state.borrow_mut().rate_limit = rate_limit;
+        self.journal
+            .set_rate_limit(&self.instance(), rate_limit.map(|rate| f64::from(rate) / 10.0));
+    }
+
     /// Ends all that runs and starts again under an id, holding `version`.
     pub(super) fn restart(&self, instance: &str, version: Option<u64>) {
         let mut state = self.state.borrow_mut();
@@ -185,6 +195,7 @@
         state.epoch += 1;
         (state.version, state.loading, state.leaving) = (version, false, false);
         (state.orders, state.started_ms) = (0, unix_ms());
+        state.rate_limit = None;
     }
 
     /// Begins to load a version after what runs; nothing begins until it is loaded.
@@ -229,8 +240,23 @@
                 let staged = self.state.borrow().staged.get(&chunk.unwrap_or(0)).cloned();
                 staged.map_or(reply::status(404), reply::data)
             }
-            _ => self.serve(&request).await,
+            _ => {
+                let response = self.serve(&request).await;
+                self.advertise(&request, response)
+            }
+        }
+    }
+
+    /// Adds the rate limit to an answer.
+    fn advertise(&self, request: &Request, response: Response<Body>) -> Response<Body> {
+        let Some(rate) = self.state.borrow().rate_limit else { return response };
+        let attempt =
+            request.headers().get("attempt-id").and_then(|id| id.to_str().ok()?.parse().ok());
+        if let Some(attempt) = attempt {
+            self.journal.tell_rate_limit(attempt, &self.instance());
         }
+        let rate = format!("{}.{}", rate / 10, rate % 10);
+        reply::with_headers(response, &[("server-limit", &rate)])
     }
 
     fn report(&self) -> Response<Body> {
@@ -289,6 +315,7 @@
         if expected.is_some_and(|instance| instance != self.state.borrow().instance) {
             return not_run(421, id);
         }
+        self.journal.check_rate(attempt, &self.instance());
         if let Some(status) = self.refusal(&head) {
             return not_run(status, id);
         }
--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -25,14 +25,26 @@
 const STOP_CHECKS: u32 = 120;
 /// Fraction of the rollout time after which the engines have loaded a version, except late ones.
 const LOAD_FRACTION: f64 = 0.5;
+/// Time after which the entry of an engine that has ended is removed.
+const ENTRY_LIFETIME: Duration = Duration::from_secs(3);
 /// Interval between two checks of the processes, and of the engines' entries.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Plays the rounds of a plan.
 pub(super) async fn play(fleet: &Fleet, plan: &Plan) -> anyhow::Result<()> {
     let mut rng = SmallRng::seed_from_u64(!plan.seed);
+    let mut extra = SmallRng::seed_from_u64(plan.seed.rotate_left(16));
     for round in &plan.rounds {
-        storm(fleet, plan, round, &mut rng).await?;
+        fleet.seats.iter().for_each(|seat| seat.engine.set_rate_limit(None));
+        let mut restores = SmallRng::seed_from_u64(extra.random());
+        let (stormed, restored) = tokio::join!(
+            storm(fleet, plan, round, &mut rng),
+            series(plan.extended, &mut restores, async |rng| restore_store(fleet, rng).await),
+        );
+        stormed.and(restored)?;
+        if plan.extended {
+            limit_engines(fleet, &mut extra);
+        }
         calm(fleet, plan, round, &mut rng).await?;
     }
     Ok(())
@@ -209,6 +221,33 @@
     Ok(())
 }
 
+/// Has the store come back from a copy; what was lost is written again.
+async fn restore_store(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
+    let copy = fleet.store.copy();
+    sleep(millis(rng, 300..2_500)).await;
+    let (outage, delay) = (millis(rng, 100..1_500), millis(rng, 0..500));
+    fleet.journal.begin(Part::Platform);
+    fleet.store.set_down(true);
+    sleep(outage).await;
+    fleet.store.restore(&copy);
+    fleet.store.set_down(false);
+    sleep(delay).await;
+    fleet.publish_again();
+    fleet.journal.end(Part::Platform);
+    // The entries of engines that have ended expire like after a crash.
+    sleep(ENTRY_LIFETIME).await;
+    fleet.remove_stale_entries();
+    Ok(())
+}
+
+/// Has some engines advertise a rate limit until the next round, with at least one that does not.
+fn limit_engines(fleet: &Fleet, rng: &mut SmallRng) {
+    let limited = rng.random_range(1..fleet.seats.len());
+    for seat in &fleet.seats[..limited] {
+        seat.engine.set_rate_limit(Some(rng.random_range(5..40_u32)));
+    }
+}
+
 /// Crashes, replaces, drains or spoils one engine.
 async fn disturb_engine(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
     let Some(seat) = fleet.seats.choose(rng) else { return Ok(()) };
--- a/crates/standins/src/soak/fleet.rs
+++ b/crates/standins/src/soak/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     path::PathBuf,
     sync::atomic::{AtomicU16, Ordering},
@@ -130,6 +131,8 @@
     version: Cell<u64>,
     config: Cell<u64>,
     keys: RefCell<Vec<String>>,
+    /// What operators published last, by key.
+    operators: RefCell<BTreeMap<&'static str, Value>>,
 }
 
 impl Fleet {
@@ -154,6 +157,7 @@
             version: Cell::new(0),
             config: Cell::new(0),
             keys: RefCell::default(),
+            operators: RefCell::default(),
         };
         fleet.publish_config();
         fleet.publish_version();
@@ -241,16 +245,39 @@
         once["prefix"] = json!("/stream/once/");
         once["resume_streams"] = json!(false);
         config["routes"].as_array_mut().into_iter().for_each(|routes| routes.push(once.clone()));
-        self.store.put("op/config", Some(config));
+        self.publish("op/config", config);
         self.journal.publish_keys(valid);
     }
 
+    fn publish(&self, key: &'static str, value: Value) {
+        self.store.put(key, Some(value.clone()));
+        self.operators.borrow_mut().insert(key, value);
+    }
+
+    /// Publishes again what operators and engines published last.
+    pub(super) fn publish_again(&self) {
+        for (key, value) in &*self.operators.borrow() {
+            self.store.put(key, Some(value.clone()));
+        }
+        for (key, entry) in self.seats.iter().map(|seat| seat.published.borrow().clone()) {
+            self.store.put(&key, Some(entry));
+        }
+    }
+
+    /// Removes the entries of engines that have ended.
+    pub(super) fn remove_stale_entries(&self) {
+        let is_current =
+            |key: &String| self.seats.iter().any(|seat| seat.published.borrow().0 == *key);
+        let keys = self.store.keys().into_iter().filter(|key| key.starts_with("servers/"));
+        keys.filter(|key| !is_current(key)).for_each(|key| self.store.put(&key, None));
+    }
+
     /// Publishes the next version of the weights.
     pub(super) fn publish_version(&self) -> u64 {
         let version = self.version.get() + 1;
         self.version.set(version);
         let value = json!({ "model": "assist", "version": version });
-        self.store.put("op/version/assist", Some(value));
+        self.publish("op/version/assist", value);
         self.journal.publish_version(version);
         version
     }
--- a/crates/standins/src/soak/journal.rs
+++ b/crates/standins/src/soak/journal.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     fmt::{self, Display},
     num::ParseIntError,
     rc::Rc,
@@ -18,6 +18,12 @@
 const CONFIG_TIME: Duration = Duration::from_secs(2);
 /// Time after which a leaving endpoint must get no requests.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
+/// The span in which the requests to an endpoint with a rate limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Factor on what a rate limit allows in the span, and the requests allowed beyond.
+const LIMIT_TOLERANCE: (f64, f64) = (1.5, 5.0);
+/// Time after which a gateway that was told a rate limit must keep it.
+const TOLD_TIME: Duration = Duration::from_millis(500);
 /// Interval at which the soak shows that it is not held up.
 pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time beyond the interval after which the soak, and maybe all processes, stood still.
@@ -98,6 +104,17 @@
     pub(super) arrived: Instant,
 }
 
+/// A rate limit of an endpoint.
+#[derive(Clone, Debug)]
+struct RateLimit {
+    rate: f64,
+    since: Instant,
+    /// When each gateway was told first.
+    told: BTreeMap<usize, Instant>,
+    /// The counted requests of the last [`LIMIT_WINDOW`].
+    arrivals: VecDeque<Instant>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     sent: HashMap<AttemptId, Sent>,
@@ -107,6 +124,7 @@
     keys: BTreeMap<String, (Instant, Option<Instant>)>,
     versions: BTreeMap<u64, Instant>,
     leaving: HashMap<String, Instant>,
+    limits: HashMap<String, RateLimit>,
     disturbances: BTreeMap<Part, Disturbances>,
     /// The last tick and the longest time by which one was late.
     ticked: Option<Instant>,
@@ -197,6 +215,49 @@
         self.state.borrow_mut().leaving.entry(instance.to_owned()).or_insert_with(Instant::now);
     }
 
+    /// Records that an endpoint limits the requests per second, `None` for no limit.
+    pub(super) fn set_rate_limit(&self, instance: &str, rate: Option<f64>) {
+        let mut state = self.state.borrow_mut();
+        state.limits.remove(instance);
+        if let Some(rate) = rate {
+            let (told, arrivals) = (BTreeMap::new(), VecDeque::new());
+            let limit = RateLimit { rate, since: Instant::now(), told, arrivals };
+            state.limits.insert(instance.to_owned(), limit);
+        }
+    }
+
+    /// Records that an answer told the sender of a request the rate limit of an endpoint.
+    pub(super) fn tell_rate_limit(&self, attempt: AttemptId, instance: &str) {
+        let mut state = self.state.borrow_mut();
+        let gateway = state.sent.get(&attempt).map(|sent| sent.gateway);
+        if let (Some(gateway), Some(limit)) = (gateway, state.limits.get_mut(instance)) {
+            limit.told.entry(gateway).or_insert_with(Instant::now);
+        }
+    }
+
+    /// Checks a request that reaches an endpoint with a rate limit, whether it accepts it or not.
+    pub(super) fn check_rate(&self, attempt: AttemptId, instance: &str) {
+        let (now, mut state) = (Instant::now(), self.state.borrow_mut());
+        let gateway = state.sent.get(&attempt).map(|sent| sent.gateway);
+        let in_touch = self.in_touch(&state, attempt).is_some();
+        let Some(limit) = state.limits.get_mut(instance) else { return };
+        let told = gateway.and_then(|gateway| limit.told.get(&gateway)).copied();
+        let counts = told.is_some_and(|told| now > told + TOLD_TIME);
+        if !in_touch || !counts || now < limit.since + CONTACT_TIME {
+            return;
+        }
+        limit.arrivals.push_back(now);
+        limit.arrivals.retain(|at| *at + LIMIT_WINDOW > now);
+        let (factor, extra) = LIMIT_TOLERANCE;
+        let allowed = factor * limit.rate * LIMIT_WINDOW.as_secs_f64() + extra;
+        let (rate, count) = (limit.rate, limit.arrivals.len());
+        drop(state);
+        if count as f64 > allowed {
+            let text = format!("{instance} got {count} in 4 s at a limit of {rate} a second");
+            self.report("LIMIT", attempt, text);
+        }
+    }
+
     /// Records a request that a caller sends.
     pub(super) fn send(&self, attempt: AttemptId, sent: Sent) {
         self.state.borrow_mut().sent.insert(attempt, sent);
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -8,6 +8,10 @@
 /// value is the last one.
 const VERSION_BOUNDS_MS: [u64; 3] = [4_000, 6_000, 8_000];
 
+/// First seed whose soak also restores the store from copies and limits the engines' rates; the
+/// plans of the seeds before stay as they were.
+const FIRST_EXTENDED_SEED: u64 = 10_000;
+
 /// What happens in a soak.
 #[derive(Clone, Debug)]
 pub(super) struct Plan {
@@ -27,6 +31,8 @@
     pub(super) bound: Duration,
     /// The rounds, one after the other.
     pub(super) rounds: Vec<Round>,
+    /// Whether the store is restored from copies, and engines advertise rate limits.
+    pub(super) extended: bool,
 }
 
 /// Some seconds of overlapping faults, then a time without faults of the store and of links.
@@ -74,6 +80,7 @@
             rounds: (0..rounds).map(|_| Round::draw(&mut rng, engines)).collect(),
             loaders: rng.random_bool(0.4),
             slow: rng.random_bool(0.4),
+            extended: seed >= FIRST_EXTENDED_SEED,
         }
     }
 }
--- a/crates/standins/tests/process_restored.rs
+++ b/crates/standins/tests/process_restored.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use sequoiahold_standins::hosted::{Cluster, gateway_config, registry_entry, request};
+use sequoiahold_standins::hosted::{Cluster, StoreCopy, gateway_config, registry_entry, request};
 
 /// Time within which a change must be in force at all gateways.
 const APPLY_TIME: Duration = Duration::from_secs(2);
@@ -26,12 +26,12 @@
     cluster.wait_until(APPLY_TIME, has_status).await
 }
 
-/// Takes the store down, and back with its state as of `revision`, to which `rewrite` adds what is
+/// Takes the store down, and back with a copy of its state, to which `rewrite` adds what is
 /// written again.
-async fn restore(cluster: &Cluster, revision: u64, rewrite: impl FnOnce()) {
+async fn restore(cluster: &Cluster, copy: &StoreCopy, rewrite: impl FnOnce()) {
     cluster.store.set_down(true);
     actix_rt::time::sleep(OUTAGE).await;
-    cluster.store.restore(revision);
+    cluster.store.restore(copy);
     rewrite();
     cluster.store.set_down(false);
 }
@@ -40,12 +40,12 @@
 #[actix_rt::test]
 async fn change_published_after_the_state_was_restored_is_in_force_in_time() {
     let cluster = Cluster::start(3, 2).await.expect("a cluster");
-    let copy = cluster.store.revision();
+    let copy = cluster.store.copy();
     for (version, key) in [(2, "key-2"), (3, "key-3")] {
         cluster.store.put("op/config", Some(gateway_config(version, &[key])));
         assert!(reaches(&cluster, key, 200).await, "configuration {version} before");
     }
-    restore(&cluster, copy, || {
+    restore(&cluster, &copy, || {
         cluster.store.put("op/config", Some(gateway_config(3, &["key-3"])));
     })
     .await;
@@ -62,10 +62,10 @@
 #[actix_rt::test]
 async fn changes_under_revisions_that_were_given_out_before_are_not_missed() {
     let cluster = Cluster::start(3, 2).await.expect("a cluster");
-    let copy = cluster.store.revision();
+    let copy = cluster.store.copy();
     cluster.store.put("op/config", Some(gateway_config(2, &["key-2"])));
     assert!(reaches(&cluster, "key-2", 200).await, "configuration 2");
-    restore(&cluster, copy, || {
+    restore(&cluster, &copy, || {
         cluster.store.put("op/config", Some(gateway_config(3, &["key-3"])));
         cluster.store.put("op/other", Some(1.into()));
         cluster.store.put("op/other", Some(2.into()));
@@ -78,12 +78,12 @@
 #[actix_rt::test]
 async fn restored_state_takes_neither_an_evacuation_nor_a_leave_back() {
     let cluster = Cluster::start(2, 2).await.expect("a cluster");
-    let copy = cluster.store.revision();
+    let copy = cluster.store.copy();
     let leaving = registry_entry(cluster.addrs[0], "draining");
     cluster.store.put("servers/i-0", Some(leaving.clone()));
     actix_rt::time::sleep(APPLY_TIME).await;
     let before = cluster.workers[0].requests().len();
-    restore(&cluster, copy, || {}).await;
+    restore(&cluster, &copy, || {}).await;
     let returned = Instant::now();
     while returned.elapsed() < APPLY_TIME {
         assert_eq!(statuses(&cluster, "key-1").await, [200; 2]);
@@ -91,7 +91,7 @@
     cluster.store.put("servers/i-0", Some(leaving.clone()));
     cluster.store.put("op/evacuate/z1", Some(1.into()));
     assert!(reaches(&cluster, "key-1", 503).await, "the zone is not evacuated");
-    restore(&cluster, copy, || {}).await;
+    restore(&cluster, &copy, || {}).await;
     let returned = Instant::now();
     while returned.elapsed() < APPLY_TIME {
         assert_eq!(statuses(&cluster, "key-1").await, [503; 2], "the evacuation was taken back");
--- a/crates/standins/tests/soak.rs
+++ b/crates/standins/tests/soak.rs
@@ -8,6 +8,8 @@
 
 /// Seeds that never failed, two of them with loaders.
 const SEEDS: [u64; 4] = [3, 4, 5, 7];
+/// The same with restored states and rate limits of engines, one of them with loaders.
+const EXTENDED_SEEDS: [u64; 4] = [10_000, 10_001, 10_003, 10_004];
 /// Number of seeds that are played at the same time.
 const JOBS: usize = 8;
 
@@ -26,6 +28,11 @@
     assert_no_violation(SEEDS.to_vec()).await;
 }
 
+#[actix_rt::test]
+async fn restored_states_and_rate_limits_break_no_promise() {
+    assert_no_violation(EXTENDED_SEEDS.to_vec()).await;
+}
+
 #[actix_rt::test]
 async fn seeds_that_failed_break_no_promise() {
     assert_no_violation(soak::failed_seeds()).await;
