--- a/crates/core/src/direct/mirror.rs
+++ b/crates/core/src/direct/mirror.rs
@@ -117,8 +117,8 @@
         change.revision <= self.restored
     }
 
-    /// Applies the changes up to `at`, at most one per key, and returns those that were new; changes
-    /// of an earlier era are ignored.
+    /// Applies the changes up to `at`, at most one per key, and returns those with a new value;
+    /// changes of an earlier era are ignored.
     pub fn apply(&mut self, at: Revision, changes: Vec<Change>) -> Vec<Change> {
         if at.era < self.revision.era {
             return vec![];
@@ -140,7 +140,7 @@
         (self.apply(at, changes), delta)
     }
 
-    /// Applies a full snapshot at `at`, removes absent keys and returns the changes that were new.
+    /// Applies a full snapshot at `at`, removes absent keys and returns the changes with a new value.
     ///
     /// A snapshot of a later era replaces all that is known; one of an earlier era is ignored.
     pub fn apply_snapshot(&mut self, at: Revision, items: Vec<Change>) -> Vec<Change> {
@@ -187,8 +187,10 @@
         }
     }
 
+    /// Applies a change and returns whether the value is another one than before.
     fn apply_change(&mut self, change: &Change) -> bool {
         let known = self.items.get(&change.key);
+        let is_other = known.is_none_or(|(_, value)| *value != change.value);
         if known.is_some_and(|(revision, _)| *revision >= change.revision) {
             return false;
         }
@@ -199,7 +201,7 @@
             self.removed.insert((change.revision, change.key.clone()));
         }
         self.items.insert(change.key.clone(), (change.revision, change.value.clone()));
-        true
+        is_other
     }
 
     /// Drops the oldest tombstones beyond [`MAX_REMOVED_KEYS`].
--- a/crates/core/tests/direct_restored.rs
+++ b/crates/core/tests/direct_restored.rs
@@ -67,6 +67,19 @@
     assert_eq!(mirror.apply(later.revision, vec![later]).len(), 1);
 }
 
+/// A restored state gives all items of thousands of endpoints new revisions.
+#[test]
+fn unchanged_values_of_a_restored_state_are_not_new() {
+    let mut mirror = lagging();
+    let snapshot = vec![change(2, 3, "config", Some("8")), change(2, 2, "gone", Some("0"))];
+    let new = mirror.apply_snapshot(Revision::new(Era(2), 4), snapshot);
+    let keys: Vec<&str> = new.iter().map(|change| change.key.as_str()).collect();
+    assert_eq!(keys, ["lost", "gone"]);
+    let again = mirror.apply(Revision::new(Era(2), 6), vec![change(2, 6, "config", Some("8"))]);
+    assert!(again.is_empty());
+    assert_eq!(mirror.revision(), Revision::new(Era(2), 6));
+}
+
 #[test]
 fn first_state_that_a_process_reads_is_not_a_restored_one() {
     let mut mirror = Mirror::default();
--- a/crates/sequoiahold/src/node/watch.rs
+++ b/crates/sequoiahold/src/node/watch.rs
@@ -42,8 +42,10 @@
 
 /// The result of a successful read.
 struct PlatformRead {
-    /// The changes that were new to the mirror.
+    /// The changes with a new value.
     new_changes: Vec<Change>,
+    /// Whether the read brought a revision that was not known before.
+    is_news: bool,
     /// The delta for peers that know all changes up to `after`.
     delta: StateDelta,
     after: Revision,
@@ -138,7 +140,7 @@
                     current = read.arrived;
                 }
                 node.freshness.borrow_mut().record_read(current);
-                if !read.new_changes.is_empty() {
+                if read.is_news {
                     gossip::forward_changes(&node, read.after, read.delta, earliest);
                 } else if read.held > Span(0) {
                     gossip::confirm_unchanged(&node, read.delta);
@@ -185,9 +187,11 @@
             }
             let (revision, known) = (at.number, known.number);
             log::info!(revision, known, items = items.len(); "published state read whole");
+            let is_news = at > node.mirror.borrow().revision();
             let new_changes = node.update_mirror(|mirror| mirror.apply_snapshot(at, items));
             let delta = StateDelta { at, is_snapshot: true, changes: vec![] };
-            return Ok(PlatformRead { new_changes, delta, after: at, arrived, held: Span(0) });
+            let held = Span(0);
+            return Ok(PlatformRead { new_changes, is_news, delta, after: at, arrived, held });
         }
     }
 }
@@ -206,8 +210,9 @@
     check_era(after.era, era)?;
     let (at, changes) = node.codec.decode_changes(era, &body)?;
     let held = if changes.is_empty() { (arrived - started).min(wait) } else { Span(0) };
+    let is_news = at > node.mirror.borrow().revision();
     let (new_changes, delta) = node.update_mirror(|mirror| mirror.apply_watch(at, changes));
-    Ok(PlatformRead { new_changes, delta, after, arrived, held })
+    Ok(PlatformRead { new_changes, is_news, delta, after, arrived, held })
 }
 
 /// Fails if an answer is of another era than the revision that it continues.
