Callers that a rate limit refuses are told to return one after the other

Callers refused for want of a turn were told delays spread for overload, which have nothing to do with the turns: at a limit of 5 a second, with the next turn in 190 ms, five callers were told 716, 733, 749, 766 and 783 ms. Each is now told the next turn that nobody was told yet, 190, 390, 590 and 790 ms, and the first one again where that is out of reach.

--- a/crates/core/src/direct/rate_limit.rs
+++ b/crates/core/src/direct/rate_limit.rs
@@ -108,5 +108,5 @@
 
 /// Returns the time that `requests` take at a rate.
 fn interval(rate: RequestRate, requests: usize) -> Span {
-    Span((requests as f64 * 1e6 / rate.per_second().max(MIN_RATE)) as u64)
+    Span((requests as f64 * 1e6 / rate.per_second().max(MIN_RATE)).max(1.0) as u64)
 }
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -130,6 +130,8 @@
     waiting: WaitQueue<Rc<PlacementRequest>>,
     completions: std::collections::VecDeque<Time>,
     refused: u64,
+    /// When the last caller that a rate limit refused was told to return.
+    last_return: Time,
 }
 
 /// The endpoints and queued requests of one gateway.
@@ -279,9 +281,9 @@
                 return Decision::Refuse(Refusal::retry_after(Reason::NoEndpoint, delay));
             }
             Outlook::Unlimited => self.estimate_wait(now, &request, late),
-            Outlook::Limited { requests, first } => {
-                if self.queued_ahead(&request, late) >= requests {
-                    return Decision::Refuse(self.limit_refusal(now, &request, first));
+            Outlook::Limited(allowance) => {
+                if self.queued_ahead(&request, late) >= allowance.requests {
+                    return Decision::Refuse(self.limit_refusal(now, &request, allowance));
                 }
                 Span(0)
             }
--- a/crates/core/src/direct/scheduler/rate_limits.rs
+++ b/crates/core/src/direct/scheduler/rate_limits.rs
@@ -20,14 +20,19 @@
     NoEndpoint,
     /// Endpoints without a rate limit may serve it.
     Unlimited,
-    /// All that may serve it have a rate limit: the requests that they still take from this gateway
-    /// in time, and the time until the first.
-    Limited {
-        /// The number of requests.
-        requests: usize,
-        /// The time until the first, `None` if this gateway has no part of any limit.
-        first: Option<Span>,
-    },
+    /// All that may serve it have a rate limit.
+    Limited(Allowance),
+}
+
+/// What rate limits allow one gateway.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Allowance {
+    /// The number of requests in the given time.
+    pub(super) requests: usize,
+    /// The time until the first, `None` if this gateway has no part of any limit.
+    first: Option<Span>,
+    /// The requests per second.
+    rate: f64,
 }
 
 impl Scheduler {
@@ -85,19 +90,30 @@
         }
     }
 
-    /// Returns the refusal of a request that the rate limits of its endpoints leave no room for, where
-    /// this gateway may send the next one in `first`.
+    /// Returns the refusal of a request that the rate limits of its endpoints leave no room for.
+    ///
+    /// Refused callers are told to return one after the other, as this gateway may send again.
     pub(super) fn limit_refusal(
         &mut self,
         now: Time,
         request: &PlacementRequest,
-        first: Option<Span>,
+        allowance: Allowance,
     ) -> Refusal {
         let queue = self.queues.entry(request.service.clone()).or_default();
         queue.refused += 1;
-        let delay = retry_delay(now, request, queue.refused);
-        let delay = first.map_or(delay, |first| delay.max(first));
-        Refusal::retry_after(Reason::Overload, delay.min(max_retry_delay(now, request)))
+        let max_delay = max_retry_delay(now, request);
+        let delay = match allowance.first {
+            Some(first) => {
+                let interval = Span((1e6 / allowance.rate) as u64);
+                let turn = (now + first).max(queue.last_return + interval);
+                // Later turns are out of reach, so the next callers start over.
+                let turn = if turn - now <= max_delay { turn } else { now + first };
+                queue.last_return = turn;
+                turn - now
+            }
+            None => retry_delay(now, request, queue.refused),
+        };
+        Refusal::retry_after(Reason::Overload, delay.min(max_delay))
     }
 
     /// Returns what the endpoints that may serve a request allow until a given time.
@@ -112,18 +128,20 @@
         if states.peek().is_none() {
             return Outlook::NoEndpoint;
         }
-        let (mut requests, mut first) = (0, None::<Span>);
+        let mut allowance = Allowance::default();
         for state in states {
             if state.rate_limit.rate(now).is_none() {
                 return Outlook::Unlimited;
             }
             let Some((turn, interval)) = state.next_turn(now, self.gateways) else { continue };
-            first = Some(first.map_or(turn - now, |first| first.min(turn - now)));
+            let first = allowance.first.unwrap_or(turn - now);
+            allowance.first = Some(first.min(turn - now));
+            allowance.rate += 1.0 / interval.as_secs_f64();
             if turn <= until {
-                requests += 1 + ((until - turn).0 / interval.0.max(1)) as usize;
+                allowance.requests += 1 + ((until - turn).0 / interval.0) as usize;
             }
         }
-        Outlook::Limited { requests, first }
+        Outlook::Limited(allowance)
     }
 }
 
--- a/crates/core/tests/direct_rate_limit.rs
+++ b/crates/core/tests/direct_rate_limit.rs
@@ -248,6 +248,23 @@
     assert_eq!(scheduler.dispatch_queued(ms(6_001), &mut rng).len(), 1);
 }
 
+/// Load pattern: all endpoints of a service are in need, and many callers are refused at once.
+#[test]
+fn callers_refused_by_a_limit_are_told_to_return_one_after_the_other() {
+    let instance: InstanceId = name("i-0");
+    let mut rng = SmallRng::seed_from_u64(3);
+    let [mut scheduler] = schedulers(1, &view(1)).try_into().expect("one scheduler");
+    scheduler.record_rate_limit(ms(1_000), &instance, rate("5"));
+    assert!(matches!(submit(&mut scheduler, ms(5_000), &mut rng), Some(Ok(_))));
+    let delays: Vec<u64> = (0..5)
+        .map(|_| match submit(&mut scheduler, ms(5_010), &mut rng) {
+            Some(Err(refusal)) => refusal.retry.expect("a retry delay").0 / 1_000,
+            other => panic!("not refused: {other:?}"),
+        })
+        .collect();
+    assert_eq!(delays, [190, 390, 590, 790, 190]);
+}
+
 #[test]
 fn endpoint_without_a_limit_takes_what_the_others_may_not() {
     let instance: InstanceId = name("i-0");
