--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -16,6 +16,8 @@
 
 /// Window of the rate limit that protects cold endpoints.
 const SEND_WINDOW: Span = Span::secs(1);
+/// Maximum number of seconds of which one is open to a gateway with a low rate limit.
+const MAX_TURNS: f64 = 100.0;
 /// Consecutive failures after which an endpoint is put in backoff.
 const FAILURE_THRESHOLD: u32 = 2;
 /// Initial backoff of a failing endpoint; each further failure doubles it.
@@ -100,8 +102,6 @@
     pub rate_limit: RateLimit,
     /// The place of this gateway among those that share the limit, if there is one.
     pub limit_rank: usize,
-    /// The place of this gateway among those with the same relation to the endpoint.
-    pub group_rank: usize,
     peer_load: InFlightLoad,
     peer_updated: Time,
     recent_sends: VecDeque<Time>,
@@ -124,7 +124,6 @@
             own_load: InFlightLoad::default(),
             rate_limit: RateLimit::default(),
             limit_rank: 0,
-            group_rank: 0,
             peer_load: InFlightLoad::default(),
             peer_updated: Time::default(),
             recent_sends: VecDeque::new(),
@@ -176,11 +175,22 @@
     }
 
     /// Returns whether one more request stays within `limit` requests per second.
-    pub fn allows_send(&mut self, now: Time, limit: f64) -> bool {
+    ///
+    /// A limit below one allows a single request in one of several seconds. Which one depends on
+    /// `salt`, which differs between gateways, so that not all of them send in the same second.
+    pub fn allows_send(&mut self, now: Time, limit: f64, salt: u32) -> bool {
+        if limit <= 0.0 {
+            return false;
+        }
+        let turns = (1.0 / limit).ceil().clamp(1.0, MAX_TURNS) as u64;
+        let turn = now.0 / SEND_WINDOW.0 + u64::from(salt ^ self.hash);
+        if !turn.is_multiple_of(turns) {
+            return false;
+        }
         while self.recent_sends.front().is_some_and(|at| *at + SEND_WINDOW < now) {
             self.recent_sends.pop_front();
         }
-        (self.recent_sends.len() as f64) < limit.floor()
+        (self.recent_sends.len() as f64) < limit.max(1.0).floor()
     }
 
     /// Returns the load caused by all gateways, as far as known here.
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 
 use super::{
-    cells::Relation,
+    cells::{Assignment, Relation},
     endpoint_state::{EndpointState, InFlightLoad},
     engine_model,
     scheduler::{PlacementRequest, SchedulerConfig, ServiceSpec},
@@ -88,77 +88,50 @@
     (u64::from(work) << 16) | u64::from(rng.random::<u16>())
 }
 
-/// The requests per second that one gateway may send to an endpoint.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct SendLimit {
-    /// The rate.
-    pub(super) rate: f64,
-    /// Whether only some of the gateways with the same relation may send at all.
-    selective: bool,
-}
-
-impl SendLimit {
-    const NONE: Self = Self { rate: f64::MAX, selective: false };
-
-    /// Returns the part of one of `gateways` gateways, given by its rank, in a rate.
-    ///
-    /// Where there is less than one request a second for each, some gateways have one, so that the
-    /// limit holds in every second.
-    fn share(rate: f64, gateways: f64, rank: usize) -> Self {
-        let part = rate / gateways.max(1.0);
-        match part >= 1.0 {
-            true => Self { rate: part.floor(), selective: false },
-            false => Self { rate: f64::from((rank as f64) < rate.floor()), selective: true },
-        }
-    }
-
-    /// Returns what the parts of all gateways add up to.
-    fn total(rate: f64, gateways: f64) -> f64 {
-        let part = rate / gateways.max(1.0);
-        if part >= 1.0 { part.floor() * gateways } else { rate.floor().min(gateways) }
-    }
-}
-
-/// Returns the limit on requests that this gateway may send to an endpoint.
+/// Returns the requests per second that this gateway may send to an endpoint.
 ///
-/// All gateways together then stay within the rate of a cold endpoint. The limit is permanent, as a
-/// gateway may not know that an endpoint is cold.
+/// All gateways together then stay within the rate of a cold endpoint, with limits below one a
+/// second only on average. The limit is permanent, as a gateway may not know that an endpoint is
+/// cold.
 pub(super) fn max_send_rate(
     config: &SchedulerConfig,
     spec: &ServiceSpec,
-    state: &EndpointState,
+    assignment: &Assignment,
     gateways: usize,
-) -> SendLimit {
-    let Some(rate) = spec.cold_rate else { return SendLimit::NONE };
+) -> f64 {
+    let Some(rate) = spec.cold_rate else { return f64::MAX };
     let all = (rate * config.cold_factor + config.cold_extra) * COLD_RATE_FRACTION;
-    let (assignment, rank) = (&state.assignment, state.group_rank);
     let mates = assignment.cell_gateways.saturating_sub(1) as f64;
     let outsiders = gateways.saturating_sub(assignment.cell_gateways) as f64;
     let shares = if outsiders == 0.0 { COLD_RATE_SHARES_ONE_CELL } else { COLD_RATE_SHARES };
-    let [mates_rate, outsiders_rate] = shares.map(|share| all * share);
+    let [mates_share, outsiders_share] = shares;
+    let mate = whole_rate(all * mates_share / mates.max(1.0));
+    let outsider = whole_rate(all * outsiders_share / outsiders.max(1.0));
     match assignment.relation {
-        Relation::Shared => SendLimit::share(all, gateways as f64, rank),
-        Relation::Primary => {
-            let others =
-                SendLimit::total(mates_rate, mates) + SendLimit::total(outsiders_rate, outsiders);
-            SendLimit { rate: all - others, selective: false }
-        }
-        Relation::Cell => SendLimit::share(mates_rate, mates, rank),
-        Relation::Outside => SendLimit::share(outsiders_rate, outsiders, rank),
+        Relation::Shared => (all / gateways as f64).max(1.0),
+        Relation::Primary => all - mate * mates - outsider * outsiders,
+        Relation::Cell => mate,
+        Relation::Outside => outsider,
     }
 }
 
+/// Returns the rate that a limit allows, which is a whole number of requests in one second, or one
+/// request in a whole number of seconds.
+fn whole_rate(limit: f64) -> f64 {
+    if limit >= 1.0 { limit.floor() } else { 1.0 / (1.0 / limit).ceil() }
+}
+
 /// Returns whether a request may be placed at an endpoint, which is sampled if it is one of
-/// `outside` endpoints of other cells; where a limit selects gateways, it does the same.
+/// `outside` endpoints of other cells; a rate limit below one a second selects few of them anyway.
 pub(super) fn is_sampled(
     state: &EndpointState,
-    send_limit: SendLimit,
+    send_limit: f64,
     outside: usize,
     rng: &mut impl Rng,
 ) -> bool {
     let outside = outside.max(1) as u32;
     state.assignment.relation != Relation::Outside
-        || send_limit.selective
+        || send_limit < 1.0
         || rng.random_ratio((OUTSIDE_SAMPLES as u32).min(outside), outside)
 }
 
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -232,16 +232,11 @@
         let keys: Vec<EndpointKey> = self.by_instance.values().copied().collect();
         let entries = keys.iter().map(|key| &self.endpoints[*key].endpoint.entry);
         let assignments = cells.assign(entries.map(|entry| (&entry.service, &entry.zone)));
-        let is_changed = self.set_cells(cells);
         for (key, assignment) in keys.into_iter().zip(assignments) {
-            let state = &mut self.endpoints[key];
-            if is_changed || state.assignment != assignment {
-                let zone = &state.endpoint.entry.zone;
-                state.group_rank = cells.group_rank(zone, &assignment, state.hash);
-                state.assignment = assignment;
-            }
+            self.endpoints[key].assignment = assignment;
         }
         self.outside = self.outside_counts();
+        self.set_cells(cells);
     }
 
     /// Returns the number of endpoints of each service that are outside the own cell.
@@ -391,10 +386,10 @@
         let outside = self.outside.get(&request.service).copied().unwrap_or(0);
         let min_version = self.min_version(now, request);
         let prefill_ms = prefill_ms(&spec, request.tokens.0);
-        let gateways = self.gateways;
+        let (gateways, salt) = (self.gateways, self.cells.salt());
         let mut best: Option<(u64, EndpointKey, u32)> = None;
         for (key, state) in &mut self.endpoints {
-            let send_limit = max_send_rate(&self.config, &spec, state, gateways);
+            let send_limit = max_send_rate(&self.config, &spec, &state.assignment, self.gateways);
             if !is_sampled(state, send_limit, outside, rng) {
                 continue;
             }
@@ -404,7 +399,7 @@
                 && load.requests < state.capacity(self.gateways);
             let usable = can_serve(state, request, min_version)
                 && state.is_available(now)
-                && state.allows_send(now, send_limit.rate)
+                && state.allows_send(now, send_limit, salt)
                 && state.next_turn(now, gateways).is_some_and(|(turn, _)| turn <= now);
             let tried = request.tried.contains(&key);
             if !has_room || !usable || tried || (request.healthy_only && !state.is_healthy()) {
--- a/crates/core/src/direct/scheduler/rate_limits.rs
+++ b/crates/core/src/direct/scheduler/rate_limits.rs
@@ -78,17 +78,16 @@
         self.endpoints.values().filter(|state| state.rate_limit.rate(now).is_some()).count()
     }
 
-    /// Sets the gateways that share the rate limits; returns whether they are other ones than before.
-    pub(super) fn set_cells(&mut self, cells: &Cells) -> bool {
-        let is_changed = self.cells != *cells;
-        if is_changed {
-            self.cells = cells.clone();
-            for state in self.endpoints.values_mut() {
-                let is_limited = state.rate_limit != Default::default();
-                rank_if_limited(&self.cells, state, is_limited);
-            }
+    /// Sets the gateways that share the rate limits.
+    pub(super) fn set_cells(&mut self, cells: &Cells) {
+        if self.cells == *cells {
+            return;
+        }
+        self.cells = cells.clone();
+        for state in self.endpoints.values_mut() {
+            let is_limited = state.rate_limit != Default::default();
+            rank_if_limited(&self.cells, state, is_limited);
         }
-        is_changed
     }
 
     /// Returns the refusal of a request that the rate limits of its endpoints leave no room for.
@@ -149,6 +148,6 @@
 /// Determines the place of this gateway among those that share the limit of an endpoint.
 fn rank_if_limited(cells: &Cells, state: &mut EndpointState, is_limited: bool) {
     if is_limited {
-        state.limit_rank = cells.rank(state.hash);
+        state.limit_rank = cells.rank(&state.endpoint.entry.instance);
     }
 }
