A gateway ranks itself for a rate limit once, not for each answer

The rank hashes the names of all gateways, 810 at the size to design for, and was computed for each answer with a limit though it changes with the set of gateways only.

--- a/crates/core/src/direct/scheduler/rate_limits.rs
+++ b/crates/core/src/direct/scheduler/rate_limits.rs
@@ -46,7 +46,7 @@
     ) -> bool {
         let Some(key) = self.by_instance.get(instance) else { return false };
         let state = &mut self.endpoints[*key];
-        rank_if_limited(&self.cells, state, rate.is_some());
+        rank_new_limit(&self.cells, now, state, rate);
         state.rate_limit.record(now, rate, state.limit_rank)
     }
 
@@ -60,7 +60,7 @@
         let changed = |report: &RateLimitReport| {
             let Some(key) = self.by_instance.get(&report.instance) else { return false };
             let state = &mut self.endpoints[*key];
-            rank_if_limited(&self.cells, state, report.rate.is_some());
+            rank_new_limit(&self.cells, now, state, report.rate);
             state.rate_limit.merge(now, report, state.limit_rank)
         };
         reports.into_iter().filter(changed).map(|report| (report.instance, report.rate)).collect()
@@ -84,9 +84,9 @@
             return;
         }
         self.cells = cells.clone();
-        for state in self.endpoints.values_mut() {
-            let is_limited = state.rate_limit != Default::default();
-            rank_if_limited(&self.cells, state, is_limited);
+        let limited = |state: &&mut EndpointState| state.rate_limit != Default::default();
+        for state in self.endpoints.values_mut().filter(limited) {
+            state.limit_rank = cells.rank(&state.endpoint.entry.instance);
         }
     }
 
@@ -145,9 +145,10 @@
     }
 }
 
-/// Determines the place of this gateway among those that share the limit of an endpoint.
-fn rank_if_limited(cells: &Cells, state: &mut EndpointState, is_limited: bool) {
-    if is_limited {
+/// Determines the place of this gateway among those that share a limit if none was in force before;
+/// [`Scheduler::set_cells`] keeps it current from then on.
+fn rank_new_limit(cells: &Cells, now: Time, state: &mut EndpointState, rate: Option<RequestRate>) {
+    if rate.is_some() && state.rate_limit.rate(now).is_none() {
         state.limit_rank = cells.rank(&state.endpoint.entry.instance);
     }
 }
