--- a/crates/core/src/direct/scheduler/rate_limits.rs
+++ b/crates/core/src/direct/scheduler/rate_limits.rs
@@ -99,15 +99,18 @@
         request: &PlacementRequest,
         allowance: Allowance,
     ) -> Refusal {
+        let ahead = self.queued_ahead(request, true) as u64;
         let queue = self.queues.entry(request.service.clone()).or_default();
         queue.refused += 1;
         let max_delay = max_retry_delay(now, request);
         let delay = match allowance.first {
             Some(first) => {
                 let interval = Span((1e6 / allowance.rate) as u64);
-                let turn = (now + first).max(queue.last_return + interval);
+                // The queued requests take the first turns.
+                let first = now + first + Span(interval.0 * ahead);
+                let turn = first.max(queue.last_return + interval);
                 // Later turns are out of reach, so the next callers start over.
-                let turn = if turn - now <= max_delay { turn } else { now + first };
+                let turn = if turn - now <= max_delay { turn } else { first };
                 queue.last_return = turn;
                 turn - now
             }
--- a/crates/core/tests/direct_rate_limit.rs
+++ b/crates/core/tests/direct_rate_limit.rs
@@ -244,7 +244,11 @@
     assert!(retry >= Span::millis(800) && retry <= Span::millis(900), "{retry}");
     // The next turn is near enough for one request, and for one only.
     assert!(submit(&mut scheduler, ms(5_960), &mut rng).is_none());
-    assert!(matches!(submit(&mut scheduler, ms(5_961), &mut rng), Some(Err(_))));
+    let Some(Err(refusal)) = submit(&mut scheduler, ms(5_961), &mut rng) else {
+        panic!("the turn is taken")
+    };
+    // The turn after that is out of reach, so the longest delay has the best chance.
+    assert!(refusal.retry >= Some(Span::millis(800)), "{refusal:?}");
     assert_eq!(scheduler.dispatch_queued(ms(6_001), &mut rng).len(), 1);
 }
 
