Reports of rate limits are bounded

A gateway told all others of each new rate, with an endpoint whose rate varies in every answer 149 datagrams a time, and its regular reports could reach 4 KB a second.

--- a/crates/core/src/direct/rate_limit.rs
+++ b/crates/core/src/direct/rate_limit.rs
@@ -36,6 +36,19 @@
     pub age: Span,
 }
 
+/// How an answer or a report changed what is known of a rate limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RateChange {
+    /// Not at all.
+    None,
+    /// There was no limit before.
+    Begun,
+    /// The limit is another one.
+    Adjusted,
+    /// There is no limit any more.
+    Lifted,
+}
+
 /// The rate limit of an endpoint, as known to one gateway.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RateLimit {
@@ -52,10 +65,10 @@
         self.rate.filter(|_| self.heard_at.is_some_and(|at| at + MAX_AGE > now))
     }
 
-    /// Records the rate that an answer at `heard_at` advertised; returns whether it is another one.
+    /// Records the rate that an answer at `heard_at` advertised.
     ///
     /// The turns of the gateways that share a new limit are spread by their `rank`.
-    pub fn record(&mut self, heard_at: Time, rate: Option<RequestRate>, rank: usize) -> bool {
+    pub fn record(&mut self, heard_at: Time, rate: Option<RequestRate>, rank: usize) -> RateChange {
         let known = self.rate(heard_at);
         if let (None, Some(rate)) = (known, rate) {
             self.first_turn = heard_at + interval(rate, rank + 1);
@@ -64,14 +77,19 @@
             self.heard_at = Some(heard_at);
         }
         self.rate = rate;
-        known != rate
+        match (known, rate) {
+            (None, Some(_)) => RateChange::Begun,
+            (Some(_), None) => RateChange::Lifted,
+            (known, rate) if known != rate => RateChange::Adjusted,
+            _ => RateChange::None,
+        }
     }
 
-    /// Merges the report of another gateway; returns whether the rate is another one.
-    pub fn merge(&mut self, now: Time, report: &RateLimitReport, rank: usize) -> bool {
+    /// Merges the report of another gateway.
+    pub fn merge(&mut self, now: Time, report: &RateLimitReport, rank: usize) -> RateChange {
         let heard_at = Time(now.0.saturating_sub(report.age.0));
         let is_newer = self.heard_at.is_none_or(|known| known + MIN_REPORT_GAIN < heard_at);
-        is_newer && self.record(heard_at, report.rate, rank)
+        if is_newer { self.record(heard_at, report.rate, rank) } else { RateChange::None }
     }
 
     /// Returns the report for other gateways, `None` if there is nothing to tell.
--- a/crates/core/src/direct/scheduler/rate_limits.rs
+++ b/crates/core/src/direct/scheduler/rate_limits.rs
@@ -6,7 +6,7 @@
         cells::Cells,
         endpoint_state::EndpointState,
         placement::{can_serve, max_retry_delay, retry_delay},
-        rate_limit::RateLimitReport,
+        rate_limit::{RateChange, RateLimitReport},
     },
     ids::InstanceId,
     refusal::{Reason, Refusal},
@@ -36,15 +36,14 @@
 }
 
 impl Scheduler {
-    /// Records the rate limit that an answer of an endpoint advertised, `None` if it advertised none;
-    /// returns whether that is new.
+    /// Records the rate limit that an answer of an endpoint advertised, `None` if it advertised none.
     pub fn record_rate_limit(
         &mut self,
         now: Time,
         instance: &InstanceId,
         rate: Option<RequestRate>,
-    ) -> bool {
-        let Some(key) = self.by_instance.get(instance) else { return false };
+    ) -> RateChange {
+        let Some(key) = self.by_instance.get(instance) else { return RateChange::None };
         let state = &mut self.endpoints[*key];
         rank_new_limit(&self.cells, now, state, rate);
         state.rate_limit.record(now, rate, state.limit_rank)
@@ -61,7 +60,7 @@
             let Some(key) = self.by_instance.get(&report.instance) else { return false };
             let state = &mut self.endpoints[*key];
             rank_new_limit(&self.cells, now, state, report.rate);
-            state.rate_limit.merge(now, report, state.limit_rank)
+            state.rate_limit.merge(now, report, state.limit_rank) != RateChange::None
         };
         reports.into_iter().filter(changed).map(|report| (report.instance, report.rate)).collect()
     }
--- a/crates/core/tests/direct_rate_limit.rs
+++ b/crates/core/tests/direct_rate_limit.rs
@@ -10,6 +10,7 @@
         cells::Cells,
         endpoint_state::AttemptOutcome,
         platform::PublishedValue,
+        rate_limit::RateChange,
         scheduler::{Decision, PlacementRequest, Scheduler, SchedulerConfig},
         view::View,
     },
@@ -196,14 +197,16 @@
     let instance: InstanceId = name("i-0");
     let mut all = schedulers(2, &view(1));
     let [sender, listener] = &mut all[..] else { panic!("two schedulers") };
-    assert!(sender.record_rate_limit(ms(1_000), &instance, rate("2")));
+    assert_eq!(sender.record_rate_limit(ms(1_000), &instance, rate("2")), RateChange::Begun);
+    assert_eq!(sender.record_rate_limit(ms(1_010), &instance, rate("2")), RateChange::None);
     let reports = sender.rate_limit_reports(ms(1_100));
     // The clock of the other process is another one.
     let changes = listener.merge_rate_limits(ms(9_100), reports.clone());
     assert_eq!(changes, [(instance.clone(), rate("2"))]);
     assert_eq!(listener.merge_rate_limits(ms(9_110), reports), []);
     assert_eq!(listener.rate_limited_endpoints(ms(9_200)), 1);
-    assert!(sender.record_rate_limit(ms(2_000), &instance, None));
+    assert_eq!(sender.record_rate_limit(ms(1_900), &instance, rate("3")), RateChange::Adjusted);
+    assert_eq!(sender.record_rate_limit(ms(2_000), &instance, None), RateChange::Lifted);
     let ended = sender.rate_limit_reports(ms(2_100));
     assert_eq!(listener.merge_rate_limits(ms(10_100), ended), [(instance, None)]);
     assert_eq!(listener.rate_limited_endpoints(ms(10_100)), 0);
--- a/crates/sequoiahold/src/gateway/rate_limits.rs
+++ b/crates/sequoiahold/src/gateway/rate_limits.rs
@@ -3,7 +3,11 @@
 use actix_http::StatusCode;
 use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use sequoiahold_core::{
-    direct::{membership::Role, platform::Codec, rate_limit::RateLimitReport},
+    direct::{
+        membership::Role,
+        platform::Codec,
+        rate_limit::{RateChange, RateLimitReport},
+    },
     ids::InstanceId,
     units::{RequestRate, Span},
 };
@@ -14,8 +18,8 @@
     node::Datagram,
 };
 
-/// Maximum total size of the reports in a datagram.
-const MAX_REPORT_BYTES: usize = 1_200;
+/// Maximum total size of the regular reports in a datagram; the others follow in later ones.
+const MAX_REPORT_BYTES: usize = 500;
 /// Estimated size of an encoded report without the name of the instance.
 const REPORT_BYTES: usize = 20;
 
@@ -42,12 +46,16 @@
         }
     };
     let now = gateway.node.now();
-    if !gateway.scheduler.borrow_mut().record_rate_limit(now, instance, rate) {
-        return;
+    let change = gateway.scheduler.borrow_mut().record_rate_limit(now, instance, rate);
+    if change != RateChange::None {
+        log_change(gateway, id, instance, rate);
+    }
+    // The regular reports are fast enough for another rate.
+    if matches!(change, RateChange::Begun | RateChange::Lifted) {
+        let report = RateLimitReport { instance: instance.clone(), rate, age: Span(0) };
+        let peers = gateway.node.peer_addrs(Role::Gateway);
+        gateway.node.send(peers, &Datagram::RateLimits(vec![report]));
     }
-    log_change(gateway, id, instance, rate);
-    let report = RateLimitReport { instance: instance.clone(), rate, age: Span(0) };
-    gateway.node.send(gateway.node.peer_addrs(Role::Gateway), &Datagram::RateLimits(vec![report]));
 }
 
 /// Applies the reports of another gateway.
