A request's log line has the version of its endpoint and the time since its successor

Callers saw requests begin on a replaced version at one gateway. Its log line had version 0, which means that the gateway saw no reason to bind the request, but not which dates it went by, and the lines of its start were no longer kept. The line now has the version that the endpoint was published with and for how long a newer one had been announced by this gateway's dates; the metric sequoiahold_version_announced_seconds has the dates themselves, so that those of all gateways can be compared. No decision changes.

--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -101,6 +101,10 @@
     pub addr: std::net::SocketAddr,
     /// The only version of the weights that may be used, `None` for any.
     pub version: Option<u64>,
+    /// The version of the requested model that the endpoint holds, as published.
+    pub held: Option<u64>,
+    /// When a newer version was announced, `None` while there is none or if the time is unknown.
+    pub replaced_at: Option<Time>,
     /// When the request is withdrawn unless it has begun, as its version is no longer valid then;
     /// `None` while no newer version is announced.
     pub begin_by: Option<Time>,
@@ -429,16 +433,18 @@
         let entry = &state.endpoint.entry;
         let loaded = request.model.as_ref().and_then(|model| state.endpoint.loaded_model(model));
         let loaded = loaded.map(|loaded| loaded.version);
-        let begin_by = loaded.and_then(|loaded| {
+        let replaced_for = |fraction| {
             let targets = self.targets.get(request.model.as_ref()?)?;
-            targets.replaced_for(loaded, self.config.rollout_span(WITHDRAW_FRACTION))
-        });
+            targets.replaced_for(loaded?, self.config.rollout_span(fraction))
+        };
         let grant = Grant {
             endpoint: key,
             instance: entry.instance.clone(),
             addr: entry.addr,
             version: min_version.map(|min| loaded.unwrap_or(min)),
-            begin_by,
+            held: loaded,
+            replaced_at: replaced_for(0.0),
+            begin_by: replaced_for(WITHDRAW_FRACTION),
             prefill_ms,
             first_ms,
             account: request.account.clone(),
--- a/crates/sequoiahold/src/gateway/metrics.rs
+++ b/crates/sequoiahold/src/gateway/metrics.rs
@@ -1,6 +1,6 @@
 //! Request counters and latency histograms of a gateway by route and by client account.
 
-use std::{cell::RefCell, collections::BTreeSet, rc::Rc};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::atomic::AtomicU64};
 
 use prometheus_client::{
     metrics::{
@@ -11,6 +11,7 @@
     },
     registry::Registry,
 };
+use sequoiahold_core::direct::view::AnnouncedVersion;
 
 /// Maximum number of client accounts with a label of their own, which bounds the number of series.
 const MAX_ACCOUNT_LABELS: usize = 24;
@@ -33,6 +34,7 @@
     sends: Family<Labels, Counter>,
     blocked_parts: Counter,
     limited_endpoints: Gauge,
+    announced_versions: Family<Labels, Gauge<f64, AtomicU64>>,
     account_labels: RefCell<BTreeSet<String>>,
 }
 
@@ -72,6 +74,12 @@
             "Endpoints that advertise a rate limit",
             limited_endpoints.clone(),
         );
+        let announced_versions = Family::default();
+        registry.register(
+            "version_announced_seconds",
+            "Unix time from which the rollout of a version counts, if it is known",
+            announced_versions.clone(),
+        );
         let registry = Rc::new(registry);
         let account_labels = RefCell::default();
         Self {
@@ -83,6 +91,7 @@
             sends,
             blocked_parts,
             limited_endpoints,
+            announced_versions,
             account_labels,
         }
     }
@@ -125,6 +134,21 @@
         self.limited_endpoints.set(endpoints as i64);
     }
 
+    /// Sets the versions with known times of announcement, in seconds since the Unix epoch.
+    pub(super) fn set_announced(
+        &self,
+        versions: impl IntoIterator<Item = (AnnouncedVersion, f64)>,
+    ) {
+        self.announced_versions.clear();
+        for (announced, seconds) in versions {
+            let labels = vec![
+                ("model", announced.model.to_string()),
+                ("version", announced.version.to_string()),
+            ];
+            self.announced_versions.get_or_create(&labels).set(seconds);
+        }
+    }
+
     fn account_label(&self, account: &str) -> String {
         let mut account_labels = self.account_labels.borrow_mut();
         if account_labels.contains(account) || account_labels.len() < MAX_ACCOUNT_LABELS {
--- a/crates/sequoiahold/src/gateway/record.rs
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -3,6 +3,7 @@
 use actix_rt::time::Instant;
 use sequoiahold_core::{
     direct::{platform::Codec, scheduler::Grant},
+    time::Time,
     units::Span,
 };
 
@@ -68,14 +69,20 @@
     predicted_ms: u32,
     /// The version of the weights that the last send was bound to, 0 for any.
     bound_version: u64,
+    /// The version that the endpoint of the last send held as published, 0 if it is unknown.
+    held_version: u64,
+    /// For how long a newer version had been announced at the last send, `None` if none was.
+    replaced: Option<Span>,
 }
 
 impl RequestRecord {
     /// Adds a slot that was granted to the request.
-    pub(super) fn add_grant(&mut self, grant: &Grant) {
+    pub(super) fn add_grant(&mut self, now: Time, grant: &Grant) {
         self.instances.push(grant.instance.to_string());
         self.predicted_ms = grant.first_ms;
         self.bound_version = grant.version.unwrap_or(0);
+        self.held_version = grant.held.unwrap_or(0);
+        self.replaced = grant.replaced_at.map(|at| now - at);
     }
 
     /// Writes the log line and updates the metrics.
@@ -95,6 +102,8 @@
             configuration = plan.config_version,
             endpoints = instances.as_str(),
             version = self.bound_version,
+            held = self.held_version,
+            replaced_ms = self.replaced.map_or(-1, |replaced| (replaced.0 / 1_000) as i64),
             parts = parts.as_str(),
             sends,
             waited_ms = self.waited.0 / 1_000,
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -159,7 +159,7 @@
     /// Makes one attempt at the endpoint of the slot and forwards the response.
     async fn send(&mut self, relay: &mut Relay<'_>, mut slot: SlotGuard<C>) -> NextStep {
         self.placement.tried.push(slot.grant.endpoint);
-        self.record.add_grant(&slot.grant);
+        self.record.add_grant(self.gateway.node.now(), &slot.grant);
         self.placement.healthy_only = true;
         self.sent_at = self.gateway.node.now();
         let response_timeout = self.attempt_timeout();
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -21,6 +21,7 @@
     ids::ServiceId,
     refusal::Refusal,
     time::Time,
+    units::Span,
 };
 use tokio::sync::{oneshot, watch};
 
@@ -186,6 +187,18 @@
         }
     }
 
+    /// Updates the metric of the announced versions.
+    fn record_announced(&self) {
+        let now = self.node.now();
+        let start = self.node.clock.incarnation().0 as f64 / 1e6;
+        let announced = self.node.view.borrow().announced_versions(now).into_iter();
+        let seconds = |age: Span| start + (now.0 as f64 - age.0 as f64) / 1e6;
+        self.metrics.set_announced(announced.map(|announced| {
+            let at = seconds(announced.age);
+            (announced, at)
+        }));
+    }
+
     /// Dispatches queued requests to free slots and notifies their tasks.
     pub(super) fn dispatch_queued(self: &Rc<Self>) {
         let now = self.node.now();
@@ -227,6 +240,7 @@
     while changes.changed().await.is_ok() {
         gateway.scheduler.borrow_mut().update(&gateway.node.view.borrow());
         gateway.scheduler.borrow_mut().assign(&gateway.cells.borrow());
+        gateway.record_announced();
         gateway.dispatch_queued();
     }
 }
