Test, failing: a restarted gateway sends to a version that was replaced twice

Callers saw requests begin on version 1 more than 8 s after version 2 was acknowledged, at a gateway that had just restarted. The test in the core has the same in the decisions alone: version 2 is due 5.9 s late.

--- a/crates/core/tests/direct_view.rs
+++ b/crates/core/tests/direct_view.rs
@@ -189,3 +189,19 @@
     assert_eq!(target.replaced_for(2, Span::secs(6)), Some(at(9_000)));
     assert_eq!(target.replaced_for(3, Span::secs(6)), None);
 }
+
+/// The read of a started process shows version 3 only, so that it dates version 3 alone.
+#[ignore = "known red: a version that was replaced before the start is dated by the start"]
+#[test]
+fn replaced_version_that_a_peer_tells_is_not_dated_by_the_start_of_the_process() {
+    let mut view = View::default();
+    view.apply(at(100), target(3), None);
+    let announced =
+        |version, secs| AnnouncedVersion { model: model(), version, age: Span::secs(secs) };
+    view.merge_announcement(at(200), Some(at(100)), announced(2, 5));
+    view.merge_announcement(at(200), Some(at(100)), announced(3, 3));
+    let target = view.target(&model()).expect("a version");
+    assert_eq!(target.min_usable(at(1_199), Span::secs(6)), None);
+    assert_eq!(target.min_usable(at(1_200), Span::secs(6)), Some(2));
+    assert_eq!(target.min_usable(at(3_200), Span::secs(6)), Some(3));
+}
--- a/crates/standins/src/hosted/cluster.rs
+++ b/crates/standins/src/hosted/cluster.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{Store, Worker, gateway_config, gateway_settings, loopback_addr, registry_entry};
-use crate::processes::{Process, program_path};
+use crate::processes::{Process, Signal, program_path};
 
 /// Time within which a gateway must be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
@@ -80,6 +80,16 @@
     /// Starts a cluster and waits until its gateways are ready; fails if an address cannot be bound
     /// or a gateway is not ready within 20 s.
     pub async fn start(gateways: usize, endpoints: usize) -> anyhow::Result<Self> {
+        Self::start_with(gateways, endpoints, |_| {}).await
+    }
+
+    /// Starts a cluster whose gateways have settings that `adjust` changes; fails as
+    /// [`Cluster::start`].
+    pub async fn start_with(
+        gateways: usize,
+        endpoints: usize,
+        adjust: impl Fn(&mut Value),
+    ) -> anyhow::Result<Self> {
         let dir = std::env::temp_dir().join(format!("cluster-{:016x}", random_id()));
         std::fs::create_dir_all(&dir)?;
         let platform = loopback_addr();
@@ -99,7 +109,8 @@
         let gateway = |(number, own): (usize, &SocketAddr)| {
             let (vm, callers, ready) =
                 (format!("gateway-{number}"), loopback_addr(), loopback_addr());
-            let settings = gateway_settings(&vm, *own, platform, &peers, callers, ready);
+            let mut settings = gateway_settings(&vm, *own, platform, &peers, callers, ready);
+            adjust(&mut settings);
             Gateway { vm, callers, ready, settings, process: RefCell::default() }
         };
         let gateways = peers.iter().enumerate().map(gateway).collect();
@@ -124,6 +135,13 @@
         Ok(())
     }
 
+    /// Signals a gateway's process if it runs.
+    pub fn signal(&self, number: usize, signal: Signal) {
+        if let Some(process) = self.gateways[number].process.borrow().as_ref() {
+            process.signal(signal);
+        }
+    }
+
     /// Waits until a gateway is ready; fails after 20 s.
     pub async fn wait_ready(&self, number: usize) -> anyhow::Result<()> {
         let request = "GET /-/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
