Processes tell each other of versions whose time of announcement is unknown

Callers would see requests begin on version 1 long after version 2 was acknowledged: where all gateways restarted after version 2, none knows its time, and each rightly uses nothing older. When version 3 follows, one that starts then was told the age of version 3 only, took it for the first after version 1, and used version 1 for the rollout time of version 3.

A process that knows all since the version before ignores it, as its own dates already cover it.

--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -31,6 +31,9 @@
 /// Time for which a removed endpoint is remembered, longer than a restored state is old.
 const REMOVED_MEMORY: Span = Span::secs(60);
 
+/// Age told of versions whose time of announcement is unknown; above that of any other.
+const UNKNOWN_AGE: Span = Span(1 << 62);
+
 /// Maximum number of announced versions kept per model.
 const MAX_VERSIONS: usize = 8;
 
@@ -59,13 +62,22 @@
     pub model: ModelId,
     /// The version.
     pub version: u64,
-    /// The time since its announcement.
+    /// The time since its announcement, years if that is unknown.
     pub age: Span,
 }
 
+impl AnnouncedVersion {
+    /// Returns the time since the announcement, `None` if it is unknown.
+    pub fn known_age(&self) -> Option<Span> {
+        Some(self.age).filter(|age| *age < UNKNOWN_AGE)
+    }
+}
+
 /// The recently announced versions of a model and when they were announced.
 ///
-/// A newer version does not extend the time within which an older one must be in use.
+/// A newer version does not extend the time within which an older one must be in use. A process
+/// that saw each version, or was told of all by one that did, knows the time of the oldest one here;
+/// otherwise that time is unknown, and versions before it have been replaced.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct TargetVersions {
     announced: BTreeMap<u64, AnnouncedAt>,
@@ -107,6 +119,11 @@
         self.announced.iter().rev().find(is_due).map(|(version, _)| *version)
     }
 
+    /// Returns whether the time of the oldest version here is known.
+    fn is_complete(&self) -> bool {
+        self.announced.values().next().is_some_and(|at| *at != AnnouncedAt::Unknown)
+    }
+
     /// Sets the time of an announcement unless it is known; returns whether anything changed.
     fn announce(&mut self, version: u64, at: AnnouncedAt) -> bool {
         let known = self.announced.insert(version, at);
@@ -173,15 +190,17 @@
         self.targets.iter()
     }
 
-    /// Returns the announced versions with known times, for peers.
+    /// Returns the announced versions, for peers.
     pub fn announced_versions(&self, now: Time) -> Vec<AnnouncedVersion> {
         let ages = |(model, versions): (&ModelId, &TargetVersions)| {
             let age = |(version, at): (&u64, &AnnouncedAt)| {
-                let AnnouncedAt::Known(at) = at else { return None };
-                let age = Span((now.0 as i64 - at).max(0) as u64);
-                Some(AnnouncedVersion { model: model.clone(), version: *version, age })
+                let age = match at {
+                    AnnouncedAt::Known(at) => Span((now.0 as i64 - at).max(0) as u64),
+                    AnnouncedAt::Unknown => UNKNOWN_AGE,
+                };
+                AnnouncedVersion { model: model.clone(), version: *version, age }
             };
-            versions.announced.iter().filter_map(age).collect::<Vec<AnnouncedVersion>>()
+            versions.announced.iter().map(age).collect::<Vec<AnnouncedVersion>>()
         };
         self.targets.iter().flat_map(ages).collect()
     }
@@ -197,11 +216,15 @@
         earliest: Option<Time>,
         announced: AnnouncedVersion,
     ) -> bool {
-        let told = sent.0 as i64 - announced.age.0 as i64;
+        let told = announced.known_age().map(|age| sent.0 as i64 - age.0 as i64);
         let versions = self.targets.entry(announced.model).or_default();
-        let earliest = earliest.filter(|_| announced.version > versions.newest());
-        let at = earliest.map_or(told, |earliest| told.max(earliest.0 as i64));
-        versions.announce(announced.version, AnnouncedAt::Known(at))
+        let is_newest = announced.version > versions.newest();
+        if told.is_none() && !is_newest && versions.is_complete() {
+            return false;
+        }
+        let earliest = earliest.filter(|_| is_newest).map(|earliest| earliest.0 as i64);
+        let at = told.max(earliest).map_or(AnnouncedAt::Unknown, AnnouncedAt::Known);
+        versions.announce(announced.version, at)
     }
 
     /// Records that the platform answers again after an outage.
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -21,7 +21,6 @@
     ids::ServiceId,
     refusal::Refusal,
     time::Time,
-    units::Span,
 };
 use tokio::sync::{oneshot, watch};
 
@@ -192,10 +191,10 @@
         let now = self.node.now();
         let start = self.node.clock.incarnation().0 as f64 / 1e6;
         let announced = self.node.view.borrow().announced_versions(now).into_iter();
-        let seconds = |age: Span| start + (now.0 as f64 - age.0 as f64) / 1e6;
-        self.metrics.set_announced(announced.map(|announced| {
-            let at = seconds(announced.age);
-            (announced, at)
+        self.metrics.set_announced(announced.filter_map(|announced| {
+            let age = announced.known_age()?;
+            let at = start + (now.0 as f64 - age.0 as f64) / 1e6;
+            Some((announced, at))
         }));
     }
 
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -261,7 +261,8 @@
     fn log_announced(&self, model: &ModelId, version: u64) {
         let announced = self.view.borrow().announced_versions(self.now());
         let mut ages = announced.iter().filter(|a| a.model == *model && a.version == version);
-        let age_ms = ages.next().map_or(-1, |announced| (announced.age.0 / 1_000) as i64);
+        let age = ages.next().and_then(AnnouncedVersion::known_age);
+        let age_ms = age.map_or(-1, |age| (age.0 / 1_000) as i64);
         log::info!(model = model.as_str(), version, age_ms; "version announced");
     }
 
