A version still counts from its first successor when many have followed

Callers could see requests begin on a version after its rollout time: only the last 8 versions are kept, and when the ninth came, the first successor was forgotten and the second one's later time taken.

direct_view: with versions 2 to 19 published 0.1 s apart, version 1 was valid until 7.2 s for 6.2 s before, 6.2 s now. The next version inherits the time of the one that is dropped.

--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -131,8 +131,13 @@
         if let Some(dated) = dated {
             self.announced.insert(version, dated);
         }
-        while self.announced.len() > MAX_VERSIONS {
-            self.announced.pop_first();
+        while self.announced.len() > MAX_VERSIONS
+            && let Some((_, oldest)) = self.announced.pop_first()
+        {
+            // The next one replaces what the dropped one did, and since then.
+            if let Some(mut next) = self.announced.first_entry() {
+                next.insert(oldest);
+            }
         }
         dated.is_none() && known != Some(at)
     }
--- a/crates/core/tests/direct_view.rs
+++ b/crates/core/tests/direct_view.rs
@@ -244,3 +244,16 @@
     assert_eq!(target.min_usable(at(6_499), Span::secs(6)), None);
     assert_eq!(target.min_usable(at(6_500), Span::secs(6)), Some(3));
 }
+
+/// More versions than are kept, published within the rollout time of the first.
+#[test]
+fn version_counts_from_its_first_successor_however_many_follow() {
+    let mut view = View::default();
+    for version in 2..20 {
+        let published = at(version * 100);
+        view.apply(published, target(version), Some(published));
+    }
+    let target = view.target(&model()).expect("a version");
+    assert_eq!(target.replaced_for(1, Span::secs(6)), Some(at(6_200)));
+    assert!(target.min_usable(at(6_200), Span::secs(6)) > Some(1));
+}
