Test, failing: a restored state dates the versions that it lost

Callers would see requests begin on version 1 after the rollout time of version 2, at a gateway that started after the platform had restored its state from a copy without version 2. Its peer tells it the age of version 2, 2.6 s, but the gateway has read the restored state by then and takes that read for proof that version 2 is newer: its log has an age of 4 ms. View::merge_announcement uses the bound for versions above the newest known one; a restored state is the exception.

Whether the users' rule counts from the first announcement where the platform lost it is open: counted from the restore, 2 s later, none is late.

--- /dev/null
+++ b/crates/standins/tests/process_version_ages.rs
@@ -0,0 +1,72 @@
+//! Real gateways that learn late, or from others, when a version was announced.
+
+use std::time::{Duration, Instant};
+
+use sequoiahold_standins::{
+    hosted::{Cluster, registry_entry, request},
+    processes::Signal,
+};
+use serde_json::json;
+
+/// Time within which an announced version must be in use.
+const ROLLOUT: Duration = Duration::from_secs(8);
+/// Time within which a gateway in contact with its peers must know what they know.
+const LEARN_TIME: Duration = Duration::from_secs(2);
+
+fn model_request(method: &str, path: &str) -> String {
+    request(method, path, "key-1").replacen("\r\n", "\r\nModel: m\r\n", 1)
+}
+
+/// Starts gateways before an endpoint that holds version 1 of a model.
+async fn start(gateways: usize, rollout: Duration) -> Cluster {
+    let adjust = |settings: &mut serde_json::Value| {
+        settings["node"]["bounds"]["version"] = json!(format!("{}s", rollout.as_secs()));
+    };
+    let cluster = Cluster::start_with(gateways, 1, adjust).await.expect("a cluster");
+    let mut entry = registry_entry(cluster.addrs[0], "ready");
+    entry["models"] = json!([{ "name": "m", "version": 1, "adapters": [] }]);
+    cluster.store.put("servers/i-0", Some(entry));
+    announce(&cluster, 1);
+    for number in 0..gateways {
+        assert!(serves(&cluster, number).await, "gateway {number} does not serve the version");
+    }
+    cluster
+}
+
+fn announce(cluster: &Cluster, version: u64) {
+    cluster.store.put("op/version/m", Some(json!({ "model": "m", "version": version })));
+}
+
+/// Returns whether a gateway serves the version of the endpoint soon.
+async fn serves(cluster: &Cluster, number: usize) -> bool {
+    let read = model_request("GET", "/read/1");
+    cluster.wait_until(LEARN_TIME, async || cluster.call(number, &read).await.status == 200).await
+}
+
+/// The restored state has version 1, which says nothing of when version 2 was announced; operators
+/// write it again.
+#[ignore = "known red: the read of a restored state dates versions that it lost"]
+#[actix_rt::test]
+async fn gateway_started_after_a_restore_does_not_date_a_lost_version_by_its_start() {
+    let cluster = start(2, ROLLOUT / 2).await;
+    let copy = cluster.store.copy();
+    announce(&cluster, 2);
+    let announced = Instant::now();
+    actix_rt::time::sleep(ROLLOUT / 4).await;
+    cluster.signal(0, Signal::Stop);
+    cluster.store.restore(&copy);
+    cluster.start_gateway(1).expect("a gateway");
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    cluster.signal(0, Signal::Continue);
+    cluster.wait_ready(1).await.expect("a gateway");
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    announce(&cluster, 2);
+    actix_rt::time::sleep((ROLLOUT / 2).saturating_sub(announced.elapsed())).await;
+    let before = cluster.workers[0].requests().len();
+    while announced.elapsed() < ROLLOUT / 2 + LEARN_TIME {
+        cluster.call(1, &model_request("GET", "/read/1")).await;
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    let late = cluster.workers[0].requests().len() - before;
+    assert_eq!(late, 0, "requests ran on the old version after the rollout time");
+}
