Test, failing at times: a pause dates a version that a peer knows better

Callers are refused by a gateway that stood still: a version announced 0.5 s before the end of a pause of 4.5 s is dated by its start, as the gateway's own watch or a datagram that waited brings it before a peer tells its age, and a date is never corrected. No request runs too late by it; it costs service for as long as the pause.

--- a/crates/standins/tests/process_version_ages.rs
+++ b/crates/standins/tests/process_version_ages.rs
@@ -65,6 +65,20 @@
     assert_eq!(served, [true, true], "a started gateway refuses a version that is still valid");
 }
 
+/// The version is announced half a second before the end of the pause; its peer knows that.
+#[ignore = "known red: a date of the own pause is kept where a peer knows a later one"]
+#[actix_rt::test]
+async fn gateway_that_stood_still_does_not_date_a_version_by_the_start_of_its_pause() {
+    let cluster = start(2, ROLLOUT / 2).await;
+    cluster.signal(1, Signal::Stop);
+    actix_rt::time::sleep(ROLLOUT / 2).await;
+    announce(&cluster, 2);
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    cluster.signal(1, Signal::Continue);
+    assert!(serves(&cluster, 0).await, "the old version is no longer used");
+    assert!(serves(&cluster, 1).await, "a gateway refuses a version that is still valid");
+}
+
 /// The version is announced while the request already waits at the endpoint.
 #[ignore = "known red: a request in progress gets no time to begin by"]
 #[actix_rt::test]
