Test, failing: only the time of the next version is looked at

A request that waits at an endpoint would be withdrawn too late where the next version has a later time than the one after it. min_usable looks at all newer versions, replaced_for and rollout_start at the next one only. Such times come from a process of the release before that is told of a version of unknown time: it takes its own last read instead and tells that on (by reading, not run with that release).

--- a/crates/core/tests/direct_view_ages.rs
+++ b/crates/core/tests/direct_view_ages.rs
@@ -74,3 +74,16 @@
     view.merge_announcement(now, freshness.earliest_change(), announced);
     assert_eq!(min_usable(&view, now), Some(2));
 }
+
+/// A process of the release before tells a time for version 2 that is later than that of version 3.
+#[ignore = "known red: only the time of the next version is looked at"]
+#[test]
+fn version_is_replaced_by_whichever_newer_one_was_announced_first() {
+    let mut view = View::default();
+    let announced =
+        |version, secs| AnnouncedVersion { model: model(), version, age: Span::secs(secs) };
+    view.merge_announcement(at(5_000), None, announced(3, 4));
+    view.merge_announcement(at(5_000), None, announced(2, 1));
+    let target = view.target(&model()).expect("a version");
+    assert_eq!(target.replaced_for(1, USABLE), Some(at(7_000)));
+}
