An age of a version that a peer tells is not cut by the own last read

Callers would see requests begin on version 1 after the rollout time of version 2 in two more cases, found by the review:

- A gateway starts after the platform restored its state from a copy without version 2.

Now a told age is taken as it is, and the own bound only where the peer tells no age.

--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -215,8 +215,8 @@
     /// Merges a version announcement that a peer sent at `sent` or later; returns whether anything
     /// changed.
     ///
-    /// A version newer than those known here was not published before `earliest`. An older one may
-    /// have been: the published state has the newest version only.
+    /// A told age holds: that a version is missing in what this process read before `earliest` proves
+    /// nothing where it was replaced by then, or lost as the platform restored its state.
     pub fn merge_announcement(
         &mut self,
         sent: Time,
@@ -230,7 +230,7 @@
             return false;
         }
         let earliest = earliest.filter(|_| is_newest).map(|earliest| earliest.0 as i64);
-        let at = told.max(earliest).map_or(AnnouncedAt::Unknown, AnnouncedAt::Known);
+        let at = told.or(earliest).map_or(AnnouncedAt::Unknown, AnnouncedAt::Known);
         versions.announce(announced.version, at)
     }
 
