A version counts from whichever newer one was announced first

A request that waits at an endpoint would be withdrawn too late where the next version has a later time than the one after it: min_usable looks at all newer versions, replaced_for and rollout_start looked at the next one only. Such times come from processes that date by what they know themselves, and, by reading, from the release before beside this one. Found by the review.

direct_view_ages: replaced_for gave 10 s for 7 s before, 7 s now.

--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -92,9 +92,8 @@
     /// Returns when the first version after `current` was announced, which is the next one due; the
     /// start of the process where that is unknown.
     pub fn rollout_start(&self, current: Option<u64>) -> Time {
-        let mut newer = self.announced.iter().filter(|(version, _)| Some(**version) > current);
-        match newer.next() {
-            Some((_, AnnouncedAt::Known(at))) => Time(u64::try_from(*at).unwrap_or(0)),
+        match self.first_after(current) {
+            Some(AnnouncedAt::Known(at)) => Time(u64::try_from(at).unwrap_or(0)),
             _ => Time::default(),
         }
     }
@@ -102,13 +101,19 @@
     /// Returns when `current` has been replaced for `after`, `None` if no newer version is announced
     /// or its time is unknown.
     pub fn replaced_for(&self, current: u64, after: Span) -> Option<Time> {
-        let mut newer = self.announced.iter().filter(|(version, _)| **version > current);
-        match newer.next()? {
-            (_, AnnouncedAt::Known(at)) => u64::try_from(at + after.0 as i64).ok().map(Time),
-            (_, AnnouncedAt::Unknown) => None,
+        match self.first_after(Some(current))? {
+            AnnouncedAt::Known(at) => u64::try_from(at + after.0 as i64).ok().map(Time),
+            AnnouncedAt::Unknown => None,
         }
     }
 
+    /// Returns when the first version after `current` was announced; the times of several, told by
+    /// different processes, need not rise with the versions.
+    fn first_after(&self, current: Option<u64>) -> Option<AnnouncedAt> {
+        let newer = self.announced.iter().filter(|(version, _)| Some(**version) > current);
+        newer.map(|(_, at)| *at).min()
+    }
+
     /// Returns the newest version that was announced at least `after` ago; older ones may no longer
     /// be used.
     pub fn min_usable(&self, now: Time, after: Span) -> Option<u64> {
--- a/crates/core/tests/direct_view_ages.rs
+++ b/crates/core/tests/direct_view_ages.rs
@@ -99,7 +99,6 @@
 }
 
 /// A process of the release before tells a time for version 2 that is later than that of version 3.
-#[ignore = "known red: only the time of the next version is looked at"]
 #[test]
 fn version_is_replaced_by_whichever_newer_one_was_announced_first() {
     let mut view = View::default();
