--- a/crates/core/src/direct/platform.rs
+++ b/crates/core/src/direct/platform.rs
@@ -41,6 +41,8 @@
     pub version: &'static str,
     /// The requests per second that the endpoint takes from all gateways together.
     pub rate_limit: &'static str,
+    /// Set to 1 on all answers of an endpoint that leaves.
+    pub leaving: &'static str,
     /// The number of times that the platform restored its state from a copy.
     pub era: &'static str,
 }
