One state of the causes for which an endpoint gets no requests

Backoff after failures and full answers, the flag of misdirected endpoints and the notice that an engine loads were four fields with the same comparison. They are causes with an end now.

--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use super::{
+    availability::{Availability, Cause},
     cells::{Assignment, Relation},
     load_exchange::LocalLoad,
     rate_limit::RateLimit,
@@ -106,9 +107,7 @@
     peer_updated: Time,
     recent_sends: VecDeque<Time>,
     failure_streak: u32,
-    backoff_until: Time,
-    misdirected: bool,
-    paused_until: Time,
+    availability: Availability,
     last_send: Option<Time>,
 }
 
@@ -128,9 +127,7 @@
             peer_updated: Time::default(),
             recent_sends: VecDeque::new(),
             failure_streak: 0,
-            backoff_until: Time::default(),
-            misdirected: false,
-            paused_until: Time::default(),
+            availability: Availability::default(),
             last_send: None,
         }
     }
@@ -142,11 +139,12 @@
         let restarted = self.endpoint.entry.started_ms != endpoint.entry.started_ms
             || self.endpoint.entry.addr != endpoint.entry.addr;
         if self.endpoint.entry != endpoint.entry {
-            self.misdirected = false;
+            self.availability.clear(Cause::Misdirected);
         }
         if restarted {
             self.failure_streak = 0;
-            self.backoff_until = Time::default();
+            self.availability.clear(Cause::Failing);
+            self.availability.clear(Cause::Full);
             self.rate_limit = RateLimit::default();
         }
         self.endpoint = endpoint;
@@ -154,13 +152,12 @@
 
     /// Returns whether the endpoint accepts requests now, regardless of its load.
     pub fn is_available(&self, now: Time) -> bool {
-        let unavailable = self.backoff_until > now || self.paused_until > now;
-        !self.misdirected && !self.endpoint.entry.leaving && !unavailable
+        !self.endpoint.entry.leaving && self.availability.is_available(now)
     }
 
-    /// Makes the endpoint unavailable until the given time.
-    pub fn pause_until(&mut self, until: Time) {
-        self.paused_until = until;
+    /// Records that the endpoint's engine loads weights until the given time.
+    pub fn set_loading(&mut self, until: Time) {
+        self.availability.set(Cause::Loading, Some(until));
     }
 
     /// Returns from when on this gateway, one of `gateways`, may send a request within the rate limit,
@@ -252,8 +249,8 @@
         match outcome {
             AttemptOutcome::Answered => self.failure_streak = 0,
             AttemptOutcome::Dropped => {}
-            AttemptOutcome::Full => self.backoff_until = self.backoff_until.max(now + FULL_BACKOFF),
-            AttemptOutcome::Misdirected => self.misdirected = true,
+            AttemptOutcome::Full => self.availability.extend(Cause::Full, now + FULL_BACKOFF),
+            AttemptOutcome::Misdirected => self.availability.set(Cause::Misdirected, None),
             AttemptOutcome::Failed => self.record_failure(now),
         }
     }
@@ -262,7 +259,8 @@
         self.failure_streak += 1;
         if self.failure_streak >= FAILURE_THRESHOLD {
             let doublings = (self.failure_streak - FAILURE_THRESHOLD).min(3);
-            self.backoff_until = now + Span(BACKOFF.0 << doublings).min(MAX_BACKOFF);
+            let backoff = Span(BACKOFF.0 << doublings).min(MAX_BACKOFF);
+            self.availability.set(Cause::Failing, Some(now + backoff));
         }
     }
 }
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -261,7 +261,7 @@
     /// Sends no new requests to an endpoint until the given time.
     pub fn pause_endpoint(&mut self, instance: &InstanceId, until: Time) {
         if let Some(key) = self.by_instance.get(instance) {
-            self.endpoints[*key].pause_until(until);
+            self.endpoints[*key].set_loading(until);
         }
     }
 
