Endpoints that ask for a pause get no requests until it ends

What callers saw: an endpoint that turned requests away with 503 and Retry-After was asked again 120 ms later, whatever time it named, so callers lost attempts and the retry budget at endpoints that wanted nothing.

Cause: the header of an endpoint's answer was never read.

Change: the pause is kept by instance and start in the scheduler, where it outlasts the published list. It is never shortened. After a pause a gateway starts up to 0.3 s later than others, with one request in progress, and takes its normal share 0.7 s later. A request whose endpoints all pause or load for longer than it may be queued is refused at once, also from the queue, with the end of the first pause as its time to return, spread over callers.

--- a/crates/core/src/direct/availability.rs
+++ b/crates/core/src/direct/availability.rs
@@ -16,11 +16,25 @@
     Loading,
     /// Its address serves another instance, or it holds other weights.
     Misdirected,
+    /// It asked for a pause.
+    Pause,
 }
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 4] = [Self::Failing, Self::Full, Self::Loading, Self::Misdirected];
+    pub const ALL: [Self; 5] =
+        [Self::Failing, Self::Full, Self::Loading, Self::Misdirected, Self::Pause];
+
+    /// Returns the name for logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Failing => "failing",
+            Self::Full => "full",
+            Self::Loading => "loading",
+            Self::Misdirected => "misdirected",
+            Self::Pause => "pause",
+        }
+    }
 }
 
 /// The causes in force at an endpoint.
@@ -43,6 +57,11 @@
         in_force.map(|(cause, end)| (cause, Some(end).filter(|end| *end != UNKNOWN_END)))
     }
 
+    /// Returns when a cause ends or has ended, `None` if it was not in force.
+    pub fn end(&self, cause: Cause) -> Option<Time> {
+        Some(self.ends[cause as usize]).filter(|end| *end > Time::default())
+    }
+
     /// Puts a cause in force until the given time, `None` until something else is known.
     pub fn set(&mut self, cause: Cause, end: Option<Time>) {
         self.ends[cause as usize] = end.unwrap_or(UNKNOWN_END);
--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -33,6 +33,8 @@
 /// Divisor of an endpoint's slots that gives the share reserved for its cell: what others know of
 /// its load is older still.
 const CELL_SLOT_DIVISOR: u32 = 4;
+/// Time after a pause within which the requests in progress grow from one to all slots.
+const RETURN_RAMP: Span = Span::millis(700);
 /// Age after which the load reported by peers is ignored.
 const PEER_LOAD_TTL: Span = Span::millis(1_500);
 
@@ -145,6 +147,7 @@
             self.failure_streak = 0;
             self.availability.clear(Cause::Failing);
             self.availability.clear(Cause::Full);
+            self.availability.clear(Cause::Pause);
             self.rate_limit = RateLimit::default();
         }
         self.endpoint = endpoint;
@@ -160,6 +163,35 @@
         self.availability.set(Cause::Loading, Some(until));
     }
 
+    /// Records until when the endpoint pauses or has paused, `None` if it did not.
+    pub fn set_pause(&mut self, until: Option<Time>) {
+        match until {
+            Some(until) => self.availability.set(Cause::Pause, Some(until)),
+            None => self.availability.clear(Cause::Pause),
+        }
+    }
+
+    /// Returns the causes for which the endpoint gets no requests, with their ends where known.
+    pub fn causes(&self, now: Time) -> impl Iterator<Item = (Cause, Option<Time>)> {
+        self.availability.causes(now)
+    }
+
+    /// Returns until when the endpoint is known to take no requests, as it pauses or loads weights.
+    pub fn known_end(&self) -> Time {
+        let end = |cause| self.availability.end(cause).unwrap_or_default();
+        end(Cause::Pause).max(end(Cause::Loading))
+    }
+
+    /// Returns whether this gateway may have one more request in progress, as it returns slowly
+    /// after a pause.
+    pub fn allows_return(&self, now: Time) -> bool {
+        let Some(end) = self.availability.end(Cause::Pause) else { return true };
+        let elapsed = now - end;
+        let slots = u64::from(self.endpoint.entry.slots.max(1));
+        elapsed >= RETURN_RAMP
+            || u64::from(self.own_load.requests) <= slots * elapsed.0 / RETURN_RAMP.0
+    }
+
     /// Returns from when on this gateway, one of `gateways`, may send a request within the rate limit,
     /// with the interval to the next one; `None` if it has no part of the limit.
     pub fn next_turn(&self, now: Time, gateways: usize) -> Option<(Time, Span)> {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -3,6 +3,7 @@
 pub mod availability;
 pub mod catalog;
 pub mod cells;
+pub mod endpoint_notices;
 pub mod endpoint_state;
 pub mod engine_model;
 pub mod event_splitter;
@@ -12,6 +13,7 @@
 pub mod membership;
 pub mod mirror;
 pub mod part_suspects;
+pub mod pause;
 mod placement;
 pub mod platform;
 pub mod rate_limit;
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -1,5 +1,6 @@
 //! Dispatches requests to endpoints, queues them or refuses them.
 
+mod notices;
 mod rate_limits;
 
 use std::{
@@ -14,6 +15,7 @@
 use super::{
     catalog::{Catalog, EngineSpec},
     cells::{Cells, Relation},
+    endpoint_notices::EndpointNotices,
     endpoint_state::{AttemptOutcome, EndpointState, InFlightLoad},
     load_exchange::LocalLoad,
     placement::{
@@ -99,6 +101,8 @@
     pub instance: InstanceId,
     /// Its address.
     pub addr: std::net::SocketAddr,
+    /// Its start in ms of the wall clock, if it is published.
+    pub started_ms: Option<u64>,
     /// The only version of the weights that may be used, `None` for any.
     pub version: Option<u64>,
     /// When the request is withdrawn unless it has begun, as its version is no longer valid then;
@@ -146,6 +150,7 @@
     gateways: usize,
     outside: BTreeMap<ServiceId, usize>,
     cells: Cells,
+    notices: EndpointNotices,
 }
 
 /// The published properties of a service that placement depends on.
@@ -168,6 +173,7 @@
             gateways: 1,
             outside: BTreeMap::new(),
             cells: Cells::default(),
+            notices: EndpointNotices::default(),
         }
     }
 
@@ -225,6 +231,7 @@
                 }
             }
         }
+        self.apply_notices();
     }
 
     /// Assigns the endpoints to the cells of the gateways.
@@ -258,13 +265,6 @@
         }
     }
 
-    /// Sends no new requests to an endpoint until the given time.
-    pub fn pause_endpoint(&mut self, instance: &InstanceId, until: Time) {
-        if let Some(key) = self.by_instance.get(instance) {
-            self.endpoints[*key].set_loading(until);
-        }
-    }
-
     /// Places a new request, queues it or refuses it.
     pub fn submit(&mut self, now: Time, request: PlacementRequest, rng: &mut impl Rng) -> Decision {
         let no_queue =
@@ -280,6 +280,9 @@
                 let delay = max_retry_delay(now, &request);
                 return Decision::Refuse(Refusal::retry_after(Reason::NoEndpoint, delay));
             }
+            Outlook::Unavailable(end) => {
+                return Decision::Refuse(self.unavailable_refusal(now, &request, end));
+            }
             Outlook::Unlimited => self.estimate_wait(now, &request, late),
             Outlook::Limited(allowance) => {
                 if self.queued_ahead(&request, late) >= allowance.requests {
@@ -367,11 +370,13 @@
             let request =
                 self.queues.get(service).and_then(|queue| queue.waiting.get(ticket)).cloned();
             let Some(request) = request else { continue };
-            let Some(grant) = self.try_place(now, &request, rng) else { continue };
+            let placed = self.try_place(now, &request, rng).map(Ok);
+            let refused = || self.known_refusal(now, &request, ticket).map(Err);
+            let Some(result) = placed.or_else(refused) else { continue };
             if let Some(queue) = self.queues.get_mut(service) {
                 queue.waiting.remove(ticket);
             }
-            decided.push((service.clone(), ticket, Ok(grant)));
+            decided.push((service.clone(), ticket, result));
         }
     }
 
@@ -399,6 +404,7 @@
                 && load.requests < state.capacity(self.gateways);
             let usable = can_serve(state, request, min_version)
                 && state.is_available(now)
+                && state.allows_return(now)
                 && state.allows_send(now, send_limit, salt)
                 && state.next_turn(now, gateways).is_some_and(|(turn, _)| turn <= now);
             let tried = request.tried.contains(&key);
@@ -437,6 +443,7 @@
             endpoint: key,
             instance: entry.instance.clone(),
             addr: entry.addr,
+            started_ms: entry.started_ms,
             version: min_version.map(|min| loaded.unwrap_or(min)),
             begin_by,
             prefill_ms,
--- /dev/null
+++ b/crates/core/src/direct/scheduler/notices.rs
@@ -0,0 +1,126 @@
+//! What endpoints say of themselves, applied to their state.
+
+use super::{Grant, PlacementRequest, Scheduler, rate_limits::Outlook};
+use crate::{
+    direct::{
+        availability::Cause,
+        endpoint_notices::{EndpointNotices, Start},
+        endpoint_state::EndpointState,
+        placement::max_retry_delay,
+        wait_queue::TicketKey,
+    },
+    ids::InstanceId,
+    refusal::{Reason, Refusal},
+    time::Time,
+    units::Span,
+};
+
+/// Span over which gateways begin to return to an endpoint after its pause.
+const RETURN_SPREAD: Span = Span::millis(300);
+/// Span over which refused callers return after the end of a pause, that in which the gateways
+/// return as well.
+const CALLER_SPREAD: Span = Span::secs(1);
+/// Number of different delays of callers that are refused one after the other.
+const CALLER_STEPS: u64 = 8;
+
+impl Grant {
+    /// Returns the start of the instance that the request is placed at.
+    pub fn start(&self) -> Start {
+        Start { addr: self.addr, started_ms: self.started_ms }
+    }
+}
+
+impl Scheduler {
+    /// Records that the engine of an endpoint loads weights until the given time.
+    pub fn set_loading(&mut self, instance: &InstanceId, until: Time) {
+        if let Some(key) = self.by_instance.get(instance) {
+            self.endpoints[*key].set_loading(until);
+        }
+    }
+
+    /// Records that the endpoint of a grant asked for a pause; returns whether it ends later than
+    /// known.
+    pub fn record_pause(&mut self, now: Time, grant: &Grant, pause: Span) -> bool {
+        let (instance, start) = (&grant.instance, grant.start());
+        let extended = self.notices.record_pause(now, instance, start, now + pause);
+        self.apply_notice(&grant.instance);
+        extended
+    }
+
+    /// Returns why a request that was placed must not be sent any more, with the end, `None` if it
+    /// may be sent.
+    pub fn withheld(&self, now: Time, grant: &Grant) -> Option<(Cause, Option<Time>)> {
+        let until = self.notices.paused_until(&grant.instance, &grant.start());
+        until.filter(|until| *until > now).map(|until| (Cause::Pause, Some(until)))
+    }
+
+    /// Returns the number of endpoints that get no requests, by cause.
+    pub fn unavailable_endpoints(&self, now: Time) -> [(Cause, usize); Cause::ALL.len()] {
+        let has =
+            |state: &&EndpointState, cause| state.causes(now).any(|(other, _)| other == cause);
+        let count = |cause| self.endpoints.values().filter(|state| has(state, cause)).count();
+        Cause::ALL.map(|cause| (cause, count(cause)))
+    }
+
+    /// Returns the refusal of a queued request that no endpoint will take before it expires.
+    pub(super) fn known_refusal(
+        &mut self,
+        now: Time,
+        request: &PlacementRequest,
+        ticket: TicketKey,
+    ) -> Option<Refusal> {
+        if self.endpoints.values().all(|state| state.known_end() <= now) {
+            return None;
+        }
+        let until = self.queues.get(&request.service)?.waiting.expiry(ticket)?;
+        match self.outlook(now, request, until) {
+            Outlook::Unavailable(end) => Some(self.unavailable_refusal(now, request, end)),
+            _ => None,
+        }
+    }
+
+    /// Returns the refusal of a request whose endpoints all pause or load until `end` or longer.
+    ///
+    /// Callers that are refused one after the other are told different times.
+    pub(super) fn unavailable_refusal(
+        &mut self,
+        now: Time,
+        request: &PlacementRequest,
+        end: Time,
+    ) -> Refusal {
+        let queue = self.queues.entry(request.service.clone()).or_default();
+        queue.refused += 1;
+        let step = queue.refused % CALLER_STEPS;
+        let max_delay = max_retry_delay(now, request);
+        let delay = Span((end - now).0 + CALLER_SPREAD.0 * step / CALLER_STEPS);
+        // A caller that cannot wait until the end returns late, but not with all others.
+        let latest = Span(max_delay.0 - max_delay.0 / 4 * step / CALLER_STEPS);
+        Refusal::retry_after(Reason::NoEndpoint, delay.min(latest))
+    }
+
+    /// Applies what is known of all endpoints.
+    pub(super) fn apply_notices(&mut self) {
+        let (salt, notices) = (self.cells.salt(), &self.notices);
+        for instance in notices.instances() {
+            if let Some(key) = self.by_instance.get(instance) {
+                apply(&mut self.endpoints[*key], notices, salt);
+            }
+        }
+    }
+
+    fn apply_notice(&mut self, instance: &InstanceId) {
+        if let Some(key) = self.by_instance.get(instance) {
+            apply(&mut self.endpoints[*key], &self.notices, self.cells.salt());
+        }
+    }
+}
+
+/// Applies what is known of an endpoint to its state.
+///
+/// Gateways return after a pause at different times, which `salt` determines.
+fn apply(state: &mut EndpointState, notices: &EndpointNotices, salt: u32) {
+    let entry = &state.endpoint.entry;
+    let paused_until = notices.paused_until(&entry.instance, &Start::of(entry));
+    let delay = Span(u64::from(salt ^ state.hash) % RETURN_SPREAD.0);
+    state.set_pause(paused_until.map(|until| until + delay));
+}
--- a/crates/core/src/direct/scheduler/rate_limits.rs
+++ b/crates/core/src/direct/scheduler/rate_limits.rs
@@ -18,6 +18,8 @@
 pub(super) enum Outlook {
     /// No endpoint may serve it, now or once its load has dropped.
     NoEndpoint,
+    /// All that may serve it pause or load, the first until the given time.
+    Unavailable(Time),
     /// Endpoints without a rate limit may serve it.
     Unlimited,
     /// All that may serve it have a rate limit.
@@ -131,11 +133,19 @@
             return Outlook::NoEndpoint;
         }
         let mut allowance = Allowance::default();
+        let (mut first_end, mut is_open) = (None, false);
         for state in states {
+            let end = state.known_end();
+            if end > until {
+                first_end = Some(first_end.map_or(end, |first: Time| first.min(end)));
+                continue;
+            }
+            is_open = true;
             if state.rate_limit.rate(now).is_none() {
                 return Outlook::Unlimited;
             }
             let Some((turn, interval)) = state.next_turn(now, self.gateways) else { continue };
+            let turn = turn.max(end);
             let first = allowance.first.unwrap_or(turn - now);
             allowance.first = Some(first.min(turn - now));
             allowance.rate += 1.0 / interval.as_secs_f64();
@@ -143,7 +153,10 @@
                 allowance.requests += 1 + ((until - turn).0 / interval.0) as usize;
             }
         }
-        Outlook::Limited(allowance)
+        match first_end {
+            Some(end) if !is_open => Outlook::Unavailable(end),
+            _ => Outlook::Limited(allowance),
+        }
     }
 }
 
--- a/crates/core/src/direct/wait_queue.rs
+++ b/crates/core/src/direct/wait_queue.rs
@@ -88,6 +88,11 @@
         self.entries.get(ticket).map(|(_, item)| item)
     }
 
+    /// Returns when a queued request expires, if it is still there.
+    pub fn expiry(&self, ticket: TicketKey) -> Option<Time> {
+        self.entries.get(ticket).map(|(entry, _)| entry.expires_at)
+    }
+
     /// Counts a request of an account as in progress.
     pub fn record_start(&mut self, account: &Option<ClientId>) {
         *self.in_progress.entry(account.clone()).or_default() += 1;
--- a/crates/sequoiahold/src/gateway/attempt.rs
+++ b/crates/sequoiahold/src/gateway/attempt.rs
@@ -8,9 +8,12 @@
 };
 use actix_rt::time::timeout;
 use bytes::Bytes;
-use sequoiahold_core::direct::{catalog::RetryMode, platform::Codec, scheduler::Grant};
+use sequoiahold_core::{
+    direct::{availability::Cause, catalog::RetryMode, platform::Codec, scheduler::Grant},
+    time::Time,
+};
 
-use super::{plan::Plan, rate_limits, state::Gateway};
+use super::{notices, plan::Plan, rate_limits, state::Gateway};
 use crate::h1::{IncomingRequest, Upstream, UpstreamError, UpstreamResponse, end_to_end_headers};
 
 /// Maximum body length of a response that is not a stream.
@@ -35,6 +38,9 @@
     },
     /// No byte of the request was sent.
     NotSent(String),
+    /// No byte of the request was sent, as the endpoint wants no more requests, until the given
+    /// time if it is known.
+    Withheld(Cause, Option<Time>),
     /// The request may have run.
     Indeterminate {
         /// The error, for the log.
@@ -66,6 +72,12 @@
         Ok(upstream) => upstream,
         Err(error) => return SendOutcome::NotSent(format!("connecting: {error}")),
     };
+    // The endpoint may have said so while the connection was opened.
+    let withheld = gateway.scheduler.borrow().withheld(gateway.node.now(), grant);
+    if let Some((cause, end)) = withheld {
+        gateway.pool.release(upstream);
+        return SendOutcome::Withheld(cause, end);
+    }
     let headers = request_headers(gateway, plan, request, grant, last_event);
     let sending = upstream.send(request.method.clone(), &request.target, headers, &request.body);
     let time_limit = || match grant.begin_by {
@@ -80,7 +92,7 @@
         Ok(Err(error)) => return SendOutcome::NotSent(format!("sending: {}", error.error)),
         Err(_) => return SendOutcome::indeterminate("sending timed out", false),
     }
-    match timeout(time_limit(), read_head(gateway, request, &mut upstream)).await {
+    match timeout(time_limit(), read_head(gateway, request, grant, &mut upstream)).await {
         Ok(Ok(response)) => {
             rate_limits::record_answer(gateway, request, &grant.instance, &response);
             classify(gateway, response, upstream).await
@@ -94,12 +106,14 @@
 async fn read_head<C: Codec>(
     gateway: &Gateway<C>,
     request: &IncomingRequest,
+    grant: &Grant,
     upstream: &mut Upstream,
 ) -> Result<UpstreamResponse, UpstreamError> {
     let name = gateway.node.codec.header_names().attempt;
     let expected = request.header_text(name);
     for _ in 0..=MAX_STALE_RESPONSES {
         let response = upstream.read_head().await?;
+        notices::record_answer(gateway, request, grant, &response);
         let echoed = response.header_text(name);
         if echoed == expected || (echoed.is_none() && !upstream.is_reused()) {
             return Ok(response);
--- a/crates/sequoiahold/src/gateway/datagrams.rs
+++ b/crates/sequoiahold/src/gateway/datagrams.rs
@@ -5,7 +5,7 @@
 use sequoiahold_core::direct::{load_exchange::LocalLoad, platform::Codec, scheduler::EndpointKey};
 use tokio::sync::mpsc;
 
-use super::{parts, rate_limits, state::Gateway};
+use super::{notices, parts, rate_limits, state::Gateway};
 use crate::node::Datagram;
 
 /// Interval between two rounds of the exchange.
@@ -31,8 +31,8 @@
                         gateway.load_exchange.borrow_mut().receive(now, message);
                     }
                     Some(Datagram::Loading(note)) => {
-                        let paused_until = gateway.node.now() + note.pause;
-                        gateway.scheduler.borrow_mut().pause_endpoint(&note.instance, paused_until);
+                        let until = gateway.node.now() + note.pause;
+                        gateway.scheduler.borrow_mut().set_loading(&note.instance, until);
                     }
                     Some(Datagram::Crash(crash)) => {
                         let now = gateway.node.now();
@@ -50,6 +50,7 @@
                 _ = evidence_timer.tick() => {
                     parts::send_evidence(&gateway);
                     rate_limits::send_reports(&gateway);
+                    notices::count_unavailable(&gateway);
                 }
             }
         }
--- a/crates/sequoiahold/src/gateway/metrics.rs
+++ b/crates/sequoiahold/src/gateway/metrics.rs
@@ -33,6 +33,7 @@
     sends: Family<Labels, Counter>,
     blocked_parts: Counter,
     limited_endpoints: Gauge,
+    unavailable_endpoints: Family<Labels, Gauge>,
     account_labels: RefCell<BTreeSet<String>>,
 }
 
@@ -72,6 +73,12 @@
             "Endpoints that advertise a rate limit",
             limited_endpoints.clone(),
         );
+        let unavailable_endpoints = Family::<Labels, Gauge>::default();
+        registry.register(
+            "unavailable_endpoints",
+            "Endpoints that get no requests by cause",
+            unavailable_endpoints.clone(),
+        );
         let registry = Rc::new(registry);
         let account_labels = RefCell::default();
         Self {
@@ -83,6 +90,7 @@
             sends,
             blocked_parts,
             limited_endpoints,
+            unavailable_endpoints,
             account_labels,
         }
     }
@@ -125,6 +133,12 @@
         self.limited_endpoints.set(endpoints as i64);
     }
 
+    /// Sets the number of endpoints that get no requests for a cause.
+    pub(super) fn set_unavailable_endpoints(&self, cause: &'static str, endpoints: usize) {
+        let labels = vec![("cause", cause.to_owned())];
+        self.unavailable_endpoints.get_or_create(&labels).set(endpoints as i64);
+    }
+
     fn account_label(&self, account: &str) -> String {
         let mut account_labels = self.account_labels.borrow_mut();
         if account_labels.contains(account) || account_labels.len() < MAX_ACCOUNT_LABELS {
--- a/crates/sequoiahold/src/gateway/mod.rs
+++ b/crates/sequoiahold/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod datagrams;
 mod metrics;
+mod notices;
 mod parts;
 mod plan;
 mod rate_limits;
