Endpoints that say they leave get no new requests

What callers saw: an endpoint that said in its answers that it leaves got requests until the published list said so too, and dropped those that it had not begun.

Cause: the header was not read; only the list told that an endpoint leaves.

Change: from the first answer with the word on, also one that fails, breaks off after its head or belongs to an earlier request on the connection (but no 421, which comes from another instance), the gateway places nothing there, and withholds what was placed and has not begun to be written. The word is kept by instance and start, outlasts the list and ends with another start, or with an answer without it to a request that was sent after it was heard. Other gateways are told at once and in regular reports, by a new datagram, the last of the enum. A report older than what is known changes nothing; what is known from reports only counts for 60 s after the last one and is not passed on, so one that was held up excludes no endpoint for good. Requests whose endpoints all leave are refused at once, also from the queue.

--- a/crates/core/src/direct/availability.rs
+++ b/crates/core/src/direct/availability.rs
@@ -12,6 +12,8 @@
     Failing,
     /// It refused a request because it was full.
     Full,
+    /// It said that it leaves.
+    Leaving,
     /// Its engine loads weights.
     Loading,
     /// Its address serves another instance, or it holds other weights.
@@ -22,14 +24,15 @@
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 5] =
-        [Self::Failing, Self::Full, Self::Loading, Self::Misdirected, Self::Pause];
+    pub const ALL: [Self; 6] =
+        [Self::Failing, Self::Full, Self::Leaving, Self::Loading, Self::Misdirected, Self::Pause];
 
     /// Returns the name for logs and metrics.
     pub fn label(self) -> &'static str {
         match self {
             Self::Failing => "failing",
             Self::Full => "full",
+            Self::Leaving => "leaving",
             Self::Loading => "loading",
             Self::Misdirected => "misdirected",
             Self::Pause => "pause",
--- a/crates/core/src/direct/endpoint_notices.rs
+++ b/crates/core/src/direct/endpoint_notices.rs
@@ -8,11 +8,20 @@
 use serde::{Deserialize, Serialize};
 
 use super::catalog::EndpointEntry;
-use crate::{ids::InstanceId, time::Time};
+use crate::{ids::InstanceId, time::Time, units::Span};
 
 /// Maximum number of instances that are remembered.
 const MAX_NOTICES: usize = 4_096;
 
+/// Time for which another gateway's word that an endpoint leaves counts. Gateways that heard it in
+/// an answer repeat it, so a report that was held up excludes an endpoint no longer than this.
+const REPORT_TTL: Span = Span::secs(60);
+/// Reports that an endpoint leaves must be newer by this than what contradicts them, as their age
+/// may lack the time of their way.
+const MIN_LEAVING_GAIN: Span = Span::millis(50);
+/// The same for reports that it no longer leaves, which are never urgent.
+const MIN_STAYING_GAIN: Span = Span::millis(500);
+
 /// A start of an instance.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Start {
@@ -35,12 +44,44 @@
     }
 }
 
+/// What an endpoint said of its leaving, as exchanged between gateways.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingReport {
+    /// The instance of the endpoint.
+    pub instance: InstanceId,
+    /// Its start.
+    pub start: Start,
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// The time since the answer that said so, or since the request whose answer did not.
+    pub age: Span,
+}
+
+/// What an endpoint said of its leaving.
+#[derive(Clone, Copy, Debug)]
+struct LeavingState {
+    leaving: bool,
+    /// When the answer that said so arrived, or the request was sent whose answer did not.
+    at: Time,
+    /// Until when it counts, `None` if this gateway heard it in an answer.
+    expires_at: Option<Time>,
+}
+
+impl LeavingState {
+    fn is_leaving(&self, now: Time) -> bool {
+        self.leaving && self.expires_at.is_none_or(|at| at > now)
+    }
+}
+
 /// What is known of one instance.
 #[derive(Clone, Copy, Debug)]
 struct Notice {
     start: Start,
     heard_at: Time,
     paused_until: Time,
+    /// Whether the end of the pause has yet to be reported.
+    pause_open: bool,
+    leaving: Option<LeavingState>,
 }
 
 /// What is known of all instances.
@@ -63,9 +104,106 @@
         notice.heard_at = now;
         let extended = until > notice.paused_until;
         notice.paused_until = until.max(notice.paused_until);
+        notice.pause_open |= extended;
         extended
     }
 
+    /// Removes and returns the instances whose pause has ended since the last call.
+    pub fn take_ended_pauses(&mut self, now: Time) -> Vec<InstanceId> {
+        let ended = |notice: &Notice| notice.pause_open && notice.paused_until <= now;
+        let notices = self.notices.iter_mut().filter(|(_, notice)| ended(notice));
+        notices
+            .map(|(instance, notice)| {
+                notice.pause_open = false;
+                instance.clone()
+            })
+            .collect()
+    }
+
+    /// Records whether an answer to a request that was sent at `sent` said that its endpoint leaves;
+    /// returns whether that is a change.
+    ///
+    /// Answers overtake each other: one without the word ends it only if its request was sent after
+    /// the word was heard.
+    pub fn record_leaving(
+        &mut self,
+        now: Time,
+        sent: Time,
+        instance: &InstanceId,
+        start: Start,
+        leaving: bool,
+    ) -> bool {
+        if leaving {
+            let notice = self.entry(now, instance, start);
+            let known = notice.leaving.replace(LeavingState { leaving, at: now, expires_at: None });
+            notice.heard_at = now;
+            return !known.is_some_and(|known| known.is_leaving(now));
+        }
+        let notice = self.notices.get_mut(instance).filter(|notice| notice.start.matches(&start));
+        let Some(known) = notice.and_then(|notice| notice.leaving.as_mut()) else { return false };
+        if sent <= known.at {
+            return false;
+        }
+        let known = std::mem::replace(known, LeavingState { leaving, at: sent, expires_at: None });
+        known.leaving
+    }
+
+    /// Merges the report that another gateway sent at `sent`; returns whether it is a change.
+    pub fn merge_leaving(&mut self, now: Time, sent: Time, report: &LeavingReport) -> bool {
+        let at = Time(sent.0.saturating_sub(report.age.0));
+        let is_older = |notice: &Notice| {
+            let starts = notice.start.started_ms.zip(report.start.started_ms);
+            !notice.start.matches(&report.start)
+                && starts.map_or(at <= notice.heard_at, |(known, told)| told < known)
+        };
+        if self.notices.get(&report.instance).is_some_and(is_older) {
+            return false;
+        }
+        let told =
+            LeavingState { leaving: report.leaving, at, expires_at: Some(sent + REPORT_TTL) };
+        let notice = self.entry(now, &report.instance, report.start);
+        let Some(known) = &mut notice.leaving else {
+            notice.leaving = Some(told);
+            return told.is_leaving(now);
+        };
+        let before = known.is_leaving(now);
+        let gain = if told.leaving { MIN_LEAVING_GAIN } else { MIN_STAYING_GAIN };
+        if known.leaving == told.leaving {
+            known.at = known.at.max(at);
+            known.expires_at =
+                known.expires_at.max(told.expires_at).filter(|_| known.expires_at.is_some());
+        } else if at > known.at + gain {
+            *known = told;
+        }
+        known.is_leaving(now) != before
+    }
+
+    /// Returns what this gateway heard of endpoints that leave or no longer do, for the others.
+    ///
+    /// What others told is not passed on, so that an error does not outlive its source. Of an
+    /// instance that is not `listed` nobody needs to know for long.
+    pub fn leaving_reports(
+        &self,
+        now: Time,
+        listed: impl Fn(&InstanceId) -> bool,
+    ) -> Vec<LeavingReport> {
+        let report = |(instance, notice): (&InstanceId, &Notice)| {
+            let known = notice.leaving.filter(|known| known.expires_at.is_none())?;
+            let age = now - known.at;
+            let is_due = age < REPORT_TTL || (known.leaving && listed(instance));
+            let (instance, start, leaving) = (instance.clone(), notice.start, known.leaving);
+            is_due.then_some(LeavingReport { instance, start, leaving, age })
+        };
+        self.notices.iter().filter_map(report).collect()
+    }
+
+    /// Returns until when an endpoint counts as leaving, `Some(None)` without an end, `None` if it
+    /// does not leave.
+    pub fn leaving_until(&self, instance: &InstanceId, start: &Start) -> Option<Option<Time>> {
+        let known = self.find(instance, start)?.leaving.filter(|known| known.leaving)?;
+        Some(known.expires_at)
+    }
+
     /// Returns the end of the last pause of an instance, `None` before any.
     pub fn paused_until(&self, instance: &InstanceId, start: &Start) -> Option<Time> {
         let notice = self.find(instance, start)?;
@@ -84,7 +222,13 @@
     /// Returns the notice of this start, in place of one of another start.
     fn entry(&mut self, now: Time, instance: &InstanceId, start: Start) -> &mut Notice {
         if self.find(instance, &start).is_none() {
-            let notice = Notice { start, heard_at: now, paused_until: Time::default() };
+            let notice = Notice {
+                start,
+                heard_at: now,
+                paused_until: Time::default(),
+                pause_open: false,
+                leaving: None,
+            };
             self.notices.insert(instance.clone(), notice);
             self.forget_oldest(instance);
         }
--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -145,9 +145,9 @@
         }
         if restarted {
             self.failure_streak = 0;
-            self.availability.clear(Cause::Failing);
-            self.availability.clear(Cause::Full);
-            self.availability.clear(Cause::Pause);
+            for cause in [Cause::Failing, Cause::Full, Cause::Leaving, Cause::Pause] {
+                self.availability.clear(cause);
+            }
             self.rate_limit = RateLimit::default();
         }
         self.endpoint = endpoint;
@@ -171,9 +171,26 @@
         }
     }
 
+    /// Records until when the endpoint counts as leaving, `Some(None)` without an end, `None` if it
+    /// has not said that it leaves.
+    pub fn set_leaving(&mut self, until: Option<Option<Time>>) {
+        match until {
+            Some(end) => self.availability.set(Cause::Leaving, end),
+            None => self.availability.clear(Cause::Leaving),
+        }
+    }
+
+    /// Returns whether the endpoint leaves, as it said or as published.
+    pub fn is_leaving(&self, now: Time) -> bool {
+        self.endpoint.entry.leaving
+            || self.availability.end(Cause::Leaving).is_some_and(|end| end > now)
+    }
+
     /// Returns the causes for which the endpoint gets no requests, with their ends where known.
     pub fn causes(&self, now: Time) -> impl Iterator<Item = (Cause, Option<Time>)> {
-        self.availability.causes(now)
+        let published = self.endpoint.entry.leaving.then_some((Cause::Leaving, None));
+        let other = move |(cause, _): &(Cause, _)| published.is_none() || *cause != Cause::Leaving;
+        published.into_iter().chain(self.availability.causes(now).filter(other))
     }
 
     /// Returns until when the endpoint is known to take no requests, as it pauses or loads weights.
--- a/crates/core/src/direct/platform.rs
+++ b/crates/core/src/direct/platform.rs
@@ -135,6 +135,8 @@
     fn header_names(&self) -> &'static HeaderNames;
     /// Decodes the header with the parts of a prompt.
     fn decode_prompt_parts(&self, value: &str) -> Result<Vec<PartId>, DecodeError>;
+    /// Decodes the header by which an endpoint says that it leaves.
+    fn decode_leaving(&self, value: &str) -> Result<bool, DecodeError>;
     /// Returns the path of a gateway's readiness check.
     fn readiness_path(&self) -> &'static str;
     /// Returns the path of the page of items after a key, the first page without one.
--- a/crates/core/src/direct/scheduler/notices.rs
+++ b/crates/core/src/direct/scheduler/notices.rs
@@ -4,7 +4,7 @@
 use crate::{
     direct::{
         availability::Cause,
-        endpoint_notices::{EndpointNotices, Start},
+        endpoint_notices::{EndpointNotices, LeavingReport, Start},
         endpoint_state::EndpointState,
         placement::max_retry_delay,
         wait_queue::TicketKey,
@@ -50,10 +50,61 @@
     /// Returns why a request that was placed must not be sent any more, with the end, `None` if it
     /// may be sent.
     pub fn withheld(&self, now: Time, grant: &Grant) -> Option<(Cause, Option<Time>)> {
-        let until = self.notices.paused_until(&grant.instance, &grant.start());
+        let (instance, start) = (&grant.instance, grant.start());
+        if let Some(end) = self
+            .notices
+            .leaving_until(instance, &start)
+            .filter(|end| end.is_none_or(|end| end > now))
+        {
+            return Some((Cause::Leaving, end));
+        }
+        let until = self.notices.paused_until(instance, &start);
         until.filter(|until| *until > now).map(|until| (Cause::Pause, Some(until)))
     }
 
+    /// Returns the instances whose pause has ended since the last call.
+    pub fn take_ended_pauses(&mut self, now: Time) -> Vec<InstanceId> {
+        self.notices.take_ended_pauses(now)
+    }
+
+    /// Records whether the answer to a request, sent at `sent`, said that its endpoint leaves; returns
+    /// the report for other gateways if that is a change.
+    pub fn record_leaving(
+        &mut self,
+        now: Time,
+        sent: Time,
+        grant: &Grant,
+        leaving: bool,
+    ) -> Option<LeavingReport> {
+        let (instance, start) = (grant.instance.clone(), grant.start());
+        if !self.notices.record_leaving(now, sent, &instance, start, leaving) {
+            return None;
+        }
+        self.apply_notice(&instance);
+        let age = if leaving { Span(0) } else { now - sent };
+        Some(LeavingReport { instance, start, leaving, age })
+    }
+
+    /// Merges the reports that another gateway sent at `sent`, and returns those that are a change.
+    pub fn merge_leaving(
+        &mut self,
+        now: Time,
+        sent: Time,
+        mut reports: Vec<LeavingReport>,
+    ) -> Vec<LeavingReport> {
+        reports.retain(|report| {
+            let changed = self.notices.merge_leaving(now, sent, report);
+            self.apply_notice(&report.instance);
+            changed
+        });
+        reports
+    }
+
+    /// Returns what this gateway heard of endpoints that leave, for other gateways.
+    pub fn leaving_reports(&self, now: Time) -> Vec<LeavingReport> {
+        self.notices.leaving_reports(now, |instance| self.by_instance.contains_key(instance))
+    }
+
     /// Returns the number of endpoints that get no requests, by cause.
     pub fn unavailable_endpoints(&self, now: Time) -> [(Cause, usize); Cause::ALL.len()] {
         let has =
@@ -69,12 +120,17 @@
         request: &PlacementRequest,
         ticket: TicketKey,
     ) -> Option<Refusal> {
-        if self.endpoints.values().all(|state| state.known_end() <= now) {
+        let is_out = |state: &EndpointState| state.known_end() > now || state.is_leaving(now);
+        if !self.endpoints.values().any(is_out) {
             return None;
         }
         let until = self.queues.get(&request.service)?.waiting.expiry(ticket)?;
         match self.outlook(now, request, until) {
             Outlook::Unavailable(end) => Some(self.unavailable_refusal(now, request, end)),
+            Outlook::NoEndpoint => {
+                let delay = max_retry_delay(now, request);
+                Some(Refusal::retry_after(Reason::NoEndpoint, delay))
+            }
             _ => None,
         }
     }
@@ -119,8 +175,10 @@
 ///
 /// Gateways return after a pause at different times, which `salt` determines.
 fn apply(state: &mut EndpointState, notices: &EndpointNotices, salt: u32) {
-    let entry = &state.endpoint.entry;
-    let paused_until = notices.paused_until(&entry.instance, &Start::of(entry));
+    let (entry, start) = (&state.endpoint.entry, Start::of(&state.endpoint.entry));
+    let paused_until = notices.paused_until(&entry.instance, &start);
+    let leaving_until = notices.leaving_until(&entry.instance, &start);
     let delay = Span(u64::from(salt ^ state.hash) % RETURN_SPREAD.0);
     state.set_pause(paused_until.map(|until| until + delay));
+    state.set_leaving(leaving_until);
 }
--- a/crates/core/src/direct/scheduler/rate_limits.rs
+++ b/crates/core/src/direct/scheduler/rate_limits.rs
@@ -125,7 +125,7 @@
         let min_version = self.min_version(now, request);
         let eligible = |(key, state): &(EndpointKey, &EndpointState)| {
             can_serve(state, request, min_version)
-                && !state.endpoint.entry.leaving
+                && !state.is_leaving(now)
                 && !request.tried.contains(key)
         };
         let mut states = self.endpoints.iter().filter(eligible).map(|(_, state)| state).peekable();
--- a/crates/core/tests/direct_leave.rs
+++ b/crates/core/tests/direct_leave.rs
@@ -240,3 +240,104 @@
     assert_eq!(pause, expected);
     assert!(pause.span() <= Span::secs(3_600), "{pause:?}");
 }
+
+/// The store may list an endpoint that leaves as live, lose it and bring it back.
+#[test]
+fn endpoint_that_leaves_gets_nothing_whatever_the_list_says() {
+    let (mut scheduler, mut listed, grant) = granted();
+    assert!(scheduler.record_leaving(ms(100), ms(0), &grant, true).is_some());
+    assert!(scheduler.withheld(ms(100), &grant).is_some(), "a connection being opened");
+    for step in 1..200 {
+        scheduler.update(&if step % 3 == 0 { view(0) } else { view(1) });
+        assert!(submit(&mut scheduler, ms(step * 1_000)).is_none(), "after {step} s");
+    }
+    publish(&mut listed, entry(0, 2_000));
+    scheduler.update(&listed);
+    assert!(submit(&mut scheduler, ms(200_000)).is_some(), "another start");
+}
+
+/// The head of a stream may be older than the answer that arrived before it.
+#[test]
+fn only_an_answer_to_a_later_request_ends_leaving() {
+    let (mut scheduler, _, grant) = granted();
+    scheduler.record_leaving(ms(100), ms(0), &grant, true);
+    assert!(scheduler.record_leaving(ms(200), ms(90), &grant, false).is_none());
+    assert!(submit(&mut scheduler, ms(210)).is_none());
+    assert!(scheduler.record_leaving(ms(300), ms(150), &grant, false).is_some());
+    assert!(submit(&mut scheduler, ms(310)).is_some());
+}
+
+#[test]
+fn requests_are_refused_at_once_where_all_endpoints_leave() {
+    let (mut scheduler, _, grant) = granted();
+    let mut rng = SmallRng::seed_from_u64(3);
+    let taken = (0..8).filter(|_| submit(&mut scheduler, ms(0)).is_some()).count();
+    assert_eq!((taken, scheduler.queued_requests()), (7, 1));
+    scheduler.record_leaving(ms(10), ms(0), &grant, true);
+    assert!(matches!(scheduler.dispatch_queued(ms(15), &mut rng).as_slice(), [(_, _, Err(_))]));
+    let Decision::Refuse(refusal) = scheduler.submit(ms(20), request(ms(20)), &mut rng) else {
+        panic!("placed or queued")
+    };
+    assert!(refusal.retry.is_some_and(|retry| retry <= Span::secs(2)), "{refusal:?}");
+}
+
+/// A gateway may have had no answer of the endpoint, or may not list it yet.
+#[test]
+fn gateway_learns_from_reports_that_an_endpoint_leaves_and_stays() {
+    let (mut sender, listed, grant) = granted();
+    let mut listener = schedulers(1, &view(0)).remove(0);
+    sender.record_leaving(ms(100), ms(0), &grant, true);
+    // The clock of the other process is another one.
+    let reports = sender.leaving_reports(ms(200));
+    assert_eq!(listener.merge_leaving(ms(9_200), ms(9_200), reports).len(), 1);
+    assert!(listener.leaving_reports(ms(9_200)).is_empty(), "told by another gateway only");
+    listener.update(&listed);
+    assert!(submit(&mut listener, ms(9_300)).is_none());
+    sender.record_leaving(ms(1_300), ms(1_200), &grant, false);
+    let reports = sender.leaving_reports(ms(1_400));
+    assert_eq!(listener.merge_leaving(ms(10_400), ms(10_400), reports).len(), 1);
+    assert!(submit(&mut listener, ms(10_500)).is_some());
+}
+
+/// A report may wait in the socket of a process that stands still.
+#[test]
+fn report_that_was_held_up_marks_no_endpoint_for_good() {
+    let (mut sender, listed, grant) = granted();
+    let [mut listener, mut unaware] = schedulers(2, &listed).try_into().expect("two schedulers");
+    sender.record_leaving(ms(1_000), ms(0), &grant, true);
+    let held_up = sender.leaving_reports(ms(1_100));
+    sender.record_leaving(ms(3_100), ms(3_000), &grant, false);
+    listener.merge_leaving(ms(3_200), ms(3_200), sender.leaving_reports(ms(3_200)));
+    let sent = ms(1_100);
+    assert!(listener.merge_leaving(ms(4_000), sent, held_up.clone()).is_empty());
+    assert!(submit(&mut listener, ms(4_010)).is_some());
+    // The time for which it was held up may not be known.
+    unaware.merge_leaving(ms(4_000), ms(4_000), held_up);
+    assert!(submit(&mut unaware, ms(4_010)).is_none());
+    assert!(submit(&mut unaware, ms(64_100)).is_some());
+}
+
+#[test]
+fn report_on_an_earlier_start_changes_nothing() {
+    let (mut sender, mut listed, grant) = granted();
+    sender.record_leaving(ms(100), ms(0), &grant, true);
+    let reports = sender.leaving_reports(ms(200));
+    publish(&mut listed, entry(0, 2_000));
+    let mut listener = schedulers(1, &listed).remove(0);
+    listener.merge_leaving(ms(200), ms(200), reports.clone());
+    let second = submit(&mut listener, ms(300)).expect("the start that is listed");
+    listener.record_leaving(ms(400), ms(300), &second, true);
+    assert!(listener.merge_leaving(ms(500), ms(500), reports).is_empty());
+    assert!(submit(&mut listener, ms(600)).is_none());
+}
+
+#[test]
+fn memory_of_endpoints_is_bounded() {
+    let (mut scheduler, _, grant) = granted();
+    for index in 0..5_000 {
+        let instance = name(&format!("i-{index}"));
+        let grant = Grant { instance, ..grant.clone() };
+        scheduler.record_leaving(ms(index), ms(0), &grant, true);
+    }
+    assert_eq!(scheduler.leaving_reports(ms(5_000)).len(), 4_096);
+}
--- a/crates/core/tests/direct_leave_fleet.rs
+++ b/crates/core/tests/direct_leave_fleet.rs
@@ -129,7 +129,6 @@
     /// They turn requests away with 503 and `Retry-After`.
     Pause,
     /// They say in their answers that they leave.
-    #[expect(dead_code, reason = "the next change covers it")]
     Leave,
 }
 
@@ -288,7 +287,16 @@
             let left = Span::millis(EVENT_MS + PAUSE_MS - now_ms);
             self.schedulers[run.gateway].record_pause(ms(now_ms), &run.grant, left);
         }
-        let _ = run.sent;
+        if self.event == Event::Leave {
+            let (now, scheduler) = (ms(now_ms), &mut self.schedulers[run.gateway]);
+            let Some(report) = scheduler.record_leaving(now, run.sent, &run.grant, true) else {
+                return;
+            };
+            let others = self.schedulers.iter_mut().enumerate();
+            for (_, other) in others.filter(|(index, _)| *index != run.gateway) {
+                other.merge_leaving(now, now, vec![report.clone()]);
+            }
+        }
     }
 }
 
@@ -314,3 +322,13 @@
     assert!(most <= 2, "{most} requests of a gateway within a pause");
     counts.check_cold_rate();
 }
+
+#[test]
+fn third_of_the_endpoints_that_leaves_gets_no_new_requests() {
+    let counts = Simulation::new(Event::Leave, 149, 60).run();
+    let all: u32 = counts.after_word.values().sum();
+    println!("{all} requests from gateways with an answer, {} of all gateways", counts.after_news);
+    println!("{} of {} requests answered in time", counts.in_time, counts.requests);
+    assert_eq!((all, counts.after_news), (0, 0), "requests to endpoints that leave");
+    counts.check_cold_rate();
+}
--- a/crates/sequoiahold/src/gateway/attempt.rs
+++ b/crates/sequoiahold/src/gateway/attempt.rs
@@ -73,7 +73,8 @@
         Err(error) => return SendOutcome::NotSent(format!("connecting: {error}")),
     };
     // The endpoint may have said so while the connection was opened.
-    let withheld = gateway.scheduler.borrow().withheld(gateway.node.now(), grant);
+    let sent = gateway.node.now();
+    let withheld = gateway.scheduler.borrow().withheld(sent, grant);
     if let Some((cause, end)) = withheld {
         gateway.pool.release(upstream);
         return SendOutcome::Withheld(cause, end);
@@ -92,7 +93,7 @@
         Ok(Err(error)) => return SendOutcome::NotSent(format!("sending: {}", error.error)),
         Err(_) => return SendOutcome::indeterminate("sending timed out", false),
     }
-    match timeout(time_limit(), read_head(gateway, request, grant, &mut upstream)).await {
+    match timeout(time_limit(), read_head(gateway, request, grant, sent, &mut upstream)).await {
         Ok(Ok(response)) => {
             rate_limits::record_answer(gateway, request, &grant.instance, &response);
             classify(gateway, response, upstream).await
@@ -107,15 +108,17 @@
     gateway: &Gateway<C>,
     request: &IncomingRequest,
     grant: &Grant,
+    sent: Time,
     upstream: &mut Upstream,
 ) -> Result<UpstreamResponse, UpstreamError> {
     let name = gateway.node.codec.header_names().attempt;
     let expected = request.header_text(name);
     for _ in 0..=MAX_STALE_RESPONSES {
         let response = upstream.read_head().await?;
-        notices::record_answer(gateway, request, grant, &response);
         let echoed = response.header_text(name);
-        if echoed == expected || (echoed.is_none() && !upstream.is_reused()) {
+        let is_own = echoed == expected || (echoed.is_none() && !upstream.is_reused());
+        notices::record_answer(gateway, request, grant, is_own.then_some(sent), &response);
+        if is_own {
             return Ok(response);
         }
         upstream.forbid_reuse();
--- a/crates/sequoiahold/src/gateway/datagrams.rs
+++ b/crates/sequoiahold/src/gateway/datagrams.rs
@@ -40,6 +40,9 @@
                     }
                     Some(Datagram::Parts(news)) => parts::receive(&gateway, &news),
                     Some(Datagram::RateLimits(reports)) => rate_limits::receive(&gateway, reports),
+                    Some(Datagram::Leaving(reports)) => {
+                        notices::receive(&gateway, gateway.node.now(), reports);
+                    }
                     Some(_) => {}
                     None => return,
                 },
@@ -50,7 +53,8 @@
                 _ = evidence_timer.tick() => {
                     parts::send_evidence(&gateway);
                     rate_limits::send_reports(&gateway);
-                    notices::count_unavailable(&gateway);
+                    notices::send_reports(&gateway);
+                    notices::log_changes(&gateway);
                 }
             }
         }
--- a/crates/sequoiahold/src/gateway/notices.rs
+++ b/crates/sequoiahold/src/gateway/notices.rs
@@ -2,34 +2,113 @@
 
 use std::time::SystemTime;
 
-use actix_http::{StatusCode, header::RETRY_AFTER};
+use actix_http::{
+    StatusCode,
+    header::{HeaderValue, RETRY_AFTER},
+};
+use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use sequoiahold_core::{
-    direct::{availability::Cause, pause::PauseRequest, platform::Codec, scheduler::Grant},
+    direct::{
+        availability::Cause, endpoint_notices::LeavingReport, membership::Role,
+        pause::PauseRequest, platform::Codec, scheduler::Grant,
+    },
     time::Time,
 };
 
 use super::state::Gateway;
-use crate::h1::{IncomingRequest, UpstreamResponse};
+use crate::{
+    h1::{IncomingRequest, UpstreamResponse},
+    node::Datagram,
+};
 
+/// Maximum total size of the regular reports in a datagram; the others follow in later ones.
+const MAX_REPORT_BYTES: usize = 500;
+/// Estimated size of an encoded report without the name of the instance.
+const REPORT_BYTES: usize = 30;
 /// Maximum number of causes in a log line, which bounds its size at a large service.
 const MAX_LOGGED_CAUSES: usize = 8;
 
 /// Records what an answer at the endpoint of a grant says of the endpoint.
+///
+/// `sent` is the time at which its request was sent, `None` if it belongs to an earlier one.
 pub(super) fn record_answer<C: Codec>(
     gateway: &Gateway<C>,
     request: &IncomingRequest,
     grant: &Grant,
+    sent: Option<Time>,
     response: &UpstreamResponse,
 ) {
     // Another instance may have answered at the address.
     if response.status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
+    record_leaving(gateway, request, grant, sent, response);
     if response.status == StatusCode::SERVICE_UNAVAILABLE {
         record_pause(gateway, request, grant, response);
     }
 }
 
+fn record_leaving<C: Codec>(
+    gateway: &Gateway<C>,
+    request: &IncomingRequest,
+    grant: &Grant,
+    sent: Option<Time>,
+    response: &UpstreamResponse,
+) {
+    let codec = &gateway.node.codec;
+    let (request, instance) = (attempt_id(gateway, request), grant.instance.as_str());
+    let value = response.headers.get(codec.header_names().leaving);
+    let decode = |value: &HeaderValue| codec.decode_leaving(value.to_str().unwrap_or(""));
+    let leaving = match value.map(decode).transpose() {
+        Ok(leaving) => leaving.unwrap_or(false),
+        Err(error) => {
+            let fault = error.to_string();
+            log::warn!(request, instance, fault = fault.as_str(); "unreadable answer");
+            return;
+        }
+    };
+    let (now, sent) = (gateway.node.now(), sent.unwrap_or_default());
+    let report = gateway.scheduler.borrow_mut().record_leaving(now, sent, grant, leaving);
+    if let Some(report) = report {
+        log_leaving(&report, request);
+        gateway.node.send(gateway.node.peer_addrs(Role::Gateway), &Datagram::Leaving(vec![report]));
+    }
+}
+
+/// Applies the reports that another gateway sent at `sent`.
+pub(super) fn receive<C: Codec>(gateway: &Gateway<C>, sent: Time, reports: Vec<LeavingReport>) {
+    let now = gateway.node.now();
+    let changes = gateway.scheduler.borrow_mut().merge_leaving(now, sent, reports);
+    changes.iter().for_each(|report| log_leaving(report, ""));
+}
+
+/// Reports the endpoints that leave to one other gateway, which may have missed it.
+pub(super) fn send_reports<C: Codec>(gateway: &Gateway<C>) {
+    let mut reports = gateway.scheduler.borrow().leaving_reports(gateway.node.now());
+    if reports.is_empty() {
+        return;
+    }
+    let rng = &mut *gateway.node.rng.borrow_mut();
+    reports.shuffle(rng);
+    let mut size = 0;
+    let reports = reports.into_iter().take_while(|report| {
+        size += report.instance.as_str().len() + REPORT_BYTES;
+        size <= MAX_REPORT_BYTES
+    });
+    let reports = Datagram::Leaving(reports.collect());
+    let peer = gateway.node.peer_addrs(Role::Gateway).into_iter().choose(rng);
+    gateway.node.send(peer, &reports);
+}
+
+/// Logs a change, with the request whose answer told it, if any.
+fn log_leaving(report: &LeavingReport, request: &str) {
+    let (instance, age_ms) = (report.instance.as_str(), report.age.0 / 1_000);
+    match report.leaving {
+        true => log::info!(request, instance, age_ms; "endpoint leaves"),
+        false => log::info!(request, instance, age_ms; "endpoint no longer leaves"),
+    }
+}
+
 fn record_pause<C: Codec>(
     gateway: &Gateway<C>,
     request: &IncomingRequest,
@@ -51,9 +130,13 @@
     }
 }
 
-/// Updates the metric of unavailable endpoints.
-pub(super) fn count_unavailable<C: Codec>(gateway: &Gateway<C>) {
-    let counts = gateway.scheduler.borrow().unavailable_endpoints(gateway.node.now());
+/// Logs the pauses that have ended, and updates the metric of unavailable endpoints.
+pub(super) fn log_changes<C: Codec>(gateway: &Gateway<C>) {
+    let now = gateway.node.now();
+    for instance in gateway.scheduler.borrow_mut().take_ended_pauses(now) {
+        log::info!(instance = instance.as_str(); "pause of an endpoint ended");
+    }
+    let counts = gateway.scheduler.borrow().unavailable_endpoints(now);
     for (cause, endpoints) in counts {
         gateway.metrics.set_unavailable_endpoints(cause.label(), endpoints);
     }
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -2,6 +2,7 @@
 
 use sequoiahold_core::{
     direct::{
+        endpoint_notices::LeavingReport,
         load_exchange::LoadMessage,
         membership::Gossip,
         mirror::{Revision, StateDelta},
@@ -68,4 +69,6 @@
     Parts(PartNews),
     /// Rate limits that endpoints advertise.
     RateLimits(Vec<RateLimitReport>),
+    /// Endpoints that say that they leave, or no longer do.
+    Leaving(Vec<LeavingReport>),
 }
