--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use super::{
+    availability::{Availability, Cause},
     cells::{Assignment, Relation},
     load_exchange::LocalLoad,
     rate_limit::RateLimit,
@@ -32,6 +33,8 @@
 /// Divisor of an endpoint's slots that gives the share reserved for its cell: what others know of
 /// its load is older still.
 const CELL_SLOT_DIVISOR: u32 = 4;
+/// Time after a pause within which the requests in progress grow from one to all slots.
+const RETURN_RAMP: Span = Span::millis(700);
 /// Age after which the load reported by peers is ignored.
 const PEER_LOAD_TTL: Span = Span::millis(1_500);
 
@@ -106,9 +109,7 @@
     peer_updated: Time,
     recent_sends: VecDeque<Time>,
     failure_streak: u32,
-    backoff_until: Time,
-    misdirected: bool,
-    paused_until: Time,
+    availability: Availability,
     last_send: Option<Time>,
 }
 
@@ -128,9 +129,7 @@
             peer_updated: Time::default(),
             recent_sends: VecDeque::new(),
             failure_streak: 0,
-            backoff_until: Time::default(),
-            misdirected: false,
-            paused_until: Time::default(),
+            availability: Availability::default(),
             last_send: None,
         }
     }
@@ -142,11 +141,13 @@
         let restarted = self.endpoint.entry.started_ms != endpoint.entry.started_ms
             || self.endpoint.entry.addr != endpoint.entry.addr;
         if self.endpoint.entry != endpoint.entry {
-            self.misdirected = false;
+            self.availability.clear(Cause::Misdirected);
         }
         if restarted {
             self.failure_streak = 0;
-            self.backoff_until = Time::default();
+            for cause in [Cause::Failing, Cause::Full, Cause::Leaving, Cause::Pause] {
+                self.availability.clear(cause);
+            }
             self.rate_limit = RateLimit::default();
         }
         self.endpoint = endpoint;
@@ -154,13 +155,58 @@
 
     /// Returns whether the endpoint accepts requests now, regardless of its load.
     pub fn is_available(&self, now: Time) -> bool {
-        let unavailable = self.backoff_until > now || self.paused_until > now;
-        !self.misdirected && !self.endpoint.entry.leaving && !unavailable
+        !self.endpoint.entry.leaving && self.availability.is_available(now)
     }
 
-    /// Makes the endpoint unavailable until the given time.
-    pub fn pause_until(&mut self, until: Time) {
-        self.paused_until = until;
+    /// Records that the endpoint's engine loads weights until the given time.
+    pub fn set_loading(&mut self, until: Time) {
+        self.availability.set(Cause::Loading, Some(until));
+    }
+
+    /// Records until when the endpoint pauses or has paused, `None` if it did not.
+    pub fn set_pause(&mut self, until: Option<Time>) {
+        match until {
+            Some(until) => self.availability.set(Cause::Pause, Some(until)),
+            None => self.availability.clear(Cause::Pause),
+        }
+    }
+
+    /// Records until when the endpoint counts as leaving, `Some(None)` without an end, `None` if it
+    /// has not said that it leaves.
+    pub fn set_leaving(&mut self, until: Option<Option<Time>>) {
+        match until {
+            Some(end) => self.availability.set(Cause::Leaving, end),
+            None => self.availability.clear(Cause::Leaving),
+        }
+    }
+
+    /// Returns whether the endpoint leaves, as it said or as published.
+    pub fn is_leaving(&self, now: Time) -> bool {
+        self.endpoint.entry.leaving
+            || self.availability.end(Cause::Leaving).is_some_and(|end| end > now)
+    }
+
+    /// Returns the causes for which the endpoint gets no requests, with their ends where known.
+    pub fn causes(&self, now: Time) -> impl Iterator<Item = (Cause, Option<Time>)> {
+        let published = self.endpoint.entry.leaving.then_some((Cause::Leaving, None));
+        let other = move |(cause, _): &(Cause, _)| published.is_none() || *cause != Cause::Leaving;
+        published.into_iter().chain(self.availability.causes(now).filter(other))
+    }
+
+    /// Returns until when the endpoint is known to take no requests, as it pauses or loads weights.
+    pub fn known_end(&self) -> Time {
+        let end = |cause| self.availability.end(cause).unwrap_or_default();
+        end(Cause::Pause).max(end(Cause::Loading))
+    }
+
+    /// Returns whether this gateway may have one more request in progress, as it returns slowly
+    /// after a pause.
+    pub fn allows_return(&self, now: Time) -> bool {
+        let Some(end) = self.availability.end(Cause::Pause) else { return true };
+        let elapsed = now - end;
+        let slots = u64::from(self.endpoint.entry.slots.max(1));
+        elapsed >= RETURN_RAMP
+            || u64::from(self.own_load.requests) <= slots * elapsed.0 / RETURN_RAMP.0
     }
 
     /// Returns from when on this gateway, one of `gateways`, may send a request within the rate limit,
@@ -252,8 +298,8 @@
         match outcome {
             AttemptOutcome::Answered => self.failure_streak = 0,
             AttemptOutcome::Dropped => {}
-            AttemptOutcome::Full => self.backoff_until = self.backoff_until.max(now + FULL_BACKOFF),
-            AttemptOutcome::Misdirected => self.misdirected = true,
+            AttemptOutcome::Full => self.availability.extend(Cause::Full, now + FULL_BACKOFF),
+            AttemptOutcome::Misdirected => self.availability.set(Cause::Misdirected, None),
             AttemptOutcome::Failed => self.record_failure(now),
         }
     }
@@ -262,7 +308,8 @@
         self.failure_streak += 1;
         if self.failure_streak >= FAILURE_THRESHOLD {
             let doublings = (self.failure_streak - FAILURE_THRESHOLD).min(3);
-            self.backoff_until = now + Span(BACKOFF.0 << doublings).min(MAX_BACKOFF);
+            let backoff = Span(BACKOFF.0 << doublings).min(MAX_BACKOFF);
+            self.availability.set(Cause::Failing, Some(now + backoff));
         }
     }
 }
--- a/crates/sequoiahold/src/gateway/attempt.rs
+++ b/crates/sequoiahold/src/gateway/attempt.rs
@@ -12,9 +12,12 @@
 };
 use actix_rt::time::timeout;
 use bytes::Bytes;
-use sequoiahold_core::direct::{catalog::RetryMode, platform::Codec, scheduler::Grant};
+use sequoiahold_core::{
+    direct::{availability::Cause, catalog::RetryMode, platform::Codec, scheduler::Grant},
+    time::Time,
+};
 
-use super::{plan::Plan, rate_limits, state::Gateway};
+use super::{notices, plan::Plan, rate_limits, state::Gateway};
 use crate::h1::{IncomingRequest, Upstream, UpstreamError, UpstreamResponse, end_to_end_headers};
 
 /// Maximum body length of a response that is not a stream.
@@ -39,6 +42,9 @@
     },
     /// No byte of the request was sent.
     NotSent(String),
+    /// No byte of the request was sent, as the endpoint wants no more requests, until the given
+    /// time if it is known.
+    Withheld(Cause, Option<Time>),
     /// The request may have run.
     Indeterminate {
         /// The error, for the log.
@@ -70,6 +76,13 @@
         Ok(upstream) => upstream,
         Err(error) => return SendOutcome::NotSent(format!("connecting: {error}")),
     };
+    // The endpoint may have said so while the connection was opened.
+    let sent = gateway.node.now();
+    let withheld = gateway.scheduler.borrow().withheld(sent, grant);
+    if let Some((cause, end)) = withheld {
+        gateway.pool.release(upstream);
+        return SendOutcome::Withheld(cause, end);
+    }
     let headers = request_headers(gateway, plan, request, grant, last_event);
     let sending = upstream.send(request.method.clone(), &request.target, headers, &request.body);
     let mut overdue = pin!(overdue(gateway, grant));
@@ -81,7 +94,7 @@
         Some(Err(error)) => return SendOutcome::NotSent(format!("sending: {}", error.error)),
         None => return SendOutcome::indeterminate("sending timed out", false),
     }
-    let head = read_head(gateway, request, &mut upstream);
+    let head = read_head(gateway, request, grant, sent, &mut upstream);
     match in_time(response_timeout, overdue, head).await {
         Some(Ok(response)) => {
             rate_limits::record_answer(gateway, request, &grant.instance, &response);
@@ -122,6 +135,8 @@
 async fn read_head<C: Codec>(
     gateway: &Gateway<C>,
     request: &IncomingRequest,
+    grant: &Grant,
+    sent: Time,
     upstream: &mut Upstream,
 ) -> Result<UpstreamResponse, UpstreamError> {
     let name = gateway.node.codec.header_names().attempt;
@@ -129,7 +144,9 @@
     for _ in 0..=MAX_STALE_RESPONSES {
         let response = upstream.read_head().await?;
         let echoed = response.header_text(name);
-        if echoed == expected || (echoed.is_none() && !upstream.is_reused()) {
+        let is_own = echoed == expected || (echoed.is_none() && !upstream.is_reused());
+        notices::record_answer(gateway, request, grant, is_own.then_some(sent), &response);
+        if is_own {
             return Ok(response);
         }
         upstream.forbid_reuse();
--- a/crates/sequoiahold/src/gateway/metrics.rs
+++ b/crates/sequoiahold/src/gateway/metrics.rs
@@ -35,6 +35,7 @@
     blocked_parts: Counter,
     limited_endpoints: Gauge,
     announced_versions: Family<Labels, Gauge<f64, AtomicU64>>,
+    unavailable_endpoints: Family<Labels, Gauge>,
     account_labels: RefCell<BTreeSet<String>>,
 }
 
@@ -80,6 +81,12 @@
             "Unix time from which the rollout of a version counts, if it is known",
             announced_versions.clone(),
         );
+        let unavailable_endpoints = Family::<Labels, Gauge>::default();
+        registry.register(
+            "unavailable_endpoints",
+            "Endpoints that get no requests by cause",
+            unavailable_endpoints.clone(),
+        );
         let registry = Rc::new(registry);
         let account_labels = RefCell::default();
         Self {
@@ -92,6 +99,7 @@
             blocked_parts,
             limited_endpoints,
             announced_versions,
+            unavailable_endpoints,
             account_labels,
         }
     }
@@ -149,6 +157,12 @@
         }
     }
 
+    /// Sets the number of endpoints that get no requests for a cause.
+    pub(super) fn set_unavailable_endpoints(&self, cause: &'static str, endpoints: usize) {
+        let labels = vec![("cause", cause.to_owned())];
+        self.unavailable_endpoints.get_or_create(&labels).set(endpoints as i64);
+    }
+
     fn account_label(&self, account: &str) -> String {
         let mut account_labels = self.account_labels.borrow_mut();
         if account_labels.contains(account) || account_labels.len() < MAX_ACCOUNT_LABELS {
