Tests and demo find the declarations by the checkout

With CARGO_TARGET_DIR outside the checkout a contributor's scripts/test.sh failed in process_callers, "no examples directory above the test program", and scripts/demo.sh with "No such file or directory".

Cause: the fixture looked for `examples` in the directories above the test program, the demo for `target/release` and `examples` in the working directory. The declarations are now found by the manifest directory of the package, the program beside the running tool, and the script runs the tool with cargo.

With a target directory outside the checkout, process_callers: 2 of 2 failed before, 2 of 2 pass after.

--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line of `sequoiahold-bench`.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::process::ExitCode;
 
 use anyhow::bail;
 use pico_args::Arguments;
@@ -10,6 +10,7 @@
     bench,
     content::Content,
     demo,
+    deployment::EXAMPLES,
     experiment::{self, burst, routing, traffic, zones},
     processes::program_path,
     soak,
@@ -59,21 +60,15 @@
         Some("demo") => {
             let options = demo::Options {
                 seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
-                program: args
-                    .opt_value_from_str("--program")?
-                    .unwrap_or_else(|| PathBuf::from("target/release/sequoiahold")),
-                examples: args
-                    .opt_value_from_str("--examples")?
-                    .unwrap_or_else(|| PathBuf::from("examples")),
+                program: args.opt_value_from_str("--program")?.unwrap_or_else(program_path),
+                examples: args.opt_value_from_str("--examples")?.unwrap_or_else(|| EXAMPLES.into()),
                 deployment: args.opt_free_from_str()?.unwrap_or_else(|| "glasmarke".to_owned()),
             };
             actix_rt::System::new().block_on(demo::run(options))
         }
         Some("bench") => {
             let options = bench::Options {
-                program: args
-                    .opt_value_from_str("--program")?
-                    .unwrap_or_else(|| PathBuf::from("target/release/sequoiahold")),
+                program: args.opt_value_from_str("--program")?.unwrap_or_else(program_path),
                 series: args.free_from_str()?,
             };
             actix_rt::System::new().block_on(bench::run(options))
--- a/crates/standins/src/deployment/mod.rs
+++ b/crates/standins/src/deployment/mod.rs
@@ -26,7 +26,11 @@
 };
 
 use self::settings::{Addrs, SharedServices, admin_addr, caller_addr};
-pub use self::{plan::Plan, records::Records, start::Setup};
+pub use self::{
+    plan::{EXAMPLES, Plan},
+    records::Records,
+    start::Setup,
+};
 use crate::{
     callers::{Caller, Order, Outcome},
     engine::Engine,
--- a/crates/standins/src/deployment/plan.rs
+++ b/crates/standins/src/deployment/plan.rs
@@ -15,6 +15,9 @@
 use super::network::Network;
 use crate::content::Content;
 
+/// The directory of the declared deployments in the checkout.
+pub const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+
 /// The declarations of a deployment and the fleet that they describe.
 #[derive(Clone, Debug)]
 pub struct Plan {
--- a/crates/standins/src/fixture.rs
+++ b/crates/standins/src/fixture.rs
@@ -2,12 +2,11 @@
 
 use std::{path::Path, time::Duration};
 
-use anyhow::Context as _;
 use sequoiahold_core::once::MAX_CLOCK_SKEW;
 
 use crate::{
     callers::{Call, Outcome},
-    deployment::{Deployment, Plan, Setup},
+    deployment::{Deployment, EXAMPLES, Plan, Setup},
 };
 
 /// Time within which a change must be in force everywhere; work it excludes must not start later.
@@ -24,12 +23,7 @@
 
 /// Starts a small deployment and waits until all its endpoints accept work.
 pub async fn start(setup: Setup) -> anyhow::Result<Deployment> {
-    let own = std::env::current_exe()?;
-    let mut dirs = own.ancestors().map(|dir| dir.join("examples"));
-    let holds = |dir: &Path| dir.join("glasmarke").is_dir();
-    let examples =
-        dirs.find(|dir| holds(dir)).context("no examples directory above the test program")?;
-    start_plan(Plan::small(&examples)?, setup).await
+    start_plan(Plan::small(Path::new(EXAMPLES))?, setup).await
 }
 
 /// Starts a deployment and waits until all its endpoints accept work.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -15,7 +15,10 @@
   shift
 done
 cargo build --release --locked --quiet >&2
-run_demo() { target/release/sequoiahold-bench demo "$deployment" --seed "$seed"; }
+run_demo() {
+  cargo run --release --locked --quiet --bin sequoiahold-bench -- \
+    demo "$deployment" --seed "$seed"
+}
 if [ "$json" = yes ]; then
   run_demo | tail -n 1
 else
