Estimate of when datagrams were sent

What gateways tell each other carries the time since its cause, which does not include the time for which a datagram was on its way or waited in the socket of a process that stood still.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -16,5 +16,6 @@
 pub mod rate_limit;
 pub mod retry_budget;
 pub mod scheduler;
+pub mod send_time;
 pub mod view;
 pub mod wait_queue;
