A report that was held up does not bring a lifted rate limit back

A gateway that read a report 1.1 s after it was sent, after the one that said that the limit was lifted, kept a limit of an endpoint that had none, and refused callers or sent them elsewhere until the endpoint answered it again. A gateway that had stood still read the start and the end of a limit within a moment, took both for just sent, and disregarded the end until it heard of a later answer of the endpoint.

The age in a report is counted to its sending, but was subtracted from the time of reading. And an end that was reported before any start was not remembered.

Datagrams are followed by the clock of their sender, receivers date reports by the estimated time of sending, and an end that a gateway reports is remembered. Processes of the release before ignore what follows a datagram; their datagrams count as sent after the last moment at which none waited.

The known red test called the scheduler with the time of reading, which cannot express the sender's clock. It now reads the same reports at the same times through the estimate, and also requires that no limit is left.

--- a/crates/core/src/direct/rate_limit.rs
+++ b/crates/core/src/direct/rate_limit.rs
@@ -22,7 +22,7 @@
 const SHARERS_PER_RATE: f64 = 2.0;
 /// Age from which on what an endpoint advertised is disregarded.
 const MAX_AGE: Span = Span::secs(60);
-/// Reports that are newer by less are disregarded, as their age includes the time of their way.
+/// Reports that are newer by less are disregarded, as the time of their sending is an estimate.
 const MIN_REPORT_GAIN: Span = Span::millis(50);
 
 /// What an endpoint advertised, as exchanged between gateways.
@@ -85,11 +85,17 @@
         }
     }
 
-    /// Merges the report of another gateway.
-    pub fn merge(&mut self, now: Time, report: &RateLimitReport, rank: usize) -> RateChange {
-        let heard_at = Time(now.0.saturating_sub(report.age.0));
+    /// Merges the report that another gateway sent at `sent`.
+    pub fn merge(&mut self, sent: Time, report: &RateLimitReport, rank: usize) -> RateChange {
+        let heard_at = Time(sent.0.saturating_sub(report.age.0));
         let is_newer = self.heard_at.is_none_or(|known| known + MIN_REPORT_GAIN < heard_at);
-        if is_newer { self.record(heard_at, report.rate, rank) } else { RateChange::None }
+        if !is_newer {
+            return RateChange::None;
+        }
+        let change = self.record(heard_at, report.rate, rank);
+        // The end of a limit may be reported before its start.
+        self.heard_at = Some(heard_at);
+        change
     }
 
     /// Returns the report for other gateways, `None` if there is nothing to tell.
--- a/crates/core/src/direct/scheduler/rate_limits.rs
+++ b/crates/core/src/direct/scheduler/rate_limits.rs
@@ -49,18 +49,18 @@
         state.rate_limit.record(now, rate, state.limit_rank)
     }
 
-    /// Merges the reports of another gateway and returns the endpoints with another limit than
-    /// known, `None` where it is lifted.
+    /// Merges the reports that another gateway sent at `sent` and returns the endpoints with another
+    /// limit than known, `None` where it is lifted.
     pub fn merge_rate_limits(
         &mut self,
-        now: Time,
+        sent: Time,
         reports: Vec<RateLimitReport>,
     ) -> Vec<(InstanceId, Option<RequestRate>)> {
         let changed = |report: &RateLimitReport| {
             let Some(key) = self.by_instance.get(&report.instance) else { return false };
             let state = &mut self.endpoints[*key];
-            rank_new_limit(&self.cells, now, state, report.rate);
-            state.rate_limit.merge(now, report, state.limit_rank) != RateChange::None
+            rank_new_limit(&self.cells, sent, state, report.rate);
+            state.rate_limit.merge(sent, report, state.limit_rank) != RateChange::None
         };
         reports.into_iter().filter(changed).map(|report| (report.instance, report.rate)).collect()
     }
--- a/crates/core/tests/direct_rate_limit.rs
+++ b/crates/core/tests/direct_rate_limit.rs
@@ -12,9 +12,10 @@
         platform::PublishedValue,
         rate_limit::RateChange,
         scheduler::{Decision, PlacementRequest, Scheduler, SchedulerConfig},
+        send_time::{SendStamp, SendTimes},
         view::View,
     },
-    ids::{InstanceId, VmId, ZoneId},
+    ids::{Incarnation, InstanceId, VmId, ZoneId},
     refusal::Refusal,
     time::Time,
     units::{RequestRate, Span},
@@ -212,18 +213,52 @@
     assert_eq!(listener.rate_limited_endpoints(ms(10_100)), 0);
 }
 
+/// Returns the clock of a sender that is behind, at a time of the receiver's clock.
+fn stamp(at: Time, behind: Span) -> Option<SendStamp> {
+    Some(SendStamp { incarnation: Incarnation(1), at: Time(at.0 - behind.0) })
+}
+
 /// A report may wait in the socket of a process that stands still.
 #[test]
-#[ignore = "known red: the age of a report does not include the time for which it was held up"]
 fn report_that_was_held_up_does_not_bring_a_lifted_limit_back() {
     let instance: InstanceId = name("i-0");
+    let (from, mut send_times) = (([127, 0, 0, 1], 7_000).into(), SendTimes::default());
+    let mut read = |now, sent| send_times.estimate(now, ms(10_000), from, stamp(sent, Span(0)));
     let mut all = schedulers(2, &view(1));
     let [sender, listener] = &mut all[..] else { panic!("two schedulers") };
     sender.record_rate_limit(ms(1_000), &instance, rate("2"));
     let reports = sender.rate_limit_reports(ms(1_100));
     sender.record_rate_limit(ms(2_000), &instance, None);
-    listener.merge_rate_limits(ms(10_100), sender.rate_limit_reports(ms(2_100)));
-    assert_eq!(listener.merge_rate_limits(ms(10_200), reports), []);
+    let sent = read(ms(10_100), ms(2_100));
+    listener.merge_rate_limits(sent, sender.rate_limit_reports(ms(2_100)));
+    let sent = read(ms(10_200), ms(1_100));
+    assert_eq!(listener.merge_rate_limits(sent, reports), []);
+    assert_eq!(listener.rate_limited_endpoints(ms(10_200)), 0);
+}
+
+/// All that other gateways told it meanwhile is read within a moment.
+#[test]
+fn gateway_that_stood_still_learns_that_a_limit_ended_meanwhile() {
+    let instance: InstanceId = name("i-0");
+    let addr = |port| ([127, 0, 0, 1], port).into();
+    let behind = [Span::millis(700), Span::millis(400)];
+    let mut send_times = SendTimes::default();
+    for (port, behind) in behind.into_iter().enumerate() {
+        send_times.estimate(ms(1_000), ms(990), addr(port as u16), stamp(ms(1_000), behind));
+    }
+    let mut all = schedulers(3, &view(1));
+    let [first, second, listener] = &mut all[..] else { panic!("three schedulers") };
+    first.record_rate_limit(ms(2_000), &instance, rate("2"));
+    let begun = (first.rate_limit_reports(ms(2_000)), 0, ms(2_000));
+    second.merge_rate_limits(ms(2_010), begun.0.clone());
+    second.record_rate_limit(ms(3_000), &instance, None);
+    let ended = (second.rate_limit_reports(ms(3_000)), 1, ms(3_000));
+    for (reports, port, sent) in [begun, ended] {
+        let stamp = stamp(sent, behind[port]);
+        let sent = send_times.estimate(ms(6_000), ms(1_010), addr(port as u16), stamp);
+        listener.merge_rate_limits(sent, reports);
+    }
+    assert_eq!(listener.rate_limited_endpoints(ms(6_000)), 0);
 }
 
 #[test]
--- a/crates/sequoiahold/src/gateway/datagrams.rs
+++ b/crates/sequoiahold/src/gateway/datagrams.rs
@@ -2,11 +2,14 @@
 
 use std::{rc::Rc, time::Duration};
 
-use sequoiahold_core::direct::{load_exchange::LocalLoad, platform::Codec, scheduler::EndpointKey};
+use sequoiahold_core::{
+    direct::{load_exchange::LocalLoad, platform::Codec, scheduler::EndpointKey},
+    time::Time,
+};
 use tokio::sync::mpsc;
 
 use super::{parts, rate_limits, state::Gateway};
-use crate::node::Datagram;
+use crate::node::{Datagram, Received};
 
 /// Interval between two rounds of the exchange.
 const ROUND_INTERVAL: Duration = Duration::from_millis(70);
@@ -17,7 +20,7 @@
 /// Starts the task that exchanges load reports and handles the datagrams from peers.
 pub(super) fn start<C: Codec>(
     gateway: &Rc<Gateway<C>>,
-    mut inbox: mpsc::UnboundedReceiver<Datagram>,
+    mut inbox: mpsc::UnboundedReceiver<Received>,
 ) {
     let gateway = gateway.clone();
     actix_rt::spawn(async move {
@@ -25,22 +28,8 @@
         let mut evidence_timer = actix_rt::time::interval(EVIDENCE_INTERVAL);
         loop {
             tokio::select! {
-                datagram = inbox.recv() => match datagram {
-                    Some(Datagram::Load(message)) => {
-                        let now = gateway.node.now();
-                        gateway.load_exchange.borrow_mut().receive(now, message);
-                    }
-                    Some(Datagram::Loading(note)) => {
-                        let paused_until = gateway.node.now() + note.pause;
-                        gateway.scheduler.borrow_mut().pause_endpoint(&note.instance, paused_until);
-                    }
-                    Some(Datagram::Crash(crash)) => {
-                        let now = gateway.node.now();
-                        gateway.suspects.borrow_mut().record_crash(now, crash);
-                    }
-                    Some(Datagram::Parts(news)) => parts::receive(&gateway, &news),
-                    Some(Datagram::RateLimits(reports)) => rate_limits::receive(&gateway, reports),
-                    Some(_) => {}
+                received = inbox.recv() => match received {
+                    Some(Received { sent, datagram }) => receive(&gateway, sent, datagram),
                     None => return,
                 },
                 _ = round_timer.tick() => {
@@ -56,6 +45,22 @@
     });
 }
 
+/// Handles a datagram that a peer sent at `sent`.
+fn receive<C: Codec>(gateway: &Rc<Gateway<C>>, sent: Time, datagram: Datagram) {
+    let now = gateway.node.now();
+    match datagram {
+        Datagram::Load(message) => gateway.load_exchange.borrow_mut().receive(now, message),
+        Datagram::Loading(note) => {
+            let paused_until = now + note.pause;
+            gateway.scheduler.borrow_mut().pause_endpoint(&note.instance, paused_until);
+        }
+        Datagram::Crash(crash) => gateway.suspects.borrow_mut().record_crash(now, crash),
+        Datagram::Parts(news) => parts::receive(gateway, &news),
+        Datagram::RateLimits(reports) => rate_limits::receive(gateway, sent, reports),
+        Datagram::Gossip(_) | Datagram::Changes(_) | Datagram::Holds(_) => {}
+    }
+}
+
 /// Tells other gateways the loads known here, and applies those that they told.
 fn exchange_loads<C: Codec>(gateway: &Gateway<C>) {
     let now = gateway.node.now();
--- a/crates/sequoiahold/src/gateway/rate_limits.rs
+++ b/crates/sequoiahold/src/gateway/rate_limits.rs
@@ -9,6 +9,7 @@
         rate_limit::{RateChange, RateLimitReport},
     },
     ids::InstanceId,
+    time::Time,
     units::{RequestRate, Span},
 };
 
@@ -54,14 +55,13 @@
     if matches!(change, RateChange::Begun | RateChange::Lifted) {
         let report = RateLimitReport { instance: instance.clone(), rate, age: Span(0) };
         let peers = gateway.node.peer_addrs(Role::Gateway);
-        gateway.node.send(peers, &Datagram::RateLimits(vec![report]));
+        gateway.node.send_at(now, peers, &Datagram::RateLimits(vec![report]));
     }
 }
 
-/// Applies the reports of another gateway.
-pub(super) fn receive<C: Codec>(gateway: &Gateway<C>, reports: Vec<RateLimitReport>) {
-    let now = gateway.node.now();
-    let changes = gateway.scheduler.borrow_mut().merge_rate_limits(now, reports);
+/// Applies the reports that another gateway sent at `sent`.
+pub(super) fn receive<C: Codec>(gateway: &Gateway<C>, sent: Time, reports: Vec<RateLimitReport>) {
+    let changes = gateway.scheduler.borrow_mut().merge_rate_limits(sent, reports);
     for (instance, rate) in changes {
         log_change(gateway, "", &instance, rate);
     }
@@ -84,7 +84,7 @@
     });
     let reports = Datagram::RateLimits(reports.collect());
     let peer = gateway.node.peer_addrs(Role::Gateway).into_iter().choose(rng);
-    gateway.node.send(peer, &reports);
+    gateway.node.send_at(now, peer, &reports);
 }
 
 /// Logs another limit of an endpoint than known, with the request whose answer had it, if any.
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -21,7 +21,7 @@
 
 use self::{chunk_store::ChunkStore, engine::Engine, target::Target};
 use crate::{
-    node::{ChunkOffer, Datagram, Node, ignore_sighup},
+    node::{ChunkOffer, Datagram, Node, Received, ignore_sighup},
     settings,
 };
 
@@ -75,8 +75,8 @@
 
 /// Collects the offers of other loaders, which a running transfer processes within milliseconds;
 /// without one, all are dropped at [`MAX_OFFERS`].
-async fn collect_offers(mut datagrams: mpsc::UnboundedReceiver<Datagram>, offers: Offers) {
-    while let Some(datagram) = datagrams.recv().await {
+async fn collect_offers(mut datagrams: mpsc::UnboundedReceiver<Received>, offers: Offers) {
+    while let Some(Received { datagram, .. }) = datagrams.recv().await {
         if let Datagram::Holds(offer) = datagram {
             let mut offers = offers.borrow_mut();
             if offers.len() >= MAX_OFFERS {
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -1,5 +1,7 @@
 //! Datagrams exchanged between processes.
 
+use std::fmt;
+
 use sequoiahold_core::{
     direct::{
         load_exchange::LoadMessage,
@@ -7,13 +9,20 @@
         mirror::{Revision, StateDelta},
         part_suspects::PartNews,
         rate_limit::RateLimitReport,
+        send_time::SendStamp,
     },
     ids::{InstanceId, ModelId, VmId},
     suspect::Crash,
+    time::Time,
     units::Span,
 };
 use serde::{Deserialize, Serialize};
 
+/// Maximum size of a datagram without the clock of the sender.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Maximum size of the clock of the sender.
+pub const MAX_STAMP_BYTES: usize = 20;
+
 /// Announces that an engine is loading and accepts no new requests.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadingNotice {
@@ -69,3 +78,50 @@
     /// Rate limits that endpoints advertise.
     RateLimits(Vec<RateLimitReport>),
 }
+
+impl Datagram {
+    /// Encodes the datagram, followed by the clock of the sender; processes of the release before
+    /// ignore what follows.
+    pub fn encode(&self, stamp: SendStamp) -> Result<Vec<u8>, EncodeError> {
+        let bytes = postcard::to_stdvec(self).map_err(EncodeError::Format)?;
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            return Err(EncodeError::Size(bytes.len()));
+        }
+        postcard::to_extend(&stamp, bytes).map_err(EncodeError::Format)
+    }
+
+    /// Decodes a datagram and the clock of the sender, `None` from a process of the release before.
+    pub fn decode(bytes: &[u8]) -> Result<(Self, Option<SendStamp>), postcard::Error> {
+        let (datagram, rest) = postcard::take_from_bytes(bytes)?;
+        Ok((datagram, postcard::from_bytes(rest).ok()))
+    }
+}
+
+/// The reason why a datagram cannot be encoded.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum EncodeError {
+    /// It exceeds [`MAX_DATAGRAM_BYTES`].
+    Size(usize),
+    /// It has no encoding.
+    Format(postcard::Error),
+}
+
+impl fmt::Display for EncodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Size(bytes) => write!(f, "{bytes} bytes exceed the limit"),
+            Self::Format(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for EncodeError {}
+
+/// A datagram from another process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Received {
+    /// When it was sent, by the clock of this process and as far as known.
+    pub sent: Time,
+    /// The datagram.
+    pub datagram: Datagram,
+}
--- a/crates/sequoiahold/src/node/gossip.rs
+++ b/crates/sequoiahold/src/node/gossip.rs
@@ -8,16 +8,19 @@
         membership::{Envelope, Gossip},
         mirror::{Change, Revision, StateDelta},
         platform::Codec,
+        send_time::{SendStamp, SendTimes},
     },
     time::Time,
     units::Span,
 };
 use tokio::net::UdpSocket;
 
-use super::{Datagram, Node, datagram::Changes, peers};
+use super::{
+    Datagram, Node, Received,
+    datagram::{Changes, MAX_DATAGRAM_BYTES, MAX_STAMP_BYTES},
+    peers,
+};
 
-/// Maximum size of a datagram.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Maximum total size of the changes in one datagram.
 const MAX_CHANGE_BYTES: usize = 1_150;
 /// Estimated size of an encoded change without its key and value.
@@ -45,12 +48,12 @@
 /// Sends a datagram; one that cannot be sent is dropped, as receivers tolerate lost datagrams.
 pub(super) fn send(
     socket: &UdpSocket,
+    stamp: SendStamp,
     recipients: impl IntoIterator<Item = SocketAddr>,
     datagram: &Datagram,
 ) {
-    let bytes = match postcard::to_stdvec(datagram) {
-        Ok(bytes) if bytes.len() <= MAX_DATAGRAM_BYTES => bytes,
-        Ok(bytes) => return log::warn!("datagram of {} bytes exceeds the limit", bytes.len()),
+    let bytes = match datagram.encode(stamp) {
+        Ok(bytes) => bytes,
         Err(error) => return log::error!("cannot encode datagram: {error}"),
     };
     for peer in recipients {
@@ -89,7 +92,8 @@
 }
 
 async fn receive_datagrams<C: Codec>(node: Rc<Node<C>>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES + MAX_STAMP_BYTES];
+    let mut send_times = SendTimes::default();
     // A datagram may have waited in the socket for as long as this process stood still.
     let mut drained_at = node.now();
     loop {
@@ -108,15 +112,22 @@
                 continue;
             }
         };
-        match postcard::from_bytes(&buffer[..len]) {
-            Ok(Datagram::Gossip(gossip)) => on_gossip(&node, from, gossip),
-            Ok(Datagram::Changes(changes)) => on_changes(&node, from, drained_at, changes),
-            Ok(datagram) => {
-                if node.datagrams.send(datagram).is_err() {
+        let (datagram, stamp) = match Datagram::decode(&buffer[..len]) {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                log::debug!("cannot decode datagram from {from}: {error}");
+                continue;
+            }
+        };
+        let sent = send_times.estimate(node.now(), drained_at, from, stamp);
+        match datagram {
+            Datagram::Gossip(gossip) => on_gossip(&node, from, gossip),
+            Datagram::Changes(changes) => on_changes(&node, from, drained_at, changes),
+            datagram => {
+                if node.datagrams.send(Received { sent, datagram }).is_err() {
                     log::debug!("datagram from {from} dropped: its receiver is closed");
                 }
             }
-            Err(error) => log::debug!("cannot decode datagram from {from}: {error}"),
         }
     }
 }
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -21,6 +21,7 @@
         membership::{Member, Membership, Role},
         mirror::{Change, Mirror, Revision},
         platform::{Codec, PublishedValue},
+        send_time::SendStamp,
         view::{AnnouncedVersion, Effect, View},
     },
     ids::ModelId,
@@ -35,7 +36,10 @@
 
 pub(crate) use self::peers::{CHUNKS_PREFIX, CallError, get_from_peer};
 pub use self::{
-    datagram::{ChunkOffer, Datagram, LoadingNotice},
+    datagram::{
+        ChunkOffer, Datagram, EncodeError, LoadingNotice, MAX_DATAGRAM_BYTES, MAX_STAMP_BYTES,
+        Received,
+    },
     peers::{NotFoundHandler, PeerHandler},
 };
 use crate::{
@@ -70,7 +74,7 @@
     pub pool: ConnectionPool,
     /// The random number generator.
     pub rng: RefCell<SmallRng>,
-    datagrams: mpsc::UnboundedSender<Datagram>,
+    datagrams: mpsc::UnboundedSender<Received>,
     upload_pacer: RefCell<Option<Pacer>>,
     socket: RefCell<Option<Rc<tokio::net::UdpSocket>>>,
     revision_sender: watch_channel::Sender<Revision>,
@@ -90,7 +94,7 @@
         role: Role,
         settings: settings::Node,
         config: ServiceConfig,
-        datagrams: mpsc::UnboundedSender<Datagram>,
+        datagrams: mpsc::UnboundedSender<Received>,
     ) -> Rc<Self> {
         let clock = Clock::default();
         let own = Member {
@@ -153,8 +157,19 @@
 
     /// Sends a datagram to peers; one that cannot be sent is dropped.
     pub fn send(&self, recipients: impl IntoIterator<Item = SocketAddr>, datagram: &Datagram) {
+        self.send_at(self.now(), recipients, datagram);
+    }
+
+    /// Sends a datagram to peers whose ages count up to `at`; one that cannot be sent is dropped.
+    pub fn send_at(
+        &self,
+        at: Time,
+        recipients: impl IntoIterator<Item = SocketAddr>,
+        datagram: &Datagram,
+    ) {
         if let Some(socket) = self.socket.borrow().as_ref() {
-            gossip::send(socket, recipients, datagram);
+            let stamp = SendStamp { incarnation: self.clock.incarnation(), at };
+            gossip::send(socket, stamp, recipients, datagram);
         }
     }
 
