Test: a gateway that stood still does not keep a limit that ended meanwhile

Two real gateways, of which one is stopped while an endpoint advertises a limit and lifts it 0.4 s later.

--- a/crates/standins/tests/process_rate_limits.rs
+++ b/crates/standins/tests/process_rate_limits.rs
@@ -6,7 +6,10 @@
 };
 
 use rstest::rstest;
-use sequoiahold_standins::hosted::{Call, Cluster, request};
+use sequoiahold_standins::{
+    hosted::{Call, Cluster, request},
+    processes::Signal,
+};
 
 /// Time after an endpoint first advertised a limit from which the limit must hold.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -16,6 +19,8 @@
 const LIMIT_TOLERANCE: (f64, f64) = (1.5, 5.0);
 /// Time within which all gateways must know that a limit is lifted.
 const LIFT_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time for which a limit is in force while a gateway stands still, too short for it to be suspected.
+const HOLD_TIME: Duration = Duration::from_millis(400);
 /// Time within which a request is refused that cannot be served.
 const REFUSAL_TIME: Duration = Duration::from_millis(200);
 /// Interval between two requests of callers.
@@ -128,6 +133,34 @@
     assert!(2 * lifted >= usual, "{lifted} requests in 2 s, {usual} before the limit");
 }
 
+/// The start and the end of the limit wait in its socket.
+#[actix_rt::test]
+async fn gateway_that_stood_still_does_not_keep_a_limit_that_ended_meanwhile() {
+    let cluster = Rc::new(Cluster::start(2, 1).await.expect("a cluster"));
+    send_reads(&cluster, Duration::from_secs(1)).await;
+    let times_logged =
+        |number: usize, text: &str| cluster.log(number).expect("a log").matches(text).count();
+    let answer_logs = async |text: &str| {
+        let has_logged = async || {
+            cluster.call(0, &request("GET", "/read/1", "key-1")).await;
+            times_logged(0, text) == 1
+        };
+        assert!(cluster.wait_until(LOG_TIMEOUT, has_logged).await, "no log line: {text}");
+    };
+    cluster.signal(1, Signal::Stop);
+    cluster.workers[0].set_rate_limit(Some("20"));
+    answer_logs("endpoint advertises a rate limit").await;
+    actix_rt::time::sleep(HOLD_TIME).await;
+    cluster.workers[0].set_rate_limit(None);
+    answer_logs("endpoint lifts its rate limit").await;
+    cluster.signal(1, Signal::Continue);
+    let has_ended = async || {
+        times_logged(1, "endpoint advertises a rate limit") == 1
+            && times_logged(1, "endpoint lifts its rate limit") == 1
+    };
+    assert!(cluster.wait_until(LIFT_TIMEOUT, has_ended).await, "the gateway still keeps the limit");
+}
+
 #[actix_rt::test]
 async fn requests_beyond_the_limits_of_all_endpoints_are_refused_at_once() {
     let cluster = Rc::new(Cluster::start(2, 1).await.expect("a cluster"));
