--- a/crates/standins/src/hosted/cluster.rs
+++ b/crates/standins/src/hosted/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::RefCell,
+    collections::HashMap,
     hash::{BuildHasher as _, Hasher as _, RandomState},
     net::SocketAddr,
     path::PathBuf,
@@ -15,7 +16,9 @@
     net::TcpStream,
 };
 
-use super::{Store, Worker, gateway_config, gateway_settings, loopback_addr, registry_entry};
+use super::{
+    Arrival, Store, Worker, gateway_config, gateway_settings, loopback_addr, registry_entry,
+};
 use crate::processes::{Process, program_path};
 
 /// Time within which a gateway must be ready.
@@ -66,6 +69,8 @@
     /// The addresses of the endpoints.
     pub addrs: Vec<SocketAddr>,
     gateways: Vec<Gateway>,
+    /// The gateway to which each attempt was sent.
+    sent: RefCell<HashMap<String, usize>>,
     dir: PathBuf,
 }
 
@@ -103,7 +108,7 @@
             Gateway { vm, callers, ready, settings, process: RefCell::default() }
         };
         let gateways = peers.iter().enumerate().map(gateway).collect();
-        let cluster = Self { store, workers, addrs, gateways, dir };
+        let cluster = Self { store, workers, addrs, gateways, sent: RefCell::default(), dir };
         (0..cluster.gateways.len()).try_for_each(|number| cluster.start_gateway(number))?;
         for number in 0..cluster.gateways.len() {
             cluster.wait_ready(number).await?;
@@ -145,9 +150,23 @@
 
     /// Sends a request to a gateway and reads the answer.
     pub async fn call(&self, number: usize, request: &str) -> Call {
+        let head = request.lines().filter_map(|line| line.split_once(": "));
+        let attempts = head.filter(|(name, _)| name.eq_ignore_ascii_case("attempt-id"));
+        let attempts = attempts.map(|(_, attempt)| (attempt.to_owned(), number));
+        self.sent.borrow_mut().extend(attempts);
         exchange(self.gateways[number].callers, request).await
     }
 
+    /// Returns the requests of callers of a gateway that reached an endpoint.
+    pub fn arrivals_from(&self, number: usize, endpoint: usize) -> Vec<Arrival> {
+        let (sent, arrivals) = (self.sent.borrow(), self.workers[endpoint].arrivals());
+        let is_own = |arrival: &Arrival| {
+            let attempt = arrival.attempt.as_deref();
+            attempt.is_some_and(|attempt| sent.get(attempt) == Some(&number))
+        };
+        arrivals.into_iter().filter(is_own).collect()
+    }
+
     /// Waits until a condition holds; returns whether it did within `timeout`.
     pub async fn wait_until(&self, timeout: Duration, mut done: impl AsyncFnMut() -> bool) -> bool {
         let deadline = Instant::now() + timeout;
--- a/crates/standins/src/hosted/fragile.rs
+++ b/crates/standins/src/hosted/fragile.rs
@@ -21,7 +21,7 @@
 
 /// A request that reached a fragile endpoint.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Arrival {
+pub struct FragileArrival {
     /// The value of its `attempt-id` header.
     pub attempt: String,
     /// Whether its prompt holds the fatal part.
@@ -32,7 +32,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct FragileRecord {
     /// The requests in the order of their arrival.
-    pub arrivals: Vec<Arrival>,
+    pub arrivals: Vec<FragileArrival>,
     /// The number of crashes.
     pub crashes: u32,
 }
@@ -112,7 +112,7 @@
         let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let fatal =
             shared.iter().any(|part| part.trim().split(':').next() == Some(&self.fatal_part));
-        self.record.borrow_mut().arrivals.push(Arrival { attempt: attempt.clone(), fatal });
+        self.record.borrow_mut().arrivals.push(FragileArrival { attempt: attempt.clone(), fatal });
         actix_rt::time::sleep(PREFILL_TIME).await;
         if fatal {
             self.record.borrow_mut().crashes += 1;
--- a/crates/standins/src/hosted/mod.rs
+++ b/crates/standins/src/hosted/mod.rs
@@ -8,8 +8,8 @@
 
 pub use self::{
     cluster::{Call, Cluster, request},
-    fragile::{Arrival, Fragile, FragileRecord},
+    fragile::{Fragile, FragileArrival, FragileRecord},
     settings::{gateway_config, gateway_settings, loopback_addr, registry_entry},
     store::{Store, StoreCopy},
-    worker::{Behaviour, Worker},
+    worker::{Arrival, Behaviour, Leave, Worker},
 };
--- a/crates/standins/src/hosted/worker.rs
+++ b/crates/standins/src/hosted/worker.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use actix_http::{HttpMessage as _, Request, Response, StatusCode};
+use actix_http::{ConnectionType, HttpMessage as _, Request, Response, StatusCode};
 use bytes::Bytes;
 use sequoiahold::http;
 use tokio::sync::mpsc;
@@ -37,6 +37,17 @@
     NeverAnswer,
     /// Refuses the request with status 503 without running it.
     AtCapacity,
+    /// Answers with this status, without running the request and without saying so.
+    Fail(u16),
+    /// Answers with this status and says that it did not run the request.
+    Refuse(u16),
+    /// Runs the request and sends the head of its answer after this time, with the headers as of
+    /// the arrival.
+    LateHead(Duration),
+    /// Refuses the request with status 503 after this time, with the headers as of the arrival.
+    LateRefusal(Duration),
+    /// Closes the connection after the head of an answer.
+    BreakAfterHead,
     /// Closes a stream in the middle of its third event.
     TruncateEvent,
     /// Answers without the `server-stamp` header.
@@ -62,10 +73,39 @@
     pub arrived: Instant,
 }
 
+/// A request that reached the endpoint, whether it ran or was turned away.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Arrival {
+    /// Value of its `attempt-id` header, `None` for a request that no caller sent.
+    pub attempt: Option<String>,
+    /// The instance that it reached.
+    pub instance: String,
+    /// The status of the answer, `None` until its head is sent.
+    pub status: Option<u16>,
+    /// Time of its arrival.
+    pub at: Instant,
+}
+
+/// Whether and how an endpoint says that it leaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Leave {
+    /// It stays.
+    #[default]
+    Stays,
+    /// It says so in all answers and goes on to serve.
+    Serves,
+    /// It says so in all answers and closes each connection after the answer.
+    Closes,
+}
+
 #[derive(Debug, Default)]
 struct State {
+    instance: String,
     behaviour: Behaviour,
     rate_limit: Option<String>,
+    retry_after: Option<String>,
+    leave: Leave,
+    arrivals: Vec<Arrival>,
     requests: Vec<ServedRequest>,
     dropped_streams: u32,
 }
@@ -73,14 +113,14 @@
 /// A running simulated endpoint.
 #[derive(Clone, Debug)]
 pub struct Worker {
-    instance: String,
     state: Rc<RefCell<State>>,
 }
 
 impl Worker {
     /// Starts an endpoint with an instance name; fails if the address cannot be bound.
     pub async fn start(addr: SocketAddr, instance: &str) -> anyhow::Result<Self> {
-        let worker = Self { instance: instance.to_owned(), state: Rc::default() };
+        let state = State { instance: instance.to_owned(), ..State::default() };
+        let worker = Self { state: Rc::new(RefCell::new(state)) };
         let server = worker.clone();
         http::serve(addr, move |request| server.clone().handle(request)).await?;
         Ok(worker)
@@ -96,6 +136,30 @@
         self.state.borrow_mut().rate_limit = rate_limit.map(str::to_owned);
     }
 
+    /// Sets the value of the `retry-after` header of answers with status 503, `None` for answers
+    /// without it.
+    pub fn set_retry_after(&self, retry_after: Option<&str>) {
+        self.state.borrow_mut().retry_after = retry_after.map(str::to_owned);
+    }
+
+    /// Sets whether all answers have the header `server-leaving`.
+    pub fn set_leave(&self, leave: Leave) {
+        self.state.borrow_mut().leave = leave;
+    }
+
+    /// Starts again under an instance name, with the usual behaviour.
+    pub fn restart(&self, instance: &str) {
+        let mut state = self.state.borrow_mut();
+        state.instance = instance.to_owned();
+        state.behaviour = Behaviour::Normal;
+        (state.rate_limit, state.retry_after, state.leave) = (None, None, Leave::Stays);
+    }
+
+    /// Returns the requests that reached the endpoint, also those that it turned away, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state.borrow().arrivals.clone()
+    }
+
     /// Returns the requests that the endpoint ran, in order.
     pub fn requests(&self) -> Vec<ServedRequest> {
         self.state.borrow().requests.clone()
@@ -107,10 +171,31 @@
     }
 
     async fn handle(self, request: Request) -> Response<Body> {
+        let attempt = request.headers().get("attempt-id").and_then(|value| value.to_str().ok());
+        let (number, leave, late) = {
+            let mut state = self.state.borrow_mut();
+            let (instance, attempt) = (state.instance.clone(), attempt.map(str::to_owned));
+            state.arrivals.push(Arrival { attempt, instance, status: None, at: Instant::now() });
+            (state.arrivals.len() - 1, state.leave, state.behaviour)
+        };
+        let retry_after = self.state.borrow().retry_after.clone();
         let response = self.answer(request).await;
-        let rate_limit = self.state.borrow().rate_limit.clone();
-        let headers = rate_limit.iter().map(|rate_limit| ("server-limit", rate_limit.as_str()));
-        reply::with_headers(response, &headers.collect::<Vec<_>>())
+        if let Behaviour::LateHead(delay) | Behaviour::LateRefusal(delay) = late {
+            actix_rt::time::sleep(delay).await;
+        }
+        let mut state = self.state.borrow_mut();
+        state.arrivals[number].status = Some(response.status().as_u16());
+        let rate_limit = state.rate_limit.iter().map(|value| ("server-limit", value.as_str()));
+        let pauses = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let retry_after = retry_after.iter().filter(|_| pauses);
+        let headers = rate_limit
+            .chain(retry_after.map(|value| ("retry-after", value.as_str())))
+            .chain((leave != Leave::Stays).then_some(("server-leaving", "1")));
+        let mut response = reply::with_headers(response, &headers.collect::<Vec<_>>());
+        if leave == Leave::Closes {
+            response.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        response
     }
 
     async fn answer(&self, request: Request) -> Response<Body> {
@@ -118,14 +203,26 @@
             let value = request.headers().get(name)?.to_str().ok()?;
             Some(value.to_owned())
         };
-        if text("expect-instance").is_some_and(|instance| instance != self.instance) {
+        let (instance, behaviour) = {
+            let state = self.state.borrow();
+            (state.instance.clone(), state.behaviour)
+        };
+        let attempt = text("attempt-id").unwrap_or_default();
+        if text("expect-instance").is_some_and(|expected| expected != instance) {
             return reply::status(421);
         }
-        let behaviour = self.state.borrow().behaviour;
-        if behaviour == Behaviour::AtCapacity {
-            return reply::with_headers(reply::status(503), &[("not-executed", "1")]);
+        match behaviour {
+            Behaviour::AtCapacity => {
+                return reply::with_headers(reply::status(503), &[("not-executed", "1")]);
+            }
+            Behaviour::Fail(status) => {
+                let echo = [("attempt-id", attempt.as_str())];
+                return reply::with_headers(reply::status(status), &echo);
+            }
+            Behaviour::Refuse(status) => return refuse(status, &attempt),
+            Behaviour::LateRefusal(_) => return refuse(503, &attempt),
+            _ => {}
         }
-        let attempt = text("attempt-id").unwrap_or_default();
         let last_event = text("last-event-id").and_then(|text| text.parse().ok());
         let has_key = request.headers().contains_key("authorization");
         let account = text("tenant");
@@ -143,11 +240,12 @@
             }
             Behaviour::CloseUnanswered => Body::aborted(),
             Behaviour::EndlessBody => self.endless_body(),
+            Behaviour::BreakAfterHead => break_after_head(),
             _ if request.path().starts_with("/stream/") => self.stream(behaviour, last_event),
             _ => Body::Full(Bytes::from_static(b"done")),
         };
         let response = Response::with_body(StatusCode::OK, body);
-        let signature = format!("signed-{}", self.instance);
+        let signature = format!("signed-{instance}");
         let mut headers = vec![("attempt-id", attempt.as_str())];
         if behaviour != Behaviour::Unsigned {
             headers.push(("server-stamp", signature.as_str()));
@@ -199,3 +297,18 @@
         Body::Stream(body)
     }
 }
+
+/// Returns a body without a byte that is aborted once its head is sent.
+fn break_after_head() -> Body {
+    let (pieces, body) = mpsc::unbounded_channel();
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(ABORT_DELAY).await;
+        drop(pieces);
+    });
+    Body::Stream(body)
+}
+
+fn refuse(status: u16, attempt: &str) -> Response<Body> {
+    let headers = [("not-executed", "1"), ("attempt-id", attempt)];
+    reply::with_headers(reply::status(status), &headers)
+}
--- a/crates/standins/src/soak/engine.rs
+++ b/crates/standins/src/soak/engine.rs
@@ -63,6 +63,9 @@
     flaky: bool,
     slow: bool,
     leaving: bool,
+    /// Whether all answers say that it leaves.
+    says_leaving: bool,
+    pause: Option<Pause>,
     /// The requests per second that it takes from all gateways together.
     rate_limit: Option<u32>,
     /// The staged chunks; they outlive a crash.
@@ -70,6 +73,15 @@
     rng: SmallRng,
 }
 
+/// The answer to requests while the engine turns them away.
+#[derive(Clone, Debug)]
+pub(super) struct Pause {
+    /// The time that it asks for.
+    pub(super) time: Duration,
+    /// Whether it says that the request did not run.
+    pub(super) not_run: bool,
+}
+
 /// A running simulated engine.
 #[derive(Clone, Debug)]
 pub(super) struct Engine {
@@ -116,6 +128,8 @@
             flaky: false,
             slow: false,
             leaving: false,
+            says_leaving: false,
+            pause: None,
             rate_limit: None,
             staged: (0..CHUNKS).map(|number| (number, origin::chunk(version, number))).collect(),
             rng: SmallRng::seed_from_u64(seed),
@@ -181,6 +195,21 @@
         self.state.borrow_mut().leaving = leaving;
     }
 
+    /// Returns whether the engine reports that it is leaving.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.state.borrow().leaving
+    }
+
+    /// Sets that all answers say the engine leaves, until it starts again.
+    pub(super) fn say_leaving(&self) {
+        self.state.borrow_mut().says_leaving = true;
+    }
+
+    /// Sets whether the engine turns all requests away and asks for a pause.
+    pub(super) fn set_pause(&self, pause: Option<Pause>) {
+        self.state.borrow_mut().pause = pause;
+    }
+
     /// Sets the rate limit that all answers advertise, in tenths of a request per second.
     pub(super) fn set_rate_limit(&self, rate_limit: Option<u32>) {
         self.state.borrow_mut().rate_limit = rate_limit;
@@ -191,11 +220,15 @@
     /// Ends all that runs and starts again under an id, holding `version`.
     pub(super) fn restart(&self, instance: &str, version: Option<u64>) {
         let mut state = self.state.borrow_mut();
+        for ended in [&state.instance, instance] {
+            self.journal.notices(|notices| notices.restart(ended));
+        }
         state.instance = instance.to_owned();
         state.epoch += 1;
         (state.version, state.loading, state.leaving) = (version, false, false);
         (state.orders, state.started_ms) = (0, unix_ms());
         state.rate_limit = None;
+        (state.says_leaving, state.pause) = (false, None);
     }
 
     /// Begins to load a version after what runs; nothing begins until it is loaded.
@@ -247,14 +280,34 @@
         }
     }
 
-    /// Adds the rate limit to an answer.
-    fn advertise(&self, request: &Request, response: Response<Body>) -> Response<Body> {
-        let Some(rate) = self.state.borrow().rate_limit else { return response };
-        let attempt =
-            request.headers().get("attempt-id").and_then(|id| id.to_str().ok()?.parse().ok());
-        if let Some(attempt) = attempt {
-            self.journal.tell_rate_limit(attempt, &self.instance());
+    /// Returns the answer with which the engine asks for a pause, if it does.
+    fn ask_for_pause(&self, attempt: AttemptId) -> Option<Response<Body>> {
+        let Pause { time, not_run } = self.state.borrow().pause.clone()?;
+        self.journal.ask_for_pause(attempt, &self.instance(), time);
+        let (id, seconds) = (attempt.to_string(), time.as_secs_f64().to_string());
+        let headers =
+            [("attempt-id", id.as_str()), ("retry-after", &seconds), ("not-executed", "1")];
+        let count = if not_run { 3 } else { 2 };
+        Some(reply::with_headers(reply::status(503), &headers[..count]))
+    }
+
+    /// Adds to an answer whether the engine leaves, and its rate limit.
+    fn advertise(&self, request: &Request, mut response: Response<Body>) -> Response<Body> {
+        let (rate, says_leaving) = {
+            let state = self.state.borrow();
+            (state.rate_limit, state.says_leaving)
+        };
+        let attempt = request.headers().get("attempt-id");
+        let attempt = attempt.and_then(|id| id.to_str().ok()?.parse().ok()).unwrap_or_default();
+        let instance = self.instance();
+        if says_leaving {
+            self.journal.say_leaving(attempt, &instance);
+            let stamp = format!("signed-{instance}");
+            let headers = [("server-leaving", "1"), ("server-stamp", &stamp)];
+            response = reply::with_headers(response, &headers);
         }
+        let Some(rate) = rate else { return response };
+        self.journal.tell_rate_limit(attempt, &instance);
         let rate = format!("{}.{}", rate / 10, rate % 10);
         reply::with_headers(response, &[("server-limit", &rate)])
     }
@@ -316,6 +369,10 @@
             return not_run(421, id);
         }
         self.journal.check_rate(attempt, &self.instance());
+        self.journal.check_notices(attempt, &self.instance());
+        if let Some(response) = self.ask_for_pause(attempt) {
+            return response;
+        }
         if let Some(status) = self.refusal(&head) {
             return not_run(status, id);
         }
--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -7,8 +7,10 @@
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
 
 use super::{
+    engine::Pause,
     fleet::Fleet,
     journal::Part,
+    notices::Notices,
     plan::{Plan, Prelude, Round},
 };
 use crate::{
@@ -34,22 +36,60 @@
 pub(super) async fn play(fleet: &Fleet, plan: &Plan) -> anyhow::Result<()> {
     let mut rng = SmallRng::seed_from_u64(!plan.seed);
     let mut extra = SmallRng::seed_from_u64(plan.seed.rotate_left(16));
+    let mut notices = SmallRng::seed_from_u64(plan.seed.rotate_left(24));
     for round in &plan.rounds {
         fleet.seats.iter().for_each(|seat| seat.engine.set_rate_limit(None));
         let mut restores = SmallRng::seed_from_u64(extra.random());
-        let (stormed, restored) = tokio::join!(
+        let (noticed, stormed, restored) = tokio::join!(
+            give_notice(fleet, plan, &mut notices),
             storm(fleet, plan, round, &mut rng),
             series(plan.extended, &mut restores, async |rng| restore_store(fleet, rng).await),
         );
-        stormed.and(restored)?;
+        noticed.and(stormed).and(restored)?;
         if plan.extended {
             limit_engines(fleet, &mut extra);
         }
-        calm(fleet, plan, round, &mut rng).await?;
+        let (noticed, calmed) = tokio::join!(
+            give_notice(fleet, plan, &mut notices),
+            calm(fleet, plan, round, &mut rng)
+        );
+        noticed.and(calmed)?;
     }
     Ok(())
 }
 
+/// Has engines say in their answers that they leave, and ask for pauses.
+async fn give_notice(fleet: &Fleet, plan: &Plan, rng: &mut SmallRng) -> anyhow::Result<()> {
+    let mut fork = || SmallRng::seed_from_u64(rng.random());
+    let (mut leaves, mut pauses) = (fork(), fork());
+    let results = tokio::join!(
+        series(plan.notices, &mut leaves, async |rng| leave(fleet, rng).await),
+        series(plan.notices, &mut pauses, async |rng| pause(fleet, rng).await),
+    );
+    results.0.and(results.1)
+}
+
+/// Has an engine leave of which the store says nothing, and start again.
+async fn leave(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
+    let Some(seat) = fleet.seats.choose(rng) else { return Ok(()) };
+    let (engine, renamed) = (&seat.engine, format!("i-{:08x}", rng.random::<u32>()));
+    engine.say_leaving();
+    sleep(millis(rng, 2_500..5_000)).await;
+    let keeps_id = rng.random() && !engine.is_leaving();
+    let instance = if keeps_id { engine.instance() } else { renamed };
+    engine.restart(&instance, fleet.start_version());
+    Ok(())
+}
+
+/// Has an engine turn requests away for some time, and ask for a pause that may outlast it.
+async fn pause(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
+    let Some(seat) = fleet.seats.choose(rng) else { return Ok(()) };
+    seat.engine.set_pause(Some(Pause { time: millis(rng, 800..4_000), not_run: rng.random() }));
+    sleep(millis(rng, 50..600)).await;
+    seat.engine.set_pause(None);
+    Ok(())
+}
+
 /// Keeps the published entries of the engines current, and finds processes that ended.
 pub(super) async fn supervise(fleet: &Fleet) -> anyhow::Result<()> {
     loop {
@@ -143,8 +183,13 @@
 async fn signal_process(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
     let number = rng.random_range(0..fleet.members.len());
     let (member, part) = (&fleet.members[number], Part::Process(number));
+    let interrupt = || fleet.journal.notices(|notices| notices.interrupt(number));
     fleet.journal.begin(part);
-    match rng.random_range(0..8) {
+    let kind = rng.random_range(0..8);
+    if kind < 7 {
+        interrupt();
+    }
+    match kind {
         0..4 => {
             member.signal(Signal::Stop);
             sleep(millis(rng, 100..2_000)).await;
@@ -167,6 +212,9 @@
         }
         _ => member.signal(Signal::Reload),
     }
+    if kind < 7 {
+        interrupt();
+    }
     fleet.journal.end(part);
     Ok(())
 }
@@ -189,6 +237,7 @@
         .chain(fleet.seats.iter().map(|seat| &seat.link.filter))
         .collect();
     let Some(link) = links.choose(rng) else { return Ok(()) };
+    fleet.journal.notices(Notices::begin_cut);
     let (time, delay) = (millis(rng, 100..1_500), millis(rng, 10..300));
     match rng.random_range(0..6) {
         0 => {
@@ -203,6 +252,7 @@
             lasting(fleet, time, block, || link.block_direction(None)).await;
         }
     }
+    fleet.journal.notices(Notices::end_cut);
     Ok(())
 }
 
--- a/crates/standins/src/soak/fleet.rs
+++ b/crates/standins/src/soak/fleet.rs
@@ -320,6 +320,7 @@
             if ended {
                 self.journal.report("ENDED", &member.vm, "ended by itself");
                 self.journal.begin(Part::Process(number));
+                self.journal.notices(|notices| notices.interrupt(number));
                 self.start_member(number)?;
                 self.journal.end(Part::Process(number));
             }
--- a/crates/standins/src/soak/journal.rs
+++ b/crates/standins/src/soak/journal.rs
@@ -10,14 +10,14 @@
     time::{Duration, Instant},
 };
 
-use super::call::Mode;
+use super::{call::Mode, notices::Notices};
 
 /// Time without disturbance after which a process is in touch.
 pub(super) const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time after which a new configuration must be in force.
 const CONFIG_TIME: Duration = Duration::from_secs(2);
 /// Time after which a leaving endpoint must get no requests.
-const DRAIN_TIME: Duration = Duration::from_secs(2);
+pub(super) const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// The span in which the requests to an endpoint with a rate limit are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Factor on what a rate limit allows in the span, and the requests allowed beyond.
@@ -29,7 +29,7 @@
 /// Time beyond the interval after which the soak, and maybe all processes, stood still.
 const STALL_TIME: Duration = Duration::from_millis(200);
 /// Time by which the soak itself may be late to record an event.
-const SLACK: Duration = Duration::from_millis(250);
+pub(super) const SLACK: Duration = Duration::from_millis(250);
 
 /// The id of a request as sent once by a caller.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
@@ -125,6 +125,7 @@
     versions: BTreeMap<u64, Instant>,
     leaving: HashMap<String, Instant>,
     limits: HashMap<String, RateLimit>,
+    notices: Notices,
     disturbances: BTreeMap<Part, Disturbances>,
     /// The last tick and the longest time by which one was late.
     ticked: Option<Instant>,
@@ -173,6 +174,8 @@
         state.lag = state.lag.max(late);
         drop(state);
         if late > STALL_TIME {
+            self.notices(Notices::begin_cut);
+            self.notices(Notices::end_cut);
             self.begin(Part::Platform);
             self.end(Part::Platform);
         }
@@ -258,6 +261,39 @@
         }
     }
 
+    /// Records what engines said in their answers, or what excuses from it.
+    pub(super) fn notices(&self, record: impl FnOnce(&mut Notices)) {
+        record(&mut self.state.borrow_mut().notices);
+    }
+
+    /// Records that an answer asks the sender of a request for a pause.
+    pub(super) fn ask_for_pause(&self, attempt: AttemptId, instance: &str, time: Duration) {
+        let state = &mut *self.state.borrow_mut();
+        if let Some(sent) = state.sent.get(&attempt) {
+            state.notices.ask(sent.gateway, instance, time);
+        }
+    }
+
+    /// Records an answer that says its engine leaves.
+    pub(super) fn say_leaving(&self, attempt: AttemptId, instance: &str) {
+        let state = &mut *self.state.borrow_mut();
+        if let Some(sent) = state.sent.get(&attempt) {
+            state.notices.answer(attempt, sent.gateway, instance);
+        }
+    }
+
+    /// Checks a request that reaches an engine, whether it accepts it or not, by what engines said.
+    pub(super) fn check_notices(&self, attempt: AttemptId, instance: &str) {
+        self.tick();
+        let mut state = self.state.borrow_mut();
+        let State { sent, notices, .. } = &mut *state;
+        let broken = sent.get(&attempt).map(|sent| notices.arrive(sent, instance));
+        drop(state);
+        for (check, text) in broken.unwrap_or_default() {
+            self.report(check, attempt, text);
+        }
+    }
+
     /// Records a request that a caller sends.
     pub(super) fn send(&self, attempt: AttemptId, sent: Sent) {
         self.state.borrow_mut().sent.insert(attempt, sent);
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod fleet;
 mod journal;
+mod notices;
 mod origin;
 mod plan;
 
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -12,6 +12,9 @@
 /// plans of the seeds before stay as they were.
 const FIRST_EXTENDED_SEED: u64 = 10_000;
 
+/// First seed whose engines also say in their answers that they leave, and ask for pauses.
+const FIRST_NOTICE_SEED: u64 = 20_000;
+
 /// What happens in a soak.
 #[derive(Clone, Debug)]
 pub(super) struct Plan {
@@ -33,6 +36,8 @@
     pub(super) rounds: Vec<Round>,
     /// Whether the store is restored from copies, and engines advertise rate limits.
     pub(super) extended: bool,
+    /// Whether engines say in their answers that they leave, and ask for pauses.
+    pub(super) notices: bool,
 }
 
 /// Some seconds of overlapping faults, then a time without faults of the store and of links.
@@ -81,6 +86,7 @@
             loaders: rng.random_bool(0.4),
             slow: rng.random_bool(0.4),
             extended: seed >= FIRST_EXTENDED_SEED,
+            notices: seed >= FIRST_NOTICE_SEED,
         }
     }
 }
