--- a/crates/standins/src/soak/engine.rs
+++ b/crates/standins/src/soak/engine.rs
@@ -222,6 +222,7 @@
         let mut state = self.state.borrow_mut();
         for ended in [&state.instance, instance] {
             self.journal.notices(|notices| notices.restart(ended));
+            self.journal.set_rate_limit(ended, None);
         }
         state.instance = instance.to_owned();
         state.epoch += 1;
@@ -287,8 +288,7 @@
         let (id, seconds) = (attempt.to_string(), time.as_secs_f64().to_string());
         let headers =
             [("attempt-id", id.as_str()), ("retry-after", &seconds), ("not-executed", "1")];
-        let count = if not_run { 3 } else { 2 };
-        Some(reply::with_headers(reply::status(503), &headers[..count]))
+        Some(reply::with_headers(reply::status(503), &headers[..2 + usize::from(not_run)]))
     }
 
     /// Adds to an answer whether the engine leaves, and its rate limit.
