What is told of leaving endpoints is passed on, and refusals name the pause's end

What others told is passed on now with the time since a gateway with an answer of its own repeated it, so it still ends 60 s after that.

A refusal while all endpoints pause named a third of the caller's time, up to 1 s where 7.9 s of the pauses were left. It names the end of the first pause now, 10 s at most, spread over 1 s.

--- a/crates/core/src/direct/endpoint_notices.rs
+++ b/crates/core/src/direct/endpoint_notices.rs
@@ -13,9 +13,12 @@
 /// Maximum number of instances that are remembered.
 const MAX_NOTICES: usize = 4_096;
 
-/// Time for which another gateway's word that an endpoint leaves counts. Gateways that heard it in
-/// an answer repeat it, so a report that was held up excludes an endpoint no longer than this.
+/// Time for which what others told of a leaving endpoint counts after a gateway that heard it in an
+/// answer has repeated it, so that a report that was held up excludes no endpoint for good.
 const REPORT_TTL: Span = Span::secs(60);
+/// Reports that confirm what is known renew it only if they are newer by this: else the time of
+/// their way would add up as they are passed on, and nothing would ever expire.
+const MIN_RENEWAL: Span = Span::secs(5);
 /// Reports that an endpoint leaves must be newer by this than what contradicts them, as their age
 /// may lack the time of their way.
 const MIN_LEAVING_GAIN: Span = Span::millis(50);
@@ -55,6 +58,8 @@
     pub leaving: bool,
     /// The time since the answer that said so, or since the request whose answer did not.
     pub age: Span,
+    /// The time since a gateway that heard so in an answer repeated it.
+    pub repeated: Span,
 }
 
 /// What an endpoint said of its leaving.
@@ -68,6 +73,18 @@
 }
 
 impl LeavingState {
+    /// Takes over the times of a report that says the same.
+    fn renew(&mut self, told: &Self) {
+        if told.at > self.at + MIN_RENEWAL {
+            self.at = told.at;
+        }
+        if let (Some(known), Some(told)) = (self.expires_at, told.expires_at)
+            && told > known + MIN_RENEWAL
+        {
+            self.expires_at = Some(told);
+        }
+    }
+
     fn is_leaving(&self, now: Time) -> bool {
         self.leaving && self.expires_at.is_none_or(|at| at > now)
     }
@@ -159,8 +176,9 @@
         if self.notices.get(&report.instance).is_some_and(is_older) {
             return false;
         }
-        let told =
-            LeavingState { leaving: report.leaving, at, expires_at: Some(sent + REPORT_TTL) };
+        let repeated = Time(sent.0.saturating_sub(report.repeated.0));
+        let expires_at = Some(repeated + REPORT_TTL);
+        let told = LeavingState { leaving: report.leaving, at, expires_at };
         let notice = self.entry(now, &report.instance, report.start);
         let Some(known) = &mut notice.leaving else {
             notice.leaving = Some(told);
@@ -169,30 +187,32 @@
         let before = known.is_leaving(now);
         let gain = if told.leaving { MIN_LEAVING_GAIN } else { MIN_STAYING_GAIN };
         if known.leaving == told.leaving {
-            known.at = known.at.max(at);
-            known.expires_at =
-                known.expires_at.max(told.expires_at).filter(|_| known.expires_at.is_some());
+            known.renew(&told);
         } else if at > known.at + gain {
             *known = told;
         }
         known.is_leaving(now) != before
     }
 
-    /// Returns what this gateway heard of endpoints that leave or no longer do, for the others.
+    /// Returns what is known of endpoints that leave or no longer do, for the other gateways.
     ///
-    /// What others told is not passed on, so that an error does not outlive its source. Of an
-    /// instance that is not `listed` nobody needs to know for long.
+    /// Of an instance that is not `listed` nobody needs to know for long.
     pub fn leaving_reports(
         &self,
         now: Time,
         listed: impl Fn(&InstanceId) -> bool,
     ) -> Vec<LeavingReport> {
         let report = |(instance, notice): (&InstanceId, &Notice)| {
-            let known = notice.leaving.filter(|known| known.expires_at.is_none())?;
+            let known = notice.leaving?;
             let age = now - known.at;
+            let repeated = match known.expires_at {
+                Some(expires_at) if expires_at <= now => return None,
+                Some(expires_at) => Span(REPORT_TTL.0.saturating_sub((expires_at - now).0)),
+                None => Span(0),
+            };
             let is_due = age < REPORT_TTL || (known.leaving && listed(instance));
             let (instance, start, leaving) = (instance.clone(), notice.start, known.leaving);
-            is_due.then_some(LeavingReport { instance, start, leaving, age })
+            is_due.then_some(LeavingReport { instance, start, leaving, age, repeated })
         };
         self.notices.iter().filter_map(report).collect()
     }
--- a/crates/core/src/direct/scheduler/notices.rs
+++ b/crates/core/src/direct/scheduler/notices.rs
@@ -20,6 +20,8 @@
 /// Span over which refused callers return after the end of a pause, that in which the gateways
 /// return as well.
 const CALLER_SPREAD: Span = Span::secs(1);
+/// Longest delay before the spread: an endpoint may be added before a long pause ends.
+const MAX_PAUSE_DELAY: Span = Span::secs(10);
 /// Number of different delays of callers that are refused one after the other.
 const CALLER_STEPS: u64 = 8;
 
@@ -82,7 +84,7 @@
         }
         self.apply_notice(&instance);
         let age = if leaving { Span(0) } else { now - sent };
-        Some(LeavingReport { instance, start, leaving, age })
+        Some(LeavingReport { instance, start, leaving, age, repeated: Span(0) })
     }
 
     /// Merges the reports that another gateway sent at `sent`, and returns those that are a change.
@@ -146,12 +148,9 @@
     ) -> Refusal {
         let queue = self.queues.entry(request.service.clone()).or_default();
         queue.refused += 1;
-        let step = queue.refused % CALLER_STEPS;
-        let max_delay = max_retry_delay(now, request);
-        let delay = Span((end - now).0 + CALLER_SPREAD.0 * step / CALLER_STEPS);
-        // A caller that cannot wait until the end returns late, but not with all others.
-        let latest = Span(max_delay.0 - max_delay.0 / 4 * step / CALLER_STEPS);
-        Refusal::retry_after(Reason::NoEndpoint, delay.min(latest))
+        let spread = CALLER_SPREAD.0 * (queue.refused % CALLER_STEPS) / CALLER_STEPS;
+        let delay = Span((end - now).min(MAX_PAUSE_DELAY).0 + spread);
+        Refusal::retry_after(Reason::NoEndpoint, delay)
     }
 
     /// Applies what is known of all endpoints.
