--- a/crates/sequoiahold/tests/explain.rs
+++ b/crates/sequoiahold/tests/explain.rs
@@ -19,14 +19,27 @@
 gw-2 {"account":"acme","endpoints":"i-1","id":"bb","level":"INFO","message":"ended","outcome":"answered","status":200,"target":"request","time":"100.950","took_ms":10}
 "#;
 
+/// Lines of a request that was withheld from an endpoint and refused.
+const REFUSED_LOG: &str = r#"
+gw-1 {"age_ms":0,"instance":"i-1","level":"INFO","message":"endpoint leaves","request":"zz","time":"99.000"}
+gw-1 {"instance":"i-2","level":"INFO","message":"endpoint asks for a pause","pause_ms":5000,"request":"zz","time":"99.500"}
+gw-1 {"cause":"i-1 leaving","id":"aa","instance":"i-1","level":"INFO","message":"not sent","target":"request","time":"100.000"}
+gw-1 {"causes":"i-1 leaving, i-2 pause 4500 ms","id":"aa","level":"INFO","message":"endpoints unavailable","target":"request","time":"100.001"}
+gw-1 {"endpoints":"i-1,i-2","id":"aa","level":"INFO","message":"ended","outcome":"refused","retry_ms":4500,"status":503,"target":"request","time":"100.002","took_ms":2}
+"#;
+
 fn explain(id: &str) -> Output {
+    explain_log(LOG, id)
+}
+
+fn explain_log(log: &str, id: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_sequoiahold"))
         .args(["explain", id])
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .spawn()
         .unwrap();
-    child.stdin.take().unwrap().write_all(LOG.as_bytes()).unwrap();
+    child.stdin.take().unwrap().write_all(log.as_bytes()).unwrap();
     child.wait_with_output().unwrap()
 }
 
@@ -61,3 +74,22 @@
     assert_eq!(output.status.code(), Some(1));
     assert_eq!(output.stdout, b"request cc: no log line mentions it\n");
 }
+
+/// The endpoints said so in answers to another request.
+#[test]
+fn the_report_names_why_no_endpoint_could_serve_a_request() {
+    let output = explain_log(REFUSED_LOG, "aa");
+    let text = String::from_utf8(output.stdout).unwrap();
+    let expected = "\
+request aa
+
+gw-1
+        0 ms  not sent: cause i-1 leaving, instance i-1
+        1 ms  endpoints unavailable: causes i-1 leaving, i-2 pause 4500 ms
+        2 ms  ended: endpoints i-1,i-2, outcome refused, retry_ms 4500, status 503, took_ms 2
+  known to the process, by age at the start of the request:
+      1.0 s   endpoint leaves: age_ms 0, instance i-1, request zz
+      0.5 s   endpoint asks for a pause: instance i-2, pause_ms 5000, request zz
+";
+    assert_eq!(text, expected);
+}
