Soak and tests: engines that say they leave or ask for pauses

Seeds from 20000 on also have engines say in their answers that they leave, while the store lists them as ready, and turn requests away with a Retry-After. DRAIN and BUDGET are checked from what callers and engines see.

--- a/crates/standins/tests/soak.rs
+++ b/crates/standins/tests/soak.rs
@@ -10,6 +10,8 @@
 const SEEDS: [u64; 4] = [3, 4, 5, 7];
 /// The same with restored states and rate limits of engines, one of them with loaders.
 const EXTENDED_SEEDS: [u64; 4] = [10_000, 10_001, 10_003, 10_004];
+/// The same with engines that say they leave and ask for pauses, one of them with loaders.
+const NOTICE_SEEDS: [u64; 4] = [20_001, 20_003, 20_007, 20_010];
 /// Number of seeds that are played at the same time.
 const JOBS: usize = 8;
 
@@ -33,6 +35,11 @@
     assert_no_violation(EXTENDED_SEEDS.to_vec()).await;
 }
 
+#[actix_rt::test]
+async fn engines_that_leave_and_ask_for_pauses_break_no_promise() {
+    assert_no_violation(NOTICE_SEEDS.to_vec()).await;
+}
+
 #[actix_rt::test]
 async fn seeds_that_failed_break_no_promise() {
     assert_no_violation(soak::failed_seeds()).await;
