--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -92,9 +92,8 @@
     /// Returns when the first version after `current` was announced, which is the next one due; the
     /// start of the process where that is unknown.
     pub fn rollout_start(&self, current: Option<u64>) -> Time {
-        let mut newer = self.announced.iter().filter(|(version, _)| Some(**version) > current);
-        match newer.next() {
-            Some((_, AnnouncedAt::Known(at))) => Time(u64::try_from(*at).unwrap_or(0)),
+        match self.first_after(current) {
+            Some(AnnouncedAt::Known(at)) => Time(u64::try_from(at).unwrap_or(0)),
             _ => Time::default(),
         }
     }
@@ -102,13 +101,28 @@
     /// Returns when `current` has been replaced for `after`, `None` if no newer version is announced
     /// or its time is unknown.
     pub fn replaced_for(&self, current: u64, after: Span) -> Option<Time> {
-        let mut newer = self.announced.iter().filter(|(version, _)| **version > current);
-        match newer.next()? {
-            (_, AnnouncedAt::Known(at)) => u64::try_from(at + after.0 as i64).ok().map(Time),
-            (_, AnnouncedAt::Unknown) => None,
+        match self.first_after(Some(current))? {
+            AnnouncedAt::Known(at) => u64::try_from(at + after.0 as i64).ok().map(Time),
+            AnnouncedAt::Unknown => None,
         }
     }
 
+    /// Returns the first time after `now` at which a version has been announced for `after`.
+    pub fn next_due(&self, now: Time, after: Span) -> Option<Time> {
+        let due = self.announced.values().filter_map(|at| match at {
+            AnnouncedAt::Known(at) => u64::try_from(at + after.0 as i64).ok().map(Time),
+            AnnouncedAt::Unknown => None,
+        });
+        due.filter(|due| *due > now).min()
+    }
+
+    /// Returns when the first version after `current` was announced; the times of several, told by
+    /// different processes, need not rise with the versions.
+    fn first_after(&self, current: Option<u64>) -> Option<AnnouncedAt> {
+        let newer = self.announced.iter().filter(|(version, _)| Some(**version) > current);
+        newer.map(|(_, at)| *at).min()
+    }
+
     /// Returns the newest version that was announced at least `after` ago; older ones may no longer
     /// be used.
     pub fn min_usable(&self, now: Time, after: Span) -> Option<u64> {
@@ -119,9 +133,11 @@
         self.announced.iter().rev().find(is_due).map(|(version, _)| *version)
     }
 
-    /// Returns whether the time of the oldest version here is known.
-    fn is_complete(&self) -> bool {
-        self.announced.values().next().is_some_and(|at| *at != AnnouncedAt::Unknown)
+    /// Returns whether the times here hold for a version even if it is missing: that of a version
+    /// holds for all between it and the one before, as they were announced at the same time or later.
+    fn covers(&self, version: u64) -> bool {
+        let oldest = self.announced.first_key_value();
+        oldest.is_some_and(|(oldest, at)| *at != AnnouncedAt::Unknown || *oldest <= version)
     }
 
     /// Sets the time of an announcement unless it is known; returns whether anything changed.
@@ -136,7 +152,8 @@
         {
             // The next one replaces what the dropped one did, and since then.
             if let Some(mut next) = self.announced.first_entry() {
-                next.insert(oldest);
+                let earlier = oldest.min(*next.get());
+                next.insert(earlier);
             }
         }
         dated.is_none() && known != Some(at)
@@ -195,6 +212,12 @@
         self.targets.iter()
     }
 
+    /// Returns whether the time of any announced version is unknown.
+    pub fn has_undated_versions(&self) -> bool {
+        let mut times = self.targets.values().flat_map(|versions| versions.announced.values());
+        times.any(|at| *at == AnnouncedAt::Unknown)
+    }
+
     /// Returns the announced versions, for peers.
     pub fn announced_versions(&self, now: Time) -> Vec<AnnouncedVersion> {
         let ages = |(model, versions): (&ModelId, &TargetVersions)| {
@@ -213,8 +236,8 @@
     /// Merges a version announcement that a peer sent at `sent` or later; returns whether anything
     /// changed.
     ///
-    /// A version newer than those known here was not published before `earliest`. An older one may
-    /// have been: the published state has the newest version only.
+    /// A told age holds: that a version is missing in what this process read before `earliest` proves
+    /// nothing where it was replaced by then, or lost as the platform restored its state.
     pub fn merge_announcement(
         &mut self,
         sent: Time,
@@ -224,11 +247,11 @@
         let told = announced.known_age().map(|age| sent.0 as i64 - age.0 as i64);
         let versions = self.targets.entry(announced.model).or_default();
         let is_newest = announced.version > versions.newest();
-        if told.is_none() && !is_newest && versions.is_complete() {
+        if told.is_none() && !is_newest && versions.covers(announced.version) {
             return false;
         }
         let earliest = earliest.filter(|_| is_newest).map(|earliest| earliest.0 as i64);
-        let at = told.max(earliest).map_or(AnnouncedAt::Unknown, AnnouncedAt::Known);
+        let at = told.or(earliest).map_or(AnnouncedAt::Unknown, AnnouncedAt::Known);
         versions.announce(announced.version, at)
     }
 
