--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod notices;
 mod rate_limits;
+mod versions;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -32,12 +33,6 @@
     units::Span,
 };
 
-/// Fraction of the rollout time after which no older version is requested. Of 8 s, the rest covers
-/// the 1.1 s that a request took to start over a slow link.
-const ROLLOUT_FRACTION: f64 = 0.82;
-/// Fraction of the rollout time after which a request that has not begun on an older version is
-/// withdrawn. Of 8 s, the rest covers the way of the withdrawal and the clocks.
-const WITHDRAW_FRACTION: f64 = 0.925;
 /// Window over which completions are counted to estimate the queueing time.
 const COMPLETION_WINDOW: Span = Span::secs(2);
 
@@ -335,18 +330,6 @@
         }
     }
 
-    /// Returns when a placed request is withdrawn unless it has begun, as its version is no longer
-    /// valid then; `None` while no newer version is announced.
-    pub fn begin_by(&self, view: &View, grant: &Grant) -> Option<Time> {
-        let targets = view.target(grant.model.as_ref()?)?;
-        let span = self.config.rollout_span(WITHDRAW_FRACTION);
-        match grant.held {
-            Some(held) => targets.replaced_for(held, span),
-            // The endpoint may hold any version that was valid when the slot was granted.
-            None => targets.next_due(grant.granted_at, span),
-        }
-    }
-
     /// Removes the prefill time of a request from the endpoint's load, once.
     pub fn finish_prefill(&mut self, grant: &mut Grant) {
         let prefill_ms = std::mem::take(&mut grant.prefill_ms);
@@ -476,12 +459,6 @@
         grant
     }
 
-    /// Returns the oldest version that may still be used, `None` for any.
-    fn min_version(&self, now: Time, request: &PlacementRequest) -> Option<u64> {
-        let last = self.config.rollout_span(ROLLOUT_FRACTION);
-        self.targets.get(request.model.as_ref()?)?.min_usable(now, last)
-    }
-
     /// Estimates the queueing time of a request from the rate of recent completions.
     fn estimate_wait(&mut self, now: Time, request: &PlacementRequest, late: bool) -> Span {
         let ahead = self.queued_ahead(request, late) as u64;
