--- a/crates/core/tests/direct_leave.rs
+++ b/crates/core/tests/direct_leave.rs
@@ -1,7 +1,9 @@
 //! Endpoints that ask for a pause or leave, and the requests that they could have served.
 
+mod fleet;
+
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeSet,
     time::{Duration, SystemTime},
 };
 
@@ -9,109 +11,21 @@
 use rstest::rstest;
 use sequoiahold_core::{
     direct::{
-        catalog::{Catalog, EndpointEntry, Service},
-        cells::Cells,
+        catalog::EndpointEntry,
         endpoint_state::AttemptOutcome,
         pause::PauseRequest,
-        platform::PublishedValue,
-        scheduler::{Decision, Grant, PlacementRequest, Scheduler, SchedulerConfig},
+        scheduler::{Decision, Grant, Scheduler},
         view::View,
     },
-    ids::{VmId, ZoneId},
     time::Time,
     units::Span,
 };
 
-/// Number of availability zones.
-const ZONES: usize = 3;
-
-fn ms(ms: u64) -> Time {
-    Time(ms * 1_000)
-}
-
-fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().expect("valid name")
-}
-
-fn zone(index: usize) -> ZoneId {
-    name(&format!("z{}", index % ZONES))
-}
-
-fn entry(index: usize, started_ms: u64) -> EndpointEntry {
-    EndpointEntry {
-        instance: name(&format!("i-{index}")),
-        service: name("orders"),
-        addr: ([127, 0, 0, 1], 1_000 + index as u16).into(),
-        zone: zone(index),
-        slots: 8,
-        leaving: false,
-        cold_time: Span(0),
-        loaded: None,
-        started_ms: Some(started_ms),
-    }
-}
-
-fn publish(view: &mut View, entry: EndpointEntry) {
-    let published = PublishedValue::Endpoint(entry.instance.clone(), Some(entry));
-    view.apply(ms(0), published, Some(ms(0)));
-}
-
-fn view(endpoints: usize) -> View {
-    let mut catalog = Catalog::new(1, []);
-    let service = Service {
-        name: name("orders"),
-        max_connections: 100,
-        cold_rate: None,
-        engine: None,
-        origin: None,
-    };
-    catalog.services.insert(name("orders"), service);
-    let mut view = View::default();
-    view.apply(ms(0), PublishedValue::Catalog(Box::new(catalog)), Some(ms(0)));
-    (0..endpoints).for_each(|index| publish(&mut view, entry(index, 1_000)));
-    view
-}
-
-/// Returns the schedulers of `count` gateways that know each other.
-fn schedulers(count: usize, view: &View) -> Vec<Scheduler> {
-    let gateways: Vec<(VmId, ZoneId)> =
-        (0..count).map(|index| (name(&format!("g-{index:03}")), zone(index))).collect();
-    let regions: BTreeMap<ZoneId, _> =
-        (0..ZONES).map(|index| (zone(index), name(&format!("r{index}")))).collect();
-    let scheduler = |(own, zone): &(VmId, ZoneId)| {
-        let mut scheduler = Scheduler::new(SchedulerConfig {
-            zone: zone.clone(),
-            regions: regions.clone(),
-            rollout_time: Span::secs(8),
-            cold_factor: 1.5,
-            cold_extra: 5.0,
-        });
-        scheduler.update(view);
-        scheduler.set_gateway_count(count);
-        scheduler.assign(&Cells::new(own, gateways.clone()));
-        scheduler
-    };
-    gateways.iter().map(scheduler).collect()
-}
-
-fn request(now: Time) -> PlacementRequest {
-    PlacementRequest {
-        service: name("orders"),
-        account: None,
-        priority: 1,
-        regions: None,
-        model: None,
-        tokens: (0, 0),
-        objective: now + Span::millis(150),
-        deadline: now + Span::millis(2_500),
-        tried: vec![],
-        healthy_only: false,
-    }
-}
+use self::fleet::{entry, ms, name, publish, request, schedulers, view};
 
 /// Returns a scheduler with one endpoint, the published state and a grant there.
 fn granted() -> (Scheduler, View, Grant) {
-    let view = view(1);
+    let view = view(1, None);
     let mut scheduler = schedulers(1, &view).remove(0);
     let grant = submit(&mut scheduler, ms(0)).expect("a free endpoint");
     (scheduler, view, grant)
@@ -149,7 +63,7 @@
 fn pause_outlasts_the_removal_of_the_endpoint_from_the_list() {
     let (mut scheduler, mut listed, grant) = granted();
     scheduler.record_pause(ms(100), &grant, Span::secs(5));
-    scheduler.update(&view(0));
+    scheduler.update(&view(0, None));
     scheduler.update(&listed);
     assert!(submit(&mut scheduler, ms(1_000)).is_none(), "listed again");
     publish(&mut listed, EndpointEntry { started_ms: None, ..entry(0, 1_000) });
@@ -248,7 +162,7 @@
     assert!(scheduler.record_leaving(ms(100), ms(0), &grant, true).is_some());
     assert!(scheduler.withheld(ms(100), &grant).is_some(), "a connection being opened");
     for step in 1..200 {
-        scheduler.update(&if step % 3 == 0 { view(0) } else { view(1) });
+        scheduler.update(&if step % 3 == 0 { view(0, None) } else { view(1, None) });
         assert!(submit(&mut scheduler, ms(step * 1_000)).is_none(), "after {step} s");
     }
     publish(&mut listed, entry(0, 2_000));
@@ -285,7 +199,7 @@
 #[test]
 fn gateway_learns_from_reports_that_an_endpoint_leaves_and_stays() {
     let (mut sender, listed, grant) = granted();
-    let mut listener = schedulers(1, &view(0)).remove(0);
+    let mut listener = schedulers(1, &view(0, None)).remove(0);
     sender.record_leaving(ms(100), ms(0), &grant, true);
     // The clock of the other process is another one.
     let reports = sender.leaving_reports(ms(200));
--- a/crates/core/tests/direct_leave_fleet.rs
+++ b/crates/core/tests/direct_leave_fleet.rs
@@ -1,26 +1,24 @@
 //! Endpoints that ask for a pause or leave: what still reaches them, and what callers get.
 
+mod fleet;
+
 use std::collections::BTreeMap;
 
 use rand::{SeedableRng as _, rngs::SmallRng};
 use sequoiahold_core::{
     direct::{
-        catalog::{Catalog, EndpointEntry, Service},
-        cells::Cells,
         endpoint_state::AttemptOutcome,
-        platform::PublishedValue,
         retry_budget::{RetryBounds, RetryBudget},
-        scheduler::{Decision, Grant, PlacementRequest, Scheduler, SchedulerConfig},
-        view::View,
+        scheduler::{Decision, Grant, PlacementRequest, Scheduler},
         wait_queue::TicketKey,
     },
-    ids::{ServiceId, VmId, ZoneId},
+    ids::ServiceId,
     time::Time,
     units::Span,
 };
 
-/// Number of availability zones.
-const ZONES: usize = 3;
+use self::fleet::{ms, name, request, schedulers, view};
+
 /// When a third of the endpoints pauses or leaves, in ms.
 const EVENT_MS: u64 = 2_000;
 /// The length of a pause, in ms.
@@ -39,90 +37,6 @@
 /// Requests per second that a cold endpoint can serve.
 const COLD_RATE: f64 = 80.0;
 
-fn ms(ms: u64) -> Time {
-    Time(ms * 1_000)
-}
-
-fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().expect("valid name")
-}
-
-fn zone(index: usize) -> ZoneId {
-    name(&format!("z{}", index % ZONES))
-}
-
-fn entry(index: usize, started_ms: u64) -> EndpointEntry {
-    EndpointEntry {
-        instance: name(&format!("i-{index}")),
-        service: name("orders"),
-        addr: ([127, 0, 0, 1], 1_000 + index as u16).into(),
-        zone: zone(index),
-        slots: 8,
-        leaving: false,
-        cold_time: Span(0),
-        loaded: None,
-        started_ms: Some(started_ms),
-    }
-}
-
-fn publish(view: &mut View, entry: EndpointEntry) {
-    let published = PublishedValue::Endpoint(entry.instance.clone(), Some(entry));
-    view.apply(ms(0), published, Some(ms(0)));
-}
-
-fn view(endpoints: usize) -> View {
-    let mut catalog = Catalog::new(1, []);
-    let service = Service {
-        name: name("orders"),
-        max_connections: 100,
-        cold_rate: Some(COLD_RATE),
-        engine: None,
-        origin: None,
-    };
-    catalog.services.insert(name("orders"), service);
-    let mut view = View::default();
-    view.apply(ms(0), PublishedValue::Catalog(Box::new(catalog)), Some(ms(0)));
-    (0..endpoints).for_each(|index| publish(&mut view, entry(index, 1_000)));
-    view
-}
-
-/// Returns the schedulers of `count` gateways that know each other.
-fn schedulers(count: usize, view: &View) -> Vec<Scheduler> {
-    let gateways: Vec<(VmId, ZoneId)> =
-        (0..count).map(|index| (name(&format!("g-{index:03}")), zone(index))).collect();
-    let regions: BTreeMap<ZoneId, _> =
-        (0..ZONES).map(|index| (zone(index), name(&format!("r{index}")))).collect();
-    let scheduler = |(own, zone): &(VmId, ZoneId)| {
-        let mut scheduler = Scheduler::new(SchedulerConfig {
-            zone: zone.clone(),
-            regions: regions.clone(),
-            rollout_time: Span::secs(8),
-            cold_factor: 1.5,
-            cold_extra: 5.0,
-        });
-        scheduler.update(view);
-        scheduler.set_gateway_count(count);
-        scheduler.assign(&Cells::new(own, gateways.clone()));
-        scheduler
-    };
-    gateways.iter().map(scheduler).collect()
-}
-
-fn request(now: Time) -> PlacementRequest {
-    PlacementRequest {
-        service: name("orders"),
-        account: None,
-        priority: 1,
-        regions: None,
-        model: None,
-        tokens: (0, 0),
-        objective: now + Span::millis(150),
-        deadline: now + Span::millis(2_500),
-        tried: vec![],
-        healthy_only: false,
-    }
-}
-
 /// What the affected endpoints do from the event on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Event {
@@ -174,7 +88,7 @@
     fn new(event: Event, gateways: usize, endpoints: usize) -> Self {
         Self {
             event,
-            schedulers: schedulers(gateways, &view(endpoints)),
+            schedulers: schedulers(gateways, &view(endpoints, Some(COLD_RATE))),
             retries: vec![RetryBudget::new(RETRY_BOUNDS); gateways],
             running: vec![],
             queued: vec![vec![]; gateways],
--- a/crates/core/tests/direct_rate_limit.rs
+++ b/crates/core/tests/direct_rate_limit.rs
@@ -1,110 +1,26 @@
 //! Rate limits that endpoints advertise: parts of the gateways, reports, and refusals.
 
-use std::collections::BTreeMap;
+mod fleet;
 
 use rand::{SeedableRng as _, rngs::SmallRng};
 use rstest::rstest;
 use sequoiahold_core::{
     direct::{
-        catalog::{Catalog, EndpointEntry, Service},
-        cells::Cells,
         endpoint_state::AttemptOutcome,
-        platform::PublishedValue,
         rate_limit::RateChange,
-        scheduler::{Decision, PlacementRequest, Scheduler, SchedulerConfig},
+        scheduler::{Decision, Scheduler},
         send_time::{SendStamp, SendTimes},
-        view::View,
     },
-    ids::{Incarnation, InstanceId, VmId, ZoneId},
+    ids::{Incarnation, InstanceId},
     refusal::Refusal,
     time::Time,
     units::{RequestRate, Span},
 };
 
+use self::fleet::{ms, name, request, schedulers, view};
+
 /// The span in which the requests of all gateways are counted, in ms.
 const LIMIT_WINDOW_MS: u64 = 4_000;
-/// Number of availability zones.
-const ZONES: usize = 3;
-
-fn ms(ms: u64) -> Time {
-    Time(ms * 1_000)
-}
-
-fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().expect("valid name")
-}
-
-fn zone(index: usize) -> ZoneId {
-    name(&format!("z{}", index % ZONES))
-}
-
-fn view(endpoints: usize) -> View {
-    let mut catalog = Catalog::new(1, []);
-    let service = Service {
-        name: name("orders"),
-        max_connections: 100,
-        cold_rate: None,
-        engine: None,
-        origin: None,
-    };
-    catalog.services.insert(name("orders"), service);
-    let mut view = View::default();
-    view.apply(ms(0), PublishedValue::Catalog(Box::new(catalog)), Some(ms(0)));
-    for index in 0..endpoints {
-        let entry = EndpointEntry {
-            instance: name(&format!("i-{index}")),
-            service: name("orders"),
-            addr: ([127, 0, 0, 1], 1_000 + index as u16).into(),
-            zone: zone(index),
-            slots: 8,
-            leaving: false,
-            cold_time: Span(0),
-            loaded: None,
-            started_ms: None,
-        };
-        let published = PublishedValue::Endpoint(entry.instance.clone(), Some(entry));
-        view.apply(ms(0), published, Some(ms(0)));
-    }
-    view
-}
-
-/// Returns the schedulers of `count` gateways that know each other.
-fn schedulers(count: usize, view: &View) -> Vec<Scheduler> {
-    let gateways: Vec<(VmId, ZoneId)> =
-        (0..count).map(|index| (name(&format!("g-{index:03}")), zone(index))).collect();
-    let regions: BTreeMap<ZoneId, _> =
-        (0..ZONES).map(|index| (zone(index), name(&format!("r{index}")))).collect();
-    let scheduler = |(own, zone): &(VmId, ZoneId)| {
-        let mut scheduler = Scheduler::new(SchedulerConfig {
-            zone: zone.clone(),
-            regions: regions.clone(),
-            rollout_time: Span::secs(8),
-            cold_factor: 1.5,
-            cold_extra: 5.0,
-        });
-        scheduler.update(view);
-        scheduler.set_gateway_count(count);
-        scheduler.assign(&Cells::new(own, gateways.clone()));
-        scheduler
-    };
-    gateways.iter().map(scheduler).collect()
-}
-
-fn request(now: Time) -> PlacementRequest {
-    PlacementRequest {
-        service: name("orders"),
-        account: None,
-        priority: 1,
-        regions: None,
-        model: None,
-        tokens: (0, 0),
-        objective: now + Span::millis(150),
-        deadline: now + Span::millis(2_500),
-        tried: vec![],
-        healthy_only: false,
-    }
-}
-
 /// Submits a request that is answered at once; returns the endpoint's instance or the refusal,
 /// `None` if it is queued.
 fn submit(
@@ -140,7 +56,7 @@
     let instance: InstanceId = name("i-0");
     let mut rng = SmallRng::seed_from_u64(7);
     let mut sent = vec![];
-    for (index, mut scheduler) in schedulers(count, &view(1)).into_iter().enumerate() {
+    for (index, mut scheduler) in schedulers(count, &view(1, None)).into_iter().enumerate() {
         // The clocks of the processes differ.
         let started = index as u64 * 37 % 1_000;
         for step in 0..2_000 {
@@ -174,7 +90,7 @@
 fn gateways_share_a_limit_alike_for_each_endpoint() {
     let (gateways, endpoints) = (40, 30);
     let mut shares = vec![0; gateways];
-    let mut schedulers = schedulers(gateways, &view(endpoints));
+    let mut schedulers = schedulers(gateways, &view(endpoints, None));
     for endpoint in 0..endpoints {
         let instance: InstanceId = name(&format!("i-{endpoint}"));
         for scheduler in &mut schedulers {
@@ -196,7 +112,7 @@
 #[test]
 fn gateway_that_sends_nothing_learns_from_reports_that_a_limit_begins_and_ends() {
     let instance: InstanceId = name("i-0");
-    let mut all = schedulers(2, &view(1));
+    let mut all = schedulers(2, &view(1, None));
     let [sender, listener] = &mut all[..] else { panic!("two schedulers") };
     assert_eq!(sender.record_rate_limit(ms(1_000), &instance, rate("2")), RateChange::Begun);
     assert_eq!(sender.record_rate_limit(ms(1_010), &instance, rate("2")), RateChange::None);
@@ -224,7 +140,7 @@
     let instance: InstanceId = name("i-0");
     let (from, mut send_times) = (([127, 0, 0, 1], 7_000).into(), SendTimes::default());
     let mut read = |now, sent| send_times.estimate(now, ms(10_000), from, stamp(sent, Span(0)));
-    let mut all = schedulers(2, &view(1));
+    let mut all = schedulers(2, &view(1, None));
     let [sender, listener] = &mut all[..] else { panic!("two schedulers") };
     sender.record_rate_limit(ms(1_000), &instance, rate("2"));
     let reports = sender.rate_limit_reports(ms(1_100));
@@ -246,7 +162,7 @@
     for (port, behind) in behind.into_iter().enumerate() {
         send_times.estimate(ms(1_000), ms(990), addr(port as u16), stamp(ms(1_000), behind));
     }
-    let mut all = schedulers(3, &view(1));
+    let mut all = schedulers(3, &view(1, None));
     let [first, second, listener] = &mut all[..] else { panic!("three schedulers") };
     first.record_rate_limit(ms(2_000), &instance, rate("2"));
     let begun = (first.rate_limit_reports(ms(2_000)), 0, ms(2_000));
@@ -264,7 +180,7 @@
 #[test]
 fn report_that_arrives_late_does_not_replace_a_newer_answer() {
     let instance: InstanceId = name("i-0");
-    let mut all = schedulers(2, &view(1));
+    let mut all = schedulers(2, &view(1, None));
     let [sender, listener] = &mut all[..] else { panic!("two schedulers") };
     sender.record_rate_limit(ms(1_000), &instance, rate("2"));
     listener.record_rate_limit(ms(1_050), &instance, rate("3"));
@@ -275,7 +191,7 @@
 #[test]
 fn limit_that_nobody_confirms_is_disregarded_after_a_minute() {
     let instance: InstanceId = name("i-0");
-    let [mut scheduler] = schedulers(1, &view(1)).try_into().expect("one scheduler");
+    let [mut scheduler] = schedulers(1, &view(1, None)).try_into().expect("one scheduler");
     scheduler.record_rate_limit(ms(1_000), &instance, rate("1"));
     assert_eq!(scheduler.rate_limited_endpoints(ms(60_900)), 1);
     assert_eq!(scheduler.rate_limited_endpoints(ms(61_100)), 0);
@@ -285,7 +201,7 @@
 fn request_beyond_the_limits_of_all_endpoints_is_refused_at_once() {
     let instance: InstanceId = name("i-0");
     let mut rng = SmallRng::seed_from_u64(3);
-    let [mut scheduler] = schedulers(1, &view(1)).try_into().expect("one scheduler");
+    let [mut scheduler] = schedulers(1, &view(1, None)).try_into().expect("one scheduler");
     scheduler.record_rate_limit(ms(1_000), &instance, rate("1"));
     // One gateway has the whole limit, a request each second.
     assert!(matches!(submit(&mut scheduler, ms(5_000), &mut rng), Some(Ok(_))));
@@ -309,7 +225,7 @@
 fn callers_refused_by_a_limit_are_told_to_return_one_after_the_other() {
     let instance: InstanceId = name("i-0");
     let mut rng = SmallRng::seed_from_u64(3);
-    let [mut scheduler] = schedulers(1, &view(1)).try_into().expect("one scheduler");
+    let [mut scheduler] = schedulers(1, &view(1, None)).try_into().expect("one scheduler");
     scheduler.record_rate_limit(ms(1_000), &instance, rate("5"));
     assert!(matches!(submit(&mut scheduler, ms(5_000), &mut rng), Some(Ok(_))));
     let delays: Vec<u64> = (0..5)
@@ -325,7 +241,7 @@
 fn endpoint_without_a_limit_takes_what_the_others_may_not() {
     let instance: InstanceId = name("i-0");
     let mut rng = SmallRng::seed_from_u64(5);
-    for mut scheduler in schedulers(8, &view(2)) {
+    for mut scheduler in schedulers(8, &view(2, None)) {
         scheduler.record_rate_limit(ms(1_000), &instance, rate("1"));
         for step in 0..200 {
             let submitted = submit(&mut scheduler, ms(2_000 + step * 10), &mut rng);
