--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -101,7 +101,7 @@
     /// The only version of the weights that may be used, `None` for any.
     pub version: Option<u64>,
     /// The version of the requested model that the endpoint holds, as published.
-    pub held: Option<u64>,
+    pub loaded: Option<u64>,
     /// When a newer version was announced, `None` while there is none or if the time is unknown.
     pub replaced_at: Option<Time>,
     /// The requested model.
@@ -445,7 +445,7 @@
             addr: entry.addr,
             started_ms: entry.started_ms,
             version: min_version.map(|min| loaded.unwrap_or(min)),
-            held: loaded,
+            loaded,
             replaced_at,
             model: request.model.clone(),
             granted_at: now,
--- a/crates/core/src/direct/scheduler/versions.rs
+++ b/crates/core/src/direct/scheduler/versions.rs
@@ -9,14 +9,15 @@
 /// Fraction of the rollout time after which a request that has not begun on an older version is
 /// withdrawn. Of 8 s, the rest covers the way of the withdrawal and the clocks.
 const WITHDRAW_FRACTION: f64 = 0.925;
+
 impl Scheduler {
     /// Returns when a placed request is withdrawn unless it has begun, as its version is no longer
     /// valid then; `None` while no newer version is announced.
     pub fn begin_by(&self, view: &View, grant: &Grant) -> Option<Time> {
         let targets = view.target(grant.model.as_ref()?)?;
         let span = self.config.rollout_span(WITHDRAW_FRACTION);
-        match grant.held {
-            Some(held) => targets.replaced_for(held, span),
+        match grant.loaded {
+            Some(loaded) => targets.replaced_for(loaded, span),
             // The endpoint may hold any version that was valid when the slot was granted.
             None => targets.next_due(grant.granted_at, span),
         }
--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -31,7 +31,8 @@
 /// Time for which a removed endpoint is remembered, longer than a restored state is old.
 const REMOVED_MEMORY: Span = Span::secs(60);
 
-/// Age told of versions whose time of announcement is unknown; above that of any other.
+/// Age told of versions whose time of announcement is unknown: the release before reads no empty age,
+/// and takes a version of this age as due.
 const UNKNOWN_AGE: Span = Span(1 << 62);
 
 /// Maximum number of announced versions kept per model.
@@ -62,7 +63,7 @@
     pub model: ModelId,
     /// The version.
     pub version: u64,
-    /// The time since its announcement, years if that is unknown.
+    /// The time since its announcement, [`UNKNOWN_AGE`] if that is unknown.
     pub age: Span,
 }
 
@@ -77,7 +78,7 @@
 ///
 /// A newer version does not extend the time within which an older one must be in use. A process
 /// that saw each version, or was told of all by one that did, knows the time of the oldest one here;
-/// otherwise that time is unknown, and versions before it have been replaced.
+/// otherwise that time is unknown, and versions before it are not used.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct TargetVersions {
     announced: BTreeMap<u64, AnnouncedAt>,
--- a/crates/sequoiahold/src/gateway/record.rs
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -81,7 +81,7 @@
         self.instances.push(grant.instance.to_string());
         self.predicted_ms = grant.first_ms;
         self.bound_version = grant.version.unwrap_or(0);
-        self.held_version = grant.held.unwrap_or(0);
+        self.held_version = grant.loaded.unwrap_or(0);
         self.replaced = grant.replaced_at.map(|at| now - at);
     }
 
