Tests: versions of queued requests, retries, and gateways without peers or store

- A queued request is placed by the versions valid when a slot is free, not when it was queued; a retry gets no endpoint with the version before.
- A version that only a peer knows bounds requests where the state has none.
- The ages of two versions survive four restarts in series while the store answers 503: valid requests are served, 0 run after the rollout time (4 s).
- A gateway that starts without peers sends 0 requests to the version before in 6 s, as it knows no age.

--- /dev/null
+++ b/crates/core/tests/direct_version_review.rs
@@ -0,0 +1,168 @@
+//! Versions that a process hears of during an outage of its own, or by which placed requests end.
+
+use std::collections::BTreeMap;
+
+use rand::{SeedableRng as _, rngs::SmallRng};
+use rstest::rstest;
+use sequoiahold_core::{
+    direct::{
+        catalog::{EndpointEntry, LoadedModel},
+        endpoint_state::AttemptOutcome,
+        platform::PublishedValue,
+        scheduler::{Decision, Grant, PlacementRequest, Scheduler, SchedulerConfig},
+        view::{AnnouncedVersion, View},
+    },
+    ids::{InstanceId, ModelId},
+    time::Time,
+    units::Span,
+};
+
+/// Time within which an announced version must be in use.
+const ROLLOUT: Span = Span::secs(8);
+/// Time for which gateways use an older version.
+const USABLE: Span = Span::millis(6_560);
+
+fn ms(ms: u64) -> Time {
+    Time(ms * 1_000)
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("valid name")
+}
+
+fn model() -> ModelId {
+    name("m")
+}
+
+fn target(version: impl Into<Option<u64>>) -> PublishedValue {
+    PublishedValue::TargetVersion(model(), version.into())
+}
+
+/// Returns an endpoint that holds this version of the model.
+fn endpoint(text: &str, version: u64, slots: u32) -> PublishedValue {
+    let instance: InstanceId = name(text);
+    let entry = EndpointEntry {
+        instance: instance.clone(),
+        service: name("llm"),
+        addr: ([127, 0, 0, 1], 1_000).into(),
+        zone: name("z1"),
+        slots,
+        leaving: false,
+        cold_time: Span(0),
+        loaded: Some(vec![LoadedModel { model: model(), version, complete: true }]),
+        started_ms: None,
+    };
+    PublishedValue::Endpoint(instance, Some(entry))
+}
+
+fn request(now: Time) -> PlacementRequest {
+    PlacementRequest {
+        service: name("llm"),
+        account: None,
+        priority: 1,
+        regions: None,
+        model: Some(model()),
+        tokens: (1_000, 90),
+        objective: now + Span::secs(4),
+        deadline: now + Span::secs(8),
+        tried: vec![],
+        healthy_only: false,
+    }
+}
+
+fn scheduler() -> Scheduler {
+    Scheduler::new(SchedulerConfig {
+        zone: name("z1"),
+        regions: BTreeMap::from([(name("z1"), name("r1"))]),
+        rollout_time: ROLLOUT,
+        cold_factor: 1.5,
+        cold_extra: 5.0,
+    })
+}
+
+fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(1)
+}
+
+fn dispatch(scheduler: &mut Scheduler, now: Time, request: PlacementRequest) -> Option<Grant> {
+    match scheduler.submit(now, request, &mut rng()) {
+        Decision::Dispatch(grant) => Some(grant),
+        Decision::Wait(_) | Decision::Refuse(_) => None,
+    }
+}
+
+/// Returns a view that knows version 1 since the start.
+fn view_of_first() -> View {
+    let mut view = View::default();
+    view.apply(ms(0), target(1), Some(ms(0)));
+    view
+}
+
+/// The reads of this process are refused from 1 s on, also after the version is published at 2 s;
+
+/// The only slot is free again at `freed`, which is before or after the version becomes due.
+#[rstest]
+#[case::before(Time(USABLE.0 - 50_000), true)]
+#[case::after(Time(USABLE.0), false)]
+fn queued_request_is_not_placed_on_a_version_that_became_due_meanwhile(
+    #[case] freed: Time,
+    #[case] placed: bool,
+) {
+    let mut view = view_of_first();
+    view.apply(ms(0), endpoint("i-1", 1, 1), Some(ms(0)));
+    view.apply(ms(0), target(2), Some(ms(0)));
+    let mut scheduler = scheduler();
+    scheduler.update(&view);
+    let before = Time(USABLE.0 - 100_000);
+    let mut first = dispatch(&mut scheduler, before, request(before)).expect("room");
+    let Decision::Wait(_) = scheduler.submit(before, request(before), &mut rng()) else {
+        panic!("no queue")
+    };
+    scheduler.release(freed, &mut first, AttemptOutcome::Answered);
+    let decided = scheduler.dispatch_queued(freed, &mut rng());
+    assert_eq!(decided.iter().any(|(.., result)| result.is_ok()), placed, "{decided:?}");
+}
+
+/// The endpoint of the first attempt held version 2, which does not allow version 1 for the next.
+#[test]
+fn retry_after_the_cutoff_gets_no_endpoint_with_the_version_before() {
+    let mut view = view_of_first();
+    view.apply(ms(0), endpoint("i-1", 2, 4), Some(ms(0)));
+    view.apply(ms(0), endpoint("i-2", 1, 4), Some(ms(0)));
+    view.apply(ms(0), target(2), Some(ms(0)));
+    let mut scheduler = scheduler();
+    scheduler.update(&view);
+    let due = Time(USABLE.0);
+    let mut retried = request(due);
+    let grant = dispatch(&mut scheduler, due, retried.clone()).expect("room");
+    assert_eq!((grant.instance, grant.version), (name("i-1"), Some(2)));
+    retried.tried.push(grant.endpoint);
+    retried.healthy_only = true;
+    assert!(dispatch(&mut scheduler, due, retried).is_none());
+}
+
+/// An entry that is out of date promises version 2, while the endpoint may hold another one.
+#[test]
+fn request_after_the_cutoff_is_bound_to_the_published_version() {
+    let mut view = view_of_first();
+    view.apply(ms(0), endpoint("i-1", 2, 4), Some(ms(0)));
+    view.apply(ms(0), target(2), Some(ms(0)));
+    let mut scheduler = scheduler();
+    scheduler.update(&view);
+    let grant = dispatch(&mut scheduler, Time(USABLE.0), request(Time(USABLE.0))).expect("room");
+    assert_eq!(grant.version, Some(2));
+}
+
+/// A started process has read a state without the version, which the platform lost; peers know it.
+#[test]
+fn version_that_only_a_peer_knows_bounds_requests_without_a_published_target() {
+    let mut view = View::default();
+    view.apply(ms(0), endpoint("i-1", 1, 4), None);
+    let mut scheduler = scheduler();
+    scheduler.update(&view);
+    assert!(dispatch(&mut scheduler, ms(100), request(ms(100))).is_some());
+    let announced = AnnouncedVersion { model: model(), version: 2, age: Span::secs(7) };
+    assert!(view.merge_announcement(ms(8_000), Some(ms(0)), announced));
+    scheduler.update(&view);
+    assert!(dispatch(&mut scheduler, ms(8_000), request(ms(8_000))).is_none());
+}
--- /dev/null
+++ b/crates/standins/tests/process_version_review.rs
@@ -0,0 +1,114 @@
+//! Real gateways that date a version by reads of their own that do not show when it was announced.
+
+use std::time::{Duration, Instant};
+
+use sequoiahold_standins::{
+    hosted::{Cluster, registry_entry, request},
+    processes::Signal,
+};
+use serde_json::{Value, json};
+
+/// Time within which an announced version must be in use.
+const ROLLOUT: Duration = Duration::from_secs(4);
+/// Time for which requests are sent after the rollout time.
+const LATE_TIME: Duration = Duration::from_secs(2);
+/// Interval between two requests.
+const CALL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time that a gateway has for its first read, or for the answer of a peer.
+const READ_TIME: Duration = Duration::from_millis(500);
+
+fn model_request() -> String {
+    request("GET", "/read/1", "key-1").replacen("\r\n", "\r\nModel: m\r\n", 1)
+}
+
+/// Starts two gateways before an endpoint that holds version 1 of a model.
+async fn start() -> Cluster {
+    let adjust = |settings: &mut Value| settings["node"]["bounds"]["version"] = json!("4s");
+    let cluster = Cluster::start_with(2, 1, adjust).await.expect("a cluster");
+    let mut entry = registry_entry(cluster.addrs[0], "ready");
+    entry["models"] = json!([{ "name": "m", "version": 1, "adapters": [] }]);
+    cluster.store.put("servers/i-0", Some(entry));
+    announce(&cluster, 1);
+    for number in 0..2 {
+        assert!(serves(&cluster, number).await, "gateway {number} does not serve the version");
+    }
+    cluster
+}
+
+fn announce(cluster: &Cluster, version: u64) {
+    cluster.store.put("op/version/m", Some(json!({ "model": "m", "version": version })));
+}
+
+/// Returns whether a gateway serves the version of the endpoint soon.
+async fn serves(cluster: &Cluster, number: usize) -> bool {
+    let serves = async || cluster.call(number, &model_request()).await.status == 200;
+    cluster.wait_until(ROLLOUT / 2, serves).await
+}
+
+/// Returns the number of requests that reach the endpoint through these gateways in [`LATE_TIME`]
+/// after the rollout time of a version announced at `announced`.
+async fn late_requests(cluster: &Cluster, gateways: &[usize], announced: Instant) -> usize {
+    actix_rt::time::sleep(ROLLOUT.saturating_sub(announced.elapsed())).await;
+    let before = cluster.workers[0].requests().len();
+    while announced.elapsed() < ROLLOUT + LATE_TIME {
+        for number in gateways {
+            cluster.call(*number, &model_request()).await;
+        }
+        actix_rt::time::sleep(CALL_INTERVAL).await;
+    }
+    cluster.workers[0].requests().len() - before
+}
+
+/// Prints what a gateway logged of versions.
+fn print_announced(cluster: &Cluster, number: usize) {
+    let log = cluster.log(number).expect("a log");
+    log.lines()
+        .filter(|line| line.contains("version announced"))
+        .for_each(|line| println!("{line}"));
+}
+
+/// Each gateway restarts twice, and learns what the other one has learnt, as the store is down.
+#[actix_rt::test]
+async fn ages_of_versions_survive_restarts_in_series_while_the_store_is_down() {
+    let cluster = start().await;
+    announce(&cluster, 2);
+    let announced = Instant::now();
+    actix_rt::time::sleep(READ_TIME).await;
+    announce(&cluster, 3);
+    actix_rt::time::sleep(READ_TIME).await;
+    cluster.store.set_down(true);
+    for number in [1, 0, 1, 0] {
+        cluster.start_gateway(number).expect("a gateway");
+        cluster.wait_ready(number).await.expect("a gateway");
+    }
+    assert!(announced.elapsed() < ROLLOUT * 3 / 4, "too slow: {:?}", announced.elapsed());
+    let served = [serves(&cluster, 0).await, serves(&cluster, 1).await];
+    let late = late_requests(&cluster, &[0, 1], announced).await;
+    for number in 0..2 {
+        print_announced(&cluster, number);
+    }
+    assert_eq!(served, [true, true], "a restarted gateway refuses a version that is still valid");
+    assert_eq!(late, 0, "requests ran on the old version after the rollout time");
+}
+
+/// No peer answers until the gateway is ready by itself.
+#[actix_rt::test]
+async fn gateway_that_starts_without_peers_sends_nothing_to_an_older_version() {
+    let cluster = start().await;
+    announce(&cluster, 2);
+    let announced = Instant::now();
+    actix_rt::time::sleep(READ_TIME).await;
+    announce(&cluster, 3);
+    cluster.signal(0, Signal::Stop);
+    cluster.start_gateway(1).expect("a gateway");
+    let before = cluster.workers[0].requests().len();
+    while announced.elapsed() < ROLLOUT + LATE_TIME {
+        cluster.call(1, &model_request()).await;
+        actix_rt::time::sleep(CALL_INTERVAL).await;
+    }
+    let ready = cluster.wait_ready(1).await;
+    cluster.signal(0, Signal::Continue);
+    ready.expect("a gateway");
+    let reached = cluster.workers[0].requests().len() - before;
+    assert_eq!(reached, 0, "requests ran on a version of which the age is not known");
+}
