Test, failing: a version written again after a restore is dated by that

Cause: announce keeps the first known date. The gateway's own date holds for the second announcement only, as the read before it showed a state that had lost the version; the age that the peer tells is dropped.

--- a/crates/standins/tests/process_version_review.rs
+++ b/crates/standins/tests/process_version_review.rs
@@ -1,4 +1,4 @@
-//! Real gateways that date a version by reads of their own that do not show when it was announced.
+//! Real gateways whose own reads do not show when a version was announced.
 
 use std::time::{Duration, Instant};
 
@@ -67,6 +67,29 @@
         .for_each(|line| println!("{line}"));
 }
 
+/// The gateway starts from the restored state and sees the version written again before the peer
+/// that knows its age answers.
+#[ignore = "known red: the first known date is kept, also a late one"]
+#[actix_rt::test]
+async fn gateway_does_not_date_a_version_by_its_second_announcement_after_a_restore() {
+    let cluster = start().await;
+    let copy = cluster.store.copy();
+    announce(&cluster, 2);
+    let announced = Instant::now();
+    actix_rt::time::sleep(ROLLOUT / 4).await;
+    cluster.signal(0, Signal::Stop);
+    cluster.store.restore(&copy);
+    cluster.start_gateway(1).expect("a gateway");
+    actix_rt::time::sleep(READ_TIME).await;
+    announce(&cluster, 2);
+    actix_rt::time::sleep(READ_TIME).await;
+    cluster.signal(0, Signal::Continue);
+    cluster.wait_ready(1).await.expect("a gateway");
+    let late = late_requests(&cluster, &[1], announced).await;
+    print_announced(&cluster, 1);
+    assert_eq!(late, 0, "requests ran on the old version after the rollout time");
+}
+
 /// Each gateway restarts twice, and learns what the other one has learnt, as the store is down.
 #[actix_rt::test]
 async fn ages_of_versions_survive_restarts_in_series_while_the_store_is_down() {
