Test, failing: a held up change is dated by its arrival

The watch of a gateway falls silent, and the datagram with version 2, sent as it was announced, arrives 2 s later.

Cause: on_changes counts the told ages from the last time at which the own socket was empty. The clock of the sender is in the datagram, and its estimate is used for all others but not for changes.

--- a/crates/standins/tests/process_version_review.rs
+++ b/crates/standins/tests/process_version_review.rs
@@ -7,6 +7,15 @@
     time::{Duration, Instant},
 };
 
+use sequoiahold_core::{
+    direct::{
+        mirror::{Change, Era, Revision, StateDelta},
+        send_time::SendStamp,
+    },
+    ids::Incarnation,
+    time::Time,
+    units::Span,
+};
 use sequoiahold_standins::{
     hosted::{Cluster, loopback_addr, registry_entry, request},
     processes::Signal,
@@ -14,7 +23,7 @@
 use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _, copy_bidirectional},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpStream, UdpSocket},
 };
 
 /// Time within which an announced version must be in use.
@@ -26,6 +35,11 @@
 /// Time that a gateway has for its first read, or for the answer of a peer.
 const READ_TIME: Duration = Duration::from_millis(500);
 
+/// The revision of the published state before a test changes it.
+const REVISION: u64 = 4;
+/// The number of the kind of datagrams with changes of the published state.
+const CHANGES_NUMBER: u32 = 5;
+
 /// A way to the platform that can refuse calls for exceeding a rate limit.
 #[derive(Clone, Default)]
 struct Proxy {
@@ -72,16 +86,21 @@
 
 /// Starts two gateways before an endpoint that holds version 1 of a model.
 async fn start(adjust: impl Fn(&mut Value)) -> Cluster {
+    start_gateways(2, adjust).await
+}
+
+/// Starts gateways before an endpoint that holds version 1 of a model, at [`REVISION`].
+async fn start_gateways(gateways: usize, adjust: impl Fn(&mut Value)) -> Cluster {
     let adjust = |settings: &mut Value| {
         settings["node"]["bounds"]["version"] = json!("4s");
         adjust(settings);
     };
-    let cluster = Cluster::start_with(2, 1, adjust).await.expect("a cluster");
+    let cluster = Cluster::start_with(gateways, 1, adjust).await.expect("a cluster");
     let mut entry = registry_entry(cluster.addrs[0], "ready");
     entry["models"] = json!([{ "name": "m", "version": 1, "adapters": [] }]);
     cluster.store.put("servers/i-0", Some(entry));
     announce(&cluster, 1);
-    for number in 0..2 {
+    for number in 0..gateways {
         assert!(serves(&cluster, number).await, "gateway {number} does not serve the version");
     }
     cluster
@@ -214,3 +233,64 @@
     let reached = cluster.workers[0].requests().len() - before;
     assert_eq!(reached, 0, "requests ran on a version of which the age is not known");
 }
+
+/// A process that sends changes of the published state, and its clock.
+struct Sender {
+    socket: UdpSocket,
+    incarnation: Incarnation,
+    started: Instant,
+}
+
+impl Sender {
+    async fn start(incarnation: u64) -> Self {
+        let socket = UdpSocket::bind(loopback_addr()).await.expect("a free address");
+        Self { socket, incarnation: Incarnation(incarnation), started: Instant::now() }
+    }
+
+    /// Sends the changes after the fourth revision, as if they had been held up for `delay`.
+    async fn send(&self, to: SocketAddr, delay: Duration, changes: Vec<Change>) {
+        let revision = |number| Revision::new(Era(1), number);
+        let at = revision(REVISION + changes.len() as u64);
+        let delta = StateDelta { at, is_snapshot: false, changes };
+        let (earliest, current) = (Some(Span(0)), None::<Span>);
+        // The encoding of a datagram: its number, the fields, and the clock of the sender.
+        let datagram = (CHANGES_NUMBER, revision(REVISION), delta, earliest, current);
+        let at = Time((self.started.elapsed() - delay).as_micros() as u64);
+        let stamp = SendStamp { incarnation: self.incarnation, at };
+        let bytes = postcard::to_stdvec(&(datagram, stamp)).expect("a datagram");
+        self.socket.send_to(&bytes, to).await.expect("loopback");
+    }
+}
+
+/// The watch of the gateway has fallen silent; the datagram with the version was sent as it was
+/// announced, and waits behind others on the link of its sender.
+#[ignore = "known red: forwarded changes are dated by their arrival"]
+#[actix_rt::test]
+async fn gateway_does_not_date_a_held_up_version_by_its_arrival() {
+    let peers = RefCell::new(None);
+    let cluster = start_gateways(1, |settings| {
+        let addr = settings["node"]["peers"].as_str().and_then(|text| text.parse().ok());
+        peers.replace(addr);
+    })
+    .await;
+    let to = peers.take().expect("an address");
+    let (held_up, other) = (Sender::start(1).await, Sender::start(2).await);
+    let calls = cluster.store.calls();
+    held_up.send(to, Duration::ZERO, vec![]).await;
+    let waits = async || cluster.store.calls() > calls;
+    assert!(cluster.wait_until(ROLLOUT, waits).await, "no watch");
+    cluster.store.stall_watches();
+    announce(&cluster, 2);
+    let announced = Instant::now();
+    while announced.elapsed() < ROLLOUT / 2 {
+        other.send(to, Duration::ZERO, vec![]).await;
+        actix_rt::time::sleep(CALL_INTERVAL).await;
+    }
+    let value = json!({ "model": "m", "version": 2 }).to_string();
+    let revision = Revision::new(Era(1), REVISION + 1);
+    let change = Change { key: "op/version/m".to_owned(), revision, value: Some(value.into()) };
+    held_up.send(to, announced.elapsed(), vec![change]).await;
+    let late = late_requests(&cluster, &[0], announced).await;
+    print_announced(&cluster, 0);
+    assert_eq!(late, 0, "requests ran on the old version after the rollout time");
+}
