Test, failing: a request without a model gets an endpoint past its cutoff

Such a request is placed on an endpoint with version 1 when only version 2 may be used, without a version to expect. By reading, a Model header that is no valid name counts as none.

Cause: min_version and begin_by return nothing without a model.

--- a/crates/core/tests/direct_version_review.rs
+++ b/crates/core/tests/direct_version_review.rs
@@ -219,6 +219,20 @@
     assert_eq!(grant.version, Some(2));
 }
 
+/// The engine of such a request still holds the version before.
+#[ignore = "known red: no version is required without a model"]
+#[test]
+fn request_without_a_model_is_not_placed_on_a_version_after_its_cutoff() {
+    let mut view = view_of_first();
+    view.apply(ms(0), endpoint("i-1", 1, 4), Some(ms(0)));
+    view.apply(ms(0), target(2), Some(ms(0)));
+    let mut scheduler = scheduler();
+    scheduler.update(&view);
+    let placed = PlacementRequest { model: None, ..request(Time(USABLE.0)) };
+    let grant = dispatch(&mut scheduler, Time(USABLE.0), placed);
+    assert!(grant.is_none(), "{grant:?}");
+}
+
 /// A started process has read a state without the version, which the platform lost; peers know it.
 #[test]
 fn version_that_only_a_peer_knows_bounds_requests_without_a_published_target() {
