--- a/crates/standins/tests/process_version_review.rs
+++ b/crates/standins/tests/process_version_review.rs
@@ -212,6 +212,35 @@
     assert_eq!(late, 0, "requests ran on the old version after the rollout time");
 }
 
+/// Neither the store nor a peer answers as the gateway starts; the peer does so later.
+#[actix_rt::test]
+async fn gateway_started_without_any_state_serves_nothing_until_a_peer_tells_it() {
+    let cluster = start(|_| {}).await;
+    announce(&cluster, 2);
+    let announced = Instant::now();
+    actix_rt::time::sleep(READ_TIME).await;
+    announce(&cluster, 3);
+    actix_rt::time::sleep(READ_TIME).await;
+    cluster.signal(0, Signal::Stop);
+    cluster.store.set_down(true);
+    cluster.start_gateway(1).expect("a gateway");
+    let before = cluster.workers[0].requests().len();
+    while announced.elapsed() < ROLLOUT / 2 {
+        cluster.call(1, &model_request()).await;
+        actix_rt::time::sleep(CALL_INTERVAL).await;
+    }
+    let reached = cluster.workers[0].requests().len() - before;
+    cluster.signal(0, Signal::Continue);
+    cluster.wait_ready(1).await.expect("a gateway");
+    let served = serves(&cluster, 1).await;
+    assert!(announced.elapsed() < ROLLOUT * 3 / 4, "too slow: {:?}", announced.elapsed());
+    let late = late_requests(&cluster, &[1], announced).await;
+    print_announced(&cluster, 1);
+    assert_eq!(reached, 0, "requests ran before the gateway knew any version");
+    assert!(served, "a gateway refuses a version that is still valid");
+    assert_eq!(late, 0, "requests ran on the old version after the rollout time");
+}
+
 /// No peer answers until the gateway is ready by itself.
 #[actix_rt::test]
 async fn gateway_that_starts_without_peers_sends_nothing_to_an_older_version() {
