Gateways tell again of the crashes for which requests are blocked

Each gateway now tells one random peer every 0.3 s of the crashes for which requests are blocked, at most 1,200 bytes, each request in turn. A crash keeps its identity, so that it counts once, and its age, so that gateways do not keep it alive among themselves. A crash before the last completed answer of a request does not count against it; 8,192 such answers are remembered. Processes of the release before do not understand the datagram and ignore it.

--- a/crates/sequoiahold/src/gateway/datagrams.rs
+++ b/crates/sequoiahold/src/gateway/datagrams.rs
@@ -8,13 +8,13 @@
 };
 use tokio::sync::mpsc;
 
-use super::{notices, parts, rate_limits, state::Gateway};
+use super::{notices, parts, rate_limits, state::Gateway, suspects};
 use crate::node::{Datagram, Received};
 
 /// Interval between two rounds of the exchange.
 const ROUND_INTERVAL: Duration = Duration::from_millis(70);
-/// Interval between two datagrams with the evidence against blocked prompt parts, and between two
-/// with the rate limits of endpoints.
+/// Interval between two datagrams with the evidence against blocked prompt parts and requests, and
+/// between two with the rate limits of endpoints.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Starts the task that exchanges load reports and handles the datagrams from peers.
@@ -38,6 +38,7 @@
                 }
                 _ = evidence_timer.tick() => {
                     parts::send_evidence(&gateway);
+                    suspects::send_evidence(&gateway);
                     rate_limits::send_reports(&gateway);
                     notices::send_reports(&gateway);
                     notices::log_changes(&gateway);
@@ -57,6 +58,7 @@
             gateway.scheduler.borrow_mut().set_loading(&note.instance, until);
         }
         Datagram::Crash(crash) => gateway.suspects.borrow_mut().record_crash(now, crash),
+        Datagram::Crashes(reports) => gateway.suspects.borrow_mut().record_reports(now, reports),
         Datagram::Parts(news) => parts::receive(gateway, &news),
         Datagram::RateLimits(reports) => rate_limits::receive(gateway, sent, reports),
         Datagram::Leaving(reports) => notices::receive(gateway, sent, reports),
