--- a/crates/core/tests/direct_view_ages.rs
+++ b/crates/core/tests/direct_view_ages.rs
@@ -87,8 +87,78 @@
     assert_eq!(min_usable(&view, now), Some(2));
 }
 
+/// Returns the age of version 2 that a process tells which saw it announced at `seen`.
+fn sighting(now: Time, seen: Time) -> AnnouncedVersion {
+    let mut view = view_of([1]);
+    view.apply(seen, target(2), Some(seen));
+    view.record_sighting(seen, seen, &model(), 2);
+    let sightings = view.sightings(now);
+    assert_eq!(sightings.len(), 1);
+    sightings[0].clone()
+}
+
+/// Returns the view of a process that stood still until it heard of version 2 at `heard`.
+fn view_dated(heard: Time, date: Time) -> View {
+    let mut view = view_of([1]);
+    view.apply(heard, target(2), Some(date));
+    view
+}
+
+#[test]
+fn version_dated_by_the_start_of_a_pause_takes_the_time_at_which_a_peer_saw_it() {
+    let mut view = view_dated(at(10_000), at(4_000));
+    assert!(view.has_undated_versions(at(10_000), USABLE));
+    assert!(view.merge_sighting(at(10_500), &sighting(at(10_500), at(9_500))));
+    assert_eq!(min_usable(&view, at(15_499)), Some(1));
+    assert_eq!(min_usable(&view, at(15_500)), Some(2));
+    assert!(!view.has_undated_versions(at(10_500), USABLE));
+}
+
+/// The peer saw a version written again that was lost or removed; other dates are close enough.
+#[test]
+fn sighting_after_a_version_was_heard_of_or_of_one_dated_closely_does_not_move_its_date() {
+    for (heard, date, seen) in
+        [(10_000, 4_000, 10_001), (10_000, 4_000, 3_000), (5_000, 4_000, 4_500)]
+    {
+        let mut view = view_dated(at(heard), at(date));
+        assert!(!view.merge_sighting(at(11_000), &sighting(at(11_000), at(seen))));
+        assert_eq!(min_usable(&view, at(date + 6_000)), Some(2));
+    }
+}
+
+/// A date that is told counts for others, but nobody saw the announcement.
+#[test]
+fn version_that_a_process_heard_of_late_is_not_told_as_seen() {
+    let mut view = view_dated(at(10_000), at(4_000));
+    view.record_sighting(at(10_000), at(4_000), &model(), 2);
+    assert!(view.sightings(at(10_000)).is_empty());
+}
+
+/// A process that started, was out of touch or met a restored state may have missed that the
+/// version was announced before; in an outage it dates versions too late.
+#[test]
+fn process_has_not_followed_the_platform_across_a_gap_an_outage_or_a_restore() {
+    let mut freshness = Freshness::default();
+    let read = |freshness: &mut Freshness, from: u64, to: u64| {
+        (from..=to).for_each(|secs| freshness.record_read(at(secs * 1_000)));
+    };
+    read(&mut freshness, 1, 6);
+    assert!(!freshness.has_followed(at(6_999), USABLE));
+    assert!(freshness.has_followed(at(7_000), USABLE));
+    assert!(!freshness.has_followed(at(9_001), USABLE));
+    read(&mut freshness, 10, 15);
+    assert!(!freshness.has_followed(at(15_000), USABLE));
+    read(&mut freshness, 16, 20);
+    assert!(freshness.has_followed(at(20_000), USABLE));
+    freshness.record_outage(at(20_100));
+    assert!(!freshness.has_followed(at(20_100), USABLE));
+    freshness.record_restore(at(20_500));
+    read(&mut freshness, 21, 26);
+    assert!(!freshness.has_followed(at(26_000), USABLE));
+    assert!(freshness.has_followed(at(26_500), USABLE));
+}
+
 /// Version 1 was replaced at 1 s, and stays so.
-#[ignore = "known red: a removed version loses its age"]
 #[test]
 fn version_that_is_removed_and_written_again_keeps_its_age() {
     let mut view = View::default();
@@ -109,3 +179,42 @@
     let target = view.target(&model()).expect("a version");
     assert_eq!(target.replaced_for(1, USABLE), Some(at(7_000)));
 }
+
+/// Version 2 is removed, version 1 written again, and then version 3.
+#[test]
+fn version_that_replaced_an_older_one_before_its_removal_still_counts_with_a_newer_one() {
+    let mut view = view_of([1, 2]);
+    view.apply(at(1_000), target(None), Some(at(1_000)));
+    view.apply(at(2_000), target(1), Some(at(2_000)));
+    assert_eq!(min_usable(&view, at(6_300)), Some(1));
+    view.apply(at(6_400), target(3), Some(at(6_400)));
+    assert_eq!(min_usable(&view, at(6_400)), Some(2));
+}
+
+/// The process started after version 2, removed it from its view, and saw it written again.
+#[test]
+fn removed_version_of_unknown_time_is_not_dated_by_when_it_is_written_again() {
+    let mut view = View::default();
+    view.apply(at(100), target(2), None);
+    view.apply(at(1_000), target(None), Some(at(1_000)));
+    view.apply(at(1_100), target(2), Some(at(1_100)));
+    assert_eq!(min_usable(&view, at(1_100)), Some(2));
+}
+
+#[test]
+fn removed_versions_are_remembered_for_a_bounded_number_of_models() {
+    let mut view = View::default();
+    let write = |view: &mut View, number: u64, version: Option<u64>, at: Time| {
+        let model = format!("m{number}").parse().expect("valid name");
+        view.apply(at, PublishedValue::TargetVersion(model, version), Some(at));
+    };
+    for number in 0..300 {
+        write(&mut view, number, Some(2), at(1_000));
+        write(&mut view, number, None, at(1_000 + number));
+    }
+    for number in 0..300 {
+        write(&mut view, number, Some(2), at(5_000));
+    }
+    let dates = view.targets().map(|(_, versions)| versions.rollout_start(None));
+    assert_eq!(dates.filter(|date| *date == at(1_000)).count(), 256);
+}
