A rate limit is a cause for which an endpoint gets no requests

What operators saw: a request refused by the rate limits of its endpoints left no line that names an endpoint, the metric of unavailable endpoints did not count those without a turn, and `explain` showed nothing of a limit that the answer to another request had told.

Cause: rate limits keep their own pacing beside the causes of `Availability`, the line `endpoints unavailable` was written for one reason of refusal only, and `explain` took a line with the id of another request for that request's own.

Change: `Cause::RateLimit`, whose end is the next turn of this gateway, unknown if it has no part of the limit. Placement asks whether an endpoint is available once, and that answer is the same that operators get. A refusal for too many requests writes the line if a limit is among the causes. `explain` shows what answers to other requests told of the endpoints of a request, also of those named as causes. The limits themselves are unchanged.

--- a/crates/core/src/direct/availability.rs
+++ b/crates/core/src/direct/availability.rs
@@ -20,12 +20,21 @@
     Misdirected,
     /// It asked for a pause.
     Pause,
+    /// The rate limit that it advertises leaves this gateway no turn.
+    RateLimit,
 }
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 6] =
-        [Self::Failing, Self::Full, Self::Leaving, Self::Loading, Self::Misdirected, Self::Pause];
+    pub const ALL: [Self; 7] = [
+        Self::Failing,
+        Self::Full,
+        Self::Leaving,
+        Self::Loading,
+        Self::Misdirected,
+        Self::Pause,
+        Self::RateLimit,
+    ];
 
     /// Returns the name for logs and metrics.
     pub fn label(self) -> &'static str {
@@ -36,11 +45,13 @@
             Self::Loading => "loading",
             Self::Misdirected => "misdirected",
             Self::Pause => "pause",
+            Self::RateLimit => "rate_limit",
         }
     }
 }
 
-/// The causes in force at an endpoint.
+/// The causes in force at an endpoint, apart from a rate limit, whose end follows from the requests
+/// sent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Availability {
     /// The end of each cause, in the past where it is not in force.
@@ -48,11 +59,6 @@
 }
 
 impl Availability {
-    /// Returns whether no cause is in force.
-    pub fn is_available(&self, now: Time) -> bool {
-        self.ends.iter().all(|end| *end <= now)
-    }
-
     /// Returns the causes in force with their ends, `None` where an end is not known.
     pub fn causes(&self, now: Time) -> impl Iterator<Item = (Cause, Option<Time>)> {
         let ends = Cause::ALL.into_iter().zip(self.ends);
--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -153,9 +153,10 @@
         self.endpoint = endpoint;
     }
 
-    /// Returns whether the endpoint accepts requests now, regardless of its load.
-    pub fn is_available(&self, now: Time) -> bool {
-        !self.endpoint.entry.leaving && self.availability.is_available(now)
+    /// Returns whether the endpoint accepts requests of this gateway, one of `gateways`, now,
+    /// regardless of its load.
+    pub fn is_available(&self, now: Time, gateways: usize) -> bool {
+        self.causes(now, gateways).next().is_none()
     }
 
     /// Records that the endpoint's engine loads weights until the given time.
@@ -186,11 +187,18 @@
             || self.availability.end(Cause::Leaving).is_some_and(|end| end > now)
     }
 
-    /// Returns the causes for which the endpoint gets no requests, with their ends where known.
-    pub fn causes(&self, now: Time) -> impl Iterator<Item = (Cause, Option<Time>)> {
+    /// Returns the causes for which the endpoint gets no requests from this gateway, one of
+    /// `gateways`, with their ends where known.
+    pub fn causes(
+        &self,
+        now: Time,
+        gateways: usize,
+    ) -> impl Iterator<Item = (Cause, Option<Time>)> {
         let published = self.endpoint.entry.leaving.then_some((Cause::Leaving, None));
         let other = move |(cause, _): &(Cause, _)| published.is_none() || *cause != Cause::Leaving;
-        published.into_iter().chain(self.availability.causes(now).filter(other))
+        let turn = self.next_turn(now, gateways).map(|(turn, _)| turn);
+        let limited = turn.is_none_or(|turn| turn > now).then_some((Cause::RateLimit, turn));
+        published.into_iter().chain(self.availability.causes(now).filter(other)).chain(limited)
     }
 
     /// Returns until when the endpoint is known to take no requests, as it pauses or loads weights.
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -403,10 +403,9 @@
             let has_room = meets_objective(now, request, load, prefill_ms, first_ms)
                 && load.requests < state.capacity(self.gateways);
             let usable = can_serve(state, request, min_version)
-                && state.is_available(now)
+                && state.is_available(now, gateways)
                 && state.allows_return(now)
-                && state.allows_send(now, send_limit, salt)
-                && state.next_turn(now, gateways).is_some_and(|(turn, _)| turn <= now);
+                && state.allows_send(now, send_limit, salt);
             let tried = request.tried.contains(&key);
             if !has_room || !usable || tried || (request.healthy_only && !state.is_healthy()) {
                 continue;
--- a/crates/core/src/direct/scheduler/notices.rs
+++ b/crates/core/src/direct/scheduler/notices.rs
@@ -9,7 +9,7 @@
         placement::max_retry_delay,
         wait_queue::TicketKey,
     },
-    ids::InstanceId,
+    ids::{InstanceId, ServiceId},
     refusal::{Reason, Refusal},
     time::Time,
     units::Span,
@@ -107,10 +107,26 @@
         self.notices.leaving_reports(now, |instance| self.by_instance.contains_key(instance))
     }
 
+    /// Returns the causes for which endpoints of a service get no requests, with their ends where
+    /// known.
+    pub fn causes(
+        &self,
+        now: Time,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = (&InstanceId, Cause, Option<Time>)> {
+        let states = self.endpoints.values();
+        let of_service = states.filter(move |state| state.endpoint.entry.service == *service);
+        of_service.flat_map(move |state| {
+            let causes = state.causes(now, self.gateways);
+            causes.map(|(cause, end)| (&state.endpoint.entry.instance, cause, end))
+        })
+    }
+
     /// Returns the number of endpoints that get no requests, by cause.
     pub fn unavailable_endpoints(&self, now: Time) -> [(Cause, usize); Cause::ALL.len()] {
-        let has =
-            |state: &&EndpointState, cause| state.causes(now).any(|(other, _)| other == cause);
+        let has = |state: &&EndpointState, cause| {
+            state.causes(now, self.gateways).any(|(other, _)| other == cause)
+        };
         let count = |cause| self.endpoints.values().filter(|state| has(state, cause)).count();
         Cause::ALL.map(|cause| (cause, count(cause)))
     }
--- a/crates/core/tests/direct_rate_limit.rs
+++ b/crates/core/tests/direct_rate_limit.rs
@@ -6,6 +6,7 @@
 use rstest::rstest;
 use sequoiahold_core::{
     direct::{
+        availability::Cause,
         endpoint_state::AttemptOutcome,
         rate_limit::RateChange,
         scheduler::{Decision, Scheduler},
@@ -249,3 +250,37 @@
         }
     }
 }
+
+/// Operators look for a gateway's reason to send an endpoint nothing.
+#[test]
+fn endpoint_without_a_turn_counts_as_unavailable_by_its_limit() {
+    let instance: InstanceId = name("i-0");
+    let mut rng = SmallRng::seed_from_u64(3);
+    let count = 8;
+    let mut schedulers = schedulers(count, &view(1, None));
+    let limited = |scheduler: &Scheduler, now| {
+        let counts = scheduler.unavailable_endpoints(now).into_iter();
+        let limited = counts.filter(|(cause, _)| cause.label() == "rate_limit");
+        limited.map(|(_, endpoints)| endpoints).sum::<usize>()
+    };
+    for scheduler in &mut schedulers {
+        scheduler.record_rate_limit(ms(1_000), &instance, rate("1"));
+    }
+    // Six gateways share a limit of one request per second, each with a turn within 6 s.
+    let now = ms(20_000);
+    let unlimited = schedulers.iter_mut().filter(|scheduler| limited(scheduler, now) == 0);
+    let mut sent: Vec<&mut Scheduler> = unlimited
+        .filter_map(|scheduler| submit(scheduler, now, &mut rng)?.is_ok().then_some(scheduler))
+        .collect();
+    assert_eq!(sent.len(), 6);
+    let service = name("orders");
+    let causes = |scheduler: &Scheduler, now| -> Vec<(Cause, Option<Time>)> {
+        scheduler.causes(now, &service).map(|(_, cause, end)| (cause, end)).collect()
+    };
+    assert_eq!(causes(sent[0], ms(20_100)), [(Cause::RateLimit, Some(ms(26_000)))]);
+    assert!(sent.iter_mut().all(|scheduler| limited(scheduler, ms(25_999)) == 1));
+    assert!(sent.iter_mut().all(|scheduler| limited(scheduler, ms(26_000)) == 0));
+    let without_part: Vec<_> =
+        schedulers.iter().flat_map(|scheduler| causes(scheduler, ms(26_000))).collect();
+    assert_eq!(without_part, [(Cause::RateLimit, None); 2]);
+}
--- a/crates/sequoiahold/src/command/explain/request_report.rs
+++ b/crates/sequoiahold/src/command/explain/request_report.rs
@@ -76,9 +76,11 @@
         let platform_line = last(&["platform answers again", "platform does not answer"]);
         let platform_failure =
             platform_line.filter(|line| line.message == "platform does not answer");
+        // Answers to other requests tell of the endpoints as well.
+        let is_other = |line: &Line| line.text("id") != id && line.text("target") != "request";
         let endpoint_lines = own.iter().copied().filter(|line| {
             let in_window = (end - CONTEXT_BEFORE_S..=end + CONTEXT_AFTER_S).contains(&line.time_s);
-            in_window && line.text("id").is_empty() && mentions_endpoint(line, &endpoints)
+            in_window && is_other(line) && mentions_endpoint(line, &endpoints)
         });
         let mut context: Vec<Line> = last(&["configuration in force"])
             .into_iter()
@@ -112,8 +114,10 @@
 
 /// Returns the endpoints named in a line.
 fn endpoints(line: &Line) -> Vec<String> {
-    let named = [line.text("instance"), line.text("endpoints")].join(",");
-    named.split(',').filter(|name| !name.is_empty()).map(ToOwned::to_owned).collect()
+    let named = [line.text("instance"), line.text("endpoints"), line.text("causes")].join(",");
+    // A cause follows the name of its endpoint.
+    let names = named.split(',').filter_map(|text| text.split_whitespace().next());
+    names.map(ToOwned::to_owned).collect()
 }
 
 /// Returns whether a line mentions one of the endpoints in its key or instance.
--- a/crates/sequoiahold/src/gateway/notices.rs
+++ b/crates/sequoiahold/src/gateway/notices.rs
@@ -12,6 +12,8 @@
         availability::Cause, endpoint_notices::LeavingReport, membership::Role,
         pause::PauseRequest, platform::Codec, scheduler::Grant,
     },
+    ids::ServiceId,
+    refusal::Reason,
     time::Time,
 };
 
@@ -142,22 +144,31 @@
     }
 }
 
-/// Logs the causes for which endpoints of a service take no requests, for one that was refused.
-pub(super) fn log_causes<C: Codec>(gateway: &Gateway<C>, id: &str, service: &str) {
-    let now = gateway.node.now();
-    let causes = {
-        let scheduler = gateway.scheduler.borrow();
-        let of_service = scheduler
-            .endpoints()
-            .filter(|(_, state)| state.endpoint.entry.service.as_str() == service);
-        let causes = of_service.flat_map(|(_, state)| {
-            let instance = state.endpoint.entry.instance.as_str();
-            state.causes(now).map(move |(cause, end)| cause_text(now, instance, cause, end))
-        });
-        causes.take(MAX_LOGGED_CAUSES).collect::<Vec<_>>().join(", ")
+/// Logs the causes for which endpoints of a service get no requests, for one that was refused.
+///
+/// A refusal for too many requests is logged only if a rate limit may have contributed to it.
+pub(super) fn log_causes<C: Codec>(
+    gateway: &Gateway<C>,
+    id: &str,
+    service: &ServiceId,
+    reason: Reason,
+) {
+    let (now, scheduler) = (gateway.node.now(), gateway.scheduler.borrow());
+    let mut causes = scheduler.causes(now, service);
+    let is_due = match reason {
+        Reason::NoEndpoint => true,
+        Reason::Overload => causes.any(|(_, cause, _)| cause == Cause::RateLimit),
+        _ => false,
     };
+    if !is_due {
+        return;
+    }
+    let causes = scheduler.causes(now, service).take(MAX_LOGGED_CAUSES);
+    let causes: Vec<String> = causes
+        .map(|(instance, cause, end)| cause_text(now, instance.as_str(), cause, end))
+        .collect();
     if !causes.is_empty() {
-        log::info!(target: "request", id, causes = causes.as_str(); "endpoints unavailable");
+        log::info!(target: "request", id, causes = causes.join(", ").as_str(); "endpoints unavailable");
     }
 }
 
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -134,10 +134,8 @@
             let slot = match acquired {
                 Ok(slot) => slot,
                 Err(refusal) => {
-                    if refusal.reason == Reason::NoEndpoint {
-                        let service = self.plan.service.as_str();
-                        notices::log_causes(self.gateway, self.attempt_id(), service);
-                    }
+                    let (id, service) = (self.attempt_id(), &self.plan.service);
+                    notices::log_causes(self.gateway, id, service, refusal.reason);
                     return self.fail(relay, LocalReply::Refused(refusal)).await;
                 }
             };
--- a/crates/sequoiahold/tests/explain.rs
+++ b/crates/sequoiahold/tests/explain.rs
@@ -28,6 +28,15 @@
 gw-1 {"endpoints":"i-1,i-2","id":"aa","level":"INFO","message":"ended","outcome":"refused","retry_ms":4500,"status":503,"target":"request","time":"100.002","took_ms":2}
 "#;
 
+/// Lines of a request that was refused at once, as the rate limits of its endpoints leave no room.
+const LIMITED_LOG: &str = r#"
+gw-1 {"id":"zz","instance":"i-1","level":"INFO","message":"endpoint advertises a rate limit","rate":1.0,"time":"99.000"}
+gw-1 {"id":"zz","instance":"i-9","level":"INFO","message":"endpoint advertises a rate limit","rate":2.0,"time":"99.100"}
+gw-1 {"fault":"connection closed","id":"zz","instance":"i-1","level":"INFO","message":"endpoint failed","target":"request","time":"99.200"}
+gw-1 {"causes":"i-1 rate_limit 900 ms, i-2 rate_limit","id":"aa","level":"INFO","message":"endpoints unavailable","target":"request","time":"100.000"}
+gw-1 {"endpoints":"","id":"aa","level":"INFO","message":"ended","outcome":"refused","retry_ms":900,"status":503,"target":"request","time":"100.000","took_ms":0}
+"#;
+
 fn explain(id: &str) -> Output {
     explain_log(LOG, id)
 }
@@ -43,6 +52,11 @@
     child.wait_with_output().unwrap()
 }
 
+/// Returns the report on the request `aa`.
+fn report(log: &str) -> String {
+    String::from_utf8(explain_log(log, "aa").stdout).unwrap()
+}
+
 #[test]
 fn the_report_lists_the_lines_and_context_of_each_process() {
     let output = explain("aa");
@@ -78,8 +92,6 @@
 /// The endpoints said so in answers to another request.
 #[test]
 fn the_report_names_why_no_endpoint_could_serve_a_request() {
-    let output = explain_log(REFUSED_LOG, "aa");
-    let text = String::from_utf8(output.stdout).unwrap();
     let expected = "\
 request aa
 
@@ -91,5 +103,20 @@
       1.0 s   endpoint leaves: age_ms 0, instance i-1, request zz
       0.5 s   endpoint asks for a pause: instance i-2, pause_ms 5000, request zz
 ";
-    assert_eq!(text, expected);
+    assert_eq!(report(REFUSED_LOG), expected);
+}
+
+/// The endpoint advertised the limit in the answer to another request.
+#[test]
+fn the_report_names_the_rate_limits_that_left_no_room_for_a_request() {
+    let expected = "\
+request aa
+
+gw-1
+        0 ms  endpoints unavailable: causes i-1 rate_limit 900 ms, i-2 rate_limit
+        0 ms  ended: outcome refused, retry_ms 900, status 503, took_ms 0
+  known to the process, by age at the start of the request:
+      1.0 s   endpoint advertises a rate limit: instance i-1, rate 1.0
+";
+    assert_eq!(report(LIMITED_LOG), expected);
 }
