One function sends the regular reports on endpoints

What operators saw: the metric of endpoints with a rate limit kept its last value when the limits had expired, as it was not updated without reports.

Cause: reports of rate limits and of leaving were shuffled, packed and sent by the same code twice. Those of leaving were dated by when the datagram was sent instead of when their ages were computed.

Change: `datagrams::send_reports` serves both, and both datagrams of leaving name the time up to which their ages count. The metric is updated in each round.

No test shows the date of the reports, whose two times are within the same call.

--- a/crates/sequoiahold/src/gateway/datagrams.rs
+++ b/crates/sequoiahold/src/gateway/datagrams.rs
@@ -2,8 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
+use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use sequoiahold_core::{
-    direct::{load_exchange::LocalLoad, platform::Codec, scheduler::EndpointKey},
+    direct::{load_exchange::LocalLoad, membership::Role, platform::Codec, scheduler::EndpointKey},
+    ids::InstanceId,
     time::Time,
 };
 use tokio::sync::mpsc;
@@ -13,8 +15,12 @@
 
 /// Interval between two rounds of the exchange.
 const ROUND_INTERVAL: Duration = Duration::from_millis(70);
+/// Maximum total size of the reports in a datagram; the others follow in later ones.
+const MAX_REPORT_BYTES: usize = 640;
+/// Estimated size of an encoded report without the name of the instance.
+const REPORT_BYTES: usize = 30;
 /// Interval between two datagrams with the evidence against blocked prompt parts, and between two
-/// with the rate limits of endpoints.
+/// with reports on endpoints.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Starts the task that exchanges load reports and handles the datagrams from peers.
@@ -47,6 +53,30 @@
     });
 }
 
+/// Sends reports whose ages count up to `at`, as many as fit in a datagram and picked at random, to
+/// one other gateway.
+pub(super) fn send_reports<C: Codec, R>(
+    gateway: &Gateway<C>,
+    at: Time,
+    mut reports: Vec<R>,
+    instance: impl Fn(&R) -> &InstanceId,
+    datagram: impl FnOnce(Vec<R>) -> Datagram,
+) {
+    if reports.is_empty() {
+        return;
+    }
+    let rng = &mut *gateway.node.rng.borrow_mut();
+    reports.shuffle(rng);
+    let mut size = 0;
+    let fitting = reports.into_iter().take_while(|report| {
+        size += instance(report).as_str().len() + REPORT_BYTES;
+        size <= MAX_REPORT_BYTES
+    });
+    let datagram = datagram(fitting.collect());
+    let peer = gateway.node.peer_addrs(Role::Gateway).into_iter().choose(rng);
+    gateway.node.send_at(at, peer, &datagram);
+}
+
 /// Handles a datagram that a peer sent at `sent`.
 fn receive<C: Codec>(gateway: &Rc<Gateway<C>>, sent: Time, datagram: Datagram) {
     let now = gateway.node.now();
--- a/crates/sequoiahold/src/gateway/notices.rs
+++ b/crates/sequoiahold/src/gateway/notices.rs
@@ -6,7 +6,6 @@
     StatusCode,
     header::{HeaderValue, RETRY_AFTER},
 };
-use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use sequoiahold_core::{
     direct::{
         availability::Cause, endpoint_notices::LeavingReport, membership::Role,
@@ -17,16 +16,12 @@
     time::Time,
 };
 
-use super::state::Gateway;
+use super::{datagrams, state::Gateway};
 use crate::{
     h1::{IncomingRequest, UpstreamResponse},
     node::Datagram,
 };
 
-/// Maximum total size of the regular reports in a datagram; the others follow in later ones.
-const MAX_REPORT_BYTES: usize = 500;
-/// Estimated size of an encoded report without the name of the instance.
-const REPORT_BYTES: usize = 30;
 /// Maximum number of causes in a log line, which bounds its size at a large service.
 const MAX_LOGGED_CAUSES: usize = 8;
 
@@ -73,7 +68,8 @@
     let report = gateway.scheduler.borrow_mut().record_leaving(now, sent, grant, leaving);
     if let Some(report) = report {
         log_leaving(&report, request);
-        gateway.node.send(gateway.node.peer_addrs(Role::Gateway), &Datagram::Leaving(vec![report]));
+        let peers = gateway.node.peer_addrs(Role::Gateway);
+        gateway.node.send_at(now, peers, &Datagram::Leaving(vec![report]));
     }
 }
 
@@ -86,20 +82,9 @@
 
 /// Reports the endpoints that leave to one other gateway, which may have missed it.
 pub(super) fn send_reports<C: Codec>(gateway: &Gateway<C>) {
-    let mut reports = gateway.scheduler.borrow().leaving_reports(gateway.node.now());
-    if reports.is_empty() {
-        return;
-    }
-    let rng = &mut *gateway.node.rng.borrow_mut();
-    reports.shuffle(rng);
-    let mut size = 0;
-    let reports = reports.into_iter().take_while(|report| {
-        size += report.instance.as_str().len() + REPORT_BYTES;
-        size <= MAX_REPORT_BYTES
-    });
-    let reports = Datagram::Leaving(reports.collect());
-    let peer = gateway.node.peer_addrs(Role::Gateway).into_iter().choose(rng);
-    gateway.node.send(peer, &reports);
+    let now = gateway.node.now();
+    let reports = gateway.scheduler.borrow().leaving_reports(now);
+    datagrams::send_reports(gateway, now, reports, |report| &report.instance, Datagram::Leaving);
 }
 
 /// Logs a change, with the request whose answer told it, if any.
--- a/crates/sequoiahold/src/gateway/rate_limits.rs
+++ b/crates/sequoiahold/src/gateway/rate_limits.rs
@@ -1,7 +1,6 @@
 //! Rate limits that endpoints advertise in their answers.
 
 use actix_http::StatusCode;
-use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use sequoiahold_core::{
     direct::{
         membership::Role,
@@ -13,17 +12,12 @@
     units::{RequestRate, Span},
 };
 
-use super::state::Gateway;
+use super::{datagrams, state::Gateway};
 use crate::{
     h1::{IncomingRequest, UpstreamResponse},
     node::Datagram,
 };
 
-/// Maximum total size of the regular reports in a datagram; the others follow in later ones.
-const MAX_REPORT_BYTES: usize = 500;
-/// Estimated size of an encoded report without the name of the instance.
-const REPORT_BYTES: usize = 20;
-
 /// Records the rate limit that an answer advertises, or that it advertises none, and logs a change.
 pub(super) fn record_answer<C: Codec>(
     gateway: &Gateway<C>,
@@ -70,21 +64,9 @@
 /// Reports the known limits to one other gateway, which may have missed their start or end.
 pub(super) fn send_reports<C: Codec>(gateway: &Gateway<C>) {
     let now = gateway.node.now();
-    let mut reports = gateway.scheduler.borrow().rate_limit_reports(now);
-    if reports.is_empty() {
-        return;
-    }
+    let reports = gateway.scheduler.borrow().rate_limit_reports(now);
     gateway.metrics.set_limited_endpoints(gateway.scheduler.borrow().rate_limited_endpoints(now));
-    let rng = &mut *gateway.node.rng.borrow_mut();
-    reports.shuffle(rng);
-    let mut size = 0;
-    let reports = reports.into_iter().take_while(|report| {
-        size += report.instance.as_str().len() + REPORT_BYTES;
-        size <= MAX_REPORT_BYTES
-    });
-    let reports = Datagram::RateLimits(reports.collect());
-    let peer = gateway.node.peer_addrs(Role::Gateway).into_iter().choose(rng);
-    gateway.node.send_at(now, peer, &reports);
+    datagrams::send_reports(gateway, now, reports, |report| &report.instance, Datagram::RateLimits);
 }
 
 /// Logs another limit of an endpoint than known, with the request whose answer had it, if any.
