Metrics of a gateway are registered by one function

Change: `register` registers a metric and returns it. Names, types, help texts and their order are unchanged.

--- a/crates/sequoiahold/src/gateway/metrics.rs
+++ b/crates/sequoiahold/src/gateway/metrics.rs
@@ -9,7 +9,7 @@
         gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
-    registry::Registry,
+    registry::{Metric, Registry},
 };
 use sequoiahold_core::direct::view::AnnouncedVersion;
 
@@ -42,69 +42,70 @@
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("sequoiahold");
-        let counters = || Family::<Labels, Counter>::default();
-        let histograms = || Family::<Labels, Histogram>::new_with_constructor(histogram);
-        let (route_requests, account_requests, sends) = (counters(), counters(), counters());
-        let (route_latency, account_latency) = (histograms(), histograms());
-        registry.register("requests", "Requests by route and outcome", route_requests.clone());
-        registry.register(
-            "account_requests",
-            "Requests by client account and outcome",
-            account_requests.clone(),
-        );
-        registry.register(
-            "first_seconds",
-            "Time to the first event or the answer by route",
-            route_latency.clone(),
-        );
-        registry.register(
-            "account_first_seconds",
-            "Time to the first event or the answer by client account",
-            account_latency.clone(),
-        );
-        registry.register("sends", "Sends to endpoints by route", sends.clone());
-        let blocked_parts = Counter::default();
-        registry.register(
-            "blocked_parts",
-            "Prompt parts blocked as they crash endpoints",
-            blocked_parts.clone(),
-        );
-        let limited_endpoints = Gauge::default();
-        registry.register(
-            "rate_limited_endpoints",
-            "Endpoints that advertise a rate limit",
-            limited_endpoints.clone(),
-        );
-        let announced_versions = Family::default();
-        registry.register(
-            "version_announced_seconds",
-            "Unix time from which the rollout of a version counts, if it is known",
-            announced_versions.clone(),
-        );
-        let unavailable_endpoints = Family::<Labels, Gauge>::default();
-        registry.register(
-            "unavailable_endpoints",
-            "Endpoints that get no requests by cause",
-            unavailable_endpoints.clone(),
-        );
-        let registry = Rc::new(registry);
-        let account_labels = RefCell::default();
+        let r = &mut registry;
+        let histograms = || Family::new_with_constructor(histogram as fn() -> Histogram);
         Self {
-            registry,
-            route_requests,
-            account_requests,
-            route_latency,
-            account_latency,
-            sends,
-            blocked_parts,
-            limited_endpoints,
-            announced_versions,
-            unavailable_endpoints,
-            account_labels,
+            route_requests: register(
+                r,
+                "requests",
+                "Requests by route and outcome",
+                Family::default(),
+            ),
+            account_requests: register(
+                r,
+                "account_requests",
+                "Requests by client account and outcome",
+                Family::default(),
+            ),
+            route_latency: register(
+                r,
+                "first_seconds",
+                "Time to the first event or the answer by route",
+                histograms(),
+            ),
+            account_latency: register(
+                r,
+                "account_first_seconds",
+                "Time to the first event or the answer by client account",
+                histograms(),
+            ),
+            sends: register(r, "sends", "Sends to endpoints by route", Family::default()),
+            blocked_parts: register(
+                r,
+                "blocked_parts",
+                "Prompt parts blocked as they crash endpoints",
+                Counter::default(),
+            ),
+            limited_endpoints: register(
+                r,
+                "rate_limited_endpoints",
+                "Endpoints that advertise a rate limit",
+                Gauge::default(),
+            ),
+            announced_versions: register(
+                r,
+                "version_announced_seconds",
+                "Unix time from which the rollout of a version counts, if it is known",
+                Family::default(),
+            ),
+            unavailable_endpoints: register(
+                r,
+                "unavailable_endpoints",
+                "Endpoints that get no requests by cause",
+                Family::default(),
+            ),
+            registry: Rc::new(registry),
+            account_labels: RefCell::default(),
         }
     }
 }
 
+/// Registers a metric and returns it.
+fn register<M: Clone + Metric>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
+    registry.register(name, help, metric.clone());
+    metric
+}
+
 impl Metrics {
     /// Returns the registry for the metrics endpoint.
     pub(super) fn registry(&self) -> Rc<Registry> {
