Log lines on endpoints that leave or pause name the request `id`

What operators saw: the request whose answer told that an endpoint leaves or pauses was `request` in these lines, and `id` in all others.

Change: `id` in all. `explain` shows the id of another request whose answer told something of an endpoint, and still hides the one that it reports on.

--- a/crates/sequoiahold/src/command/explain/log_line.rs
+++ b/crates/sequoiahold/src/command/explain/log_line.rs
@@ -40,10 +40,12 @@
         self.fields.get(name)?.as_u64()
     }
 
-    /// Formats the non-empty fields, without those common to all lines.
-    pub(super) fn fields(&self) -> String {
-        let common = ["time", "message", "level", "target", "id"];
-        let fields = self.fields.iter().filter(|(name, _)| !common.contains(&name.as_str()));
+    /// Formats the non-empty fields, without those common to all lines on the request `id`.
+    pub(super) fn fields(&self, id: &str) -> String {
+        let common = ["time", "message", "level", "target"];
+        let is_common =
+            |name: &str| common.contains(&name) || (name == "id" && self.text(name) == id);
+        let fields = self.fields.iter().filter(|(name, _)| !is_common(name));
         let described: Vec<String> = fields
             .map(|(name, _)| (name, self.text(name)))
             .filter(|(_, text)| !text.is_empty())
--- a/crates/sequoiahold/src/command/explain/request_report.rs
+++ b/crates/sequoiahold/src/command/explain/request_report.rs
@@ -24,6 +24,7 @@
 #[derive(Debug)]
 struct ProcessTrace {
     process: String,
+    id: String,
     started_at: f64,
     lines: Vec<Line>,
     context: Vec<Line>,
@@ -89,7 +90,7 @@
             .cloned()
             .collect();
         context.sort_by(|a, b| a.time_s.total_cmp(&b.time_s));
-        Self { process: process.to_owned(), started_at: first, lines, context }
+        Self { process: process.to_owned(), id: id.to_owned(), started_at: first, lines, context }
     }
 }
 
@@ -98,7 +99,7 @@
         writeln!(f, "{}", self.process)?;
         for line in &self.lines {
             let after = (line.time_s - self.started_at) * 1_000.0;
-            writeln!(f, "  {after:>7.0} ms  {}: {}", line.message, line.fields())?;
+            writeln!(f, "  {after:>7.0} ms  {}: {}", line.message, line.fields(&self.id))?;
         }
         if self.context.is_empty() {
             return Ok(());
@@ -106,7 +107,7 @@
         writeln!(f, "  known to the process, by age at the start of the request:")?;
         for line in &self.context {
             let age = self.started_at - line.time_s;
-            writeln!(f, "  {age:>7.1} s   {}: {}", line.message, line.fields())?;
+            writeln!(f, "  {age:>7.1} s   {}: {}", line.message, line.fields(&self.id))?;
         }
         Ok(())
     }
--- a/crates/sequoiahold/src/gateway/notices.rs
+++ b/crates/sequoiahold/src/gateway/notices.rs
@@ -53,21 +53,21 @@
     response: &UpstreamResponse,
 ) {
     let codec = &gateway.node.codec;
-    let (request, instance) = (attempt_id(gateway, request), grant.instance.as_str());
+    let (id, instance) = (attempt_id(gateway, request), grant.instance.as_str());
     let value = response.headers.get(codec.header_names().leaving);
     let decode = |value: &HeaderValue| codec.decode_leaving(value.to_str().unwrap_or(""));
     let leaving = match value.map(decode).transpose() {
         Ok(leaving) => leaving.unwrap_or(false),
         Err(error) => {
             let fault = error.to_string();
-            log::warn!(request, instance, fault = fault.as_str(); "unreadable answer");
+            log::warn!(id, instance, fault = fault.as_str(); "unreadable answer");
             return;
         }
     };
     let (now, sent) = (gateway.node.now(), sent.unwrap_or_default());
     let report = gateway.scheduler.borrow_mut().record_leaving(now, sent, grant, leaving);
     if let Some(report) = report {
-        log_leaving(&report, request);
+        log_leaving(&report, id);
         let peers = gateway.node.peer_addrs(Role::Gateway);
         gateway.node.send_at(now, peers, &Datagram::Leaving(vec![report]));
     }
@@ -88,11 +88,11 @@
 }
 
 /// Logs a change, with the request whose answer told it, if any.
-fn log_leaving(report: &LeavingReport, request: &str) {
+fn log_leaving(report: &LeavingReport, id: &str) {
     let (instance, age_ms) = (report.instance.as_str(), report.age.0 / 1_000);
     match report.leaving {
-        true => log::info!(request, instance, age_ms; "endpoint leaves"),
-        false => log::info!(request, instance, age_ms; "endpoint no longer leaves"),
+        true => log::info!(id, instance, age_ms; "endpoint leaves"),
+        false => log::info!(id, instance, age_ms; "endpoint no longer leaves"),
     }
 }
 
@@ -105,15 +105,15 @@
     let Some(value) = response.headers.get(RETRY_AFTER) else { return };
     let text = value.to_str().unwrap_or("");
     let pause = PauseRequest::decode(text, SystemTime::now());
-    let (request, instance) = (attempt_id(gateway, request), grant.instance.as_str());
+    let (id, instance) = (attempt_id(gateway, request), grant.instance.as_str());
     let pause_ms = pause.span().0 / 1_000;
     if !matches!(pause, PauseRequest::For(_)) {
         let fault = format!("{pause:?}: {text}");
-        log::warn!(request, instance, fault = fault.as_str(), pause_ms; "unusable pause");
+        log::warn!(id, instance, fault = fault.as_str(), pause_ms; "unusable pause");
     }
     let now = gateway.node.now();
     if gateway.scheduler.borrow_mut().record_pause(now, grant, pause.span()) {
-        log::info!(request, instance, pause_ms; "endpoint asks for a pause");
+        log::info!(id, instance, pause_ms; "endpoint asks for a pause");
     }
 }
 
