Benchmark of the cost of placement

`sequoiahold-bench bench placement` places requests among 60 endpoints, with all of them available and with a third leaving, pausing or limited, and dispatches a queue of 500 requests that cannot be placed, also while endpoints of another service pause. It prints the time per operation, one JSON object a case.

--- a/crates/standins/src/bench/declared.rs
+++ b/crates/standins/src/bench/declared.rs
@@ -108,7 +108,7 @@
     declared.map(|(index, object)| Declaration { object, source: source(index) }).collect()
 }
 
-fn name<T: std::str::FromStr<Err: fmt::Debug>>(text: &str) -> T {
+pub(super) fn name<T: std::str::FromStr<Err: fmt::Debug>>(text: &str) -> T {
     text.parse().expect("a generated name is valid")
 }
 
--- a/crates/standins/src/bench/mod.rs
+++ b/crates/standins/src/bench/mod.rs
@@ -1,8 +1,10 @@
-//! Resource use of one real process by the number of peers, objects, changes and requests.
+//! Resource use of one real process by the number of peers, objects, changes and requests, and the
+//! cost of placement.
 
 mod declared;
 mod fake_endpoint;
 mod fit;
+mod placement;
 mod probe;
 mod series;
 mod target;
@@ -37,9 +39,10 @@
         "entry-tokens" => series::entry_tokens(&options.program).await?,
         "endpoint-entries" => series::endpoint_entries(&options.program).await?,
         "endpoint-chunks" => series::endpoint_chunks(&options.program).await?,
+        "placement" => placement::run()?,
         other => bail!(
             "unknown series {other:?}; one of entry-endpoints, entry-objects, entry-changes, \
-             entry-requests, entry-tokens, endpoint-entries, endpoint-chunks"
+             entry-requests, entry-tokens, endpoint-entries, endpoint-chunks, placement"
         ),
     }
     Ok(0)
--- a/crates/standins/src/cli.rs
+++ b/crates/standins/src/cli.rs
@@ -25,7 +25,8 @@
   demo [glasmarke|tannverket] [--seed N] [--program FILE] [--examples DIR]
       run a deployment on loopback; the last line of output is one JSON object
   bench SERIES [--program FILE]
-      measure one real process at growing sizes and fit a line
+      measure one real process at growing sizes and fit a line; the series placement measures the
+      time to place a request, one JSON object a case
   soak [--seed N] [--count N] [--regressions] [--jobs N] [--gateways N] [--program FILE]
       inject random faults into real gateways on loopback; one line per seed from N on, or per
       seed that failed before; exit code 1 if a check failed
