One look per service tells whether queued requests may be refused

Cause: for each queued request, the endpoints of all services were walked for one that leaves, pauses or loads. The metric of unavailable endpoints walked them once per cause. Each request in flight was woken by each published change, also if it names no model, whose version could be announced.

Change: `dispatch_service` looks once, at the endpoints of its service, and asks for the refusal of a request only if one is out. Endpoints are counted in one pass. Requests without a model subscribe to no changes.

No test shows that requests without a model are not woken.

--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -366,12 +366,15 @@
                 Refusal::retry_after(Reason::Overload, retry_delay(now, &request, queue.refused));
             decided.push((service.clone(), ticket, Err(refusal)));
         }
-        for ticket in queue.waiting.dispatch_order() {
+        let tickets = queue.waiting.dispatch_order();
+        let may_refuse = self.may_refuse_queued(now, service);
+        for ticket in tickets {
             let request =
                 self.queues.get(service).and_then(|queue| queue.waiting.get(ticket)).cloned();
             let Some(request) = request else { continue };
             let placed = self.try_place(now, &request, rng).map(Ok);
-            let refused = || self.known_refusal(now, &request, ticket).map(Err);
+            let refused =
+                || may_refuse.then(|| self.known_refusal(now, &request, ticket)).flatten().map(Err);
             let Some(result) = placed.or_else(refused) else { continue };
             if let Some(queue) = self.queues.get_mut(service) {
                 queue.waiting.remove(ticket);
--- a/crates/core/src/direct/scheduler/notices.rs
+++ b/crates/core/src/direct/scheduler/notices.rs
@@ -124,11 +124,20 @@
 
     /// Returns the number of endpoints that get no requests, by cause.
     pub fn unavailable_endpoints(&self, now: Time) -> [(Cause, usize); Cause::ALL.len()] {
-        let has = |state: &&EndpointState, cause| {
-            state.causes(now, self.gateways).any(|(other, _)| other == cause)
-        };
-        let count = |cause| self.endpoints.values().filter(|state| has(state, cause)).count();
-        Cause::ALL.map(|cause| (cause, count(cause)))
+        let mut counts = Cause::ALL.map(|cause| (cause, 0));
+        let states = self.endpoints.values();
+        for (cause, _) in states.flat_map(|state| state.causes(now, self.gateways)) {
+            counts[cause as usize].1 += 1;
+        }
+        counts
+    }
+
+    /// Returns whether an endpoint of a service leaves, pauses or loads, so that
+    /// [`Scheduler::known_refusal`] may apply to its queued requests.
+    pub(super) fn may_refuse_queued(&self, now: Time, service: &ServiceId) -> bool {
+        let is_out = |state: &EndpointState| state.known_end() > now || state.is_leaving(now);
+        let mut states = self.endpoints.values();
+        states.any(|state| state.endpoint.entry.service == *service && is_out(state))
     }
 
     /// Returns the refusal of a queued request that no endpoint will take before it expires.
@@ -138,10 +147,6 @@
         request: &PlacementRequest,
         ticket: TicketKey,
     ) -> Option<Refusal> {
-        let is_out = |state: &EndpointState| state.known_end() > now || state.is_leaving(now);
-        if !self.endpoints.values().any(is_out) {
-            return None;
-        }
         let until = self.queues.get(&request.service)?.waiting.expiry(ticket)?;
         match self.outlook(now, request, until) {
             Outlook::Unavailable(end) => Some(self.unavailable_refusal(now, request, end)),
--- a/crates/sequoiahold/src/gateway/attempt.rs
+++ b/crates/sequoiahold/src/gateway/attempt.rs
@@ -118,8 +118,11 @@
 }
 
 /// Waits until a request must have begun at its endpoint, also by a version that is announced
-/// meanwhile.
+/// meanwhile; forever if it names no model.
 async fn overdue<C: Codec>(gateway: &Gateway<C>, grant: &Grant) {
+    if grant.model.is_none() {
+        return pending().await;
+    }
     let mut changes = gateway.node.subscribe();
     loop {
         let begin_by = gateway.scheduler.borrow().begin_by(&gateway.node.view.borrow(), grant);
