Placement asks whether an endpoint is available without listing causes

Cause: since a rate limit is a cause, `is_available` built the list of causes for each endpoint and request to find that it is empty.

Change: it compares the ends. A test holds it to the causes.

--- a/crates/core/src/direct/availability.rs
+++ b/crates/core/src/direct/availability.rs
@@ -59,6 +59,11 @@
 }
 
 impl Availability {
+    /// Returns whether no cause is in force.
+    pub fn is_available(&self, now: Time) -> bool {
+        self.ends.iter().all(|end| *end <= now)
+    }
+
     /// Returns the causes in force with their ends, `None` where an end is not known.
     pub fn causes(&self, now: Time) -> impl Iterator<Item = (Cause, Option<Time>)> {
         let ends = Cause::ALL.into_iter().zip(self.ends);
--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -154,9 +154,11 @@
     }
 
     /// Returns whether the endpoint accepts requests of this gateway, one of `gateways`, now,
-    /// regardless of its load.
+    /// regardless of its load: no cause is in force.
     pub fn is_available(&self, now: Time, gateways: usize) -> bool {
-        self.causes(now, gateways).next().is_none()
+        !self.endpoint.entry.leaving
+            && self.availability.is_available(now)
+            && self.next_turn(now, gateways).is_some_and(|(turn, _)| turn <= now)
     }
 
     /// Records that the endpoint's engine loads weights until the given time.
--- a/crates/core/tests/direct_rate_limit.rs
+++ b/crates/core/tests/direct_rate_limit.rs
@@ -283,4 +283,9 @@
     let without_part: Vec<_> =
         schedulers.iter().flat_map(|scheduler| causes(scheduler, ms(26_000))).collect();
     assert_eq!(without_part, [(Cause::RateLimit, None); 2]);
+    for (scheduler, now) in schedulers.iter().zip([20_100, 26_000].into_iter().cycle()) {
+        let is_available =
+            scheduler.endpoints().any(|(_, state)| state.is_available(ms(now), count));
+        assert_eq!(is_available, causes(scheduler, ms(now)).is_empty());
+    }
 }
