--- a/crates/core/src/direct/scheduler/notices.rs
+++ b/crates/core/src/direct/scheduler/notices.rs
@@ -9,7 +9,7 @@
         placement::max_retry_delay,
         wait_queue::TicketKey,
     },
-    ids::InstanceId,
+    ids::{InstanceId, ServiceId},
     refusal::{Reason, Refusal},
     time::Time,
     units::Span,
@@ -107,12 +107,37 @@
         self.notices.leaving_reports(now, |instance| self.by_instance.contains_key(instance))
     }
 
+    /// Returns the causes for which endpoints of a service get no requests, with their ends where
+    /// known.
+    pub fn causes(
+        &self,
+        now: Time,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = (&InstanceId, Cause, Option<Time>)> {
+        let states = self.endpoints.values();
+        let of_service = states.filter(move |state| state.endpoint.entry.service == *service);
+        of_service.flat_map(move |state| {
+            let causes = state.causes(now, self.gateways);
+            causes.map(|(cause, end)| (&state.endpoint.entry.instance, cause, end))
+        })
+    }
+
     /// Returns the number of endpoints that get no requests, by cause.
     pub fn unavailable_endpoints(&self, now: Time) -> [(Cause, usize); Cause::ALL.len()] {
-        let has =
-            |state: &&EndpointState, cause| state.causes(now).any(|(other, _)| other == cause);
-        let count = |cause| self.endpoints.values().filter(|state| has(state, cause)).count();
-        Cause::ALL.map(|cause| (cause, count(cause)))
+        let mut counts = Cause::ALL.map(|cause| (cause, 0));
+        let states = self.endpoints.values();
+        for (cause, _) in states.flat_map(|state| state.causes(now, self.gateways)) {
+            counts[cause as usize].1 += 1;
+        }
+        counts
+    }
+
+    /// Returns whether an endpoint of a service leaves, pauses or loads, so that
+    /// [`Scheduler::known_refusal`] may apply to its queued requests.
+    pub(super) fn may_refuse_queued(&self, now: Time, service: &ServiceId) -> bool {
+        let is_out = |state: &EndpointState| state.known_end() > now || state.is_leaving(now);
+        let mut states = self.endpoints.values();
+        states.any(|state| state.endpoint.entry.service == *service && is_out(state))
     }
 
     /// Returns the refusal of a queued request that no endpoint will take before it expires.
@@ -122,10 +147,6 @@
         request: &PlacementRequest,
         ticket: TicketKey,
     ) -> Option<Refusal> {
-        let is_out = |state: &EndpointState| state.known_end() > now || state.is_leaving(now);
-        if !self.endpoints.values().any(is_out) {
-            return None;
-        }
         let until = self.queues.get(&request.service)?.waiting.expiry(ticket)?;
         match self.outlook(now, request, until) {
             Outlook::Unavailable(end) => Some(self.unavailable_refusal(now, request, end)),
--- a/crates/sequoiahold/src/command/explain/request_report.rs
+++ b/crates/sequoiahold/src/command/explain/request_report.rs
@@ -24,6 +24,7 @@
 #[derive(Debug)]
 struct ProcessTrace {
     process: String,
+    id: String,
     started_at: f64,
     lines: Vec<Line>,
     context: Vec<Line>,
@@ -76,9 +77,11 @@
         let platform_line = last(&["platform answers again", "platform does not answer"]);
         let platform_failure =
             platform_line.filter(|line| line.message == "platform does not answer");
+        // Answers to other requests tell of the endpoints as well.
+        let is_other = |line: &Line| line.text("id") != id && line.text("target") != "request";
         let endpoint_lines = own.iter().copied().filter(|line| {
             let in_window = (end - CONTEXT_BEFORE_S..=end + CONTEXT_AFTER_S).contains(&line.time_s);
-            in_window && line.text("id").is_empty() && mentions_endpoint(line, &endpoints)
+            in_window && is_other(line) && mentions_endpoint(line, &endpoints)
         });
         let mut context: Vec<Line> = last(&["configuration in force"])
             .into_iter()
@@ -87,7 +90,7 @@
             .cloned()
             .collect();
         context.sort_by(|a, b| a.time_s.total_cmp(&b.time_s));
-        Self { process: process.to_owned(), started_at: first, lines, context }
+        Self { process: process.to_owned(), id: id.to_owned(), started_at: first, lines, context }
     }
 }
 
@@ -96,7 +99,7 @@
         writeln!(f, "{}", self.process)?;
         for line in &self.lines {
             let after = (line.time_s - self.started_at) * 1_000.0;
-            writeln!(f, "  {after:>7.0} ms  {}: {}", line.message, line.fields())?;
+            writeln!(f, "  {after:>7.0} ms  {}: {}", line.message, line.fields(&self.id))?;
         }
         if self.context.is_empty() {
             return Ok(());
@@ -104,7 +107,7 @@
         writeln!(f, "  known to the process, by age at the start of the request:")?;
         for line in &self.context {
             let age = self.started_at - line.time_s;
-            writeln!(f, "  {age:>7.1} s   {}: {}", line.message, line.fields())?;
+            writeln!(f, "  {age:>7.1} s   {}: {}", line.message, line.fields(&self.id))?;
         }
         Ok(())
     }
@@ -112,8 +115,10 @@
 
 /// Returns the endpoints named in a line.
 fn endpoints(line: &Line) -> Vec<String> {
-    let named = [line.text("instance"), line.text("endpoints")].join(",");
-    named.split(',').filter(|name| !name.is_empty()).map(ToOwned::to_owned).collect()
+    let named = [line.text("instance"), line.text("endpoints"), line.text("causes")].join(",");
+    // A cause follows the name of its endpoint.
+    let names = named.split(',').filter_map(|text| text.split_whitespace().next());
+    names.map(ToOwned::to_owned).collect()
 }
 
 /// Returns whether a line mentions one of the endpoints in its key or instance.
--- a/crates/sequoiahold/src/gateway/notices.rs
+++ b/crates/sequoiahold/src/gateway/notices.rs
@@ -6,25 +6,22 @@
     StatusCode,
     header::{HeaderValue, RETRY_AFTER},
 };
-use rand::seq::{IteratorRandom as _, SliceRandom as _};
 use sequoiahold_core::{
     direct::{
         availability::Cause, endpoint_notices::LeavingReport, membership::Role,
         pause::PauseRequest, platform::Codec, scheduler::Grant,
     },
+    ids::ServiceId,
+    refusal::Reason,
     time::Time,
 };
 
-use super::state::Gateway;
+use super::{datagrams, state::Gateway};
 use crate::{
     h1::{IncomingRequest, UpstreamResponse},
     node::Datagram,
 };
 
-/// Maximum total size of the regular reports in a datagram; the others follow in later ones.
-const MAX_REPORT_BYTES: usize = 500;
-/// Estimated size of an encoded report without the name of the instance.
-const REPORT_BYTES: usize = 30;
 /// Maximum number of causes in a log line, which bounds its size at a large service.
 const MAX_LOGGED_CAUSES: usize = 8;
 
@@ -56,22 +53,23 @@
     response: &UpstreamResponse,
 ) {
     let codec = &gateway.node.codec;
-    let (request, instance) = (attempt_id(gateway, request), grant.instance.as_str());
+    let (id, instance) = (attempt_id(gateway, request), grant.instance.as_str());
     let value = response.headers.get(codec.header_names().leaving);
     let decode = |value: &HeaderValue| codec.decode_leaving(value.to_str().unwrap_or(""));
     let leaving = match value.map(decode).transpose() {
         Ok(leaving) => leaving.unwrap_or(false),
         Err(error) => {
             let fault = error.to_string();
-            log::warn!(request, instance, fault = fault.as_str(); "unreadable answer");
+            log::warn!(id, instance, fault = fault.as_str(); "unreadable answer");
             return;
         }
     };
     let (now, sent) = (gateway.node.now(), sent.unwrap_or_default());
     let report = gateway.scheduler.borrow_mut().record_leaving(now, sent, grant, leaving);
     if let Some(report) = report {
-        log_leaving(&report, request);
-        gateway.node.send(gateway.node.peer_addrs(Role::Gateway), &Datagram::Leaving(vec![report]));
+        log_leaving(&report, id);
+        let peers = gateway.node.peer_addrs(Role::Gateway);
+        gateway.node.send_at(now, peers, &Datagram::Leaving(vec![report]));
     }
 }
 
@@ -84,28 +82,17 @@
 
 /// Reports the endpoints that leave to one other gateway, which may have missed it.
 pub(super) fn send_reports<C: Codec>(gateway: &Gateway<C>) {
-    let mut reports = gateway.scheduler.borrow().leaving_reports(gateway.node.now());
-    if reports.is_empty() {
-        return;
-    }
-    let rng = &mut *gateway.node.rng.borrow_mut();
-    reports.shuffle(rng);
-    let mut size = 0;
-    let reports = reports.into_iter().take_while(|report| {
-        size += report.instance.as_str().len() + REPORT_BYTES;
-        size <= MAX_REPORT_BYTES
-    });
-    let reports = Datagram::Leaving(reports.collect());
-    let peer = gateway.node.peer_addrs(Role::Gateway).into_iter().choose(rng);
-    gateway.node.send(peer, &reports);
+    let now = gateway.node.now();
+    let reports = gateway.scheduler.borrow().leaving_reports(now);
+    datagrams::send_reports(gateway, now, reports, |report| &report.instance, Datagram::Leaving);
 }
 
 /// Logs a change, with the request whose answer told it, if any.
-fn log_leaving(report: &LeavingReport, request: &str) {
+fn log_leaving(report: &LeavingReport, id: &str) {
     let (instance, age_ms) = (report.instance.as_str(), report.age.0 / 1_000);
     match report.leaving {
-        true => log::info!(request, instance, age_ms; "endpoint leaves"),
-        false => log::info!(request, instance, age_ms; "endpoint no longer leaves"),
+        true => log::info!(id, instance, age_ms; "endpoint leaves"),
+        false => log::info!(id, instance, age_ms; "endpoint no longer leaves"),
     }
 }
 
@@ -118,15 +105,15 @@
     let Some(value) = response.headers.get(RETRY_AFTER) else { return };
     let text = value.to_str().unwrap_or("");
     let pause = PauseRequest::decode(text, SystemTime::now());
-    let (request, instance) = (attempt_id(gateway, request), grant.instance.as_str());
+    let (id, instance) = (attempt_id(gateway, request), grant.instance.as_str());
     let pause_ms = pause.span().0 / 1_000;
     if !matches!(pause, PauseRequest::For(_)) {
         let fault = format!("{pause:?}: {text}");
-        log::warn!(request, instance, fault = fault.as_str(), pause_ms; "unusable pause");
+        log::warn!(id, instance, fault = fault.as_str(), pause_ms; "unusable pause");
     }
     let now = gateway.node.now();
     if gateway.scheduler.borrow_mut().record_pause(now, grant, pause.span()) {
-        log::info!(request, instance, pause_ms; "endpoint asks for a pause");
+        log::info!(id, instance, pause_ms; "endpoint asks for a pause");
     }
 }
 
@@ -142,22 +129,31 @@
     }
 }
 
-/// Logs the causes for which endpoints of a service take no requests, for one that was refused.
-pub(super) fn log_causes<C: Codec>(gateway: &Gateway<C>, id: &str, service: &str) {
-    let now = gateway.node.now();
-    let causes = {
-        let scheduler = gateway.scheduler.borrow();
-        let of_service = scheduler
-            .endpoints()
-            .filter(|(_, state)| state.endpoint.entry.service.as_str() == service);
-        let causes = of_service.flat_map(|(_, state)| {
-            let instance = state.endpoint.entry.instance.as_str();
-            state.causes(now).map(move |(cause, end)| cause_text(now, instance, cause, end))
-        });
-        causes.take(MAX_LOGGED_CAUSES).collect::<Vec<_>>().join(", ")
+/// Logs the causes for which endpoints of a service get no requests, for one that was refused.
+///
+/// A refusal for too many requests is logged only if a rate limit may have contributed to it.
+pub(super) fn log_causes<C: Codec>(
+    gateway: &Gateway<C>,
+    id: &str,
+    service: &ServiceId,
+    reason: Reason,
+) {
+    let (now, scheduler) = (gateway.node.now(), gateway.scheduler.borrow());
+    let mut causes = scheduler.causes(now, service);
+    let is_due = match reason {
+        Reason::NoEndpoint => true,
+        Reason::Overload => causes.any(|(_, cause, _)| cause == Cause::RateLimit),
+        _ => false,
     };
+    if !is_due {
+        return;
+    }
+    let causes = scheduler.causes(now, service).take(MAX_LOGGED_CAUSES);
+    let causes: Vec<String> = causes
+        .map(|(instance, cause, end)| cause_text(now, instance.as_str(), cause, end))
+        .collect();
     if !causes.is_empty() {
-        log::info!(target: "request", id, causes = causes.as_str(); "endpoints unavailable");
+        log::info!(target: "request", id, causes = causes.join(", ").as_str(); "endpoints unavailable");
     }
 }
 
