Soak: only the cut of a gateway's own link excuses it from a pause

What was seen: while any link failed, no pause that an engine asked for was checked, and all pauses that were running were forgotten, at all gateways. The rule excuses only a gateway that restarts, freezes or is cut itself.

Change: a cut concerns the gateway whose link to the store or to callers it is. The cut of an engine's link excuses only from pauses of this engine whose answer may be lost: given less than half a second before the cut or during it, and not shown to have arrived by an answer "not run" that the caller has. A slow link, or one that carries nothing to the engine, excuses nothing. Where the soak itself stood still, the pauses in their first half second begin later by this time; all pauses were forgotten before.

--- a/crates/standins/src/soak/call.rs
+++ b/crates/standins/src/soak/call.rs
@@ -139,7 +139,7 @@
         }
         journal.check_status(attempt, answer.status);
         let signature = answer.header("server-stamp").unwrap_or_default();
-        journal.notices(|notices| notices.pass_on(attempt, signature));
+        journal.notices(|notices| notices.pass_on(Instant::now(), attempt, signature));
         let last = check_body(journal, attempt, mode, last_event, &answer);
         if !answer.closes() {
             if !stream.buffer().is_empty() {
--- a/crates/standins/src/soak/engine.rs
+++ b/crates/standins/src/soak/engine.rs
@@ -220,10 +220,7 @@
     /// Ends all that runs and starts again under an id, holding `version`.
     pub(super) fn restart(&self, instance: &str, version: Option<u64>) {
         let mut state = self.state.borrow_mut();
-        for ended in [&state.instance, instance] {
-            self.journal.notices(|notices| notices.restart(ended));
-            self.journal.set_rate_limit(ended, None);
-        }
+        self.journal.restart(&state.instance, instance);
         state.instance = instance.to_owned();
         state.epoch += 1;
         (state.version, state.loading, state.leaving) = (version, false, false);
--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -1,16 +1,16 @@
 //! Faults injected from outside the processes: signals, broken links, a failing store, crashes.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
 use futures_util::future::join_all;
 use rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
 
 use super::{
-    engine::Pause,
+    engine::{Engine, Pause},
     fleet::Fleet,
     journal::Part,
-    notices::Notices,
+    notices::LinkOwner,
     plan::{Plan, Prelude, Round},
 };
 use crate::{
@@ -231,15 +231,25 @@
 }
 
 async fn disturb_link(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
-    let gateways = fleet.gateways.iter();
-    let links: Vec<&RelayFilter> = gateways
-        .flat_map(|gateway| [&gateway.store, gateway.callers()])
-        .chain(fleet.seats.iter().map(|seat| &seat.link.filter))
+    let gateways = fleet.gateways.iter().enumerate();
+    let links: Vec<(Side, &RelayFilter)> = gateways
+        .flat_map(|(number, gateway)| {
+            [&gateway.store, gateway.callers()].map(|link| (Side::Gateway(number), link))
+        })
+        .chain(fleet.seats.iter().map(|seat| (Side::Engine(&seat.engine), &seat.link.filter)))
         .collect();
-    let Some(link) = links.choose(rng) else { return Ok(()) };
-    fleet.journal.notices(Notices::begin_cut);
+    let Some((side, link)) = links.choose(rng) else { return Ok(()) };
     let (time, delay) = (millis(rng, 100..1_500), millis(rng, 10..300));
-    match rng.random_range(0..6) {
+    let kind = rng.random_range(0..6);
+    let cuts = match side {
+        Side::Gateway(_) => kind != 0,
+        // The gateways still get the answers if the link is slow or cut on the way to the engine.
+        Side::Engine(_) => kind != 0 && kind != 4,
+    };
+    if cuts {
+        fleet.journal.notices(|notices| notices.begin_cut(Instant::now(), side.owner()));
+    }
+    match kind {
         0 => {
             lasting(fleet, time, || link.set_delay(delay), || link.set_delay(Duration::ZERO)).await
         }
@@ -252,10 +262,27 @@
             lasting(fleet, time, block, || link.block_direction(None)).await;
         }
     }
-    fleet.journal.notices(Notices::end_cut);
+    if cuts {
+        fleet.journal.notices(|notices| notices.end_cut(&side.owner()));
+    }
     Ok(())
 }
 
+/// The process at the side of a link to the others.
+enum Side<'a> {
+    Engine(&'a Engine),
+    Gateway(usize),
+}
+
+impl Side<'_> {
+    fn owner(&self) -> LinkOwner {
+        match self {
+            Self::Engine(engine) => LinkOwner::Engine(engine.instance()),
+            Self::Gateway(number) => LinkOwner::Gateway(*number),
+        }
+    }
+}
+
 async fn disturb_store(fleet: &Fleet, rng: &mut SmallRng) -> anyhow::Result<()> {
     let (store, time) = (&fleet.store, millis(rng, 200..2_000));
     match rng.random_range(0..4) {
--- a/crates/standins/src/soak/journal.rs
+++ b/crates/standins/src/soak/journal.rs
@@ -33,7 +33,7 @@
 
 /// The id of a request as sent once by a caller.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
-pub(super) struct AttemptId(pub(super) u64);
+pub struct AttemptId(pub u64);
 
 impl Display for AttemptId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -174,8 +174,7 @@
         state.lag = state.lag.max(late);
         drop(state);
         if late > STALL_TIME {
-            self.notices(Notices::begin_cut);
-            self.notices(Notices::end_cut);
+            self.notices(|notices| notices.stall(now, late));
             self.begin(Part::Platform);
             self.end(Part::Platform);
         }
@@ -218,6 +217,12 @@
         self.state.borrow_mut().leaving.entry(instance.to_owned()).or_insert_with(Instant::now);
     }
 
+    /// Records that an engine starts again under an id, without what it said before.
+    pub(super) fn restart(&self, ended: &str, instance: &str) {
+        self.notices(|notices| notices.restart(ended, instance));
+        [ended, instance].iter().for_each(|engine| self.set_rate_limit(engine, None));
+    }
+
     /// Records that an endpoint limits the requests per second, `None` for no limit.
     pub(super) fn set_rate_limit(&self, instance: &str, rate: Option<f64>) {
         let mut state = self.state.borrow_mut();
@@ -270,7 +275,8 @@
     pub(super) fn ask_for_pause(&self, attempt: AttemptId, instance: &str, time: Duration) {
         let state = &mut *self.state.borrow_mut();
         if let Some(sent) = state.sent.get(&attempt) {
-            state.notices.ask(sent.gateway, instance, time);
+            let told = (sent.gateway, instance);
+            state.notices.ask(Instant::now(), attempt, told, time);
         }
     }
 
@@ -287,7 +293,9 @@
         self.tick();
         let mut state = self.state.borrow_mut();
         let State { sent, notices, .. } = &mut *state;
-        let broken = sent.get(&attempt).map(|sent| notices.arrive(sent, instance));
+        let broken = sent
+            .get(&attempt)
+            .map(|sent| notices.arrive(Instant::now(), (sent.gateway, sent.at), instance));
         drop(state);
         for (check, text) in broken.unwrap_or_default() {
             self.report(check, attempt, text);
@@ -377,6 +385,7 @@
         }
         if matches!(status, 408 | 421 | 429 | 503) {
             state.refused.insert(attempt, status);
+            state.notices.confirm(Instant::now(), attempt);
         }
         let key = state.sent.get(&attempt).and_then(|sent| state.keys.get(&sent.key)).copied();
         let sent_at = state.sent.get(&attempt).map(|sent| sent.at);
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -22,6 +22,10 @@
 use futures_util::{Stream, StreamExt as _, future::join_all, stream};
 
 use self::{call::Caller, fleet::Fleet, plan::Plan};
+pub use self::{
+    journal::AttemptId,
+    notices::{LinkOwner, Notices},
+};
 
 /// Causes of failures, each with the seeds that showed it.
 pub const REGRESSIONS: [(&str, &[u64]); 4] = [
