A restored list with an earlier start ends neither pause nor leaving

What callers saw: requests went on to an endpoint that had asked for a pause or said that it leaves, while or after the list of endpoints came back from a copy made before the endpoint's last start.

Cause: what an endpoint said is kept by its instance and start. The copy lists the earlier start, so what was said before it did not match any more; what was said while it was in force was kept for the earlier start, and did not match once the later one was written again.

Change: the start of a listed endpoint does not go back at the same address. An endpoint that is removed first, or has another address, counts with whatever start it is listed; one that restarts under its id after its VM's clock went back counts as the same start until then.

--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -137,7 +137,12 @@
     /// Applies a new published state of the same instance.
     ///
     /// A changed entry clears the misdirected flag; a restart also clears failures, backoff and limit.
-    pub fn update(&mut self, endpoint: Endpoint) {
+    /// An earlier start at the same address is that of a restored or stale list.
+    pub fn update(&mut self, mut endpoint: Endpoint) {
+        if self.endpoint.entry.addr == endpoint.entry.addr {
+            let known = self.endpoint.entry.started_ms;
+            endpoint.entry.started_ms = known.max(endpoint.entry.started_ms);
+        }
         let restarted = self.endpoint.entry.started_ms != endpoint.entry.started_ms
             || self.endpoint.entry.addr != endpoint.entry.addr;
         if self.endpoint.entry != endpoint.entry {
--- a/crates/core/tests/direct_leave.rs
+++ b/crates/core/tests/direct_leave.rs
@@ -82,6 +82,41 @@
 }
 
 /// Load pattern: callers wait for the end of a pause, and all gateways know it.
+/// The list of endpoints may come back from a copy that was made before the last start.
+#[rstest]
+#[case::asked_before_the_restore(true)]
+#[case::asked_while_the_copy_is_in_force(false)]
+fn restored_list_with_an_earlier_start_ends_neither_pause_nor_leaving(#[case] asks_first: bool) {
+    for leaves in [false, true] {
+        let (mut scheduler, mut listed, _) = granted();
+        let mut list = |scheduler: &mut Scheduler, started_ms| {
+            publish(&mut listed, entry(0, started_ms));
+            scheduler.update(&listed);
+        };
+        let tell = |scheduler: &mut Scheduler| {
+            let grant = submit(scheduler, ms(100)).expect("a free endpoint");
+            let told = match leaves {
+                true => scheduler.record_leaving(ms(100), ms(100), &grant, true).is_some(),
+                false => scheduler.record_pause(ms(100), &grant, Span::secs(5)),
+            };
+            assert!(told, "nothing new, leaves: {leaves}");
+        };
+        list(&mut scheduler, 2_000);
+        if asks_first {
+            tell(&mut scheduler);
+        }
+        list(&mut scheduler, 1_000);
+        if !asks_first {
+            tell(&mut scheduler);
+        }
+        assert!(submit(&mut scheduler, ms(200)).is_none(), "with the copy, leaves: {leaves}");
+        list(&mut scheduler, 2_000);
+        assert!(submit(&mut scheduler, ms(300)).is_none(), "listed as before, leaves: {leaves}");
+        list(&mut scheduler, 3_000);
+        assert!(submit(&mut scheduler, ms(400)).is_some(), "started again, leaves: {leaves}");
+    }
+}
+
 #[test]
 fn gateway_returns_after_a_pause_with_few_requests() {
     let (mut scheduler, _, mut grant) = granted();
--- a/crates/standins/tests/process_leaving.rs
+++ b/crates/standins/tests/process_leaving.rs
@@ -127,6 +127,7 @@
 enum StoreEvent {
     Silent,
     Restored,
+    RestoredToAnEarlierStart,
     Rewritten,
     RemovedAndBack,
 }
@@ -134,20 +135,29 @@
 #[rstest]
 #[case::silent(StoreEvent::Silent)]
 #[case::restored(StoreEvent::Restored)]
+#[case::restored_to_an_earlier_start(StoreEvent::RestoredToAnEarlierStart)]
 #[case::rewritten(StoreEvent::Rewritten)]
 #[case::removed_and_back(StoreEvent::RemovedAndBack)]
 #[actix_rt::test]
 async fn the_store_does_not_bring_an_endpoint_back_that_said_it_leaves(#[case] event: StoreEvent) {
     let cluster = Rc::new(Cluster::start(2, 1).await.expect("a cluster"));
-    let (store, copy) = (&cluster.store, cluster.store.copy());
+    let (store, mut copy) = (&cluster.store, cluster.store.copy());
     let mut entry = registry_entry(cluster.addrs[0], "ready");
+    if matches!(event, StoreEvent::RestoredToAnEarlierStart) {
+        entry["born"] = json!(1_000);
+        store.put("servers/i-0", Some(entry.clone()));
+        copy = store.copy();
+        entry["born"] = json!(2_000);
+        store.put("servers/i-0", Some(entry.clone()));
+        sleep(TELL_TIME).await;
+    }
     say_leaving(&cluster, READ).await;
     match event {
         StoreEvent::Silent => {
             store.stall_watches();
             store.set_down(true);
         }
-        StoreEvent::Restored => {
+        StoreEvent::Restored | StoreEvent::RestoredToAnEarlierStart => {
             store.set_down(true);
             sleep(SEND_TIME).await;
             store.restore(&copy);
