Tests of pauses that gateways do not keep yet, known red

- pause_outlasts_the_late_listing_of_the_start_that_asked_for_it: 102 to 115 requests reach an endpoint within its pause, 2 allowed.
Cause: what an endpoint says is kept for the start that the list shows at that time.
An endpoint that starts again under its id and asks for a pause before its new start is listed counts as another one from then on.
- requests_that_were_held_up_do_not_arrive_late_in_a_pause: 3 of 12 requests arrive over half a second after the answer, 2 allowed, as many as the endpoint has free slots.
Cause: they had been written before the answer came, and the link carried nothing for a second.

Both are ignored until gateways keep them.

--- a/crates/standins/tests/process_pause.rs
+++ b/crates/standins/tests/process_pause.rs
@@ -2,13 +2,16 @@
 
 use std::{
     rc::Rc,
-    time::{Duration, Instant, SystemTime},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use actix_http::header::HttpDate;
 use actix_rt::time::sleep;
 use rstest::rstest;
-use sequoiahold_standins::hosted::{Arrival, Behaviour, Call, Cluster, registry_entry, request};
+use sequoiahold_standins::{
+    hosted::{Arrival, Behaviour, Call, Cluster, loopback_addr, registry_entry, request},
+    relay::{Direction, TcpRelay},
+};
 use serde_json::json;
 
 /// Interval between two requests of callers.
@@ -137,6 +140,63 @@
     assert!(count <= ALLOWED, "{count} requests within the longer pause, {ALLOWED} allowed");
 }
 
+/// The list may show a start of an endpoint only after its first answers.
+#[actix_rt::test]
+#[ignore = "known red: what an endpoint says before its start is listed counts for the one before"]
+async fn pause_outlasts_the_late_listing_of_the_start_that_asked_for_it() {
+    let cluster = Rc::new(Cluster::start(1, 2).await.expect("a cluster"));
+    let list = |started: SystemTime| {
+        let born = started.duration_since(UNIX_EPOCH).expect("a time after 1970").as_millis();
+        let mut entry = registry_entry(cluster.addrs[0], "ready");
+        entry["born"] = json!(born as u64);
+        cluster.store.put("servers/i-0", Some(entry));
+    };
+    let started = SystemTime::now();
+    list(started - Duration::from_secs(60));
+    sleep(Duration::from_secs(2)).await;
+    ask_for_pause(&cluster, Behaviour::Refuse(503), "3").await;
+    list(started);
+    send_reads(&cluster, PAUSE).await;
+    assert_pause_kept(&cluster, PAUSE);
+}
+
+/// The link carries nothing to the endpoint for a time that begins before the answer.
+#[actix_rt::test]
+#[ignore = "known red: requests on their way to an endpoint that asks for a pause arrive late"]
+async fn requests_that_were_held_up_do_not_arrive_late_in_a_pause() {
+    let cluster = Rc::new(Cluster::start(1, 1).await.expect("a cluster"));
+    let (worker, relay) = (&cluster.workers[0], loopback_addr());
+    let relay = TcpRelay::start(relay, cluster.addrs[0]).await.expect("a relay");
+    cluster.store.put("servers/i-0", Some(registry_entry(relay.addr, "ready")));
+    send_reads(&cluster, RETURN_TIME).await;
+    let before = worker.arrivals().len();
+    worker.set_retry_after(Some("3"));
+    worker.set_behaviour(Behaviour::LateRefusal(Duration::from_millis(300)));
+    let call = || {
+        let cluster = cluster.clone();
+        actix_rt::spawn(async move { cluster.call(0, &request("GET", "/read/1", "key-1")).await })
+    };
+    let first = call();
+    let arrived = async || worker.arrivals().len() > before;
+    assert!(cluster.wait_until(REACH_TIMEOUT, arrived).await, "no request is held");
+    relay.filter.block_direction(Some(Direction::ToServer));
+    let held: Vec<_> = (0..12).map(|_| call()).collect();
+    let told = async || worker.arrivals()[before].status.is_some();
+    assert!(cluster.wait_until(REACH_TIMEOUT, told).await, "no answer");
+    let told = Instant::now();
+    worker.set_behaviour(Behaviour::Normal);
+    sleep(GRACE * 3 / 2).await;
+    relay.filter.block_direction(None);
+    let answers = [first].into_iter().chain(held);
+    for answer in answers {
+        answer.await.expect("a finished call");
+    }
+    sleep(PAUSE.saturating_sub(told.elapsed())).await;
+    let within = |arrival: &&Arrival| arrival.at > told + GRACE && arrival.at < told + PAUSE;
+    let count = worker.arrivals().iter().filter(within).count();
+    assert!(count <= ALLOWED, "{count} of 12 requests within a pause, {ALLOWED} allowed");
+}
+
 #[actix_rt::test]
 async fn endpoint_gets_its_share_again_after_its_pause() {
     let cluster = Rc::new(Cluster::start(1, 3).await.expect("a cluster"));
