Tests that send reads for a time share one function

process_pause and process_rate_limits each had their own, with the same interval. `Cluster::send_reads` replaces both; the calls run within the caller's task, and their answers keep their order.

--- a/crates/standins/src/hosted/cluster.rs
+++ b/crates/standins/src/hosted/cluster.rs
@@ -10,6 +10,7 @@
 };
 
 use anyhow::{Context as _, bail};
+use futures_util::{StreamExt as _, stream};
 use serde_json::Value;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -175,6 +176,22 @@
         exchange(self.gateways[number].callers, request).await
     }
 
+    /// Sends reads to all gateways in turn for `time`, without awaiting answers in between, and
+    /// returns the answers.
+    pub async fn send_reads(&self, time: Duration, interval: Duration) -> Vec<Call> {
+        let started = Instant::now();
+        let gateways = stream::unfold(0, |sent| async move {
+            if sent > 0 {
+                actix_rt::time::sleep(interval).await;
+            }
+            (started.elapsed() < time).then_some((sent % self.gateways(), sent + 1))
+        });
+        let calls = gateways.map(|number| async move {
+            self.call(number, &request("GET", "/read/1", "key-1")).await
+        });
+        calls.buffered(usize::MAX).collect().await
+    }
+
     /// Returns the requests of callers of a gateway that reached an endpoint.
     pub fn arrivals_from(&self, number: usize, endpoint: usize) -> Vec<Arrival> {
         let (sent, arrivals) = (self.sent.borrow(), self.workers[endpoint].arrivals());
--- a/crates/standins/tests/process_pause.rs
+++ b/crates/standins/tests/process_pause.rs
@@ -29,23 +29,6 @@
 /// Time within which a request is refused that cannot be served, a third of what its caller waits.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
-/// Sends reads to all gateways in turn for `time` and returns the answers.
-async fn send_reads(cluster: &Rc<Cluster>, time: Duration) -> Vec<Call> {
-    let (started, mut calls) = (Instant::now(), vec![]);
-    while started.elapsed() < time {
-        let (cluster, number) = (cluster.clone(), calls.len() % cluster.gateways());
-        calls.push(actix_rt::spawn(async move {
-            cluster.call(number, &request("GET", "/read/1", "key-1")).await
-        }));
-        sleep(CALL_INTERVAL).await;
-    }
-    let mut answers = vec![];
-    for call in calls {
-        answers.push(call.await.expect("a finished call"));
-    }
-    answers
-}
-
 /// Returns the requests of a gateway that an endpoint turned away.
 fn turned_away(cluster: &Cluster, gateway: usize, endpoint: usize) -> Vec<Arrival> {
     let arrivals = cluster.arrivals_from(gateway, endpoint).into_iter();
@@ -58,7 +41,7 @@
     worker.set_retry_after(Some(value));
     worker.set_behaviour(behaviour);
     let all_told = async || {
-        send_reads(cluster, CALL_INTERVAL * 5).await;
+        cluster.send_reads(CALL_INTERVAL * 5, CALL_INTERVAL).await;
         (0..cluster.gateways()).all(|number| !turned_away(cluster, number, 0).is_empty())
     };
     assert!(cluster.wait_until(REACH_TIMEOUT, all_told).await, "a gateway was not told");
@@ -99,7 +82,7 @@
 ) {
     let cluster = Rc::new(Cluster::start(gateways, endpoints).await.expect("a cluster"));
     ask_for_pause(&cluster, behaviour, value).await;
-    let answers = send_reads(&cluster, pause).await;
+    let answers = cluster.send_reads(pause, CALL_INTERVAL).await;
     assert_pause_kept(&cluster, pause);
     let failed = answers.iter().filter(|call| endpoints > 1 && call.status != 200).count();
     assert!(failed == 0, "{failed} of {} failed that others could have served", answers.len());
@@ -110,7 +93,7 @@
     let cluster = Rc::new(Cluster::start(1, 4).await.expect("a cluster"));
     let date = HttpDate::from(SystemTime::now() + PAUSE + Duration::from_secs(1)).to_string();
     ask_for_pause(&cluster, Behaviour::Refuse(503), &date).await;
-    send_reads(&cluster, PAUSE).await;
+    cluster.send_reads(PAUSE, CALL_INTERVAL).await;
     // Some of the time has passed until the first answer, and a date is in whole seconds.
     assert_pause_kept(&cluster, PAUSE - Duration::from_millis(500));
 }
@@ -134,7 +117,7 @@
     let told = worker.arrivals()[1].at;
     worker.set_behaviour(Behaviour::Normal);
     held.await.expect("a finished call");
-    send_reads(&cluster, PAUSE).await;
+    cluster.send_reads(PAUSE, CALL_INTERVAL).await;
     let within = |at: Instant| at > told + GRACE && at < told + PAUSE;
     let count = worker.arrivals().iter().filter(|arrival| within(arrival.at)).count();
     assert!(count <= ALLOWED, "{count} requests within the longer pause, {ALLOWED} allowed");
@@ -156,7 +139,7 @@
     sleep(Duration::from_secs(2)).await;
     ask_for_pause(&cluster, Behaviour::Refuse(503), "3").await;
     list(started);
-    send_reads(&cluster, PAUSE).await;
+    cluster.send_reads(PAUSE, CALL_INTERVAL).await;
     assert_pause_kept(&cluster, PAUSE);
 }
 
@@ -168,7 +151,7 @@
     let (worker, relay) = (&cluster.workers[0], loopback_addr());
     let relay = TcpRelay::start(relay, cluster.addrs[0]).await.expect("a relay");
     cluster.store.put("servers/i-0", Some(registry_entry(relay.addr, "ready")));
-    send_reads(&cluster, RETURN_TIME).await;
+    cluster.send_reads(RETURN_TIME, CALL_INTERVAL).await;
     let before = worker.arrivals().len();
     worker.set_retry_after(Some("3"));
     worker.set_behaviour(Behaviour::LateRefusal(Duration::from_millis(300)));
@@ -201,10 +184,12 @@
 async fn endpoint_gets_its_share_again_after_its_pause() {
     let cluster = Rc::new(Cluster::start(1, 3).await.expect("a cluster"));
     let told = ask_for_pause(&cluster, Behaviour::Refuse(503), "3").await;
-    send_reads(&cluster, (told + PAUSE + RETURN_TIME).duration_since(Instant::now())).await;
+    cluster
+        .send_reads((told + PAUSE + RETURN_TIME).duration_since(Instant::now()), CALL_INTERVAL)
+        .await;
     assert_pause_kept(&cluster, PAUSE);
     let before = cluster.workers[0].arrivals().len();
-    let sent = send_reads(&cluster, Duration::from_secs(2)).await.len();
+    let sent = cluster.send_reads(Duration::from_secs(2), CALL_INTERVAL).await.len();
     let share = cluster.workers[0].arrivals().len() - before;
     assert!(share * 6 >= sent, "{share} of {sent} requests after the pause, half a share allowed");
 }
@@ -215,7 +200,7 @@
     let cluster = Rc::new(Cluster::start(4, 1).await.expect("a cluster"));
     let told = ask_for_pause(&cluster, Behaviour::Refuse(503), "1.5").await;
     let end = told + Duration::from_millis(1_500);
-    let answers = send_reads(&cluster, Duration::from_secs(3)).await;
+    let answers = cluster.send_reads(Duration::from_secs(3), CALL_INTERVAL).await;
     assert_pause_kept(&cluster, Duration::from_millis(1_500));
     let arrivals = cluster.workers[0].arrivals();
     let until = |time: Duration| {
@@ -239,7 +224,7 @@
     ask_for_pause(&cluster, Behaviour::Refuse(503), value).await;
     let before = cluster.workers[0].arrivals().len();
     let reached = async || {
-        send_reads(&cluster, CALL_INTERVAL * 5).await;
+        cluster.send_reads(CALL_INTERVAL * 5, CALL_INTERVAL).await;
         cluster.workers[0].arrivals().len() > before
     };
     assert!(cluster.wait_until(REACH_TIMEOUT, reached).await, "the endpoint is lost");
@@ -254,7 +239,7 @@
 async fn absurd_pause_costs_no_request_and_no_gateway(#[case] value: &str) {
     let cluster = Rc::new(Cluster::start(1, 2).await.expect("a cluster"));
     ask_for_pause(&cluster, Behaviour::Refuse(503), value).await;
-    let answers = send_reads(&cluster, RETURN_TIME).await;
+    let answers = cluster.send_reads(RETURN_TIME, CALL_INTERVAL).await;
     let failed = answers.iter().filter(|call| call.status != 200).count();
     assert_eq!(failed, 0, "requests of {} that the other endpoint serves", answers.len());
 }
@@ -274,7 +259,7 @@
     cluster.store.put("servers/i-0", entry(2_000));
     let before = cluster.workers[0].arrivals().len();
     let reached = async || {
-        send_reads(&cluster, CALL_INTERVAL * 5).await;
+        cluster.send_reads(CALL_INTERVAL * 5, CALL_INTERVAL).await;
         cluster.workers[0].arrivals().len() > before
     };
     assert!(cluster.wait_until(REACH_TIMEOUT, reached).await, "the pause outlasts its instance");
@@ -288,7 +273,7 @@
         worker.set_behaviour(Behaviour::Refuse(503));
     }
     let told = async || {
-        send_reads(&cluster, CALL_INTERVAL * 5).await;
+        cluster.send_reads(CALL_INTERVAL * 5, CALL_INTERVAL).await;
         (0..2).all(|endpoint| !turned_away(&cluster, 0, endpoint).is_empty())
     };
     assert!(cluster.wait_until(REACH_TIMEOUT, told).await, "an endpoint gave no answer");
@@ -297,7 +282,7 @@
     let end = ends.map(|arrival| arrival.at).min().expect("an answer") + Duration::from_secs(10);
     let count = || cluster.workers.iter().map(|worker| worker.arrivals().len()).sum::<usize>();
     let before = count();
-    let answers = send_reads(&cluster, RETURN_TIME).await;
+    let answers = cluster.send_reads(RETURN_TIME, CALL_INTERVAL).await;
     let left = end.duration_since(Instant::now()).as_secs_f64();
     let reached = count() - before;
     assert!(reached <= 2 * ALLOWED, "{reached} of {} reached an endpoint", answers.len());
--- a/crates/standins/tests/process_rate_limits.rs
+++ b/crates/standins/tests/process_rate_limits.rs
@@ -47,23 +47,6 @@
     assert!(logged("endpoint lifts its rate limit").await);
 }
 
-/// Sends reads to all gateways in turn for `time` and returns the answers.
-async fn send_reads(cluster: &Rc<Cluster>, time: Duration) -> Vec<Call> {
-    let (started, mut calls) = (Instant::now(), vec![]);
-    while started.elapsed() < time {
-        let (cluster, number) = (cluster.clone(), calls.len() % cluster.gateways());
-        calls.push(actix_rt::spawn(async move {
-            cluster.call(number, &request("GET", "/read/1", "key-1")).await
-        }));
-        actix_rt::time::sleep(CALL_INTERVAL).await;
-    }
-    let mut answers = vec![];
-    for call in calls {
-        answers.push(call.await.expect("a finished call"));
-    }
-    answers
-}
-
 /// Returns the largest number of requests that reached an endpoint within [`LIMIT_WINDOW`], in a
 /// window that starts at `since` or later.
 fn most_in_window(cluster: &Cluster, endpoint: usize, since: Instant) -> usize {
@@ -85,12 +68,12 @@
     #[case] limits: [&str; 2],
 ) {
     let cluster = Rc::new(Cluster::start(gateways, 8).await.expect("a cluster"));
-    send_reads(&cluster, Duration::from_secs(1)).await;
+    cluster.send_reads(Duration::from_secs(1), CALL_INTERVAL).await;
     for (endpoint, limit) in limits.iter().enumerate() {
         cluster.workers[endpoint].set_rate_limit(Some(limit));
     }
     let due = Instant::now() + CONTACT_TIME;
-    let answers = send_reads(&cluster, CONTACT_TIME + LIMIT_WINDOW * 2).await;
+    let answers = cluster.send_reads(CONTACT_TIME + LIMIT_WINDOW * 2, CALL_INTERVAL).await;
     for (endpoint, limit) in limits.iter().enumerate() {
         let rate: f64 = limit.parse().expect("a number");
         let (factor, extra) = LIMIT_TOLERANCE;
@@ -108,7 +91,7 @@
 /// Returns the number of requests that reach an endpoint while reads are sent for 2 s.
 async fn reads_at(cluster: &Rc<Cluster>, endpoint: usize) -> usize {
     let before = cluster.workers[endpoint].requests().len();
-    send_reads(cluster, Duration::from_secs(2)).await;
+    cluster.send_reads(Duration::from_secs(2), CALL_INTERVAL).await;
     cluster.workers[endpoint].requests().len() - before
 }
 
@@ -125,7 +108,7 @@
     let is_lifted = async || {
         let gateways = 0..cluster.gateways();
         let logs = gateways.map(|number| cluster.log(number).expect("a log"));
-        send_reads(&cluster, Duration::from_millis(200)).await;
+        cluster.send_reads(Duration::from_millis(200), CALL_INTERVAL).await;
         logs.filter(|log| log.contains("endpoint lifts its rate limit")).count() == 8
     };
     assert!(cluster.wait_until(LIFT_TIMEOUT, is_lifted).await, "a gateway still keeps the limit");
@@ -137,7 +120,7 @@
 #[actix_rt::test]
 async fn gateway_that_stood_still_does_not_keep_a_limit_that_ended_meanwhile() {
     let cluster = Rc::new(Cluster::start(2, 1).await.expect("a cluster"));
-    send_reads(&cluster, Duration::from_secs(1)).await;
+    cluster.send_reads(Duration::from_secs(1), CALL_INTERVAL).await;
     let times_logged =
         |number: usize, text: &str| cluster.log(number).expect("a log").matches(text).count();
     let answer_logs = async |text: &str| {
@@ -165,8 +148,8 @@
 async fn requests_beyond_the_limits_of_all_endpoints_are_refused_at_once() {
     let cluster = Rc::new(Cluster::start(2, 1).await.expect("a cluster"));
     cluster.workers[0].set_rate_limit(Some("1"));
-    send_reads(&cluster, Duration::from_secs(2)).await;
-    let answers = send_reads(&cluster, Duration::from_secs(4)).await;
+    cluster.send_reads(Duration::from_secs(2), CALL_INTERVAL).await;
+    let answers = cluster.send_reads(Duration::from_secs(4), CALL_INTERVAL).await;
     let refused: Vec<&Call> = answers.iter().filter(|call| call.status == 503).collect();
     let answered = answers.iter().filter(|call| call.status == 200).count();
     assert_eq!(answered + refused.len(), answers.len());
