--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -28,7 +28,7 @@
 };
 
 /// Causes of failures, each with the seeds that showed it.
-pub const REGRESSIONS: [(&str, &[u64]); 5] = [
+pub const REGRESSIONS: [(&str, &[u64]); 6] = [
     (
         "a watch fell silent before a version was published, which was then dated up to 2.6 s late",
         &[1, 10, 12, 14, 20, 24, 25, 26, 28, 30, 33, 36, 38, 40, 50, 105],
@@ -36,6 +36,10 @@
     ("a gateway was paused as a version was published, which it dated when it resumed", &[42]),
     ("a request waited at a slow engine until after the rollout time", &[317]),
     ("the check STOP counted the time for which the VM was suspended", &[303, 306, 320]),
+    (
+        "a 503 of one endpoint was passed on where another may have run the request",
+        &[20_004, 20_009, 20_011, 20_017],
+    ),
     ("a pause was forgotten as a restored list showed an earlier start of the engine", &[21_018]),
 ];
 
