--- a/crates/core/tests/direct_leave.rs
+++ b/crates/core/tests/direct_leave.rs
@@ -81,7 +81,6 @@
     assert!(scheduler.withheld(ms(200), &grant).is_some(), "a request for the start before");
 }
 
-/// Load pattern: callers wait for the end of a pause, and all gateways know it.
 /// The list of endpoints may come back from a copy that was made before the last start.
 #[rstest]
 #[case::asked_before_the_restore(true)]
@@ -117,6 +116,7 @@
     }
 }
 
+/// Load pattern: callers wait for the end of a pause, and all gateways know it.
 #[test]
 fn gateway_returns_after_a_pause_with_few_requests() {
     let (mut scheduler, _, mut grant) = granted();
