A connection that the origin closes counts as a refusal, not as silence

Trace (play with the loaders' log at debug): of 140 pulls from the origin after the return, 73 ended at once with "connection reset by peer", none by its timeout. The origin resets connections above its limit of 48. A reset while the answer is awaited was taken for silence: the loader then leaves the origin alone for twice its timeout, doubled with each failure, also of pulls that failed together, so up to 8 times after three. Only a refused connection or status 429 or 503 was retried after 150 ms.

Change: errors of the origin are typed, and a connection that it closes before the whole response counts as a refusal.

--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -2,6 +2,7 @@
 
 mod chunk_store;
 mod engine;
+pub mod origin;
 mod sources;
 mod stage;
 mod target;
--- a/crates/sequoiahold/src/loader/sources.rs
+++ b/crates/sequoiahold/src/loader/sources.rs
@@ -2,7 +2,6 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use actix_http::{Method, StatusCode, header::HeaderMap};
 use actix_rt::time::timeout;
 use anyhow::{Context as _, bail};
 use bytes::Bytes;
@@ -18,13 +17,12 @@
     weights::PullError,
 };
 
-use super::{Loader, chunk_store::decode_list};
+use super::{Loader, chunk_store::decode_list, origin};
 use crate::node::{CHUNKS_PREFIX, CallError, get_from_peer};
 
-/// Maximum size of a chunk list or chunk.
+/// Maximum size of a chunk list or chunk of a peer.
 const MAX_BODY_BYTES: usize = 16_000_000;
-/// Timeout of calls for chunk lists and held chunks, and the maximum idle time of a reused
-/// connection to the origin.
+/// Timeout of calls for chunk lists and held chunks.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay per rank before a loader requests a chunk list from the origin, so that later ranks
 /// get it from peers.
@@ -35,8 +33,6 @@
 const MAX_QUERIED_PEERS: usize = 3;
 /// Pause before a busy peer is asked again, in which it sends about two chunks of the usual size.
 const BUSY_PAUSE: Span = Span::millis(50);
-/// Pause after the origin refused a call or a connection; it usually recovers within seconds.
-const REFUSED_PAUSE: Span = Span::millis(150);
 
 /// Returns the chunk list of a version, or of the newest at the origin if none is given.
 ///
@@ -102,10 +98,10 @@
     (model, version, chunk): (&ModelId, u64, usize),
 ) -> Result<Bytes, PullError> {
     let path = loader.node.codec.chunk_path(model, version, chunk);
-    get_from_origin(loader, &path).await.map_err(|error| {
-        log::debug!("cannot pull chunk {chunk} from the origin: {error:#}");
-        let refused = error.is::<OriginRefused>() || error.is::<std::io::Error>();
-        if refused { PullError::Later(REFUSED_PAUSE) } else { PullError::Silent }
+    let addr = origin_addr(loader).ok_or(PullError::Silent)?;
+    origin::get(&loader.node.pool, addr, &path).await.map_err(|error| {
+        log::debug!("cannot pull chunk {chunk}: {error}");
+        error.pull_error()
     })
 }
 
@@ -156,33 +152,12 @@
     None
 }
 
-/// The error of a call that the origin refused temporarily.
-#[derive(Debug)]
-struct OriginRefused(StatusCode);
-
-impl std::fmt::Display for OriginRefused {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "the origin refused the call with status {}", self.0)
-    }
+async fn get_from_origin<C: Codec>(loader: &Loader<C>, path: &str) -> anyhow::Result<Bytes> {
+    let addr = origin_addr(loader).context("no origin is configured")?;
+    Ok(origin::get(&loader.node.pool, addr, path).await?)
 }
 
-impl std::error::Error for OriginRefused {}
-
-async fn get_from_origin<C: Codec>(loader: &Loader<C>, path: &str) -> anyhow::Result<Bytes> {
-    let node = &loader.node;
-    let configured = node.view.borrow().catalog().and_then(|catalog| catalog.origin().cloned());
-    let origin = configured.context("no origin is configured")?;
-    let mut upstream = node.pool.get_or_open(origin.addr, LIST_TIMEOUT).await?;
-    let sent = upstream.send(Method::GET, path, HeaderMap::new(), &Bytes::new()).await;
-    sent.map_err(|error| error.error)?;
-    let response = upstream.read_head().await?;
-    let body = upstream.read_body(MAX_BODY_BYTES).await?;
-    node.pool.release(upstream);
-    match response.status {
-        StatusCode::OK => Ok(body),
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-            Err(OriginRefused(response.status).into())
-        }
-        status => bail!("unexpected status {status} for {path}"),
-    }
+fn origin_addr<C: Codec>(loader: &Loader<C>) -> Option<SocketAddr> {
+    let view = loader.node.view.borrow();
+    view.catalog().and_then(|catalog| Some(catalog.origin()?.addr))
 }
