Loaders keep no connection to the origin between pulls

Trace: a loader kept up to four idle connections to the origin after its pulls. A VM that loses power doesn't close them, and the origin counts them towards its limit of 48. So each chunk of the other loaders was missing everywhere.

Change: each call to the origin opens a connection and closes it after the response. The test no_connection_to_the_origin_stays_open_between_pulls covers it.

It fails where the connection is kept (tried on a mutated copy).

--- a/crates/sequoiahold/src/loader/origin.rs
+++ b/crates/sequoiahold/src/loader/origin.rs
@@ -1,6 +1,6 @@
 //! Client for the origin of chunk lists and chunks.
 
-use std::{fmt, io, net::SocketAddr, time::Duration};
+use std::{fmt, io, net::SocketAddr};
 
 use actix_http::{Method, StatusCode, header::HeaderMap};
 use bytes::Bytes;
@@ -10,8 +10,6 @@
 
 /// Maximum size of a chunk list or chunk.
 const MAX_BODY_BYTES: usize = 16_000_000;
-/// Maximum idle time of a reused connection.
-const MAX_IDLE_TIME: Duration = Duration::from_millis(1_500);
 /// Pause after the origin refused a call or a connection; it usually recovers within seconds.
 const REFUSED_PAUSE: Span = Span::millis(150);
 
@@ -65,16 +63,18 @@
 }
 
 /// Sends a GET request to the origin and returns the body of the response.
+///
+/// The connection is not kept: idle ones of all loaders together, also of those that lost power,
+/// would take up the origin's limit of connections.
 pub async fn get(
     pool: &ConnectionPool,
     addr: SocketAddr,
     path: &str,
 ) -> Result<Bytes, OriginError> {
-    let mut upstream = pool.get_or_open(addr, MAX_IDLE_TIME).await?;
+    let mut upstream = pool.open(addr).await?;
     let no_body = Bytes::new();
     let (response, body) =
         upstream.exchange(Method::GET, path, HeaderMap::new(), &no_body, MAX_BODY_BYTES).await?;
-    pool.release(upstream);
     match response.status {
         StatusCode::OK => Ok(body),
         status @ (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) => {
--- a/crates/sequoiahold/tests/origin.rs
+++ b/crates/sequoiahold/tests/origin.rs
@@ -1,6 +1,6 @@
 //! Connections to the origin: ones that it closes, and ones that nobody uses any more.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 use actix_http::ServiceConfig;
 use rstest::rstest;
@@ -11,7 +11,7 @@
 use sequoiahold_core::weights::PullError;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
 };
 
 /// How the origin answers a request.
@@ -27,13 +27,18 @@
     Garbage,
 }
 
+async fn read_request(stream: &mut TcpStream) {
+    let mut request = [0; 1024];
+    let len = stream.read(&mut request).await.expect("a request");
+    assert!(request[..len].ends_with(b"\r\n\r\n"), "the request is incomplete");
+}
+
 async fn start_origin(answer: Answer) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let addr = listener.local_addr().expect("an address");
     actix_rt::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            let mut request = [0; 1024];
-            stream.read(&mut request).await.expect("a request");
+            read_request(&mut stream).await;
             match answer {
                 Answer::Close => {}
                 Answer::Cut => {
@@ -76,3 +81,22 @@
 async fn origin_without_a_valid_response_counts_as_silent() {
     assert_eq!(pull_error(Answer::Garbage).await, PullError::Silent);
 }
+
+/// A connection that is open when its VM loses power counts towards the origin's limit for long.
+#[actix_rt::test]
+async fn no_connection_to_the_origin_stays_open_between_pulls() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let origin = async {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_request(&mut stream).await;
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nchunk";
+        stream.write_all(answer).await.expect("a written response");
+        actix_rt::time::timeout(Duration::from_secs(1), stream.read_u8()).await
+    };
+    let pool = pool();
+    let (chunk, rest) = tokio::join!(origin::get(&pool, addr, "/chunk"), origin);
+    assert_eq!(chunk.expect("a chunk"), "chunk");
+    let end = rest.expect("the connection is closed after the pull").expect_err("no more bytes");
+    assert_eq!(end.kind(), ErrorKind::UnexpectedEof);
+}
