Idle connections to the origin are closed after half a second

Cause: each chunk waited for a new connection. What has to be avoided is only that connections without a call stay open for long, as those of VMs that lose power take up the origin's limit.

Change: a connection serves the next pull within 0.5 s and is closed then. The test that no connection stays open between pulls passes unchanged (it waits for 1 s).

--- a/crates/sequoiahold/src/h1/pool.rs
+++ b/crates/sequoiahold/src/h1/pool.rs
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Closes the connections to an address that have been idle for `max_idle`.
+    pub fn evict_idle(&self, addr: SocketAddr, max_idle: Duration) {
+        if let Some(list) = self.idle.borrow_mut().get_mut(&addr) {
+            list.retain(|upstream| upstream.idle_time() < max_idle);
+        }
+    }
+
     /// Closes the idle connections that cannot carry another request.
     pub fn evict_unusable(&self) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/sequoiahold/src/loader/origin.rs
+++ b/crates/sequoiahold/src/loader/origin.rs
@@ -1,6 +1,6 @@
 //! Client for the origin of chunk lists and chunks.
 
-use std::{fmt, io, net::SocketAddr};
+use std::{fmt, io, net::SocketAddr, time::Duration};
 
 use actix_http::{Method, StatusCode, header::HeaderMap};
 use bytes::Bytes;
@@ -10,6 +10,9 @@
 
 /// Maximum size of a chunk list or chunk.
 const MAX_BODY_BYTES: usize = 16_000_000;
+/// Time after which a connection without a call is closed: idle ones of all loaders together, also
+/// of those that lost power, would take up the origin's limit of connections.
+const MAX_IDLE_TIME: Duration = Duration::from_millis(500);
 /// Pause after the origin refused a call or a connection; it usually recovers within seconds.
 const REFUSED_PAUSE: Span = Span::millis(150);
 
@@ -63,18 +66,21 @@
 }
 
 /// Sends a GET request to the origin and returns the body of the response.
-///
-/// The connection is not kept: idle ones of all loaders together, also of those that lost power,
-/// would take up the origin's limit of connections.
 pub async fn get(
     pool: &ConnectionPool,
     addr: SocketAddr,
     path: &str,
 ) -> Result<Bytes, OriginError> {
-    let mut upstream = pool.open(addr).await?;
+    let mut upstream = pool.get_or_open(addr, MAX_IDLE_TIME).await?;
     let no_body = Bytes::new();
     let (response, body) =
         upstream.exchange(Method::GET, path, HeaderMap::new(), &no_body, MAX_BODY_BYTES).await?;
+    pool.release(upstream);
+    let idle = pool.clone();
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(MAX_IDLE_TIME).await;
+        idle.evict_idle(addr, MAX_IDLE_TIME);
+    });
     match response.status {
         StatusCode::OK => Ok(body),
         status @ (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) => {
