--- a/crates/sequoiahold/src/gateway/datagrams.rs
+++ b/crates/sequoiahold/src/gateway/datagrams.rs
@@ -10,7 +10,7 @@
 };
 use tokio::sync::mpsc;
 
-use super::{notices, parts, rate_limits, state::Gateway, suspects};
+use super::{notices, parts, rate_limits, state::Gateway};
 use crate::node::{Datagram, Received};
 
 /// Interval between two rounds of the exchange.
@@ -19,8 +19,8 @@
 const MAX_REPORT_BYTES: usize = 640;
 /// Estimated size of an encoded report without the name of the instance.
 const REPORT_BYTES: usize = 30;
-/// Interval between two datagrams with the evidence against blocked prompt parts and requests, and
-/// between two with reports on endpoints.
+/// Interval between two datagrams with the evidence against blocked prompt parts, and between two
+/// with reports on endpoints.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Starts the task that exchanges load reports and handles the datagrams from peers.
@@ -44,7 +44,6 @@
                 }
                 _ = evidence_timer.tick() => {
                     parts::send_evidence(&gateway);
-                    suspects::send_evidence(&gateway);
                     rate_limits::send_reports(&gateway);
                     notices::send_reports(&gateway);
                     notices::log_changes(&gateway);
@@ -88,7 +87,6 @@
             gateway.scheduler.borrow_mut().set_loading(&note.instance, until);
         }
         Datagram::Crash(crash) => gateway.suspects.borrow_mut().record_crash(now, crash),
-        Datagram::Crashes(reports) => gateway.suspects.borrow_mut().record_reports(now, reports),
         Datagram::Parts(news) => parts::receive(gateway, &news),
         Datagram::RateLimits(reports) => rate_limits::receive(gateway, sent, reports),
         Datagram::Leaving(reports) => notices::receive(gateway, sent, reports),
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -239,8 +239,7 @@
                 self.record.outcome = Outcome::Answered(response.status.as_u16());
                 slot.outcome = AttemptOutcome::Answered;
                 parts::record_answer(self.gateway, &slot.grant.instance, self.sent_at);
-                let now = self.gateway.node.now();
-                self.gateway.suspects.borrow_mut().complete(now, self.fingerprint);
+                self.gateway.suspects.borrow_mut().clear(self.fingerprint);
                 if !upstream.ends_with_connection() || !relay.is_recent(MAX_CRASH_DELAY) {
                     parts::complete(self.gateway, &self.plan);
                 }
--- a/crates/sequoiahold/src/gateway/suspects.rs
+++ b/crates/sequoiahold/src/gateway/suspects.rs
@@ -2,11 +2,10 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use rand::seq::IteratorRandom as _;
 use sequoiahold_core::{
     direct::{membership::Role, platform::Codec},
     ids::{ClientId, Digest, InstanceId},
-    suspect::{Crash, CrashReport, Fingerprint, Suspects, Suspicion},
+    suspect::{Crash, Fingerprint, Suspects, Suspicion},
     time::Time,
 };
 
@@ -32,8 +31,8 @@
     }
 
     /// Removes all suspicion from a request that completed.
-    pub(super) fn complete(&mut self, now: Time, fingerprint: Fingerprint) {
-        self.suspects.complete(now, fingerprint);
+    pub(super) fn clear(&mut self, fingerprint: Fingerprint) {
+        self.suspects.clear(fingerprint);
     }
 
     /// Records a crash that this gateway or another one observed.
@@ -43,16 +42,6 @@
         self.suspects.record_crash(now, crash);
     }
 
-    /// Records crashes that another gateway tells again.
-    pub(super) fn record_reports(&mut self, now: Time, reports: Vec<CrashReport>) {
-        for report in reports {
-            let crash = report.crash.clone();
-            if self.suspects.record_report(now, report) {
-                log_crash(&crash);
-            }
-        }
-    }
-
     fn remove_in_flight(&mut self, instance: &InstanceId, fingerprint: Fingerprint) {
         let Some(fingerprints) = self.in_flight.get_mut(instance) else { return };
         if let Some(index) = fingerprints.iter().position(|other| *other == fingerprint) {
@@ -123,22 +112,6 @@
     });
 }
 
-/// Tells one other gateway, which may have missed them, of crashes for which requests are blocked.
-pub(super) fn send_evidence<C: Codec>(gateway: &Gateway<C>) {
-    let now = gateway.node.now();
-    let reports = {
-        let suspects = &mut gateway.suspects.borrow_mut().suspects;
-        suspects.expire(now);
-        suspects.next_reports(now)
-    };
-    if reports.is_empty() {
-        return;
-    }
-    let rng = &mut *gateway.node.rng.borrow_mut();
-    let peer = gateway.node.peer_addrs(Role::Gateway).into_iter().choose(rng);
-    gateway.node.send(peer, &Datagram::Crashes(reports));
-}
-
 fn log_crash(crash: &Crash) {
     let (instance, record) = (crash.vm.as_str(), format!("{:016x}", crash.incarnation));
     let in_flight = crash.fingerprints.len();
--- a/crates/sequoiahold/src/node/datagram.rs
+++ b/crates/sequoiahold/src/node/datagram.rs
@@ -13,7 +13,7 @@
         send_time::SendStamp,
     },
     ids::{InstanceId, ModelId, VmId},
-    suspect::{Crash, CrashReport},
+    suspect::Crash,
     time::Time,
     units::Span,
 };
@@ -80,8 +80,6 @@
     RateLimits(Vec<RateLimitReport>),
     /// Endpoints that say that they leave, or no longer do.
     Leaving(Vec<LeavingReport>),
-    /// Crashes for which requests are blocked, told again.
-    Crashes(Vec<CrashReport>),
 }
 
 impl Datagram {
