Review: a loader that freezes before its order loads spoilt pieces

Case 3: the staged pieces are checked before the worker's report is read, not before the order; a loader that stands still in between orders the load of pieces that turned bad meanwhile (WHOLE).

--- a/review/standins/pause.rs
+++ b/review/standins/pause.rs
@@ -3,7 +3,7 @@
 
 use std::{thread, time::Duration};
 
-use crate::{case::Case, fleet::Fleet};
+use crate::{case::Case, fleet::Fleet, process::Signal};
 
 /// Time from the call for the report to the freeze.
 const FREEZE_DELAY: Duration = Duration::from_millis(6);
@@ -27,12 +27,12 @@
         engine.at_step(move |step| {
             thread::spawn(move || {
                 thread::sleep(FREEZE_DELAY);
-                loader.signal("STOP");
+                loader.signal(Signal::Stop);
                 case.note(&format!("i-0: {step:?}; the loader's machine freezes"));
                 thread::sleep(SPOIL_DELAY);
                 spoilt.spoil(&SPOILT);
                 thread::sleep(FREEZE - SPOIL_DELAY);
-                loader.signal("CONT");
+                loader.signal(Signal::Continue);
                 case.note("the loader's machine wakes");
             });
         });
--- a/review/standins/process.rs
+++ b/review/standins/process.rs
@@ -8,6 +8,17 @@
 
 use crate::case::Case;
 
+/// A signal, with its number on Linux for both arm64 and x86-64.
+#[derive(Clone, Copy, Debug)]
+pub enum Signal {
+    Continue = 18,
+    Stop = 19,
+}
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
 /// A process of the system under test.
 pub struct Process {
     child: Mutex<Child>,
@@ -43,11 +54,11 @@
         self.child.lock().unwrap().id()
     }
 
-    /// Sends a signal, named as for the command `kill`.
-    pub fn signal(&self, name: &str) {
-        let pid = self.id();
-        let sent = Command::new("sh").args(["-c", &format!("kill -{name} {pid}")]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "signal {name} cannot be sent");
+    /// Sends a signal; direct, as a shell would take as long as the windows that are tested.
+    pub fn signal(&self, signal: Signal) {
+        // SAFETY: the call has no memory to share; the child has not been waited for.
+        let sent = unsafe { kill(self.id() as i32, signal as i32) };
+        assert_eq!(sent, 0, "{signal:?} cannot be sent");
     }
 
     /// Kills the process and waits for its end.
