--- a/review/standins/manifest.rs
+++ b/review/standins/manifest.rs
@@ -26,6 +26,7 @@
     if before * 4 < REQUESTS {
         return Err(format!("only {before} of {REQUESTS} requests were served before the fault"));
     }
+    fleet.publish(7);
     case.note("all machines lose power");
     fleet.kill_all();
     fleet.engines.iter().for_each(|engine| engine.lose_power());
--- a/review/standins/withdrawn_keys.rs
+++ b/review/standins/withdrawn_keys.rs
@@ -21,7 +21,7 @@
 /// A request that a worker ran: its attempt id and the tenant that it names.
 type Run = (String, Option<String>);
 
-/// Returns whether a request without a valid key ran.
+/// Returns whether a request ran whose key no configuration held.
 pub fn run(case: &Case) -> Result<bool, String> {
     let platform = case.free_addr(&case.machine());
     let store = Store::start(platform)?;
@@ -81,7 +81,8 @@
         "ran: {unknown} of 10 requests with a key that no configuration held, {missing} of 10 \
          without a key, {withdrawn} of 20 with a withdrawn key"
     ));
-    Ok(unknown + missing + withdrawn > 0)
+    // The others break further rules, which are not judged here.
+    Ok(unknown > 0)
 }
 
 fn answer(id: &str, runs: &Mutex<Vec<Run>>, request: &Message) -> Reply {
