A load of weights counts as intact only by evidence

Cause: the age of the check was compared before the notice to gateways and the engine's report, and counted from the end of the check; nothing looked at when the engine accepted the order. An order that had timed out could be accepted later, and a newer version could be staged meanwhile.

Why this works: the answer of the engine bounds the time of the acceptance. Within 3 s of the first read of an intact check the rule allows the load; else the staged chunks are read once more, and as corrupt ones do not recover, intact ones were loaded intact. An engine for which neither holds is held back from callers and loads the version before and then this one again. An unanswered order is never dropped.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -9,6 +9,7 @@
 pub mod event_splitter;
 pub mod freshness;
 pub mod load_exchange;
+pub mod load_proof;
 pub mod load_schedule;
 pub mod membership;
 pub mod mirror;
--- /dev/null
+++ b/crates/core/tests/direct_load_proof.rs
@@ -0,0 +1,66 @@
+//! What is known of the chunks that an engine loads.
+
+use rstest::rstest;
+use sequoiahold_core::{
+    direct::load_proof::{AcceptedOrder, ChunkCheck, LoadProof, LoadVerdict},
+    time::Time,
+    units::Span,
+};
+
+const START: Time = Time(10_000_000);
+
+fn at(millis: u64) -> Time {
+    START + Span::millis(millis)
+}
+
+/// Returns the state after a check that began at [`START`] and took `took_ms`.
+fn checked(took_ms: u64) -> LoadProof {
+    let mut proof = LoadProof::default();
+    proof.record_check(ChunkCheck { started: START, ended: at(took_ms) });
+    proof
+}
+
+#[rstest]
+#[case::soon(100, 1_400, true)]
+#[case::late(100, 1_600, false)]
+#[case::just_after_a_slow_check(2_900, 3_000, true)]
+#[case::late_after_a_slow_check(2_900, 3_200, false)]
+fn order_needs_a_recent_check(#[case] took_ms: u64, #[case] now_ms: u64, #[case] allowed: bool) {
+    assert_eq!(checked(took_ms).allows_order(at(now_ms)), allowed);
+}
+
+// Guards against the age of a check being counted from its end.
+#[rstest]
+#[case::in_time(100, 2_900, LoadVerdict::Intact)]
+#[case::stood_still(100, 4_100, LoadVerdict::Recheck)]
+#[case::slow_check(3_100, 3_200, LoadVerdict::Recheck)]
+fn chunks_are_intact_only_within_the_grace_from_the_first_read(
+    #[case] took_ms: u64,
+    #[case] accepted_ms: u64,
+    #[case] verdict: LoadVerdict,
+) {
+    let mut proof = checked(took_ms);
+    proof.record_order();
+    assert_eq!(proof.verdict(at(accepted_ms), AcceptedOrder::Last), verdict);
+}
+
+#[test]
+fn chunks_staged_again_while_an_order_is_open_are_not_those_that_it_loaded() {
+    let mut proof = checked(100);
+    proof.record_order();
+    proof.record_staging();
+    assert!(!proof.allows_order(at(200)), "chunks staged again count as checked");
+    proof.record_check(ChunkCheck { started: at(200), ended: at(300) });
+    proof.record_order();
+    assert_eq!(proof.verdict(at(400), AcceptedOrder::Unknown), LoadVerdict::Doubtful);
+    assert_eq!(proof.verdict(at(400), AcceptedOrder::Last), LoadVerdict::Intact);
+    proof.close_orders();
+    assert_eq!(proof.verdict(at(400), AcceptedOrder::Unknown), LoadVerdict::Intact);
+}
+
+#[test]
+fn version_in_use_without_a_check_is_checked() {
+    let proof = LoadProof::default();
+    assert!(!proof.allows_order(START));
+    assert_eq!(proof.verdict(START, AcceptedOrder::Unknown), LoadVerdict::Recheck);
+}
--- a/crates/sequoiahold/src/loader/chunk_store.rs
+++ b/crates/sequoiahold/src/loader/chunk_store.rs
@@ -55,6 +55,13 @@
         self.0.borrow().lists.get(&(model.clone(), version)).cloned()
     }
 
+    /// Returns the newest version before `version` whose chunk list is held.
+    pub(super) fn version_before(&self, model: &ModelId, version: u64) -> Option<u64> {
+        let contents = self.0.borrow();
+        let versions = contents.lists.keys().filter(|(name, _)| name == model);
+        versions.map(|(_, held)| *held).filter(|held| *held < version).max()
+    }
+
     /// Inserts a chunk that matches its digest.
     pub(super) fn insert(&self, digest: Digest, data: Bytes) {
         self.0.borrow_mut().chunks.insert(digest, data);
--- a/crates/sequoiahold/src/loader/engine.rs
+++ b/crates/sequoiahold/src/loader/engine.rs
@@ -15,6 +15,8 @@
 
 /// Timeout of a call; both ends are on one VM.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum number of concurrent calls.
+pub(super) const MAX_CONCURRENT_CALLS: usize = 1;
 /// Maximum size of a response.
 const MAX_RESPONSE_BYTES: usize = 16_000_000;
 
@@ -39,8 +41,8 @@
 impl<C: Codec> Engine<C> {
     /// Returns a client for the engine at an address.
     pub(super) fn new(codec: C, addr: SocketAddr, config: ServiceConfig) -> Self {
-        let pool =
-            ConnectionPool::new(config, PoolLimits { connect_timeout: CALL_TIMEOUT, max_idle: 1 });
+        let limits = PoolLimits { connect_timeout: CALL_TIMEOUT, max_idle: MAX_CONCURRENT_CALLS };
+        let pool = ConnectionPool::new(config, limits);
         Self { codec, addr, pool }
     }
 
--- /dev/null
+++ b/crates/sequoiahold/src/loader/load.rs
@@ -0,0 +1,238 @@
+//! Has the engine load the staged chunks, and holds it back while they may have been corrupt.
+
+use std::time::Duration;
+
+use anyhow::bail;
+use sequoiahold_core::{
+    direct::{
+        load_proof::{AcceptedOrder, LoadProof, LoadVerdict},
+        load_schedule::load_start,
+        membership::Role,
+        platform::{ChunkList, Codec, EngineReport, LoadOrder},
+    },
+    ids::VmId,
+    time::Time,
+    units::Span,
+};
+
+use super::{Loader, engine::OrderReply, sources, stage, target::Target};
+use crate::node::{Datagram, LoadingNotice};
+
+/// Interval between probes of a loading engine, and between notices to gateways.
+const POLL_INTERVAL: Duration = Duration::from_millis(60);
+/// Timeout for a load, from its order to its end.
+const LOAD_TIMEOUT: Span = Span::secs(20);
+/// Time after a notice during which gateways send the engine no requests.
+const LOADING_PAUSE: Span = Span::millis(400);
+/// Time between the notice to gateways and the order, in which requests already sent arrive.
+const NOTICE_LEAD: Duration = Duration::from_millis(20);
+
+/// A version that an engine may have loaded from corrupt chunks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct Doubt {
+    /// The version.
+    pub(super) version: u64,
+    /// The start of the engine in ms of the wall clock.
+    pub(super) started_ms: Option<u64>,
+}
+
+/// Has the engine load a version of which the chunk store holds all chunks.
+///
+/// While an order may still be accepted, it neither fails nor stages another version.
+pub(super) async fn load_version<C: Codec>(
+    loader: &Loader<C>,
+    target: &Target,
+    list: &ChunkList,
+) -> anyhow::Result<()> {
+    loader.proof.set(LoadProof::default());
+    check_chunks(loader, target, list).await?;
+    let mut last_order: Option<EngineReport> = None;
+    loop {
+        wait_for_load_start(loader, target).await;
+        let (report, is_checked) = match prepare_order(loader, target, list).await {
+            Ok(prepared) => prepared,
+            Err(error) if loader.proof.get().has_open_order() => {
+                log::debug!("no answer of the engine to an order yet: {error:#}");
+                actix_rt::time::sleep(POLL_INTERVAL).await;
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
+        let has_restarted = last_order.as_ref().is_some_and(|o| o.started_ms != report.started_ms);
+        if has_restarted {
+            loader.update_proof(LoadProof::close_orders);
+            last_order = None;
+        }
+        let has_begun = last_order.as_ref().is_some_and(|o| o.orders_begun != report.orders_begun);
+        if has_begun || report.versions.get(&target.model) == Some(&target.version) {
+            return settle(loader, target, list, (&report, AcceptedOrder::Unknown)).await;
+        }
+        if report.busy {
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+            continue;
+        }
+        if !is_checked {
+            continue;
+        }
+        if target.held.is_some() {
+            notify_gateways(loader, LOADING_PAUSE);
+            actix_rt::time::sleep(NOTICE_LEAD).await;
+        }
+        // The process may have stood still since the check.
+        if !loader.proof.get().allows_order(loader.node.now()) {
+            continue;
+        }
+        let had_open_order = loader.proof.get().has_open_order();
+        match send_order(loader, target, &report).await {
+            Ok(OrderReply::Begun) => {
+                return settle(loader, target, list, (&report, AcceptedOrder::Last)).await;
+            }
+            Ok(OrderReply::InEffect) => {
+                return settle(loader, target, list, (&report, AcceptedOrder::Unknown)).await;
+            }
+            Ok(OrderReply::Rejected(status)) if !had_open_order => {
+                loader.update_proof(LoadProof::close_orders);
+                bail!("the engine rejected the order: {status}");
+            }
+            // An order may have begun or may yet begin, which a later report shows.
+            Ok(OrderReply::Rejected(_)) | Err(_) => actix_rt::time::sleep(POLL_INTERVAL).await,
+        }
+        last_order = Some(report);
+    }
+}
+
+/// Renews the notice to gateways for as long as the engine may hold corrupt chunks.
+pub(super) async fn hold_back_engine<C: Codec>(loader: &Loader<C>) {
+    loop {
+        if loader.doubt.get().is_some() {
+            notify_gateways(loader, LOADING_PAUSE);
+        }
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Waits for the staggered load start of this engine; one that holds no version, or whose rollout
+/// has no known start, loads at once.
+async fn wait_for_load_start<C: Codec>(loader: &Loader<C>, target: &Target) {
+    if target.held.is_none() || target.rollout_start == Time::default() {
+        return;
+    }
+    let node = &loader.settings.node;
+    let members = sources::live_loaders(loader).into_iter();
+    let local = members.filter(|member| member.zone == node.zone).map(|member| member.vm);
+    let zone_vms: Vec<VmId> = local.chain([node.vm.clone()]).collect();
+    let item = format!("{}/{}", target.model, target.version);
+    let start = load_start(&node.vm, &zone_vms, &item, target.rollout_start, node.bounds.version);
+    loader.node.clock.sleep_until(Some(start)).await;
+}
+
+async fn check_chunks<C: Codec>(
+    loader: &Loader<C>,
+    target: &Target,
+    list: &ChunkList,
+) -> anyhow::Result<()> {
+    let check = stage::verify_staged(loader, target, list).await?;
+    loader.update_proof(|proof| proof.record_check(check));
+    Ok(())
+}
+
+/// Checks the chunks again if the last check is too old, and probes the engine; also returns
+/// whether the check still allows an order.
+async fn prepare_order<C: Codec>(
+    loader: &Loader<C>,
+    target: &Target,
+    list: &ChunkList,
+) -> anyhow::Result<(EngineReport, bool)> {
+    if !loader.proof.get().allows_order(loader.node.now()) {
+        check_chunks(loader, target, list).await?;
+    }
+    let report = loader.engine.probe().await?;
+    Ok((report, loader.proof.get().allows_order(loader.node.now())))
+}
+
+async fn send_order<C: Codec>(
+    loader: &Loader<C>,
+    target: &Target,
+    report: &EngineReport,
+) -> anyhow::Result<OrderReply> {
+    let order = LoadOrder {
+        model: target.model.clone(),
+        version: target.version,
+        orders_begun: report.orders_begun,
+    };
+    loader.update_proof(LoadProof::record_order);
+    let result = loader.engine.send_order(&order).await;
+    let outcome = format!("{result:?}");
+    log::info!(version = target.version, orders = report.orders_begun, outcome = outcome.as_str(); "order to load");
+    result
+}
+
+/// Determines whether the engine loads intact chunks, and waits until it has loaded them; fails and
+/// leaves a doubt if they may have been corrupt.
+async fn settle<C: Codec>(
+    loader: &Loader<C>,
+    target: &Target,
+    list: &ChunkList,
+    (report, accepted): (&EngineReport, AcceptedOrder),
+) -> anyhow::Result<()> {
+    let verdict = loader.proof.get().verdict(loader.node.now(), accepted);
+    let doubt = Doubt { version: target.version, started_ms: report.started_ms };
+    loader.doubt.set((verdict != LoadVerdict::Intact).then_some(doubt));
+    loader.update_proof(LoadProof::close_orders);
+    if verdict != LoadVerdict::Intact {
+        let verdict_name = format!("{verdict:?}");
+        log::warn!(version = target.version, verdict = verdict_name.as_str(); "order accepted late");
+        let is_intact =
+            verdict == LoadVerdict::Recheck && is_staged_intact(loader, target, list).await;
+        if !is_intact {
+            bail!("the engine may have loaded corrupt chunks");
+        }
+        loader.doubt.set(None);
+    }
+    poll_load(loader, target).await
+}
+
+/// Returns whether all staged chunks are intact, as soon as the engine answers.
+async fn is_staged_intact<C: Codec>(loader: &Loader<C>, target: &Target, list: &ChunkList) -> bool {
+    loop {
+        match stage::find_corrupt(loader, target, list).await {
+            Ok(corrupt) => return corrupt.is_empty(),
+            Err(error) => log::debug!("cannot check the loaded chunks: {error:#}"),
+        }
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Probes the engine until the load ends, renewing the notice to gateways; fails after
+/// [`LOAD_TIMEOUT`] or if the engine does not hold the version.
+async fn poll_load<C: Codec>(loader: &Loader<C>, target: &Target) -> anyhow::Result<()> {
+    let deadline = loader.node.now() + LOAD_TIMEOUT;
+    notify_gateways(loader, LOADING_PAUSE);
+    while loader.node.now() < deadline {
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+        let report = loader.engine.probe().await?;
+        if report.versions.get(&target.model) == Some(&target.version) {
+            notify_gateways(loader, Span(0));
+            return Ok(());
+        }
+        if !report.busy {
+            bail!("the engine ended the load without the version");
+        }
+        notify_gateways(loader, LOADING_PAUSE);
+    }
+    bail!("the engine did not finish loading within {LOAD_TIMEOUT}")
+}
+
+/// Notifies gateways to send the engine no requests for a time, 0 to resume.
+fn notify_gateways<C: Codec>(loader: &Loader<C>, pause: Span) {
+    let instance = {
+        let view = loader.node.view.borrow();
+        let is_own = |endpoint: &&sequoiahold_core::direct::view::Endpoint| {
+            endpoint.entry.addr == loader.settings.engine
+        };
+        view.endpoints().values().find(is_own).map(|endpoint| endpoint.entry.instance.clone())
+    };
+    let Some(instance) = instance else { return };
+    let datagram = Datagram::Loading(LoadingNotice { instance, pause });
+    loader.node.send(loader.node.peer_addrs(Role::Gateway), &datagram);
+}
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -2,17 +2,22 @@
 
 mod chunk_store;
 mod engine;
+mod load;
 pub mod origin;
 mod sources;
 mod stage;
 mod target;
 mod transfer;
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use actix_http::ServiceConfig;
 use sequoiahold_core::{
-    direct::{membership::Role, platform::Codec},
+    direct::{load_proof::LoadProof, membership::Role, platform::Codec},
     units::ByteRate,
 };
 use tokio::{
@@ -20,7 +25,7 @@
     sync::mpsc,
 };
 
-use self::{chunk_store::ChunkStore, engine::Engine, target::Target};
+use self::{chunk_store::ChunkStore, engine::Engine, load::Doubt, target::Target};
 use crate::{
     node::{ChunkOffer, Datagram, Node, Received, ignore_sighup},
     settings,
@@ -44,6 +49,18 @@
     engine: Engine<C>,
     chunk_store: ChunkStore,
     offers: Offers,
+    /// The evidence on the load in progress.
+    proof: Cell<LoadProof>,
+    /// The version in use that may be corrupt.
+    doubt: Cell<Option<Doubt>>,
+}
+
+impl<C> Loader<C> {
+    fn update_proof(&self, update: impl FnOnce(&mut LoadProof)) {
+        let mut proof = self.proof.get();
+        update(&mut proof);
+        self.proof.set(proof);
+    }
 }
 
 /// Chunks announced by other loaders, pending until a transfer processes them.
@@ -63,9 +80,18 @@
     log::info!(vm = vm.as_str(), version = env!("CARGO_PKG_VERSION"); "loader started");
     let engine = Engine::new(codec, settings.engine, config);
     let offers = Offers::default();
-    let loader = Loader { node, settings, engine, chunk_store, offers: offers.clone() };
+    let loader = Loader {
+        node,
+        settings,
+        engine,
+        chunk_store,
+        offers: offers.clone(),
+        proof: Cell::default(),
+        doubt: Cell::default(),
+    };
     tokio::select! {
         () = update_engine(&loader) => {}
+        () = load::hold_back_engine(&loader) => {}
         () = collect_offers(datagrams, offers) => {}
         () = ignore_sighup(reload) => {}
         _ = stop.recv() => {}
@@ -138,7 +164,7 @@
     }
     transfer::run(loader, target, &list).await?;
     log::info!(model = model.as_str(), version, took_ms = elapsed_ms(&loader.node); "chunks held whole");
-    stage::load_version(loader, target, &list).await?;
+    load::load_version(loader, target, &list).await?;
     log::info!(model = model.as_str(), version, took_ms = elapsed_ms(&loader.node); "version in use");
     Ok(())
 }
--- a/crates/sequoiahold/src/loader/target.rs
+++ b/crates/sequoiahold/src/loader/target.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
+use anyhow::Context as _;
 use sequoiahold_core::{
     direct::{platform::Codec, view::View},
     ids::ModelId,
     time::Time,
 };
 
-use super::{Loader, sources};
+use super::{Loader, load::Doubt, sources};
 
 /// Interval between checks for a newer target version.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -18,8 +19,10 @@
 pub(super) struct Target {
     /// The model.
     pub(super) model: ModelId,
-    /// The target version.
+    /// The version to deploy.
     pub(super) version: u64,
+    /// The newest version; an earlier one is deployed to replace a corrupt copy of it.
+    pub(super) newest: u64,
     /// The start of its rollout, 0 if unknown.
     pub(super) rollout_start: Time,
     /// The version that the engine holds now.
@@ -35,23 +38,42 @@
     if report.busy {
         return Ok(None);
     }
+    let is_doubtful =
+        |doubt: &Doubt| held == Some(doubt.version) && report.started_ms == doubt.started_ms;
+    let doubt = loader.doubt.get().filter(is_doubtful);
+    loader.doubt.set(doubt);
     let wanted = wanted_version(&loader.node.view.borrow(), &model, held);
-    let (version, rollout_start) = match (wanted, held) {
+    let (newest, rollout_start) = match (wanted, held) {
         (Some(wanted), _) => wanted,
         (None, Some(held)) => (held, Time::default()),
         (None, None) => (sources::chunk_list(loader, &model, None).await?.version, Time::default()),
     };
-    let stored = loader.chunk_store.list(&model, version).is_some();
-    let done = held == Some(version) && stored;
-    Ok((!done).then_some(Target { model, version, rollout_start, held }))
+    if doubt.is_some() && held == Some(newest) {
+        // An engine ignores an order for the version that it holds.
+        let version = replacement(loader, &model, newest).context("no version to replace it")?;
+        let rollout_start = Time::default();
+        return Ok(Some(Target { model, version, newest, rollout_start, held }));
+    }
+    let stored = loader.chunk_store.list(&model, newest).is_some();
+    let done = held == Some(newest) && stored;
+    Ok((!done).then_some(Target { model, version: newest, newest, rollout_start, held }))
+}
+
+/// Returns a version to load in between, so that the engine loads `version` again.
+fn replacement<C: Codec>(loader: &Loader<C>, model: &ModelId, version: u64) -> Option<u64> {
+    let previous = || version.checked_sub(1).filter(|previous| *previous > 0);
+    loader.chunk_store.version_before(model, version).or_else(previous)
 }
 
-/// Waits until operators announce a newer version than `target`.
+/// Waits until operators announce a newer version than `target`, and no order for it is open.
 pub(super) async fn wait_until_superseded<C: Codec>(loader: &Loader<C>, target: &Target) {
     loop {
         actix_rt::time::sleep(POLL_INTERVAL).await;
+        if loader.proof.get().has_open_order() {
+            continue;
+        }
         let view = loader.node.view.borrow();
-        if view.target(&target.model).is_some_and(|wanted| wanted.newest() > target.version) {
+        if view.target(&target.model).is_some_and(|wanted| wanted.newest() > target.newest) {
             return;
         }
     }
--- a/crates/standins/src/hosted/cluster.rs
+++ b/crates/standins/src/hosted/cluster.rs
@@ -229,7 +229,8 @@
     RandomState::new().build_hasher().finish()
 }
 
-async fn exchange(addr: SocketAddr, request: &str) -> Call {
+/// Sends a request on a new connection and reads up to the end of the connection.
+pub(super) async fn exchange(addr: SocketAddr, request: &str) -> Call {
     let started = Instant::now();
     let mut bytes = vec![];
     let transfer = async {
--- a/crates/standins/src/hosted/settings.rs
+++ b/crates/standins/src/hosted/settings.rs
@@ -48,6 +48,19 @@
     })
 }
 
+/// Makes the endpoints of the service engines of a model, with an origin of its weights.
+pub fn add_engine(config: &mut Value, model: &str, origin: SocketAddr) {
+    let service = &mut config["services"][0];
+    service["engine"] = json!({
+        "slots": 4, "kv_cache_tokens": 100_000, "models": [{ "name": model, "warm_s": 0.2 }],
+        "step_ms": 5, "read_per_s": 100_000, "chunk": 4_096, "stride": 1,
+        "usual": { "prompt": 100, "answer": 6 }
+    });
+    service["origin"] = json!(origin);
+    service["zone"] = json!("z1");
+    service["link_mbps"] = json!(1_000);
+}
+
 /// Returns the entry of an endpoint in the list of endpoints.
 pub fn registry_entry(addr: SocketAddr, state: &str) -> Value {
     json!({
--- a/crates/standins/src/soak/fleet.rs
+++ b/crates/standins/src/soak/fleet.rs
@@ -22,7 +22,7 @@
     plan::Plan,
 };
 use crate::{
-    hosted::{Store, gateway_config, gateway_settings, loopback_addr},
+    hosted::{Store, add_engine, gateway_config, gateway_settings, loopback_addr},
     processes::{Process, Signal},
     relay::{RelayFilter, TcpRelay},
 };
@@ -232,14 +232,7 @@
         let valid = &keys[keys.len() - VALID_KEYS..];
         let names: Vec<&str> = valid.iter().map(String::as_str).collect();
         let mut config = gateway_config(version, &names);
-        config["services"][0]["engine"] = json!({
-            "slots": 4, "kv_cache_tokens": 100_000, "models": [{ "name": "assist", "warm_s": 0.2 }],
-            "step_ms": 5, "read_per_s": 100_000, "chunk": 4_096, "stride": 1,
-            "usual": { "prompt": 100, "answer": 6 }
-        });
-        config["services"][0]["origin"] = json!(self.origin);
-        config["services"][0]["zone"] = json!("z1");
-        config["services"][0]["link_mbps"] = json!(1_000);
+        add_engine(&mut config, "assist", self.origin);
         let mut once = config["routes"][2].clone();
         once["name"] = json!("streams-once");
         once["prefix"] = json!("/stream/once/");
--- /dev/null
+++ b/crates/standins/tests/process_loaders.rs
@@ -0,0 +1,84 @@
+//! Weights that real loaders have engines load while chunks turn bad.
+
+use std::{rc::Rc, time::Duration};
+
+use sequoiahold_standins::hosted::{EngineRun, LoaderFleet, Step};
+
+/// Time within which a rollout of 6 s and the loads after it must have ended.
+const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(25);
+/// Time for which a loader stands still, longer than a chunk may have been bad.
+const FREEZE_TIME: Duration = Duration::from_secs(4);
+/// Time for which requests are sent.
+const CALL_TIME: Duration = Duration::from_millis(500);
+/// Time from a call of the loader until its answer has arrived.
+const ANSWER_TIME: Duration = Duration::from_millis(6);
+/// Time after which an engine accepts an order, longer than the loader waits for the answer.
+const ORDER_DELAY: Duration = Duration::from_secs(2);
+
+async fn start(engines: usize) -> LoaderFleet {
+    let fleet = LoaderFleet::start(engines).await.expect("a fleet");
+    assert!(fleet.call_for(CALL_TIME).await > 0, "version 1 is not served");
+    fleet
+}
+
+fn bad_runs(fleet: &LoaderFleet) -> Vec<EngineRun> {
+    let runs = fleet.engines.iter().flat_map(|engine| engine.runs());
+    runs.filter(|run| !run.bad.is_empty()).collect()
+}
+
+// Guards against chunks checked before the loader stood still being taken for whole afterwards.
+#[actix_rt::test]
+async fn loader_that_stood_still_before_its_order_checks_the_chunks_again() {
+    let fleet = start(1).await;
+    let (engine, loader) = (fleet.engines[0].clone(), fleet.loaders[0].clone());
+    fleet.engines[0].on_step(Step::ReportAfterCheck, move || {
+        engine.spoil(&[3, 11]);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(ANSWER_TIME).await;
+            loader.freeze(FREEZE_TIME);
+        });
+    });
+    fleet.publish_version(2);
+    assert!(fleet.wait_version(0, 2, ROLLOUT_TIMEOUT).await, "version 2 is not loaded");
+    let bad = fleet.engines[0].loads().into_iter().find(|load| !load.bad.is_empty());
+    assert_eq!(bad, None, "chunks that had been bad for over 3 s were loaded");
+    assert!(fleet.call_for(CALL_TIME).await > 0, "version 2 is not served");
+    assert_eq!(bad_runs(&fleet), []);
+}
+
+// Guards against an order that timed out being accepted later, from chunks that turned bad.
+#[actix_rt::test]
+async fn engine_that_accepts_an_order_late_is_not_used_until_its_weights_are_whole() {
+    let fleet = start(1).await;
+    let engine = fleet.engines[0].clone();
+    fleet.engines[0].on_step(Step::Order, move || {
+        engine.spoil(&[3, 11]);
+        engine.hang(FREEZE_TIME);
+    });
+    fleet.publish_version(2);
+    let is_whole = || {
+        let loads = fleet.engines[0].loads();
+        fleet.engines[0].version() == Some(2)
+            && loads.last().is_some_and(|load| load.bad.is_empty())
+    };
+    let waited = fleet.wait_until(ROLLOUT_TIMEOUT, is_whole);
+    let (loaded, _) = futures_util::future::join(waited, fleet.call_for(ROLLOUT_TIMEOUT / 2)).await;
+    assert!(loaded, "version 2 is not loaded whole: {:?}", fleet.engines[0].loads());
+    assert!(fleet.call_for(CALL_TIME).await > 0, "version 2 is not served");
+    assert_eq!(bad_runs(&fleet), []);
+}
+
+// Guards against chunks of a newer version being staged while an older order is on its way.
+#[actix_rt::test]
+async fn order_on_its_way_does_not_load_the_chunks_of_a_newer_version() {
+    let fleet = start(1).await;
+    let fleet = Rc::new(fleet);
+    fleet.engines[0].delay_order(ORDER_DELAY);
+    let publisher = fleet.clone();
+    fleet.engines[0].on_step(Step::Order, move || publisher.publish_version(3));
+    fleet.publish_version(2);
+    assert!(fleet.wait_version(0, 3, ROLLOUT_TIMEOUT).await, "version 3 is not loaded");
+    let bad = fleet.engines[0].loads().into_iter().find(|load| !load.bad.is_empty());
+    assert_eq!(bad, None, "an order loaded chunks of another version");
+    assert_eq!(bad_runs(&fleet), []);
+}
