Requests need a key wherever client accounts are configured

Cause: the catalog held accounts only as values of its map of keys, and an empty map counted as a deployment without accounts.

Why this works: accounts are held by name, keys refer to them, and whether a key is needed depends on the accounts alone.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -160,8 +160,10 @@
     pub routes: BTreeMap<String, Vec<Route>>,
     /// The services by name.
     pub services: BTreeMap<ServiceId, Service>,
-    /// The client accounts by API key.
-    pub api_keys: BTreeMap<String, Account>,
+    /// The client accounts by name, also those without an API key; empty where callers need none.
+    pub accounts: BTreeMap<ClientId, Account>,
+    /// The names of the client accounts by API key.
+    pub api_keys: BTreeMap<String, ClientId>,
     /// Limits on requests and connections of callers.
     pub limits: CallerLimits,
 }
@@ -214,10 +216,11 @@
         let routes = self.routes.get(host).ok_or(Denial::NoRoute)?;
         let matches = |route: &&Route| path.starts_with(&route.path_prefix);
         let route = routes.iter().find(matches).ok_or(Denial::NoRoute)?;
-        if self.api_keys.is_empty() {
+        if self.accounts.is_empty() {
             return Ok((route, None));
         }
-        match key.and_then(|key| self.api_keys.get(key)) {
+        let account = key.and_then(|key| self.accounts.get(self.api_keys.get(key)?));
+        match account {
             Some(account) => Ok((route, Some(account))),
             None if route.public => Ok((route, None)),
             None => Err(Denial::BadKey),
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -280,6 +280,27 @@
     assert_eq!(fixture.send("GET", "/read/1", "key-2").await.0, 200);
 }
 
+// Guards against the withdrawal of the last API key opening the gateway to all callers.
+#[actix_rt::test]
+async fn requests_without_a_valid_key_do_not_run_once_all_keys_are_withdrawn() {
+    let fixture = Fixture::start(1).await;
+    fixture.store.put("op/config", Some(gateway_config(2, &[])));
+    wait_until("the key is withdrawn", async || {
+        fixture.send("GET", "/read/1", "key-1").await.0 != 200
+    })
+    .await;
+    let before = fixture.workers[0].requests().len();
+    for key in ["key-1", "invented", ""] {
+        assert_eq!(fixture.send("POST", "/order/1", key).await.0, 401, "key {key:?}");
+    }
+    assert_eq!(fixture.workers[0].requests().len(), before, "requests without a valid key ran");
+    fixture.store.put("op/config", Some(gateway_config(3, &["key-3"])));
+    wait_until("the new key is valid", async || {
+        fixture.send("GET", "/read/1", "key-3").await.0 == 200
+    })
+    .await;
+}
+
 #[actix_rt::test]
 async fn a_gateway_without_the_platform_gets_its_state_from_a_peer() {
     let fixture = Fixture::start(1).await;
