Chunk lists are checked, and corrected by the chunks received

Cause: a chunk list was stored and passed on as it came. Its count was compared with nothing, a chunk that matched no source was pulled again at once, and the list was never read again.

Why this works: version, published count and published size must agree before a list is used. Two copies of a chunk with the same unlisted digest have the list read again, with growing pauses, and only digests that received chunks match are replaced, so no wrong copy can do harm and a sound one ends the fault. Pulls pause after a corrupt copy.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -8,6 +8,7 @@
 use crate::{
     ids::{ClientId, InstanceId, ModelId, RegionId, ServiceId, ZoneId},
     units::{ByteRate, Bytes, Span},
+    weights::WeightsSize,
 };
 
 /// How a request may be retried.
@@ -88,6 +89,8 @@
     pub models: Vec<ModelId>,
     /// Time that an engine needs to load all layers.
     pub load_time: Span,
+    /// The size of a version of the weights, if published.
+    pub weights: Option<WeightsSize>,
 }
 
 /// A service.
--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -3,6 +3,7 @@
 pub mod chunk_set;
 pub mod cross_zone;
 mod estimate;
+mod list_check;
 pub mod manifest;
 pub mod pace;
 mod peer;
@@ -18,6 +19,7 @@
 pub use self::{
     chunk_set::ChunkSet,
     cross_zone::{CrossZonePolicy, PullPlan, RendezvousOwners},
+    list_check::{ListError, ListSuspicion, WeightsSize, check_list},
     manifest::{Manifest, ManifestError},
     pace::Pacer,
     pull::{ChunkOutcome, ChunkSource, Pull, PullError, TransferLimits},
--- a/crates/core/src/weights/transfer.rs
+++ b/crates/core/src/weights/transfer.rs
@@ -259,7 +259,9 @@
         let peer = pull.as_ref().and_then(|pull| self.peers.get_mut(&pull.source?));
         if !valid {
             peer.map(PeerState::record_corrupt);
-            self.tasks[chunk].iter_mut().for_each(|task| task.unanswered += 1);
+            if let Some(task) = &mut self.tasks[chunk] {
+                task.record_corrupt(now);
+            }
             return ChunkOutcome::Corrupt;
         }
         peer.map(PeerState::record_success);
@@ -319,6 +321,7 @@
                 source_zone: 0,
                 unavailable: 0,
                 unanswered: 0,
+                corrupt: old[chunk].as_ref().map_or(0, |task| task.corrupt),
                 paused_until,
                 offered_by: None,
             };
--- a/crates/core/tests/direct_desk.rs
+++ b/crates/core/tests/direct_desk.rs
@@ -46,6 +46,7 @@
         mean_answer: 90,
         models: vec![name("m")],
         load_time: Span::millis(300),
+        weights: None,
     }
 }
 
--- a/crates/core/tests/direct_engine.rs
+++ b/crates/core/tests/direct_engine.rs
@@ -25,6 +25,7 @@
         mean_answer: 100,
         models: vec![],
         load_time: Span::millis(300),
+        weights: None,
     }
 }
 
--- a/crates/sequoiahold/src/loader/chunk_store.rs
+++ b/crates/sequoiahold/src/loader/chunk_store.rs
@@ -122,5 +122,10 @@
 
 /// Returns whether the SHA-256 digest of `data` is `digest`.
 pub(super) fn matches_digest(data: &[u8], digest: &Digest) -> bool {
-    <[u8; 32]>::from(Sha256::digest(data)) == *digest.bytes()
+    chunk_digest(data) == *digest
+}
+
+/// Returns the SHA-256 digest of a chunk.
+pub(super) fn chunk_digest(data: &[u8]) -> Digest {
+    Digest::from_bytes(Sha256::digest(data).into())
 }
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -25,7 +25,9 @@
     sync::mpsc,
 };
 
-use self::{chunk_store::ChunkStore, engine::Engine, load::Doubt, target::Target};
+use self::{
+    chunk_store::ChunkStore, engine::Engine, load::Doubt, target::Target, transfer::TransferEnd,
+};
 use crate::{
     node::{ChunkOffer, Datagram, Node, Received, ignore_sighup},
     settings,
@@ -158,11 +160,15 @@
     let start = loader.node.now();
     let elapsed_ms = |node: &Node<C>| (node.now() - start).0 / 1_000;
     let (model, version) = (target.model.to_string(), target.version);
-    let list = sources::chunk_list(loader, &target.model, Some(target.version)).await?;
-    if target.held == Some(target.version) {
-        return stage::store_staged_chunks(loader, target, &list).await;
-    }
-    transfer::run(loader, target, &list).await?;
+    let list = loop {
+        let list = sources::chunk_list(loader, &target.model, target.version).await?;
+        if target.held == Some(target.version) {
+            return stage::store_staged_chunks(loader, target, &list).await;
+        }
+        if transfer::run(loader, target, &list).await == TransferEnd::Complete {
+            break list;
+        }
+    };
     log::info!(model = model.as_str(), version, took_ms = elapsed_ms(&loader.node); "chunks held whole");
     load::load_version(loader, target, &list).await?;
     log::info!(model = model.as_str(), version, took_ms = elapsed_ms(&loader.node); "version in use");
--- a/crates/sequoiahold/src/loader/sources.rs
+++ b/crates/sequoiahold/src/loader/sources.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use actix_rt::time::timeout;
-use anyhow::{Context as _, bail};
+use anyhow::Context as _;
 use bytes::Bytes;
 use rand::seq::IndexedRandom as _;
 use sequoiahold_core::{
@@ -14,7 +14,7 @@
     ids::{ModelId, VmId},
     rendezvous::rank_nodes,
     units::Span,
-    weights::PullError,
+    weights::{PullError, WeightsSize, check_list},
 };
 
 use super::{Loader, chunk_store::decode_list, origin};
@@ -34,38 +34,69 @@
 /// Pause before a busy peer is asked again, in which it sends about two chunks of the usual size.
 const BUSY_PAUSE: Span = Span::millis(50);
 
-/// Returns the chunk list of a version, or of the newest at the origin if none is given.
+/// Returns the chunk list of a version.
 ///
 /// The list comes from the chunk store, from a peer that holds it or from the origin; fails if the
-/// origin does not return the version in time.
+/// origin does not return a usable one in time.
 pub(super) async fn chunk_list<C: Codec>(
     loader: &Loader<C>,
     model: &ModelId,
-    version: Option<u64>,
+    version: u64,
 ) -> anyhow::Result<ChunkList> {
-    if let Some(version) = version {
-        if let Some(list) = loader.chunk_store.list(model, version) {
+    if let Some(list) = loader.chunk_store.list(model, version) {
+        return Ok(list);
+    }
+    let rank = rank_for(loader, &format!("{model}/{version}"));
+    let origin_start = loader.node.now() + Span(RANK_DELAY.0 * rank as u64).min(MAX_RANK_DELAY);
+    while loader.node.now() < origin_start {
+        if let Some(list) = peer_chunk_list(loader, model, version).await {
+            loader.chunk_store.insert_list(model, list.clone());
             return Ok(list);
         }
-        let rank = rank_for(loader, &format!("{model}/{version}"));
-        let origin_start = loader.node.now() + Span(RANK_DELAY.0 * rank as u64).min(MAX_RANK_DELAY);
-        while loader.node.now() < origin_start {
-            if let Some(list) = peer_chunk_list(loader, model, version).await {
-                loader.chunk_store.insert_list(model, list.clone());
-                return Ok(list);
-            }
-            actix_rt::time::sleep(RANK_DELAY.into()).await;
-        }
+        actix_rt::time::sleep(RANK_DELAY.into()).await;
     }
+    let list = origin_chunk_list(loader, model, version).await?;
+    loader.chunk_store.insert_list(model, list.clone());
+    Ok(list)
+}
+
+/// Returns the chunk list of a version at the origin; fails if the origin does not return a usable
+/// one in time.
+pub(super) async fn origin_chunk_list<C: Codec>(
+    loader: &Loader<C>,
+    model: &ModelId,
+    version: u64,
+) -> anyhow::Result<ChunkList> {
+    let list = read_origin_list(loader, model, Some(version)).await?;
+    check_list(&list, version, published_size(loader))?;
+    Ok(list)
+}
+
+/// Returns the number of the newest version at the origin; fails if the origin returns no chunk
+/// list in time.
+pub(super) async fn newest_version<C: Codec>(
+    loader: &Loader<C>,
+    model: &ModelId,
+) -> anyhow::Result<u64> {
+    Ok(read_origin_list(loader, model, None).await?.version)
+}
+
+async fn read_origin_list<C: Codec>(
+    loader: &Loader<C>,
+    model: &ModelId,
+    version: Option<u64>,
+) -> anyhow::Result<ChunkList> {
     let path = loader.node.codec.chunk_list_path(model, version);
     let call = timeout(LIST_TIMEOUT, get_from_origin(loader, &path));
     let body = call.await.context("timed out waiting for the chunk list of the origin")??;
-    let list = loader.node.codec.decode_chunk_list(&body)?;
-    if version.is_some_and(|version| version != list.version) {
-        bail!("the origin returned the chunk list of version {} instead", list.version);
-    }
-    loader.chunk_store.insert_list(model, list.clone());
-    Ok(list)
+    Ok(loader.node.codec.decode_chunk_list(&body)?)
+}
+
+/// Returns the published size of the weights of the engine's service.
+fn published_size<C: Codec>(loader: &Loader<C>) -> Option<WeightsSize> {
+    let view = loader.node.view.borrow();
+    let service = view.catalog()?.services.get(&loader.settings.service)?;
+    service.engine.as_ref()?.weights
 }
 
 /// Pulls a chunk from a peer.
@@ -146,7 +177,13 @@
         if let Ok(Ok(body)) = call.await
             && let Some(list) = decode_list(&body)
         {
-            return Some(list);
+            match check_list(&list, version, published_size(loader)) {
+                Ok(()) => return Some(list),
+                Err(error) => {
+                    let (peer, fault) = (vm.to_string(), error.to_string());
+                    log::warn!(peer = peer.as_str(), fault = fault.as_str(); "chunk list rejected");
+                }
+            }
         }
     }
     None
--- a/crates/sequoiahold/src/loader/target.rs
+++ b/crates/sequoiahold/src/loader/target.rs
@@ -46,7 +46,7 @@
     let (newest, rollout_start) = match (wanted, held) {
         (Some(wanted), _) => wanted,
         (None, Some(held)) => (held, Time::default()),
-        (None, None) => (sources::chunk_list(loader, &model, None).await?.version, Time::default()),
+        (None, None) => (sources::newest_version(loader, &model).await?, Time::default()),
     };
     if doubt.is_some() && held == Some(newest) {
         // An engine ignores an order for the version that it holds.
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -15,12 +15,12 @@
     ids::{Digest, VmId},
     units::{Bytes as Size, Span},
     weights::{
-        ChunkOutcome, ChunkSource, Manifest, Pull, PullError, PullLimit, RendezvousOwners,
-        Topology, Transfer, TransferLimits, ZoneLink,
+        ChunkOutcome, ChunkSource, ListSuspicion, Manifest, Pull, PullError, PullLimit,
+        RendezvousOwners, Topology, Transfer, TransferLimits, ZoneLink,
     },
 };
 
-use super::{Loader, chunk_store::matches_digest, sources, target::Target};
+use super::{Loader, chunk_store::chunk_digest, sources, target::Target};
 use crate::node::{ChunkOffer, Datagram};
 
 /// Maximum number of concurrent pulls.
@@ -50,6 +50,16 @@
     Pulled(EndedPull),
     HeldChunks(VmId, Option<Bytes>),
     Staged(usize, anyhow::Result<()>),
+    ListRead(anyhow::Result<ChunkList>),
+}
+
+/// How a transfer ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum TransferEnd {
+    /// All chunks are held.
+    Complete,
+    /// The chunk store holds a corrected chunk list, by which another transfer must go on.
+    ListCorrected,
 }
 
 /// Pulls the missing chunks of a version and stages each one as it arrives.
@@ -57,7 +67,7 @@
     loader: &Loader<C>,
     target: &Target,
     list: &ChunkList,
-) -> anyhow::Result<()> {
+) -> TransferEnd {
     let mut now = loader.node.now();
     let manifest = manifest(list);
     let held = |digest: &Digest| loader.chunk_store.contains(digest);
@@ -70,6 +80,7 @@
     let mut active_pulls = 0;
     let mut pull_limit = PullLimit::new(&limits, manifest.chunk, target.held.is_some());
     let mut is_staging = false;
+    let mut suspicion = ListSuspicion::default();
     let mut next_refresh = now + TOPOLOGY_INTERVAL;
     let mut last_announced = now;
     let mut has_unannounced = false;
@@ -94,6 +105,10 @@
             };
             events.push(request.boxed_local());
         }
+        if suspicion.start_read(now) {
+            let read = sources::origin_chunk_list(loader, &target.model, target.version);
+            events.push(read.map(Event::ListRead).boxed_local());
+        }
         for offer in loader.offers.take() {
             if offer.model == target.model && offer.version == target.version {
                 transfer.on_offer(now, &offer.from, &offer.bits);
@@ -110,11 +125,16 @@
                 active_pulls -= 1;
                 record_pull(list, &mut pull_limit, &ended);
                 let digest = ended.pull.digest;
-                if accept_chunk(loader, list, &mut transfer, &mut staging_queue, ended) {
-                    has_unannounced = true;
-                    let downstream =
-                        transfer.downstream_owner(&digest).and_then(|vm| loader_addr(loader, &vm));
-                    announce_chunks(loader, target, list, downstream);
+                let position = chunk_index(list, &digest);
+                match accept_chunk(loader, list, &mut transfer, &mut staging_queue, ended) {
+                    ChunkReceipt::Accepted => {
+                        has_unannounced = true;
+                        let downstream = transfer.downstream_owner(&digest);
+                        let downstream = downstream.and_then(|vm| loader_addr(loader, &vm));
+                        announce_chunks(loader, target, list, downstream);
+                    }
+                    ChunkReceipt::Mismatch(actual) => suspicion.record_mismatch(position, actual),
+                    ChunkReceipt::Dropped => {}
                 }
             }
             Ok(Event::HeldChunks(vm, Some(bits))) => transfer.on_held_chunks(now, &vm, &bits),
@@ -125,10 +145,30 @@
                     log::debug!("cannot stage chunk {chunk}: {error:#}");
                 }
             }
+            Ok(Event::ListRead(Ok(other))) => {
+                if let Some(corrected) = suspicion.correct(list, &other) {
+                    log::warn!(version = target.version; "chunk list corrected");
+                    loader.chunk_store.insert_list(&target.model, corrected);
+                    return TransferEnd::ListCorrected;
+                }
+            }
+            Ok(Event::ListRead(Err(error))) => {
+                log::debug!("cannot read the suspected chunk list again: {error:#}");
+            }
             Err(_) => {}
         }
     }
-    Ok(())
+    TransferEnd::Complete
+}
+
+/// What became of a pull that ended.
+enum ChunkReceipt {
+    /// The chunk was accepted.
+    Accepted,
+    /// The chunk has this digest instead of the listed one.
+    Mismatch(Digest),
+    /// The pull failed, or the chunk is not wanted any more.
+    Dropped,
 }
 
 async fn next_event(events: &mut FuturesUnordered<LocalBoxFuture<'_, Event>>) -> Event {
@@ -160,38 +200,38 @@
     local.map(|member| member.addr).collect()
 }
 
-/// Processes the result of a pull and returns whether the chunk was accepted.
+/// Processes the result of a pull.
 fn accept_chunk<C: Codec>(
     loader: &Loader<C>,
     list: &ChunkList,
     transfer: &mut Transfer,
     staging_queue: &mut VecDeque<(usize, Bytes)>,
     ended: EndedPull,
-) -> bool {
+) -> ChunkReceipt {
     let now = loader.node.now();
     let digest = ended.pull.digest;
     let data = match ended.result {
         Ok(data) => data,
         Err(error) => {
             transfer.on_pull_failed(now, &digest, error);
-            return false;
+            return ChunkReceipt::Dropped;
         }
     };
-    let valid = matches_digest(&data, &digest);
-    match transfer.on_checked_chunk(now, digest, valid) {
+    let actual = chunk_digest(&data);
+    match transfer.on_checked_chunk(now, digest, actual == digest) {
         ChunkOutcome::Accepted | ChunkOutcome::Complete => {
             let positions =
                 list.digests.iter().enumerate().filter(|(_, listed)| **listed == digest);
             staging_queue.extend(positions.map(|(chunk, _)| (chunk, data.clone())));
             loader.chunk_store.insert(digest, data);
-            true
+            ChunkReceipt::Accepted
         }
         ChunkOutcome::Corrupt => {
             let digest = digest.short();
             log::warn!(digest = digest.as_str(); "dropped a chunk that does not match its digest");
-            false
+            ChunkReceipt::Mismatch(actual)
         }
-        ChunkOutcome::Unwanted => false,
+        ChunkOutcome::Unwanted => ChunkReceipt::Dropped,
     }
 }
 
