--- a/crates/sequoiahold/src/loader/engine.rs
+++ b/crates/sequoiahold/src/loader/engine.rs
@@ -15,8 +15,9 @@
 
 /// Timeout of a call; both ends are on one VM.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Maximum number of concurrent calls.
-pub(super) const MAX_CONCURRENT_CALLS: usize = 1;
+/// Maximum number of concurrent calls, so that a check of all chunks is short also where each read
+/// is slow.
+pub(super) const MAX_CONCURRENT_CALLS: usize = 4;
 /// Maximum size of a response.
 const MAX_RESPONSE_BYTES: usize = 16_000_000;
 
--- a/crates/standins/tests/process_loaders.rs
+++ b/crates/standins/tests/process_loaders.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use sequoiahold_standins::hosted::{EngineRun, LoaderFleet, Step};
+use sequoiahold_standins::hosted::{EngineRun, LoaderFleet, Step, WeightEngine};
 
 /// Time within which a rollout of 6 s and the loads after it must have ended.
 const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(25);
@@ -12,6 +12,9 @@
 const CALL_TIME: Duration = Duration::from_millis(500);
 /// Time from a call of the loader until its answer has arrived.
 const ANSWER_TIME: Duration = Duration::from_millis(6);
+/// Time that a slow engine takes to read a chunk; all of them one by one take longer than a chunk
+/// may have been bad.
+const READ_TIME: Duration = Duration::from_millis(160);
 /// Time after which an engine accepts an order, longer than the loader waits for the answer.
 const ORDER_DELAY: Duration = Duration::from_secs(2);
 
@@ -21,6 +24,17 @@
     fleet
 }
 
+/// Turns chunks bad that have just been read, in the next `times` checks.
+fn spoil_while_read(engine: &WeightEngine, times: u32) {
+    let spoilt = engine.clone();
+    engine.on_step(Step::Read(2), move || {
+        spoilt.spoil(&[0, 1]);
+        if times > 1 {
+            spoil_while_read(&spoilt, times - 1);
+        }
+    });
+}
+
 fn bad_runs(fleet: &LoaderFleet) -> Vec<EngineRun> {
     let runs = fleet.engines.iter().flat_map(|engine| engine.runs());
     runs.filter(|run| !run.bad.is_empty()).collect()
@@ -46,6 +60,18 @@
     assert_eq!(bad_runs(&fleet), []);
 }
 
+// Guards against the age of a check being counted from its end where reads are slow.
+#[actix_rt::test]
+async fn chunks_that_turn_bad_within_a_slow_check_are_not_used() {
+    let fleet = start(1).await;
+    fleet.engines[0].set_read_time(READ_TIME);
+    spoil_while_read(&fleet.engines[0], 2);
+    fleet.publish_version(2);
+    assert!(fleet.wait_version(0, 2, ROLLOUT_TIMEOUT).await, "version 2 is not loaded");
+    assert!(fleet.call_for(CALL_TIME).await > 0, "version 2 is not served");
+    assert_eq!(bad_runs(&fleet), []);
+}
+
 // Guards against an order that timed out being accepted later, from chunks that turned bad.
 #[actix_rt::test]
 async fn engine_that_accepts_an_order_late_is_not_used_until_its_weights_are_whole() {
