A restarted gateway has its share of the retries one window after its start

Cause, as reproduced: each start of a gateway brought a full share of half the constant, whatever the process before it on the VM had used. Whether it was the cause on the reporting machines is not shown.

Why this works: with the share held back for one window after a restart, the processes of one VM use one share within any window, however often they start, and by then they know the other gateways.

--- a/crates/core/src/direct/retry_budget.rs
+++ b/crates/core/src/direct/retry_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! In each window, the retries of all gateways must stay below a ratio of the requests plus a
 //! constant. Each gateway stays below the ratio of its own requests plus its share of the constant,
-//! so that no coordination is needed.
+//! so that no coordination is needed. A gateway that has been restarted has its share one window
+//! after its start, as an earlier process on its VM may have used it up until then.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -10,8 +11,8 @@
 
 /// Fraction of the ratio that is used; the rest allows for requests added by the callers' retries.
 const RATIO_FRACTION: f64 = 0.8;
-/// Fraction of the constant that is divided among the gateways; the rest covers restarted gateways,
-/// which do not know of their earlier retries.
+/// Fraction of the constant that is divided among the gateways; the rest covers those that know
+/// only the gateways on their side of a network partition.
 const EXTRA_FRACTION: f64 = 0.5;
 
 /// Bounds on the retries of all gateways to a service.
@@ -35,13 +36,20 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     bounds: RetryBounds,
+    /// When the share of the constant becomes available.
+    share_start: Time,
     counts: BTreeMap<ServiceId, Counts>,
 }
 
 impl RetryBudget {
-    /// Returns empty budgets with these bounds.
+    /// Returns empty budgets with these bounds, for a gateway that runs for the first time.
     pub fn new(bounds: RetryBounds) -> Self {
-        Self { bounds, counts: BTreeMap::new() }
+        Self { bounds, share_start: Time::default(), counts: BTreeMap::new() }
+    }
+
+    /// Returns empty budgets with these bounds, for a gateway that is restarted at `now`.
+    pub fn restarted(bounds: RetryBounds, now: Time) -> Self {
+        Self { share_start: now + bounds.window, ..Self::new(bounds) }
     }
 
     /// Records a request of a caller.
@@ -59,7 +67,8 @@
         expire(&mut counts.requests, now, bounds.window);
         expire(&mut counts.retries, now, bounds.window);
         let earned = counts.requests.len() as f64 * bounds.ratio * RATIO_FRACTION;
-        let extra = bounds.extra * EXTRA_FRACTION / gateways.max(1) as f64;
+        let share = bounds.extra * EXTRA_FRACTION / gateways.max(1) as f64;
+        let extra = if now >= self.share_start { share } else { 0.0 };
         let allowed = (counts.retries.len() + 1) as f64 <= earned + extra;
         if allowed {
             counts.retries.push_back(now);
--- a/crates/core/tests/direct_mesh.rs
+++ b/crates/core/tests/direct_mesh.rs
@@ -275,6 +275,35 @@
     assert!(retries.len() as f64 <= f64::from(requests) * 0.2 + 104.0);
 }
 
+// Guards against each start of a gateway bringing a share of its own of the allowed retries.
+#[test]
+fn restarted_gateways_share_the_limit_with_their_earlier_processes() {
+    const GATEWAYS: usize = 8;
+    let bounds = RetryBounds { ratio: 0.2, extra: 104.0, window: Span::secs(10) };
+    let service: ServiceId = "llm".parse().expect("valid name");
+    let old = ms(60_000);
+    let mut used = vec![];
+    for _ in 0..GATEWAYS {
+        let mut gateway = RetryBudget::new(bounds);
+        let spent = (0..200).filter(|_| gateway.try_spend(old, &service, GATEWAYS)).count();
+        assert!(spent > 0, "a gateway that has long run has no share");
+        used.push(spent);
+    }
+    // Three more starts of all gateways within the window.
+    for start in 0..3 {
+        for _ in 0..GATEWAYS {
+            let start = 60_000 + start * 3_000;
+            let mut gateway = RetryBudget::restarted(bounds, ms(start));
+            let times = start..start + 3_000;
+            used.push(times.filter(|at| gateway.try_spend(ms(*at), &service, GATEWAYS)).count());
+        }
+    }
+    let retries: usize = used.iter().sum();
+    assert!(retries as f64 <= bounds.extra, "{retries} retries without a request");
+    let mut gateway = RetryBudget::restarted(bounds, ms(60_000));
+    assert!(gateway.try_spend(ms(70_000), &service, GATEWAYS), "no share after a window");
+}
+
 #[test]
 fn only_complete_events_are_forwarded_in_order() {
     let mut events = EventSplitter::resume_after(Some(1));
--- a/crates/sequoiahold/src/gateway/mod.rs
+++ b/crates/sequoiahold/src/gateway/mod.rs
@@ -57,7 +57,7 @@
         crate::exposition::start(gateway.metrics.registry(), addr)?;
     }
     let vm = settings.node.vm.to_string();
-    log::info!(vm = vm.as_str(), version = env!("CARGO_PKG_VERSION"); "gateway started");
+    log::info!(vm = vm.as_str(), version = env!("CARGO_PKG_VERSION"), restarted = settings.node.restarted; "gateway started");
     tokio::select! {
         _ = stop.recv() => {}
         () = ignore_sighup(reload) => {}
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -82,6 +82,11 @@
             extra: bounds.retry_extra,
             window: bounds.retry_window,
         };
+        let retry_budget = if settings.restarted {
+            RetryBudget::restarted(retry_bounds, node.now())
+        } else {
+            RetryBudget::new(retry_bounds)
+        };
         let pool = ConnectionPool::new(
             http_config.clone(),
             PoolLimits { connect_timeout: CONNECT_TIMEOUT, max_idle: MAX_IDLE_CONNECTIONS },
@@ -90,7 +95,7 @@
             node,
             http_config,
             scheduler: RefCell::new(Scheduler::new(scheduler_config)),
-            retry_budget: RefCell::new(RetryBudget::new(retry_bounds)),
+            retry_budget: RefCell::new(retry_budget),
             waiters: RefCell::default(),
             pool,
             metrics: Metrics::default(),
--- a/crates/sequoiahold/src/settings/node.rs
+++ b/crates/sequoiahold/src/settings/node.rs
@@ -30,6 +30,9 @@
     /// The listen address for metrics, none by default.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
+    /// Whether another process may have run on this VM shortly before this one.
+    #[serde(default)]
+    pub restarted: bool,
     /// Limits on shutdown, version changes, retries and cold endpoints that operators set.
     #[serde(default)]
     pub bounds: Bounds,
