Loads of weights leave the evidence they rely on in the logs

Adds `load begun` with the check's age and the verdict, `engine state` on each change of the engine's report, and `first request on a load` at gateways.

--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -111,6 +111,8 @@
     failure_streak: u32,
     availability: Availability,
     last_send: Option<Time>,
+    /// The start and version of the last request that was placed here on a version of the weights.
+    used_load: Option<(Option<u64>, u64)>,
 }
 
 impl EndpointState {
@@ -131,6 +133,7 @@
             failure_streak: 0,
             availability: Availability::default(),
             last_send: None,
+            used_load: None,
         }
     }
 
@@ -302,6 +305,13 @@
         self.last_send = Some(now);
     }
 
+    /// Records that a request is placed here on a version of the weights; returns whether it is the
+    /// first one since the endpoint started or held another version.
+    pub fn record_use(&mut self, version: u64) -> bool {
+        let load = Some((self.endpoint.entry.started_ms, version));
+        std::mem::replace(&mut self.used_load, load) != load
+    }
+
     /// Removes the prefill time of a request from the own load.
     pub fn finish_prefill(&mut self, prefill_ms: u32) {
         self.own_load.prefill_ms = self.own_load.prefill_ms.saturating_sub(prefill_ms);
--- a/crates/core/src/direct/load_proof.rs
+++ b/crates/core/src/direct/load_proof.rs
@@ -88,6 +88,11 @@
         self.open_order
     }
 
+    /// Returns the time since the first read of the last check, `None` without one.
+    pub fn check_age(&self, now: Time) -> Option<Span> {
+        self.check.map(|check| now - check.started)
+    }
+
     /// Returns what is known of the chunks loaded by an order that was accepted by `now`.
     pub fn verdict(&self, now: Time, accepted: AcceptedOrder) -> LoadVerdict {
         if self.restaged && accepted == AcceptedOrder::Unknown {
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -102,6 +102,8 @@
     pub version: Option<u64>,
     /// The version of the requested model that the endpoint holds, as published.
     pub loaded: Option<u64>,
+    /// Whether this is the first request here since the endpoint started or held another version.
+    pub first_use: bool,
     /// When a newer version was announced, `None` while there is none or if the time is unknown.
     pub replaced_at: Option<Time>,
     /// The requested model.
@@ -434,9 +436,10 @@
     ) -> Grant {
         let state = &mut self.endpoints[key];
         state.record_send(now, prefill_ms);
-        let entry = &state.endpoint.entry;
         let loaded = request.model.as_ref().and_then(|model| state.endpoint.loaded_model(model));
         let loaded = loaded.map(|loaded| loaded.version);
+        let first_use = loaded.is_some_and(|loaded| state.record_use(loaded));
+        let entry = &state.endpoint.entry;
         let targets = request.model.as_ref().and_then(|model| self.targets.get(model));
         let replaced_at = targets.zip(loaded);
         let replaced_at =
@@ -448,6 +451,7 @@
             started_ms: entry.started_ms,
             version: min_version.map(|min| loaded.unwrap_or(min)),
             loaded,
+            first_use,
             replaced_at,
             model: request.model.clone(),
             granted_at: now,
--- a/crates/sequoiahold/src/gateway/record.rs
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -119,6 +119,13 @@
     }
 }
 
+/// Logs the first request that is placed on a load of an engine, with what is known of the load.
+pub(super) fn log_first_use(id: &str, grant: &Grant) {
+    let (instance, started_ms) = (grant.instance.as_str(), grant.started_ms.unwrap_or(0));
+    let (version, bound) = (grant.loaded.unwrap_or(0), grant.version.unwrap_or(0));
+    log::info!(id, instance, started_ms, version, bound; "first request on a load");
+}
+
 /// Logs and counts a request that cannot be routed.
 pub(super) fn log_rejected<C: Codec>(
     gateway: &Gateway<C>,
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -167,6 +167,9 @@
     async fn send(&mut self, relay: &mut Relay<'_>, mut slot: SlotGuard<C>) -> NextStep {
         self.placement.tried.push(slot.grant.endpoint);
         self.record.add_grant(self.gateway.node.now(), &slot.grant);
+        if slot.grant.first_use {
+            record::log_first_use(self.attempt_id(), &slot.grant);
+        }
         self.placement.healthy_only = true;
         self.sent_at = self.gateway.node.now();
         let response_timeout = self.attempt_timeout();
--- a/crates/sequoiahold/src/loader/load.rs
+++ b/crates/sequoiahold/src/loader/load.rs
@@ -146,7 +146,7 @@
     if !loader.proof.get().allows_order(loader.node.now()) {
         check_chunks(loader, target, list).await?;
     }
-    let report = loader.engine.probe().await?;
+    let report = loader.probe_engine().await?;
     Ok((report, loader.proof.get().allows_order(loader.node.now())))
 }
 
@@ -176,14 +176,14 @@
     (report, accepted): (&EngineReport, AcceptedOrder),
 ) -> anyhow::Result<()> {
     let verdict = loader.proof.get().verdict(loader.node.now(), accepted);
+    log_verdict(loader, target, report, accepted, verdict);
     let doubt = Doubt { version: target.version, started_ms: report.started_ms };
     loader.doubt.set((verdict != LoadVerdict::Intact).then_some(doubt));
     loader.update_proof(LoadProof::close_orders);
     if verdict != LoadVerdict::Intact {
-        let verdict_name = format!("{verdict:?}");
-        log::warn!(version = target.version, verdict = verdict_name.as_str(); "order accepted late");
         let is_intact =
             verdict == LoadVerdict::Recheck && is_staged_intact(loader, target, list).await;
+        log::warn!(version = target.version, intact = is_intact; "chunks read after a load");
         if !is_intact {
             bail!("the engine may have loaded corrupt chunks");
         }
@@ -192,6 +192,24 @@
     poll_load(loader, target).await
 }
 
+/// Logs what is known of a load that has begun, and the evidence for it.
+fn log_verdict<C: Codec>(
+    loader: &Loader<C>,
+    target: &Target,
+    report: &EngineReport,
+    accepted: AcceptedOrder,
+    verdict: LoadVerdict,
+) {
+    let check_age = loader.proof.get().check_age(loader.node.now());
+    let check_age_ms = check_age.map_or(-1, |age| (age.0 / 1_000) as i64);
+    let (accepted, verdict) = (format!("{accepted:?}"), format!("{verdict:?}"));
+    log::info!(
+        version = target.version, started_ms = report.started_ms, orders = report.orders_begun,
+        accepted = accepted.as_str(), check_age_ms, verdict = verdict.as_str();
+        "load begun"
+    );
+}
+
 /// Returns whether all staged chunks are intact, as soon as the engine answers.
 async fn is_staged_intact<C: Codec>(loader: &Loader<C>, target: &Target, list: &ChunkList) -> bool {
     loop {
@@ -210,7 +228,7 @@
     notify_gateways(loader, LOADING_PAUSE);
     while loader.node.now() < deadline {
         actix_rt::time::sleep(POLL_INTERVAL).await;
-        let report = loader.engine.probe().await?;
+        let report = loader.probe_engine().await?;
         if report.versions.get(&target.model) == Some(&target.version) {
             notify_gateways(loader, Span(0));
             return Ok(());
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -17,7 +17,11 @@
 
 use actix_http::ServiceConfig;
 use sequoiahold_core::{
-    direct::{load_proof::LoadProof, membership::Role, platform::Codec},
+    direct::{
+        load_proof::LoadProof,
+        membership::Role,
+        platform::{Codec, EngineReport},
+    },
     units::ByteRate,
 };
 use tokio::{
@@ -55,6 +59,8 @@
     proof: Cell<LoadProof>,
     /// The version in use that may be corrupt.
     doubt: Cell<Option<Doubt>>,
+    /// The last report of the engine, `None` before any.
+    report: RefCell<Option<EngineReport>>,
 }
 
 impl<C> Loader<C> {
@@ -65,6 +71,31 @@
     }
 }
 
+impl<C: Codec> Loader<C> {
+    /// Probes the engine and logs whether its start, loads or versions differ from the last report;
+    /// fails without a valid response in time.
+    async fn probe_engine(&self) -> anyhow::Result<EngineReport> {
+        let report = self.engine.probe().await?;
+        let key = |report: &EngineReport| {
+            (report.started_ms, report.orders_begun, report.busy, report.versions.clone())
+        };
+        let last = self.report.borrow_mut().replace(report.clone());
+        if last.as_ref().map(key) != Some(key(&report)) {
+            let versions: Vec<String> = report
+                .versions
+                .iter()
+                .map(|(model, version)| format!("{model}/{version}"))
+                .collect();
+            log::info!(
+                started_ms = report.started_ms, orders = report.orders_begun, busy = report.busy,
+                versions = versions.join(",").as_str(), first = last.is_none();
+                "engine state"
+            );
+        }
+        Ok(report)
+    }
+}
+
 /// Chunks announced by other loaders, pending until a transfer processes them.
 type Offers = Rc<RefCell<Vec<ChunkOffer>>>;
 
@@ -90,6 +121,7 @@
         offers: offers.clone(),
         proof: Cell::default(),
         doubt: Cell::default(),
+        report: RefCell::default(),
     };
     tokio::select! {
         () = update_engine(&loader) => {}
--- a/crates/sequoiahold/src/loader/target.rs
+++ b/crates/sequoiahold/src/loader/target.rs
@@ -33,7 +33,7 @@
 /// the engine holds the target version and the chunk store its chunk list.
 pub(super) async fn find<C: Codec>(loader: &Loader<C>) -> anyhow::Result<Option<Target>> {
     let Some(model) = served_model(loader) else { return Ok(None) };
-    let report = loader.engine.probe().await?;
+    let report = loader.probe_engine().await?;
     let held = report.versions.get(&model).copied();
     if report.busy {
         return Ok(None);
