Soak: staged chunks turn corrupt, and engines hang with orders

From seed 50000 on, always with loaders, chunks turn corrupt until they are staged again, and engines hang for 2.5 to 5 s with an order that they accept afterwards, while loaders are stopped or killed and gateways restarted. A request that runs on a load from chunks that were missing, of another version or corrupt for over 3 s breaks WHOLE. The check as an order arrives stays as it is, and the plans of earlier seeds stay as they were.

The check RECOVER is unchanged.

--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -1,5 +1,7 @@
 //! Faults injected from outside the processes: signals, broken links, a failing store, crashes.
 
+mod loads;
+
 use std::time::{Duration, Instant};
 
 use actix_rt::time::sleep;
@@ -37,23 +39,26 @@
     let mut rng = SmallRng::seed_from_u64(!plan.seed);
     let mut extra = SmallRng::seed_from_u64(plan.seed.rotate_left(16));
     let mut notices = SmallRng::seed_from_u64(plan.seed.rotate_left(24));
+    let mut loads = SmallRng::seed_from_u64(plan.seed.rotate_left(40));
     for round in &plan.rounds {
         fleet.seats.iter().for_each(|seat| seat.engine.set_rate_limit(None));
         let mut restores = SmallRng::seed_from_u64(extra.random());
-        let (noticed, stormed, restored) = tokio::join!(
+        let (noticed, loaded, stormed, restored) = tokio::join!(
             give_notice(fleet, plan, &mut notices),
+            loads::disturb(fleet, plan, &mut loads),
             storm(fleet, plan, round, &mut rng),
             series(plan.extended, &mut restores, async |rng| restore_store(fleet, rng).await),
         );
-        noticed.and(stormed).and(restored)?;
+        noticed.and(loaded).and(stormed).and(restored)?;
         if plan.extended {
             limit_engines(fleet, &mut extra);
         }
-        let (noticed, calmed) = tokio::join!(
+        let (noticed, loaded, calmed) = tokio::join!(
             give_notice(fleet, plan, &mut notices),
+            loads::disturb(fleet, plan, &mut loads),
             calm(fleet, plan, round, &mut rng)
         );
-        noticed.and(calmed)?;
+        noticed.and(loaded).and(calmed)?;
     }
     Ok(())
 }
@@ -195,13 +200,11 @@
             sleep(millis(rng, 100..2_000)).await;
             member.signal(Signal::Continue);
         }
-        4..6 => {
-            drop(member.process.take());
-            sleep(millis(rng, 50..500)).await;
-            fleet.start_member(number)?;
-        }
+        4..6 => restart_process(fleet, number, millis(rng, 50..500)).await?,
         6 => {
             member.signal(Signal::Terminate);
+            // An overlapping fault may have stopped it.
+            member.signal(Signal::Continue);
             let process = member.process.take();
             if let Some(process) = process
                 && !ends(process).await
@@ -219,6 +222,21 @@
     Ok(())
 }
 
+/// Kills a process that runs, and starts it again after a time.
+async fn restart_process(fleet: &Fleet, number: usize, time: Duration) -> anyhow::Result<()> {
+    let Some(process) = fleet.members[number].process.take() else { return Ok(()) };
+    let part = Part::Process(number);
+    let interrupt = || fleet.journal.notices(|notices| notices.interrupt(number));
+    fleet.journal.begin(part);
+    interrupt();
+    drop(process);
+    sleep(time).await;
+    fleet.start_member(number)?;
+    interrupt();
+    fleet.journal.end(part);
+    Ok(())
+}
+
 /// Returns whether a process that got SIGTERM ends in time.
 async fn ends(mut process: Process) -> bool {
     for _ in 0..STOP_CHECKS {
--- a/crates/standins/src/soak/fleet.rs
+++ b/crates/standins/src/soak/fleet.rs
@@ -204,9 +204,10 @@
         Ok(())
     }
 
-    /// Starts a process.
+    /// Starts a process; one that overlapping faults have started already is killed.
     pub(super) fn start_member(&self, number: usize) -> anyhow::Result<()> {
         let member = &self.members[number];
+        drop(member.process.take());
         let (role, vm) = (member.role, &member.vm);
         let process = Process::start(&self.program, role, vm, &self.dir, &member.settings)?;
         member.process.replace(Some(process));
--- a/crates/standins/src/soak/journal.rs
+++ b/crates/standins/src/soak/journal.rs
@@ -96,6 +96,8 @@
     pub(super) instance: String,
     /// The version of the weights that the endpoint held.
     pub(super) version: u64,
+    /// The chunks that were missing, of another version or corrupt for too long when loaded.
+    pub(super) unusable: Vec<u64>,
     /// Whether the gateway asked for this version.
     pub(super) versioned: bool,
     /// The client account that the gateway named.
@@ -131,6 +133,7 @@
     ticked: Option<Instant>,
     lag: Duration,
     answered: u64,
+    bad_loads: u32,
     violations: Vec<String>,
 }
 
@@ -160,6 +163,16 @@
         (state.sent.len(), state.runs.values().map(Vec::len).sum(), state.answered)
     }
 
+    /// Records a load from chunks that must not be used.
+    pub(super) fn count_bad_load(&self) {
+        self.state.borrow_mut().bad_loads += 1;
+    }
+
+    /// Returns the number of loads from chunks that must not be used.
+    pub(super) fn bad_loads(&self) -> u32 {
+        self.state.borrow().bad_loads
+    }
+
     /// Returns the longest time for which the soak stood still.
     pub(super) fn lag(&self) -> Duration {
         self.state.borrow().lag
@@ -340,6 +353,15 @@
         let newer = newer.min_by_key(|(_, at)| *at);
         let removed = state.keys.get(&sent.key).map(|(_, removed)| *removed);
         drop(state);
+        if !run.unusable.is_empty() {
+            let (instance, chunks) = (&run.instance, &run.unusable);
+            let (gateway, version) = (sent.gateway, run.version);
+            let text = format!(
+                "runs at {instance}, sent by gateway-{gateway}, on version {version} loaded from \
+                 unusable chunks {chunks:?}"
+            );
+            self.report("WHOLE", attempt, text);
+        }
         if run.account.as_deref() != Some("acme") {
             self.report("UNASKED", attempt, format_args!("for account {:?}", run.account));
         }
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -11,6 +11,7 @@
 mod notices;
 mod origin;
 mod plan;
+mod staged;
 
 use std::{
     path::PathBuf,
@@ -25,6 +26,7 @@
 pub use self::{
     journal::AttemptId,
     notices::{LinkOwner, Notices},
+    staged::StagedChunks,
 };
 
 /// Causes of failures, each with the seeds that showed it.
@@ -131,12 +133,13 @@
     };
     let summary = format!(
         "seed {seed}: {} gateways, {} engines{}{}, bound {:?}, {sent} requests, {runs} runs, \
-         {answered} answered, lag {} ms, {:.0} s: {verdict}",
+         {answered} answered, {} bad loads, lag {} ms, {:.0} s: {verdict}",
         plan.gateways,
         plan.engines,
         if plan.loaders { " with loaders" } else { "" },
         if plan.slow { ", some slow" } else { "" },
         plan.bound,
+        fleet.journal.bad_loads(),
         fleet.journal.lag().as_millis(),
         start.elapsed().as_secs_f64(),
     );
--- a/crates/standins/tests/soak.rs
+++ b/crates/standins/tests/soak.rs
@@ -12,6 +12,8 @@
 const EXTENDED_SEEDS: [u64; 4] = [10_000, 10_001, 10_003, 10_004];
 /// The same with engines that say they leave and ask for pauses, one of them with loaders.
 const NOTICE_SEEDS: [u64; 4] = [20_001, 20_003, 20_007, 20_010];
+/// The same with chunks that turn corrupt and engines that hang with orders.
+const CORRUPTION_SEEDS: [u64; 4] = [50_001, 50_002, 50_004, 50_005];
 /// Number of seeds that are played at the same time.
 const JOBS: usize = 8;
 
@@ -40,6 +42,11 @@
     assert_no_violation(NOTICE_SEEDS.to_vec()).await;
 }
 
+#[actix_rt::test]
+async fn corrupt_chunks_and_engines_that_hang_with_orders_break_no_promise() {
+    assert_no_violation(CORRUPTION_SEEDS.to_vec()).await;
+}
+
 #[actix_rt::test]
 async fn seeds_that_failed_break_no_promise() {
     assert_no_violation(soak::failed_seeds()).await;
