--- a/crates/core/src/direct/retry_budget.rs
+++ b/crates/core/src/direct/retry_budget.rs
@@ -26,6 +26,19 @@
     pub window: Span,
 }
 
+/// What a gateway counts for a service, and how many retries that allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// Requests that count.
+    pub requests: usize,
+    /// Retries that count.
+    pub retries: usize,
+    /// Share of the constant, in retries.
+    pub share: f64,
+    /// Retries allowed by the requests and the share.
+    pub allowed: f64,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Counts {
     requests: VecDeque<Time>,
@@ -62,18 +75,26 @@
     /// Spends one retry and returns true, or false if the budget is used up; `gateways` share the
     /// constant.
     pub fn try_spend(&mut self, now: Time, service: &ServiceId, gateways: usize) -> bool {
+        let usage = self.usage(now, service, gateways);
+        let allowed = (usage.retries + 1) as f64 <= usage.allowed;
+        if allowed {
+            self.counts.entry(service.clone()).or_default().retries.push_back(now);
+        }
+        allowed
+    }
+
+    /// Returns what counts for a service now; `gateways` share the constant.
+    pub fn usage(&mut self, now: Time, service: &ServiceId, gateways: usize) -> RetryUsage {
         let bounds = self.bounds;
         let counts = self.counts.entry(service.clone()).or_default();
         expire(&mut counts.requests, now, bounds.window);
         expire(&mut counts.retries, now, bounds.window);
-        let earned = counts.requests.len() as f64 * bounds.ratio * RATIO_FRACTION;
-        let share = bounds.extra * EXTRA_FRACTION / gateways.max(1) as f64;
-        let extra = if now >= self.share_start { share } else { 0.0 };
-        let allowed = (counts.retries.len() + 1) as f64 <= earned + extra;
-        if allowed {
-            counts.retries.push_back(now);
-        }
-        allowed
+        let (requests, retries) = (counts.requests.len(), counts.retries.len());
+        let has_share = now >= self.share_start;
+        let extra = if has_share { bounds.extra } else { 0.0 };
+        let share = extra * EXTRA_FRACTION / gateways.max(1) as f64;
+        let allowed = requests as f64 * bounds.ratio * RATIO_FRACTION + share;
+        RetryUsage { requests, retries, share, allowed }
     }
 }
 
--- a/crates/sequoiahold/src/gateway/metrics.rs
+++ b/crates/sequoiahold/src/gateway/metrics.rs
@@ -11,7 +11,7 @@
     },
     registry::{Metric, Registry},
 };
-use sequoiahold_core::direct::view::AnnouncedVersion;
+use sequoiahold_core::{direct::view::AnnouncedVersion, ids::ServiceId};
 
 /// Maximum number of client accounts with a label of their own, which bounds the number of series.
 const MAX_ACCOUNT_LABELS: usize = 24;
@@ -32,6 +32,7 @@
     route_latency: Family<Labels, Histogram>,
     account_latency: Family<Labels, Histogram>,
     sends: Family<Labels, Counter>,
+    retries: Family<Labels, Counter>,
     blocked_parts: Counter,
     limited_endpoints: Gauge,
     announced_versions: Family<Labels, Gauge<f64, AtomicU64>>,
@@ -45,17 +46,11 @@
         let r = &mut registry;
         let histograms = || Family::new_with_constructor(histogram as fn() -> Histogram);
         Self {
-            route_requests: register(
-                r,
-                "requests",
-                "Requests by route and outcome",
-                Family::default(),
-            ),
-            account_requests: register(
+            route_requests: counters(r, "requests", "Requests by route and outcome"),
+            account_requests: counters(
                 r,
                 "account_requests",
                 "Requests by client account and outcome",
-                Family::default(),
             ),
             route_latency: register(
                 r,
@@ -69,7 +64,8 @@
                 "Time to the first event or the answer by client account",
                 histograms(),
             ),
-            sends: register(r, "sends", "Sends to endpoints by route", Family::default()),
+            sends: counters(r, "sends", "Sends to endpoints by route"),
+            retries: counters(r, "retries", "Retries charged to the budget or refused by service"),
             blocked_parts: register(
                 r,
                 "blocked_parts",
@@ -100,6 +96,11 @@
     }
 }
 
+/// Registers counters by labels and returns them.
+fn counters(registry: &mut Registry, name: &str, help: &str) -> Family<Labels, Counter> {
+    register(registry, name, help, Family::default())
+}
+
 /// Registers a metric and returns it.
 fn register<M: Clone + Metric>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
     registry.register(name, help, metric.clone());
@@ -133,6 +134,13 @@
         self.sends.get_or_create(&vec![("route", route.to_owned())]).inc_by(u64::from(sends));
     }
 
+    /// Counts a retry that was charged to the budget of a service, or refused.
+    pub(super) fn add_retry(&self, service: &ServiceId, spent: bool) {
+        let outcome = if spent { "charged" } else { "refused" };
+        let labels = vec![("service", service.to_string()), ("outcome", outcome.to_owned())];
+        self.retries.get_or_create(&labels).inc();
+    }
+
     /// Counts a prompt part that was blocked.
     pub(super) fn add_blocked_part(&self) {
         self.blocked_parts.inc();
--- a/crates/sequoiahold/src/gateway/record.rs
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -2,7 +2,8 @@
 
 use actix_rt::time::Instant;
 use sequoiahold_core::{
-    direct::{platform::Codec, scheduler::Grant},
+    direct::{platform::Codec, retry_budget::RetryUsage, scheduler::Grant},
+    ids::ServiceId,
     time::Time,
     units::Span,
 };
@@ -126,6 +127,24 @@
     log::info!(id, instance, started_ms, version, bound; "first request on a load");
 }
 
+/// Logs and counts a retry that was charged to the budget or refused, with what counted before it.
+pub(super) fn log_retry<C: Codec>(
+    gateway: &Gateway<C>,
+    id: &str,
+    service: &ServiceId,
+    usage: RetryUsage,
+    spent: bool,
+) {
+    gateway.metrics.add_retry(service, spent);
+    let (service, gateways) = (service.as_str(), gateway.gateway_count());
+    let RetryUsage { requests, retries, share, allowed } = usage;
+    log::info!(
+        target: "request",
+        id, service, spent, requests, retries, share, allowed, gateways;
+        "retry"
+    );
+}
+
 /// Logs and counts a request that cannot be routed.
 pub(super) fn log_rejected<C: Codec>(
     gateway: &Gateway<C>,
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -360,8 +360,12 @@
         if self.sends == 0 {
             return true;
         }
-        let gateway_count = self.gateway.gateway_count();
-        self.gateway.retry_budget.borrow_mut().try_spend(now, &self.plan.service, gateway_count)
+        let gateways = self.gateway.gateway_count();
+        let mut budget = self.gateway.retry_budget.borrow_mut();
+        let usage = budget.usage(now, &self.plan.service, gateways);
+        let spent = budget.try_spend(now, &self.plan.service, gateways);
+        record::log_retry(self.gateway, self.attempt_id(), &self.plan.service, usage, spent);
+        spent
     }
 
     /// Returns how long an endpoint may take to respond, or pause within a stream.
