A late rejection of a replaced version does not exclude its endpoint

By the trace, they had got 421 from it just as its entry changed: a rejection that arrives after the entry marks the new entry, and nothing changes it again.

A rejection counts only if the endpoint holds the version that the request was placed on, also where no loader reports on it.

--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -313,7 +313,7 @@
     pub fn release(&mut self, now: Time, grant: &mut Grant, outcome: AttemptOutcome) {
         self.finish_prefill(grant);
         // A rejection of a version that has been replaced says nothing of the present one.
-        let is_late = outcome == AttemptOutcome::Misdirected && self.is_outdated(grant);
+        let is_late = outcome == AttemptOutcome::Misdirected && self.is_replaced(grant);
         let outcome = if is_late { AttemptOutcome::Dropped } else { outcome };
         if let Some(state) = self.endpoints.get_mut(grant.endpoint) {
             state.record_outcome(now, outcome);
--- a/crates/core/src/direct/scheduler/grant.rs
+++ b/crates/core/src/direct/scheduler/grant.rs
@@ -4,7 +4,7 @@
 
 use super::{EndpointKey, PlacementRequest, Scheduler};
 use crate::{
-    direct::load_reports::LoadReports,
+    direct::{endpoint_state::EndpointState, load_reports::LoadReports},
     ids::{ClientId, InstanceId, ModelId, ServiceId},
     time::Time,
     units::Span,
@@ -103,9 +103,15 @@
 
     /// Returns whether the version that a request is placed on may no longer be used at its endpoint.
     pub(super) fn is_outdated(&self, grant: &Grant) -> bool {
+        let state = self.endpoints.get(grant.endpoint);
+        state.is_some_and(EndpointState::needs_proof) && self.is_replaced(grant)
+    }
+
+    /// Returns whether the endpoint of a request holds another version, as far as known, than when the
+    /// request was placed.
+    pub(super) fn is_replaced(&self, grant: &Grant) -> bool {
         let Some(state) = self.endpoints.get(grant.endpoint) else { return false };
         let model = state.model_for(grant.model.as_ref());
-        let usable = model.and_then(|model| state.usable_version(&model));
-        state.needs_proof() && usable != grant.loaded
+        model.and_then(|model| state.usable_version(&model)) != grant.loaded
     }
 }
--- a/crates/core/tests/direct_loads_review.rs
+++ b/crates/core/tests/direct_loads_review.rs
@@ -205,6 +205,20 @@
     assert_eq!(gateway.place(), Some(2));
 }
 
+// Guards against the same where no loader reports on the endpoint, by what is published.
+#[test]
+fn late_rejection_of_an_older_version_does_not_exclude_the_one_published_since() {
+    let mut gateway = Gateway::new(entry(STARTED_MS, Some(1)), report(STARTED_MS, 0, 1, true));
+    gateway.loads = LoadReports::default();
+    gateway.loads.record_loaders(gateway.now, [], true, false);
+    gateway.apply();
+    let mut grant = gateway.submit(Some(name("m"))).expect("a slot");
+    gateway.publish(entry(STARTED_MS, Some(2)));
+    gateway.scheduler.release(gateway.now, &mut grant, AttemptOutcome::Misdirected);
+    gateway.now = gateway.now + Span::secs(60);
+    assert!(gateway.submit(Some(name("m"))).is_some());
+}
+
 // Guards against requests without a model beginning on whatever the engine has loaded meanwhile.
 #[test]
 fn request_without_a_model_is_bound_to_the_proved_version() {
