Gateways that are cut off for long keep their shares of the retries

What callers saw: nothing; endpoints may get more repeats than the budget allows.

Cause: the constant was divided by the gateways that one knows. A gateway that others have not reached for 60 s is removed, so that gateways which are each cut off take half of the constant each, after another window.

Not shown with real processes.

Fix: the divisor is the most gateways known in the last hour, recorded while the gateway has joined the others, also when it sends no retries.

Cost: after gateways are taken out, their shares return an hour later.

--- a/crates/core/src/direct/retry_budget.rs
+++ b/crates/core/src/direct/retry_budget.rs
@@ -21,6 +21,9 @@
 /// Time for which links and suspended endpoints may hold back an attempt without an answer.
 const MAX_HOLD: Span = Span::secs(10);
 
+/// Time for which gateways count after they were last known, as they may be cut off and not gone.
+const MEMORY_TIME: Span = Span::secs(3_600);
+
 /// Bounds on the retries of all gateways to a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBounds {
@@ -39,6 +42,8 @@
     pub requests: usize,
     /// Retries that count, with those in progress.
     pub retries: usize,
+    /// Gateways that the constant is divided by.
+    pub gateways: usize,
     /// Share of the constant, in retries.
     pub share: f64,
     /// Retries allowed by the requests and the share.
@@ -62,13 +67,16 @@
     bounds: RetryBounds,
     /// When the share of the constant becomes available.
     share_start: Time,
+    /// The most gateways that were known at once, and when last.
+    most_known: (usize, Time),
     counts: BTreeMap<ServiceId, Counts>,
 }
 
 impl RetryBudget {
     /// Returns empty budgets with these bounds, for a gateway that runs for the first time.
     pub fn new(bounds: RetryBounds) -> Self {
-        Self { bounds, share_start: Time::default(), counts: BTreeMap::new() }
+        let most_known = (0, Time::default());
+        Self { bounds, share_start: Time::default(), most_known, counts: BTreeMap::new() }
     }
 
     /// Returns empty budgets with these bounds, for a gateway that is restarted at `now`.
@@ -76,6 +84,14 @@
         Self { share_start: now + bounds.window, ..Self::new(bounds) }
     }
 
+    /// Records the number of gateways that are known, which for an hour share the constant.
+    pub fn record_gateways(&mut self, now: Time, gateways: usize) {
+        let (most, at) = self.most_known;
+        if gateways >= most || at + MEMORY_TIME <= now {
+            self.most_known = (gateways, now);
+        }
+    }
+
     /// Records a request of a caller.
     pub fn record_request(&mut self, now: Time, service: &ServiceId) {
         let counts = self.counts.entry(service.clone()).or_default();
@@ -120,9 +136,10 @@
         let retries = counts.pending + counts.arrived.len() + counts.held.len();
         let has_share = now >= self.share_start;
         let extra = if has_share { bounds.extra } else { 0.0 };
-        let share = extra * EXTRA_FRACTION / gateways.max(1) as f64;
+        let gateways = gateways.max(self.most_known.0).max(1);
+        let share = extra * EXTRA_FRACTION / gateways as f64;
         let allowed = requests as f64 * bounds.ratio * RATIO_FRACTION + share;
-        RetryUsage { requests, retries, share, allowed }
+        RetryUsage { requests, retries, gateways, share, allowed }
     }
 }
 
--- a/crates/core/tests/direct_retry_budget.rs
+++ b/crates/core/tests/direct_retry_budget.rs
@@ -87,3 +87,28 @@
     let worst = worst.max().unwrap_or(0);
     assert!(worst > 0 && worst <= ALLOWED, "{worst} in a window, {ALLOWED} allowed");
 }
+
+// Guards against gateways that are each cut off dividing the constant by the few they still know.
+#[test]
+fn gateways_that_are_each_cut_off_for_long_keep_their_shares() {
+    const GATEWAYS: usize = 9;
+    let bounds = RetryBounds { ratio: 0.0, ..BOUNDS };
+    let all = (0..GATEWAYS).map(|_| {
+        let mut budget = RetryBudget::new(bounds);
+        budget.record_gateways(ms(60_000), GATEWAYS);
+        budget.record_gateways(ms(120_250), 1);
+        retry(&mut budget, (121_000, 130_000), 1, |_, _| {}).len()
+    });
+    let retries: usize = all.sum();
+    assert!(retries > 0 && retries <= 40, "{retries} retries in a window, 40 allowed");
+}
+
+#[test]
+fn gateways_that_are_long_gone_leave_their_shares() {
+    let mut budget = RetryBudget::new(RetryBounds { ratio: 0.0, ..BOUNDS });
+    budget.record_gateways(ms(0), 100);
+    budget.record_gateways(ms(1_000), 10);
+    assert!(!budget.try_spend(ms(1_000), &service(), 10));
+    budget.record_gateways(ms(3_600_000), 10);
+    assert!(budget.try_spend(ms(3_600_000), &service(), 10));
+}
--- a/crates/sequoiahold/src/gateway/record.rs
+++ b/crates/sequoiahold/src/gateway/record.rs
@@ -136,8 +136,8 @@
     spent: bool,
 ) {
     gateway.metrics.add_retry(service, spent);
-    let (service, gateways) = (service.as_str(), gateway.gateway_count());
-    let RetryUsage { requests, retries, share, allowed } = usage;
+    let service = service.as_str();
+    let RetryUsage { requests, retries, gateways, share, allowed } = usage;
     log::info!(
         target: "request",
         id, service, spent, requests, retries, share, allowed, gateways;
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -262,6 +262,10 @@
     loop {
         let gateway_count = gateway.gateway_count();
         gateway.scheduler.borrow_mut().set_gateway_count(gateway_count);
+        if gateway.node.membership.borrow().is_joined() {
+            let now = gateway.node.now();
+            gateway.retry_budget.borrow_mut().record_gateways(now, gateway_count);
+        }
         gateway.update_cells();
         actix_rt::time::sleep(ASSIGN_INTERVAL).await;
     }
