--- a/crates/core/src/direct/load_reports.rs
+++ b/crates/core/src/direct/load_reports.rs
@@ -21,7 +21,7 @@
 
 /// Maximum number of engines that are remembered.
 const MAX_REPORTS: usize = 4_096;
-/// Time for which a change is told in each round; after it, only now and then.
+/// Time for which a change is told in each round; after it, peers ask where they lack it.
 const NEWS_TIME: Span = Span::secs(5);
 /// Time since the start after which a zone of which no loader has been heard counts as one without
 /// loaders: it covers a restart or standstill of all of them.
