Log the calls that may still take effect as a load is judged

`load begun` did not tell whether a call to stage a chunk, or an order of an earlier process, was still under way, so that a lapsed hold and a call of a process that is gone looked the same in the log. No decision changes.

--- a/crates/core/src/direct/load_proof.rs
+++ b/crates/core/src/direct/load_proof.rs
@@ -144,6 +144,16 @@
         self.open_order
     }
 
+    /// Returns whether an order of an earlier process may be open.
+    pub fn has_foreign_order(&self) -> bool {
+        self.foreign_order
+    }
+
+    /// Returns the number of calls to stage a chunk that may yet take effect.
+    pub fn open_stagings(&self) -> u32 {
+        self.open_stagings
+    }
+
     /// Returns the time since the first read of the last check, `None` without one.
     pub fn check_age(&self, now: Time) -> Option<Span> {
         self.check.map(|check| now - check.started)
--- a/crates/sequoiahold/src/loader/load.rs
+++ b/crates/sequoiahold/src/loader/load.rs
@@ -204,12 +204,14 @@
     accepted: AcceptedOrder,
     verdict: LoadVerdict,
 ) {
-    let check_age = loader.proof.get().check_age(loader.node.now());
+    let proof = loader.proof.get();
+    let check_age = proof.check_age(loader.node.now());
     let check_age_ms = check_age.map_or(-1, |age| (age.0 / 1_000) as i64);
     let (accepted, verdict) = (format!("{accepted:?}"), format!("{verdict:?}"));
     log::info!(
         version = target.version, started_ms = report.started_ms, orders = report.orders_begun,
-        accepted = accepted.as_str(), check_age_ms, verdict = verdict.as_str();
+        accepted = accepted.as_str(), check_age_ms, verdict = verdict.as_str(),
+        open_stagings = proof.open_stagings(), foreign_order = proof.has_foreign_order();
         "load begun"
     );
 }
