What is known of an earlier start of the engine ends with it

Cause: the number of loads is 0 at each start, so that an order carries nothing that binds it to the start that was checked. The loader kept its check of the staged chunks over a start that it saw, and counted all orders and staging calls as over, also those that had reached the new start before it was seen.

Now a start that is seen ends the check, and only what the engine received before its last report of the earlier start counts as over. An order sent since then may be open at the new start, so that nothing is staged beside it.

Evidence, direct_load_proof: with the check kept, check_does_not_outlast_a_start_of_the_engine fails; with all calls closed, order_sent_after_the_last_report_may_be_open_at_the_next_start fails. The last part of chunk_that_may_yet_be_staged_needs_a_check_after_the_load now has a report and a check of the new start, as a start alone no longer says either.

--- a/crates/core/src/direct/load_proof.rs
+++ b/crates/core/src/direct/load_proof.rs
@@ -49,6 +49,8 @@
 pub struct LoadProof {
     check: Option<ChunkCheck>,
     open_order: bool,
+    /// Whether an order was sent since the last report of the engine.
+    unseen_order: bool,
     /// Whether an order of an earlier process may be open.
     foreign_order: bool,
     /// Whether chunks were staged while an order was open, since the engine last reported that it
@@ -58,6 +60,8 @@
     spoilt: bool,
     /// Calls to stage a chunk without an answer: one that was given up may yet take effect.
     open_stagings: u32,
+    /// Those of them that began since the last report of the engine.
+    unseen_stagings: u32,
 }
 
 impl LoadProof {
@@ -79,6 +83,7 @@
     /// Records that a call to stage a chunk begins, which counts as open until it is answered.
     pub fn begin_staging(&mut self) {
         self.open_stagings += 1;
+        self.unseen_stagings += 1;
         self.record_staging();
     }
 
@@ -91,6 +96,7 @@
     /// Records that a call to stage a chunk was answered.
     pub fn end_staging(&mut self) {
         self.open_stagings = self.open_stagings.saturating_sub(1);
+        self.unseen_stagings = self.unseen_stagings.saturating_sub(1);
     }
 
     /// Returns whether chunks were staged that a load of unknown time may have taken or not.
@@ -125,18 +131,34 @@
     /// Records that an order is sent, which the engine may accept at any time from now on.
     pub fn record_order(&mut self) {
         self.open_order = true;
+        self.unseen_order = true;
+    }
+
+    /// Records a report of the same start as before, which received all calls so far.
+    pub fn record_report(&mut self) {
+        self.unseen_order = false;
+        self.unseen_stagings = 0;
     }
 
     /// Records that the engine can no longer accept an order sent so far.
     pub fn close_orders(&mut self) {
-        (self.open_order, self.foreign_order) = (false, false);
+        (self.open_order, self.unseen_order, self.foreign_order) = (false, false, false);
         (self.restaged, self.spoilt) = (false, false);
     }
 
-    /// Records that the engine has started again, which ends all calls.
+    /// Records that the engine has started again: what was staged may be lost, and the calls that
+    /// the earlier start received are over.
+    ///
+    /// Calls sent since its last report may have reached the new start.
     pub fn record_engine_start(&mut self) {
-        self.close_orders();
-        self.open_stagings = 0;
+        let (open_order, open_stagings) = (self.unseen_order, self.unseen_stagings);
+        *self = Self {
+            open_order,
+            unseen_order: open_order,
+            open_stagings,
+            unseen_stagings: open_stagings,
+            ..Self::default()
+        };
     }
 
     /// Returns whether the engine may still accept an order.
--- a/crates/core/tests/direct_load_proof.rs
+++ b/crates/core/tests/direct_load_proof.rs
@@ -78,6 +78,31 @@
     assert_eq!(proof.verdict(at(400), AcceptedOrder::Unknown), LoadVerdict::Intact);
 }
 
+// Guards against chunks that were checked before the engine lost power being ordered.
+#[test]
+fn check_does_not_outlast_a_start_of_the_engine() {
+    let mut proof = checked(100);
+    assert!(proof.allows_order(at(200)));
+    proof.record_engine_start();
+    assert!(!proof.allows_order(at(200)), "the check of an earlier start counts");
+}
+
+// Guards against an order that reached a start of the engine unseen so far counting as closed.
+#[test]
+fn order_sent_after_the_last_report_may_be_open_at_the_next_start() {
+    let mut proof = checked(100);
+    proof.record_order();
+    proof.record_engine_start();
+    assert!(proof.has_open_order(), "the order is taken for closed");
+    proof.begin_staging();
+    proof.end_staging();
+    proof.record_check(ChunkCheck { started: at(200), ended: at(300) });
+    assert_eq!(proof.verdict(at(400), AcceptedOrder::Unknown), LoadVerdict::Doubtful);
+    proof.record_report();
+    proof.record_engine_start();
+    assert!(!proof.has_open_order(), "the order reached an earlier start");
+}
+
 // Guards against a staging call that was given up and takes effect after the check.
 #[test]
 fn chunk_that_may_yet_be_staged_needs_a_check_after_the_load() {
@@ -88,7 +113,9 @@
     proof.record_order();
     assert_eq!(proof.verdict(at(400), AcceptedOrder::Last), LoadVerdict::Recheck);
     assert_eq!(proof.verdict(at(3_400), AcceptedOrder::Last), LoadVerdict::Doubtful);
+    proof.record_report();
     proof.record_engine_start();
+    proof.record_check(ChunkCheck { started: START, ended: at(100) });
     proof.record_order();
     assert_eq!(proof.verdict(at(400), AcceptedOrder::Last), LoadVerdict::Intact);
 }
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -85,9 +85,10 @@
     async fn probe_engine(&self) -> anyhow::Result<EngineReport> {
         let report = self.engine.probe().await?;
         let change = self.load.borrow_mut().observe(&report);
-        if change == EngineChange::Restarted {
-            self.update_proof(LoadProof::record_engine_start);
-        }
+        self.update_proof(match change {
+            EngineChange::Restarted => LoadProof::record_engine_start,
+            EngineChange::None | EngineChange::Other => LoadProof::record_report,
+        });
         if change != EngineChange::None {
             let versions: Vec<String> = report
                 .versions
