Calls of a killed loader may yet stage chunks

Cause: a started loader knew that an order of an earlier process may be open, but not that a call to stage a chunk may be. Such a call could put a chunk of another version over a checked one just before the order was accepted, and the load counted as intact by the check before it.

A started loader now counts a call as open until the engine has started again, so that its loads need a check after them as well.

Evidence, direct_load_proof: load_ordered_by_a_started_process_needs_a_check_after_it fails without. In chunks_staged_by_a_started_process_are_not_those_that_an_earlier_order_loaded the last expectation becomes stricter: the load needs a check after it.

--- a/crates/core/src/direct/load_proof.rs
+++ b/crates/core/src/direct/load_proof.rs
@@ -65,9 +65,10 @@
 }
 
 impl LoadProof {
-    /// Returns the evidence of a started process: an earlier one may have sent an order.
+    /// Returns the evidence of a started process: calls of an earlier one may yet take effect, an
+    /// order as well as the staging of a chunk of any version.
     pub fn started() -> Self {
-        Self { foreign_order: true, ..Self::default() }
+        Self { foreign_order: true, open_stagings: 1, ..Self::default() }
     }
 
     /// Begins the load of another version, for which no check counts yet.
--- a/crates/core/tests/direct_load_proof.rs
+++ b/crates/core/tests/direct_load_proof.rs
@@ -73,9 +73,27 @@
     proof.end_staging();
     proof.record_check(ChunkCheck { started: at(200), ended: at(300) });
     assert_eq!(proof.verdict(at(400), AcceptedOrder::Unknown), LoadVerdict::Doubtful);
-    // An order that is accepted after the engine was seen without a load takes what was checked.
+    // An order that is accepted after the engine was seen without a load takes what was checked,
+    // unless a late call of the earlier process has replaced it.
     proof.record_idle_engine();
-    assert_eq!(proof.verdict(at(400), AcceptedOrder::Unknown), LoadVerdict::Intact);
+    assert_eq!(proof.verdict(at(400), AcceptedOrder::Unknown), LoadVerdict::Recheck);
+}
+
+// Guards against a chunk that a killed loader had under way replacing a checked one.
+#[test]
+fn load_ordered_by_a_started_process_needs_a_check_after_it() {
+    let mut proof = LoadProof::started();
+    let check = ChunkCheck { started: START, ended: at(100) };
+    proof.record_check(check);
+    proof.record_order();
+    assert_eq!(proof.verdict(at(200), AcceptedOrder::Last), LoadVerdict::Recheck);
+    assert_eq!(proof.verdict(at(3_200), AcceptedOrder::Last), LoadVerdict::Doubtful);
+    // What the earlier process sent has ended with the start that received it.
+    proof.record_report();
+    proof.record_engine_start();
+    proof.record_check(check);
+    proof.record_order();
+    assert_eq!(proof.verdict(at(200), AcceptedOrder::Last), LoadVerdict::Intact);
 }
 
 // Guards against chunks that were checked before the engine lost power being ordered.
