A rejected order does not close that of an earlier process

Callers: nothing was seen; by a test of the decision, chunks that a started loader stages while an order of its predecessor is open could prove a load that took those before (WHOLE).

Cause: as the engine rejected an own order, the loader counted all orders as closed, also one of an earlier process, which the engine may accept later.

Evidence, direct_load_proof: rejected_order_does_not_close_the_one_of_an_earlier_process fails with close_orders in its place.

--- a/crates/core/src/direct/load_proof.rs
+++ b/crates/core/src/direct/load_proof.rs
@@ -135,6 +135,11 @@
         self.unseen_order = true;
     }
 
+    /// Records that the engine rejected the only order sent; one of an earlier process stays open.
+    pub fn record_rejection(&mut self) {
+        (self.open_order, self.unseen_order) = (false, false);
+    }
+
     /// Records a report of the same start as before, which received all calls so far.
     pub fn record_report(&mut self) {
         self.unseen_order = false;
--- a/crates/core/tests/direct_load_proof.rs
+++ b/crates/core/tests/direct_load_proof.rs
@@ -121,6 +121,20 @@
     assert!(!proof.has_open_order(), "the order reached an earlier start");
 }
 
+// Guards against the rejection of an own order closing that of an earlier process.
+#[test]
+fn rejected_order_does_not_close_the_one_of_an_earlier_process() {
+    let mut proof = LoadProof::started();
+    proof.record_check(ChunkCheck { started: START, ended: at(100) });
+    proof.record_order();
+    proof.record_rejection();
+    assert!(!proof.has_open_order());
+    proof.begin_staging();
+    proof.end_staging();
+    proof.record_check(ChunkCheck { started: at(200), ended: at(300) });
+    assert_eq!(proof.verdict(at(400), AcceptedOrder::Unknown), LoadVerdict::Doubtful);
+}
+
 // Guards against a staging call that was given up and takes effect after the check.
 #[test]
 fn chunk_that_may_yet_be_staged_needs_a_check_after_the_load() {
--- a/crates/sequoiahold/src/loader/load.rs
+++ b/crates/sequoiahold/src/loader/load.rs
@@ -77,7 +77,7 @@
                 return settle(loader, target, list, (&report, AcceptedOrder::Last)).await;
             }
             Ok(OrderReply::Rejected(status)) if !had_open_order => {
-                loader.update_proof(LoadProof::close_orders);
+                loader.update_proof(LoadProof::record_rejection);
                 bail!("the engine rejected the order: {status}");
             }
             // An order may have begun or may yet begin, which a later report shows.
