Chunks that turn corrupt within the grace do not make a load doubtful

Cause: chunks found corrupt while an order was open made its load doubtful, also if it was known to have begun within 3 s of the first read of a check that found all intact. What turned corrupt after that check has been so for less than the grace.

Evidence, direct_load_proof: chunks_found_corrupt_after_a_check_count_from_it fails in its first case without, and keeps the load doubtful after the grace.

--- a/crates/core/src/direct/load_proof.rs
+++ b/crates/core/src/direct/load_proof.rs
@@ -189,12 +189,14 @@
 
     /// Returns what is known of the chunks loaded by an order that was accepted by `now`.
     pub fn verdict(&self, now: Time, accepted: AcceptedOrder) -> LoadVerdict {
-        if self.spoilt || self.restaged && accepted == AcceptedOrder::Unknown {
+        if self.restaged && accepted == AcceptedOrder::Unknown {
             return LoadVerdict::Doubtful;
         }
         let is_recent = self.check.is_some_and(|check| now - check.started <= CORRUPTION_GRACE);
         match (is_recent, self.open_stagings > 0) {
+            // Chunks found corrupt since then have been so for less than the grace.
             (true, false) => LoadVerdict::Intact,
+            _ if self.spoilt => LoadVerdict::Doubtful,
             // A late call may have replaced a checked chunk, or a corrupt one since the load.
             (true, true) | (false, false) => LoadVerdict::Recheck,
             (false, true) => LoadVerdict::Doubtful,
--- a/crates/core/tests/direct_load_proof.rs
+++ b/crates/core/tests/direct_load_proof.rs
@@ -135,6 +135,20 @@
     assert_eq!(proof.verdict(at(400), AcceptedOrder::Unknown), LoadVerdict::Doubtful);
 }
 
+// Guards against a sound load being repeated, as chunks turned corrupt just before or after it.
+#[rstest]
+#[case::within_the_grace(2_900, LoadVerdict::Intact)]
+#[case::after_it(3_100, LoadVerdict::Doubtful)]
+fn chunks_found_corrupt_after_a_check_count_from_it(
+    #[case] accepted_ms: u64,
+    #[case] verdict: LoadVerdict,
+) {
+    let mut proof = checked(100);
+    proof.record_order();
+    proof.record_spoilt();
+    assert_eq!(proof.verdict(at(accepted_ms), AcceptedOrder::Unknown), verdict);
+}
+
 // Guards against a staging call that was given up and takes effect after the check.
 #[test]
 fn chunk_that_may_yet_be_staged_needs_a_check_after_the_load() {
