A check after a slow load counts where no earlier process had the version

Callers: engines out of use for longer than needed after each restart of a loader.

Cause, of: each loader starts with an open staging call of an earlier process, so that a load that began over 3 s after its check was doubtful, though the chunks were intact after it; and the check after each load took a second where reads are slow, with the engine out of use meanwhile (process_loaders::chunks_that_turn_bad_within_a_slow_check_are_not_used failed, 1 of 1 run).

A late call spoils a load with a chunk of any version, but hides that a chunk was corrupt only with one of the version that was loaded. An earlier process has none of a version that was announced since this one started. A check reads up to 12 chunks at a time.

Evidence: direct_load_proof, both cases of load_ordered_by_a_started_process_needs_a_check_after_it; process_loaders 10 of 10 and process_loaders_review 2 of 2 (one known red) in one run each.

--- a/crates/core/src/direct/view/targets.rs
+++ b/crates/core/src/direct/view/targets.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Returns whether a version is known to have been announced since the start of the process.
+    pub fn is_announced_since_start(&self, version: u64) -> bool {
+        matches!(self.announced.get(&version), Some(AnnouncedAt::Known(at)) if *at > 0)
+    }
+
     /// Returns when `current` has been replaced for `after`, `None` if no newer version is announced
     /// or its time is unknown.
     pub fn replaced_for(&self, current: u64, after: Span) -> Option<Time> {
--- a/crates/sequoiahold/src/loader/engine.rs
+++ b/crates/sequoiahold/src/loader/engine.rs
@@ -17,7 +17,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum number of concurrent calls, so that a check of all chunks is short also where each read
 /// is slow.
-pub(super) const MAX_CONCURRENT_CALLS: usize = 4;
+pub(super) const MAX_CONCURRENT_CALLS: usize = 12;
 /// Maximum size of a response.
 const MAX_RESPONSE_BYTES: usize = 16_000_000;
 
--- a/crates/sequoiahold/src/loader/load.rs
+++ b/crates/sequoiahold/src/loader/load.rs
@@ -36,7 +36,12 @@
     target: &Target,
     list: &ChunkList,
 ) -> anyhow::Result<()> {
-    loader.update_proof(LoadProof::begin_load);
+    let is_new = {
+        let view = loader.node.view.borrow();
+        let versions = view.target(&target.model);
+        versions.is_some_and(|versions| versions.is_announced_since_start(target.version))
+    };
+    loader.update_proof(|proof| proof.begin_load(is_new));
     check_chunks(loader, target, list).await?;
     loop {
         wait_for_load_start(loader, target).await;
