--- a/crates/standins/src/hosted/engine.rs
+++ b/crates/standins/src/hosted/engine.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use actix_http::{HttpMessage as _, Method, Request, Response};
+use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
 use actix_rt::time::sleep;
 use bytes::Bytes;
 use sequoiahold::http;
@@ -53,6 +53,19 @@
     ReportAfterCheck,
     /// An order, before it is accepted.
     Order,
+    /// A chunk is staged, before the call takes effect.
+    Stage(u64),
+}
+
+/// What becomes of an order, other than that it is accepted at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderFate {
+    /// It stays open without an answer until [`WeightEngine::accept_held_order`].
+    Held,
+    /// It is lost and the connection breaks.
+    Lost,
+    /// It is answered with status 409.
+    Rejected,
 }
 
 type Hook = Box<dyn FnOnce()>;
@@ -71,6 +84,11 @@
     read_time: Duration,
     /// The time for which the next order waits before it is accepted.
     order_delay: Duration,
+    order_fate: Option<OrderFate>,
+    held_order: Option<Order>,
+    /// The chunk of which the next call to stage it is held.
+    held_chunk: Option<u64>,
+    held_staging: Option<(u64, Bytes)>,
     /// The time until which no call is answered.
     hangs_until: Option<Instant>,
     loads: Vec<Load>,
@@ -130,6 +148,43 @@
         self.state.borrow_mut().order_delay = time;
     }
 
+    /// Sets what becomes of the next order.
+    pub fn set_order_fate(&self, fate: OrderFate) {
+        self.state.borrow_mut().order_fate = Some(fate);
+    }
+
+    /// Returns whether an order is held.
+    pub fn has_held_order(&self) -> bool {
+        self.state.borrow().held_order.is_some()
+    }
+
+    /// Accepts the held order, if there is one, also if its sender is gone.
+    pub fn accept_held_order(&self) {
+        let order = self.state.borrow_mut().held_order.take();
+        if let Some(order) = order {
+            self.accept(&order);
+        }
+    }
+
+    /// Has the next call to stage a chunk stay open without an answer until `finish_staging`.
+    pub fn hold_staging(&self, chunk: u64) {
+        self.state.borrow_mut().held_chunk = Some(chunk);
+    }
+
+    /// Returns whether a call to stage a chunk is held.
+    pub fn has_held_staging(&self) -> bool {
+        self.state.borrow().held_staging.is_some()
+    }
+
+    /// Has the held call to stage a chunk take effect, also if its sender is gone.
+    pub fn finish_staging(&self) {
+        let mut state = self.state.borrow_mut();
+        if let Some((number, data)) = state.held_staging.take() {
+            state.staged.insert(number, data);
+            state.bad_since.remove(&number);
+        }
+    }
+
     /// Leaves all calls waiting for a time, also an order that has just arrived.
     pub fn hang(&self, time: Duration) {
         self.state.borrow_mut().hangs_until = Some(Instant::now() + time);
@@ -144,7 +199,7 @@
         }
     }
 
-    /// Loses power: weights and staged chunks are gone, and it starts under another id.
+    /// Loses power: weights, staged chunks and calls under way are gone, and it starts under this id.
     pub fn lose_power(&self, instance: &str) {
         let mut state = self.state.borrow_mut();
         self.store.put(&format!("servers/{}", state.instance), None);
@@ -197,16 +252,12 @@
                 let body = reply::read_body(&mut request).await;
                 let Ok(order) = serde_json::from_slice(&body) else { return reply::status(400) };
                 self.reach(Step::Order);
-                let delay = std::mem::take(&mut self.state.borrow_mut().order_delay);
-                self.accept_after(delay, order).await
+                self.take_order(order).await
             }
             (Some("stage-put"), _) => {
                 let body = reply::read_body(&mut request).await;
-                let mut state = self.state.borrow_mut();
-                state.staged.insert(chunk.unwrap_or(0), body);
-                state.bad_since.remove(&chunk.unwrap_or(0));
-                state.read_back.clear();
-                reply::status(200)
+                self.reach(Step::Stage(chunk.unwrap_or(0)));
+                self.stage(chunk.unwrap_or(0), body).await
             }
             (Some("stage-get"), _) => self.read(chunk.unwrap_or(0)).await,
             _ => self.run(&request),
@@ -220,6 +271,37 @@
         }
     }
 
+    async fn stage(&self, number: u64, data: Bytes) -> Response<Body> {
+        {
+            let mut state = self.state.borrow_mut();
+            if state.held_chunk != Some(number) {
+                state.staged.insert(number, data);
+                state.bad_since.remove(&number);
+                state.read_back.clear();
+                return reply::status(200);
+            }
+            state.held_chunk = None;
+            state.held_staging = Some((number, data));
+        }
+        std::future::pending().await
+    }
+
+    async fn take_order(&self, order: Order) -> Response<Body> {
+        let (fate, delay) = {
+            let mut state = self.state.borrow_mut();
+            (state.order_fate.take(), std::mem::take(&mut state.order_delay))
+        };
+        match fate {
+            None => self.accept_after(delay, order).await,
+            Some(OrderFate::Held) => {
+                self.state.borrow_mut().held_order = Some(order);
+                std::future::pending().await
+            }
+            Some(OrderFate::Lost) => Response::with_body(StatusCode::OK, Body::aborted()),
+            Some(OrderFate::Rejected) => reply::status(409),
+        }
+    }
+
     /// Accepts an order, also if its sender disconnects meanwhile.
     async fn accept_after(&self, delay: Duration, order: Order) -> Response<Body> {
         let engine = self.clone();
--- a/crates/standins/src/hosted/mod.rs
+++ b/crates/standins/src/hosted/mod.rs
@@ -11,7 +11,7 @@
 
 pub use self::{
     cluster::{Call, Cluster, request},
-    engine::{EngineRun, Load, Step, WeightEngine},
+    engine::{EngineRun, Load, OrderFate, Step, WeightEngine},
     fragile::{Fragile, FragileArrival, FragileRecord},
     loaders::{Loader, LoaderFleet},
     settings::{add_engine, gateway_config, gateway_settings, loopback_addr, registry_entry},
