A gateway asks the engine where nobody reports, instead of trusting silence

Where an origin supplies the weights, a gateway that had heard of no loader for 20 s took what is published, so that a standstill of the loader of over 20 s had it use an unproved load. Silence no longer counts there. A gateway that has heard nothing of an engine for 2 s (8 s where a loader lives in the zone) reads the engine's own report: an engine that has begun no load since its start holds what operators gave it, and that counts as a proved report, which spreads as any other. An engine that has begun one is not asked again for that start. Without an origin the rule is as before; a catalog that has not arrived no longer counts as one without an origin (by reading, no test).

Such a report has the least time of knowledge, so that it replaces no loader's report of another start.

process_loaders::gateway_that_starts_where_no_loader_lives_uses_what_is_published asked for the contrary: version 2, loaded by an order, its loader gone, to be served unproved after 24 s. To the gateway that is the incident, as a loader that is gone and one that stands still look alike.

direct_loads::zone_without_loaders_is_served_as_published_once_none_is_to_be_ expected held the old rule; its part without an origin stays, the part with one now asks that silence never counts.

--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -223,6 +223,16 @@
         complete.any(|loaded| self.usable_version(&loaded.model).is_none())
     }
 
+    /// Returns whether the endpoint holds a version of whose load nothing is known.
+    pub fn awaits_report(&self) -> bool {
+        self.weights == LoadKnowledge::Awaited && self.is_unproved()
+    }
+
+    /// Returns the start of the engine as published last.
+    pub fn published_start(&self) -> Start {
+        self.published_start
+    }
+
     /// Records until when the endpoint pauses or has paused, `None` if it did not.
     pub fn set_pause(&mut self, until: Option<Time>) {
         match until {
--- a/crates/core/src/direct/load_reports.rs
+++ b/crates/core/src/direct/load_reports.rs
@@ -3,6 +3,7 @@
 //! Load pattern: rollouts while loaders stand still, are killed or cannot reach a gateway. Silence
 //! proves nothing: an engine that a loader looks after is used with those versions only that are
 //! reported as proved, by whatever way the report came, and for as long as no later load is known.
+//! Where nobody reports, an engine that has begun no load since its start proves what it holds.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -12,9 +13,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{catalog::LoadedModel, endpoint_notices::Start, send_time::SendStamp};
+use super::{
+    catalog::LoadedModel, endpoint_notices::Start, platform::EngineReport, send_time::SendStamp,
+};
 use crate::{
-    ids::{ModelId, ZoneId},
+    ids::{Incarnation, ModelId, ZoneId},
     time::Time,
     units::Span,
 };
@@ -23,9 +26,6 @@
 const MAX_REPORTS: usize = 4_096;
 /// Time for which a change is told in each round; after it, peers ask where they lack it.
 const NEWS_TIME: Span = Span::secs(5);
-/// Time since the start after which a zone of which no loader has been heard counts as one without
-/// loaders: it covers a restart or standstill of all of them.
-const LOADER_WAIT: Time = Time(20_000_000);
 
 /// What is known of the last load of an engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -43,6 +43,23 @@
 }
 
 impl LoadReport {
+    /// Returns the report that an engine gives of itself at an address, `None` once it has begun a
+    /// load: what it held before, operators gave it.
+    ///
+    /// It replaces no report of another start by a loader, which may have come to know of a later one.
+    pub fn of_engine(addr: SocketAddr, report: &EngineReport) -> Option<Self> {
+        let started_ms = report.started_ms?;
+        let is_given = report.orders_begun == 0 && !report.busy && !report.versions.is_empty();
+        let at = Time(started_ms.saturating_mul(1_000));
+        is_given.then(|| Self {
+            start: Start { addr, started_ms: Some(started_ms) },
+            orders: 0,
+            versions: report.versions.clone(),
+            proved: true,
+            known_at: SendStamp { incarnation: Incarnation::default(), at },
+        })
+    }
+
     /// Returns the versions for logs, as in `m/2`.
     pub fn versions_text(&self) -> String {
         let versions = self.versions.iter().map(|(model, version)| format!("{model}/{version}"));
@@ -139,17 +156,17 @@
     /// reached are known, and whether the engines get their weights from an origin, which loaders
     /// bring; returns whether anything changed.
     ///
-    /// A zone whose loaders are gone keeps needing reports: what they have loaded last is not known.
+    /// Where there is an origin, silence does not count as the absence of loaders. A zone whose loaders
+    /// are gone keeps needing reports: what they have loaded last is not known.
     pub fn record_loaders(
         &mut self,
-        now: Time,
         zones: impl IntoIterator<Item = ZoneId>,
         is_settled: bool,
         has_origin: bool,
     ) -> bool {
         let before = (self.loader_zones.len(), self.trusts_published);
         self.loader_zones.extend(zones);
-        self.trusts_published = is_settled && (!has_origin || now >= LOADER_WAIT);
+        self.trusts_published = is_settled && !has_origin;
         before != (self.loader_zones.len(), self.trusts_published)
     }
 
--- a/crates/core/src/direct/scheduler/grant.rs
+++ b/crates/core/src/direct/scheduler/grant.rs
@@ -4,8 +4,8 @@
 
 use super::{EndpointKey, PlacementRequest, Scheduler};
 use crate::{
-    direct::{endpoint_state::EndpointState, load_reports::LoadReports},
-    ids::{ClientId, InstanceId, ModelId, ServiceId},
+    direct::{endpoint_notices::Start, endpoint_state::EndpointState, load_reports::LoadReports},
+    ids::{ClientId, InstanceId, ModelId, ServiceId, ZoneId},
     time::Time,
     units::Span,
 };
@@ -101,6 +101,13 @@
         states.any(|state| state.is_unproved() || state.is_misdirected(now))
     }
 
+    /// Returns the published starts and the zones of the endpoints that hold a version of whose load
+    /// nothing is known.
+    pub fn unknown_loads(&self) -> impl Iterator<Item = (Start, &ZoneId)> {
+        let unknown = self.endpoints.values().filter(|state| state.awaits_report());
+        unknown.map(|state| (state.published_start(), &state.endpoint.entry.zone))
+    }
+
     /// Returns whether the version that a request is placed on may no longer be used at its endpoint.
     pub(super) fn is_outdated(&self, grant: &Grant) -> bool {
         let state = self.endpoints.get(grant.endpoint);
--- a/crates/core/tests/direct_loads.rs
+++ b/crates/core/tests/direct_loads.rs
@@ -47,7 +47,7 @@
 /// Returns what is known where loaders live.
 fn reports(merged: impl IntoIterator<Item = LoadReport>) -> LoadReports {
     let mut reports = LoadReports::default();
-    reports.record_loaders(NOW, [zone()], true, true);
+    reports.record_loaders([zone()], true, true);
     merged.into_iter().for_each(|report| {
         reports.merge(NOW, report);
     });
@@ -85,25 +85,59 @@
     assert_eq!(reports.knowledge(&restarted, &zone()), LoadKnowledge::Awaited);
 }
 
-#[rstest]
-#[case::weights_from_an_origin(true, 20_000)]
-#[case::no_origin(false, 1_500)]
-fn zone_without_loaders_is_served_as_published_once_none_is_to_be_expected(
-    #[case] has_origin: bool,
-    #[case] from_ms: u64,
-) {
+#[test]
+fn zone_without_loaders_is_served_as_published_where_no_origin_supplies_weights() {
     let mut reports = LoadReports::default();
     assert_eq!(usable(&reports, 2), None);
-    let mut at = |millis, zones: &[ZoneId]| {
-        let now = Time(millis * 1_000);
-        reports.record_loaders(now, zones.to_vec(), millis >= 1_500, has_origin);
-        usable(&reports, 2)
-    };
-    assert_eq!(at(from_ms - 1, &[]), None);
-    assert_eq!(at(from_ms, &[]), Some(2));
+    reports.record_loaders([], false, false);
+    assert_eq!(usable(&reports, 2), None);
+    reports.record_loaders([], true, false);
+    assert_eq!(usable(&reports, 2), Some(2));
     // Loaders that have been heard of may have ordered a load, also if they are gone by now.
-    assert_eq!(at(from_ms, &[zone()]), None);
-    assert_eq!(at(from_ms + 60_000, &[]), None);
+    reports.record_loaders([zone()], true, false);
+    reports.record_loaders([], true, false);
+    assert_eq!(usable(&reports, 2), None);
+}
+
+// Guards against the silence of loaders being taken for their absence, however long it lasts.
+#[test]
+fn silence_proves_nothing_where_an_origin_supplies_weights() {
+    let mut reports = LoadReports::default();
+    for _ in 0..1_000 {
+        reports.record_loaders([], true, true);
+    }
+    assert_eq!(usable(&reports, 2), None);
+}
+
+// Guards against an engine's word being taken for more than that it has begun no load.
+#[rstest]
+#[case::given_by_operators(engine_report(0, 1, false), Some(1))]
+#[case::loaded_since(engine_report(1, 1, false), None)]
+#[case::loading(engine_report(0, 1, true), None)]
+#[case::of_an_unknown_start(EngineReport { started_ms: None, ..engine_report(0, 1, false) }, None)]
+#[case::empty(EngineReport { versions: BTreeMap::new(), ..engine_report(0, 1, false) }, None)]
+fn engine_without_any_load_proves_what_it_holds(
+    #[case] report: EngineReport,
+    #[case] version: Option<u64>,
+) {
+    let reports = reports(LoadReport::of_engine(addr(1), &report));
+    assert_eq!(usable(&reports, 1), version);
+}
+
+// Guards against an engine's word of an earlier start replacing what loaders know of a later one,
+// whose clock may have been set back.
+#[rstest]
+#[case::clock_goes_on(STARTED_MS + 1)]
+#[case::clock_set_back(STARTED_MS - 1)]
+fn word_of_an_engine_gives_way_to_reports_of_another_start(#[case] started_ms: u64) {
+    let later = Start { addr: addr(1), started_ms: Some(started_ms) };
+    let later = LoadReport { start: later, ..report(1, 1, false) };
+    let word = LoadReport::of_engine(addr(1), &engine_report(0, 1, false)).expect("a proof");
+    for merged in [[later.clone(), word.clone()], [word, later.clone()]] {
+        let reports = reports(merged);
+        assert!(reports.find(&later.start).is_some(), "the later report is lost");
+        assert_eq!(usable(&reports, 1), None);
+    }
 }
 
 fn engine_report(orders_begun: u64, version: u64, busy: bool) -> EngineReport {
--- a/crates/core/tests/direct_loads_review.rs
+++ b/crates/core/tests/direct_loads_review.rs
@@ -85,7 +85,7 @@
             rng: SmallRng::seed_from_u64(1),
             now: Time(1_000_000),
         };
-        gateway.loads.record_loaders(gateway.now, [name("z")], true, true);
+        gateway.loads.record_loaders([name("z")], true, true);
         let catalog = PublishedValue::Catalog(Box::new(catalog));
         gateway.view.apply(gateway.now, catalog, Some(gateway.now));
         gateway.merge(known);
@@ -210,7 +210,7 @@
 fn late_rejection_of_an_older_version_does_not_exclude_the_one_published_since() {
     let mut gateway = Gateway::new(entry(STARTED_MS, Some(1)), report(STARTED_MS, 0, 1, true));
     gateway.loads = LoadReports::default();
-    gateway.loads.record_loaders(gateway.now, [], true, false);
+    gateway.loads.record_loaders([], true, false);
     gateway.apply();
     let mut grant = gateway.submit(Some(name("m"))).expect("a slot");
     gateway.publish(entry(STARTED_MS, Some(2)));
--- a/crates/sequoiahold/src/gateway/loads.rs
+++ b/crates/sequoiahold/src/gateway/loads.rs
@@ -1,9 +1,18 @@
-//! What loaders report of the loads of engines, exchanged between gateways.
+//! What loaders report of the loads of engines, exchanged between gateways, and what engines say.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
+use actix_http::{Method, StatusCode, header::HeaderMap};
+use anyhow::Context as _;
+use bytes::Bytes;
 use rand::seq::IteratorRandom as _;
-use sequoiahold_core::direct::{load_reports::LoadReport, membership::Role, platform::Codec};
+use sequoiahold_core::direct::{
+    endpoint_notices::Start,
+    engine_questions::{EngineQuestions, UnknownEngine},
+    load_reports::LoadReport,
+    membership::Role,
+    platform::{Codec, EngineReport},
+};
 
 use super::{datagrams, state::Gateway};
 use crate::node::{Datagram, pull_loads};
@@ -16,9 +25,19 @@
 /// Interval until the process knows its peers, as it may have to serve at once.
 const FIRST_PULL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Starts the task that asks peers for reports that are missing here.
+/// Pause between two questions to engines.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which to look for engines of whose loads nothing is known.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// Timeout of a question; the next engine is asked after it.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size of the report of an engine.
+const MAX_REPORT_BYTES: usize = 65_536;
+
+/// Starts the tasks that ask peers and engines for reports that are missing here.
 pub(super) fn start<C: Codec>(gateway: &Rc<Gateway<C>>) {
     actix_rt::spawn(pull_missing(gateway.clone()));
+    actix_rt::spawn(ask_engines(gateway.clone()));
 }
 
 /// Sends news to one other gateway, which the loader may not reach.
@@ -52,3 +71,76 @@
         }
     }
 }
+
+/// Asks one engine after the other of whose loads nobody reports.
+async fn ask_engines<C: Codec>(gateway: Rc<Gateway<C>>) {
+    let mut questions = EngineQuestions::default();
+    loop {
+        let Some(start) = next_question(&gateway, &mut questions) else {
+            actix_rt::time::sleep(LOOK_INTERVAL).await;
+            continue;
+        };
+        let answer = actix_rt::time::timeout(QUESTION_TIMEOUT, ask_engine(&gateway, start.addr));
+        match answer.await.context("no answer in time").flatten() {
+            Ok(report) if is_of_start(&report, &start) => {
+                if take_word(&gateway, &start, &report) {
+                    questions.record_answer(&start);
+                }
+            }
+            Ok(_) => log::debug!("the engine at {} has started again", start.addr),
+            Err(error) => log::debug!("cannot ask the engine at {}: {error:#}", start.addr),
+        }
+        actix_rt::time::sleep(QUESTION_INTERVAL).await;
+    }
+}
+
+fn next_question<C: Codec>(gateway: &Gateway<C>, questions: &mut EngineQuestions) -> Option<Start> {
+    let (node, now) = (&gateway.node, gateway.node.now());
+    let membership = node.membership.borrow();
+    if !membership.is_settled(now) {
+        return None;
+    }
+    let loaders = membership.live_with_role(Role::Loader);
+    let loader_zones: BTreeSet<_> = loaders.map(|member| &member.zone).collect();
+    let scheduler = gateway.scheduler.borrow();
+    let unknown = scheduler.unknown_loads().map(|(start, zone)| {
+        let has_loader = loader_zones.contains(zone);
+        UnknownEngine { start, has_loader }
+    });
+    let unknown: Vec<UnknownEngine> = unknown.collect();
+    questions.next_question(now, &unknown, &mut *node.rng.borrow_mut())
+}
+
+/// Reads the report of an engine over a connection of its own.
+async fn ask_engine<C: Codec>(
+    gateway: &Gateway<C>,
+    addr: SocketAddr,
+) -> anyhow::Result<EngineReport> {
+    let (node, no_body) = (&gateway.node, Bytes::new());
+    let mut upstream = node.pool.open(addr).await?;
+    let path = node.codec.report_path();
+    let call = upstream.exchange(Method::GET, path, HeaderMap::new(), &no_body, MAX_REPORT_BYTES);
+    let (response, body) = call.await?;
+    let status = response.status;
+    anyhow::ensure!(status == StatusCode::OK, "status report failed with status {status}");
+    Ok(node.codec.decode_report(&body)?)
+}
+
+/// Returns whether a report is of a published start, which may lack its time.
+fn is_of_start(report: &EngineReport, start: &Start) -> bool {
+    start.started_ms.is_none_or(|started_ms| report.started_ms == Some(started_ms))
+}
+
+/// Takes what an engine holds without any load for proved; returns whether another question would
+/// tell no more.
+fn take_word<C: Codec>(gateway: &Gateway<C>, start: &Start, report: &EngineReport) -> bool {
+    let (addr, orders) = (start.addr.to_string(), report.orders_begun);
+    let proof = LoadReport::of_engine(start.addr, report);
+    let is_proved = proof.is_some();
+    log::info!(
+        addr = addr.as_str(), started_ms = report.started_ms, orders, proved = is_proved;
+        "engine asked for its loads"
+    );
+    gateway.node.merge_loads(proof);
+    is_proved || orders > 0
+}
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -304,13 +304,14 @@
     /// Records the availability zones of the known loaders.
     pub fn record_loaders(&self) {
         let now = self.now();
+        // Without a catalog there may be one.
         let has_origin =
-            self.view.borrow().catalog().is_some_and(|catalog| catalog.origin().is_some());
+            self.view.borrow().catalog().is_none_or(|catalog| catalog.origin().is_some());
         let changed = {
             let membership = self.membership.borrow();
             let zones = membership.known_with_role(Role::Loader).map(|member| member.zone.clone());
             let is_settled = membership.is_settled(now);
-            self.loads.borrow_mut().record_loaders(now, zones, is_settled, has_origin)
+            self.loads.borrow_mut().record_loaders(zones, is_settled, has_origin)
         };
         if changed {
             self.notify_subscribers();
--- a/crates/standins/tests/process_loaders.rs
+++ b/crates/standins/tests/process_loaders.rs
@@ -12,8 +12,12 @@
 const STANDSTILL: Duration = Duration::from_secs(8);
 /// Time after the order at which its chunks turn bad.
 const SPOIL_DELAY: Duration = Duration::from_millis(300);
-/// Time after which a gateway takes a zone whose loaders it has never heard of for one without.
+/// Time for which a loader stands still beyond any wait of a gateway for it.
+const LONG_STANDSTILL: Duration = Duration::from_secs(36);
+/// Time after which loaders used to count as gone, and some more.
 const LOADER_WAIT: Duration = Duration::from_secs(24);
+/// Time within which a gateway must have asked an engine that no loader reports on.
+const FIRST_WAIT: Duration = Duration::from_secs(12);
 /// Time for which requests are sent.
 const CALL_TIME: Duration = Duration::from_millis(500);
 /// Time from a call of the loader until its answer has arrived.
@@ -170,16 +174,44 @@
 
 // Guards against engines that nobody reports on being lost where no loader lives.
 #[actix_rt::test]
-async fn gateway_that_starts_where_no_loader_lives_uses_what_is_published() {
+async fn gateway_that_starts_where_no_loader_lives_uses_the_first_version() {
+    let fleet = start(1).await;
+    fleet.loaders[0].kill();
+    fleet.restart_gateway().expect("a gateway");
+    fleet.wait_ready().await.expect("a ready gateway");
+    assert!(fleet.call_for(FIRST_WAIT).await > 0, "version 1 is not served");
+    assert!(fleet.call_for(CALL_TIME).await > 0, "version 1 is no longer served");
+}
+
+// Guards against the silence of loaders being taken for the proof of a version that was ordered.
+#[actix_rt::test]
+async fn gateway_that_starts_where_no_loader_lives_uses_an_ordered_version_once_it_is_proved() {
     let fleet = start(1).await;
     fleet.publish_version(2);
     assert!(fleet.wait_version(0, 2, ROLLOUT_TIMEOUT).await, "version 2 is not loaded");
     fleet.loaders[0].kill();
     fleet.restart_gateway().expect("a gateway");
     fleet.wait_ready().await.expect("a ready gateway");
-    // Until then the loader may only stand still.
-    assert!(fleet.call_for(LOADER_WAIT).await > 0, "version 2 is not served");
-    assert!(fleet.call_for(CALL_TIME).await > 0, "version 2 is not served");
+    assert_eq!(fleet.call_for(LOADER_WAIT).await, 0, "a load that nobody has proved is used");
+    fleet.loaders[0].start().expect("a loader");
+    assert!(fleet.call_for(FREEZE_TIME).await > 0, "version 2 is not served");
+    assert_eq!(fleet.engines[0].loads().len(), 1, "the engine loaded again");
+}
+
+// Guards against a long standstill of the only loader being taken for its absence, and that for the
+// proof of a load.
+#[actix_rt::test]
+async fn gateway_that_starts_during_a_long_standstill_uses_no_unproved_load() {
+    let fleet = start(1).await;
+    hang_with_order(&fleet, LONG_STANDSTILL);
+    fleet.publish_version(2);
+    assert!(fleet.wait_version(0, 2, ROLLOUT_TIMEOUT).await, "version 2 is not loaded");
+    fleet.restart_gateway().expect("a gateway");
+    fleet.wait_ready().await.expect("a ready gateway");
+    assert_eq!(fleet.call_for(LOADER_WAIT).await, 0, "a load that nobody has proved is used");
+    assert!(!fleet.engines[0].loads().iter().all(|load| load.bad.is_empty()), "no bad load");
+    assert!(fleet.call_for(ROLLOUT_TIMEOUT).await > 0, "version 2 is not served whole in the end");
+    assert_eq!(bad_runs(&fleet), []);
 }
 
 // Guards against a restarted loader keeping a sound engine from use.
