Another version in the list after the reported one puts a proof in doubt

A gateway that missed every later report, while a proved version was replaced by an earlier one and came back by a doubtful load (as loaders do with a doubtful load), used the first proof: only a version above the reported one ended it. Once the list has reached the reported version, a lower one puts the proof in doubt too. An entry that the platform restored from a copy does not, as it may be older than the report.

A proof in doubt is not used.

--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -185,7 +185,8 @@
     /// Applies what is known of the weights that the endpoint's engine has loaded.
     pub fn apply_loads(&mut self, loads: &mut LoadReports) {
         let entry = &self.endpoint.entry;
-        loads.record_published(&self.published_start, entry.loaded.as_deref().unwrap_or_default());
+        let (start, loaded) = (&self.published_start, entry.loaded.as_deref().unwrap_or_default());
+        loads.record_published(start, loaded, self.endpoint.restored);
         let weights = loads.knowledge(&self.published_start, &entry.zone);
         if self.weights != weights {
             self.weights = weights;
--- a/crates/core/src/direct/load_reports.rs
+++ b/crates/core/src/direct/load_reports.rs
@@ -6,6 +6,7 @@
 //! Where nobody reports, an engine that has begun no load since its start proves what it holds.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
@@ -111,12 +112,44 @@
     }
 }
 
+/// Whether a report still counts.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Standing {
+    /// No later load is known of.
+    Valid,
+    /// A later load seems to have ended, of which no report has arrived; the engine can tell.
+    Doubted,
+    /// A later load has ended, of which no report has arrived.
+    Outdated,
+}
+
 #[derive(Clone, Debug)]
 struct KnownLoad {
     report: Rc<LoadReport>,
     heard_at: Time,
-    /// Whether a later load is known to have ended, of which no report has arrived.
-    outdated: bool,
+    standing: Standing,
+    /// The models of which the reported version has been published since.
+    published: BTreeSet<ModelId>,
+}
+
+impl KnownLoad {
+    /// Returns how the report stands as a complete version is published, which is that of an earlier
+    /// time if it is `restored`.
+    fn standing_with(&mut self, loaded: &LoadedModel, restored: bool) -> Standing {
+        let Some(version) = self.report.versions.get(&loaded.model) else { return Standing::Valid };
+        match loaded.version.cmp(version) {
+            Ordering::Greater => Standing::Outdated,
+            Ordering::Equal => {
+                self.published.insert(loaded.model.clone());
+                Standing::Valid
+            }
+            // Until the list has reached the reported version, it may show what was before.
+            Ordering::Less if restored || !self.published.contains(&loaded.model) => {
+                Standing::Valid
+            }
+            Ordering::Less => Standing::Doubted,
+        }
+    }
 }
 
 /// What is known of the last loads of all engines, by address.
@@ -134,14 +167,19 @@
     pub fn merge(&mut self, now: Time, report: LoadReport) -> bool {
         let addr = report.start.addr;
         if let Some(known) = self.loads.get(&addr) {
-            let is_missed = known.outdated
+            let is_missed = known.standing != Standing::Valid
                 && known.report.start == report.start
                 && known.report.orders == report.orders;
             if is_missed || !report.supersedes(&known.report) {
                 return false;
             }
         }
-        let known = KnownLoad { report: Rc::new(report), heard_at: now, outdated: false };
+        let known = KnownLoad {
+            report: Rc::new(report),
+            heard_at: now,
+            standing: Standing::Valid,
+            published: BTreeSet::new(),
+        };
         self.loads.insert(addr, known);
         if self.loads.len() > MAX_REPORTS {
             let oldest = self.loads.iter().min_by_key(|(_, known)| known.heard_at);
@@ -170,16 +208,35 @@
         before != (self.loader_zones.len(), self.trusts_published)
     }
 
-    /// Records what is published of an endpoint: a version above the reported one is the result of a
-    /// load that is not known here, also if the reported version returns.
-    pub fn record_published(&mut self, start: &Start, loaded: &[LoadedModel]) {
+    /// Records what is published of an endpoint: a version above the reported one, or any other one
+    /// after it, is the result of a load that is not known here, also if the reported version returns.
+    ///
+    /// An entry that the platform has restored may be older than the report.
+    pub fn record_published(&mut self, start: &Start, loaded: &[LoadedModel], restored: bool) {
         let Some(known) = self.loads.get_mut(&start.addr) else { return };
+        if !known.report.start.matches(start) {
+            return;
+        }
+        for loaded in loaded.iter().filter(|loaded| loaded.complete) {
+            known.standing = known.standing.max(known.standing_with(loaded, restored));
+        }
+    }
+
+    /// Records what an engine says of itself: a doubted report counts again if no load has begun
+    /// since; returns whether it does.
+    pub fn confirm(&mut self, addr: SocketAddr, word: &EngineReport) -> bool {
+        let Some(known) = self.loads.get_mut(&addr) else { return false };
         let report = &known.report;
-        let is_above = |loaded: &LoadedModel| {
-            let version = report.versions.get(&loaded.model);
-            loaded.complete && version.is_some_and(|version| loaded.version > *version)
-        };
-        known.outdated |= report.start.matches(start) && loaded.iter().any(is_above);
+        let is_same = word.started_ms.is_some()
+            && report.start.started_ms == word.started_ms
+            && (report.orders, &report.versions) == (word.orders_begun, &word.versions)
+            && !word.busy;
+        let is_confirmed = known.standing == Standing::Doubted && is_same;
+        if is_confirmed {
+            known.standing = Standing::Valid;
+            known.published.clear();
+        }
+        is_confirmed && known.report.proved
     }
 
     /// Returns the report of a start of an engine.
@@ -191,7 +248,9 @@
     /// Returns what is known of the loads of an endpoint with this published start.
     pub fn knowledge(&self, start: &Start, zone: &ZoneId) -> LoadKnowledge {
         match self.loads.get(&start.addr) {
-            Some(known) if known.outdated || !known.report.start.matches(start) => {
+            Some(known)
+                if known.standing != Standing::Valid || !known.report.start.matches(start) =>
+            {
                 LoadKnowledge::Awaited
             }
             Some(known) => LoadKnowledge::Reported(known.report.clone()),
--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -47,6 +47,8 @@
     pub entry: EndpointEntry,
     /// When it is removed unless its entry returns, `None` while the entry exists.
     pub expires_at: Option<Time>,
+    /// Whether its entry is part of a state that the platform restored from a copy.
+    pub restored: bool,
 }
 
 /// What a change affected.
@@ -207,7 +209,8 @@
             PublishedValue::Catalog(catalog) => self.set_catalog(*catalog),
             PublishedValue::Endpoint(instance, Some(entry)) => {
                 self.removed.remove(&instance);
-                self.endpoints.insert(instance, Endpoint { entry, expires_at: None });
+                self.endpoints
+                    .insert(instance, Endpoint { entry, expires_at: None, restored: false });
                 Effect::Endpoints
             }
             PublishedValue::Endpoint(instance, None) => self.remove_endpoint(now, &instance),
@@ -237,7 +240,7 @@
                 self.held.hold(now, time, published);
                 Effect::Held
             }
-            None => self.apply(now, published, earliest),
+            None => self.apply_old(now, published, earliest),
         }
     }
 
@@ -245,10 +248,28 @@
     /// changed.
     pub fn apply_held(&mut self, now: Time) -> bool {
         let due = self.held.take_due(now);
-        let effects = due.into_iter().map(|published| self.apply(now, published, None));
+        let effects = due.into_iter().map(|published| self.apply_old(now, published, None));
         effects.filter(|effect| *effect != Effect::None).count() > 0
     }
 
+    /// Applies a value of a restored state, and marks the entry of an endpoint as such.
+    fn apply_old(
+        &mut self,
+        now: Time,
+        published: PublishedValue,
+        earliest: Option<Time>,
+    ) -> Effect {
+        let instance = match &published {
+            PublishedValue::Endpoint(instance, Some(_)) => Some(instance.clone()),
+            _ => None,
+        };
+        let effect = self.apply(now, published, earliest);
+        if let Some(endpoint) = instance.and_then(|instance| self.endpoints.get_mut(&instance)) {
+            endpoint.restored = true;
+        }
+        effect
+    }
+
     /// Removes the endpoints whose entries did not return in time; returns whether there were any.
     pub fn expire_endpoints(&mut self, now: Time) -> bool {
         let is_over = |endpoint: &Endpoint| endpoint.expires_at.is_some_and(|until| until <= now);
--- a/crates/core/tests/direct_loads_review.rs
+++ b/crates/core/tests/direct_loads_review.rs
@@ -3,13 +3,14 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use rand::{SeedableRng as _, rngs::SmallRng};
+use rstest::rstest;
 use sequoiahold_core::{
     direct::{
         catalog::{Catalog, EndpointEntry, LoadedModel, Service},
         endpoint_notices::Start,
         endpoint_state::AttemptOutcome,
         load_reports::{LoadReport, LoadReports},
-        platform::PublishedValue,
+        platform::{EngineReport, PublishedValue},
         scheduler::{Decision, Grant, PlacementRequest, Scheduler, SchedulerConfig},
         send_time::SendStamp,
         view::View,
@@ -51,6 +52,12 @@
     LoadReport { start, orders, versions, proved, known_at }
 }
 
+fn engine_report(started_ms: u64, orders_begun: u64, version: u64, busy: bool) -> EngineReport {
+    let versions = BTreeMap::from([(name("m"), version)]);
+    let started_ms = Some(started_ms);
+    EngineReport { versions, busy, orders_begun, started_ms, waiting: 0, running: 0 }
+}
+
 /// A gateway of one engine, in a zone where loaders live.
 struct Gateway {
     view: View,
@@ -193,6 +200,76 @@
     assert_eq!(gateway.place(), None);
 }
 
+// Guards against the same where the version between them is an earlier one, as loaders bring it back
+// before they load a doubtful version again.
+#[test]
+fn version_that_returns_after_a_lower_one_is_not_taken_for_proved() {
+    let mut gateway = Gateway::new(entry(STARTED_MS, Some(2)), report(STARTED_MS, 1, 2, true));
+    assert_eq!(gateway.place(), Some(2));
+    gateway.publish(entry(STARTED_MS, Some(1)));
+    assert_eq!(gateway.place(), None);
+    gateway.publish(entry(STARTED_MS, Some(2)));
+    assert_eq!(gateway.place(), None);
+    gateway.merge(report(STARTED_MS, 1, 2, true));
+    assert_eq!(gateway.place(), None);
+    gateway.merge(report(STARTED_MS, 3, 2, true));
+    assert_eq!(gateway.place(), Some(2));
+}
+
+// Guards against a report that is ahead of the list being ended by what the list still shows.
+#[test]
+fn version_published_before_the_reported_one_ends_no_proof() {
+    let mut gateway = Gateway::new(entry(STARTED_MS, Some(1)), report(STARTED_MS, 1, 2, true));
+    assert_eq!(gateway.place(), Some(2));
+    gateway.publish(entry(STARTED_MS, Some(1)));
+    gateway.publish(entry(STARTED_MS, Some(2)));
+    assert_eq!(gateway.place(), Some(2));
+}
+
+// Guards against all engines being lost as the platform restores a list of before a rollout.
+#[test]
+fn restored_list_ends_no_proof() {
+    let mut gateway = Gateway::new(entry(STARTED_MS, Some(2)), report(STARTED_MS, 1, 2, true));
+    assert_eq!(gateway.place(), Some(2));
+    let restored = PublishedValue::Endpoint(name("i-1"), Some(entry(STARTED_MS, Some(1))));
+    gateway.view.apply_restored(gateway.now, restored, None);
+    gateway.apply();
+    assert_eq!(gateway.place(), Some(2));
+    gateway.publish(entry(STARTED_MS, Some(2)));
+    assert_eq!(gateway.place(), Some(2));
+}
+
+// Guards against a proof that was ended wrongly keeping its engine from use for good, and against one
+// being brought back that a later load has ended.
+#[rstest]
+#[case::no_load_since(engine_report(STARTED_MS, 1, 2, false), Some(2))]
+#[case::later_load(engine_report(STARTED_MS, 3, 2, false), None)]
+#[case::loading(engine_report(STARTED_MS, 1, 2, true), None)]
+#[case::other_version(engine_report(STARTED_MS, 1, 1, false), None)]
+#[case::another_start(engine_report(STARTED_MS + 1, 1, 2, false), None)]
+fn engine_that_has_begun_no_load_since_brings_the_proof_back(
+    #[case] word: EngineReport,
+    #[case] version: Option<u64>,
+) {
+    let mut gateway = Gateway::new(entry(STARTED_MS, Some(2)), report(STARTED_MS, 1, 2, true));
+    gateway.publish(entry(STARTED_MS, Some(1)));
+    gateway.publish(entry(STARTED_MS, Some(2)));
+    assert_eq!(gateway.scheduler.unknown_loads().count(), 1);
+    assert_eq!(gateway.loads.confirm(addr(), &word), version.is_some());
+    gateway.apply();
+    assert_eq!(gateway.place(), version);
+}
+
+// Guards against an engine's word, which is somewhat late, outweighing a newer version in the list.
+#[test]
+fn proof_that_a_newer_version_has_ended_does_not_come_back() {
+    let mut gateway = Gateway::new(entry(STARTED_MS, Some(1)), report(STARTED_MS, 0, 1, true));
+    gateway.publish(entry(STARTED_MS, Some(2)));
+    assert!(!gateway.loads.confirm(addr(), &engine_report(STARTED_MS, 0, 1, false)));
+    gateway.apply();
+    assert_eq!(gateway.place(), None);
+}
+
 // Guards against a late rejection of a version that has been replaced excluding the endpoint.
 #[test]
 fn late_rejection_of_an_older_version_does_not_exclude_the_proved_one() {
--- a/crates/sequoiahold/src/gateway/loads.rs
+++ b/crates/sequoiahold/src/gateway/loads.rs
@@ -103,8 +103,10 @@
     let loaders = membership.live_with_role(Role::Loader);
     let loader_zones: BTreeSet<_> = loaders.map(|member| &member.zone).collect();
     let scheduler = gateway.scheduler.borrow();
+    let loads = node.loads.borrow();
     let unknown = scheduler.unknown_loads().map(|(start, zone)| {
-        let has_loader = loader_zones.contains(zone);
+        // Loaders do not repeat a report that is in doubt.
+        let has_loader = loader_zones.contains(zone) && loads.find(&start).is_none();
         UnknownEngine { start, has_loader }
     });
     let unknown: Vec<UnknownEngine> = unknown.collect();
@@ -131,12 +133,13 @@
     start.started_ms.is_none_or(|started_ms| report.started_ms == Some(started_ms))
 }
 
-/// Takes what an engine holds without any load for proved; returns whether another question would
-/// tell no more.
+/// Takes what an engine holds without any load, or without one since a proof that is in doubt, for
+/// proved; returns whether another question would tell no more.
 fn take_word<C: Codec>(gateway: &Gateway<C>, start: &Start, report: &EngineReport) -> bool {
     let (addr, orders) = (start.addr.to_string(), report.orders_begun);
     let proof = LoadReport::of_engine(start.addr, report);
-    let is_proved = proof.is_some();
+    let is_confirmed = gateway.node.confirm_load(start.addr, report);
+    let is_proved = proof.is_some() || is_confirmed;
     log::info!(
         addr = addr.as_str(), started_ms = report.started_ms, orders, proved = is_proved;
         "engine asked for its loads"
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -21,7 +21,7 @@
         load_reports::{LoadReport, LoadReports},
         membership::{Member, Membership, Role},
         mirror::{Change, Mirror, Revision},
-        platform::{Codec, PublishedValue},
+        platform::{Codec, EngineReport, PublishedValue},
         send_time::SendStamp,
         view::{AnnouncedVersion, Effect, View},
     },
@@ -301,6 +301,15 @@
         }
     }
 
+    /// Records what an engine says of a load that is in doubt; returns whether it is proved again.
+    pub fn confirm_load(&self, addr: SocketAddr, report: &EngineReport) -> bool {
+        let is_confirmed = self.loads.borrow_mut().confirm(addr, report);
+        if is_confirmed {
+            self.notify_subscribers();
+        }
+        is_confirmed
+    }
+
     /// Records the availability zones of the known loaders.
     pub fn record_loaders(&self) {
         let now = self.now();
