--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -185,7 +185,8 @@
     /// Applies what is known of the weights that the endpoint's engine has loaded.
     pub fn apply_loads(&mut self, loads: &mut LoadReports) {
         let entry = &self.endpoint.entry;
-        loads.record_published(&self.published_start, entry.loaded.as_deref().unwrap_or_default());
+        let (start, loaded) = (&self.published_start, entry.loaded.as_deref().unwrap_or_default());
+        loads.record_published(start, loaded, self.endpoint.restored);
         let weights = loads.knowledge(&self.published_start, &entry.zone);
         if self.weights != weights {
             self.weights = weights;
@@ -223,6 +224,16 @@
         complete.any(|loaded| self.usable_version(&loaded.model).is_none())
     }
 
+    /// Returns whether the endpoint holds a version of whose load nothing is known.
+    pub fn awaits_report(&self) -> bool {
+        self.weights == LoadKnowledge::Awaited && self.is_unproved()
+    }
+
+    /// Returns the start of the engine as published last.
+    pub fn published_start(&self) -> Start {
+        self.published_start
+    }
+
     /// Records until when the endpoint pauses or has paused, `None` if it did not.
     pub fn set_pause(&mut self, until: Option<Time>) {
         match until {
--- a/crates/core/src/direct/load_reports.rs
+++ b/crates/core/src/direct/load_reports.rs
@@ -3,8 +3,10 @@
 //! Load pattern: rollouts while loaders stand still, are killed or cannot reach a gateway. Silence
 //! proves nothing: an engine that a loader looks after is used with those versions only that are
 //! reported as proved, by whatever way the report came, and for as long as no later load is known.
+//! Where nobody reports, an engine that has begun no load since its start proves what it holds.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
@@ -12,9 +14,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{catalog::LoadedModel, endpoint_notices::Start, send_time::SendStamp};
+use super::{
+    catalog::LoadedModel, endpoint_notices::Start, platform::EngineReport, send_time::SendStamp,
+};
 use crate::{
-    ids::{ModelId, ZoneId},
+    ids::{Incarnation, ModelId, ZoneId},
     time::Time,
     units::Span,
 };
@@ -23,9 +27,6 @@
 const MAX_REPORTS: usize = 4_096;
 /// Time for which a change is told in each round; after it, peers ask where they lack it.
 const NEWS_TIME: Span = Span::secs(5);
-/// Time since the start after which a zone of which no loader has been heard counts as one without
-/// loaders: it covers a restart or standstill of all of them.
-const LOADER_WAIT: Time = Time(20_000_000);
 
 /// What is known of the last load of an engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -43,6 +44,23 @@
 }
 
 impl LoadReport {
+    /// Returns the report that an engine gives of itself at an address, `None` once it has begun a
+    /// load: what it held before, operators gave it.
+    ///
+    /// It replaces no report of another start by a loader, which may have come to know of a later one.
+    pub fn of_engine(addr: SocketAddr, report: &EngineReport) -> Option<Self> {
+        let started_ms = report.started_ms?;
+        let is_given = report.orders_begun == 0 && !report.busy && !report.versions.is_empty();
+        let at = Time(started_ms.saturating_mul(1_000));
+        is_given.then(|| Self {
+            start: Start { addr, started_ms: Some(started_ms) },
+            orders: 0,
+            versions: report.versions.clone(),
+            proved: true,
+            known_at: SendStamp { incarnation: Incarnation::default(), at },
+        })
+    }
+
     /// Returns the versions for logs, as in `m/2`.
     pub fn versions_text(&self) -> String {
         let versions = self.versions.iter().map(|(model, version)| format!("{model}/{version}"));
@@ -94,12 +112,44 @@
     }
 }
 
+/// Whether a report still counts.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Standing {
+    /// No later load is known of.
+    Valid,
+    /// A later load seems to have ended, of which no report has arrived; the engine can tell.
+    Doubted,
+    /// A later load has ended, of which no report has arrived.
+    Outdated,
+}
+
 #[derive(Clone, Debug)]
 struct KnownLoad {
     report: Rc<LoadReport>,
     heard_at: Time,
-    /// Whether a later load is known to have ended, of which no report has arrived.
-    outdated: bool,
+    standing: Standing,
+    /// The models of which the reported version has been published since.
+    published: BTreeSet<ModelId>,
+}
+
+impl KnownLoad {
+    /// Returns how the report stands as a complete version is published, which is that of an earlier
+    /// time if it is `restored`.
+    fn standing_with(&mut self, loaded: &LoadedModel, restored: bool) -> Standing {
+        let Some(version) = self.report.versions.get(&loaded.model) else { return Standing::Valid };
+        match loaded.version.cmp(version) {
+            Ordering::Greater => Standing::Outdated,
+            Ordering::Equal => {
+                self.published.insert(loaded.model.clone());
+                Standing::Valid
+            }
+            // Until the list has reached the reported version, it may show what was before.
+            Ordering::Less if restored || !self.published.contains(&loaded.model) => {
+                Standing::Valid
+            }
+            Ordering::Less => Standing::Doubted,
+        }
+    }
 }
 
 /// What is known of the last loads of all engines, by address.
@@ -117,14 +167,19 @@
     pub fn merge(&mut self, now: Time, report: LoadReport) -> bool {
         let addr = report.start.addr;
         if let Some(known) = self.loads.get(&addr) {
-            let is_missed = known.outdated
+            let is_missed = known.standing != Standing::Valid
                 && known.report.start == report.start
                 && known.report.orders == report.orders;
             if is_missed || !report.supersedes(&known.report) {
                 return false;
             }
         }
-        let known = KnownLoad { report: Rc::new(report), heard_at: now, outdated: false };
+        let known = KnownLoad {
+            report: Rc::new(report),
+            heard_at: now,
+            standing: Standing::Valid,
+            published: BTreeSet::new(),
+        };
         self.loads.insert(addr, known);
         if self.loads.len() > MAX_REPORTS {
             let oldest = self.loads.iter().min_by_key(|(_, known)| known.heard_at);
@@ -139,30 +194,49 @@
     /// reached are known, and whether the engines get their weights from an origin, which loaders
     /// bring; returns whether anything changed.
     ///
-    /// A zone whose loaders are gone keeps needing reports: what they have loaded last is not known.
+    /// Where there is an origin, silence does not count as the absence of loaders. A zone whose loaders
+    /// are gone keeps needing reports: what they have loaded last is not known.
     pub fn record_loaders(
         &mut self,
-        now: Time,
         zones: impl IntoIterator<Item = ZoneId>,
         is_settled: bool,
         has_origin: bool,
     ) -> bool {
         let before = (self.loader_zones.len(), self.trusts_published);
         self.loader_zones.extend(zones);
-        self.trusts_published = is_settled && (!has_origin || now >= LOADER_WAIT);
+        self.trusts_published = is_settled && !has_origin;
         before != (self.loader_zones.len(), self.trusts_published)
     }
 
-    /// Records what is published of an endpoint: a version above the reported one is the result of a
-    /// load that is not known here, also if the reported version returns.
-    pub fn record_published(&mut self, start: &Start, loaded: &[LoadedModel]) {
+    /// Records what is published of an endpoint: a version above the reported one, or any other one
+    /// after it, is the result of a load that is not known here, also if the reported version returns.
+    ///
+    /// An entry that the platform has restored may be older than the report.
+    pub fn record_published(&mut self, start: &Start, loaded: &[LoadedModel], restored: bool) {
         let Some(known) = self.loads.get_mut(&start.addr) else { return };
+        if !known.report.start.matches(start) {
+            return;
+        }
+        for loaded in loaded.iter().filter(|loaded| loaded.complete) {
+            known.standing = known.standing.max(known.standing_with(loaded, restored));
+        }
+    }
+
+    /// Records what an engine says of itself: a doubted report counts again if no load has begun
+    /// since; returns whether it does.
+    pub fn confirm(&mut self, addr: SocketAddr, word: &EngineReport) -> bool {
+        let Some(known) = self.loads.get_mut(&addr) else { return false };
         let report = &known.report;
-        let is_above = |loaded: &LoadedModel| {
-            let version = report.versions.get(&loaded.model);
-            loaded.complete && version.is_some_and(|version| loaded.version > *version)
-        };
-        known.outdated |= report.start.matches(start) && loaded.iter().any(is_above);
+        let is_same = word.started_ms.is_some()
+            && report.start.started_ms == word.started_ms
+            && (report.orders, &report.versions) == (word.orders_begun, &word.versions)
+            && !word.busy;
+        let is_confirmed = known.standing == Standing::Doubted && is_same;
+        if is_confirmed {
+            known.standing = Standing::Valid;
+            known.published.clear();
+        }
+        is_confirmed && known.report.proved
     }
 
     /// Returns the report of a start of an engine.
@@ -174,7 +248,9 @@
     /// Returns what is known of the loads of an endpoint with this published start.
     pub fn knowledge(&self, start: &Start, zone: &ZoneId) -> LoadKnowledge {
         match self.loads.get(&start.addr) {
-            Some(known) if known.outdated || !known.report.start.matches(start) => {
+            Some(known)
+                if known.standing != Standing::Valid || !known.report.start.matches(start) =>
+            {
                 LoadKnowledge::Awaited
             }
             Some(known) => LoadKnowledge::Reported(known.report.clone()),
--- a/crates/sequoiahold/src/node/mod.rs
+++ b/crates/sequoiahold/src/node/mod.rs
@@ -21,7 +21,7 @@
         load_reports::{LoadReport, LoadReports},
         membership::{Member, Membership, Role},
         mirror::{Change, Mirror, Revision},
-        platform::{Codec, PublishedValue},
+        platform::{Codec, EngineReport, PublishedValue},
         send_time::SendStamp,
         view::{AnnouncedVersion, Effect, View},
     },
@@ -301,16 +301,26 @@
         }
     }
 
+    /// Records what an engine says of a load that is in doubt; returns whether it is proved again.
+    pub fn confirm_load(&self, addr: SocketAddr, report: &EngineReport) -> bool {
+        let is_confirmed = self.loads.borrow_mut().confirm(addr, report);
+        if is_confirmed {
+            self.notify_subscribers();
+        }
+        is_confirmed
+    }
+
     /// Records the availability zones of the known loaders.
     pub fn record_loaders(&self) {
         let now = self.now();
+        // Without a catalog there may be one.
         let has_origin =
-            self.view.borrow().catalog().is_some_and(|catalog| catalog.origin().is_some());
+            self.view.borrow().catalog().is_none_or(|catalog| catalog.origin().is_some());
         let changed = {
             let membership = self.membership.borrow();
             let zones = membership.known_with_role(Role::Loader).map(|member| member.zone.clone());
             let is_settled = membership.is_settled(now);
-            self.loads.borrow_mut().record_loaders(now, zones, is_settled, has_origin)
+            self.loads.borrow_mut().record_loaders(zones, is_settled, has_origin)
         };
         if changed {
             self.notify_subscribers();
