Soak: a storm in which orders mostly meet a busy engine

Plans of the seeds below are as they were.

WHOLE is judged there by the chunks as the order is accepted, for each request that begins on the load; the check as an order arrives stays for the seeds below. All other checks are as they were, and engine faults of the storm do not count as a disturbance.

The summary line has the requests on bad loads, the loads of each engine, and the time from the last version until all engines hold it for good.

--- a/crates/standins/src/soak/engine.rs
+++ b/crates/standins/src/soak/engine.rs
@@ -1,5 +1,6 @@
 //! Simulated engine that holds a version of the weights, queues requests and can crash.
 
+mod busy;
 mod load;
 
 use std::{
@@ -19,7 +20,7 @@
 use serde_json::{Value, json};
 use tokio::sync::{Semaphore, mpsc};
 
-use self::load::OrderHang;
+use self::{busy::BusyTimes, load::OrderHang};
 use super::{
     journal::{AttemptId, Journal, Run},
     staged::StagedChunks,
@@ -75,6 +76,10 @@
     order_hang: Option<OrderHang>,
     /// The time until which it answers nothing.
     hangs_until: Option<Instant>,
+    /// How it meets orders and staging calls in a storm.
+    busy: Option<BusyTimes>,
+    /// Number of loads begun since the start of the soak.
+    loads: u32,
     rng: SmallRng,
 }
 
@@ -134,6 +139,8 @@
             unusable: vec![],
             order_hang: None,
             hangs_until: None,
+            busy: None,
+            loads: 0,
             rng: SmallRng::seed_from_u64(seed),
         };
         let engine = Self {
@@ -231,6 +238,9 @@
         (state.says_leaving, state.pause) = (false, None);
         (state.order_hang, state.hangs_until) = (None, None);
         state.unusable.clear();
+        if let Some(busy) = &mut state.busy {
+            busy.until = None;
+        }
     }
 
     fn models(&self, state: &State) -> Value {
@@ -254,13 +264,9 @@
             }
             (Some("stage-put"), _) => {
                 let body = reply::read_body(&mut request).await;
-                self.state.borrow_mut().staged.stage(chunk.unwrap_or(0), body);
-                reply::status(200)
-            }
-            (Some("stage-get"), _) => {
-                let staged = self.state.borrow().staged.read(chunk.unwrap_or(0));
-                staged.map_or(reply::status(404), reply::data)
+                self.stage(chunk.unwrap_or(0), body).await
             }
+            (Some("stage-get"), _) => self.read_staged(chunk.unwrap_or(0)).await,
             _ => {
                 let response = self.serve(&request).await;
                 self.advertise(&request, response)
--- a/crates/standins/src/soak/engine/load.rs
+++ b/crates/standins/src/soak/engine/load.rs
@@ -46,6 +46,11 @@
         chunks.iter().for_each(|number| state.staged.corrupt(Instant::now(), *number));
     }
 
+    /// Returns the number of loads begun since the start of the soak.
+    pub(in crate::soak) fn loads(&self) -> u32 {
+        self.state.borrow().loads
+    }
+
     /// Waits while the engine hangs; returns whether it has not started again meanwhile.
     pub(super) async fn wait_while_hanging(&self) -> bool {
         let (until, epoch) = {
@@ -61,11 +66,15 @@
     /// Answers an order, which is accepted also if its sender disconnects meanwhile.
     pub(super) async fn order(&self, body: &[u8]) -> Response<Body> {
         let Ok(order) = serde_json::from_slice::<Order>(body) else { return reply::status(400) };
-        self.check_staged(order.version);
+        if self.state.borrow().busy.is_none() {
+            self.check_staged(order.version);
+        }
         self.begin_hang();
+        self.begin_busy();
         let engine = self.clone();
         let accepted = actix_rt::spawn(async move {
-            engine.wait_while_hanging().await.then(|| engine.accept(&order))
+            let lives = engine.wait_while_busy().await && engine.wait_while_hanging().await;
+            lives.then(|| engine.accept(&order))
         });
         match accepted.await {
             Ok(Some(status)) => reply::status(status),
@@ -123,6 +132,7 @@
         let epoch = {
             let mut state = self.state.borrow_mut();
             (state.loading, state.orders) = (true, state.orders + 1);
+            state.loads += 1;
             state.unusable = unusable;
             state.epoch
         };
--- a/crates/standins/src/soak/faults.rs
+++ b/crates/standins/src/soak/faults.rs
@@ -1,6 +1,7 @@
 //! Faults injected from outside the processes: signals, broken links, a failing store, crashes.
 
 mod loads;
+mod storm;
 
 use std::time::{Duration, Instant};
 
@@ -40,16 +41,18 @@
     let mut extra = SmallRng::seed_from_u64(plan.seed.rotate_left(16));
     let mut notices = SmallRng::seed_from_u64(plan.seed.rotate_left(24));
     let mut loads = SmallRng::seed_from_u64(plan.seed.rotate_left(40));
+    let mut storms = SmallRng::seed_from_u64(plan.seed.rotate_left(48));
     for round in &plan.rounds {
         fleet.seats.iter().for_each(|seat| seat.engine.set_rate_limit(None));
         let mut restores = SmallRng::seed_from_u64(extra.random());
-        let (noticed, loaded, stormed, restored) = tokio::join!(
+        let (noticed, loaded, lasting, stormed, restored) = tokio::join!(
             give_notice(fleet, plan, &mut notices),
             loads::disturb(fleet, plan, &mut loads),
+            storm::play(fleet, plan, &mut storms),
             storm(fleet, plan, round, &mut rng),
             series(plan.extended, &mut restores, async |rng| restore_store(fleet, rng).await),
         );
-        noticed.and(loaded).and(stormed).and(restored)?;
+        noticed.and(loaded).and(lasting).and(stormed).and(restored)?;
         if plan.extended {
             limit_engines(fleet, &mut extra);
         }
@@ -128,10 +131,20 @@
 async fn series(
     enabled: bool,
     rng: &mut SmallRng,
+    fault: impl AsyncFnMut(&mut SmallRng) -> anyhow::Result<()>,
+) -> anyhow::Result<()> {
+    let time = if enabled { STORM_TIME } else { Duration::ZERO };
+    series_for(time, rng, fault).await
+}
+
+/// Repeats a fault for a time; the last one ends in full.
+async fn series_for(
+    time: Duration,
+    rng: &mut SmallRng,
     mut fault: impl AsyncFnMut(&mut SmallRng) -> anyhow::Result<()>,
 ) -> anyhow::Result<()> {
-    let end = actix_rt::time::Instant::now() + STORM_TIME;
-    while enabled && actix_rt::time::Instant::now() < end {
+    let end = actix_rt::time::Instant::now() + time;
+    while actix_rt::time::Instant::now() < end {
         sleep(millis(rng, 50..600)).await;
         fault(rng).await?;
     }
@@ -154,7 +167,8 @@
         sleep(*pause).await;
         fleet.publish_version();
     }
-    let loads = load_engines(fleet, plan, round.late_engines);
+    let (loads, held) =
+        (load_engines(fleet, plan, round.late_engines), wait_until_held(fleet, plan));
     let mut signals = SmallRng::seed_from_u64(rng.random());
     let disturbed = series(true, &mut signals, async |rng| signal_process(fleet, rng).await);
     let rest = async {
@@ -165,10 +179,22 @@
             fleet.journal.report("RECOVER", "all gateways", "no request is answered any more");
         }
     };
-    let ((), result, ()) = tokio::join!(loads, disturbed, rest);
+    let ((), (), result, ()) = tokio::join!(loads, held, disturbed, rest);
     result
 }
 
+/// Records how long it takes until all engines hold the newest version and keep it.
+async fn wait_until_held(fleet: &Fleet, plan: &Plan) {
+    let (start, version) = (Instant::now(), fleet.newest_version());
+    let mut since = None;
+    while start.elapsed() < plan.bound + CALM_MARGIN {
+        let is_held = fleet.seats.iter().all(|seat| seat.engine.version() == Some(version));
+        since = is_held.then(|| since.unwrap_or_else(Instant::now));
+        sleep(CHECK_INTERVAL).await;
+    }
+    fleet.journal.hold_all(version, since);
+}
+
 /// Has the engines load the newest version, the late ones just after the rollout time.
 async fn load_engines(fleet: &Fleet, plan: &Plan, late: usize) {
     if plan.loaders {
--- a/crates/standins/src/soak/fleet.rs
+++ b/crates/standins/src/soak/fleet.rs
@@ -165,6 +165,9 @@
             let (addr, instance) = (loopback_addr(), format!("i-{number}"));
             let engine =
                 Engine::start(addr, &instance, 1, plan.seed + number as u64, &journal).await?;
+            if let Some(storm) = &plan.storm {
+                engine.prepare_storm(storm.slow_reads, !plan.seed ^ number as u64);
+            }
             let link = TcpRelay::start(loopback_addr(), addr).await?;
             fleet.seats.push(Seat { engine, link, published: RefCell::default() });
         }
--- a/crates/standins/src/soak/journal.rs
+++ b/crates/standins/src/soak/journal.rs
@@ -134,6 +134,10 @@
     lag: Duration,
     answered: u64,
     bad_loads: u32,
+    /// Number of requests that began on such a load.
+    bad_runs: u32,
+    /// The time from the last version until all engines held it for good.
+    held: Option<Duration>,
     violations: Vec<String>,
 }
 
@@ -173,6 +177,23 @@
         self.state.borrow().bad_loads
     }
 
+    /// Returns the number of requests that began on a load from such chunks.
+    pub(super) fn bad_runs(&self) -> u32 {
+        self.state.borrow().bad_runs
+    }
+
+    /// Records since when all engines hold a version, `None` if some do not.
+    pub(super) fn hold_all(&self, version: u64, since: Option<Instant>) {
+        let state = &mut *self.state.borrow_mut();
+        let published = state.versions.get(&version).copied();
+        state.held = since.zip(published).map(|(since, at)| since.saturating_duration_since(at));
+    }
+
+    /// Returns how long it took until all engines held the last version, `None` if some do not.
+    pub(super) fn held(&self) -> Option<Duration> {
+        self.state.borrow().held
+    }
+
     /// Returns the longest time for which the soak stood still.
     pub(super) fn lag(&self) -> Duration {
         self.state.borrow().lag
@@ -354,6 +375,7 @@
         let removed = state.keys.get(&sent.key).map(|(_, removed)| *removed);
         drop(state);
         if !run.unusable.is_empty() {
+            self.state.borrow_mut().bad_runs += 1;
             let (instance, chunks) = (&run.instance, &run.unusable);
             let (gateway, version) = (sent.gateway, run.version);
             let text = format!(
--- a/crates/standins/src/soak/mod.rs
+++ b/crates/standins/src/soak/mod.rs
@@ -126,25 +126,40 @@
         () = ticks => {}
     }
     let violations = fleet.journal.violations();
-    let (sent, runs, answered) = fleet.journal.counts();
-    let verdict = match violations.len() {
+    let summary = summary(&plan, &fleet, start.elapsed());
+    if violations.is_empty() {
+        std::fs::remove_dir_all(&fleet.dir)?;
+    }
+    Ok(Outcome { summary, violations })
+}
+
+/// Returns the line that sums up a seed.
+fn summary(plan: &Plan, fleet: &Fleet, time: Duration) -> String {
+    let journal = &fleet.journal;
+    let (sent, runs, answered) = journal.counts();
+    let loads: Vec<u32> = fleet.seats.iter().map(|seat| seat.engine.loads()).collect();
+    let held = match journal.held() {
+        Some(time) => format!("held by all after {:.1} s", time.as_secs_f64()),
+        None => "not held by all".to_owned(),
+    };
+    let verdict = match journal.violations().len() {
         0 => "ok".to_owned(),
         count => format!("FAILED, {count} violations, logs in {}", fleet.dir.display()),
     };
-    let summary = format!(
-        "seed {seed}: {} gateways, {} engines{}{}, bound {:?}, {sent} requests, {runs} runs, \
-         {answered} answered, {} bad loads, lag {} ms, {:.0} s: {verdict}",
+    format!(
+        "seed {}: {} gateways, {} engines{}{}, bound {:?}, {sent} requests, {runs} runs, \
+         {answered} answered, {} on bad loads, version {} {held}, loads per engine {loads:?}, \
+         {} bad loads, lag {} ms, {:.0} s: {verdict}",
+        plan.seed,
         plan.gateways,
         plan.engines,
         if plan.loaders { " with loaders" } else { "" },
         if plan.slow { ", some slow" } else { "" },
         plan.bound,
-        fleet.journal.bad_loads(),
-        fleet.journal.lag().as_millis(),
-        start.elapsed().as_secs_f64(),
-    );
-    if violations.is_empty() {
-        std::fs::remove_dir_all(&fleet.dir)?;
-    }
-    Ok(Outcome { summary, violations })
+        journal.bad_runs(),
+        fleet.newest_version(),
+        journal.bad_loads(),
+        journal.lag().as_millis(),
+        time.as_secs_f64(),
+    )
 }
--- a/crates/standins/src/soak/plan.rs
+++ b/crates/standins/src/soak/plan.rs
@@ -18,6 +18,9 @@
 /// First seed whose staged chunks turn corrupt and whose engines hang with orders, with loaders.
 const FIRST_CORRUPTION_SEED: u64 = 50_000;
 
+/// First seed with a storm around loads, in which orders mostly meet a busy engine.
+const FIRST_STORM_SEED: u64 = 60_000;
+
 /// What happens in a soak.
 #[derive(Clone, Debug)]
 pub(super) struct Plan {
@@ -43,6 +46,19 @@
     pub(super) notices: bool,
     /// Whether staged chunks turn corrupt, and engines hang with orders.
     pub(super) corruption: bool,
+    /// The storm around loads.
+    pub(super) storm: Option<Storm>,
+}
+
+/// A time in which versions follow each other while orders mostly meet a busy engine.
+#[derive(Clone, Debug)]
+pub(super) struct Storm {
+    /// Its length.
+    pub(super) time: Duration,
+    /// Whether reads of staged chunks are slow.
+    pub(super) slow_reads: bool,
+    /// Whether engines and their loaders lose power.
+    pub(super) power: bool,
 }
 
 /// Some seconds of overlapping faults, then a time without faults of the store and of links.
@@ -79,20 +95,41 @@
         let mut rng = SmallRng::seed_from_u64(seed);
         let gateways = gateways.unwrap_or_else(|| rng.random_range(2..=6));
         let bound = VERSION_BOUNDS_MS.choose(&mut rng).copied().unwrap_or(8_000);
-        let engines = rng.random_range(3..=5).max(gateways / 6);
-        let rounds = if bound == VERSION_BOUNDS_MS[0] { 2 } else { 1 };
+        let mut engines = rng.random_range(3..=5).max(gateways / 6);
+        let mut storms = SmallRng::seed_from_u64(seed.rotate_left(8));
+        let storm = (seed >= FIRST_STORM_SEED).then(|| Storm::draw(&mut storms));
+        if storm.is_some() {
+            engines = storms.random_range(5..=8);
+        }
+        let count = if bound == VERSION_BOUNDS_MS[0] && storm.is_none() { 2 } else { 1 };
+        let mut rounds: Vec<Round> = (0..count).map(|_| Round::draw(&mut rng, engines)).collect();
+        if storm.is_some() {
+            // The last version of the storm is the one that all engines must hold in the end.
+            rounds.iter_mut().for_each(|round| round.versions.clear());
+        }
         Self {
             seed,
             gateways,
             engines,
             callers: (3 * engines).max(gateways),
             bound: Duration::from_millis(bound),
-            rounds: (0..rounds).map(|_| Round::draw(&mut rng, engines)).collect(),
+            rounds,
             loaders: rng.random_bool(0.4) || seed >= FIRST_CORRUPTION_SEED,
             slow: rng.random_bool(0.4),
             extended: seed >= FIRST_EXTENDED_SEED,
-            notices: seed >= FIRST_NOTICE_SEED,
-            corruption: seed >= FIRST_CORRUPTION_SEED,
+            notices: (FIRST_NOTICE_SEED..FIRST_STORM_SEED).contains(&seed),
+            corruption: (FIRST_CORRUPTION_SEED..FIRST_STORM_SEED).contains(&seed),
+            storm,
+        }
+    }
+}
+
+impl Storm {
+    fn draw(rng: &mut SmallRng) -> Self {
+        Self {
+            time: Duration::from_millis(rng.random_range(24_000..45_000)),
+            slow_reads: rng.random_bool(0.5),
+            power: rng.random_bool(0.5),
         }
     }
 }
--- a/crates/standins/src/soak/staged.rs
+++ b/crates/standins/src/soak/staged.rs
@@ -36,6 +36,11 @@
         self.0.insert(number, Chunk { data, corrupt_since: None });
     }
 
+    /// Removes all chunks.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+
     /// Turns a chunk corrupt if it is staged and intact.
     pub fn corrupt(&mut self, now: Instant, number: u64) {
         if let Some(chunk) = self.0.get_mut(&number) {
--- a/crates/standins/tests/soak_staged.rs
+++ b/crates/standins/tests/soak_staged.rs
@@ -70,6 +70,15 @@
     assert_eq!(staged.find_mismatch(VERSION), Some(0));
 }
 
+#[test]
+fn chunks_are_missing_once_they_are_removed() {
+    let mut staged = StagedChunks::complete(VERSION);
+    staged.clear();
+    assert_eq!(staged.read(3), None);
+    let missing = StagedChunks::default().unusable(Instant::now(), VERSION);
+    assert_eq!(staged.unusable(Instant::now(), VERSION), missing);
+}
+
 #[test]
 fn corrupt_chunk_reads_wrong_until_it_is_staged_again() {
     let mut staged = StagedChunks::complete(VERSION);
