--- a/crates/standins/src/hosted/loaders.rs
+++ b/crates/standins/src/hosted/loaders.rs
@@ -64,6 +64,11 @@
         });
     }
 
+    /// Has a process that stands still go on.
+    pub fn resume(&self) {
+        self.signal(Signal::Continue);
+    }
+
     /// Returns the lines that the process has logged; fails if they cannot be read.
     pub fn log(&self) -> std::io::Result<String> {
         std::fs::read_to_string(self.dir.join(format!("{}.log", self.vm)))
--- a/crates/standins/tests/process_loaders.rs
+++ b/crates/standins/tests/process_loaders.rs
@@ -12,8 +12,8 @@
 const STANDSTILL: Duration = Duration::from_secs(8);
 /// Time after the order at which its chunks turn bad.
 const SPOIL_DELAY: Duration = Duration::from_millis(300);
-/// Time for which a loader stands still beyond any wait of a gateway for it.
-const LONG_STANDSTILL: Duration = Duration::from_secs(36);
+/// Time for which a loader stands still unless the test resumes it.
+const LONG_STANDSTILL: Duration = Duration::from_secs(600);
 /// Time after which loaders used to count as gone, and some more.
 const LOADER_WAIT: Duration = Duration::from_secs(24);
 /// Time within which a gateway must have asked an engine that no loader reports on.
@@ -210,6 +210,7 @@
     fleet.wait_ready().await.expect("a ready gateway");
     assert_eq!(fleet.call_for(LOADER_WAIT).await, 0, "a load that nobody has proved is used");
     assert!(!fleet.engines[0].loads().iter().all(|load| load.bad.is_empty()), "no bad load");
+    fleet.loaders[0].resume();
     assert!(fleet.call_for(ROLLOUT_TIMEOUT).await > 0, "version 2 is not served whole in the end");
     assert_eq!(bad_runs(&fleet), []);
 }
