Lost chunks are staged beside an order that reached a later start

Callers: an engine that lost power with its order under way was ordered to load without any chunk, and its first version never served again.

Cause, of: an order that may have reached the new start counted as the process's own, beside which nothing is staged. It now counts like one of an earlier process: chunks are staged, and a load that an unknown order begins meanwhile is doubtful.

--- a/crates/core/src/direct/load_proof.rs
+++ b/crates/core/src/direct/load_proof.rs
@@ -51,7 +51,8 @@
     open_order: bool,
     /// Whether an order was sent since the last report of the engine.
     unseen_order: bool,
-    /// Whether an order of an earlier process may be open.
+    /// Whether an order of an earlier process, or one that reached a start of the engine before it was
+    /// seen, may be open.
     foreign_order: bool,
     /// Whether chunks were staged while an order was open, since the engine last reported that it
     /// had begun no load.
@@ -161,12 +162,12 @@
     /// Records that the engine has started again: what was staged may be lost, and the calls that
     /// the earlier start received are over.
     ///
-    /// Calls sent since its last report may have reached the new start.
+    /// Calls sent since its last report may have reached the new start. What an order among them
+    /// would load may be gone, so that chunks are staged beside it.
     pub fn record_engine_start(&mut self) {
-        let (open_order, open_stagings) = (self.unseen_order, self.unseen_stagings);
+        let open_stagings = self.unseen_stagings;
         *self = Self {
-            open_order,
-            unseen_order: open_order,
+            foreign_order: self.unseen_order,
             open_stagings,
             unseen_stagings: open_stagings,
             ..Self::default()
