The only version of a model needs no check after its load

Callers: a new VM was never used, as one chunk turned corrupt just after the order for its first version.

Cause, of: the check after the load, against late calls of an earlier process, found that chunk, and no version can be loaded in between. Such calls can only stage intact chunks of the same version where there is no other, which spoils nothing that the check before the order has found intact.

--- a/crates/sequoiahold/src/loader/load.rs
+++ b/crates/sequoiahold/src/loader/load.rs
@@ -6,7 +6,7 @@
 use sequoiahold_core::{
     direct::{
         engine_load::LoadEvidence,
-        load_proof::{AcceptedOrder, ChunkCheck, LoadProof, LoadVerdict},
+        load_proof::{AcceptedOrder, ChunkCheck, ForeignChunks, LoadProof, LoadVerdict},
         load_schedule::load_start,
         membership::Role,
         platform::{ChunkList, Codec, EngineReport, LoadOrder},
@@ -19,6 +19,8 @@
 use super::{Loader, engine::OrderReply, report, sources, stage, target::Target};
 use crate::node::{Datagram, LoadingNotice};
 
+/// Number of the first version of a model.
+const FIRST_VERSION: u64 = 1;
 /// Interval between probes of a loading engine, and between notices to gateways.
 const POLL_INTERVAL: Duration = Duration::from_millis(60);
 /// Timeout for a load, from its order to its end.
@@ -36,12 +38,8 @@
     target: &Target,
     list: &ChunkList,
 ) -> anyhow::Result<()> {
-    let is_new = {
-        let view = loader.node.view.borrow();
-        let versions = view.target(&target.model);
-        versions.is_some_and(|versions| versions.is_announced_since_start(target.version))
-    };
-    loader.update_proof(|proof| proof.begin_load(is_new));
+    let staged = foreign_chunks(loader, target);
+    loader.update_proof(|proof| proof.begin_load(staged));
     check_chunks(loader, target, list).await?;
     loop {
         wait_for_load_start(loader, target).await;
@@ -93,6 +91,19 @@
     }
 }
 
+/// Returns of which versions an earlier process may have staged chunks.
+fn foreign_chunks<C: Codec>(loader: &Loader<C>, target: &Target) -> ForeignChunks {
+    let view = loader.node.view.borrow();
+    let versions = view.target(&target.model);
+    match target.version {
+        FIRST_VERSION => ForeignChunks::OnlyVersion,
+        version if versions.is_some_and(|versions| versions.is_announced_since_start(version)) => {
+            ForeignChunks::OtherVersions
+        }
+        _ => ForeignChunks::AnyVersion,
+    }
+}
+
 /// Waits for the staggered load start of this engine; one that holds no version, or whose rollout
 /// has no known start, loads at once.
 async fn wait_for_load_start<C: Codec>(loader: &Loader<C>, target: &Target) {
