--- a/crates/standins/src/hosted/loaders.rs
+++ b/crates/standins/src/hosted/loaders.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 
 use super::{
-    Call, Store, WeightEngine, WeightOrigin,
+    Call, EngineRun, Store, WeightEngine, WeightOrigin,
     cluster::exchange,
     gateway_config, gateway_settings, loopback_addr,
     settings::add_engine,
@@ -196,6 +196,12 @@
         answered
     }
 
+    /// Returns the requests that ran on a load from bad chunks.
+    pub fn bad_runs(&self) -> Vec<EngineRun> {
+        let runs = self.engines.iter().flat_map(|engine| engine.runs());
+        runs.filter(|run| !run.bad.is_empty()).collect()
+    }
+
     /// Waits until an engine holds a version; returns whether it does within `timeout`.
     pub async fn wait_version(&self, engine: usize, version: u64, timeout: Duration) -> bool {
         self.wait_until(timeout, || self.engines[engine].version() == Some(version)).await
--- a/crates/standins/tests/process_loaders_calls.rs
+++ b/crates/standins/tests/process_loaders_calls.rs
@@ -29,11 +29,6 @@
     fleet
 }
 
-fn bad_runs(fleet: &LoaderFleet) -> Vec<EngineRun> {
-    let runs = fleet.engines.iter().flat_map(|engine| engine.runs());
-    runs.filter(|run| !run.bad.is_empty()).collect()
-}
-
 /// Sends requests until a whole version is served, which must come about without a request that
 /// runs on a bad load.
 async fn serve_until_whole(fleet: &LoaderFleet, version: u64) {
@@ -43,7 +38,7 @@
         engine.runs().last().is_some_and(is_last)
     };
     let deadline = Instant::now() + ROLLOUT_TIMEOUT;
-    while Instant::now() < deadline && bad_runs(fleet).is_empty() && !is_whole() {
+    while Instant::now() < deadline && fleet.bad_runs().is_empty() && !is_whole() {
         fleet.call().await;
         actix_rt::time::sleep(CALL_INTERVAL).await;
     }
@@ -54,7 +49,7 @@
         messages.iter().any(|message| line.contains(message))
     };
     let log: Vec<&str> = log.lines().filter(judged).collect();
-    assert_eq!(bad_runs(fleet), [], "loads {:?}, {log:#?}", engine.loads());
+    assert_eq!(fleet.bad_runs(), [], "loads {:?}, {log:#?}", engine.loads());
     assert!(is_whole(), "version {version} is not served whole: {:?}, {log:#?}", engine.loads());
 }
 
@@ -76,15 +71,18 @@
     assert!(engine.held_stagings() == 0, "the call never took effect");
 }
 
-// Guards against a check from before a loss of power counting for an order after it.
-#[actix_rt::test]
-async fn engine_that_loses_power_after_the_check_does_not_load_without_another() {
+/// Publishes a version, has the engine lose power at a step of its load, and waits until a whole one
+/// is served; an order that arrives then meets `fate`.
+async fn serve_after_power_loss(step: Step, fate: Option<OrderFate>) {
     let fleet = start().await;
     let engine = fleet.engines[0].clone();
     let has_restarted = Rc::new(Cell::new(false));
     let (lost, restarted) = (engine.clone(), has_restarted.clone());
-    engine.on_step(Step::ReportAfterCheck, move || {
+    engine.on_step(step, move || {
         lost.lose_power(ENGINE);
+        if let Some(fate) = fate {
+            lost.set_order_fate(fate);
+        }
         restarted.set(true);
     });
     fleet.publish_version(2);
@@ -92,37 +90,22 @@
     assert!(has_restarted.get(), "the engine never lost power");
 }
 
+// Guards against a check from before a loss of power counting for an order after it.
+#[actix_rt::test]
+async fn engine_that_loses_power_after_the_check_does_not_load_without_another() {
+    serve_after_power_loss(Step::ReportAfterCheck, None).await;
+}
+
 // Guards against an order being repeated by an earlier check as the first one went with the power.
 #[actix_rt::test]
 async fn order_that_went_with_the_power_is_not_repeated_without_a_check() {
-    let fleet = start().await;
-    let engine = fleet.engines[0].clone();
-    let has_restarted = Rc::new(Cell::new(false));
-    let (lost, restarted) = (engine.clone(), has_restarted.clone());
-    engine.on_step(Step::Order, move || {
-        lost.lose_power(ENGINE);
-        lost.set_order_fate(OrderFate::Lost);
-        restarted.set(true);
-    });
-    fleet.publish_version(2);
-    serve_until_whole(&fleet, 2).await;
-    assert!(has_restarted.get(), "the engine never lost power");
+    serve_after_power_loss(Step::Order, Some(OrderFate::Lost)).await;
 }
 
 // Guards against an order that a later start of the engine accepts counting for the checked one.
 #[actix_rt::test]
 async fn order_that_a_later_start_accepts_is_not_proved_by_the_check_before() {
-    let fleet = start().await;
-    let engine = fleet.engines[0].clone();
-    let has_restarted = Rc::new(Cell::new(false));
-    let (lost, restarted) = (engine.clone(), has_restarted.clone());
-    engine.on_step(Step::Order, move || {
-        lost.lose_power(ENGINE);
-        restarted.set(true);
-    });
-    fleet.publish_version(2);
-    serve_until_whole(&fleet, 2).await;
-    assert!(has_restarted.get(), "the engine never lost power");
+    serve_after_power_loss(Step::Order, None).await;
 }
 
 // Guards against an order that reached a later start of the engine counting as closed with the
@@ -265,5 +248,5 @@
     assert!(fleet.wait_until(ROLLOUT_TIMEOUT, is_second_held).await, "chunk 5 is not staged again");
     // The loader cannot know when such calls end: the engine may stay out of use.
     fleet.call_for(SETTLE_TIME).await;
-    assert_eq!(bad_runs(&fleet), [], "loads {:?}", engine.loads());
+    assert_eq!(fleet.bad_runs(), [], "loads {:?}", engine.loads());
 }
--- a/crates/standins/tests/process_loaders_calls_review.rs
+++ b/crates/standins/tests/process_loaders_calls_review.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sequoiahold_standins::hosted::{EngineRun, LoaderFleet, Step};
+use sequoiahold_standins::hosted::{LoaderFleet, Step};
 
 /// Time within which a rollout of 6 s and the loads after it must have ended.
 const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(25);
@@ -29,11 +29,6 @@
     fleet
 }
 
-fn bad_runs(fleet: &LoaderFleet) -> Vec<EngineRun> {
-    let runs = fleet.engines.iter().flat_map(|engine| engine.runs());
-    runs.filter(|run| !run.bad.is_empty()).collect()
-}
-
 /// Sends requests until one runs on a version; returns whether it does in time.
 async fn is_served(fleet: &LoaderFleet, version: u64) -> bool {
     let runs = || fleet.engines.iter().flat_map(|engine| engine.runs());
@@ -67,7 +62,7 @@
         fleet.call_for(OUTAGE).await;
     }
     assert!(!fleet.engines[0].loads().iter().all(|load| load.bad.is_empty()), "no bad load");
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
 }
 
 // Guards against an engine being lost where a check of all chunks takes longer than they may have
@@ -79,7 +74,7 @@
     fleet.publish_version(2);
     let is_served = is_served(&fleet, 2).await;
     let versions: Vec<u64> = fleet.engines[0].loads().iter().map(|load| load.version).collect();
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
     assert!(is_served, "version 2 is not served; loaded {versions:?}");
 }
 
@@ -112,6 +107,6 @@
     let has_loaded = || !fleet.engines[0].loads().is_empty();
     assert!(fleet.wait_until(ROLLOUT_TIMEOUT, has_loaded).await, "version 1 is not loaded");
     let answered = fleet.call_for(ROLLOUT_TIMEOUT).await;
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
     assert!(answered > 0, "version 1 is not served: {:?}", fleet.engines[0].loads());
 }
