--- a/crates/core/src/direct/load_reports.rs
+++ b/crates/core/src/direct/load_reports.rs
@@ -222,15 +222,15 @@
         }
     }
 
-    /// Records what an engine says of itself: a doubted report counts again if no load has begun
+    /// Records the report of an engine itself: a doubted report counts again if no load has begun
     /// since; returns whether it does.
-    pub fn confirm(&mut self, addr: SocketAddr, word: &EngineReport) -> bool {
+    pub fn confirm(&mut self, addr: SocketAddr, probed: &EngineReport) -> bool {
         let Some(known) = self.loads.get_mut(&addr) else { return false };
         let report = &known.report;
-        let is_same = word.started_ms.is_some()
-            && report.start.started_ms == word.started_ms
-            && (report.orders, &report.versions) == (word.orders_begun, &word.versions)
-            && !word.busy;
+        let is_same = probed.started_ms.is_some()
+            && report.start.started_ms == probed.started_ms
+            && (report.orders, &report.versions) == (probed.orders_begun, &probed.versions)
+            && !probed.busy;
         let is_confirmed = known.standing == Standing::Doubted && is_same;
         if is_confirmed {
             known.standing = Standing::Valid;
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -7,7 +7,7 @@
 pub mod endpoint_state;
 pub mod engine_load;
 pub mod engine_model;
-pub mod engine_questions;
+pub mod engine_probes;
 pub mod event_splitter;
 pub mod freshness;
 pub mod load_announcer;
--- a/crates/sequoiahold/src/gateway/loads.rs
+++ b/crates/sequoiahold/src/gateway/loads.rs
@@ -1,4 +1,4 @@
-//! What loaders report of the loads of engines, exchanged between gateways, and what engines say.
+//! What loaders report of the loads of engines, exchanged between gateways, and what engines report.
 
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -8,7 +8,7 @@
 use rand::seq::IteratorRandom as _;
 use sequoiahold_core::direct::{
     endpoint_notices::Start,
-    engine_questions::{EngineQuestions, UnknownEngine},
+    engine_probes::{EngineProbes, UnknownEngine},
     load_reports::LoadReport,
     membership::Role,
     platform::{Codec, EngineReport},
@@ -25,19 +25,19 @@
 /// Interval until the process knows its peers, as it may have to serve at once.
 const FIRST_PULL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Pause between two questions to engines.
-const QUESTION_INTERVAL: Duration = Duration::from_millis(50);
+/// Pause between two probes to engines.
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which to look for engines of whose loads nothing is known.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout of a question; the next engine is asked after it.
-const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout of a probe; the next engine is probed after it.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of the report of an engine.
 const MAX_REPORT_BYTES: usize = 65_536;
 
-/// Starts the tasks that ask peers and engines for reports that are missing here.
+/// Starts the tasks that ask peers and probe engines for reports that are missing here.
 pub(super) fn start<C: Codec>(gateway: &Rc<Gateway<C>>) {
     actix_rt::spawn(pull_missing(gateway.clone()));
-    actix_rt::spawn(ask_engines(gateway.clone()));
+    actix_rt::spawn(probe_engines(gateway.clone()));
 }
 
 /// Sends news to one other gateway, which the loader may not reach.
@@ -72,29 +72,29 @@
     }
 }
 
-/// Asks one engine after the other of whose loads nobody reports.
-async fn ask_engines<C: Codec>(gateway: Rc<Gateway<C>>) {
-    let mut questions = EngineQuestions::default();
+/// Probes one engine after the other of whose loads nobody reports.
+async fn probe_engines<C: Codec>(gateway: Rc<Gateway<C>>) {
+    let mut probes = EngineProbes::default();
     loop {
-        let Some(start) = next_question(&gateway, &mut questions) else {
+        let Some(start) = next_probe(&gateway, &mut probes) else {
             actix_rt::time::sleep(LOOK_INTERVAL).await;
             continue;
         };
-        let answer = actix_rt::time::timeout(QUESTION_TIMEOUT, ask_engine(&gateway, start.addr));
+        let answer = actix_rt::time::timeout(PROBE_TIMEOUT, probe_engine(&gateway, start.addr));
         match answer.await.context("no answer in time").flatten() {
             Ok(report) if is_of_start(&report, &start) => {
-                if take_word(&gateway, &start, &report) {
-                    questions.record_answer(&start);
+                if record_engine_report(&gateway, &start, &report) {
+                    probes.record_answer(&start);
                 }
             }
             Ok(_) => log::debug!("the engine at {} has started again", start.addr),
-            Err(error) => log::debug!("cannot ask the engine at {}: {error:#}", start.addr),
+            Err(error) => log::debug!("cannot probe the engine at {}: {error:#}", start.addr),
         }
-        actix_rt::time::sleep(QUESTION_INTERVAL).await;
+        actix_rt::time::sleep(PROBE_INTERVAL).await;
     }
 }
 
-fn next_question<C: Codec>(gateway: &Gateway<C>, questions: &mut EngineQuestions) -> Option<Start> {
+fn next_probe<C: Codec>(gateway: &Gateway<C>, probes: &mut EngineProbes) -> Option<Start> {
     let (node, now) = (&gateway.node, gateway.node.now());
     let membership = node.membership.borrow();
     if !membership.is_settled(now) {
@@ -110,11 +110,11 @@
         UnknownEngine { start, has_loader }
     });
     let unknown: Vec<UnknownEngine> = unknown.collect();
-    questions.next_question(now, &unknown, &mut *node.rng.borrow_mut())
+    probes.next_probe(now, &unknown, &mut *node.rng.borrow_mut())
 }
 
 /// Reads the report of an engine over a connection of its own.
-async fn ask_engine<C: Codec>(
+async fn probe_engine<C: Codec>(
     gateway: &Gateway<C>,
     addr: SocketAddr,
 ) -> anyhow::Result<EngineReport> {
@@ -134,15 +134,19 @@
 }
 
 /// Takes what an engine holds without any load, or without one since a proof that is in doubt, for
-/// proved; returns whether another question would tell no more.
-fn take_word<C: Codec>(gateway: &Gateway<C>, start: &Start, report: &EngineReport) -> bool {
+/// proved; returns whether another probe would tell no more.
+fn record_engine_report<C: Codec>(
+    gateway: &Gateway<C>,
+    start: &Start,
+    report: &EngineReport,
+) -> bool {
     let (addr, orders) = (start.addr.to_string(), report.orders_begun);
     let proof = LoadReport::of_engine(start.addr, report);
     let is_confirmed = gateway.node.confirm_load(start.addr, report);
     let is_proved = proof.is_some() || is_confirmed;
     log::info!(
         addr = addr.as_str(), started_ms = report.started_ms, orders, proved = is_proved;
-        "engine asked for its loads"
+        "engine probed for its loads"
     );
     gateway.node.merge_loads(proof);
     is_proved || orders > 0
