--- a/crates/standins/tests/process_loaders.rs
+++ b/crates/standins/tests/process_loaders.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use sequoiahold_standins::hosted::{EngineRun, LoaderFleet, Step, WeightEngine};
+use sequoiahold_standins::hosted::{LoaderFleet, Step, WeightEngine};
 
 /// Time within which a rollout of 6 s and the loads after it must have ended.
 const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(25);
@@ -45,11 +45,6 @@
     });
 }
 
-fn bad_runs(fleet: &LoaderFleet) -> Vec<EngineRun> {
-    let runs = fleet.engines.iter().flat_map(|engine| engine.runs());
-    runs.filter(|run| !run.bad.is_empty()).collect()
-}
-
 // Guards against chunks checked before the loader stood still being taken for whole afterwards.
 #[actix_rt::test]
 async fn loader_that_stood_still_before_its_order_checks_the_chunks_again() {
@@ -67,7 +62,7 @@
     let bad = fleet.engines[0].loads().into_iter().find(|load| !load.bad.is_empty());
     assert_eq!(bad, None, "chunks that had been bad for over 3 s were loaded");
     assert!(fleet.call_for(CALL_TIME).await > 0, "version 2 is not served");
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
 }
 
 // Guards against the age of a check being counted from its end where reads are slow.
@@ -79,7 +74,7 @@
     fleet.publish_version(2);
     assert!(fleet.wait_version(0, 2, ROLLOUT_TIMEOUT).await, "version 2 is not loaded");
     assert!(fleet.call_for(CALL_TIME).await > 0, "version 2 is not served");
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
 }
 
 // Guards against an order that timed out being accepted later, from chunks that turned bad.
@@ -101,7 +96,7 @@
     let (loaded, _) = futures_util::future::join(waited, fleet.call_for(ROLLOUT_TIMEOUT / 2)).await;
     assert!(loaded, "version 2 is not loaded whole: {:?}", fleet.engines[0].loads());
     assert!(fleet.call_for(CALL_TIME).await > 0, "version 2 is not served");
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
 }
 
 // Guards against chunks of a newer version being staged while an older order is on its way.
@@ -116,7 +111,7 @@
     assert!(fleet.wait_version(0, 3, ROLLOUT_TIMEOUT).await, "version 3 is not loaded");
     let bad = fleet.engines[0].loads().into_iter().find(|load| !load.bad.is_empty());
     assert_eq!(bad, None, "an order loaded chunks of another version");
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
 }
 
 /// Has the engine hang with its next order while its chunks turn bad and the loader stands still.
@@ -143,7 +138,7 @@
     let (loaded, _) = futures_util::future::join(loaded, fleet.call_for(ROLLOUT_TIMEOUT)).await;
     assert!(loaded, "version 2 is not loaded");
     assert!(!fleet.engines[0].loads().iter().all(|load| load.bad.is_empty()), "no bad load");
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
     assert!(fleet.call_for(CALL_TIME).await > 0, "version 2 is not served whole in the end");
 }
 
@@ -157,7 +152,7 @@
     fleet.restart_gateway().expect("a gateway");
     fleet.wait_ready().await.expect("a ready gateway");
     assert!(fleet.call_for(CALL_TIME).await > 0, "the other engine is not used");
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
 }
 
 // Guards against a proved load being forgotten with the loader that proved it.
@@ -212,7 +207,7 @@
     assert!(!fleet.engines[0].loads().iter().all(|load| load.bad.is_empty()), "no bad load");
     fleet.loaders[0].resume();
     assert!(fleet.call_for(ROLLOUT_TIMEOUT).await > 0, "version 2 is not served whole in the end");
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
 }
 
 // Guards against a restarted loader keeping a sound engine from use.
@@ -241,5 +236,5 @@
     fleet.publish_version(2);
     assert!(fleet.wait_version(0, 2, ROLLOUT_TIMEOUT).await, "version 2 is not loaded");
     fleet.call_for(CALL_TIME).await;
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
 }
--- a/crates/standins/tests/process_loaders_calls.rs
+++ b/crates/standins/tests/process_loaders_calls.rs
@@ -53,15 +53,30 @@
     assert!(is_whole(), "version {version} is not served whole: {:?}, {log:#?}", engine.loads());
 }
 
+/// Publishes version 2 and waits until the engine holds the order for it.
+async fn hold_order(fleet: &LoaderFleet) {
+    let engine = &fleet.engines[0];
+    engine.set_order_fate(OrderFate::Held);
+    fleet.publish_version(2);
+    let is_held = || engine.has_held_order();
+    assert!(fleet.wait_until(ROLLOUT_TIMEOUT, is_held).await, "no order is held");
+}
+
+/// Publishes version 2 and waits until the engine holds a call to stage its chunk 5.
+async fn hold_staging(fleet: &LoaderFleet) {
+    let engine = &fleet.engines[0];
+    engine.hold_staging(5);
+    fleet.publish_version(2);
+    let is_held = || engine.held_stagings() == 1;
+    assert!(fleet.wait_until(ROLLOUT_TIMEOUT, is_held).await, "chunk 5 is not staged");
+}
+
 // Guards against a call of a killed loader putting a chunk of another version over a checked one.
 #[actix_rt::test]
 async fn chunk_that_a_killed_loader_stages_late_is_not_used() {
     let fleet = start().await;
     let engine = fleet.engines[0].clone();
-    engine.hold_staging(5);
-    fleet.publish_version(2);
-    let is_held = || engine.held_stagings() == 1;
-    assert!(fleet.wait_until(ROLLOUT_TIMEOUT, is_held).await, "chunk 5 is not staged");
+    hold_staging(&fleet).await;
     fleet.loaders[0].kill();
     fleet.publish_version(3);
     let late = engine.clone();
@@ -154,10 +169,7 @@
 async fn order_of_a_killed_loader_is_not_closed_by_the_rejection_of_another() {
     let fleet = start().await;
     let engine = fleet.engines[0].clone();
-    engine.set_order_fate(OrderFate::Held);
-    fleet.publish_version(2);
-    let is_held = || engine.has_held_order();
-    assert!(fleet.wait_until(ROLLOUT_TIMEOUT, is_held).await, "no order is held");
+    hold_order(&fleet).await;
     let (spoilt, loader) = (engine.clone(), fleet.loaders[0].clone());
     engine.on_step(Step::Order, move || {
         spoilt.set_order_fate(OrderFate::Rejected);
@@ -182,10 +194,7 @@
     let fleet = start().await;
     let engine = fleet.engines[0].clone();
     engine.hold_staging(5);
-    engine.set_order_fate(OrderFate::Held);
-    fleet.publish_version(2);
-    let is_held = || engine.has_held_order();
-    assert!(fleet.wait_until(ROLLOUT_TIMEOUT, is_held).await, "no order is held");
+    hold_order(&fleet).await;
     fleet.loaders[0].kill();
     engine.spoil(&[5]);
     actix_rt::time::sleep(FREEZE_TIME).await;
@@ -203,10 +212,7 @@
 async fn load_is_not_proved_by_chunks_that_a_killed_successor_has_staged_again() {
     let fleet = start().await;
     let engine = fleet.engines[0].clone();
-    engine.set_order_fate(OrderFate::Held);
-    fleet.publish_version(2);
-    let is_held = || engine.has_held_order();
-    assert!(fleet.wait_until(ROLLOUT_TIMEOUT, is_held).await, "no order is held");
+    hold_order(&fleet).await;
     fleet.loaders[0].kill();
     engine.spoil(&[3, 11]);
     actix_rt::time::sleep(FREEZE_TIME).await;
@@ -232,10 +238,7 @@
 async fn chunk_that_two_late_calls_replace_around_the_load_is_not_used() {
     let fleet = start().await;
     let engine = fleet.engines[0].clone();
-    engine.hold_staging(5);
-    fleet.publish_version(2);
-    let is_held = || engine.held_stagings() == 1;
-    assert!(fleet.wait_until(ROLLOUT_TIMEOUT, is_held).await, "chunk 5 is not staged");
+    hold_staging(&fleet).await;
     engine.hold_staging(5);
     fleet.publish_version(3);
     let late = engine.clone();
--- a/crates/standins/tests/process_loaders_review.rs
+++ b/crates/standins/tests/process_loaders_review.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sequoiahold_standins::hosted::{EngineRun, LoaderFleet, Step};
+use sequoiahold_standins::hosted::{LoaderFleet, Step};
 
 /// Time within which a rollout of 6 s and the loads after it must have ended.
 const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(25);
@@ -23,11 +23,6 @@
     fleet
 }
 
-fn bad_runs(fleet: &LoaderFleet) -> Vec<EngineRun> {
-    let runs = fleet.engines.iter().flat_map(|engine| engine.runs());
-    runs.filter(|run| !run.bad.is_empty()).collect()
-}
-
 // Guards against a gateway that starts taking a zone whose only loader stands still for one that
 // has none.
 #[actix_rt::test]
@@ -47,7 +42,7 @@
     fleet.restart_gateway().expect("a gateway");
     fleet.call_for(RESTART_TIME).await;
     assert!(!fleet.engines[0].loads().iter().all(|load| load.bad.is_empty()), "no bad load");
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
 }
 
 // Guards against chunks that an earlier process has staged again since a load being taken for those
@@ -68,7 +63,7 @@
     fleet.loaders[0].start().expect("a loader");
     assert!(fleet.wait_version(0, 2, ROLLOUT_TIMEOUT).await, "version 2 is not loaded");
     fleet.call_for(RESTART_TIME).await;
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
 }
 
 // Guards against a sound engine being lost for good after a restart of all processes, as a staged
@@ -85,7 +80,7 @@
     fleet.restart_gateway().expect("a gateway");
     fleet.wait_ready().await.expect("a ready gateway");
     let answered = fleet.call_for(ROLLOUT_TIMEOUT).await;
-    assert_eq!(bad_runs(&fleet), []);
+    assert_eq!(fleet.bad_runs(), []);
     let log = fleet.loaders[0].log().unwrap_or_default();
     assert!(answered > 0, "the engine is lost: {}", log.lines().last().unwrap_or_default());
 }
