Test of a load that is judged later than a chunk may have been bad

engine_with_slow_reads_is_used_with_a_new_version was written for a check of 3.9 s. Since checks read 12 chunks at a time and take 1.3 s there, so that the test passes without the rule that it was to show; named it as the evidence of that rule, which it is not. It stays, with a comment that is true.

The new test has the check take 2.8 s and the engine answer the order 0.6 s later, and asks that the load is judged over 3 s after its check and not repeated.

--- a/crates/standins/tests/process_loaders_calls_review.rs
+++ b/crates/standins/tests/process_loaders_calls_review.rs
@@ -18,8 +18,12 @@
 const OUTAGE: Duration = Duration::from_secs(2);
 /// Number of restarts of the gateway.
 const RESTARTS: usize = 6;
-/// Time to read a chunk with which a check of all takes longer than a chunk may have been bad.
+/// Time that a slow engine takes to read a chunk.
 const READ_TIME: Duration = Duration::from_millis(650);
+/// Time to read a chunk with which a check of all takes almost as long as a chunk may have been bad.
+const LONG_READ_TIME: Duration = Duration::from_millis(1_400);
+/// Time after which an engine answers an order, with which its load is judged later than that.
+const ANSWER_DELAY: Duration = Duration::from_millis(600);
 /// Time after which an engine accepts an order, longer than the test waits.
 const ORDER_DELAY: Duration = Duration::from_secs(60);
 
@@ -65,8 +69,7 @@
     assert_eq!(fleet.bad_runs(), []);
 }
 
-// Guards against an engine being lost where a check of all chunks takes longer than they may have
-// been bad: calls of an earlier process never count as over.
+// Guards against an engine being lost where a check of all chunks takes long.
 #[actix_rt::test]
 async fn engine_with_slow_reads_is_used_with_a_new_version() {
     let fleet = start().await;
@@ -78,6 +81,27 @@
     assert!(is_served, "version 2 is not served; loaded {versions:?}");
 }
 
+// Guards against a sound load being repeated, as its loader judges it later than a chunk may have been
+// bad, while calls of an earlier process never count as over.
+#[actix_rt::test]
+async fn load_that_is_judged_late_is_used_where_no_earlier_loader_had_its_version() {
+    let fleet = start().await;
+    fleet.engines[0].set_read_time(LONG_READ_TIME);
+    fleet.engines[0].delay_order(ANSWER_DELAY);
+    fleet.publish_version(2);
+    let is_served = is_served(&fleet, 2).await;
+    let versions: Vec<u64> = fleet.engines[0].loads().iter().map(|load| load.version).collect();
+    let log = fleet.loaders[0].log().unwrap_or_default();
+    let check_age = |line: &str| {
+        let entry: serde_json::Value = serde_json::from_str(line).ok()?;
+        entry["check_age_ms"].as_u64()
+    };
+    assert!(log.lines().filter_map(check_age).any(|age_ms| age_ms > 3_000), "not judged late");
+    assert_eq!(fleet.bad_runs(), []);
+    assert!(is_served, "version 2 is not served");
+    assert_eq!(versions, [2], "the engine loaded again");
+}
+
 // Guards against a sound engine of a started VM being lost, as a chunk turns corrupt beside its
 // first order.
 #[actix_rt::test]
