An empty list of client accounts opens no routes to callers without keys

Callers of a deployment whose configuration lists no client account any more got their requests run with any key or none, as if the deployment had never asked for keys.

Cause: the list of accounts was read as an empty map both where the configuration has none and where it has an empty one, and authorize took an empty map for a deployment without accounts.

Change: the catalog holds the accounts as an option, None only where the configuration has no list.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -163,8 +163,9 @@
     pub routes: BTreeMap<String, Vec<Route>>,
     /// The services by name.
     pub services: BTreeMap<ServiceId, Service>,
-    /// The client accounts by name, also those without an API key; empty where callers need none.
-    pub accounts: BTreeMap<ClientId, Account>,
+    /// The client accounts by name, also those without an API key; `None` where the configuration
+    /// has no list of accounts and callers need no key.
+    pub accounts: Option<BTreeMap<ClientId, Account>>,
     /// The names of the client accounts by API key.
     pub api_keys: BTreeMap<String, ClientId>,
     /// Limits on requests and connections of callers.
@@ -219,10 +220,8 @@
         let routes = self.routes.get(host).ok_or(Denial::NoRoute)?;
         let matches = |route: &&Route| path.starts_with(&route.path_prefix);
         let route = routes.iter().find(matches).ok_or(Denial::NoRoute)?;
-        if self.accounts.is_empty() {
-            return Ok((route, None));
-        }
-        let account = key.and_then(|key| self.accounts.get(self.api_keys.get(key)?));
+        let Some(accounts) = &self.accounts else { return Ok((route, None)) };
+        let account = key.and_then(|key| accounts.get(self.api_keys.get(key)?));
         match account {
             Some(account) => Ok((route, Some(account))),
             None if route.public => Ok((route, None)),
--- a/crates/standins/tests/process_gateway.rs
+++ b/crates/standins/tests/process_gateway.rs
@@ -301,6 +301,26 @@
     .await;
 }
 
+// Guards against an emptied list of client accounts opening the gateway to all callers.
+#[actix_rt::test]
+async fn requests_do_not_run_once_the_list_of_accounts_is_empty() {
+    let fixture = Fixture::start(1).await;
+    let mut config = gateway_config(2, &[]);
+    config["tenants"] = json!([]);
+    fixture.store.put("op/config", Some(config));
+    wait_until("the account is gone", async || {
+        let status = fixture.send("GET", "/read/1", "key-1").await.0;
+        let requests = fixture.workers[0].requests();
+        status == 401 || requests.last().is_some_and(|request| request.account.is_none())
+    })
+    .await;
+    let before = fixture.workers[0].requests().len();
+    for key in ["key-1", "invented", ""] {
+        assert_eq!(fixture.send("POST", "/order/1", key).await.0, 401, "key {key:?}");
+    }
+    assert_eq!(fixture.workers[0].requests().len(), before, "requests without a valid key ran");
+}
+
 #[actix_rt::test]
 async fn a_gateway_without_the_platform_gets_its_state_from_a_peer() {
     let fixture = Fixture::start(1).await;
