Bound the memory that callers' connections hold together

Cause: a gateway read each answer whole and wrote it from a second copy, held each upload whole and sent it from a second copy, and nothing limited how much all connections held: slow readers and uploads took it over the memory of its VM.

Change: core::direct::memory_budget decides for each body, before its buffer grows, whether it is allowed, and which connections give way; a quarter of the new setting memory, at least 32 MB. Uploads beyond it get 503 before they run, answers read slowly are cut off (fewer bytes than their length), an answer without room becomes 502 and is not repeated. Bodies are written without a copy in both directions, bodies of skipped answers are dropped as they arrive, and buffers no longer grow beyond the announced length.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -16,6 +16,7 @@
 pub mod load_reports;
 pub mod load_schedule;
 pub mod membership;
+pub mod memory_budget;
 pub mod mirror;
 pub mod part_suspects;
 pub mod pause;
--- a/crates/sequoiahold/src/gateway/attempt.rs
+++ b/crates/sequoiahold/src/gateway/attempt.rs
@@ -17,7 +17,7 @@
     time::Time,
 };
 
-use super::{notices, plan::Plan, rate_limits, state::Gateway};
+use super::{memory::AnswerMemory, notices, plan::Plan, rate_limits, state::Gateway};
 use crate::h1::{IncomingRequest, Upstream, UpstreamError, UpstreamResponse, end_to_end_headers};
 
 /// Maximum body length of a response that is not a stream.
@@ -153,7 +153,7 @@
             return Ok(response);
         }
         upstream.forbid_reuse();
-        upstream.read_body(MAX_BODY_BYTES).await?;
+        upstream.skip_body(MAX_BODY_BYTES).await?;
     }
     Err(UpstreamError::Malformed("received only responses to other requests".to_owned()))
 }
@@ -168,7 +168,7 @@
     let misdirected = response.status == StatusCode::MISDIRECTED_REQUEST;
     if misdirected || response.headers.contains_key(names.not_run) {
         // The connection is reused only if the rest of the response can be read.
-        if upstream.read_body(MAX_BODY_BYTES).await.is_ok() {
+        if upstream.skip_body(MAX_BODY_BYTES).await.is_ok() {
             gateway.pool.release(upstream);
         }
         return SendOutcome::NotRun { misdirected };
@@ -184,8 +184,9 @@
 pub(super) async fn read_body<C: Codec>(
     gateway: &Gateway<C>,
     mut upstream: Upstream,
+    memory: &AnswerMemory<'_, C>,
 ) -> Result<Bytes, UpstreamError> {
-    let body = upstream.read_body(MAX_BODY_BYTES).await?;
+    let body = upstream.read_body(MAX_BODY_BYTES, memory).await?;
     gateway.pool.release(upstream);
     Ok(body)
 }
--- a/crates/sequoiahold/src/gateway/metrics.rs
+++ b/crates/sequoiahold/src/gateway/metrics.rs
@@ -34,6 +34,7 @@
     sends: Family<Labels, Counter>,
     retries: Family<Labels, Counter>,
     blocked_parts: Counter,
+    memory_shortages: Family<Labels, Counter>,
     limited_endpoints: Gauge,
     announced_versions: Family<Labels, Gauge<f64, AtomicU64>>,
     unavailable_endpoints: Family<Labels, Gauge>,
@@ -72,6 +73,11 @@
                 "Prompt parts blocked as they crash endpoints",
                 Counter::default(),
             ),
+            memory_shortages: counters(
+                r,
+                "memory_shortages",
+                "Requests refused and connections closed for the memory of callers",
+            ),
             limited_endpoints: register(
                 r,
                 "rate_limited_endpoints",
@@ -146,6 +152,11 @@
         self.blocked_parts.inc();
     }
 
+    /// Counts a body that was refused or a connection that was closed for want of memory.
+    pub(super) fn add_memory_shortage(&self, outcome: &'static str) {
+        self.memory_shortages.get_or_create(&vec![("outcome", outcome.to_owned())]).inc();
+    }
+
     /// Sets the number of endpoints that advertise a rate limit.
     pub(super) fn set_limited_endpoints(&self, endpoints: usize) {
         self.limited_endpoints.set(endpoints as i64);
--- a/crates/sequoiahold/src/gateway/mod.rs
+++ b/crates/sequoiahold/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod charge;
 mod datagrams;
 mod loads;
+mod memory;
 mod metrics;
 mod notices;
 mod parts;
@@ -47,7 +48,7 @@
     let (datagrams, inbox) = mpsc::unbounded_channel();
     let node =
         Node::new(codec, Role::Gateway, settings.node.clone(), http_config.clone(), datagrams);
-    let gateway = Gateway::new(node.clone(), http_config.clone());
+    let gateway = Gateway::new(node.clone(), http_config.clone(), settings.memory);
     let mut stop = signal(SignalKind::terminate())?;
     let reload = signal(SignalKind::hangup())?;
     node.start(NotFoundHandler)?;
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -10,6 +10,7 @@
         availability::Cause,
         catalog::RetryMode,
         endpoint_state::AttemptOutcome,
+        memory_budget::Phase,
         platform::Codec,
         scheduler::{Grant, PlacementRequest},
     },
@@ -23,6 +24,7 @@
     answer::LocalReply,
     attempt::{self, SendOutcome},
     charge::RetryCharge,
+    memory::{AnswerMemory, Hold},
     notices, parts,
     plan::{Plan, plan_request},
     record::{self, Outcome, RequestRecord},
@@ -31,7 +33,9 @@
     state::Gateway,
     suspects,
 };
-use crate::h1::{IncomingRequest, ResponseWriter, Upstream, UpstreamResponse, end_to_end_headers};
+use crate::h1::{
+    IncomingRequest, ResponseWriter, Upstream, UpstreamError, UpstreamResponse, end_to_end_headers,
+};
 
 /// Time without a response after which a request that may be retried is sent to another endpoint.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(450);
@@ -53,6 +57,7 @@
 /// An active request.
 struct RequestTask<'a, C: Codec> {
     gateway: &'a Rc<Gateway<C>>,
+    hold: &'a Hold<C>,
     request: &'a IncomingRequest,
     plan: Plan,
     placement: PlacementRequest,
@@ -87,6 +92,7 @@
     gateway: &Rc<Gateway<C>>,
     request: IncomingRequest,
     writer: &mut ResponseWriter,
+    hold: &Hold<C>,
 ) -> bool {
     if gateway.is_closing() {
         let refusal = Refusal::retry_after(Reason::Leaving, LEAVING_RETRY_DELAY);
@@ -104,6 +110,7 @@
     let time_left = plan.time_left(gateway.node.now());
     let mut task = RequestTask {
         gateway,
+        hold,
         request: &request,
         placement: plan.placement_request(),
         charge: RetryCharge::new(gateway, plan.service.clone()),
@@ -232,6 +239,12 @@
         outcome
     }
 
+    /// Returns the memory for an answer, beside one that is kept.
+    fn answer_memory(&self) -> AnswerMemory<'_, C> {
+        let kept = self.fallback.as_ref().map_or(0, |(_, body)| body.len());
+        AnswerMemory(self.hold, kept)
+    }
+
     /// Relays a stream to the caller.
     async fn forward_stream(
         &mut self,
@@ -272,8 +285,14 @@
         upstream: Box<Upstream>,
     ) -> NextStep {
         let is_complete = response.status.is_success() && !upstream.ends_with_connection();
-        let body = match attempt::read_body(self.gateway, *upstream).await {
+        let read = attempt::read_body(self.gateway, *upstream, &self.answer_memory()).await;
+        let body = match read {
             Ok(body) => body,
+            Err(error @ UpstreamError::NoMemory) => {
+                self.log_failure(&slot, &error.to_string());
+                slot.outcome = AttemptOutcome::Answered;
+                return NextStep::Done(self.fail(relay, LocalReply::Unknown).await);
+            }
             Err(error) => {
                 self.accuse_parts(&slot, error.is_disconnect());
                 return self.fail_attempt(&mut slot, &error.to_string(), false);
@@ -308,6 +327,7 @@
         self.record.outcome = Outcome::Answered(response.status.as_u16());
         let close = self.gateway.is_draining();
         let headers = end_to_end_headers(&response.headers);
+        self.hold.set_phase(Phase::Answering);
         let writer = relay.writer();
         match writer.write_response(response.status, headers, body, close).await {
             Ok(()) => !close && writer.keep_alive(),
--- a/crates/sequoiahold/src/gateway/server.rs
+++ b/crates/sequoiahold/src/gateway/server.rs
@@ -4,10 +4,14 @@
 
 use actix_http::header::HeaderMap;
 use anyhow::Context as _;
-use sequoiahold_core::direct::{catalog::CallerLimits, platform::Codec};
+use sequoiahold_core::direct::{catalog::CallerLimits, memory_budget::Phase, platform::Codec};
 use tokio::net::TcpStream;
 
-use super::{request, state::Gateway};
+use super::{
+    memory::{Hold, RequestMemory},
+    request,
+    state::Gateway,
+};
 use crate::h1::{CallerConnection, Received, accept_loop, listen, set_stream_options};
 
 /// Starts to accept callers, at most `max_connections` at the same time; fails if the address
@@ -45,25 +49,42 @@
         log::debug!("cannot configure a caller's connection: {error}");
         return;
     }
-    let mut caller = CallerConnection::new(stream, gateway.http_config.clone());
+    let hold = Hold::new(&gateway);
+    let caller = CallerConnection::new(stream, gateway.http_config.clone());
+    tokio::select! {
+        biased;
+        () = hold.evicted() => {}
+        () = serve_requests(&gateway, caller, &hold) => {}
+    }
+}
+
+/// Serves the requests of a connection one after the other until it ends.
+async fn serve_requests<C: Codec>(
+    gateway: &Rc<Gateway<C>>,
+    mut caller: CallerConnection,
+    hold: &Hold<C>,
+) {
+    let memory = RequestMemory(hold);
     let mut closing = gateway.closing_signal();
     loop {
-        let limits = caller_limits(&gateway);
+        hold.clear();
+        let limits = caller_limits(gateway);
         let received = tokio::select! {
-            received = caller.read_request(&limits) => received,
+            received = caller.read_request(&limits, &memory) => received,
             _ = closing.wait_for(|closing| *closing) => {
                 if !caller.reader.has_buffered() {
                     return;
                 }
-                caller.read_request(&limits).await
+                caller.read_request(&limits, &memory).await
             }
         };
         match received {
             Received::Request(incoming) => {
+                hold.set_phase(Phase::Running);
                 let _active = gateway.count_request();
                 let (reader, writer) = (&mut caller.reader, &mut caller.writer);
                 let keep_alive = tokio::select! {
-                    keep_alive = request::serve(&gateway, *incoming, writer) => keep_alive,
+                    keep_alive = request::serve(gateway, *incoming, writer, hold) => keep_alive,
                     () = reader.wait_closed() => false,
                 };
                 if !keep_alive || gateway.is_draining() {
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -21,10 +21,14 @@
     ids::ServiceId,
     refusal::Refusal,
     time::Time,
+    units::Bytes,
 };
 use tokio::sync::{oneshot, watch};
 
-use super::{metrics::Metrics, parts::PartTracker, slot::SlotGuard, suspects::CrashSuspects};
+use super::{
+    memory::CallerMemory, metrics::Metrics, parts::PartTracker, slot::SlotGuard,
+    suspects::CrashSuspects,
+};
 use crate::{
     h1::{ConnectionPool, PoolLimits},
     node::Node,
@@ -54,6 +58,7 @@
     pub(super) retry_budget: RefCell<RetryBudget>,
     pub(super) waiters: RefCell<BTreeMap<(ServiceId, TicketKey), Waiter<C>>>,
     pub(super) pool: ConnectionPool,
+    pub(super) memory: CallerMemory,
     pub(super) metrics: Metrics,
     pub(super) suspects: RefCell<CrashSuspects>,
     pub(super) parts: RefCell<PartTracker>,
@@ -67,7 +72,7 @@
 
 impl<C: Codec> Gateway<C> {
     /// Returns the state of a gateway that has no endpoints yet.
-    pub(super) fn new(node: Rc<Node<C>>, http_config: ServiceConfig) -> Rc<Self> {
+    pub(super) fn new(node: Rc<Node<C>>, http_config: ServiceConfig, memory: Bytes) -> Rc<Self> {
         let settings = &node.settings;
         let bounds = &settings.bounds;
         let scheduler_config = SchedulerConfig {
@@ -98,6 +103,7 @@
             retry_budget: RefCell::new(retry_budget),
             waiters: RefCell::default(),
             pool,
+            memory: CallerMemory::new(memory),
             metrics: Metrics::default(),
             suspects: RefCell::default(),
             parts: RefCell::default(),
--- a/crates/sequoiahold/src/h1/caller.rs
+++ b/crates/sequoiahold/src/h1/caller.rs
@@ -10,7 +10,7 @@
     header::{self, HeaderMap},
 };
 use actix_rt::time::Instant;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf as _, Bytes, BytesMut};
 use sequoiahold_core::direct::catalog::CallerLimits;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -21,6 +21,10 @@
     time::timeout_at,
 };
 
+use super::body::{Allowance, BodyBuffer, Unlimited};
+
+/// Length of a body from which it is written from where it is, not copied behind the head.
+const MIN_UNCOPIED_BYTES: usize = 16_384;
 /// Bytes buffered beyond the current request; more are left in the socket.
 const MAX_READ_AHEAD_BYTES: usize = 65_536;
 /// Maximum time without a new byte of a request body.
@@ -60,7 +64,8 @@
 pub enum Received {
     /// A complete request.
     Request(Box<IncomingRequest>),
-    /// The bytes are not an acceptable request; the status is the response to send.
+    /// The bytes are not an acceptable request, or there is no memory for it; the status is the
+    /// response to send.
     Malformed(StatusCode),
     /// The caller closed the connection, or the connection was idle for too long.
     Closed,
@@ -105,13 +110,19 @@
     }
 
     /// Reads the next request within the time and size limits of `limits`.
-    pub async fn read_request(&mut self, limits: &CallerLimits) -> Received {
+    ///
+    /// A body that `allowance` does not allow is answered with status 503.
+    pub async fn read_request(
+        &mut self,
+        limits: &CallerLimits,
+        allowance: &impl Allowance,
+    ) -> Received {
         let head = match self.read_head(limits).await {
             Ok(head) => head,
             Err(received) => return received,
         };
         let Some(head) = head else { return Received::Closed };
-        match self.complete_request(head, limits).await {
+        match self.complete_request(head, limits, allowance).await {
             Ok(incoming) => Received::Request(Box::new(incoming)),
             Err(received) => received,
         }
@@ -150,11 +161,14 @@
         &mut self,
         mut request: Request,
         limits: &CallerLimits,
+        allowance: &impl Allowance,
     ) -> Result<IncomingRequest, Received> {
         if request.head().expect() {
             self.writer.write_continue().await.map_err(|_| Received::Closed)?;
         }
-        let body = self.read_body(limits).await?;
+        let length = request.head().headers.get(header::CONTENT_LENGTH);
+        let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+        let body = self.read_body(limits, length, allowance).await?;
         let uri = request.uri();
         let target = uri.path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let authority = uri.host().map(str::to_owned);
@@ -172,16 +186,26 @@
         })
     }
 
-    async fn read_body(&mut self, limits: &CallerLimits) -> Result<Bytes, Received> {
+    async fn read_body(
+        &mut self,
+        limits: &CallerLimits,
+        length: Option<u64>,
+        allowance: &impl Allowance,
+    ) -> Result<Bytes, Received> {
         use actix_http::h1::MessageType;
         if self.writer.codec.message_type() == MessageType::None {
             return Ok(Bytes::new());
         }
-        let mut body = BytesMut::new();
+        let max_len = length.unwrap_or(u64::MAX).min(limits.max_body.0) as usize;
+        let mut body = BodyBuffer::new(max_len, allowance);
         loop {
             let malformed = |_| Received::Malformed(StatusCode::BAD_REQUEST);
             match self.writer.codec.decode(&mut self.reader.buffer).map_err(malformed)? {
-                Some(Message::Chunk(Some(chunk))) => body.extend_from_slice(&chunk),
+                Some(Message::Chunk(Some(chunk))) => {
+                    if !body.push(&chunk) {
+                        return Err(Received::Malformed(StatusCode::SERVICE_UNAVAILABLE));
+                    }
+                }
                 Some(Message::Chunk(None)) => return Ok(body.freeze()),
                 Some(Message::Item(_)) => return Err(Received::Closed),
                 None => {
@@ -231,6 +255,10 @@
         close: bool,
     ) -> io::Result<()> {
         self.encode_head(status, headers, BodySize::Sized(body.len() as u64), close)?;
+        if body.len() >= MIN_UNCOPIED_BYTES {
+            let mut bytes = (&mut self.buffer).chain(body);
+            return self.stream.write_all_buf(&mut bytes).await;
+        }
         self.encode(Message::Chunk(Some(Bytes::copy_from_slice(body))))?;
         self.flush().await
     }
@@ -297,7 +325,7 @@
     mut handler: impl AsyncFnMut(&IncomingRequest) -> (StatusCode, HeaderMap, Bytes),
 ) {
     let limits = CallerLimits::default();
-    while let Received::Request(request) = caller.read_request(&limits).await {
+    while let Received::Request(request) = caller.read_request(&limits, &Unlimited).await {
         let (status, headers, body) = handler(&request).await;
         let written = caller.writer.write_response(status, headers, &body, false).await;
         if written.is_err() || !caller.writer.keep_alive() {
--- a/crates/sequoiahold/src/h1/mod.rs
+++ b/crates/sequoiahold/src/h1/mod.rs
@@ -4,6 +4,7 @@
 //! a request were sent, or whether a response without a length was complete. A gateway bases its
 //! decisions on all three.
 
+mod body;
 mod caller;
 mod connect;
 mod pool;
@@ -12,6 +13,7 @@
 use actix_http::header::{self, HeaderMap};
 
 pub use self::{
+    body::{Allowance, Unlimited},
     caller::{
         CallerConnection, IncomingRequest, Received, RequestReader, ResponseWriter, serve_requests,
     },
--- a/crates/sequoiahold/src/h1/upstream.rs
+++ b/crates/sequoiahold/src/h1/upstream.rs
@@ -10,12 +10,14 @@
     header::{self, HeaderMap},
 };
 use actix_rt::time::Instant;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf as _, Bytes, BytesMut};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
 };
 
+use super::body::{Allowance, BodyBuffer, Unlimited};
+
 /// Idle time for which a connection is kept where the server sends no `Keep-Alive` timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// Time before the keep-alive timeout from which a connection is no longer used.
@@ -38,6 +40,8 @@
     Io(io::Error),
     /// The bytes are not a valid response.
     Malformed(String),
+    /// There is no memory for the body.
+    NoMemory,
 }
 
 impl fmt::Display for UpstreamError {
@@ -45,6 +49,7 @@
         match self {
             Self::Io(error) => write!(f, "connection: {error}"),
             Self::Malformed(fault) => write!(f, "malformed response: {fault}"),
+            Self::NoMemory => f.write_str("no memory for the body of the response"),
         }
     }
 }
@@ -96,6 +101,7 @@
     config: ServiceConfig,
     codec: Option<ClientCodec>,
     framing: BodyFraming,
+    content_length: Option<usize>,
     buffer: BytesMut,
     bodiless: bool,
     until_close: bool,
@@ -115,6 +121,7 @@
             config,
             codec: None,
             framing: BodyFraming::Complete,
+            content_length: None,
             buffer: BytesMut::new(),
             bodiless: false,
             until_close: false,
@@ -152,7 +159,7 @@
         let sent = self.send(method, target, headers, body).await;
         sent.map_err(|error| error.error)?;
         let response = self.read_head().await?;
-        let body = self.read_body(max_bytes).await?;
+        let body = self.read_body(max_bytes, &Unlimited).await?;
         Ok((response, body))
     }
 
@@ -165,15 +172,16 @@
         body: &Bytes,
     ) -> Result<(), SendError> {
         let not_sent = |error| SendError { partly_sent: false, error };
-        let mut out = self.encode_request(method, target, headers, body).map_err(not_sent)?;
+        let head = self.encode_request(method, target, headers, body).map_err(not_sent)?;
+        let mut out = head.chain(body.clone());
         self.request_count += 1;
-        let total_len = out.len();
+        let total_len = out.remaining();
         let (mut read, mut write) = self.stream.split();
-        while !out.is_empty() {
+        while out.has_remaining() {
             tokio::select! {
                 biased;
                 written = write.write_buf(&mut out) => {
-                    let partly_sent = out.len() < total_len;
+                    let partly_sent = out.remaining() < total_len;
                     let written = written.map_err(|error| SendError { partly_sent, error })?;
                     if written == 0 {
                         let error = io::ErrorKind::WriteZero.into();
@@ -181,7 +189,7 @@
                     }
                 }
                 ready = read_early_response(&mut read, &mut self.buffer) => {
-                    let partly_sent = out.len() < total_len;
+                    let partly_sent = out.remaining() < total_len;
                     ready.map_err(|error| SendError { partly_sent, error })?;
                     self.reusable = false;
                     return Ok(());
@@ -209,6 +217,8 @@
             self.until_close = matches!(self.framing, BodyFraming::UntilClose);
             self.reusable &= !self.until_close;
             let headers = std::mem::take(&mut head.headers);
+            let length = headers.get(header::CONTENT_LENGTH);
+            self.content_length = length.and_then(|value| value.to_str().ok()?.parse().ok());
             return Ok(UpstreamResponse { status: head.status, headers });
         }
     }
@@ -244,11 +254,18 @@
         }
     }
 
-    /// Reads the whole body; fails above `max_bytes`.
-    pub async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, UpstreamError> {
-        let mut body = BytesMut::new();
+    /// Reads the whole body; fails above `max_bytes` and where `allowance` does not allow it.
+    pub async fn read_body(
+        &mut self,
+        max_bytes: usize,
+        allowance: &impl Allowance,
+    ) -> Result<Bytes, UpstreamError> {
+        let max_len = self.content_length.unwrap_or(usize::MAX).min(max_bytes);
+        let mut body = BodyBuffer::new(max_len, allowance);
         while let Some(part) = self.read_chunk().await? {
-            body.extend_from_slice(&part);
+            if !body.push(&part) {
+                return Err(UpstreamError::NoMemory);
+            }
             if body.len() > max_bytes {
                 return Err(UpstreamError::Malformed(format!("body exceeds {max_bytes} bytes")));
             }
@@ -256,6 +273,18 @@
         Ok(body.freeze())
     }
 
+    /// Reads the whole body and drops it; fails above `max_bytes`.
+    pub async fn skip_body(&mut self, max_bytes: usize) -> Result<(), UpstreamError> {
+        let mut skipped = 0;
+        while let Some(part) = self.read_chunk().await? {
+            skipped += part.len();
+            if skipped > max_bytes {
+                return Err(UpstreamError::Malformed(format!("body exceeds {max_bytes} bytes")));
+            }
+        }
+        Ok(())
+    }
+
     /// Returns whether the connection can carry another request: the last response was read to its
     /// end, no further bytes have arrived, and neither side has announced the close.
     pub fn is_reusable(&mut self) -> bool {
@@ -310,11 +339,8 @@
         head.uri = target.parse().map_err(io::Error::other)?;
         head.headers = headers;
         let mut codec = ClientCodec::new(self.config.clone());
-        let mut out = BytesMut::with_capacity(1_024 + body.len());
+        let mut out = BytesMut::with_capacity(1_024);
         codec.encode(Message::Item((RequestHeadType::Owned(head), size)), &mut out)?;
-        if !body.is_empty() {
-            codec.encode(Message::Chunk(Some(body.clone())), &mut out)?;
-        }
         self.codec = Some(codec);
         self.framing = BodyFraming::Complete;
         Ok(out)
--- a/crates/sequoiahold/src/loader/origin.rs
+++ b/crates/sequoiahold/src/loader/origin.rs
@@ -61,6 +61,7 @@
         match error {
             UpstreamError::Io(error) => Self::Disconnected(error),
             UpstreamError::Malformed(fault) => Self::Invalid(fault),
+            UpstreamError::NoMemory => Self::Invalid(error.to_string()),
         }
     }
 }
--- a/crates/sequoiahold/src/settings/gateway.rs
+++ b/crates/sequoiahold/src/settings/gateway.rs
@@ -2,10 +2,14 @@
 
 use std::net::SocketAddr;
 
+use sequoiahold_core::units::Bytes;
 use serde::{Deserialize, Serialize};
 
 use super::{Log, Node, Validate, addr};
 
+/// Memory of the VM where none is set.
+const DEFAULT_MEMORY: Bytes = Bytes(160_000_000);
+
 /// Settings of a gateway process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -19,6 +23,9 @@
     /// The maximum number of concurrent connections of callers.
     #[serde(default = "Gateway::default_connections")]
     pub connections: u32,
+    /// The memory of the VM, a quarter of which the connections of callers may hold.
+    #[serde(default = "Gateway::default_memory")]
+    pub memory: Bytes,
     /// The log output.
     #[serde(default)]
     pub log: Log,
@@ -28,6 +35,10 @@
     fn default_connections() -> u32 {
         2_000
     }
+
+    fn default_memory() -> Bytes {
+        DEFAULT_MEMORY
+    }
 }
 
 impl Validate for Gateway {
