A complete answer is written to its end, also past its route's timeout

Cause: the deadline dropped the future of the whole request, also while the final answer was written. What was unsent stayed in the buffer, and the local reply went behind it, as only streams count as started.

Change: the deadline ends the wait for a slot and the attempt, not the write of the final answer, which is ready then. A caller that takes no byte of an answer for 15 s is closed; the budget of callers' memory closes those that read slowly when others need the room.

--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -81,6 +81,10 @@
 enum NextStep {
     /// The final response was written; whether the caller's connection can be reused.
     Done(bool),
+    /// The response of the endpoint is the final one.
+    Respond(UpstreamResponse, Bytes),
+    /// The request ends with a local reply or a fallback.
+    Fail(LocalReply),
     /// Another attempt is made if it is allowed; otherwise the request fails.
     Retry,
     /// The request is placed again, as the attempt was not made.
@@ -107,7 +111,6 @@
     };
     gateway.retry_budget.borrow_mut().record_request(gateway.node.now(), &plan.service);
     let fingerprint = suspects::fingerprint(&request, plan.account.as_ref());
-    let time_left = plan.time_left(gateway.node.now());
     let mut task = RequestTask {
         gateway,
         hold,
@@ -126,10 +129,7 @@
     let last_event = request.header_text(gateway.node.codec.header_names().last_event);
     let last_event = last_event.and_then(|text| text.trim().parse().ok());
     let mut relay = Relay::new(writer, last_event, gateway.is_draining());
-    let keep_alive = match timeout(time_left, task.run(&mut relay)).await {
-        Ok(keep_alive) => keep_alive,
-        Err(_) => task.fail(&mut relay, LocalReply::TimedOut).await,
-    };
+    let keep_alive = task.run(&mut relay).await;
     task.record.first_event = relay.first_event;
     keep_alive
 }
@@ -137,29 +137,18 @@
 impl<C: Codec> RequestTask<'_, C> {
     /// Makes attempts until a final response is written; returns whether the caller's connection
     /// can be reused.
+    ///
+    /// The deadline does not cut off a complete response while it is written.
     async fn run(&mut self, relay: &mut Relay<'_>) -> bool {
         loop {
-            if self.is_blocked() {
-                return self.fail(relay, SUSPECT_REPLY).await;
-            }
-            let queued_at = self.gateway.node.now();
-            let acquired = acquire(self.gateway, self.placement.clone()).await;
-            self.record.waited.0 += (self.gateway.node.now() - queued_at).0;
-            let slot = match acquired {
-                Ok(slot) => slot,
-                Err(refusal) => {
-                    let (id, service) = (self.attempt_id(), &self.plan.service);
-                    notices::log_causes(self.gateway, id, service, refusal.reason);
-                    return self.fail(relay, LocalReply::Refused(refusal)).await;
-                }
-            };
-            // The request may have been blocked while it waited.
-            if self.is_blocked() {
-                drop(slot);
-                return self.fail(relay, SUSPECT_REPLY).await;
-            }
-            match self.send(relay, slot).await {
+            let time_left = self.plan.time_left(self.gateway.node.now());
+            let step = timeout(time_left, self.make_attempt(relay)).await;
+            match step.unwrap_or(NextStep::Fail(LocalReply::TimedOut)) {
                 NextStep::Done(keep_alive) => return keep_alive,
+                NextStep::Respond(response, body) => {
+                    return self.write_response(relay, &response, &body).await;
+                }
+                NextStep::Fail(reply) => return self.fail(relay, reply).await,
                 NextStep::Replace => {}
                 NextStep::Retry if self.try_retry() => {}
                 NextStep::Retry => return self.fail(relay, self.exhausted_reply()).await,
@@ -167,6 +156,30 @@
         }
     }
 
+    /// Waits for a slot and makes one attempt.
+    async fn make_attempt(&mut self, relay: &mut Relay<'_>) -> NextStep {
+        if self.is_blocked() {
+            return NextStep::Fail(SUSPECT_REPLY);
+        }
+        let queued_at = self.gateway.node.now();
+        let acquired = acquire(self.gateway, self.placement.clone()).await;
+        self.record.waited.0 += (self.gateway.node.now() - queued_at).0;
+        let slot = match acquired {
+            Ok(slot) => slot,
+            Err(refusal) => {
+                let (id, service) = (self.attempt_id(), &self.plan.service);
+                notices::log_causes(self.gateway, id, service, refusal.reason);
+                return NextStep::Fail(LocalReply::Refused(refusal));
+            }
+        };
+        // The request may have been blocked while it waited.
+        if self.is_blocked() {
+            drop(slot);
+            return NextStep::Fail(SUSPECT_REPLY);
+        }
+        self.send(relay, slot).await
+    }
+
     /// Returns whether the request or a part of its prompt is blocked, and logs the part.
     fn is_blocked(&self) -> bool {
         let part = parts::blocked_part(self.gateway, &self.plan);
@@ -291,7 +304,7 @@
             Err(error @ UpstreamError::NoMemory) => {
                 self.log_failure(&slot, &error.to_string());
                 slot.outcome = AttemptOutcome::Answered;
-                return NextStep::Done(self.fail(relay, LocalReply::Unknown).await);
+                return NextStep::Fail(LocalReply::Unknown);
             }
             Err(error) => {
                 self.accuse_parts(&slot, error.is_disconnect());
@@ -311,7 +324,7 @@
             self.fallback = Some((response, body));
             return NextStep::Retry;
         }
-        NextStep::Done(self.write_response(relay, &response, &body).await)
+        NextStep::Respond(response, body)
     }
 
     async fn write_response(
--- a/crates/sequoiahold/src/h1/caller.rs
+++ b/crates/sequoiahold/src/h1/caller.rs
@@ -10,7 +10,7 @@
     header::{self, HeaderMap},
 };
 use actix_rt::time::Instant;
-use bytes::{Buf as _, Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use sequoiahold_core::direct::catalog::CallerLimits;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -29,6 +29,8 @@
 const MAX_READ_AHEAD_BYTES: usize = 65_536;
 /// Maximum time without a new byte of a request body.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum time in which a caller takes no byte of a response.
+const READER_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// A request with its complete body.
 #[derive(Debug)]
@@ -256,8 +258,7 @@
     ) -> io::Result<()> {
         self.encode_head(status, headers, BodySize::Sized(body.len() as u64), close)?;
         if body.len() >= MIN_UNCOPIED_BYTES {
-            let mut bytes = (&mut self.buffer).chain(body);
-            return self.stream.write_all_buf(&mut bytes).await;
+            return write_all(&mut self.stream, &mut (&mut self.buffer).chain(body)).await;
         }
         self.encode(Message::Chunk(Some(Bytes::copy_from_slice(body))))?;
         self.flush().await
@@ -315,10 +316,21 @@
     }
 
     async fn flush(&mut self) -> io::Result<()> {
-        self.stream.write_all_buf(&mut self.buffer).await
+        write_all(&mut self.stream, &mut self.buffer).await
     }
 }
 
+/// Writes all bytes; fails once the caller has taken none for [`READER_IDLE_TIMEOUT`].
+async fn write_all(stream: &mut OwnedWriteHalf, bytes: &mut impl Buf) -> io::Result<()> {
+    while bytes.has_remaining() {
+        let deadline = Instant::now() + READER_IDLE_TIMEOUT;
+        if timeout_at(deadline, stream.write_buf(bytes)).await?? == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+    }
+    Ok(())
+}
+
 /// Serves the requests of a connection one after the other, each with a complete response body.
 pub async fn serve_requests(
     mut caller: CallerConnection,
--- a/crates/standins/tests/process_caller_memory.rs
+++ b/crates/standins/tests/process_caller_memory.rs
@@ -36,6 +36,8 @@
 /// Receive buffer of a caller that reads slowly, and send buffer of one that uploads, so that
 /// neither holds more than a small part of a body.
 const BUFFER_BYTES: u32 = 4_096;
+/// Time that an answer may take by its route where callers begin to read after it.
+const SHORT_TIMEOUT_MS: u64 = 1_000;
 /// Time that a request may take, longer than a test.
 const REQUEST_TIME_MS: u64 = 60_000;
 /// Time within which each caller of a crowd has bytes of an answer, or the end of its connection.
@@ -71,13 +73,14 @@
 }
 
 impl Fixture {
-    async fn start() -> Self {
+    /// Starts a gateway whose routes have this timeout.
+    async fn start(timeout_ms: u64) -> Self {
         let (platform, callers, ready, peers) =
             (loopback_addr(), loopback_addr(), loopback_addr(), loopback_addr());
         let store = Store::start(platform).await.expect("a store");
         let mut config = gateway_config(1, &["key-1"]);
         for route in config["routes"].as_array_mut().expect("routes") {
-            route["timeout_ms"] = json!(REQUEST_TIME_MS);
+            route["timeout_ms"] = json!(timeout_ms);
         }
         store.put("op/config", Some(config));
         let endpoint = loopback_addr();
@@ -269,7 +272,7 @@
 #[actix_rt::test]
 async fn long_answers_that_callers_do_not_read_fit_into_the_memory() {
     let _turn = TURN.lock().await;
-    let mut fixture = Fixture::start().await;
+    let mut fixture = Fixture::start(REQUEST_TIME_MS).await;
     let addr = fixture.callers;
     fixture.check(join_all((0..READERS).map(|_| read_slowly(addr)))).await;
 }
@@ -277,7 +280,7 @@
 #[actix_rt::test]
 async fn uploads_that_callers_do_not_finish_fit_into_the_memory() {
     let _turn = TURN.lock().await;
-    let mut fixture = Fixture::start().await;
+    let mut fixture = Fixture::start(REQUEST_TIME_MS).await;
     let addr = fixture.callers;
     fixture.check(join_all((0..UPLOADERS).map(|_| upload(addr)))).await;
 }
@@ -285,7 +288,7 @@
 #[actix_rt::test]
 async fn largest_upload_and_a_long_answer_are_served_in_calm() {
     let _turn = TURN.lock().await;
-    let fixture = Fixture::start().await;
+    let fixture = Fixture::start(REQUEST_TIME_MS).await;
     let mut stream = TcpStream::connect(fixture.callers).await.expect("a connection");
     for (method, path, length, expected) in
         [("POST", "/order/1", UPLOAD_BYTES, 5), ("GET", "/read/long", 0, ANSWER_BYTES)]
@@ -309,3 +312,35 @@
         assert_eq!(timeout(SETTLE_TIMEOUT, read).await, Ok(expected));
     }
 }
+
+// Guards against a reply at the route's timeout within or behind an answer that is being written.
+#[actix_rt::test]
+async fn answer_that_is_read_after_the_timeout_of_its_route_is_followed_by_no_other() {
+    let _turn = TURN.lock().await;
+    let fixture = Fixture::start(SHORT_TIMEOUT_MS).await;
+    let mut stream = read_slowly(fixture.callers).await.expect("a connection");
+    sleep(Duration::from_millis(2 * SHORT_TIMEOUT_MS)).await;
+    stream.write_all(request("GET", "/read/short", 0).as_bytes()).await.expect("a second request");
+    let read = async {
+        let (mut bytes, mut bodies) = (vec![], vec![]);
+        for length in [ANSWER_BYTES, 5] {
+            let body = loop {
+                assert!(stream.read_buf(&mut bytes).await.expect("bytes") > 0, "it ended");
+                if let Some(at) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+                    break at + 4;
+                }
+            };
+            assert!(
+                bytes.starts_with(b"HTTP/1.1 200"),
+                "{}",
+                String::from_utf8_lossy(&bytes[..64])
+            );
+            while bytes.len() < body + length {
+                assert!(stream.read_buf(&mut bytes).await.expect("bytes") > 0, "it is cut short");
+            }
+            bodies.push(bytes.drain(..body + length).skip(body).all(|byte| byte == b'x'));
+        }
+        bodies
+    };
+    assert_eq!(timeout(SETTLE_TIMEOUT, read).await, Ok(vec![true, true]), "bodies are whole");
+}
