Revert the trial of finishing overtaken versions

Only 21 of 85 engines had version 2, as loaders outside the origin's region lacked 33 and 35 of 48 chunks at the naming of version 3 and gave it up; version 3 came no earlier.

--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -11,7 +11,6 @@
 pub mod pull_limit;
 pub mod rollout;
 pub mod state;
-pub mod succession;
 mod task;
 pub mod topology;
 pub mod transfer;
@@ -27,7 +26,6 @@
     pull_limit::PullLimit,
     rollout::{Rollout, RolloutDecision},
     state::{TransferEvent, TransferState},
-    succession::Succession,
     topology::{PeerKey, Topology, ZoneLink},
     transfer::Transfer,
     upload::UploadLimits,
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -4,7 +4,6 @@
 mod engine;
 mod load;
 pub mod origin;
-mod prefetch;
 mod report;
 mod sources;
 mod stage;
@@ -34,12 +33,7 @@
     sync::mpsc,
 };
 
-use self::{
-    chunk_store::ChunkStore,
-    engine::Engine,
-    target::Target,
-    transfer::{Staging, TransferEnd},
-};
+use self::{chunk_store::ChunkStore, engine::Engine, target::Target, transfer::TransferEnd};
 use crate::{
     node::{ChunkOffer, Datagram, Node, Received, ignore_sighup},
     settings,
@@ -184,11 +178,9 @@
         let result = tokio::select! {
             result = deploy_version(loader, &target) => result,
             () = target::wait_until_superseded(loader, &target) => {
-                let missing = target::missing_chunks(loader, &target);
-                log::info!(version = target.version, missing; "overtaken by a newer version");
+                log::info!(version = target.version; "overtaken by a newer version");
                 continue;
             }
-            () = prefetch::run(loader, &target) => continue,
         };
         if let Err(error) = result {
             let fault = format!("{error:#}");
@@ -216,7 +208,7 @@
         if target.held == Some(target.version) {
             return stage::store_staged_chunks(loader, target, &list).await;
         }
-        if transfer::run(loader, target, &list, Staging::OnArrival).await == TransferEnd::Complete {
+        if transfer::run(loader, target, &list).await == TransferEnd::Complete {
             break list;
         }
     };
--- a/crates/sequoiahold/src/loader/target.rs
+++ b/crates/sequoiahold/src/loader/target.rs
@@ -7,16 +7,12 @@
     direct::{engine_load::LoadEvidence, platform::Codec, view::View},
     ids::ModelId,
     time::Time,
-    units::{Bytes, Span},
-    weights::Succession,
 };
 
 use super::{Loader, report, sources};
 
 /// Interval between checks for a newer target version.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Fraction of the rollout time within which gateways request an older version.
-const USABLE_FRACTION: f64 = 0.82;
 
 /// A version that the engine must hold.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -73,62 +69,20 @@
     loader.chunk_store.version_before(model, version).or_else(previous)
 }
 
-/// Waits until a newer version than `target` is announced and `target` is not finished first, and no
-/// order for it is open.
+/// Waits until operators announce a newer version than `target`, and no order for it is open.
 pub(super) async fn wait_until_superseded<C: Codec>(loader: &Loader<C>, target: &Target) {
     loop {
         actix_rt::time::sleep(POLL_INTERVAL).await;
         if loader.proof.get().has_open_order() {
             continue;
         }
-        if newer(loader, target).is_some_and(|newer| !finishes_first(loader, target, &newer)) {
+        let view = loader.node.view.borrow();
+        if view.target(&target.model).is_some_and(|wanted| wanted.newest() > target.newest) {
             return;
         }
     }
 }
 
-/// Returns the newest version announced after `target`, `None` without any.
-pub(super) fn newer<C: Codec>(loader: &Loader<C>, target: &Target) -> Option<Target> {
-    let view = loader.node.view.borrow();
-    let wanted = view.target(&target.model)?;
-    let version = Some(wanted.newest()).filter(|newest| *newest > target.newest)?;
-    let rollout_start = wanted.rollout_start(target.held);
-    Some(Target { version, newest: version, rollout_start, ..target.clone() })
-}
-
-/// Returns whether all chunks of a version are held.
-pub(super) fn is_whole<C: Codec>(loader: &Loader<C>, target: &Target) -> bool {
-    missing_chunks(loader, target) == Some(0)
-}
-
-/// Returns the number of chunks of a version that are not held, `None` without its chunk list.
-pub(super) fn missing_chunks<C: Codec>(loader: &Loader<C>, target: &Target) -> Option<u64> {
-    let list = loader.chunk_store.list(&target.model, target.version)?;
-    let missing = list.digests.iter().filter(|digest| !loader.chunk_store.contains(digest));
-    Some(missing.count() as u64)
-}
-
-/// Returns whether `target` is finished before `newer`; a replacement of a corrupt copy, or a version
-/// that is two behind, never is.
-fn finishes_first<C: Codec>(loader: &Loader<C>, target: &Target, newer: &Target) -> bool {
-    if target.version + 1 != newer.version {
-        return false;
-    }
-    let Some(list) = loader.chunk_store.list(&target.model, target.version) else { return false };
-    let Some(missing) = missing_chunks(loader, target) else { return false };
-    let usable = Span((loader.settings.node.bounds.version.0 as f64 * USABLE_FRACTION) as u64);
-    let view = loader.node.view.borrow();
-    let until = view.target(&target.model).and_then(|all| all.replaced_for(target.version, usable));
-    let Some(usable_until) = until else { return false };
-    let total = list.digests.len() as u64;
-    let origin = view.catalog().and_then(|catalog| catalog.origin()?.link);
-    let rate = origin.unwrap_or(loader.settings.link).min(loader.settings.link);
-    let time = |chunks: u64| rate.transfer_time(Bytes(list.chunk_size * chunks));
-    let newer = time(missing_chunks(loader, newer).unwrap_or(total));
-    let succession = Succession { older: time(missing), newer, usable_until };
-    succession.finishes_older(loader.node.now())
-}
-
 /// Returns the model that the engines of the service serve.
 fn served_model<C: Codec>(loader: &Loader<C>) -> Option<ModelId> {
     let view = loader.node.view.borrow();
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -62,21 +62,11 @@
     ListCorrected,
 }
 
-/// What becomes of the chunks that a transfer pulls.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Staging {
-    /// Each one is staged at the engine as it arrives.
-    OnArrival,
-    /// They are only stored, as the engine is about to load others.
-    Deferred,
-}
-
-/// Pulls the missing chunks of a version.
+/// Pulls the missing chunks of a version and stages each one as it arrives.
 pub(super) async fn run<C: Codec>(
     loader: &Loader<C>,
     target: &Target,
     list: &ChunkList,
-    staging: Staging,
 ) -> TransferEnd {
     let mut now = loader.node.now();
     let manifest = manifest(list);
@@ -108,9 +98,6 @@
         for vm in transfer.peers_to_query(now) {
             events.push(query_peer(loader, target, vm).boxed_local());
         }
-        if staging == Staging::Deferred {
-            staging_queue.clear();
-        }
         if !is_staging && let Some((chunk, data)) = staging_queue.pop_front() {
             is_staging = true;
             let request =
