Leave chunks of other owners alone while the origin refuses calls

Change: after a refusal by the origin, a VM takes over no chunk for one stall timeout, and for one more for each VM that precedes it for the chunk.

--- a/crates/core/src/weights/transfer/failure.rs
+++ b/crates/core/src/weights/transfer/failure.rs
@@ -47,7 +47,10 @@
         timeout: Span,
     ) {
         let pause = match error {
-            PullError::Later(pause) => pause,
+            PullError::Later(pause) => {
+                self.origin_refusal = Some(now);
+                pause
+            }
             PullError::Absent | PullError::Silent => {
                 self.origin_failures += 1;
                 Span(timeout.0.saturating_mul(1 << self.origin_failures.min(6)).min(MAX_TIMEOUT.0))
--- a/crates/core/src/weights/transfer/takeover.rs
+++ b/crates/core/src/weights/transfer/takeover.rs
@@ -27,17 +27,22 @@
         if task.plan.rank == 0 {
             return true;
         }
+        let timeout = self.stall_timeout();
+        let late = Span(timeout.0.saturating_mul(1 + task.plan.rank as u64));
+        // The origin that refuses this VM refuses the owners too.
+        if self.origin_refusal.is_some_and(|at| now - at < late) {
+            return false;
+        }
         let stalled = self.state() == TransferState::Stalled;
         let watched = task.plan.rank == task.plan.predecessors.len();
         if !watched && !stalled {
             return false;
         }
-        let timeout = self.stall_timeout();
         // Under a time limit, an owner on a slow link counts as failed even if it makes progress.
         // While this VM's own chunks are late too, the source is slow rather than the owner.
         let since = self.idle_since.map(|idle| due.max(idle));
-        let late = since.is_some_and(|since| now - since >= Span(SLOW_OWNER_FACTOR * timeout.0));
-        let slow = self.limits.time_limit.is_some() && late;
+        let overdue = since.is_some_and(|since| now - since >= Span(SLOW_OWNER_FACTOR * timeout.0));
+        let slow = self.limits.time_limit.is_some() && overdue;
         let has_failed = |key: &PeerKey| {
             if slow {
                 return true;
@@ -46,7 +51,6 @@
                 |peer: &PeerState| now - due >= timeout && peer.is_stalled(now, timeout);
             self.peers.get(key).is_some_and(|peer| peer.is_down() || stalled_peer(peer))
         };
-        let late = Span(timeout.0.saturating_mul(1 + task.plan.rank as u64));
         (watched && task.plan.predecessors.iter().all(has_failed))
             || (stalled && now - self.last_progress >= late)
     }
--- a/crates/core/tests/weights_transfer.rs
+++ b/crates/core/tests/weights_transfer.rs
@@ -272,3 +272,30 @@
     assert!(queried.len() <= 2 * (vms.ilog2() as usize + 1) + 6);
     assert!(!queried.contains(&vm_id(0)));
 }
+
+/// The origin refuses all calls for six seconds, as during its restart; meanwhile the VM that owns
+/// some chunks must not try those of the others, whose calls add to the load on the origin when it
+/// returns.
+#[test]
+fn chunks_of_other_owners_are_left_alone_while_the_origin_refuses_calls() {
+    let manifest = manifest(0..40);
+    let fleet = fleet(8, 1);
+    let topology = Topology::new(&vm_id(0), fleet.vms.values(), &fleet, None);
+    let time_limit = Some(Span::secs(8));
+    let limits = TransferLimits { rate: RATE, max_pulls: 4, time_limit };
+    let owners = RendezvousOwners { origin_rate: ByteRate(20 * RATE.0) };
+    let mut transfer = Transfer::new(&manifest, |_| false, topology, owners, limits, Time(0));
+    let first = pulls(&mut transfer, Span::millis(700), PullError::Later(Span::millis(150)));
+    let owned: BTreeSet<Digest> = first.into_iter().map(|(_, digest, _)| digest).collect();
+    assert!(!owned.is_empty() && owned.len() < 20, "{} owned", owned.len());
+    let mut foreign = 0;
+    let mut own = 0;
+    for now in (700..6_500).step_by(50).map(|ms| Time(ms * 1_000)) {
+        while let Some(pull) = transfer.next_pull(now) {
+            *if owned.contains(&pull.digest) { &mut own } else { &mut foreign } += 1;
+            transfer.on_pull_failed(now, &pull.digest, PullError::Later(Span::millis(150)));
+        }
+    }
+    assert!(own >= 20, "{own} calls for owned chunks");
+    assert_eq!(foreign, 0, "calls for chunks of other owners");
+}
