Placement uses the speed that endpoints state and the published delays

Cause: endpoints on shared machines state in each answer how long work takes at this moment, which was not decoded. Another region cost a fixed 30 ms in the score where the published delay is 1 ms.

It scales the time to the first event, the time to the end of the answer and the work that the score counts; an answer not expected to end before its deadline costs the missing time in the score. Published delays replace the fixed distance where given.

--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -13,7 +13,10 @@
 use crate::{ids::RegionId, time::Time, units::Span};
 
 /// Score penalty for each step of distance to an endpoint, in ms.
-const DISTANCE_PENALTY_MS: u32 = 15;
+const DISTANCE_PENALTY_MS: f64 = 15.0;
+/// The same where the delay is published, which is added twice; the rest is what traffic between
+/// zones costs their operators.
+const TRAFFIC_PENALTY_MS: f64 = 4.0;
 /// Score penalty for an endpoint whose primary is another gateway, in ms: the requests that the
 /// primary sent most recently are not known here yet.
 const SECONDARY_PENALTY_MS: u32 = 40;
@@ -73,20 +76,67 @@
     entry.service == request.service && allowed && serves
 }
 
-/// Returns the score of an endpoint, lower is better: its load plus penalties for distance and for
-/// not being its primary. Ties are broken at random.
-pub(super) fn score(state: &EndpointState, now: Time, rng: &mut impl Rng) -> u64 {
-    let load = state.total_load(now);
+/// What is expected of a request at an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Estimate {
+    /// Time to the first event in ms; 0 where the service declares no engine.
+    pub(super) first_ms: u32,
+    /// Time to the end of the answer in ms; 0 where the service declares no engine.
+    last_ms: u32,
+    /// Time that prefill of the endpoint's queued prompts and of the request's own takes, in ms.
+    work_ms: f64,
+}
+
+impl Estimate {
+    /// Returns the estimate for a prompt and answer of these tokens, and this prefill time in ms as
+    /// usual.
+    pub(super) fn new(
+        now: Time,
+        spec: &ServiceSpec,
+        state: &EndpointState,
+        tokens: (u32, u32),
+        prefill_ms: u32,
+    ) -> Self {
+        let load = state.total_load(now);
+        let factor = |ms: u32| state.speed.expected(now, Span::millis(u64::from(ms)));
+        let slowed = |ms: u32| (f64::from(ms) * factor(ms)) as u32;
+        let work = load.prefill_ms + load.requests * REQUEST_PENALTY_MS + prefill_ms;
+        let work_ms = f64::from(work) * factor(work);
+        let Some(engine) = &spec.engine else {
+            return Self { first_ms: 0, last_ms: 0, work_ms };
+        };
+        let way = state.zone_delay.map_or(0, |delay| (2 * delay.0 / 1_000) as u32);
+        let first = engine_model::first_event_ms(engine, load, prefill_ms);
+        let answer = engine_model::decode_answer_ms(engine, load.requests + 1, tokens.1);
+        let [first_ms, last_ms] = [first, first + answer].map(|ms| slowed(ms) + way);
+        Self { first_ms, last_ms, work_ms }
+    }
+}
+
+/// Returns the score of an endpoint, lower is better: its work plus penalties for distance, for not
+/// being its primary, and for an answer that is not expected to end in time. Ties are broken at
+/// random.
+pub(super) fn score(
+    state: &EndpointState,
+    now: Time,
+    request: &PlacementRequest,
+    estimate: &Estimate,
+    rng: &mut impl Rng,
+) -> u64 {
     let secondary = match state.assignment.relation {
         Relation::Primary | Relation::Shared => 0,
         Relation::Cell => SECONDARY_PENALTY_MS,
         Relation::Outside => OUTSIDE_PENALTY_MS,
     };
-    let work = load.prefill_ms
-        + load.requests * REQUEST_PENALTY_MS
-        + state.distance * DISTANCE_PENALTY_MS
-        + secondary;
-    (u64::from(work) << 16) | u64::from(rng.random::<u16>())
+    let distance = f64::from(state.distance);
+    let way = match state.zone_delay {
+        Some(delay) => 2.0 * delay.0 as f64 / 1_000.0 + distance.min(1.0) * TRAFFIC_PENALTY_MS,
+        None => distance * DISTANCE_PENALTY_MS,
+    };
+    let left = (request.deadline - now).0 / 1_000;
+    let late = u64::from(estimate.last_ms).saturating_sub(left);
+    let work = (estimate.work_ms + way).round() as u64 + u64::from(secondary) + late;
+    (work << 16) | u64::from(rng.random::<u16>())
 }
 
 /// Returns the requests per second that this gateway may send to an endpoint.
@@ -142,12 +192,6 @@
     spec.engine.as_ref().map_or(DEFAULT_REQUEST_MS, |spec| engine_model::prefill_ms(spec, prompt))
 }
 
-/// Returns the estimated time to the first event at an endpoint with this load, in ms; 0 where the
-/// service declares no engine.
-pub(super) fn first_event_ms(spec: &ServiceSpec, load: InFlightLoad, prefill_ms: u32) -> u32 {
-    spec.engine.as_ref().map_or(0, |spec| engine_model::first_event_ms(spec, load, prefill_ms))
-}
-
 /// Returns whether the first event is expected in time or, for an already late request, whether the
 /// endpoint's prefill stays within [`MAX_LATE_PREFILL_MS`].
 ///
--- a/crates/core/src/direct/scheduler/notices.rs
+++ b/crates/core/src/direct/scheduler/notices.rs
@@ -6,6 +6,7 @@
         availability::Cause,
         endpoint_notices::{EndpointNotices, LeavingReport, Start},
         endpoint_state::EndpointState,
+        engine_model::zone_delay,
         placement::max_retry_delay,
         wait_queue::TicketKey,
     },
@@ -88,6 +89,26 @@
         Some(LeavingReport { instance, start, leaving, age, repeated: Span(0) })
     }
 
+    /// Records the factor on the time that work takes, which the answer to a request stated.
+    pub fn record_speed(&mut self, now: Time, grant: &Grant, factor: f64) {
+        let state = self.endpoints.get_mut(grant.endpoint);
+        let answered =
+            |state: &&mut EndpointState| Start::of(&state.endpoint.entry) == grant.start();
+        if let Some(state) = state.filter(answered) {
+            state.speed.record(now, factor);
+        }
+    }
+
+    /// Applies the published delays between availability zones.
+    pub(super) fn apply_delays(&mut self) {
+        for state in self.endpoints.values_mut() {
+            let entry = &state.endpoint.entry;
+            let spec = self.specs.get(&entry.service).and_then(|spec| spec.engine.as_ref());
+            state.zone_delay =
+                spec.and_then(|spec| zone_delay(spec, &self.config.zone, &entry.zone));
+        }
+    }
+
     /// Merges the reports that another gateway sent at `sent`, and returns those that are a change.
     pub fn merge_leaving(
         &mut self,
