Published delays no longer decide placement; no penalty at the usual speed

Change: the delays are no longer decoded, and the fixed distance is back. Estimates saturate: a caller may announce an answer of any length.

--- a/crates/core/src/direct/catalog.rs
+++ b/crates/core/src/direct/catalog.rs
@@ -85,8 +85,6 @@
     pub mean_prompt: u32,
     /// Mean answer length in tokens.
     pub mean_answer: u32,
-    /// The one-way delays between availability zones, from the first to the second, where published.
-    pub delays: Vec<(ZoneId, ZoneId, Span)>,
     /// The models that the engines can hold.
     pub models: Vec<ModelId>,
     /// Time that an engine needs to load all layers.
--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -106,8 +106,6 @@
     pub own_load: InFlightLoad,
     /// How long work takes there, as its answers say.
     pub speed: EndpointSpeed,
-    /// The published delay from the gateway's zone to the endpoint's.
-    pub zone_delay: Option<Span>,
     /// The rate limit that it advertises.
     pub rate_limit: RateLimit,
     /// The place of this gateway among those that share the limit, if there is one.
@@ -137,7 +135,6 @@
             assignment: Assignment::default(),
             own_load: InFlightLoad::default(),
             speed: EndpointSpeed::default(),
-            zone_delay: None,
             rate_limit: RateLimit::default(),
             limit_rank: 0,
             peer_load: InFlightLoad::default(),
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -13,10 +13,7 @@
 use crate::{ids::RegionId, time::Time, units::Span};
 
 /// Score penalty for each step of distance to an endpoint, in ms.
-const DISTANCE_PENALTY_MS: f64 = 15.0;
-/// The same where the delay is published, which is added twice; the rest is what traffic between
-/// zones costs their operators.
-const TRAFFIC_PENALTY_MS: f64 = 4.0;
+const DISTANCE_PENALTY_MS: u32 = 15;
 /// Score penalty for an endpoint whose primary is another gateway, in ms: the requests that the
 /// primary sent most recently are not known here yet.
 const SECONDARY_PENALTY_MS: u32 = 40;
@@ -81,8 +78,9 @@
 pub(super) struct Estimate {
     /// Time to the first event in ms; 0 where the service declares no engine.
     pub(super) first_ms: u32,
-    /// Time to the end of the answer in ms; 0 where the service declares no engine.
-    last_ms: u32,
+    /// Time to the end of the answer in ms, as usual and at the present speed; 0 where the service
+    /// declares no engine.
+    last_ms: (u32, u32),
     /// Time that prefill of the endpoint's queued prompts and of the request's own takes, in ms.
     work_ms: f64,
 }
@@ -100,22 +98,22 @@
         let load = state.total_load(now);
         let factor = |ms: u32| state.speed.expected(now, Span::millis(u64::from(ms)));
         let slowed = |ms: u32| (f64::from(ms) * factor(ms)) as u32;
-        let work = load.prefill_ms + load.requests * REQUEST_PENALTY_MS + prefill_ms;
+        let queued = load.prefill_ms + load.requests * REQUEST_PENALTY_MS;
+        let work = queued.saturating_add(prefill_ms);
         let work_ms = f64::from(work) * factor(work);
         let Some(engine) = &spec.engine else {
-            return Self { first_ms: 0, last_ms: 0, work_ms };
+            return Self { first_ms: 0, last_ms: (0, 0), work_ms };
         };
-        let way = state.zone_delay.map_or(0, |delay| (2 * delay.0 / 1_000) as u32);
         let first = engine_model::first_event_ms(engine, load, prefill_ms);
         let answer = engine_model::decode_answer_ms(engine, load.requests + 1, tokens.1);
-        let [first_ms, last_ms] = [first, first + answer].map(|ms| slowed(ms) + way);
-        Self { first_ms, last_ms, work_ms }
+        let last = first.saturating_add(answer);
+        Self { first_ms: slowed(first), last_ms: (last, slowed(last)), work_ms }
     }
 }
 
 /// Returns the score of an endpoint, lower is better: its work plus penalties for distance, for not
-/// being its primary, and for an answer that is not expected to end in time. Ties are broken at
-/// random.
+/// being its primary, and for the time by which a slow endpoint delays the end of the answer beyond
+/// the deadline. Ties are broken at random.
 pub(super) fn score(
     state: &EndpointState,
     now: Time,
@@ -128,14 +126,12 @@
         Relation::Cell => SECONDARY_PENALTY_MS,
         Relation::Outside => OUTSIDE_PENALTY_MS,
     };
-    let distance = f64::from(state.distance);
-    let way = match state.zone_delay {
-        Some(delay) => 2.0 * delay.0 as f64 / 1_000.0 + distance.min(1.0) * TRAFFIC_PENALTY_MS,
-        None => distance * DISTANCE_PENALTY_MS,
-    };
     let left = (request.deadline - now).0 / 1_000;
-    let late = u64::from(estimate.last_ms).saturating_sub(left);
-    let work = (estimate.work_ms + way).round() as u64 + u64::from(secondary) + late;
+    let (usual_ms, slowed_ms) = estimate.last_ms;
+    let late_by = |last_ms| u64::from(last_ms).saturating_sub(left);
+    let late = late_by(slowed_ms).saturating_sub(late_by(usual_ms));
+    let penalty = state.distance * DISTANCE_PENALTY_MS + secondary;
+    let work = estimate.work_ms.round() as u64 + u64::from(penalty) + late;
     (work << 16) | u64::from(rng.random::<u16>())
 }
 
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -202,7 +202,6 @@
                 }
             }
         }
-        self.apply_delays();
         self.apply_notices();
     }
 
--- a/crates/core/src/direct/scheduler/notices.rs
+++ b/crates/core/src/direct/scheduler/notices.rs
@@ -6,7 +6,6 @@
         availability::Cause,
         endpoint_notices::{EndpointNotices, LeavingReport, Start},
         endpoint_state::EndpointState,
-        engine_model::zone_delay,
         placement::max_retry_delay,
         wait_queue::TicketKey,
     },
@@ -99,16 +98,6 @@
         }
     }
 
-    /// Applies the published delays between availability zones.
-    pub(super) fn apply_delays(&mut self) {
-        for state in self.endpoints.values_mut() {
-            let entry = &state.endpoint.entry;
-            let spec = self.specs.get(&entry.service).and_then(|spec| spec.engine.as_ref());
-            state.zone_delay =
-                spec.and_then(|spec| zone_delay(spec, &self.config.zone, &entry.zone));
-        }
-    }
-
     /// Merges the reports that another gateway sent at `sent`, and returns those that are a change.
     pub fn merge_leaving(
         &mut self,
