--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -6,7 +6,6 @@
     availability::{Availability, Cause},
     cells::{Assignment, Relation},
     endpoint_notices::Start,
-    endpoint_speed::EndpointSpeed,
     load_exchange::LocalLoad,
     load_reports::{LoadKnowledge, LoadReports},
     rate_limit::RateLimit,
@@ -104,8 +103,6 @@
     pub assignment: Assignment,
     /// The load caused by this gateway.
     pub own_load: InFlightLoad,
-    /// How long work takes there, as its answers say.
-    pub speed: EndpointSpeed,
     /// The rate limit that it advertises.
     pub rate_limit: RateLimit,
     /// The place of this gateway among those that share the limit, if there is one.
@@ -134,7 +131,6 @@
             distance,
             assignment: Assignment::default(),
             own_load: InFlightLoad::default(),
-            speed: EndpointSpeed::default(),
             rate_limit: RateLimit::default(),
             limit_rank: 0,
             peer_load: InFlightLoad::default(),
@@ -169,7 +165,6 @@
                 self.availability.clear(cause);
             }
             self.rate_limit = RateLimit::default();
-            self.speed = EndpointSpeed::default();
         }
         self.endpoint = endpoint;
     }
--- a/crates/core/src/direct/engine_model.rs
+++ b/crates/core/src/direct/engine_model.rs
@@ -29,15 +29,6 @@
     (current_pass + total + passes * steps + NETWORK_MS).ceil() as u32
 }
 
-/// Returns the time in ms that an engine with a batch of this many requests takes from the first
-/// event of an answer of `answer` tokens to the last, while it prefills prompts of the usual length.
-pub fn decode_answer_ms(spec: &EngineSpec, requests: u32, answer: u32) -> u32 {
-    let steps = decode_ms(spec, requests.max(1)) / f64::from(spec.pass_steps.max(1));
-    let prefill = f64::from(prefill_ms(spec, spec.mean_prompt));
-    let prefill = f64::from(requests) * prefill / f64::from(spec.mean_answer.max(1));
-    (f64::from(answer) * (steps + prefill)).ceil() as u32
-}
-
 /// Returns the time of the decode steps of one pass with a batch of this many requests, in ms.
 fn decode_ms(spec: &EngineSpec, requests: u32) -> f64 {
     if requests == 0 {
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -4,7 +4,6 @@
 pub mod catalog;
 pub mod cells;
 pub mod endpoint_notices;
-pub mod endpoint_speed;
 pub mod endpoint_state;
 pub mod engine_load;
 pub mod engine_model;
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -73,66 +73,20 @@
     entry.service == request.service && allowed && serves
 }
 
-/// What is expected of a request at an endpoint.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Estimate {
-    /// Time to the first event in ms; 0 where the service declares no engine.
-    pub(super) first_ms: u32,
-    /// Time to the end of the answer in ms, as usual and at the present speed; 0 where the service
-    /// declares no engine.
-    last_ms: (u32, u32),
-    /// Time that prefill of the endpoint's queued prompts and of the request's own takes, in ms.
-    work_ms: f64,
-}
-
-impl Estimate {
-    /// Returns the estimate for a prompt and answer of these tokens, and this prefill time in ms as
-    /// usual.
-    pub(super) fn new(
-        now: Time,
-        spec: &ServiceSpec,
-        state: &EndpointState,
-        tokens: (u32, u32),
-        prefill_ms: u32,
-    ) -> Self {
-        let load = state.total_load(now);
-        let factor = |ms: u32| state.speed.expected(now, Span::millis(u64::from(ms)));
-        let slowed = |ms: u32| (f64::from(ms) * factor(ms)) as u32;
-        let queued = load.prefill_ms + load.requests * REQUEST_PENALTY_MS;
-        let work = queued.saturating_add(prefill_ms);
-        let work_ms = f64::from(work) * factor(work);
-        let Some(engine) = &spec.engine else {
-            return Self { first_ms: 0, last_ms: (0, 0), work_ms };
-        };
-        let first = engine_model::first_event_ms(engine, load, prefill_ms);
-        let answer = engine_model::decode_answer_ms(engine, load.requests + 1, tokens.1);
-        let last = first.saturating_add(answer);
-        Self { first_ms: slowed(first), last_ms: (last, slowed(last)), work_ms }
-    }
-}
-
-/// Returns the score of an endpoint, lower is better: its work plus penalties for distance, for not
-/// being its primary, and for the time by which a slow endpoint delays the end of the answer beyond
-/// the deadline. Ties are broken at random.
-pub(super) fn score(
-    state: &EndpointState,
-    now: Time,
-    request: &PlacementRequest,
-    estimate: &Estimate,
-    rng: &mut impl Rng,
-) -> u64 {
+/// Returns the score of an endpoint, lower is better: its load plus penalties for distance and for
+/// not being its primary. Ties are broken at random.
+pub(super) fn score(state: &EndpointState, now: Time, rng: &mut impl Rng) -> u64 {
+    let load = state.total_load(now);
     let secondary = match state.assignment.relation {
         Relation::Primary | Relation::Shared => 0,
         Relation::Cell => SECONDARY_PENALTY_MS,
         Relation::Outside => OUTSIDE_PENALTY_MS,
     };
-    let left = (request.deadline - now).0 / 1_000;
-    let (usual_ms, slowed_ms) = estimate.last_ms;
-    let late_by = |last_ms| u64::from(last_ms).saturating_sub(left);
-    let late = late_by(slowed_ms).saturating_sub(late_by(usual_ms));
-    let penalty = state.distance * DISTANCE_PENALTY_MS + secondary;
-    let work = estimate.work_ms.round() as u64 + u64::from(penalty) + late;
-    (work << 16) | u64::from(rng.random::<u16>())
+    let work = load.prefill_ms
+        + load.requests * REQUEST_PENALTY_MS
+        + state.distance * DISTANCE_PENALTY_MS
+        + secondary;
+    (u64::from(work) << 16) | u64::from(rng.random::<u16>())
 }
 
 /// Returns the requests per second that this gateway may send to an endpoint.
@@ -188,6 +142,12 @@
     spec.engine.as_ref().map_or(DEFAULT_REQUEST_MS, |spec| engine_model::prefill_ms(spec, prompt))
 }
 
+/// Returns the estimated time to the first event at an endpoint with this load, in ms; 0 where the
+/// service declares no engine.
+pub(super) fn first_event_ms(spec: &ServiceSpec, load: InFlightLoad, prefill_ms: u32) -> u32 {
+    spec.engine.as_ref().map_or(0, |spec| engine_model::first_event_ms(spec, load, prefill_ms))
+}
+
 /// Returns whether the first event is expected in time or, for an already late request, whether the
 /// endpoint's prefill stays within [`MAX_LATE_PREFILL_MS`].
 ///
--- a/crates/core/src/direct/platform.rs
+++ b/crates/core/src/direct/platform.rs
@@ -43,8 +43,6 @@
     pub rate_limit: &'static str,
     /// Set to 1 on all answers of an endpoint that leaves.
     pub leaving: &'static str,
-    /// The requests running and waiting at the endpoint, its slots, and how long work takes there.
-    pub load: &'static str,
     /// The number of times that the platform restored its state from a copy.
     pub era: &'static str,
 }
@@ -139,9 +137,6 @@
     fn decode_prompt_parts(&self, value: &str) -> Result<Vec<PartId>, DecodeError>;
     /// Decodes the header by which an endpoint says that it leaves.
     fn decode_leaving(&self, value: &str) -> Result<bool, DecodeError>;
-    /// Decodes the header by which an endpoint states its load; returns the factor on the time that
-    /// work takes there at this moment, 1 as usual, if it is stated.
-    fn decode_load(&self, value: &str) -> Result<Option<f64>, DecodeError>;
     /// Returns the path of a gateway's readiness check.
     fn readiness_path(&self) -> &'static str;
     /// Returns the path of the page of items after a key, the first page without one.
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -22,7 +22,7 @@
     endpoint_state::{AttemptOutcome, EndpointState, InFlightLoad},
     load_exchange::LocalLoad,
     placement::{
-        Estimate, can_serve, is_sampled, max_retry_delay, max_send_rate, meets_objective,
+        can_serve, first_event_ms, is_sampled, max_retry_delay, max_send_rate, meets_objective,
         prefill_ms, queue_deadline, retry_delay, score,
     },
     view::{TargetVersions, View},
@@ -376,8 +376,7 @@
                 continue;
             }
             let load = state.total_load(now);
-            let estimate = Estimate::new(now, &spec, state, request.tokens, prefill_ms);
-            let first_ms = estimate.first_ms;
+            let first_ms = first_event_ms(&spec, load, prefill_ms);
             let has_room = meets_objective(now, request, load, prefill_ms, first_ms)
                 && load.requests < state.capacity(self.gateways);
             let usable = can_serve(state, request, min_version)
@@ -388,7 +387,7 @@
             if !has_room || !usable || tried || (request.healthy_only && !state.is_healthy()) {
                 continue;
             }
-            let score = score(state, now, request, &estimate, rng);
+            let score = score(state, now, rng);
             if best.is_none_or(|(least, ..)| score < least) {
                 best = Some((score, key, first_ms));
             }
--- a/crates/core/src/direct/scheduler/notices.rs
+++ b/crates/core/src/direct/scheduler/notices.rs
@@ -88,16 +88,6 @@
         Some(LeavingReport { instance, start, leaving, age, repeated: Span(0) })
     }
 
-    /// Records the factor on the time that work takes, which the answer to a request stated.
-    pub fn record_speed(&mut self, now: Time, grant: &Grant, factor: f64) {
-        let state = self.endpoints.get_mut(grant.endpoint);
-        let answered =
-            |state: &&mut EndpointState| Start::of(&state.endpoint.entry) == grant.start();
-        if let Some(state) = state.filter(answered) {
-            state.speed.record(now, factor);
-        }
-    }
-
     /// Merges the reports that another gateway sent at `sent`, and returns those that are a change.
     pub fn merge_leaving(
         &mut self,
--- a/crates/sequoiahold/src/gateway/notices.rs
+++ b/crates/sequoiahold/src/gateway/notices.rs
@@ -40,9 +40,6 @@
         return;
     }
     record_leaving(gateway, request, grant, sent, response);
-    if sent.is_some() {
-        record_speed(gateway, request, grant, response);
-    }
     if response.status == StatusCode::SERVICE_UNAVAILABLE {
         record_pause(gateway, request, grant, response);
     }
@@ -76,29 +73,6 @@
     }
 }
 
-/// Records how long work takes at the endpoint, if the answer says so.
-fn record_speed<C: Codec>(
-    gateway: &Gateway<C>,
-    request: &IncomingRequest,
-    grant: &Grant,
-    response: &UpstreamResponse,
-) {
-    let codec = &gateway.node.codec;
-    let Some(value) = response.headers.get(codec.header_names().load) else { return };
-    match codec.decode_load(value.to_str().unwrap_or("")) {
-        Ok(Some(factor)) => {
-            let now = gateway.node.now();
-            gateway.scheduler.borrow_mut().record_speed(now, grant, factor);
-        }
-        Ok(None) => {}
-        Err(error) => {
-            let (id, instance) = (attempt_id(gateway, request), grant.instance.as_str());
-            let fault = error.to_string();
-            log::warn!(id, instance, fault = fault.as_str(); "unreadable answer");
-        }
-    }
-}
-
 /// Applies the reports that another gateway sent at `sent`.
 pub(super) fn receive<C: Codec>(gateway: &Gateway<C>, sent: Time, reports: Vec<LeavingReport>) {
     let now = gateway.node.now();
