Gateways can find the pace of started endpoints from their answers

Cause: an endpoint that has just started or recovered is flooded by many gateways or left idle by a fixed ramp.

Change: a limit on its requests in progress begins at an eighth of the slots, grows by each answer in time, is halved by refusals, failures and late first events, and ends at the slots. A started endpoint is left to its primary for one second. The setting `pace` turns it on; it is off by default. A gauge counts the paced endpoints.

Tests: the literals of SchedulerConfig and the list of all metrics gain the new field and gauge; nothing else in existing tests changes.

--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -8,6 +8,7 @@
     endpoint_notices::Start,
     load_exchange::LocalLoad,
     load_reports::{LoadKnowledge, LoadReports},
+    pace::Pace,
     rate_limit::RateLimit,
     view::Endpoint,
 };
@@ -107,6 +108,8 @@
     pub rate_limit: RateLimit,
     /// The place of this gateway among those that share the limit, if there is one.
     pub limit_rank: usize,
+    /// The pace at which it takes requests after a start, a recovery or a pause.
+    pub pace: Pace,
     peer_load: InFlightLoad,
     peer_updated: Time,
     recent_sends: VecDeque<Time>,
@@ -133,6 +136,7 @@
             own_load: InFlightLoad::default(),
             rate_limit: RateLimit::default(),
             limit_rank: 0,
+            pace: Pace::default(),
             peer_load: InFlightLoad::default(),
             peer_updated: Time::default(),
             recent_sends: VecDeque::new(),
@@ -165,6 +169,7 @@
                 self.availability.clear(cause);
             }
             self.rate_limit = RateLimit::default();
+            self.pace.begin_start(endpoint.entry.slots.max(1));
         }
         self.endpoint = endpoint;
     }
@@ -237,7 +242,12 @@
     /// Records until when the endpoint pauses or has paused, `None` if it did not.
     pub fn set_pause(&mut self, until: Option<Time>) {
         match until {
-            Some(until) => self.availability.set(Cause::Pause, Some(until)),
+            Some(until) => {
+                if self.availability.end(Cause::Pause) != Some(until) {
+                    self.pace.begin(self.endpoint.entry.slots.max(1));
+                }
+                self.availability.set(Cause::Pause, Some(until));
+            }
             None => self.availability.clear(Cause::Pause),
         }
     }
@@ -289,6 +299,12 @@
             || u64::from(self.own_load.requests) <= slots * elapsed.0 / RETURN_RAMP.0
     }
 
+    /// Returns whether one more request in progress keeps the endpoint's pace.
+    pub fn allows_pace(&mut self, now: Time) -> bool {
+        let total = self.total_load(now).requests;
+        self.pace.allows(now, self.assignment.relation, self.own_load.requests, total)
+    }
+
     /// Returns from when on this gateway, one of `gateways`, may send a request within the rate limit,
     /// with the interval to the next one; `None` if it has no part of the limit.
     pub fn next_turn(&self, now: Time, gateways: usize) -> Option<(Time, Span)> {
@@ -383,7 +399,12 @@
     pub fn record_outcome(&mut self, now: Time, outcome: AttemptOutcome) {
         self.own_load.requests = self.own_load.requests.saturating_sub(1);
         match outcome {
-            AttemptOutcome::Answered => self.failure_streak = 0,
+            AttemptOutcome::Answered => {
+                if self.failure_streak >= FAILURE_THRESHOLD {
+                    self.pace.begin(self.endpoint.entry.slots.max(1));
+                }
+                self.failure_streak = 0;
+            }
             AttemptOutcome::Dropped => {}
             AttemptOutcome::Full => self.availability.extend(Cause::Full, now + FULL_BACKOFF),
             AttemptOutcome::Misdirected => self.availability.set(Cause::Misdirected, None),
--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -17,6 +17,7 @@
 pub mod load_schedule;
 pub mod membership;
 pub mod mirror;
+pub mod pace;
 pub mod part_suspects;
 pub mod pause;
 mod placement;
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -56,6 +56,8 @@
     pub cold_factor: f64,
     /// Requests per second allowed in addition to that rate.
     pub cold_extra: f64,
+    /// Whether endpoints get requests at the pace that their answers show.
+    pub pace: bool,
 }
 
 impl SchedulerConfig {
@@ -120,6 +122,8 @@
     targets: BTreeMap<ModelId, TargetVersions>,
     gateways: usize,
     outside: BTreeMap<ServiceId, usize>,
+    /// Whether an endpoint has answered, after which a new instance counts as started.
+    has_answers: bool,
     cells: Cells,
     notices: EndpointNotices,
 }
@@ -143,6 +147,7 @@
             targets: BTreeMap::new(),
             gateways: 1,
             outside: BTreeMap::new(),
+            has_answers: false,
             cells: Cells::default(),
             notices: EndpointNotices::default(),
         }
@@ -193,11 +198,11 @@
                 None => {
                     let region = self.config.regions.get(&endpoint.entry.zone).cloned();
                     let distance = self.distance(&endpoint.entry.zone);
-                    let key = self.endpoints.insert(EndpointState::new(
-                        endpoint.clone(),
-                        region,
-                        distance,
-                    ));
+                    let mut state = EndpointState::new(endpoint.clone(), region, distance);
+                    if self.has_answers {
+                        state.pace.begin_start(endpoint.entry.slots.max(1));
+                    }
+                    let key = self.endpoints.insert(state);
                     self.by_instance.insert(instance.clone(), key);
                 }
             }
@@ -309,14 +314,26 @@
         }
     }
 
+    /// Records the first event of a request, from which the pace of its endpoint follows.
+    pub fn record_first_event(&mut self, now: Time, grant: &Grant) {
+        if let Some(state) = self.endpoints.get_mut(grant.endpoint) {
+            let slots = state.endpoint.entry.slots.max(1);
+            state.pace.record_first_event(now, grant.granted_at, grant.first_ms, slots);
+        }
+    }
+
     /// Releases the slot of a request that ended and records its outcome.
     pub fn release(&mut self, now: Time, grant: &mut Grant, outcome: AttemptOutcome) {
         self.finish_prefill(grant);
         // A rejection of a version that has been replaced says nothing of the present one.
         let is_late = outcome == AttemptOutcome::Misdirected && self.is_replaced(grant);
         let outcome = if is_late { AttemptOutcome::Dropped } else { outcome };
+        self.has_answers |= outcome == AttemptOutcome::Answered;
         if let Some(state) = self.endpoints.get_mut(grant.endpoint) {
             state.record_outcome(now, outcome);
+            if matches!(outcome, AttemptOutcome::Full | AttemptOutcome::Failed) {
+                state.pace.record_refusal(now, grant.granted_at);
+            }
         }
         let queue = self.queues.entry(grant.service.clone()).or_default();
         queue.waiting.record_end(&grant.account);
@@ -382,7 +399,8 @@
             let usable = can_serve(state, request, min_version)
                 && state.is_available(now, gateways)
                 && state.allows_return(now)
-                && state.allows_send(now, send_limit, salt);
+                && state.allows_send(now, send_limit, salt)
+                && (!self.config.pace || state.allows_pace(now));
             let tried = request.tried.contains(&key);
             if !has_room || !usable || tried || (request.healthy_only && !state.is_healthy()) {
                 continue;
--- a/crates/core/src/direct/scheduler/notices.rs
+++ b/crates/core/src/direct/scheduler/notices.rs
@@ -133,6 +133,12 @@
         counts
     }
 
+    /// Returns the number of endpoints whose pace limits their requests in progress.
+    pub fn paced_endpoints(&self) -> usize {
+        let is_paced = |state: &&EndpointState| self.config.pace && state.pace.limit().is_some();
+        self.endpoints.values().filter(is_paced).count()
+    }
+
     /// Returns whether an endpoint of a service leaves, pauses or loads, so that
     /// [`Scheduler::known_refusal`] may apply to its queued requests.
     pub(super) fn may_refuse_queued(&self, now: Time, service: &ServiceId) -> bool {
--- a/crates/core/tests/direct_desk.rs
+++ b/crates/core/tests/direct_desk.rs
@@ -90,6 +90,7 @@
         rollout_time: Span::secs(8),
         cold_factor: 1.5,
         cold_extra: 5.0,
+        pace: false,
     }
 }
 
--- a/crates/core/tests/direct_loads_review.rs
+++ b/crates/core/tests/direct_loads_review.rs
@@ -84,6 +84,7 @@
             rollout_time: Span::secs(8),
             cold_factor: 1.5,
             cold_extra: 5.0,
+            pace: false,
         };
         let mut gateway = Self {
             view: View::default(),
--- a/crates/core/tests/direct_version_review.rs
+++ b/crates/core/tests/direct_version_review.rs
@@ -78,6 +78,7 @@
         rollout_time: ROLLOUT,
         cold_factor: 1.5,
         cold_extra: 5.0,
+        pace: false,
     })
 }
 
--- a/crates/core/tests/direct_withdrawal.rs
+++ b/crates/core/tests/direct_withdrawal.rs
@@ -66,6 +66,7 @@
         rollout_time: Span::secs(8),
         cold_factor: 1.5,
         cold_extra: 5.0,
+        pace: false,
     });
     scheduler.update(&view);
     let mut rng = SmallRng::seed_from_u64(1);
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -67,6 +67,11 @@
 
 /// Returns the schedulers of `count` gateways that know each other.
 pub fn schedulers(count: usize, view: &View) -> Vec<Scheduler> {
+    schedulers_with(count, view, false)
+}
+
+/// Returns the same schedulers, with or without a pace for endpoints that start.
+pub fn schedulers_with(count: usize, view: &View, pace: bool) -> Vec<Scheduler> {
     let gateways: Vec<(VmId, ZoneId)> =
         (0..count).map(|index| (name(&format!("g-{index:03}")), zone(index))).collect();
     let regions: BTreeMap<ZoneId, _> =
@@ -78,6 +83,7 @@
             rollout_time: Span::secs(8),
             cold_factor: 1.5,
             cold_extra: 5.0,
+            pace,
         });
         scheduler.update(view);
         scheduler.set_gateway_count(count);
--- a/crates/sequoiahold/src/gateway/metrics.rs
+++ b/crates/sequoiahold/src/gateway/metrics.rs
@@ -35,6 +35,7 @@
     retries: Family<Labels, Counter>,
     blocked_parts: Counter,
     limited_endpoints: Gauge,
+    paced_endpoints: Gauge,
     announced_versions: Family<Labels, Gauge<f64, AtomicU64>>,
     unavailable_endpoints: Family<Labels, Gauge>,
     account_labels: RefCell<BTreeSet<String>>,
@@ -78,6 +79,12 @@
                 "Endpoints that advertise a rate limit",
                 Gauge::default(),
             ),
+            paced_endpoints: register(
+                r,
+                "paced_endpoints",
+                "Endpoints whose pace limits their requests in progress",
+                Gauge::default(),
+            ),
             announced_versions: register(
                 r,
                 "version_announced_seconds",
@@ -151,6 +158,11 @@
         self.limited_endpoints.set(endpoints as i64);
     }
 
+    /// Sets the number of endpoints whose pace limits their requests in progress.
+    pub(super) fn set_paced_endpoints(&self, endpoints: usize) {
+        self.paced_endpoints.set(endpoints as i64);
+    }
+
     /// Sets the versions with known times of announcement, in seconds since the Unix epoch.
     pub(super) fn set_announced(
         &self,
--- a/crates/sequoiahold/src/gateway/mod.rs
+++ b/crates/sequoiahold/src/gateway/mod.rs
@@ -47,7 +47,7 @@
     let (datagrams, inbox) = mpsc::unbounded_channel();
     let node =
         Node::new(codec, Role::Gateway, settings.node.clone(), http_config.clone(), datagrams);
-    let gateway = Gateway::new(node.clone(), http_config.clone());
+    let gateway = Gateway::new(node.clone(), http_config.clone(), settings.pace);
     let mut stop = signal(SignalKind::terminate())?;
     let reload = signal(SignalKind::hangup())?;
     node.start(NotFoundHandler)?;
--- a/crates/sequoiahold/src/gateway/notices.rs
+++ b/crates/sequoiahold/src/gateway/notices.rs
@@ -124,6 +124,7 @@
     for instance in gateway.scheduler.borrow_mut().take_ended_pauses(now) {
         log::info!(instance = instance.as_str(); "pause of an endpoint ended");
     }
+    gateway.metrics.set_paced_endpoints(gateway.scheduler.borrow().paced_endpoints());
     let counts = gateway.scheduler.borrow().unavailable_endpoints(now);
     for (cause, endpoints) in counts {
         gateway.metrics.set_unavailable_endpoints(cause.label(), endpoints);
--- a/crates/sequoiahold/src/gateway/slot.rs
+++ b/crates/sequoiahold/src/gateway/slot.rs
@@ -34,7 +34,10 @@
     /// Tells the scheduler, once, that the prefill of the prompt is over.
     pub(super) fn finish_prefill(&mut self) {
         if self.grant.prefill_ms > 0 {
-            self.gateway.scheduler.borrow_mut().finish_prefill(&mut self.grant);
+            let now = self.gateway.node.now();
+            let mut scheduler = self.gateway.scheduler.borrow_mut();
+            scheduler.record_first_event(now, &self.grant);
+            scheduler.finish_prefill(&mut self.grant);
         }
     }
 }
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -67,7 +67,7 @@
 
 impl<C: Codec> Gateway<C> {
     /// Returns the state of a gateway that has no endpoints yet.
-    pub(super) fn new(node: Rc<Node<C>>, http_config: ServiceConfig) -> Rc<Self> {
+    pub(super) fn new(node: Rc<Node<C>>, http_config: ServiceConfig, pace: bool) -> Rc<Self> {
         let settings = &node.settings;
         let bounds = &settings.bounds;
         let scheduler_config = SchedulerConfig {
@@ -76,6 +76,7 @@
             rollout_time: bounds.version,
             cold_factor: bounds.cold_factor,
             cold_extra: bounds.cold_extra,
+            pace,
         };
         let retry_bounds = RetryBounds {
             ratio: bounds.retry_ratio,
--- a/crates/sequoiahold/src/settings/gateway.rs
+++ b/crates/sequoiahold/src/settings/gateway.rs
@@ -19,6 +19,9 @@
     /// The maximum number of concurrent connections of callers.
     #[serde(default = "Gateway::default_connections")]
     pub connections: u32,
+    /// Whether endpoints that start, recover or paused get requests at the pace of their answers.
+    #[serde(default)]
+    pub pace: bool,
     /// The log output.
     #[serde(default)]
     pub log: Log,
--- a/crates/standins/src/bench/placement.rs
+++ b/crates/standins/src/bench/placement.rs
@@ -145,6 +145,7 @@
             rollout_time: Span::secs(8),
             cold_factor: 1.5,
             cold_extra: 5.0,
+            pace: false,
         });
         scheduler.update(&view());
         Self { scheduler, rng: SmallRng::seed_from_u64(SEED) }
--- a/crates/standins/tests/process_metrics.rs
+++ b/crates/standins/tests/process_metrics.rs
@@ -15,7 +15,7 @@
     "sequoiahold_first_seconds_count{route=\"reads\"} ",
 ];
 /// The names and types of all metrics of a gateway that knows of no versions.
-const EXPECTED_TYPES: [&str; 8] = [
+const EXPECTED_TYPES: [&str; 9] = [
     "sequoiahold_requests counter",
     "sequoiahold_account_requests counter",
     "sequoiahold_first_seconds histogram",
@@ -23,6 +23,7 @@
     "sequoiahold_sends counter",
     "sequoiahold_blocked_parts counter",
     "sequoiahold_rate_limited_endpoints gauge",
+    "sequoiahold_paced_endpoints gauge",
     "sequoiahold_unavailable_endpoints gauge",
 ];
 
