--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -19,6 +19,7 @@
 pub mod membership;
 pub mod memory_budget;
 pub mod mirror;
+pub mod pace;
 pub mod part_suspects;
 pub mod pause;
 mod placement;
--- a/crates/sequoiahold/src/gateway/state.rs
+++ b/crates/sequoiahold/src/gateway/state.rs
@@ -21,7 +21,6 @@
     ids::ServiceId,
     refusal::Refusal,
     time::Time,
-    units::Bytes,
 };
 use tokio::sync::{oneshot, watch};
 
@@ -32,6 +31,7 @@
 use crate::{
     h1::{ConnectionPool, PoolLimits},
     node::Node,
+    settings,
 };
 
 /// Timeout for connecting to an endpoint; allows for 20 round trips between regions.
@@ -72,22 +72,26 @@
 
 impl<C: Codec> Gateway<C> {
     /// Returns the state of a gateway that has no endpoints yet.
-    pub(super) fn new(node: Rc<Node<C>>, http_config: ServiceConfig, memory: Bytes) -> Rc<Self> {
-        let settings = &node.settings;
-        let bounds = &settings.bounds;
+    pub(super) fn new(
+        node: Rc<Node<C>>,
+        http_config: ServiceConfig,
+        settings: &settings::Gateway,
+    ) -> Rc<Self> {
+        let bounds = &node.settings.bounds;
         let scheduler_config = SchedulerConfig {
-            zone: settings.zone.clone(),
-            regions: settings.zones.clone(),
+            zone: node.settings.zone.clone(),
+            regions: node.settings.zones.clone(),
             rollout_time: bounds.version,
             cold_factor: bounds.cold_factor,
             cold_extra: bounds.cold_extra,
+            pace: settings.pace,
         };
         let retry_bounds = RetryBounds {
             ratio: bounds.retry_ratio,
             extra: bounds.retry_extra,
             window: bounds.retry_window,
         };
-        let retry_budget = if settings.restarted {
+        let retry_budget = if node.settings.restarted {
             RetryBudget::restarted(retry_bounds, node.now())
         } else {
             RetryBudget::new(retry_bounds)
@@ -103,7 +107,7 @@
             retry_budget: RefCell::new(retry_budget),
             waiters: RefCell::default(),
             pool,
-            memory: CallerMemory::new(memory),
+            memory: CallerMemory::new(settings.memory),
             metrics: Metrics::default(),
             suspects: RefCell::default(),
             parts: RefCell::default(),
--- a/crates/sequoiahold/src/settings/gateway.rs
+++ b/crates/sequoiahold/src/settings/gateway.rs
@@ -9,6 +9,8 @@
 
 /// Memory of the VM where none is set.
 const DEFAULT_MEMORY: Bytes = Bytes(160_000_000);
+/// Minimum memory of the VM, half of which callers' connections may hold.
+const MIN_MEMORY: Bytes = Bytes(64_000_000);
 
 /// Settings of a gateway process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -26,6 +28,9 @@
     /// The memory of the VM, a quarter of which the connections of callers may hold.
     #[serde(default = "Gateway::default_memory")]
     pub memory: Bytes,
+    /// Whether endpoints that start, recover or paused get requests at the pace of their answers.
+    #[serde(default)]
+    pub pace: bool,
     /// The log output.
     #[serde(default)]
     pub log: Log,
@@ -51,6 +56,9 @@
         if self.connections == 0 {
             return Err(("connections".to_owned(), "must be at least 1".to_owned()));
         }
+        if self.memory < MIN_MEMORY {
+            return Err(("memory".to_owned(), format!("must be at least {MIN_MEMORY}")));
+        }
         self.node.validate()
     }
 }
--- a/crates/sequoiahold/tests/settings.rs
+++ b/crates/sequoiahold/tests/settings.rs
@@ -124,6 +124,7 @@
 #[case::fraction("node/bounds", json!({"grace": "2.5"}), "key node.bounds.grace: \"2.5\" is not a time")]
 #[case::one_address("ready", json!("10.0.0.1:8005"), "key ready: must be another address")]
 #[case::connections("connections", json!(0), "key connections: must be at least 1")]
+#[case::memory("memory", json!("1MB"), "key memory: must be at least 64MB")]
 fn gateway_settings_are_rejected(#[case] path: &str, #[case] to: Value, #[case] text: &str) {
     let found = parse_error::<Gateway>(&with_value(gateway(), path, to));
     assert!(found.contains(text), "{text:?} is not in {found:?}");
