--- a/crates/sequoiahold/src/gateway/metrics.rs
+++ b/crates/sequoiahold/src/gateway/metrics.rs
@@ -46,7 +46,6 @@
     fn default() -> Self {
         let mut registry = Registry::with_prefix("sequoiahold");
         let r = &mut registry;
-        let histograms = || Family::new_with_constructor(histogram as fn() -> Histogram);
         Self {
             route_requests: counters(r, "requests", "Requests by route and outcome"),
             account_requests: counters(
@@ -54,17 +53,15 @@
                 "account_requests",
                 "Requests by client account and outcome",
             ),
-            route_latency: register(
+            route_latency: histograms(
                 r,
                 "first_seconds",
                 "Time to the first event or the answer by route",
-                histograms(),
             ),
-            account_latency: register(
+            account_latency: histograms(
                 r,
                 "account_first_seconds",
                 "Time to the first event or the answer by client account",
-                histograms(),
             ),
             sends: counters(r, "sends", "Sends to endpoints by route"),
             retries: counters(r, "retries", "Retries charged to the budget or refused by service"),
@@ -79,17 +76,15 @@
                 "memory_shortages",
                 "Requests refused and connections closed for the memory of callers",
             ),
-            limited_endpoints: register(
+            limited_endpoints: gauge(
                 r,
                 "rate_limited_endpoints",
                 "Endpoints that advertise a rate limit",
-                Gauge::default(),
             ),
-            paced_endpoints: register(
+            paced_endpoints: gauge(
                 r,
                 "paced_endpoints",
                 "Endpoints whose pace limits their requests in progress",
-                Gauge::default(),
             ),
             announced_versions: register(
                 r,
@@ -114,6 +109,16 @@
     register(registry, name, help, Family::default())
 }
 
+/// Registers histograms by labels and returns them.
+fn histograms(registry: &mut Registry, name: &str, help: &str) -> Family<Labels, Histogram> {
+    register(registry, name, help, Family::new_with_constructor(histogram as fn() -> Histogram))
+}
+
+/// Registers a gauge and returns it.
+fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
+    register(registry, name, help, Gauge::default())
+}
+
 /// Registers a metric and returns it.
 fn register<M: Clone + Metric>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
     registry.register(name, help, metric.clone());
