Tests of callers' memory take answers by one function

Two tests held the same loop. It also looks at the bytes read before it waits for more, as a second answer may have come with the end of the first.

--- a/crates/standins/tests/process_caller_memory.rs
+++ b/crates/standins/tests/process_caller_memory.rs
@@ -269,6 +269,22 @@
     Some(stream)
 }
 
+/// Takes an answer with a body of this length from a connection; `bytes` are those read before.
+async fn read_answer(stream: &mut TcpStream, bytes: &mut Vec<u8>, length: usize) -> Vec<u8> {
+    let body = loop {
+        if let Some(at) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            break at + 4;
+        }
+        assert!(stream.read_buf(bytes).await.expect("bytes") > 0, "it ended");
+    };
+    let head = String::from_utf8_lossy(&bytes[..body]);
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    while bytes.len() < body + length {
+        assert!(stream.read_buf(bytes).await.expect("bytes") > 0, "it is cut short");
+    }
+    bytes.drain(..body + length).skip(body).collect()
+}
+
 #[actix_rt::test]
 async fn long_answers_that_callers_do_not_read_fit_into_the_memory() {
     let _turn = TURN.lock().await;
@@ -296,20 +312,9 @@
         stream.write_all(request(method, path, length).as_bytes()).await.expect("a head");
         stream.write_all(&vec![b'x'; length]).await.expect("a body");
         let mut bytes = vec![];
-        let read = async {
-            let body = loop {
-                assert!(stream.read_buf(&mut bytes).await.expect("bytes") > 0, "it ended");
-                if let Some(at) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
-                    break at + 4;
-                }
-            };
-            assert!(bytes.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&bytes));
-            while bytes.len() < body + expected {
-                assert!(stream.read_buf(&mut bytes).await.expect("bytes") > 0, "it is cut short");
-            }
-            bytes.len() - body
-        };
-        assert_eq!(timeout(SETTLE_TIMEOUT, read).await, Ok(expected));
+        let read = read_answer(&mut stream, &mut bytes, expected);
+        assert_eq!(timeout(SETTLE_TIMEOUT, read).await.map(|body| body.len()), Ok(expected));
+        assert!(bytes.is_empty(), "bytes behind the answer");
     }
 }
 
@@ -324,21 +329,8 @@
     let read = async {
         let (mut bytes, mut bodies) = (vec![], vec![]);
         for length in [ANSWER_BYTES, 5] {
-            let body = loop {
-                assert!(stream.read_buf(&mut bytes).await.expect("bytes") > 0, "it ended");
-                if let Some(at) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
-                    break at + 4;
-                }
-            };
-            assert!(
-                bytes.starts_with(b"HTTP/1.1 200"),
-                "{}",
-                String::from_utf8_lossy(&bytes[..64])
-            );
-            while bytes.len() < body + length {
-                assert!(stream.read_buf(&mut bytes).await.expect("bytes") > 0, "it is cut short");
-            }
-            bodies.push(bytes.drain(..body + length).skip(body).all(|byte| byte == b'x'));
+            let body = read_answer(&mut stream, &mut bytes, length).await;
+            bodies.push(body.iter().all(|byte| *byte == b'x'));
         }
         bodies
     };
