Slots of an endpoint are asked for in one place

No change of behaviour: direct_pace, direct_competing, direct_desk, direct_leave, direct_memory_budget pass.

--- a/crates/core/src/direct/endpoint_state.rs
+++ b/crates/core/src/direct/endpoint_state.rs
@@ -169,9 +169,11 @@
                 self.availability.clear(cause);
             }
             self.rate_limit = RateLimit::default();
-            self.pace.begin_start(endpoint.entry.slots.max(1));
         }
         self.endpoint = endpoint;
+        if restarted {
+            self.pace.begin_start(self.slots());
+        }
     }
 
     /// Returns whether the endpoint accepts requests of this gateway, one of `gateways`, now,
@@ -244,7 +246,7 @@
         match until {
             Some(until) => {
                 if self.availability.end(Cause::Pause) != Some(until) {
-                    self.pace.begin(self.endpoint.entry.slots.max(1));
+                    self.pace.begin(self.slots());
                 }
                 self.availability.set(Cause::Pause, Some(until));
             }
@@ -294,7 +296,7 @@
     pub fn allows_return(&self, now: Time) -> bool {
         let Some(end) = self.availability.end(Cause::Pause) else { return true };
         let elapsed = now - end;
-        let slots = u64::from(self.endpoint.entry.slots.max(1));
+        let slots = u64::from(self.slots());
         elapsed >= RETURN_RAMP
             || u64::from(self.own_load.requests) <= slots * elapsed.0 / RETURN_RAMP.0
     }
@@ -357,9 +359,14 @@
         }
     }
 
+    /// Returns the number of requests that it serves at the same time, at least one.
+    pub fn slots(&self) -> u32 {
+        self.endpoint.entry.slots.max(1)
+    }
+
     /// Returns the number of slots that this gateway may fill where `gateways` send requests.
     pub fn capacity(&self, gateways: usize) -> u32 {
-        let slots = self.endpoint.entry.slots.max(1);
+        let slots = self.slots();
         let reserved = match self.assignment.relation {
             _ if gateways <= 1 => 0,
             Relation::Primary => 0,
@@ -401,7 +408,7 @@
         match outcome {
             AttemptOutcome::Answered => {
                 if self.failure_streak >= FAILURE_THRESHOLD {
-                    self.pace.begin(self.endpoint.entry.slots.max(1));
+                    self.pace.begin(self.slots());
                 }
                 self.failure_streak = 0;
             }
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -209,7 +209,7 @@
                     let distance = self.distance(&endpoint.entry.zone);
                     let mut state = EndpointState::new(endpoint.clone(), region, distance);
                     if self.has_answers {
-                        state.pace.begin_start(endpoint.entry.slots.max(1));
+                        state.pace.begin_start(state.slots());
                     }
                     let key = self.endpoints.insert(state);
                     self.by_instance.insert(instance.clone(), key);
@@ -327,7 +327,7 @@
     /// Records the first event of a request, from which the pace of its endpoint follows.
     pub fn record_first_event(&mut self, now: Time, grant: &Grant) {
         if let Some(state) = self.endpoints.get_mut(grant.endpoint) {
-            let slots = state.endpoint.entry.slots.max(1);
+            let slots = state.slots();
             state.pace.record_first_event(now, grant.granted_at, grant.first_ms, slots);
         }
     }
@@ -405,9 +405,10 @@
             }
             let load = state.total_load(now);
             let first_ms = first_event_ms(&spec, load, prefill_ms);
+            let capacity = state.capacity(gateways);
             let has_room = meets_objective(now, request, load, prefill_ms, first_ms)
-                && load.requests < state.capacity(self.gateways)
-                && reserve.admits(load, state.capacity(self.gateways), spec.engine.is_some());
+                && load.requests < capacity
+                && reserve.admits(load, capacity, spec.engine.is_some());
             let usable = can_serve(state, request, min_version)
                 && state.is_available(now, gateways)
                 && state.allows_return(now)
