An entry that claims a version nobody has keeps no engine empty

A single engine that came back empty stayed empty.

Cause: while operators have announced no version, loaders wanted the highest version in any entry of the list, whatever its service, and tried nothing else where no source had it. The class: a claim in the list taken for knowledge, without a way back when it fails. The service of the entry is not the heart of it: an entry of the configured service does the same.

Change: an engine that holds a version keeps it until another one is announced. For one that holds none, the core chooses (version_choice, with its chart): the highest claim of the engine's own service, after a failure what the origin names, while the origin is silent the next lower claim. A transfer of a claimed version ends after 4 s without a chunk, and an announced version replaces a claimed one that is higher.

--- a/crates/core/src/direct/mod.rs
+++ b/crates/core/src/direct/mod.rs
@@ -28,5 +28,6 @@
 pub mod retry_budget;
 pub mod scheduler;
 pub mod send_time;
+pub mod version_choice;
 pub mod view;
 pub mod wait_queue;
--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -18,7 +18,7 @@
     platform::PublishedValue,
 };
 use crate::{
-    ids::{InstanceId, ModelId, ZoneId},
+    ids::{InstanceId, ModelId, ServiceId, ZoneId},
     time::Time,
     units::Span,
 };
@@ -91,6 +91,18 @@
         &self.endpoints
     }
 
+    /// Returns the versions of a model that entries of a service claim to hold; no source may have
+    /// them, as others may write entries too.
+    pub fn claimed_versions(
+        &self,
+        service: &ServiceId,
+        model: &ModelId,
+    ) -> impl Iterator<Item = u64> {
+        let endpoints = self.endpoints.values();
+        let own = endpoints.filter(move |endpoint| endpoint.entry.service == *service);
+        own.filter_map(move |endpoint| Some(endpoint.loaded_model(model)?.version))
+    }
+
     /// Returns whether operators have evacuated a zone.
     pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
         self.evacuated.contains(zone)
--- a/crates/sequoiahold/src/loader/mod.rs
+++ b/crates/sequoiahold/src/loader/mod.rs
@@ -17,6 +17,7 @@
 };
 
 use actix_http::ServiceConfig;
+use anyhow::bail;
 use sequoiahold_core::{
     direct::{
         engine_load::{EngineChange, EngineLoad, LoadEvidence},
@@ -25,6 +26,7 @@
         load_reports::LoadReport,
         membership::Role,
         platform::{Codec, EngineReport},
+        version_choice::VersionChoice,
     },
     units::ByteRate,
 };
@@ -33,7 +35,12 @@
     sync::mpsc,
 };
 
-use self::{chunk_store::ChunkStore, engine::Engine, target::Target, transfer::TransferEnd};
+use self::{
+    chunk_store::ChunkStore,
+    engine::Engine,
+    target::{Target, VersionSource},
+    transfer::TransferEnd,
+};
 use crate::{
     node::{ChunkOffer, Datagram, Node, Received, ignore_sighup},
     settings,
@@ -62,6 +69,8 @@
     /// What is known of the last load.
     load: RefCell<EngineLoad>,
     announcer: RefCell<LoadAnnouncer>,
+    /// The choice of a version where none is announced.
+    choice: RefCell<VersionChoice>,
     /// The last report to gateways, `None` before any.
     last_report: RefCell<Option<LoadReport>>,
 }
@@ -132,6 +141,7 @@
         proof: Cell::new(LoadProof::started()),
         load: RefCell::default(),
         announcer: RefCell::default(),
+        choice: RefCell::default(),
         last_report: RefCell::default(),
     };
     tokio::select! {
@@ -183,8 +193,14 @@
             }
         };
         if let Err(error) = result {
-            let fault = format!("{error:#}");
-            log::warn!(version = target.version, fault = fault.as_str(); "version not brought");
+            let (fault, source) = (format!("{error:#}"), format!("{:?}", target.source));
+            log::warn!(
+                version = target.version, source = source.as_str(), fault = fault.as_str();
+                "version not brought"
+            );
+            if matches!(target.source, VersionSource::Claimed | VersionSource::Named) {
+                loader.choice.borrow_mut().record_failure(target.version);
+            }
             actix_rt::time::sleep(RETRY_DELAY).await;
         }
     }
@@ -208,8 +224,10 @@
         if target.held == Some(target.version) {
             return stage::store_staged_chunks(loader, target, &list).await;
         }
-        if transfer::run(loader, target, &list).await == TransferEnd::Complete {
-            break list;
+        match transfer::run(loader, target, &list).await {
+            TransferEnd::Complete => break list,
+            TransferEnd::ListCorrected => {}
+            TransferEnd::Stalled => bail!("no source sends chunks of the claimed version"),
         }
     };
     log::info!(model = model.as_str(), version, took_ms = elapsed_ms(&loader.node); "chunks held whole");
--- a/crates/sequoiahold/src/loader/target.rs
+++ b/crates/sequoiahold/src/loader/target.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context as _;
 use sequoiahold_core::{
-    direct::{engine_load::LoadEvidence, platform::Codec, view::View},
+    direct::{engine_load::LoadEvidence, platform::Codec, version_choice::Candidate},
     ids::ModelId,
     time::Time,
 };
@@ -14,6 +14,19 @@
 /// Interval between checks for a newer target version.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Who says that a version is the one to hold; the loader logs the variant names.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum VersionSource {
+    /// Operators have announced it.
+    Announced,
+    /// The engine holds it, and no other one is announced.
+    Held,
+    /// An entry of the list claims it, also where no source has it.
+    Claimed,
+    /// The origin has named it as its newest.
+    Named,
+}
+
 /// A version that the engine must hold.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct Target {
@@ -23,6 +36,8 @@
     pub(super) version: u64,
     /// The newest version; an earlier one is deployed to replace a corrupt copy of it.
     pub(super) newest: u64,
+    /// Who says that `newest` is the one to hold.
+    pub(super) source: VersionSource,
     /// The start of its rollout, 0 if unknown.
     pub(super) rollout_start: Time,
     /// The version that the engine holds now.
@@ -38,13 +53,22 @@
     if report.busy {
         return Ok(None);
     }
-    let wanted = wanted_version(&loader.node.view.borrow(), &model, held);
-    let (newest, rollout_start) = match (wanted, held) {
-        (Some(wanted), _) => wanted,
-        (None, Some(held)) => (held, Time::default()),
-        (None, None) => (sources::newest_version(loader, &model).await?, Time::default()),
+    let announced = {
+        let view = loader.node.view.borrow();
+        view.target(&model).map(|target| (target.newest(), target.rollout_start(held)))
+    };
+    if announced.is_some() || held.is_some() {
+        loader.choice.borrow_mut().settle();
+    }
+    let (newest, source, rollout_start) = match (announced, held) {
+        (Some((newest, start)), _) => (newest, VersionSource::Announced, start),
+        (None, Some(held)) => (held, VersionSource::Held, Time::default()),
+        (None, None) => {
+            let (version, source) = choose_version(loader, &model).await?;
+            (version, source, Time::default())
+        }
     };
-    let mut target = Target { model, version: newest, newest, rollout_start, held };
+    let mut target = Target { model, version: newest, newest, source, rollout_start, held };
     if loader.evidence() == Some(LoadEvidence::Open) {
         report::judge_found_load(loader, &target, &report).await?;
     }
@@ -69,7 +93,8 @@
     loader.chunk_store.version_before(model, version).or_else(previous)
 }
 
-/// Waits until operators announce a newer version than `target`, and no order for it is open.
+/// Waits until operators announce another version that replaces `target`, and no order for it is
+/// open.
 pub(super) async fn wait_until_superseded<C: Codec>(loader: &Loader<C>, target: &Target) {
     loop {
         actix_rt::time::sleep(POLL_INTERVAL).await;
@@ -77,12 +102,23 @@
             continue;
         }
         let view = loader.node.view.borrow();
-        if view.target(&target.model).is_some_and(|wanted| wanted.newest() > target.newest) {
+        if view.target(&target.model).is_some_and(|wanted| target.is_superseded(wanted.newest())) {
             return;
         }
     }
 }
 
+impl Target {
+    /// Returns whether `announced` replaces this target; versions only rise, but one that nobody has
+    /// announced may be higher than they are.
+    fn is_superseded(&self, announced: u64) -> bool {
+        match self.source {
+            VersionSource::Announced | VersionSource::Held => announced > self.newest,
+            VersionSource::Claimed | VersionSource::Named => announced != self.newest,
+        }
+    }
+}
+
 /// Returns the model that the engines of the service serve.
 fn served_model<C: Codec>(loader: &Loader<C>) -> Option<ModelId> {
     let view = loader.node.view.borrow();
@@ -90,12 +126,27 @@
     service.engine.as_ref()?.models.first().cloned()
 }
 
-/// Returns the version set by operators, else the newest one that an engine is known to hold, with
-/// the start of its rollout.
-fn wanted_version(view: &View, model: &ModelId, held: Option<u64>) -> Option<(u64, Time)> {
-    if let Some(wanted) = view.target(model) {
-        return Some((wanted.newest(), wanted.rollout_start(held)));
-    }
-    let loaded = view.endpoints().values().filter_map(|endpoint| endpoint.loaded_model(model));
-    loaded.map(|loaded| (loaded.version, Time::default())).max()
+/// Returns a version for an engine that holds none where none is announced; fails if only the origin
+/// can name one and does not answer in time.
+async fn choose_version<C: Codec>(
+    loader: &Loader<C>,
+    model: &ModelId,
+) -> anyhow::Result<(u64, VersionSource)> {
+    let candidate = {
+        let view = loader.node.view.borrow();
+        let claims = view.claimed_versions(&loader.settings.service, model);
+        loader.choice.borrow_mut().next(claims)
+    };
+    let (version, source) = match candidate {
+        Candidate::Claimed(version) => (version, VersionSource::Claimed),
+        Candidate::Named(version) => (version, VersionSource::Named),
+        Candidate::AskOrigin => {
+            let named = sources::newest_version(loader, model).await;
+            loader.choice.borrow_mut().record_answer(named.as_ref().ok().copied());
+            (named?, VersionSource::Named)
+        }
+    };
+    let basis = format!("{source:?}");
+    log::info!(version, source = basis.as_str(); "version chosen without an announcement");
+    Ok((version, source))
 }
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -20,7 +20,12 @@
     },
 };
 
-use super::{Loader, chunk_store::chunk_digest, sources, stage, target::Target};
+use super::{
+    Loader,
+    chunk_store::chunk_digest,
+    sources, stage,
+    target::{Target, VersionSource},
+};
 use crate::node::{ChunkOffer, Datagram};
 
 /// Maximum number of concurrent pulls.
@@ -36,6 +41,10 @@
 /// Interval between updates of the topology from the membership.
 const TOPOLOGY_INTERVAL: Span = Span::millis(500);
 
+/// Time without a new chunk after which a version that is only claimed counts as absent, longer
+/// than a pull from the origin may take.
+const STALL_TIMEOUT: Span = Span::secs(4);
+
 /// A pull that ended.
 struct EndedPull {
     pull: Pull,
@@ -60,6 +69,8 @@
     Complete,
     /// The chunk store holds a corrected chunk list, by which another transfer must go on.
     ListCorrected,
+    /// The version is only claimed, and no source has sent a chunk of it for some time.
+    Stalled,
 }
 
 /// Pulls the missing chunks of a version and stages each one as it arrives.
@@ -83,8 +94,12 @@
     let mut suspicion = ListSuspicion::default();
     let mut next_refresh = now + TOPOLOGY_INTERVAL;
     let mut last_announced = now;
+    let mut last_accepted = now;
     let mut has_unannounced = false;
     while !transfer.is_complete() || is_staging || !staging_queue.is_empty() {
+        if target.source == VersionSource::Claimed && now >= last_accepted + STALL_TIMEOUT {
+            return TransferEnd::Stalled;
+        }
         if now >= next_refresh {
             transfer.set_topology(self::topology(loader));
             next_refresh = now + TOPOLOGY_INTERVAL;
@@ -127,7 +142,7 @@
                 let position = chunk_index(list, &digest);
                 match accept_chunk(loader, list, &mut transfer, &mut staging_queue, ended) {
                     ChunkReceipt::Accepted => {
-                        has_unannounced = true;
+                        (has_unannounced, last_accepted) = (true, now);
                         let downstream = transfer.downstream_owner(&digest);
                         let downstream = downstream.and_then(|vm| loader_addr(loader, &vm));
                         announce_chunks(loader, target, list, downstream);
--- a/crates/standins/src/hosted/loaders.rs
+++ b/crates/standins/src/hosted/loaders.rs
@@ -106,9 +106,17 @@
 }
 
 impl LoaderFleet {
-    /// Starts a fleet that holds version 1 and waits until its gateway is ready; fails if an
-    /// address cannot be bound or the gateway is not ready within 20 s.
+    /// Starts a fleet that holds version 1, as announced, and waits until its gateway is ready; fails
+    /// as [`LoaderFleet::start_unannounced`].
     pub async fn start(engines: usize) -> anyhow::Result<Self> {
+        let fleet = Self::start_unannounced(engines).await?;
+        fleet.publish_version(1);
+        Ok(fleet)
+    }
+
+    /// Starts a fleet that holds version 1 without any announcement, and waits until its gateway is
+    /// ready; fails if an address cannot be bound or the gateway is not ready within 20 s.
+    pub async fn start_unannounced(engines: usize) -> anyhow::Result<Self> {
         let (platform, origin_addr) = (loopback_addr(), loopback_addr());
         let dir = std::env::temp_dir().join(format!(
             "loaders-{}-{}",
@@ -159,7 +167,6 @@
             dir,
         };
         fleet.restart_gateway()?;
-        fleet.publish_version(1);
         fleet.wait_ready().await?;
         Ok(fleet)
     }
--- a/crates/standins/src/hosted/mod.rs
+++ b/crates/standins/src/hosted/mod.rs
@@ -16,6 +16,6 @@
     loaders::{Loader, LoaderFleet},
     settings::{add_engine, gateway_config, gateway_settings, loopback_addr, registry_entry},
     store::{Store, StoreCopy},
-    weights::{CHUNKS, ListFault, OriginCalls, WeightOrigin},
+    weights::{CHUNKS, ListFault, MODEL, OriginCalls, Outage, WeightOrigin},
     worker::{Arrival, Behaviour, Leave, Worker},
 };
--- a/crates/standins/src/hosted/weights.rs
+++ b/crates/standins/src/hosted/weights.rs
@@ -44,11 +44,26 @@
     pub chunks: u32,
 }
 
+/// Which calls an origin does not serve.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Outage {
+    /// It serves all versions.
+    #[default]
+    None,
+    /// It has no version but the first: calls for others get status 404.
+    NewerVersions,
+    /// It has the chunk lists of all versions, but only the chunks of the first.
+    NewerChunks,
+    /// It refuses all calls.
+    All,
+}
+
 /// A running simulated origin.
 #[derive(Clone, Debug, Default)]
 pub struct WeightOrigin {
     calls: Rc<Cell<OriginCalls>>,
     fault: Rc<RefCell<Option<ListFault>>>,
+    outage: Rc<Cell<Outage>>,
 }
 
 /// Returns a chunk of a version.
@@ -76,6 +91,11 @@
         *self.fault.borrow_mut() = fault;
     }
 
+    /// Sets which calls are not served from now on.
+    pub fn set_outage(&self, outage: Outage) {
+        self.outage.set(outage);
+    }
+
     /// Returns the calls so far.
     pub fn calls(&self) -> OriginCalls {
         self.calls.get()
@@ -84,14 +104,20 @@
     fn handle(&self, request: &Request) -> Response<Body> {
         let number = |name| reply::query(request, name).and_then(|text| text.parse().ok());
         let (version, mut calls) = (number("version").unwrap_or(1), self.calls.get());
+        let (has_list, has_chunks) = match self.outage.get() {
+            Outage::None => (true, true),
+            Outage::NewerVersions => (version == 1, version == 1),
+            Outage::NewerChunks => (true, version == 1),
+            Outage::All => return reply::status(503),
+        };
         let response = match (request.path().split('/').nth(2), number("sample_count")) {
             (Some("manifest"), _) => {
                 calls.lists += 1;
-                self.list(version)
+                if has_list { self.list(version) } else { reply::status(404) }
             }
             (Some("piece"), Some(number)) => {
                 calls.chunks += 1;
-                reply::data(chunk(version, number))
+                if has_chunks { reply::data(chunk(version, number)) } else { reply::status(404) }
             }
             _ => reply::status(404),
         };
