Entries of other writers end no proof of a load and name no engine

What showed: an entry at an engine's address, of a service that is not configured or without the time of its start, that claims a version above the held one kept the engine out of use for good at each gateway, and gateways probed the addresses of such entries as engines.

LoadReports::record_published took any entry at the address, also one without a time, for the engine's own; the scheduler took entries of all services; the loader's notice of a load went to the first entry at the address, whoever wrote it.

Change: the scheduler leaves out endpoints of services that are not configured, only an entry of the very start that was reported ends its proof, and a notice goes to all instances that entries of the service name at the address. Requests stay bound to the proved version, so that an engine which has loaded another one rejects them.

--- a/crates/core/src/direct/load_reports.rs
+++ b/crates/core/src/direct/load_reports.rs
@@ -211,10 +211,11 @@
     /// Records what is published of an endpoint: a version above the reported one, or any other one
     /// after it, is the result of a load that is not known here, also if the reported version returns.
     ///
-    /// An entry that the platform has restored may be older than the report.
+    /// An entry that the platform has restored may be older than the report, and one without the time
+    /// of the reported start may be that of another writer: neither proves a later load.
     pub fn record_published(&mut self, start: &Start, loaded: &[LoadedModel], restored: bool) {
         let Some(known) = self.loads.get_mut(&start.addr) else { return };
-        if !known.report.start.matches(start) {
+        if known.report.start != *start {
             return;
         }
         for loaded in loaded.iter().filter(|loaded| loaded.complete) {
--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -198,12 +198,17 @@
         for instance in removed_instances {
             self.by_instance.remove(&instance).and_then(|key| self.endpoints.remove(key));
         }
+        // Others may write entries too.
+        let is_foreign = |service: &ServiceId| {
+            view.catalog().is_some_and(|catalog| !catalog.services.contains_key(service))
+        };
         for (instance, endpoint) in view.endpoints() {
             if view.is_evacuated(&endpoint.entry.zone) {
                 continue;
             }
             match self.by_instance.get(instance) {
                 Some(key) => self.endpoints[*key].update(endpoint.clone()),
+                None if is_foreign(&endpoint.entry.service) => {}
                 None => {
                     let region = self.config.regions.get(&endpoint.entry.zone).cloned();
                     let distance = self.distance(&endpoint.entry.zone);
--- a/crates/core/src/direct/view.rs
+++ b/crates/core/src/direct/view.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -103,6 +104,18 @@
         own.filter_map(move |endpoint| Some(endpoint.loaded_model(model)?.version))
     }
 
+    /// Returns the instances that entries of a service name at an address: that of the endpoint there,
+    /// and others, as entries may be out of date or come from others.
+    pub fn instances_at(
+        &self,
+        service: &ServiceId,
+        addr: SocketAddr,
+    ) -> impl Iterator<Item = &InstanceId> {
+        let entries = self.endpoints.values().map(|endpoint| &endpoint.entry);
+        let own = entries.filter(move |entry| entry.addr == addr && entry.service == *service);
+        own.map(|entry| &entry.instance)
+    }
+
     /// Returns whether operators have evacuated a zone.
     pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
         self.evacuated.contains(zone)
--- a/crates/core/tests/direct_loads_review.rs
+++ b/crates/core/tests/direct_loads_review.rs
@@ -271,6 +271,47 @@
     assert_eq!(gateway.place(), None);
 }
 
+// Guards against the entry of another writer at an engine's address ending the proof of its load, so
+// that the engine is out of use for good, and against its being taken for an engine to probe.
+#[rstest]
+#[case::service_that_is_not_configured("llm-trial", Some(STARTED_MS))]
+#[case::without_the_time_of_the_start("llm", None)]
+fn entry_of_another_writer_at_its_address_keeps_no_engine_out_of_use(
+    #[case] service: &str,
+    #[case] started_ms: Option<u64>,
+) {
+    let mut gateway = Gateway::new(entry(STARTED_MS, Some(1)), report(STARTED_MS, 0, 1, true));
+    let other = EndpointEntry {
+        instance: name("x-1"),
+        service: name(service),
+        started_ms,
+        ..entry(STARTED_MS, Some(9))
+    };
+    let published = PublishedValue::Endpoint(name("x-1"), Some(other));
+    gateway.view.apply(gateway.now, published, Some(gateway.now));
+    gateway.apply();
+    assert_eq!(gateway.place(), Some(1));
+    assert_eq!(gateway.scheduler.unknown_loads().count(), 0);
+    gateway.publish(entry(STARTED_MS, Some(1)));
+    assert_eq!(gateway.place(), Some(1));
+}
+
+// Guards against an entry of another writer, at an address of its own, being probed as an engine.
+#[test]
+fn endpoint_of_a_service_that_is_not_configured_is_not_probed() {
+    let mut gateway = Gateway::new(entry(STARTED_MS, Some(1)), report(STARTED_MS, 0, 1, true));
+    let other = EndpointEntry {
+        instance: name("x-1"),
+        service: name("llm-trial"),
+        addr: ([127, 0, 0, 2], 80).into(),
+        ..entry(STARTED_MS, Some(9))
+    };
+    let published = PublishedValue::Endpoint(name("x-1"), Some(other));
+    gateway.view.apply(gateway.now, published, Some(gateway.now));
+    gateway.apply();
+    assert_eq!(gateway.scheduler.unknown_loads().count(), 0);
+}
+
 // Guards against a late rejection of a version that has been replaced excluding the endpoint.
 #[test]
 fn late_rejection_of_an_older_version_does_not_exclude_the_proved_one() {
--- a/crates/core/tests/direct_view.rs
+++ b/crates/core/tests/direct_view.rs
@@ -2,7 +2,7 @@
 
 use sequoiahold_core::{
     direct::{
-        catalog::{Catalog, EndpointEntry},
+        catalog::{Catalog, EndpointEntry, LoadedModel},
         freshness::Freshness,
         platform::PublishedValue,
         view::{AnnouncedVersion, Effect, View},
@@ -272,3 +272,40 @@
     assert_eq!(target.replaced_for(1, Span::secs(6)), Some(at(6_200)));
     assert!(target.min_usable(at(6_200), Span::secs(6)) > Some(1));
 }
+
+// Guards against the notice of a load naming the instance of another writer's entry at the address.
+#[test]
+fn instance_at_an_address_is_found_beside_entries_of_other_writers() {
+    let mut view = View::default();
+    view.apply(at(0), listed(), Some(at(0)));
+    let PublishedValue::Endpoint(_, Some(own)) = listed() else { unreachable!("an entry") };
+    let others = [("a-1", "llm"), ("a-2", "llm-trial")].map(|(id, service)| EndpointEntry {
+        instance: id.parse().expect("valid name"),
+        service: service.parse().expect("valid name"),
+        ..own.clone()
+    });
+    for other in others {
+        let published = PublishedValue::Endpoint(other.instance.clone(), Some(other));
+        view.apply(at(0), published, Some(at(0)));
+    }
+    let found: Vec<String> =
+        view.instances_at(&own.service, own.addr).map(InstanceId::to_string).collect();
+    assert_eq!(found, ["a-1", "i-1"]);
+}
+
+// Guards against versions that other services claim being taken for those of the engine's service.
+#[test]
+fn only_entries_of_the_service_claim_versions_of_its_model() {
+    let mut view = View::default();
+    let PublishedValue::Endpoint(_, Some(own)) = listed() else { unreachable!("an entry") };
+    for (id, service, version, complete) in
+        [("a", "llm", 2, true), ("b", "llm-trial", 9, true), ("c", "llm", 3, false)]
+    {
+        let instance: InstanceId = id.parse().expect("valid name");
+        let loaded = Some(vec![LoadedModel { model: model(), version, complete }]);
+        let service = service.parse().expect("valid name");
+        let entry = EndpointEntry { instance: instance.clone(), service, loaded, ..own.clone() };
+        view.apply(at(0), PublishedValue::Endpoint(instance, Some(entry)), Some(at(0)));
+    }
+    assert_eq!(view.claimed_versions(&own.service, &model()).collect::<Vec<u64>>(), [2]);
+}
--- a/crates/sequoiahold/src/loader/load.rs
+++ b/crates/sequoiahold/src/loader/load.rs
@@ -11,7 +11,7 @@
         membership::Role,
         platform::{ChunkList, Codec, EngineReport, LoadOrder},
     },
-    ids::VmId,
+    ids::{InstanceId, VmId},
     time::Time,
     units::Span,
 };
@@ -266,14 +266,13 @@
 
 /// Notifies gateways to send the engine no requests for a time, 0 to resume.
 fn notify_gateways<C: Codec>(loader: &Loader<C>, pause: Span) {
-    let instance = {
+    let instances: Vec<InstanceId> = {
         let view = loader.node.view.borrow();
-        let is_own = |endpoint: &&sequoiahold_core::direct::view::Endpoint| {
-            endpoint.entry.addr == loader.settings.engine
-        };
-        view.endpoints().values().find(is_own).map(|endpoint| endpoint.entry.instance.clone())
+        let settings = &loader.settings;
+        view.instances_at(&settings.service, settings.engine).cloned().collect()
     };
-    let Some(instance) = instance else { return };
-    let datagram = Datagram::Loading(LoadingNotice { instance, pause });
-    loader.node.send(loader.node.peer_addrs(Role::Gateway), &datagram);
+    for instance in instances {
+        let datagram = Datagram::Loading(LoadingNotice { instance, pause });
+        loader.node.send(loader.node.peer_addrs(Role::Gateway), &datagram);
+    }
 }
