A status that is none does not reach callers as an answer

What callers saw: where an endpoint answered with status 600 or 999, callers of gateways got it as an answer, on lookups, orders and streams, also of model engines. Callers of entries got 100, 101, 600 and 999. Status 000 reached nobody: the libraries reject it, which no test showed.

Cause: the HTTP libraries take each status of three digits from 100 to 999 for valid, and our clients took over what they returned. HTTP has answers from 200 to 599 only (RFC 9110, section 15); awc also returns 100 and 101.

Change: one check, in the connections of gateways and loaders and at the endpoint process before it forwards a head; an entry checks the head once more. Such an answer counts as bytes that are none: the request may have run, so that it is repeated only where that is allowed. 101, which nobody asks for, ends an attempt at once rather than at its deadline.

Evidence: process_statuses, 23 cases over all roles, also with model engines and streams, with relays that replace the status; 8 failed before: 600 and 999 at gateways, 100, 101, 600 and 999 at entries.

--- a/crates/sequoiahold/src/client.rs
+++ b/crates/sequoiahold/src/client.rs
@@ -30,6 +30,11 @@
     Client::builder().connector(Connector::new().connector(framed)).timeout(timeout).finish()
 }
 
+/// Returns whether a status is that of an answer, from 200 to 599; servers in trouble send others too.
+pub fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 impl AsyncRead for StrictEofStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/sequoiahold/src/endpoint/request.rs
+++ b/crates/sequoiahold/src/endpoint/request.rs
@@ -19,7 +19,7 @@
     engine::{EngineClient, SendError},
     event::{AdmissionRequest, Event},
 };
-use crate::net::write_message;
+use crate::{client::is_final_status, net::write_message};
 
 /// Time without a part after which the response of a model service counts as failed.
 const PART_TIMEOUT: Duration = Duration::from_secs(10);
@@ -131,11 +131,17 @@
                 return drop(write_message(send, &Reply::Failed(failure)).await);
             }
         };
+        let status = response.status().as_u16();
+        if !is_final_status(status) {
+            log::warn!(id = id.as_str(), status; "the status is not that of an answer");
+            let failure = self.determine_failure().await;
+            return drop(write_message(send, &Reply::Failed(failure)).await);
+        }
         self.reporter
             .report_limit(response.headers().get(LIMIT_HEADER).and_then(|v| v.to_str().ok()));
         let content = response.headers().get("content-type").and_then(|v| v.to_str().ok());
         let started = Started {
-            status: response.status().as_u16(),
+            status,
             content_type: content.unwrap_or(DEFAULT_CONTENT_TYPE).to_owned(),
             version: self.admission.version.clone(),
             incarnation: self.handler.incarnation,
--- a/crates/sequoiahold/src/entry/request.rs
+++ b/crates/sequoiahold/src/entry/request.rs
@@ -30,6 +30,7 @@
     stopwatch::Stopwatch,
 };
 use crate::{
+    client::is_final_status,
     metrics::Metrics,
     net::{PeerConnections, call, read_message, write_message},
 };
@@ -156,10 +157,12 @@
         };
         let reply = actix_rt::time::timeout(to.left.into(), exchange).await;
         match reply {
-            Ok(Ok(first_reply @ (Reply::Part(..) | Reply::End(_)))) => match started {
-                Some(started) => OfferOutcome::Started(started, first_reply, (send, recv)),
-                None => OfferOutcome::Failed(Failure::Unknown),
-            },
+            Ok(Ok(first_reply @ (Reply::Part(..) | Reply::End(_)))) => {
+                match started.filter(|started| is_final_status(started.status)) {
+                    Some(started) => OfferOutcome::Started(started, first_reply, (send, recv)),
+                    None => OfferOutcome::Failed(Failure::Unknown),
+                }
+            }
             Ok(Ok(Reply::Refused(refusal))) => OfferOutcome::Refused(refusal),
             Ok(Ok(Reply::Failed(failure))) => OfferOutcome::Failed(failure),
             Ok(Ok(_) | Err(_)) | Err(_) => OfferOutcome::Failed(Failure::Unknown),
--- a/crates/sequoiahold/src/h1/upstream.rs
+++ b/crates/sequoiahold/src/h1/upstream.rs
@@ -17,6 +17,7 @@
 };
 
 use super::body::{Allowance, BodyBuffer, Unlimited};
+use crate::client::is_final_status;
 
 /// Idle time for which a connection is kept where the server sends no `Keep-Alive` timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
@@ -199,7 +200,8 @@
         Ok(())
     }
 
-    /// Reads the head of the next response; skips informational (1xx) responses.
+    /// Reads the head of the next response; skips informational (1xx) responses, and fails where the
+    /// status is not that of an answer.
     pub async fn read_head(&mut self) -> Result<UpstreamResponse, UpstreamError> {
         let mut codec = self.codec.take().unwrap_or_else(|| ClientCodec::new(self.config.clone()));
         loop {
@@ -208,10 +210,15 @@
                 self.fill_buffer().await?;
                 continue;
             };
-            if head.status.is_informational() {
+            if head.status.is_informational() && head.status != StatusCode::SWITCHING_PROTOCOLS {
                 codec = ClientCodec::new(self.config.clone());
                 continue;
             }
+            let status = head.status.as_u16();
+            if !is_final_status(status) {
+                let fault = format!("status {status} is not that of an answer");
+                return Err(UpstreamError::Malformed(fault));
+            }
             self.update_keep_alive(&head, codec.keep_alive());
             self.framing = body_framing(&head, codec, self.bodiless);
             self.until_close = matches!(self.framing, BodyFraming::UntilClose);
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -32,6 +32,7 @@
     blocked_direction: Rc<Cell<Option<Direction>>>,
     delay: Rc<Cell<Duration>>,
     down: Rc<Cell<bool>>,
+    status: Rc<RefCell<Option<String>>>,
     epoch: Rc<Cell<u64>>,
     resets: watch::Sender<u64>,
 }
@@ -52,6 +53,12 @@
         self.delay.set(delay);
     }
 
+    /// Sets the text that replaces the status of answers with status 200 to `POST` requests and to
+    /// requests with an id, `None` for their own.
+    pub fn set_status(&self, status: Option<&str>) {
+        *self.status.borrow_mut() = status.map(str::to_owned);
+    }
+
     /// Resets all existing connections; new ones are forwarded.
     pub fn reset_flows(&self) {
         self.resets.send_modify(|count| *count += 1);
--- a/crates/standins/src/relay/tcp.rs
+++ b/crates/standins/src/relay/tcp.rs
@@ -1,6 +1,6 @@
 //! TCP relay.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::Cell, net::SocketAddr, time::Duration};
 
 use actix_rt::net::{TcpListener, TcpStream};
 use futures_util::future::join;
@@ -16,6 +16,9 @@
 /// Time between two checks of whether a blocked connection may forward again.
 const BLOCKED_POLL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The start of the answers whose status a relay can replace.
+const SUCCESS: &[u8] = b"HTTP/1.1 200";
+
 /// A running TCP relay.
 #[derive(Clone, Debug)]
 pub struct TcpRelay {
@@ -60,9 +63,18 @@
             let filter = filter.clone();
             move || filter.allows(source.ip(), epoch) && filter.allows_direction(direction)
         };
+        let is_call = Cell::new(false);
+        let note_request = |data: &[u8]| {
+            is_call.set(is_call_head(data).unwrap_or(is_call.get()));
+            data.to_vec()
+        };
+        let replace_status = |data: &[u8]| match filter.status.borrow().as_deref() {
+            Some(status) if is_call.get() => with_status(data, status),
+            _ => data.to_vec(),
+        };
         join(
-            copy_bytes(down_read, up_write, &filter, allows(Direction::ToServer)),
-            copy_bytes(up_read, down_write, &filter, allows(Direction::ToClient)),
+            copy_bytes(down_read, up_write, &filter, allows(Direction::ToServer), note_request),
+            copy_bytes(up_read, down_write, &filter, allows(Direction::ToClient), replace_status),
         )
         .await;
     };
@@ -75,12 +87,30 @@
     }
 }
 
-/// Copies bytes while it is allowed; a blocked connection stays open.
+/// Returns whether data that begins with the head of a request is a caller's, `None` for other data.
+fn is_call_head(data: &[u8]) -> Option<bool> {
+    let text = std::str::from_utf8(data).ok()?;
+    let (head, _) = text.split_once("\r\n\r\n")?;
+    let (line, headers) = head.split_once("\r\n")?;
+    line.ends_with("HTTP/1.1")
+        .then(|| line.starts_with("POST") || headers.to_ascii_lowercase().contains("attempt-id:"))
+}
+
+/// Returns data with another status if it begins with an answer of status 200.
+fn with_status(data: &[u8], status: &str) -> Vec<u8> {
+    match data.strip_prefix(SUCCESS) {
+        Some(rest) => [b"HTTP/1.1 ", status.as_bytes(), rest].concat(),
+        None => data.to_vec(),
+    }
+}
+
+/// Copies bytes while it is allowed, as `change` returns them; a blocked connection stays open.
 async fn copy_bytes(
     from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
     filter: &RelayFilter,
     allows: impl Fn() -> bool,
+    change: impl Fn(&[u8]) -> Vec<u8>,
 ) {
     let mut buffer = vec![0; BUFFER_SIZE];
     loop {
@@ -99,7 +129,7 @@
         if !delay.is_zero() {
             actix_rt::time::sleep(delay).await;
         }
-        if to.write_all(&buffer[..size]).await.is_err() {
+        if to.write_all(&change(&buffer[..size])).await.is_err() {
             break;
         }
     }
