--- a/crates/core/src/direct/scheduler.rs
+++ b/crates/core/src/direct/scheduler.rs
@@ -198,7 +198,7 @@
         for instance in removed_instances {
             self.by_instance.remove(&instance).and_then(|key| self.endpoints.remove(key));
         }
-        // Others may write entries too.
+        // The entry of another writer may name a service that is not configured.
         let is_foreign = |service: &ServiceId| {
             view.catalog().is_some_and(|catalog| !catalog.services.contains_key(service))
         };
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -97,7 +97,8 @@
     let mut last_accepted = now;
     let mut has_unannounced = false;
     while !transfer.is_complete() || is_staging || !staging_queue.is_empty() {
-        if target.source == VersionSource::Claimed && now >= last_accepted + STALL_TIMEOUT {
+        let is_stalled = !transfer.is_complete() && now >= last_accepted + STALL_TIMEOUT;
+        if is_stalled && target.source == VersionSource::Claimed {
             return TransferEnd::Stalled;
         }
         if now >= next_refresh {
