--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -333,12 +333,17 @@
 impl Gateway {
     /// Starts a gateway with the settings of the template for gateways.
     pub fn start(settings: &GatewaySettings, dir: &Path) -> Self {
+        Self::start_with_memory(settings, dir, 260)
+    }
+
+    /// Starts a gateway on a machine with this memory in MB.
+    pub fn start_with_memory(settings: &GatewaySettings, dir: &Path, memory_mb: u32) -> Self {
         let host = 11 + settings.number;
         let (callers, ready) = (free_addr(host), free_addr(host));
         let seeds = settings.seeds.iter().map(|seed| format!(r#""{seed}""#));
         let seeds = seeds.collect::<Vec<_>>().join(",");
         let text = format!(
-            r#"{{"node":{{"vm":"front-ch-ost-a-{}","zone":"ch-ost-a","zones":{{"ch-ost-a":"ch-ost"}},"peers":"127.0.0.{host}:{}","seeds":[{seeds}],"platform":"{}","restarted":{},"bounds":{{"version":"8000ms","retry_ratio":0.2,"retry_extra":{:?},"retry_window":"10s","cold_factor":1.5,"cold_extra":5,"grace":"8s"}}}},"memory":"260MB","callers":"{callers}","ready":"{ready}","log":{{"format":"json","output":"stdout"}}}}"#,
+            r#"{{"node":{{"vm":"front-ch-ost-a-{}","zone":"ch-ost-a","zones":{{"ch-ost-a":"ch-ost"}},"peers":"127.0.0.{host}:{}","seeds":[{seeds}],"platform":"{}","restarted":{},"bounds":{{"version":"8000ms","retry_ratio":0.2,"retry_extra":{:?},"retry_window":"10s","cold_factor":1.5,"cold_extra":5,"grace":"8s"}}}},"memory":"{memory_mb}MB","callers":"{callers}","ready":"{ready}","log":{{"format":"json","output":"stdout"}}}}"#,
             settings.number, settings.peer_port, settings.platform, settings.restarted,
             settings.retry_extra
         );
