--- a/review/11/case.rs
+++ b/review/11/case.rs
@@ -31,7 +31,13 @@
 type Runs = Arc<Mutex<Vec<String>>>;
 
 /// Starts a worker that records what it runs and answers after `work`.
-fn start_worker(addr: SocketAddr, name: &'static str, work: Duration, keep_alive: u64, runs: &Runs) {
+fn start_worker(
+    addr: SocketAddr,
+    name: &'static str,
+    work: Duration,
+    keep_alive: u64,
+    runs: &Runs,
+) {
     let runs = runs.clone();
     serve(addr, move |mut stream| {
         let mut rest = vec![];
@@ -52,9 +58,8 @@
                 thread::sleep(work);
             }
             let head = "HTTP/1.1 200 OK\r\nServer-Stamp: 3e1b.07\r\nContent-Length: 5\r\n";
-            let text = format!(
-                "{head}Keep-Alive: timeout={seconds}\r\nAttempt-Id: {id}\r\n\r\nplate"
-            );
+            let text =
+                format!("{head}Keep-Alive: timeout={seconds}\r\nAttempt-Id: {id}\r\n\r\nplate");
             if stream.write_all(text.as_bytes()).is_err() {
                 return;
             }
@@ -82,19 +87,36 @@
     start_worker(sound, "i-sound", WORK_TIME, 5, &sound_runs);
     start_worker(other, "i-other", Duration::ZERO, keep_alive, &other_runs);
     let route = |name, prefix, kind, service, attempts| Route {
-        name, prefix, kind, service, attempts, timeout_ms: 1_200, aim_ms: 150,
+        name,
+        prefix,
+        kind,
+        service,
+        attempts,
+        timeout_ms: 1_200,
+        aim_ms: 150,
     };
-    store.put("op/config", Some(config(1, &[
-        route("place-order", "/order/", "non_idempotent", "orders", 1),
-        route("catalogue", "/glass/", "idempotent", "catalogue", 2),
-    ])));
+    store.put(
+        "op/config",
+        Some(config(
+            1,
+            &[
+                route("place-order", "/order/", "non_idempotent", "orders", 1),
+                route("catalogue", "/glass/", "idempotent", "catalogue", 2),
+            ],
+        )),
+    );
     store.put("servers/i-sound", Some(entry("orders", sound, 16, unix_ms())));
     store.put("servers/i-other", Some(entry("catalogue", other, 8, unix_ms())));
     let peer_port = free_addr(11).port();
     let (mut lost, mut ends) = (0, 0);
     for round in 0..ROUNDS {
         let settings = GatewaySettings {
-            number: 0, platform, peer_port, seeds: vec![], retry_extra: 104.0, restarted: round > 0,
+            number: 0,
+            platform,
+            peer_port,
+            seeds: vec![],
+            retry_extra: 104.0,
+            restarted: round > 0,
         };
         let mut gateway = Gateway::start(&settings, &dir);
         let callers = gateway.callers;
@@ -123,7 +145,11 @@
         let id = attempt_id();
         let status = ask(&mut stream, "GET", "/glass/1", &id);
         record.line(format!("round {round}: lookup {id} at the other worker, status {status}"));
-        lost += clients.into_iter().filter_map(|client| client.join().ok()).filter(|lost| *lost).count();
+        lost += clients
+            .into_iter()
+            .filter_map(|client| client.join().ok())
+            .filter(|lost| *lost)
+            .count();
         thread::sleep(Duration::from_millis(200));
         if let Some(status) = gateway.ended() {
             ends += 1;
--- a/review/12/case.rs
+++ b/review/12/case.rs
@@ -29,7 +29,13 @@
 
 type Runs = Arc<Mutex<Vec<(String, u64)>>>;
 
-fn start_worker(addr: SocketAddr, name: &'static str, is_faulty: bool, runs: &Runs, record: &Record) {
+fn start_worker(
+    addr: SocketAddr,
+    name: &'static str,
+    is_faulty: bool,
+    runs: &Runs,
+    record: &Record,
+) {
     let (runs, record) = (runs.clone(), record.clone());
     serve(addr, move |mut stream| {
         let mut rest = vec![];
@@ -111,14 +117,29 @@
     let (first, second) = (free_addr(2), free_addr(3));
     start_worker(first, "i-first", !is_calm, &first_runs, &record);
     start_worker(second, "i-second", false, &second_runs, &record);
-    store.put("op/config", Some(config(1, &[Route {
-        name: "layout-draft", prefix: "/draft/", kind: "streaming", service: "assist-llm",
-        attempts: 2, timeout_ms: 6_000, aim_ms: 500,
-    }])));
+    store.put(
+        "op/config",
+        Some(config(
+            1,
+            &[Route {
+                name: "layout-draft",
+                prefix: "/draft/",
+                kind: "streaming",
+                service: "assist-llm",
+                attempts: 2,
+                timeout_ms: 6_000,
+                aim_ms: 500,
+            }],
+        )),
+    );
     store.put("servers/i-first", Some(entry("assist-llm", first, 16, unix_ms())));
     store.put("servers/i-second", Some(entry("assist-llm", second, 16, unix_ms())));
     let settings = GatewaySettings {
-        number: 0, platform, peer_port: free_addr(11).port(), seeds: vec![], retry_extra: 104.0,
+        number: 0,
+        platform,
+        peer_port: free_addr(11).port(),
+        seeds: vec![],
+        retry_extra: 104.0,
         restarted: false,
     };
     let gateway = Gateway::start(&settings, &dir);
@@ -136,17 +157,21 @@
                     } else {
                         let is_wrong = is_complete && !pieces.is_empty();
                         wrong += usize::from(is_wrong);
-                        record.line(format!("client: {id} got {pieces:?}, ends as complete {is_complete}"));
+                        record.line(format!(
+                            "client: {id} got {pieces:?}, ends as complete {is_complete}"
+                        ));
                     }
                 }
                 (whole, wrong)
             })
         })
         .collect();
-    let results: Vec<(usize, usize)> = clients.into_iter().map(|client| client.join().unwrap()).collect();
+    let results: Vec<(usize, usize)> =
+        clients.into_iter().map(|client| client.join().unwrap()).collect();
     let whole: usize = results.iter().map(|(whole, _)| whole).sum();
     let wrong: usize = results.iter().map(|(_, wrong)| wrong).sum();
-    let (first_count, second_count) = (first_runs.lock().unwrap().len(), second_runs.lock().unwrap().len());
+    let (first_count, second_count) =
+        (first_runs.lock().unwrap().len(), second_runs.lock().unwrap().len());
     record.line(format!("runs: {first_count} and {second_count}; streams: {whole} whole"));
     record.line(format!("streams that end as complete and lack pieces: {wrong}"));
     drop(gateway);
--- a/review/14/case.rs
+++ b/review/14/case.rs
@@ -91,10 +91,21 @@
     record.line(format!("the worker sends answers 421 twice: {}", !is_calm));
     let platform = free_addr(1);
     let store = Store::start(platform);
-    store.put("op/config", Some(config(1, &[Route {
-        name: "place-order", prefix: "/order/", kind: "non_idempotent", service: "orders",
-        attempts: 2, timeout_ms: 1_200, aim_ms: 150,
-    }])));
+    store.put(
+        "op/config",
+        Some(config(
+            1,
+            &[Route {
+                name: "place-order",
+                prefix: "/order/",
+                kind: "non_idempotent",
+                service: "orders",
+                attempts: 2,
+                timeout_ms: 1_200,
+                aim_ms: 150,
+            }],
+        )),
+    );
     let addr = free_addr(2);
     let worker = Arc::new(Mutex::new(Worker { name: "i-0".to_owned(), ..Worker::default() }));
     start_worker(addr, &worker, !is_calm, &record);
@@ -105,7 +116,11 @@
     start_worker(other_addr, &other, false, &record);
     store.put("servers/i-other", Some(entry("orders", other_addr, 6, unix_ms())));
     let settings = GatewaySettings {
-        number: 0, platform, peer_port: free_addr(11).port(), seeds: vec![], retry_extra: 104.0,
+        number: 0,
+        platform,
+        peer_port: free_addr(11).port(),
+        seeds: vec![],
+        retry_extra: 104.0,
         restarted: false,
     };
     let gateway = Gateway::start(&settings, &dir);
@@ -158,7 +173,9 @@
     ));
     drop(gateway);
     let _ = std::fs::remove_dir_all(&dir);
-    println!("case 14: {refused_and_run} orders answered 503 that had run, {twice} run again, {served} served");
+    println!(
+        "case 14: {refused_and_run} orders answered 503 that had run, {twice} run again, {served} served"
+    );
     std::process::exit(match (refused_and_run, served) {
         (_, 0) => 2,
         (0, _) => 0,
--- a/review/15/case.rs
+++ b/review/15/case.rs
@@ -115,14 +115,29 @@
     let (first, second) = (free_addr(2), free_addr(3));
     start_worker(first, "i-first", !is_calm, &record);
     start_worker(second, "i-second", false, &record);
-    store.put("op/config", Some(config(1, &[Route {
-        name: "order-lookup", prefix: "/order/", kind: "idempotent", service: "orders",
-        attempts: 2, timeout_ms: 1_200, aim_ms: 150,
-    }])));
+    store.put(
+        "op/config",
+        Some(config(
+            1,
+            &[Route {
+                name: "order-lookup",
+                prefix: "/order/",
+                kind: "idempotent",
+                service: "orders",
+                attempts: 2,
+                timeout_ms: 1_200,
+                aim_ms: 150,
+            }],
+        )),
+    );
     store.put("servers/i-first", Some(entry("orders", first, 6, unix_ms())));
     store.put("servers/i-second", Some(entry("orders", second, 6, unix_ms())));
     let settings = GatewaySettings {
-        number: 0, platform, peer_port: free_addr(11).port(), seeds: vec![], retry_extra: 104.0,
+        number: 0,
+        platform,
+        peer_port: free_addr(11).port(),
+        seeds: vec![],
+        retry_extra: 104.0,
         restarted: false,
     };
     let gateway = Gateway::start(&settings, &dir);
@@ -147,8 +162,11 @@
         .collect();
     let seen: Vec<Seen> = clients.into_iter().map(|client| client.join().unwrap()).collect();
     let sum = |pick: fn(&Seen) -> usize| seen.iter().map(pick).sum::<usize>();
-    let (sound, stray, other) = (sum(|seen| seen.sound), sum(|seen| seen.stray), sum(|seen| seen.other));
-    record.line(format!("{sound} sound answers, {stray} with stray bytes behind them, {other} others"));
+    let (sound, stray, other) =
+        (sum(|seen| seen.sound), sum(|seen| seen.stray), sum(|seen| seen.other));
+    record.line(format!(
+        "{sound} sound answers, {stray} with stray bytes behind them, {other} others"
+    ));
     drop(gateway);
     let _ = std::fs::remove_dir_all(&dir);
     println!("case 15: {stray} answers with bytes behind them that are no answer, {sound} sound");
--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -344,12 +344,16 @@
         let seeds = seeds.collect::<Vec<_>>().join(",");
         let text = format!(
             r#"{{"node":{{"vm":"front-ch-ost-a-{}","zone":"ch-ost-a","zones":{{"ch-ost-a":"ch-ost"}},"peers":"127.0.0.{host}:{}","seeds":[{seeds}],"platform":"{}","restarted":{},"bounds":{{"version":"8000ms","retry_ratio":0.2,"retry_extra":{:?},"retry_window":"10s","cold_factor":1.5,"cold_extra":5,"grace":"8s"}}}},"memory":"{memory_mb}MB","callers":"{callers}","ready":"{ready}","log":{{"format":"json","output":"stdout"}}}}"#,
-            settings.number, settings.peer_port, settings.platform, settings.restarted,
+            settings.number,
+            settings.peer_port,
+            settings.platform,
+            settings.restarted,
             settings.retry_extra
         );
         let path = dir.join(format!("gateway-{}.json", settings.number));
         fs::write(&path, text).expect("a settings file");
-        let log = File::create(dir.join(format!("gateway-{}.log", settings.number))).expect("a log");
+        let log =
+            File::create(dir.join(format!("gateway-{}.log", settings.number))).expect("a log");
         let errors = log.try_clone().expect("a log");
         let child = Command::new("target/release/sequoiahold")
             .arg("gateway")
