--- a/review/standins-3/common.rs
+++ b/review/standins-3/common.rs
@@ -387,8 +387,8 @@
 
     /// Sends a signal by name.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
+        let command = format!("kill -{name} {}", self.child.id());
+        let _ = Command::new("sh").args(["-c", &command]).status();
     }
 
     /// Returns how the process ended, `None` while it runs.
