Bound the keep-alive timeout that servers announce

Cause: Upstream::update_keep_alive added the number to the clock as it came, and an Instant holds less than 64 bits of seconds; the panic aborts the process. The same code reads the answers of the store, of origins and of engines.

Change: a connection is kept for an hour at most. On related paths, spans and transfer times saturate, an origin's Retry-After at the endpoint process is bounded by 60 s and decoded as that of endpoints is, and two sums of numbers that an engine and an origin report saturate.

--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -32,22 +32,22 @@
 pub struct Share(pub u16);
 
 impl ByteRate {
-    /// Returns the time that a transfer of `size` takes at this rate.
+    /// Returns the time that a transfer of `size` takes at this rate, at most the longest duration.
     pub fn transfer_time(self, size: Bytes) -> Span {
         let micros = u128::from(size.0) * 1_000_000 / u128::from(self.0.max(1));
-        Span(micros as u64)
+        Span(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 }
 
 impl Span {
-    /// Returns a duration of `n` milliseconds.
+    /// Returns a duration of `n` milliseconds, at most the longest one.
     pub const fn millis(n: u64) -> Self {
-        Self(n * 1_000)
+        Self(n.saturating_mul(1_000))
     }
 
-    /// Returns a duration of `n` seconds.
+    /// Returns a duration of `n` seconds, at most the longest one.
     pub const fn secs(n: u64) -> Self {
-        Self(n * 1_000_000)
+        Self(n.saturating_mul(1_000_000))
     }
 
     /// Returns the duration in seconds.
--- a/crates/sequoiahold/src/endpoint/fetch.rs
+++ b/crates/sequoiahold/src/endpoint/fetch.rs
@@ -1,10 +1,16 @@
 //! Fetching of manifests and pulling of chunks from the origin and from peers.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, SystemTime},
+};
 
 use awc::{Client, http::header::RETRY_AFTER};
 use bytes::Bytes;
 use sequoiahold_core::{
+    direct::pause::PauseRequest,
     endpoint::BlobSource,
     ids::{Digest, VmId},
     proto::{Call, Heartbeat, MAX_MESSAGE_BYTES, Reply},
@@ -21,6 +27,9 @@
 const FETCH_TIMEOUT: Span = Span::secs(10);
 /// Retry delay of an origin that refuses a request without a `retry-after` header.
 const DEFAULT_RETRY_DELAY: Span = Span::secs(1);
+/// Longest retry delay that is kept: past it one call asks the origin again, so that an absurd value
+/// does not end a rollout.
+const MAX_RETRY_DELAY: Span = Span::secs(60);
 /// HTTP status of an origin whose rate limit is reached.
 const TOO_MANY_REQUESTS: u16 = 429;
 /// HTTP status of an origin that is temporarily out of service.
@@ -122,8 +131,8 @@
             }
             TOO_MANY_REQUESTS | SERVICE_UNAVAILABLE => {
                 let header = response.headers().get(RETRY_AFTER);
-                let delay = header.and_then(|value| value.to_str().ok()?.parse().ok());
-                Err(PullError::Later(delay.map_or(DEFAULT_RETRY_DELAY, Span::secs)))
+                let text = header.and_then(|value| value.to_str().ok());
+                Err(PullError::Later(retry_delay(text, SystemTime::now())))
             }
             _ => Err(PullError::Absent),
         }
@@ -147,3 +156,9 @@
         }
     }
 }
+
+/// Returns the delay after which an origin that refused a call is asked again.
+pub fn retry_delay(header: Option<&str>, wall: SystemTime) -> Span {
+    let delay = header.map(|text| PauseRequest::decode(text, wall).span());
+    delay.map_or(DEFAULT_RETRY_DELAY, |delay| delay.min(MAX_RETRY_DELAY))
+}
--- a/crates/sequoiahold/src/endpoint/mod.rs
+++ b/crates/sequoiahold/src/endpoint/mod.rs
@@ -22,6 +22,7 @@
 pub use self::{
     engine::{EngineClient, SendError},
     event::Event,
+    fetch::retry_delay,
 };
 use self::{
     event_loop::EventLoop, peers::PeerService, request::RequestHandler, store::ChunkStore,
--- a/crates/sequoiahold/src/h1/upstream.rs
+++ b/crates/sequoiahold/src/h1/upstream.rs
@@ -21,6 +21,9 @@
 
 /// Idle time for which a connection is kept where the server sends no `Keep-Alive` timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
+/// Longest idle time for which a connection is kept, whatever the server announces: the header holds
+/// any number, which added to the clock may exceed its range.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
 /// Time before the keep-alive timeout from which a connection is no longer used.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(600);
 
@@ -360,7 +363,7 @@
             let part = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
             part.and_then(|number| number.parse().ok())
         });
-        let max_idle = seconds.map_or(DEFAULT_KEEP_ALIVE, Duration::from_secs);
+        let max_idle = seconds.map_or(DEFAULT_KEEP_ALIVE, Duration::from_secs).min(MAX_KEEP_ALIVE);
         let now = Instant::now();
         self.idle_since = now;
         self.usable_until = now + max_idle.saturating_sub(KEEP_ALIVE_MARGIN);
--- a/crates/sequoiahold/src/loader/load.rs
+++ b/crates/sequoiahold/src/loader/load.rs
@@ -188,7 +188,7 @@
     list: &ChunkList,
     (report, accepted): (&EngineReport, AcceptedOrder),
 ) -> anyhow::Result<()> {
-    let orders = report.orders_begun + u64::from(accepted == AcceptedOrder::Last);
+    let orders = report.orders_begun.saturating_add(u64::from(accepted == AcceptedOrder::Last));
     let judge = |evidence| {
         let version = Some((target.model.clone(), target.version));
         loader.load.borrow_mut().judge(report.started_ms, orders, evidence, version);
--- a/crates/sequoiahold/src/loader/transfer.rs
+++ b/crates/sequoiahold/src/loader/transfer.rs
@@ -318,7 +318,7 @@
 }
 
 fn manifest(list: &ChunkList) -> Manifest {
-    let size = list.chunk_size * list.digests.len() as u64;
+    let size = list.chunk_size.saturating_mul(list.digests.len() as u64);
     Manifest { chunk: Size(list.chunk_size), size: Size(size), chunks: list.digests.clone() }
 }
 
--- a/crates/standins/src/hosted/engine.rs
+++ b/crates/standins/src/hosted/engine.rs
@@ -19,7 +19,7 @@
     Store, registry_entry,
     weights::{CHUNKS, MODEL, chunk},
 };
-use crate::reply::{self, Body};
+use crate::reply::{self, Body, KeepAlive};
 
 /// Time that a load takes.
 const LOAD_TIME: Duration = Duration::from_millis(300);
@@ -99,6 +99,8 @@
 /// A running simulated engine.
 #[derive(Clone)]
 pub struct WeightEngine {
+    /// The keep-alive timeout that the engine announces.
+    pub keep_alive: KeepAlive,
     addr: SocketAddr,
     store: Store,
     state: Rc<RefCell<State>>,
@@ -126,9 +128,18 @@
             staged: (0..CHUNKS).map(|number| (number, chunk(version, number))).collect(),
             ..State::default()
         };
-        let engine = Self { addr, store: store.clone(), state: Rc::new(RefCell::new(state)) };
+        let engine = Self {
+            keep_alive: KeepAlive::default(),
+            addr,
+            store: store.clone(),
+            state: Rc::new(RefCell::new(state)),
+        };
         let server = engine.clone();
-        http::serve(addr, move |request| server.clone().handle(request)).await?;
+        http::serve(addr, move |request| {
+            let server = server.clone();
+            async move { server.keep_alive.add_to(server.clone().handle(request).await) }
+        })
+        .await?;
         engine.publish();
         Ok(engine)
     }
--- a/crates/standins/src/hosted/store.rs
+++ b/crates/standins/src/hosted/store.rs
@@ -7,7 +7,7 @@
 use sequoiahold::http;
 use serde_json::{Value, json};
 
-use crate::reply::{self, Body};
+use crate::reply::{self, Body, KeepAlive};
 
 /// Time between two checks of a waiting watch for changes.
 const WATCH_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -54,20 +54,28 @@
 
 /// A running key-value store.
 #[derive(Clone, Debug, Default)]
-pub struct Store(Rc<RefCell<State>>);
+pub struct Store {
+    /// The keep-alive timeout that the store announces.
+    pub keep_alive: KeepAlive,
+    state: Rc<RefCell<State>>,
+}
 
 impl Store {
     /// Starts an empty store on `addr`; fails if the address cannot be bound.
     pub async fn start(addr: SocketAddr) -> anyhow::Result<Self> {
         let store = Self::default();
         let server = store.clone();
-        http::serve(addr, move |request| server.clone().handle(request)).await?;
+        http::serve(addr, move |request| {
+            let server = server.clone();
+            async move { server.keep_alive.add_to(server.clone().handle(request).await) }
+        })
+        .await?;
         Ok(store)
     }
 
     /// Writes a value under a new revision; `None` removes the key.
     pub fn put(&self, key: &str, value: Option<Value>) {
-        let mut state = self.0.borrow_mut();
+        let mut state = self.state.borrow_mut();
         state.revision += 1;
         let revision = state.revision;
         match &value {
@@ -79,14 +87,14 @@
 
     /// Returns a copy of the current state.
     pub fn copy(&self) -> StoreCopy {
-        let state = self.0.borrow();
+        let state = self.state.borrow();
         StoreCopy { items: state.items.clone(), revision: state.revision }
     }
 
     /// Goes back to a copy of the state: later writes are lost, and their revisions are given out
     /// again.
     pub fn restore(&self, copy: &StoreCopy) {
-        let mut state = self.0.borrow_mut();
+        let mut state = self.state.borrow_mut();
         state.items.clone_from(&copy.items);
         state.revision = copy.revision;
         state.log.retain(|(at, ..)| *at <= copy.revision);
@@ -96,49 +104,49 @@
 
     /// Returns the keys that have a value.
     pub fn keys(&self) -> Vec<String> {
-        self.0.borrow().items.keys().cloned().collect()
+        self.state.borrow().items.keys().cloned().collect()
     }
 
     /// Sets whether the store answers all calls with status 503.
     pub fn set_down(&self, down: bool) {
-        self.0.borrow_mut().down = down;
+        self.state.borrow_mut().down = down;
     }
 
     /// Sets the time by which each answer is late.
     pub fn set_delay(&self, delay: Duration) {
-        self.0.borrow_mut().delay = delay;
+        self.state.borrow_mut().delay = delay;
     }
 
     /// Discards the history of changes: watches from earlier revisions get status 410.
     pub fn compact(&self) {
-        let mut state = self.0.borrow_mut();
+        let mut state = self.state.borrow_mut();
         state.compacted = state.revision;
         state.log.clear();
     }
 
     /// Never answers the watches that are waiting now; later calls are answered.
     pub fn stall_watches(&self) {
-        self.0.borrow_mut().watch_stalls += 1;
+        self.state.borrow_mut().watch_stalls += 1;
     }
 
     /// Returns the number of calls so far.
     pub fn calls(&self) -> u64 {
-        self.0.borrow().calls
+        self.state.borrow().calls
     }
 
     async fn handle(self, request: Request) -> Response<Body> {
         let response = self.answer(request).await;
-        let era = self.0.borrow().era.to_string();
+        let era = self.state.borrow().era.to_string();
         reply::with_headers(response, &[("store-era", &era)])
     }
 
     async fn answer(&self, request: Request) -> Response<Body> {
-        self.0.borrow_mut().calls += 1;
-        let delay = self.0.borrow().delay;
+        self.state.borrow_mut().calls += 1;
+        let delay = self.state.borrow().delay;
         if !delay.is_zero() {
             actix_rt::time::sleep(delay).await;
         }
-        if self.0.borrow().down {
+        if self.state.borrow().down {
             return reply::status(503);
         }
         let query = request.uri().query().unwrap_or_default().to_owned();
@@ -157,7 +165,7 @@
     }
 
     fn page(&self) -> Response<Body> {
-        let state = self.0.borrow();
+        let state = self.state.borrow();
         let items: Vec<Value> = state
             .items
             .iter()
@@ -168,25 +176,25 @@
 
     async fn watch(&self, after: u64, wait_ms: u64) -> Response<Body> {
         let (watch_stalls, era) = {
-            let state = self.0.borrow();
+            let state = self.state.borrow();
             (state.watch_stalls, state.era)
         };
-        if after > self.0.borrow().revision {
+        if after > self.state.borrow().revision {
             return reply::status(410);
         }
         for _ in 0..=wait_ms / WATCH_POLL_INTERVAL.as_millis() as u64 {
-            if self.0.borrow().revision > after {
+            if self.state.borrow().revision > after {
                 break;
             }
             actix_rt::time::sleep(WATCH_POLL_INTERVAL).await;
-            if self.0.borrow().watch_stalls > watch_stalls {
+            if self.state.borrow().watch_stalls > watch_stalls {
                 std::future::pending::<()>().await;
             }
-            if self.0.borrow().era > era {
+            if self.state.borrow().era > era {
                 return reply::status(503);
             }
         }
-        let state = self.0.borrow();
+        let state = self.state.borrow();
         if after < state.compacted {
             return reply::status(410);
         }
--- a/crates/standins/src/hosted/weights.rs
+++ b/crates/standins/src/hosted/weights.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 use sha2::{Digest as _, Sha256};
 
-use crate::reply::{self, Body};
+use crate::reply::{self, Body, KeepAlive};
 
 /// The model.
 pub const MODEL: &str = "assist";
@@ -61,6 +61,8 @@
 /// A running simulated origin.
 #[derive(Clone, Debug, Default)]
 pub struct WeightOrigin {
+    /// The keep-alive timeout that the origin announces.
+    pub keep_alive: KeepAlive,
     calls: Rc<Cell<OriginCalls>>,
     fault: Rc<RefCell<Option<ListFault>>>,
     outage: Rc<Cell<Outage>>,
@@ -80,7 +82,7 @@
         let server = origin.clone();
         http::serve(addr, move |request| {
             let origin = server.clone();
-            async move { origin.handle(&request) }
+            async move { origin.keep_alive.add_to(origin.handle(&request)) }
         })
         .await?;
         Ok(origin)
--- a/crates/standins/src/hosted/worker.rs
+++ b/crates/standins/src/hosted/worker.rs
@@ -12,7 +12,7 @@
 use sequoiahold::http;
 use tokio::sync::mpsc;
 
-use crate::reply::{self, Body};
+use crate::reply::{self, Body, KeepAlive};
 
 /// Number of events of a complete stream.
 const STREAM_EVENTS: u64 = 6;
@@ -115,6 +115,8 @@
 /// A running simulated endpoint.
 #[derive(Clone, Debug)]
 pub struct Worker {
+    /// The keep-alive timeout that the endpoint announces.
+    pub keep_alive: KeepAlive,
     state: Rc<RefCell<State>>,
 }
 
@@ -122,9 +124,13 @@
     /// Starts an endpoint with an instance name; fails if the address cannot be bound.
     pub async fn start(addr: SocketAddr, instance: &str) -> anyhow::Result<Self> {
         let state = State { instance: instance.to_owned(), ..State::default() };
-        let worker = Self { state: Rc::new(RefCell::new(state)) };
+        let worker = Self { keep_alive: KeepAlive::default(), state: Rc::new(RefCell::new(state)) };
         let server = worker.clone();
-        http::serve(addr, move |request| server.clone().handle(request)).await?;
+        http::serve(addr, move |request| {
+            let server = server.clone();
+            async move { server.keep_alive.add_to(server.clone().handle(request).await) }
+        })
+        .await?;
         Ok(worker)
     }
 
--- a/crates/standins/src/reply.rs
+++ b/crates/standins/src/reply.rs
@@ -1,7 +1,9 @@
 //! HTTP responses of the simulated services.
 
 use std::{
+    cell::RefCell,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll},
 };
 
@@ -101,10 +103,7 @@
 }
 
 /// Sets headers of a response; leaves out values that are not valid.
-pub fn with_headers(
-    mut response: Response<Body>,
-    headers: &[(&'static str, &str)],
-) -> Response<Body> {
+pub fn with_headers<B>(mut response: Response<B>, headers: &[(&'static str, &str)]) -> Response<B> {
     for (name, value) in headers {
         if let Ok(value) = header::HeaderValue::from_str(value) {
             response.headers_mut().insert(header::HeaderName::from_static(name), value);
@@ -113,6 +112,25 @@
     response
 }
 
+/// A `Keep-Alive` header that a simulated service adds to all its answers.
+#[derive(Clone, Debug, Default)]
+pub struct KeepAlive(Rc<RefCell<Option<String>>>);
+
+impl KeepAlive {
+    /// Sets the value of the header, `None` for answers without it.
+    pub fn set(&self, value: Option<&str>) {
+        *self.0.borrow_mut() = value.map(str::to_owned);
+    }
+
+    /// Adds the header to a response.
+    pub fn add_to<B>(&self, response: Response<B>) -> Response<B> {
+        match self.0.borrow().as_deref() {
+            Some(value) => with_headers(response, &[("keep-alive", value)]),
+            None => response,
+        }
+    }
+}
+
 /// Reads the body of a request, up to its end or the first error.
 pub async fn read_body(request: &mut Request) -> Bytes {
     let mut payload = request.take_payload();
