End responses that have no body with their head

Cause: the end of a body was taken from the headers where they name a length or chunks, whatever the status; RFC 9112, section 6.3, goes by method and status first. The codec does not look at the status, and its encoder leaves out the length of a 204, not the body.

Change: the status decides first, at each connection that h1 reads, where a gateway writes an answer, at the endpoint process before its engine, and at entries, which also sent the end of chunks. A response before HTTP/1.1 with a transfer coding is malformed.

--- a/crates/sequoiahold/src/client.rs
+++ b/crates/sequoiahold/src/client.rs
@@ -35,6 +35,12 @@
     (200..600).contains(&status)
 }
 
+/// Returns whether a final response of this status ends with its head, whatever its headers say of a
+/// body (RFC 9112, section 6.3).
+pub fn ends_with_head(status: u16) -> bool {
+    matches!(status, 204 | 304)
+}
+
 impl AsyncRead for StrictEofStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/sequoiahold/src/endpoint/request.rs
+++ b/crates/sequoiahold/src/endpoint/request.rs
@@ -1,9 +1,9 @@
 //! Handling of one request at an endpoint, from its admission to the end of its response.
 
-use std::time::Duration;
+use std::{convert::Infallible, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use futures_util::{Stream, StreamExt as _};
+use futures_util::{Stream, StreamExt as _, stream};
 use quinn::{RecvStream, SendStream};
 use sequoiahold_core::{
     endpoint::{Admission, Decision, OfferedCall},
@@ -19,7 +19,10 @@
     engine::{EngineClient, SendError},
     event::{AdmissionRequest, Event},
 };
-use crate::{client::is_final_status, net::write_message};
+use crate::{
+    client::{ends_with_head, is_final_status},
+    net::write_message,
+};
 
 /// Time without a part after which the response of a model service counts as failed.
 const PART_TIMEOUT: Duration = Duration::from_secs(10);
@@ -146,6 +149,10 @@
             version: self.admission.version.clone(),
             incarnation: self.handler.incarnation,
         };
+        if ends_with_head(status) {
+            let no_body = stream::empty::<Result<Bytes, Infallible>>();
+            return self.forward(started, no_body, send).await;
+        }
         self.forward(started, response, send).await;
     }
 
--- a/crates/sequoiahold/src/entry/request.rs
+++ b/crates/sequoiahold/src/entry/request.rs
@@ -30,7 +30,7 @@
     stopwatch::Stopwatch,
 };
 use crate::{
-    client::is_final_status,
+    client::{ends_with_head, is_final_status},
     metrics::Metrics,
     net::{PeerConnections, call, read_message, write_message},
 };
@@ -194,7 +194,13 @@
     ) -> Response<Body> {
         let (parts, receiver) = mpsc::channel(PART_BUFFER);
         let status = StatusCode::from_u16(started.status).unwrap_or(StatusCode::BAD_GATEWAY);
-        let mut response = Response::with_body(status, Body::Streamed(receiver, guard));
+        let body = if ends_with_head(started.status) {
+            actix_rt::spawn(discard(receiver, guard));
+            Body::Complete(Bytes::new())
+        } else {
+            Body::Streamed(receiver, guard)
+        };
+        let mut response = Response::with_body(status, body);
         if let Ok(content) = HeaderValue::from_str(&started.content_type) {
             response.headers_mut().insert(CONTENT_TYPE, content);
         }
@@ -242,6 +248,11 @@
     }
 }
 
+/// Takes the parts of a body that the caller does not get, so that its end is still noticed.
+async fn discard(mut parts: mpsc::Receiver<BodyPart>, _guard: RequestGuard) {
+    while parts.recv().await.is_some() {}
+}
+
 enum ForwardOutcome {
     Failed(Failure),
     CallerGone,
--- a/crates/sequoiahold/src/h1/caller.rs
+++ b/crates/sequoiahold/src/h1/caller.rs
@@ -22,6 +22,7 @@
 };
 
 use super::body::{Allowance, BodyBuffer, Unlimited};
+use crate::client::ends_with_head;
 
 /// Length of a body from which it is written from where it is, not copied behind the head.
 const MIN_UNCOPIED_BYTES: usize = 16_384;
@@ -249,6 +250,8 @@
 
 impl ResponseWriter {
     /// Writes a complete response; `close` announces that the connection will be closed.
+    ///
+    /// A body is left out where the status has none.
     pub async fn write_response(
         &mut self,
         status: StatusCode,
@@ -256,6 +259,10 @@
         body: &[u8],
         close: bool,
     ) -> io::Result<()> {
+        if ends_with_head(status.as_u16()) {
+            self.encode_head(status, headers, BodySize::None, close)?;
+            return self.flush().await;
+        }
         self.encode_head(status, headers, BodySize::Sized(body.len() as u64), close)?;
         if body.len() >= MIN_UNCOPIED_BYTES {
             return write_all(&mut self.stream, &mut (&mut self.buffer).chain(body)).await;
--- a/crates/sequoiahold/src/h1/upstream.rs
+++ b/crates/sequoiahold/src/h1/upstream.rs
@@ -4,7 +4,7 @@
 
 use actix_codec::{Decoder as _, Encoder as _};
 use actix_http::{
-    Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode,
+    Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Version,
     body::BodySize,
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     header::{self, HeaderMap},
@@ -17,7 +17,7 @@
 };
 
 use super::body::{Allowance, BodyBuffer, Unlimited};
-use crate::client::is_final_status;
+use crate::client::{ends_with_head, is_final_status};
 
 /// Idle time for which a connection is kept where the server sends no `Keep-Alive` timeout.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
@@ -223,7 +223,7 @@
                 return Err(UpstreamError::Malformed(fault));
             }
             self.update_keep_alive(&head, codec.keep_alive());
-            self.framing = body_framing(&head, codec, self.bodiless);
+            self.framing = body_framing(&head, codec, self.bodiless)?;
             self.until_close = matches!(self.framing, BodyFraming::UntilClose);
             self.reusable &= !self.until_close;
             let headers = std::mem::take(&mut head.headers);
@@ -380,16 +380,29 @@
     }
 }
 
-/// Returns how the body ends; the codec reports a response with neither length nor chunks as empty.
-fn body_framing(head: &ResponseHead, codec: ClientCodec, bodiless: bool) -> BodyFraming {
-    match codec.message_type() {
-        MessageType::Payload | MessageType::Stream => {
+/// Returns how the body ends (RFC 9112, section 6.3); fails where the head does not tell for sure.
+///
+/// The codec looks neither at the status nor at the version, and reports a response with neither
+/// length nor chunks as empty.
+fn body_framing(
+    head: &ResponseHead,
+    codec: ClientCodec,
+    bodiless: bool,
+) -> Result<BodyFraming, UpstreamError> {
+    if bodiless || ends_with_head(head.status.as_u16()) {
+        return Ok(BodyFraming::Complete);
+    }
+    let is_old = head.version < Version::HTTP_11;
+    if is_old && head.headers.contains_key(header::TRANSFER_ENCODING) {
+        let fault = "transfer coding in a response before HTTP/1.1".to_owned();
+        return Err(UpstreamError::Malformed(fault));
+    }
+    let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
+    Ok(match codec.message_type() {
+        MessageType::None if has_length => BodyFraming::Complete,
+        MessageType::Payload | MessageType::Stream if has_length || !is_old => {
             BodyFraming::Delimited(Box::new(codec.into_payload_codec()))
         }
-        MessageType::None => {
-            let bodiless = bodiless || matches!(head.status.as_u16(), 204 | 304);
-            let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
-            if bodiless || has_length { BodyFraming::Complete } else { BodyFraming::UntilClose }
-        }
-    }
+        _ => BodyFraming::UntilClose,
+    })
 }
--- a/crates/standins/src/callers.rs
+++ b/crates/standins/src/callers.rs
@@ -105,6 +105,11 @@
         Self { client, key: key.to_owned() }
     }
 
+    /// Returns the API key.
+    pub fn key(&self) -> &str {
+        &self.key
+    }
+
     /// Sends a chat request and checks that the answer comes from one of the `allowed` weights.
     pub async fn chat(
         &self,
--- a/crates/standins/src/hosted/cluster.rs
+++ b/crates/standins/src/hosted/cluster.rs
@@ -133,6 +133,11 @@
         self.gateways.len()
     }
 
+    /// Returns the address at which a gateway takes callers.
+    pub fn callers(&self, number: usize) -> SocketAddr {
+        self.gateways[number].callers
+    }
+
     /// Starts a gateway again, whose process is ended if it still runs.
     pub fn start_gateway(&self, number: usize) -> anyhow::Result<()> {
         let Gateway { vm, settings, process, .. } = &self.gateways[number];
