Relay the events before one that is out of order

Cause: EventSplitter::push moved the last id on event by event, and returned an error without the events it had accepted.

Change: push returns the events up to the wrong one with the error. A stream is resumed only where the last id is sure: not if the id out of order fits behind the one before the last, which then may be the wrong one, nor behind an event with data but without a usable id. Such a stream is cut and does not look complete. The log names both ids.

The test in direct_mesh keeps its assertions on what is relayed and refused, in the new return value.

--- a/crates/core/tests/direct_mesh.rs
+++ b/crates/core/tests/direct_mesh.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use sequoiahold_core::{
     direct::{
-        event_splitter::{EventSplitter, StreamError},
+        event_splitter::{EventSplitter, SplitEvents, StreamError},
         load_schedule::load_start,
         membership::{Envelope, Gossip, Member, Membership, Role},
         mirror::{Change, Era, Mirror, Revision},
@@ -307,13 +307,15 @@
 #[test]
 fn only_complete_events_are_forwarded_in_order() {
     let mut events = EventSplitter::resume_after(Some(1));
-    assert_eq!(events.push(b"id: 2\ndata: a\n").expect("in order"), Bytes::new());
+    assert_eq!(events.push(b"id: 2\ndata: a\n"), SplitEvents::default());
     assert!(!events.is_complete());
-    let passed = events.push(b"\nid: 3\nda").expect("in order");
-    assert_eq!(passed, Bytes::from_static(b"id: 2\ndata: a\n\n"));
+    let passed = SplitEvents { events: Bytes::from_static(b"id: 2\ndata: a\n\n"), error: None };
+    assert_eq!(events.push(b"\nid: 3\nda"), passed);
     events.discard_partial();
     assert_eq!((events.last_id(), events.is_complete()), (Some(2), true));
-    assert_eq!(events.push(b"id: 2\ndata: a\n\n"), Err(StreamError::OutOfOrder));
+    let refused = Some(StreamError::OutOfOrder { last: 2, id: 2 });
+    let split = events.push(b"id: 2\ndata: a\n\n");
+    assert_eq!(split, SplitEvents { events: Bytes::new(), error: refused });
 }
 
 #[test]
--- a/crates/sequoiahold/src/gateway/relay.rs
+++ b/crates/sequoiahold/src/gateway/relay.rs
@@ -4,7 +4,7 @@
 
 use actix_http::header;
 use actix_rt::time::{Instant, timeout};
-use sequoiahold_core::direct::event_splitter::EventSplitter;
+use sequoiahold_core::direct::event_splitter::{EventSplitter, SplitEvents};
 
 use crate::h1::{ResponseWriter, Upstream, UpstreamResponse, end_to_end_headers};
 
@@ -102,16 +102,17 @@
                 Ok(Ok(None)) => return self.finish(response).await,
                 Ok(Ok(Some(chunk))) => chunk,
             };
-            let events = match self.events.push(&chunk) {
-                Ok(events) if events.is_empty() => continue,
-                Ok(events) => events,
-                Err(error) => return RelayOutcome::broken(format!("{error:?}"), false),
-            };
-            on_events();
-            self.attempt_event.get_or_insert_with(Instant::now);
-            if self.write_head(response).is_err() || self.writer.write_chunk(events).await.is_err()
-            {
-                return RelayOutcome::CallerDisconnected;
+            let SplitEvents { events, error } = self.events.push(&chunk);
+            if !events.is_empty() {
+                on_events();
+                self.attempt_event.get_or_insert_with(Instant::now);
+                let begun = self.write_head(response);
+                if begun.is_err() || self.writer.write_chunk(events).await.is_err() {
+                    return RelayOutcome::CallerDisconnected;
+                }
+            }
+            if let Some(error) = error {
+                return RelayOutcome::broken(error.to_string(), false);
             }
         }
     }
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -284,7 +284,12 @@
             RelayOutcome::CallerDisconnected => NextStep::Done(false),
             RelayOutcome::Broken { error, disconnected } => {
                 self.accuse_parts(&slot, disconnected && relay.is_recent(MAX_CRASH_DELAY));
-                self.fail_attempt(&mut slot, &error, disconnected)
+                let step = self.fail_attempt(&mut slot, &error, disconnected);
+                if relay.events.can_resume() {
+                    return step;
+                }
+                log::info!(target: "request", id = self.attempt_id(); "stream cannot be resumed");
+                NextStep::Fail(LocalReply::Unknown)
             }
         }
     }
--- a/crates/standins/src/hosted/worker.rs
+++ b/crates/standins/src/hosted/worker.rs
@@ -16,6 +16,10 @@
 
 /// Number of events of a complete stream.
 const STREAM_EVENTS: u64 = 6;
+/// Number of events that are written together, where they are.
+const GROUP_EVENTS: usize = 3;
+/// Pause between two groups of events, so that each arrives by itself.
+const GROUP_PAUSE: Duration = Duration::from_millis(20);
 
 /// Time from sending the start of a truncated event to closing the connection.
 const ABORT_DELAY: Duration = Duration::from_millis(50);
@@ -52,6 +56,9 @@
     TruncateEvent,
     /// Answers without the `server-stamp` header.
     Unsigned,
+    /// Writes three events of a stream at a time; in a stream from the start, the event of this number
+    /// has this id.
+    SpoiltId(u64, &'static str),
     /// Waits for this time before each event of a stream.
     Slow(Duration),
     /// Sends a body without events and without end, until the reader disconnects.
@@ -250,6 +257,7 @@
             Behaviour::CloseUnanswered => Body::aborted(),
             Behaviour::EndlessBody => self.endless_body(),
             Behaviour::BreakAfterHead => break_after_head(),
+            Behaviour::SpoiltId(event, id) => Body::Stream(grouped_events(last_event, (event, id))),
             _ if request.path().starts_with("/stream/") => self.stream(behaviour, last_event),
             _ => Body::Full(Bytes::from_static(b"done")),
         };
@@ -307,6 +315,27 @@
     }
 }
 
+/// Returns the rest of a stream in groups of events, with one other id where it is the whole stream.
+fn grouped_events(
+    last_event: Option<u64>,
+    (spoilt, id): (u64, &'static str),
+) -> mpsc::UnboundedReceiver<Bytes> {
+    let (pieces, body) = mpsc::unbounded_channel();
+    let numbers: Vec<u64> = (last_event.map_or(1, |last| last + 1)..=STREAM_EVENTS).collect();
+    actix_rt::spawn(async move {
+        for group in numbers.chunks(GROUP_EVENTS) {
+            let event = |number: &u64| match last_event {
+                None if *number == spoilt => format!("id: {id}\ndata: token {number}\n\n"),
+                _ => format!("id: {number}\ndata: token {number}\n\n"),
+            };
+            let _ = pieces.send(group.iter().map(event).collect::<String>().into());
+            actix_rt::time::sleep(GROUP_PAUSE).await;
+        }
+        let _ = pieces.send(Bytes::new());
+    });
+    body
+}
+
 /// Returns a body without a byte that is aborted once its head is sent.
 fn break_after_head() -> Body {
     let (pieces, body) = mpsc::unbounded_channel();
