Send a request once over a connection

Cause: answers are matched by the id of the request, which all its attempts share; pools keep connections by address, which starts of an endpoint share.

Change: an attempt takes no connection over which its request was sent before. Other requests still do. A request without an id, to which any answer without one would belong, gets a connection of its own. Answers to other requests are logged with both ids.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -221,6 +221,10 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct FenceToken(pub u64);
 
+/// The number of a connection to a server, unique in its pool.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct ConnectionId(pub u64);
+
 macro_rules! number_id {
     ($($name:ident)*) => {$(
         impl $name {
@@ -248,7 +252,7 @@
     )*};
 }
 
-number_id!(Generation Incarnation RequestId FenceToken);
+number_id!(Generation Incarnation RequestId FenceToken ConnectionId);
 
 fn check_name(text: &str) -> Result<(), InvalidId> {
     let allowed = "a name of 1 to 63 characters from a-z, 0-9, '-', '_', '.' that starts with a letter or digit";
--- a/crates/sequoiahold/src/gateway/attempt.rs
+++ b/crates/sequoiahold/src/gateway/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::{
     future::{Future, pending},
+    io,
     pin::pin,
     time::Duration,
 };
@@ -10,13 +11,13 @@
     StatusCode,
     header::{self, HeaderMap, HeaderName, HeaderValue},
 };
-use actix_rt::time::timeout;
 use bytes::Bytes;
 use sequoiahold_core::{
     direct::{
         admission::Urgency, availability::Cause, catalog::RetryMode, platform::Codec,
         scheduler::Grant,
     },
+    ids::ConnectionId,
     time::Time,
 };
 
@@ -34,6 +35,17 @@
 /// Maximum idle time of a connection that is reused for other requests.
 const MAX_IDLE: Duration = Duration::from_secs(60);
 
+/// An attempt that is to be made.
+pub(super) struct Attempt<'a> {
+    pub(super) plan: &'a Plan,
+    pub(super) request: &'a IncomingRequest,
+    pub(super) grant: &'a Grant,
+    /// The last event that the caller has of a stream.
+    pub(super) last_event: Option<u64>,
+    /// Maximum time to send the request, and again to read the response head.
+    pub(super) timeout: Duration,
+}
+
 /// Outcome of an attempt.
 pub(super) enum SendOutcome {
     /// The endpoint sent a response head; the body follows on the connection.
@@ -63,19 +75,17 @@
     }
 }
 
-/// Sends a request and reads the response head; `response_timeout` applies to each of the two, and
-/// both end at the time by which the grant wants the request to have begun.
+/// Sends a request and reads the response head, both by the time by which the grant wants the request
+/// to have begun.
+///
+/// Uses no connection in `used`, and adds its own.
 pub(super) async fn send<C: Codec>(
     gateway: &Gateway<C>,
-    plan: &Plan,
-    request: &IncomingRequest,
-    grant: &Grant,
-    last_event: Option<u64>,
-    response_timeout: Duration,
+    attempt: Attempt<'_>,
+    used: &mut Vec<ConnectionId>,
 ) -> SendOutcome {
-    let max_idle =
-        if plan.retry_mode == RetryMode::AtMostOnce { MAX_IDLE_AT_MOST_ONCE } else { MAX_IDLE };
-    let mut upstream = match gateway.pool.get_or_open(grant.addr, max_idle).await {
+    let Attempt { request, grant, timeout, .. } = attempt;
+    let mut upstream = match connect(gateway, &attempt, used).await {
         Ok(upstream) => upstream,
         Err(error) => return SendOutcome::NotSent(format!("connecting: {error}")),
     };
@@ -86,10 +96,11 @@
         gateway.pool.release(upstream);
         return SendOutcome::Withheld(cause, end);
     }
-    let headers = request_headers(gateway, plan, request, grant, last_event);
+    used.push(upstream.id());
+    let headers = request_headers(gateway, &attempt);
     let sending = upstream.send(request.method.clone(), &request.target, headers, &request.body);
     let mut overdue = pin!(overdue(gateway, grant));
-    match in_time(response_timeout, overdue.as_mut(), sending).await {
+    match in_time(timeout, overdue.as_mut(), sending).await {
         Some(Ok(())) => {}
         Some(Err(error)) if error.partly_sent => {
             return SendOutcome::indeterminate(format!("sending: {}", error.error), true);
@@ -98,7 +109,7 @@
         None => return SendOutcome::indeterminate("sending timed out", false),
     }
     let head = read_head(gateway, request, grant, sent, &mut upstream);
-    match in_time(response_timeout, overdue, head).await {
+    match in_time(timeout, overdue, head).await {
         Some(Ok(response)) => {
             rate_limits::record_answer(gateway, request, &grant.instance, &response);
             classify(gateway, response, upstream).await
@@ -108,6 +119,26 @@
     }
 }
 
+/// Returns a connection to the endpoint of a grant on which a late answer to another attempt cannot
+/// be taken for that to this one.
+///
+/// Answers are matched by the id of the request, which is the same in all its attempts: a request is
+/// sent once over a connection. A request without an id gets a connection of its own.
+async fn connect<C: Codec>(
+    gateway: &Gateway<C>,
+    &Attempt { plan, request, grant, .. }: &Attempt<'_>,
+    used: &[ConnectionId],
+) -> io::Result<Upstream> {
+    if request.header_text(gateway.node.codec.header_names().attempt).is_none() {
+        let mut upstream = gateway.pool.open(grant.addr).await?;
+        upstream.forbid_reuse();
+        return Ok(upstream);
+    }
+    let max_idle =
+        if plan.retry_mode == RetryMode::AtMostOnce { MAX_IDLE_AT_MOST_ONCE } else { MAX_IDLE };
+    gateway.pool.get_or_open(grant.addr, max_idle, used).await
+}
+
 /// Returns the output of `work`, `None` after `limit` or once the request is overdue.
 async fn in_time<T>(
     limit: Duration,
@@ -115,7 +146,7 @@
     work: impl Future<Output = T>,
 ) -> Option<T> {
     tokio::select! {
-        output = timeout(limit, work) => output.ok(),
+        output = actix_rt::time::timeout(limit, work) => output.ok(),
         () = overdue => None,
     }
 }
@@ -157,6 +188,9 @@
         }
         upstream.forbid_reuse();
         upstream.skip_body(MAX_BODY_BYTES).await?;
+        let (id, other) = (expected.unwrap_or(""), echoed.unwrap_or(""));
+        let (instance, status) = (grant.instance.as_str(), response.status.as_u16());
+        log::info!(target: "request", id, instance, other, status; "answer to another request");
     }
     Err(UpstreamError::Malformed("received only responses to other requests".to_owned()))
 }
@@ -196,13 +230,8 @@
 
 /// Returns the headers for the endpoint: the caller's, except credentials and the headers that only
 /// gateways may set.
-fn request_headers<C: Codec>(
-    gateway: &Gateway<C>,
-    plan: &Plan,
-    request: &IncomingRequest,
-    grant: &Grant,
-    last_event: Option<u64>,
-) -> HeaderMap {
+fn request_headers<C: Codec>(gateway: &Gateway<C>, attempt: &Attempt<'_>) -> HeaderMap {
+    let &Attempt { plan, request, grant, last_event, .. } = attempt;
     let names = gateway.node.codec.header_names();
     let mut headers = end_to_end_headers(&request.headers);
     for name in [names.account, names.instance, names.version, names.priority] {
--- a/crates/sequoiahold/src/gateway/request.rs
+++ b/crates/sequoiahold/src/gateway/request.rs
@@ -14,6 +14,7 @@
         platform::Codec,
         scheduler::{Grant, PlacementRequest},
     },
+    ids::ConnectionId,
     refusal::{Reason, Refusal},
     suspect::Fingerprint,
     time::Time,
@@ -22,7 +23,7 @@
 
 use super::{
     answer::LocalReply,
-    attempt::{self, SendOutcome},
+    attempt::{self, Attempt, SendOutcome},
     charge::RetryCharge,
     memory::{AnswerMemory, Hold},
     notices, parts,
@@ -75,6 +76,8 @@
     may_repeat: bool,
     /// Time at which the current attempt began.
     sent_at: Time,
+    /// The connections over which it was sent.
+    connections: Vec<ConnectionId>,
 }
 
 /// What to do after an attempt.
@@ -125,6 +128,7 @@
         fingerprint,
         may_repeat: true,
         sent_at: Time::default(),
+        connections: vec![],
     };
     let last_event = request.header_text(gateway.node.codec.header_names().last_event);
     let last_event = last_event.and_then(|text| text.trim().parse().ok());
@@ -245,9 +249,10 @@
 
     /// Sends the request to the endpoint of a grant, which settles the charge of the attempt.
     async fn send_to(&mut self, grant: &Grant, last_event: Option<u64>) -> SendOutcome {
-        let (gateway, plan, timeout) = (self.gateway, &self.plan, self.attempt_timeout());
+        let (plan, request, timeout) = (&self.plan, self.request, self.attempt_timeout());
         self.charge.begin_attempt();
-        let outcome = attempt::send(gateway, plan, self.request, grant, last_event, timeout).await;
+        let attempt = Attempt { plan, request, grant, last_event, timeout };
+        let outcome = attempt::send(self.gateway, attempt, &mut self.connections).await;
         self.charge.end_attempt(&outcome);
         outcome
     }
--- a/crates/sequoiahold/src/h1/pool.rs
+++ b/crates/sequoiahold/src/h1/pool.rs
@@ -1,8 +1,16 @@
 //! Pool of idle connections by address.
 
-use std::{cell::RefCell, collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use actix_http::ServiceConfig;
+use sequoiahold_core::ids::ConnectionId;
 
 use super::{connect, upstream::Upstream};
 
@@ -20,21 +28,29 @@
 pub struct ConnectionPool {
     config: ServiceConfig,
     limits: PoolLimits,
+    last_id: Rc<Cell<ConnectionId>>,
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<Upstream>>>>,
 }
 
 impl ConnectionPool {
     /// Returns an empty pool.
     pub fn new(config: ServiceConfig, limits: PoolLimits) -> Self {
-        Self { config, limits, idle: Rc::default() }
+        Self { config, limits, last_id: Rc::default(), idle: Rc::default() }
     }
 
-    /// Returns the idle connection used last, `None` if none is reusable and was used within
-    /// `max_idle`.
-    pub fn take_idle(&self, addr: SocketAddr, max_idle: Duration) -> Option<Upstream> {
+    /// Returns the idle connection used last, `None` if none but those in `excluded` is reusable and
+    /// was used within `max_idle`.
+    pub fn take_idle(
+        &self,
+        addr: SocketAddr,
+        max_idle: Duration,
+        excluded: &[ConnectionId],
+    ) -> Option<Upstream> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&addr)?;
-        while let Some(mut upstream) = list.pop() {
+        let is_allowed = |upstream: &Upstream| !excluded.contains(&upstream.id());
+        while let Some(position) = list.iter().rposition(is_allowed) {
+            let mut upstream = list.remove(position);
             if upstream.idle_time() <= max_idle && upstream.is_reusable() {
                 return Some(upstream);
             }
@@ -45,12 +61,19 @@
     /// Opens a new connection.
     pub async fn open(&self, addr: SocketAddr) -> io::Result<Upstream> {
         let stream = connect(addr, self.limits.connect_timeout).await?;
-        Ok(Upstream::new(stream, addr, self.config.clone()))
+        self.last_id.set(self.last_id.get().next());
+        Ok(Upstream::new(self.last_id.get(), stream, addr, self.config.clone()))
     }
 
-    /// Returns an idle connection that was used within `max_idle`, or opens a new one.
-    pub async fn get_or_open(&self, addr: SocketAddr, max_idle: Duration) -> io::Result<Upstream> {
-        match self.take_idle(addr, max_idle) {
+    /// Returns an idle connection that was used within `max_idle` and is not in `excluded`, or opens
+    /// a new one.
+    pub async fn get_or_open(
+        &self,
+        addr: SocketAddr,
+        max_idle: Duration,
+        excluded: &[ConnectionId],
+    ) -> io::Result<Upstream> {
+        match self.take_idle(addr, max_idle, excluded) {
             Some(upstream) => Ok(upstream),
             None => self.open(addr).await,
         }
--- a/crates/sequoiahold/src/h1/upstream.rs
+++ b/crates/sequoiahold/src/h1/upstream.rs
@@ -11,6 +11,7 @@
 };
 use actix_rt::time::Instant;
 use bytes::{Buf as _, Bytes, BytesMut};
+use sequoiahold_core::ids::ConnectionId;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
@@ -100,6 +101,7 @@
 
 /// A connection that carries one request at a time.
 pub struct Upstream {
+    id: ConnectionId,
     stream: TcpStream,
     addr: SocketAddr,
     config: ServiceConfig,
@@ -117,9 +119,15 @@
 
 impl Upstream {
     /// Wraps an established TCP stream.
-    pub fn new(stream: TcpStream, addr: SocketAddr, config: ServiceConfig) -> Self {
+    pub fn new(
+        id: ConnectionId,
+        stream: TcpStream,
+        addr: SocketAddr,
+        config: ServiceConfig,
+    ) -> Self {
         let now = Instant::now();
         Self {
+            id,
             stream,
             addr,
             config,
@@ -136,6 +144,11 @@
         }
     }
 
+    /// Returns the identifier.
+    pub fn id(&self) -> ConnectionId {
+        self.id
+    }
+
     /// Returns the address of the server.
     pub fn addr(&self) -> SocketAddr {
         self.addr
--- a/crates/sequoiahold/src/loader/engine.rs
+++ b/crates/sequoiahold/src/loader/engine.rs
@@ -103,7 +103,7 @@
         path: &str,
         body: Bytes,
     ) -> anyhow::Result<(StatusCode, Bytes)> {
-        let mut upstream = self.pool.get_or_open(self.addr, Duration::MAX).await?;
+        let mut upstream = self.pool.get_or_open(self.addr, Duration::MAX, &[]).await?;
         let mut headers = HeaderMap::new();
         if !body.is_empty() {
             let json = actix_http::header::HeaderValue::from_static("application/json");
--- a/crates/sequoiahold/src/loader/origin.rs
+++ b/crates/sequoiahold/src/loader/origin.rs
@@ -72,7 +72,7 @@
     addr: SocketAddr,
     path: &str,
 ) -> Result<Bytes, OriginError> {
-    let mut upstream = pool.get_or_open(addr, MAX_IDLE_TIME).await?;
+    let mut upstream = pool.get_or_open(addr, MAX_IDLE_TIME, &[]).await?;
     let no_body = Bytes::new();
     let (response, body) =
         upstream.exchange(Method::GET, path, HeaderMap::new(), &no_body, MAX_BODY_BYTES).await?;
--- a/crates/sequoiahold/src/node/peers.rs
+++ b/crates/sequoiahold/src/node/peers.rs
@@ -218,7 +218,7 @@
     target: &str,
     max_bytes: usize,
 ) -> Result<Bytes, CallError> {
-    let mut upstream = node.pool.get_or_open(peer, CALL_TIMEOUT).await?;
+    let mut upstream = node.pool.get_or_open(peer, CALL_TIMEOUT, &[]).await?;
     let (response, body) =
         upstream.exchange(Method::GET, target, HeaderMap::new(), &Bytes::new(), max_bytes).await?;
     node.pool.release(upstream);
--- a/crates/sequoiahold/tests/upstream.rs
+++ b/crates/sequoiahold/tests/upstream.rs
@@ -14,6 +14,8 @@
 
 /// Time within which a response must have been read.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// A whole answer.
+const ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nplate";
 /// Maximum length of a body.
 const MAX_BODY_BYTES: usize = 1_000;
 
@@ -99,3 +101,19 @@
     let read = exchange(&mut upstream, Method::GET).await;
     assert!(matches!(read, Err(UpstreamError::Malformed(_))), "{read:?}");
 }
+
+// Guards against a request being sent twice over one connection, where a late answer to the first
+// attempt would be taken for that to the second.
+#[actix_rt::test]
+async fn excluded_connection_stays_for_other_requests() {
+    let (pool, addr) = (pool(), start_server(&[ANSWER, ANSWER]).await);
+    let mut upstream = pool.open(addr).await.expect("a connection");
+    exchange(&mut upstream, Method::GET).await.expect("a response");
+    let used = [upstream.id()];
+    pool.release(upstream);
+    assert!(pool.take_idle(addr, READ_TIMEOUT, &used).is_none());
+    let other = pool.get_or_open(addr, READ_TIMEOUT, &used).await.expect("a connection");
+    assert_ne!(other.id(), used[0]);
+    let idle = pool.take_idle(addr, READ_TIMEOUT, &[]).expect("an idle connection");
+    assert_eq!(idle.id(), used[0]);
+}
--- a/crates/standins/src/hosted/worker.rs
+++ b/crates/standins/src/hosted/worker.rs
@@ -114,6 +114,7 @@
     rate_limit: Option<String>,
     retry_after: Option<String>,
     leave: Leave,
+    mismatch: Option<u16>,
     arrivals: Vec<Arrival>,
     requests: Vec<ServedRequest>,
     dropped_streams: u32,
@@ -157,6 +158,11 @@
         self.state.borrow_mut().retry_after = retry_after.map(str::to_owned);
     }
 
+    /// Sets the status with which requests for another instance are turned away, 421 by default.
+    pub fn set_mismatch(&self, status: u16) {
+        self.state.borrow_mut().mismatch = Some(status);
+    }
+
     /// Sets whether all answers have the header `server-leaving`.
     pub fn set_leave(&self, leave: Leave) {
         self.state.borrow_mut().leave = leave;
@@ -218,13 +224,13 @@
             let value = request.headers().get(name)?.to_str().ok()?;
             Some(value.to_owned())
         };
-        let (instance, behaviour) = {
+        let (instance, behaviour, mismatch) = {
             let state = self.state.borrow();
-            (state.instance.clone(), state.behaviour)
+            (state.instance.clone(), state.behaviour, state.mismatch.unwrap_or(421))
         };
         let attempt = text("attempt-id").unwrap_or_default();
         if text("expect-instance").is_some_and(|expected| expected != instance) {
-            return reply::status(421);
+            return refuse(mismatch, &attempt);
         }
         match behaviour {
             Behaviour::AtCapacity => {
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -33,6 +33,8 @@
     delay: Rc<Cell<Duration>>,
     down: Rc<Cell<bool>>,
     status: Rc<RefCell<Option<String>>>,
+    repeat: Rc<Cell<Option<(u16, Duration)>>>,
+    repeats: Rc<Cell<u32>>,
     epoch: Rc<Cell<u64>>,
     resets: watch::Sender<u64>,
 }
@@ -59,6 +61,16 @@
         *self.status.borrow_mut() = status.map(str::to_owned);
     }
 
+    /// Sends answers with this status a second time after a delay.
+    pub fn repeat_answers(&self, status: u16, delay: Duration) {
+        self.repeat.set(Some((status, delay)));
+    }
+
+    /// Returns the number of answers that were sent a second time.
+    pub fn repeats(&self) -> u32 {
+        self.repeats.get()
+    }
+
     /// Resets all existing connections; new ones are forwarded.
     pub fn reset_flows(&self) {
         self.resets.send_modify(|count| *count += 1);
@@ -80,6 +92,15 @@
         self.epoch.set(self.epoch.get() + 1);
     }
 
+    /// Counts data as sent a second time if it begins with an answer that is; returns the delay.
+    fn repeat_delay(&self, data: &[u8]) -> Option<Duration> {
+        let (status, delay) = self.repeat.get()?;
+        data.starts_with(format!("HTTP/1.1 {status} ").as_bytes()).then(|| {
+            self.repeats.set(self.repeats.get() + 1);
+            delay
+        })
+    }
+
     fn epoch(&self) -> u64 {
         self.epoch.get()
     }
--- a/crates/standins/src/relay/tcp.rs
+++ b/crates/standins/src/relay/tcp.rs
@@ -72,9 +72,11 @@
             Some(status) if is_call.get() => with_status(data, status),
             _ => data.to_vec(),
         };
+        let repeat_delay = |data: &[u8]| filter.repeat_delay(data);
+        let (to_server, to_client) = (allows(Direction::ToServer), allows(Direction::ToClient));
         join(
-            copy_bytes(down_read, up_write, &filter, allows(Direction::ToServer), note_request),
-            copy_bytes(up_read, down_write, &filter, allows(Direction::ToClient), replace_status),
+            copy_bytes(down_read, up_write, &filter, to_server, note_request, |_| None),
+            copy_bytes(up_read, down_write, &filter, to_client, replace_status, repeat_delay),
         )
         .await;
     };
@@ -104,13 +106,15 @@
     }
 }
 
-/// Copies bytes while it is allowed, as `change` returns them; a blocked connection stays open.
+/// Copies bytes while it is allowed, as `change` returns them, and once more after the time that
+/// `repeat_delay` returns; a blocked connection stays open.
 async fn copy_bytes(
     from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
     filter: &RelayFilter,
     allows: impl Fn() -> bool,
     change: impl Fn(&[u8]) -> Vec<u8>,
+    repeat_delay: impl Fn(&[u8]) -> Option<Duration>,
 ) {
     let mut buffer = vec![0; BUFFER_SIZE];
     loop {
@@ -129,9 +133,14 @@
         if !delay.is_zero() {
             actix_rt::time::sleep(delay).await;
         }
-        if to.write_all(&change(&buffer[..size])).await.is_err() {
+        let data = change(&buffer[..size]);
+        if to.write_all(&data).await.is_err() {
             break;
         }
+        if let Some(delay) = repeat_delay(&data) {
+            actix_rt::time::sleep(delay).await;
+            let _ = to.write_all(&data).await;
+        }
     }
     let _ = to.shutdown().await;
 }
