Use no connection on which input is waiting

Bytes behind an answer were read as the answer to the next request over the connection, and bytes sent before any request as that to the first. At an entry, callers got the answers to other orders.

Cause: whether input is waiting was asked of the runtime, which knows what it saw when it last polled; a copy that arrived since went unnoticed (RFC 9112, section 9.2). New connections were not asked at all. The endpoint process matches the answers of its engine by nothing and reused connections.

Change: the kernel is asked before each request; nothing is sent on a connection that has input or has ended. Requests and load commands of endpoint processes and orders of loaders get a connection of their own.

--- a/crates/sequoiahold/src/endpoint/engine.rs
+++ b/crates/sequoiahold/src/endpoint/engine.rs
@@ -47,6 +47,9 @@
 #[derive(Clone)]
 pub struct EngineClient {
     client: Rc<RefCell<Client>>,
+    /// For requests and load commands, each over a connection of its own: nothing in a response tells
+    /// which request it belongs to, so that a late one on a reused connection could be taken for it.
+    unpooled: Client,
     base_url: String,
 }
 
@@ -54,7 +57,8 @@
     /// Returns a client of the engine in the settings.
     pub fn new(settings: &settings::Engine) -> Self {
         let client = Rc::new(RefCell::new(new_client(REQUEST_TIMEOUT)));
-        Self { client, base_url: settings.url.trim_end_matches('/').to_owned() }
+        let base_url = settings.url.trim_end_matches('/').to_owned();
+        Self { client, unpooled: new_client(REQUEST_TIMEOUT), base_url }
     }
 
     /// Probes the engine and returns its state; after an error, no pooled connection is used again.
@@ -92,8 +96,8 @@
         fence: FenceToken,
     ) -> anyhow::Result<()> {
         let command = LoadCommand { order: "load", version, manifest, fence };
-        let request =
-            self.client().post(format!("{}/orders", self.base_url)).timeout(COMMAND_TIMEOUT);
+        let request = self.unpooled.post(format!("{}/orders", self.base_url));
+        let request = request.force_close().timeout(COMMAND_TIMEOUT);
         let response = request.send_json(&command).await.map_err(|e| anyhow!("engine: {e}"))?;
         expect_success(response.status().as_u16())
     }
@@ -114,8 +118,9 @@
     > {
         let method = method.parse().map_err(|_| SendError::NotSent)?;
         let mut request = self
-            .client()
+            .unpooled
             .request(method, format!("{}{path}", self.base_url))
+            .force_close()
             .insert_header(("content-type", "application/json"))
             .insert_header(("x-request-id", id));
         if let Some(key) = key {
--- a/crates/sequoiahold/src/h1/upstream.rs
+++ b/crates/sequoiahold/src/h1/upstream.rs
@@ -1,6 +1,6 @@
 //! Client side of an HTTP/1.1 connection to an endpoint, a peer or the platform.
 
-use std::{fmt, io, net::SocketAddr, time::Duration};
+use std::{fmt, io, mem::MaybeUninit, net::SocketAddr, time::Duration};
 
 use actix_codec::{Decoder as _, Encoder as _};
 use actix_http::{
@@ -12,6 +12,7 @@
 use actix_rt::time::Instant;
 use bytes::{Buf as _, Bytes, BytesMut};
 use sequoiahold_core::ids::ConnectionId;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
@@ -181,6 +182,9 @@
     }
 
     /// Sends a request; stops early if the response starts before the whole body is sent.
+    ///
+    /// Sends nothing on a connection that has ended or on which bytes have arrived unasked: they
+    /// would be taken for the response (RFC 9112, section 9.2).
     pub async fn send(
         &mut self,
         method: Method,
@@ -189,6 +193,10 @@
         body: &Bytes,
     ) -> Result<(), SendError> {
         let not_sent = |error| SendError { partly_sent: false, error };
+        if !self.is_quiet() {
+            let fault = "the connection has ended or brought bytes unasked";
+            return Err(not_sent(io::Error::new(io::ErrorKind::InvalidData, fault)));
+        }
         let head = self.encode_request(method, target, headers, body).map_err(not_sent)?;
         let mut out = head.chain(body.clone());
         self.request_count += 1;
@@ -312,11 +320,7 @@
     /// end, no further bytes have arrived, and neither side has announced the close.
     pub fn is_reusable(&mut self) -> bool {
         let done = matches!(self.framing, BodyFraming::Complete);
-        self.reusable
-            && done
-            && self.buffer.is_empty()
-            && Instant::now() < self.usable_until
-            && self.has_no_input()
+        self.reusable && done && Instant::now() < self.usable_until && self.is_quiet()
     }
 
     /// Returns whether the last response has neither length nor chunks, so that its regular end
@@ -330,10 +334,13 @@
         self.reusable = false;
     }
 
-    fn has_no_input(&self) -> bool {
-        let mut byte = [0];
-        let read = self.stream.try_read(&mut byte);
-        matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    /// Returns whether the connection is open and all that has arrived on it was read.
+    ///
+    /// Asks the kernel: the runtime learns of new input only when it polls the next time.
+    fn is_quiet(&self) -> bool {
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let is_empty = matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+        self.buffer.is_empty() && is_empty
     }
 
     async fn fill_buffer(&mut self) -> Result<(), UpstreamError> {
--- a/crates/sequoiahold/src/loader/engine.rs
+++ b/crates/sequoiahold/src/loader/engine.rs
@@ -11,7 +11,7 @@
     ids::ModelId,
 };
 
-use crate::h1::{ConnectionPool, PoolLimits};
+use crate::h1::{ConnectionPool, PoolLimits, Upstream};
 
 /// Timeout of a call; both ends are on one VM.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -76,9 +76,15 @@
     }
 
     /// Sends the order to load the staged chunks; after an error the order may still take effect.
+    ///
+    /// It gets a connection of its own, as a late answer to another call would be taken for its reply.
     pub(super) async fn send_order(&self, order: &LoadOrder) -> anyhow::Result<OrderReply> {
-        let body = self.codec.encode_order(order);
-        let (status, _) = self.call(Method::POST, self.codec.order_path(), body).await?;
+        let (path, body) = (self.codec.order_path(), self.codec.encode_order(order));
+        let call = async {
+            let upstream = self.pool.open(self.addr).await?;
+            self.exchange(upstream, Method::POST, path, body).await.map(|(status, _, _)| status)
+        };
+        let status = in_time(call, || format!("POST {path}")).await?;
         Ok(match status {
             StatusCode::ACCEPTED => OrderReply::Begun,
             StatusCode::OK => OrderReply::InEffect,
@@ -93,17 +99,22 @@
         body: Bytes,
     ) -> anyhow::Result<(StatusCode, Bytes)> {
         let request = format!("{method} {path}");
-        let call = self.exchange(method, path, body);
-        timeout(CALL_TIMEOUT, call).await.context("no answer in time").flatten().context(request)
+        let call = async {
+            let upstream = self.pool.get_or_open(self.addr, Duration::MAX, &[]).await?;
+            let (status, body, upstream) = self.exchange(upstream, method, path, body).await?;
+            self.pool.release(upstream);
+            Ok((status, body))
+        };
+        in_time(call, || request).await
     }
 
     async fn exchange(
         &self,
+        mut upstream: Upstream,
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> anyhow::Result<(StatusCode, Bytes)> {
-        let mut upstream = self.pool.get_or_open(self.addr, Duration::MAX, &[]).await?;
+    ) -> anyhow::Result<(StatusCode, Bytes, Upstream)> {
         let mut headers = HeaderMap::new();
         if !body.is_empty() {
             let json = actix_http::header::HeaderValue::from_static("application/json");
@@ -111,7 +122,15 @@
         }
         let (response, body) =
             upstream.exchange(method, path, headers, &body, MAX_RESPONSE_BYTES).await?;
-        self.pool.release(upstream);
-        Ok((response.status, body))
+        Ok((response.status, body, upstream))
     }
 }
+
+/// Returns the result of a call; fails with a message that names `request`, also after
+/// [`CALL_TIMEOUT`].
+async fn in_time<T>(
+    call: impl Future<Output = anyhow::Result<T>>,
+    request: impl FnOnce() -> String,
+) -> anyhow::Result<T> {
+    timeout(CALL_TIMEOUT, call).await.context("no answer in time").flatten().with_context(request)
+}
--- a/crates/sequoiahold/tests/upstream.rs
+++ b/crates/sequoiahold/tests/upstream.rs
@@ -14,6 +14,8 @@
 
 /// Time within which a response must have been read.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after an answer at which further bytes are sent.
+const LATE_DELAY: Duration = Duration::from_millis(25);
 /// A whole answer.
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nplate";
 /// Maximum length of a body.
@@ -102,6 +104,66 @@
     assert!(matches!(read, Err(UpstreamError::Malformed(_))), "{read:?}");
 }
 
+/// Starts a server that writes `early` as a connection opens, and to each request an answer and `late`
+/// after it.
+async fn start_talkative(early: &'static str, late: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            stream.write_all(early.as_bytes()).await.expect("written bytes");
+            actix_rt::spawn(async move {
+                while read_request(&mut stream).await {
+                    stream.write_all(ANSWER.as_bytes()).await.expect("a written answer");
+                    actix_rt::time::sleep(LATE_DELAY).await;
+                    stream.write_all(late.as_bytes()).await.expect("written bytes");
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Runs a server on a thread of its own, so that it goes on while the runtime of the test stands
+/// still.
+fn start_talkative_thread(early: &'static str, late: &'static str) -> SocketAddr {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            sender.send(start_talkative(early, late).await).expect("a test that waits");
+            std::future::pending::<()>().await;
+        });
+    });
+    receiver.recv().expect("an address")
+}
+
+// Guards against bytes that arrive behind an answer being read as the answer to the next request,
+// also where the runtime has not noticed them yet.
+#[rstest]
+#[case::answer(ANSWER)]
+#[case::part(" ")]
+#[actix_rt::test]
+async fn connection_with_bytes_behind_an_answer_is_not_used_again(#[case] late: &'static str) {
+    let (pool, addr) = (pool(), start_talkative_thread("", late));
+    let mut upstream = pool.open(addr).await.expect("a connection");
+    exchange(&mut upstream, Method::GET).await.expect("a response");
+    pool.release(upstream);
+    // Nothing polls the runtime meanwhile.
+    std::thread::sleep(4 * LATE_DELAY);
+    assert!(pool.take_idle(addr, READ_TIMEOUT, &[]).is_none());
+}
+
+// Guards against bytes that a server sends before any request being read as its answer.
+#[actix_rt::test]
+async fn bytes_before_a_request_are_not_its_answer() {
+    let (pool, addr) = (pool(), start_talkative_thread(ANSWER, ""));
+    let mut upstream = pool.open(addr).await.expect("a connection");
+    std::thread::sleep(4 * LATE_DELAY);
+    let no_body = Bytes::new();
+    let sent = upstream.send(Method::GET, "/", HeaderMap::new(), &no_body).await;
+    assert!(!sent.expect_err("a connection that is not used").partly_sent);
+}
+
 // Guards against a request being sent twice over one connection, where a late answer to the first
 // attempt would be taken for that to the second.
 #[actix_rt::test]
--- a/crates/standins/tests/process_second_answers.rs
+++ b/crates/standins/tests/process_second_answers.rs
@@ -5,6 +5,9 @@
 use futures_util::future::join_all;
 use rstest::rstest;
 use sequoiahold_standins::{
+    callers::{Order, Outcome},
+    deployment::Setup,
+    fixture::{assert_consistent, count, start_with_orders},
     hosted::{Behaviour, Cluster, gateway_config, loopback_addr, registry_entry, request},
     relay::TcpRelay,
 };
@@ -15,6 +18,8 @@
 /// Number of orders at the same time, as often as it takes until one meets the entry of the start
 /// before.
 const ORDERS: usize = 4;
+/// Number of orders one after another.
+const NEXT_ORDERS: usize = 20;
 /// Time that an order takes, longer than the delay of a second answer.
 const WORK_TIME: Duration = Duration::from_millis(60);
 /// Time within which a changed list must be in use.
@@ -65,6 +70,31 @@
     }
 }
 
+// Guards against the second copy of an answer of an engine or service being taken by the endpoint
+// process for the answer to the next request.
+#[rstest]
+#[case::at_once(0)]
+#[case::late(10)]
+#[actix_rt::test]
+async fn second_copy_of_an_answer_is_not_that_to_the_next_request_at_an_entry(
+    #[case] delay_ms: u64,
+) {
+    let setup = Setup { relays: true, ..Setup::for_test() };
+    let deployment = start_with_orders(setup).await.expect("a deployment");
+    for relay in deployment.engine_relays.values() {
+        relay.filter.repeat_answers(200, Duration::from_millis(delay_ms));
+    }
+    let (caller, entry) = (deployment.caller(), deployment.entries()[0]);
+    let service = deployment.plan.order_service();
+    let mut calls = vec![];
+    for number in 0..NEXT_ORDERS {
+        let order = Order::now(&format!("plate-{number}"));
+        calls.push(caller.place_order(entry, &service, &order).await);
+    }
+    assert_consistent(&deployment, &calls);
+    assert_eq!(count(&calls, Outcome::Answered), NEXT_ORDERS, "{calls:?}");
+}
+
 /// Places an order; returns the status and how often it ran.
 async fn place_order(cluster: &Cluster) -> (u16, usize) {
     let order = request("POST", "/order/1", "key-1");
