--- a/crates/sequoiahold/src/loader/engine.rs
+++ b/crates/sequoiahold/src/loader/engine.rs
@@ -84,7 +84,7 @@
             let upstream = self.pool.open(self.addr).await?;
             self.exchange(upstream, Method::POST, path, body).await.map(|(status, _, _)| status)
         };
-        let status = in_time(call, || format!("POST {path}")).await?;
+        let status = in_time(call, format!("POST {path}")).await?;
         Ok(match status {
             StatusCode::ACCEPTED => OrderReply::Begun,
             StatusCode::OK => OrderReply::InEffect,
@@ -105,7 +105,7 @@
             self.pool.release(upstream);
             Ok((status, body))
         };
-        in_time(call, || request).await
+        in_time(call, request).await
     }
 
     async fn exchange(
@@ -126,11 +126,10 @@
     }
 }
 
-/// Returns the result of a call; fails with a message that names `request`, also after
-/// [`CALL_TIMEOUT`].
+/// Returns the result of a call; fails after [`CALL_TIMEOUT`]. Errors name the request.
 async fn in_time<T>(
     call: impl Future<Output = anyhow::Result<T>>,
-    request: impl FnOnce() -> String,
+    request: String,
 ) -> anyhow::Result<T> {
-    timeout(CALL_TIMEOUT, call).await.context("no answer in time").flatten().with_context(request)
+    timeout(CALL_TIMEOUT, call).await.context("no answer in time").flatten().context(request)
 }
